feat: workspace of single-purpose crates with shared domain types

Only peridotrack-types holds code so far: names, register, rules, configuration, settings and problem kinds.

--- /dev/null
+++ b/crates/peridotrack-budget/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/peridotrack-types/src/id.rs
@@ -0,0 +1,112 @@
+//! Identifiers drawn at run time.
+
+use std::{fmt, str::FromStr};
+
+use serde::{Deserialize, Serialize};
+
+/// One life of a router process, drawn at random at each start.
+///
+/// A VM that restarts gets a new incarnation, so that nothing granted to the
+/// earlier one is ever used by the later one.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(into = "String", try_from = "String")]
+pub struct Incarnation(pub u64);
+
+/// One request, as named in answers, logs, usage records and the time line.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(into = "String", try_from = "String")]
+pub struct Request {
+    /// The incarnation that accepted the request.
+    pub incarnation: Incarnation,
+    /// Count of requests accepted by that incarnation, from 1.
+    pub sequence: u64,
+}
+
+/// An identifier whose text is not in its canonical form.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("malformed identifier {text:?}")]
+pub struct Error {
+    /// The text that was refused.
+    pub text: String,
+}
+
+impl fmt::Display for Incarnation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl fmt::Debug for Incarnation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+impl FromStr for Incarnation {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        let error = || Error {
+            text: text.to_owned(),
+        };
+        if text.len() != 16 {
+            return Err(error());
+        }
+        u64::from_str_radix(text, 16).map(Self).map_err(|_| error())
+    }
+}
+
+impl From<Incarnation> for String {
+    fn from(id: Incarnation) -> Self {
+        id.to_string()
+    }
+}
+
+impl TryFrom<String> for Incarnation {
+    type Error = Error;
+
+    fn try_from(text: String) -> Result<Self, Error> {
+        text.parse()
+    }
+}
+
+impl fmt::Display for Request {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}-{}", self.incarnation, self.sequence)
+    }
+}
+
+impl fmt::Debug for Request {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+impl FromStr for Request {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        let error = || Error {
+            text: text.to_owned(),
+        };
+        let (incarnation, sequence) = text.split_once('-').ok_or_else(error)?;
+        Ok(Self {
+            incarnation: incarnation.parse()?,
+            sequence: sequence.parse().map_err(|_| error())?,
+        })
+    }
+}
+
+impl From<Request> for String {
+    fn from(id: Request) -> Self {
+        id.to_string()
+    }
+}
+
+impl TryFrom<String> for Request {
+    type Error = Error;
+
+    fn try_from(text: String) -> Result<Self, Error> {
+        text.parse()
+    }
+}
--- /dev/null
+++ b/crates/peridotrack-types/src/rules.rs
@@ -0,0 +1,124 @@
+//! The operators' rules: who may spend what, which work comes first, what must not be repeated.
+
+use serde::{Deserialize, Serialize};
+
+use crate::name;
+
+/// All rules on top of the asset register.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Rules {
+    /// Prepaid budgets, in the order in which a request tries them.
+    pub budgets: Vec<Budget>,
+    /// Priorities, the first match wins; unmatched work is [`Priority::Normal`].
+    pub priorities: Vec<PriorityRule>,
+    /// Routes of plain services, the first match wins.
+    pub routes: Vec<Route>,
+    /// Limits on single requests.
+    pub limits: Limits,
+}
+
+/// A prepaid budget.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Budget {
+    /// Unique name.
+    pub name: name::Budget,
+    /// All tokens ever purchased for this budget; a top-up raises it.
+    pub purchased_tokens: u64,
+    /// Client accounts that may spend from it.
+    pub client_accounts: Vec<name::ClientAccount>,
+    /// Models that may be paid from it; empty means every model.
+    #[serde(default)]
+    pub models: Vec<name::Model>,
+}
+
+/// Order in which queued work is dispatched.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(rename_all = "snake_case")]
+pub enum Priority {
+    /// Dispatched last.
+    Low,
+    /// The default.
+    #[default]
+    Normal,
+    /// Dispatched first.
+    High,
+}
+
+/// Gives matching requests a priority.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PriorityRule {
+    /// Client account to match; absent means every account.
+    #[serde(default)]
+    pub client_account: Option<name::ClientAccount>,
+    /// Model to match; absent means every model.
+    #[serde(default)]
+    pub model: Option<name::Model>,
+    /// Service to match; absent means every service.
+    #[serde(default)]
+    pub service: Option<name::Service>,
+    /// Priority of matching requests.
+    pub priority: Priority,
+}
+
+/// Says whether requests to a part of a plain service may be repeated.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Route {
+    /// Service that the route belongs to.
+    pub service: name::Service,
+    /// Prefix of the path below the service, beginning with `/`.
+    pub path_prefix: String,
+    /// Whether a request may safely run more than once.
+    pub idempotent: bool,
+}
+
+/// Limits on single requests.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// Most output tokens of one model request.
+    pub max_output_tokens: u64,
+    /// Deadline of a request that states none, in milliseconds.
+    pub deadline_ms: u64,
+    /// Requests that one router queues for one service or model.
+    pub queue_requests: u32,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            max_output_tokens: 4_096,
+            deadline_ms: 30_000,
+            queue_requests: 256,
+        }
+    }
+}
+
+impl Rules {
+    /// Returns whether a request to `service` at `path` may be repeated.
+    ///
+    /// A route that no rule names is taken as non-idempotent.
+    pub fn is_idempotent(&self, service: &name::Service, path: &str) -> bool {
+        self.routes
+            .iter()
+            .find(|route| &route.service == service && path.starts_with(&route.path_prefix))
+            .is_some_and(|route| route.idempotent)
+    }
+
+    /// Returns the budgets that `account` may spend on `model`, in order.
+    pub fn budgets_for<'a>(
+        &'a self,
+        account: &'a name::ClientAccount,
+        model: &'a name::Model,
+    ) -> impl Iterator<Item = &'a Budget> + 'a {
+        self.budgets.iter().filter(move |budget| {
+            budget.client_accounts.contains(account)
+                && (budget.models.is_empty() || budget.models.contains(model))
+        })
+    }
+}
--- /dev/null
+++ b/crates/peridotrack/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
