feat(kernel): clock, timers, named services, numbered events, log and metrics

One loop on one thread needs one task for all timers: subscriptions share it and missed periods are skipped, so a process that was paused does not call a subscriber many times in a row.

metrics' global recorder was ruled out: several routers run in one process in the demonstration, and a test shows that two meters on one thread stay apart.

--- a/crates/peridotrack-kernel/src/lib.rs
+++ b/crates/peridotrack-kernel/src/lib.rs
@@ -1,1 +1,30 @@
-//! Placeholder.
+//! The micro-kernel of a router process: one loop on one thread.
+//!
+//! It holds what every service needs and nothing that one service decides:
+//! the clock, the timer service, the registry through which services find each
+//! other by name, numbered events with their bounded time line, the log and
+//! the metrics.
+//!
+//! ```
+//! use peridotrack_kernel::{event, registry, Kernel, Options};
+//!
+//! let kernel = Kernel::open(Options::default())?;
+//! kernel.registry().register("greeting", std::rc::Rc::new(String::from("hello")))?;
+//! let greeting = kernel.registry().find::<String>("greeting")?;
+//! assert_eq!(*greeting, "hello");
+//!
+//! let sequence = kernel.note(event::Event::new(event::Kind::RouterStarted));
+//! assert_eq!(kernel.timeline().after(0)[0].sequence, sequence);
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
+
+pub mod clock;
+pub mod event;
+mod kernel;
+pub mod log;
+pub mod meter;
+pub mod registry;
+pub mod timeline;
+pub mod timer;
+
+pub use kernel::{Error, Kernel, Options};
