--- /dev/null
+++ b/crates/peridotrack-once/src/claim/mod.rs
@@ -0,0 +1,249 @@
+//! Durable claims for non-idempotent requests.
+//!
+//! A request with an idempotency key is sent only after a row for (client account, key) stands in
+//! the platform. [`Claims`] decides; the daemon carries out the [`Action`]s and reports
+//! [`Event`]s. Every [`Action::Read`] and [`Action::Write`] is answered by exactly one event.
+
+mod claims;
+mod shard;
+
+use peridotrack_types::{id, name, problem};
+
+pub use self::claims::Claims;
+use crate::group;
+
+/// Sizes and times of claims.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Options {
+    /// Shards over which keys are spread; must be the same at all routers and never change.
+    pub shards: u32,
+    /// Time for which claims of one shard are gathered into one write, in microseconds.
+    pub claim_window_us: u64,
+    /// Time for which outcomes of one shard wait for a write to share, in microseconds.
+    pub outcome_window_us: u64,
+    /// Age up to which a head is written to without reading it again, in microseconds.
+    pub fresh_us: u64,
+    /// First wait after a failed attempt, in microseconds; doubles up to `retry_max_us`.
+    pub retry_min_us: u64,
+    /// Longest wait between attempts, in microseconds.
+    pub retry_max_us: u64,
+    /// Failed attempts in a row after which the store counts as down.
+    pub down_after_failures: u32,
+    /// Time between probes of a store that is down, in microseconds.
+    pub probe_us: u64,
+    /// Claims waiting for one shard before further ones are refused.
+    pub queue_claims: usize,
+    /// Largest answer body kept for replay, in bytes.
+    pub kept_body_bytes: usize,
+    /// Bytes of bodies that wait to be recorded before further bodies are not kept.
+    pub backlog_bytes: usize,
+    /// Bytes of rows in a head at which they are sealed into a page.
+    pub page_bytes: usize,
+    /// Bytes of a head above which it takes no more claims.
+    pub head_bytes: usize,
+    /// Least duration of a retention epoch, in microseconds.
+    pub epoch_us: u64,
+    /// Epochs for which sealed pages are retained.
+    pub retained_epochs: u64,
+    /// Time after a claimant's deadline until its claim counts as unknown, in microseconds.
+    pub unknown_after_us: u64,
+    /// Longest Retry-After of a request in progress, in milliseconds.
+    pub in_progress_retry_ms: u64,
+}
+
+/// A request that asks for a claim.
+#[derive(Debug, Clone)]
+pub struct Request<'a> {
+    /// Identifies the request at this router.
+    pub request_id: id::Request,
+    /// Client account that owns the key.
+    pub account: name::ClientAccount,
+    /// The caller's idempotency key.
+    pub key: &'a str,
+    /// Digest of method, path and body; see [`crate::digest::of_request`].
+    pub request_digest: [u8; 32],
+    /// Monotonic time after which the request must not be sent, in microseconds.
+    pub deadline_us: u64,
+}
+
+/// How a granted request ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Outcome {
+    /// The backend server answered.
+    Answered {
+        /// HTTP status.
+        status: u16,
+        /// Content type, empty if there is none.
+        content_type: String,
+        /// Whole body.
+        body: Vec<u8>,
+    },
+    /// No byte reached a backend server, or the backend server proved that it did not run.
+    NotRun,
+    /// The request may have run and its answer is lost.
+    Unknown,
+}
+
+/// What happened outside.
+#[derive(Debug, Clone)]
+pub enum Event {
+    /// Time passed.
+    Tick,
+    /// An object was read.
+    Read {
+        /// Object name.
+        object: String,
+        /// Its version.
+        version: u64,
+        /// Its content.
+        body: group::Group,
+    },
+    /// An object was read and does not exist.
+    Absent {
+        /// Object name.
+        object: String,
+    },
+    /// An object could not be read.
+    ReadFailed {
+        /// Object name.
+        object: String,
+    },
+    /// A write took effect.
+    Written {
+        /// Object name.
+        object: String,
+        /// Version after the write.
+        version: u64,
+    },
+    /// A write was refused because the expected version is not the current one.
+    Conflict {
+        /// Object name.
+        object: String,
+    },
+    /// A write may or may not have taken effect, or may yet take effect.
+    WriteUnknown {
+        /// Object name.
+        object: String,
+    },
+    /// The store refused a write; it had no effect.
+    WriteRefused {
+        /// Object name.
+        object: String,
+        /// When to try again, in milliseconds.
+        retry_after_ms: u64,
+    },
+}
+
+/// What is to be done outside.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// Read an object.
+    Read {
+        /// Object name.
+        object: String,
+    },
+    /// Write an object if it has the expected version.
+    Write {
+        /// Object name.
+        object: String,
+        /// Expected version; `None` creates the object if it is absent.
+        expected: Option<u64>,
+        /// New content.
+        body: group::Group,
+    },
+    /// Remove an object that no head refers to any more; reports no event.
+    Remove {
+        /// Object name.
+        object: String,
+    },
+    /// Answer a request that asked for a claim.
+    Decide {
+        /// Request to answer.
+        request_id: id::Request,
+        /// What to do with it.
+        decision: Decision,
+    },
+    /// Something worth an entry in the time line.
+    Note(Note),
+}
+
+/// What to do with a request that asked for a claim.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Decision {
+    /// The claim is durable; ask [`Claims::may_send`] immediately before the first byte.
+    Granted,
+    /// Answer with the kept answer of the first request.
+    Replay {
+        /// HTTP status.
+        status: u16,
+        /// Content type, empty if there is none.
+        content_type: String,
+        /// Body.
+        body: Vec<u8>,
+    },
+    /// Refuse.
+    Refuse {
+        /// Why, and whether the request ran.
+        kind: problem::Kind,
+        /// When to try again, in milliseconds; absent if a retry cannot help.
+        retry_after_ms: Option<u64>,
+    },
+}
+
+/// An observation for the time line.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Note {
+    /// The outcome of a write is unknown and will be read back.
+    WriteUnknown {
+        /// Object name.
+        object: String,
+    },
+    /// A conditional update lost a race.
+    Conflict {
+        /// Object name.
+        object: String,
+    },
+    /// The store counts as down; claims are refused at once.
+    StoreDown,
+    /// The store answers again.
+    StoreUp,
+    /// A request was refused while its claim may exist; the claim will be removed.
+    Abandoned {
+        /// Refused request.
+        request_id: id::Request,
+    },
+    /// A page was sealed.
+    Sealed {
+        /// Page name.
+        object: String,
+    },
+    /// An outcome came after its row was sealed as unknown and is not kept.
+    OutcomeTooLate {
+        /// Request that ended.
+        request_id: id::Request,
+    },
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            shards: 64,
+            claim_window_us: 2_000,
+            outcome_window_us: 250_000,
+            fresh_us: 20_000,
+            retry_min_us: 5_000,
+            retry_max_us: 1_000_000,
+            down_after_failures: 3,
+            probe_us: 1_000_000,
+            queue_claims: 256,
+            kept_body_bytes: 8 * 1_024,
+            backlog_bytes: 8 * 1_024 * 1_024,
+            page_bytes: 192 * 1_024,
+            head_bytes: 896 * 1_024,
+            epoch_us: 3_600_000_000,
+            retained_epochs: 25,
+            unknown_after_us: 60_000_000,
+            in_progress_retry_ms: 1_000,
+        }
+    }
+}
--- /dev/null
+++ b/crates/peridotrack-once/src/claim/shard.rs
@@ -0,0 +1,1 @@
+//! Claims of one shard.
