feat(types): report every error of operators' inputs at its path

serde stops at the first error, so an operator mends one field a run. The parse now puts a value in place of each offending one and tries again; errors inside a substitute are not reported. Register, rules and settings are checked for bounds, references, uniqueness and rules that never match.

Prefixes now match whole segments, and a path that servers may read in two ways is taken as non-idempotent.

--- a/crates/peridotrack-types/src/config.rs
+++ b/crates/peridotrack-types/src/config.rs
@@ -1,9 +1,19 @@
 //! The versioned configuration: register and rules, accepted as one.
 
+mod validate;
+
 use serde::{Deserialize, Serialize};
 
 use crate::{register, rules};
 
+pub(crate) use validate::name_fault;
+pub use validate::{
+    MAX_BACKEND_SERVERS, MAX_BUDGETS, MAX_CLIENT_ACCOUNTS, MAX_DEADLINE_MS, MAX_FAILURE_DOMAINS,
+    MAX_KEYS_PER_ACCOUNT, MAX_MODELS_PER_ENGINE, MAX_NAME_BYTES, MAX_OUTPUT_TOKENS,
+    MAX_PATH_PREFIX_BYTES, MAX_PURCHASED_TOKENS, MAX_QUEUE_REQUESTS, MAX_RULES, MAX_SLOTS, check,
+    check_change,
+};
+
 /// One accepted configuration.
 ///
 /// The highest version wins everywhere and is never replaced by a lower one.
--- a/crates/peridotrack-types/src/lib.rs
+++ b/crates/peridotrack-types/src/lib.rs
@@ -10,6 +10,7 @@
 //! assert_eq!(domain.as_str(), "jakarta-1");
 //! ```
 
+pub mod check;
 pub mod collections;
 pub mod config;
 pub mod id;
--- a/crates/peridotrack-types/src/rules.rs
+++ b/crates/peridotrack-types/src/rules.rs
@@ -102,11 +102,17 @@
 impl Rules {
     /// Returns whether a request to `service` at `path` may be repeated.
     ///
-    /// A route that no rule names is taken as non-idempotent.
+    /// A path that no rule names is taken as non-idempotent, and so is one that a
+    /// backend server may read in another way, such as one with a `..` segment.
     pub fn is_idempotent(&self, service: &name::Service, path: &str) -> bool {
+        let path = path.split_once('?').map_or(path, |(path, _query)| path);
+        is_plain_path(path) && self.first_route_is_idempotent(service, path)
+    }
+
+    fn first_route_is_idempotent(&self, service: &name::Service, path: &str) -> bool {
         self.routes
             .iter()
-            .find(|route| &route.service == service && path.starts_with(&route.path_prefix))
+            .find(|route| &route.service == service && route.matches_path(path))
             .is_some_and(|route| route.idempotent)
     }
 
@@ -122,3 +128,38 @@
         })
     }
 }
+
+impl Route {
+    /// Returns whether the route's prefix covers whole segments of `path`, which has no query.
+    pub fn matches_path(&self, path: &str) -> bool {
+        path.strip_prefix(self.path_prefix.as_str())
+            .is_some_and(|rest| {
+                rest.is_empty() || rest.starts_with('/') || self.path_prefix.ends_with('/')
+            })
+    }
+}
+
+/// Returns whether every reader takes `path` for the same sequence of segments.
+pub(crate) fn is_plain_path(path: &str) -> bool {
+    let Some(rest) = path.strip_prefix('/') else {
+        return false;
+    };
+    let mut segments = rest.split('/').peekable();
+    while let Some(segment) = segments.next() {
+        let is_last = segments.peek().is_none();
+        let is_plain = match segment {
+            "" => is_last,
+            "." | ".." => false,
+            _ => segment.bytes().all(is_plain_byte),
+        };
+        if !is_plain {
+            return false;
+        }
+    }
+    true
+}
+
+/// Returns whether a byte stands for itself in a path.
+fn is_plain_byte(byte: u8) -> bool {
+    byte.is_ascii_alphanumeric() || b"-._~!$&'()*+,;=:@".contains(&byte)
+}
--- a/crates/peridotrack-types/src/settings.rs
+++ b/crates/peridotrack-types/src/settings.rs
@@ -1,10 +1,18 @@
 //! Settings of one router daemon.
 
+mod validate;
+
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
 
-use crate::name;
+use crate::{check, name};
+
+pub use validate::{
+    MAX_BODY_BYTES, MAX_CALLER_WRITE_TIMEOUT_MS, MAX_CONNECTIONS, MAX_HEAD_BYTES,
+    MAX_PEER_KEY_BYTES, MAX_SEED_ADDRESSES, MAX_SHUTDOWN_MS, MAX_TIMELINE_EVENTS, MIN_BODY_BYTES,
+    MIN_CALLER_WRITE_TIMEOUT_MS, MIN_HEAD_BYTES, MIN_PEER_KEY_BYTES, MIN_TIMELINE_EVENTS,
+};
 
 /// Settings of one router daemon, read from a JSON file.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -68,3 +76,20 @@
         }
     }
 }
+
+impl Settings {
+    /// Parses settings and checks them as a whole.
+    ///
+    /// # Errors
+    ///
+    /// Returns every error at its path.
+    pub fn parse(text: &str) -> Result<Self, Vec<check::Problem>> {
+        let settings: Self = check::parse(text)?;
+        let problems = settings.check();
+        if problems.is_empty() {
+            Ok(settings)
+        } else {
+            Err(problems)
+        }
+    }
+}
