--- /dev/null
+++ b/crates/peridotrack-http/src/server/answer.rs
@@ -0,0 +1,124 @@
+//! The writing of answers.
+
+use std::io;
+
+use bytes::Bytes;
+use http::{StatusCode, Version};
+
+use crate::{
+    encode::{self, Length},
+    head,
+    server::{
+        Error, Step,
+        connection::{Connection, Phase},
+    },
+};
+
+/// Longest wait for the rest of a refused request to be discarded.
+const LINGER_MS: u64 = 500;
+/// Most bytes of a refused request that are discarded.
+const LINGER_BYTES: usize = 1024 * 1024;
+
+/// Answers.
+impl Connection {
+    /// Writes a whole answer with `Content-Length`.
+    ///
+    /// A `Connection: close` header in `response` closes the connection after it. After a
+    /// failed [`Connection::next`] the rest of the refused request is discarded for a
+    /// bounded time, so that the caller gets to read the answer.
+    pub async fn respond(&mut self, response: http::Response<Bytes>) -> Result<(), Error> {
+        let (head, body) = response.into_parts();
+        let refused = self.phase == Phase::Refused;
+        let keep_alive = self.begin(&head)?;
+        let length = match head.status {
+            StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED => Length::Unstated,
+            _ => Length::Bytes(body.len()),
+        };
+        let body = if self.omit_body { Bytes::new() } else { body };
+        let text = encode::response_head(&head, length, !keep_alive);
+        for bytes in encode::join(text, body) {
+            self.write_bytes(bytes).await?;
+        }
+        if refused {
+            self.wire.linger(LINGER_MS, LINGER_BYTES).await;
+        }
+        self.end(keep_alive);
+        Ok(())
+    }
+
+    /// Writes the head of a chunked answer.
+    pub async fn start(&mut self, head: http::Response<()>) -> Result<(), Error> {
+        if self.phase == Phase::Answering && self.exchange.version != Version::HTTP_11 {
+            return Err(Error::StreamUnsupported { peer: self.peer() });
+        }
+        let (head, ()) = head.into_parts();
+        let keep_alive = self.begin(&head)?;
+        self.exchange.keep_alive = keep_alive;
+        let length = match head.status {
+            StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED => Length::Unstated,
+            _ => Length::Chunked,
+        };
+        let text = encode::response_head(&head, length, !keep_alive);
+        self.write_bytes(text.freeze()).await?;
+        self.phase = Phase::Streaming;
+        Ok(())
+    }
+
+    /// Writes one chunk; it is on the wire when this returns. An empty one writes nothing.
+    pub async fn write(&mut self, chunk: Bytes) -> Result<(), Error> {
+        if self.phase != Phase::Streaming {
+            return Err(self.out_of_order());
+        }
+        if self.omit_body || chunk.is_empty() {
+            return Ok(());
+        }
+        self.phase = Phase::Doubtful;
+        self.write_bytes(encode::chunk(&chunk)).await?;
+        self.phase = Phase::Streaming;
+        Ok(())
+    }
+
+    /// Writes the chunk that ends the answer; without it the answer looks cut.
+    pub async fn finish(&mut self) -> Result<(), Error> {
+        if self.phase != Phase::Streaming {
+            return Err(self.out_of_order());
+        }
+        self.phase = Phase::Doubtful;
+        if !self.omit_body {
+            self.write_bytes(Bytes::from_static(encode::LAST_CHUNK))
+                .await?;
+        }
+        self.end(self.exchange.keep_alive);
+        Ok(())
+    }
+
+    /// Begins an answer; until it ends, a failed or dropped call leaves the phase doubtful.
+    fn begin(&mut self, head: &http::response::Parts) -> Result<bool, Error> {
+        if !matches!(self.phase, Phase::Answering | Phase::Refused) {
+            return Err(self.out_of_order());
+        }
+        self.phase = Phase::Doubtful;
+        self.omit_body = self.exchange.head_only
+            || matches!(
+                head.status,
+                StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+            );
+        Ok(self.exchange.keep_alive && !head::has_connection_token(&head.headers, "close"))
+    }
+
+    fn end(&mut self, keep_alive: bool) {
+        self.phase = if keep_alive {
+            Phase::Ready
+        } else {
+            Phase::Closed
+        };
+    }
+
+    pub(super) async fn write_bytes(&mut self, bytes: Bytes) -> Result<(), Error> {
+        let outcome = self.wire.write(bytes, self.options.write_timeout_ms).await;
+        outcome.map_err(|error| match error.kind() {
+            io::ErrorKind::TimedOut => self.timed_out(Step::Write),
+            _ => self.io(Step::Write, error),
+        })
+    }
+}
--- a/crates/peridotrack-http/src/server.rs
+++ b/crates/peridotrack-http/src/server/connection.rs
@@ -1,132 +1,21 @@
-//! Connections accepted from callers.
+//! One accepted connection: its state and the reading of requests.
 
 use std::{io, net::SocketAddr};
 
 use bytes::{Bytes, BytesMut};
-use http::{Method, StatusCode, Version, header};
+use http::{Method, Version, header};
 use monoio::net::TcpStream;
 
 use crate::{
     body::{self, Body, Piece},
-    encode::{self, Length},
     head::{self, Framing, Scanner},
+    server::{Error, Options, Request, Step},
     wire::{self, Wire},
 };
 
-/// Longest wait for the rest of a refused request to be discarded.
-const LINGER_MS: u64 = 500;
-/// Most bytes of a refused request that are discarded.
-const LINGER_BYTES: usize = 1024 * 1024;
-
-/// Limits of one connection.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Options {
-    /// Largest request head in bytes, at most 65,535.
-    pub head_bytes: usize,
-    /// Largest request body in bytes.
-    pub body_bytes: usize,
-    /// Longest wait for a request's first byte, and then again for the rest of its head.
-    pub head_timeout_ms: u64,
-    /// Longest wait for a whole body after its head.
-    pub body_timeout_ms: u64,
-    /// Longest wait for the caller to take 64 KiB of an answer.
-    pub write_timeout_ms: u64,
-}
-
-impl Default for Options {
-    fn default() -> Self {
-        Self {
-            head_bytes: 16 * 1024,
-            body_bytes: 1024 * 1024,
-            head_timeout_ms: 15_000,
-            body_timeout_ms: 30_000,
-            write_timeout_ms: 10_000,
-        }
-    }
-}
-
-/// What a connection was doing when an error arose.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Step {
-    /// Reading a request's head.
-    Head,
-    /// Reading a request's body.
-    Body,
-    /// Writing an answer.
-    Write,
-}
-
-/// Why a request could not be read or an answer not be written.
-#[derive(Debug, thiserror::Error)]
-pub enum Error {
-    /// The request is not HTTP/1.x, or ambiguous about where it ends: answer 400.
-    #[error("malformed request from {peer}: {detail}")]
-    Malformed {
-        /// The caller.
-        peer: SocketAddr,
-        /// What is wrong, without any part of the request's body.
-        detail: String,
-    },
-    /// The head is longer than the limit or has more than 96 fields: answer 431.
-    #[error("request head from {peer} exceeds {limit_bytes} bytes or 96 fields")]
-    HeadTooLarge {
-        /// The caller.
-        peer: SocketAddr,
-        /// The limit in bytes.
-        limit_bytes: usize,
-    },
-    /// The body is longer than the limit: answer 413.
-    #[error("request body from {peer} exceeds {limit_bytes} bytes")]
-    BodyTooLarge {
-        /// The caller.
-        peer: SocketAddr,
-        /// The limit in bytes.
-        limit_bytes: usize,
-    },
-    /// The caller was too slow: answer 408, unless the step is [`Step::Write`].
-    #[error("timeout at step {step:?} with {peer}")]
-    TimedOut {
-        /// Where the time ran out.
-        step: Step,
-        /// The caller.
-        peer: SocketAddr,
-    },
-    /// The connection failed, or ended within a request.
-    #[error("connection failed at step {step:?} with {peer}: {source}")]
-    Io {
-        /// Where it failed.
-        step: Step,
-        /// The caller.
-        peer: SocketAddr,
-        /// The cause.
-        source: io::Error,
-    },
-    /// An HTTP/1.0 caller cannot take a streamed answer; a whole one may still be sent.
-    #[error("{peer} speaks HTTP/1.0 and cannot take a streamed answer")]
-    StreamUnsupported {
-        /// The caller.
-        peer: SocketAddr,
-    },
-    /// The call does not fit the state of the exchange.
-    #[error("call out of order on the connection with {peer}")]
-    OutOfOrder {
-        /// The caller.
-        peer: SocketAddr,
-    },
-}
-
-/// One request, its body read whole.
-#[derive(Debug)]
-pub struct Request {
-    /// Method, target and headers.
-    pub head: http::request::Parts,
-    /// The body; empty if there is none.
-    pub body: Bytes,
-}
-
 /// Where an exchange stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Phase {
+pub(super) enum Phase {
     /// Between requests.
     Ready,
     /// A request is being read or written; left behind by a call that failed or was dropped.
@@ -143,10 +32,10 @@
 
 /// What the current request says about its answer.
 #[derive(Debug, Clone, Copy)]
-struct Exchange {
-    keep_alive: bool,
-    head_only: bool,
-    version: Version,
+pub(super) struct Exchange {
+    pub(super) keep_alive: bool,
+    pub(super) head_only: bool,
+    pub(super) version: Version,
 }
 
 impl Exchange {
@@ -161,12 +50,13 @@
 ///
 /// Requests are read one at a time; bytes of later ones wait in the buffer.
 pub struct Connection {
-    wire: Wire,
-    options: Options,
+    pub(super) wire: Wire,
+    pub(super) options: Options,
     scanner: Scanner,
-    phase: Phase,
-    exchange: Exchange,
-    omit_body: bool,
+    pub(super) phase: Phase,
+    pub(super) exchange: Exchange,
+    /// Whether the answer under way has no body by its status or the request's method.
+    pub(super) omit_body: bool,
 }
 
 /// Construction and access.
@@ -340,123 +230,19 @@
     }
 }
 
-/// Answers.
-impl Connection {
-    /// Writes a whole answer with `Content-Length`.
-    ///
-    /// A `Connection: close` header in `response` closes the connection after it. After a
-    /// failed [`Connection::next`] the rest of the refused request is discarded for a
-    /// bounded time, so that the caller gets to read the answer.
-    pub async fn respond(&mut self, response: http::Response<Bytes>) -> Result<(), Error> {
-        let (head, body) = response.into_parts();
-        let refused = self.phase == Phase::Refused;
-        let keep_alive = self.begin(&head)?;
-        let length = match head.status {
-            StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED => Length::Unstated,
-            _ => Length::Bytes(body.len()),
-        };
-        let body = if self.omit_body { Bytes::new() } else { body };
-        let text = encode::response_head(&head, length, !keep_alive);
-        for bytes in encode::join(text, body) {
-            self.write_bytes(bytes).await?;
-        }
-        if refused {
-            self.wire.linger(LINGER_MS, LINGER_BYTES).await;
-        }
-        self.end(keep_alive);
-        Ok(())
-    }
-
-    /// Writes the head of a chunked answer.
-    pub async fn start(&mut self, head: http::Response<()>) -> Result<(), Error> {
-        if self.phase == Phase::Answering && self.exchange.version != Version::HTTP_11 {
-            return Err(Error::StreamUnsupported { peer: self.peer() });
-        }
-        let (head, ()) = head.into_parts();
-        let keep_alive = self.begin(&head)?;
-        self.exchange.keep_alive = keep_alive;
-        let length = match head.status {
-            StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED => Length::Unstated,
-            _ => Length::Chunked,
-        };
-        let text = encode::response_head(&head, length, !keep_alive);
-        self.write_bytes(text.freeze()).await?;
-        self.phase = Phase::Streaming;
-        Ok(())
-    }
-
-    /// Writes one chunk; it is on the wire when this returns. An empty one writes nothing.
-    pub async fn write(&mut self, chunk: Bytes) -> Result<(), Error> {
-        if self.phase != Phase::Streaming {
-            return Err(self.out_of_order());
-        }
-        if self.omit_body || chunk.is_empty() {
-            return Ok(());
-        }
-        self.phase = Phase::Doubtful;
-        self.write_bytes(encode::chunk(&chunk)).await?;
-        self.phase = Phase::Streaming;
-        Ok(())
-    }
-
-    /// Writes the chunk that ends the answer; without it the answer looks cut.
-    pub async fn finish(&mut self) -> Result<(), Error> {
-        if self.phase != Phase::Streaming {
-            return Err(self.out_of_order());
-        }
-        self.phase = Phase::Doubtful;
-        if !self.omit_body {
-            self.write_bytes(Bytes::from_static(encode::LAST_CHUNK))
-                .await?;
-        }
-        self.end(self.exchange.keep_alive);
-        Ok(())
-    }
-
-    /// Begins an answer; until it ends, a failed or dropped call leaves the phase doubtful.
-    fn begin(&mut self, head: &http::response::Parts) -> Result<bool, Error> {
-        if !matches!(self.phase, Phase::Answering | Phase::Refused) {
-            return Err(self.out_of_order());
-        }
-        self.phase = Phase::Doubtful;
-        self.omit_body = self.exchange.head_only
-            || matches!(
-                head.status,
-                StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
-            );
-        Ok(self.exchange.keep_alive && !head::has_connection_token(&head.headers, "close"))
-    }
-
-    fn end(&mut self, keep_alive: bool) {
-        self.phase = if keep_alive {
-            Phase::Ready
-        } else {
-            Phase::Closed
-        };
-    }
-
-    async fn write_bytes(&mut self, bytes: Bytes) -> Result<(), Error> {
-        let outcome = self.wire.write(bytes, self.options.write_timeout_ms).await;
-        outcome.map_err(|error| match error.kind() {
-            io::ErrorKind::TimedOut => self.timed_out(Step::Write),
-            _ => self.io(Step::Write, error),
-        })
-    }
-}
-
 /// Errors.
 impl Connection {
-    fn timed_out(&self, step: Step) -> Error {
+    pub(super) fn timed_out(&self, step: Step) -> Error {
         let peer = self.peer();
         Error::TimedOut { step, peer }
     }
 
-    fn io(&self, step: Step, source: io::Error) -> Error {
+    pub(super) fn io(&self, step: Step, source: io::Error) -> Error {
         let peer = self.peer();
         Error::Io { step, peer, source }
     }
 
-    fn out_of_order(&self) -> Error {
+    pub(super) fn out_of_order(&self) -> Error {
         Error::OutOfOrder { peer: self.peer() }
     }
 
