feat(budget): ledger, holder and messages as pure state machines

Draws, returns, transfers, merged draws, release and close, with cumulative totals throughout. A released row keeps its exposure until every open row has acknowledged its transfers with the dead holder: releasing at the stated spend alone would let a peer spend on what the dead holder had sent it.

Not proved yet: only the crate example runs.

--- /dev/null
+++ b/crates/peridotrack-budget/src/holder.rs
@@ -0,0 +1,393 @@
+//! The holder: one router incarnation's share of all budgets.
+
+use std::collections::BTreeSet;
+
+use peridotrack_types::{collections::HashMap, id, name};
+
+use crate::{
+    action::Action,
+    event::Event,
+    ledger,
+    options::Options,
+    refusal::{self, Refusal},
+    reservation,
+};
+
+mod account;
+mod drawer;
+mod link;
+mod plan;
+mod rate;
+mod report;
+mod search;
+mod sweep;
+mod transfer;
+
+pub use account::Status;
+pub use report::Report;
+
+use account::{Account, Active};
+use link::Link;
+use search::Search;
+
+const RETRY_SOON_MS: u64 = 100;
+const RETRY_EXHAUSTED_MS: u64 = 10_000;
+const RETRY_UNAVAILABLE_MS: u64 = 2_000;
+
+/// One router incarnation's grants and reservations of all budgets.
+///
+/// Calls that return no actions may leave some behind: call [`Holder::poll`] after them.
+#[derive(Debug)]
+pub struct Holder {
+    id: id::Incarnation,
+    options: Options,
+    config_version: u64,
+    accounts: Vec<Account>,
+    index: HashMap<name::Budget, u32>,
+    /// Accounts in use, in the order of first use.
+    active: Vec<u32>,
+    sweep: sweep::Cursor,
+    links: Vec<Link>,
+    gate: link::Gate,
+    /// Shards with something due, in flight or backing off.
+    busy: BTreeSet<u32>,
+    /// Accounts with a search under way.
+    searching: BTreeSet<u32>,
+    /// Accounts with transfers not yet acknowledged.
+    unacknowledged: BTreeSet<u32>,
+    /// Accounts whose search ended, so that other holders' calls can be served.
+    calls_due: BTreeSet<u32>,
+    reservations: HashMap<u64, (u32, u64)>,
+    next_reservation: u64,
+    /// Live peers of the own failure domain, sorted, without this holder.
+    peers: Vec<id::Incarnation>,
+    /// Holders passed over until a time in microseconds.
+    suspects: HashMap<id::Incarnation, u64>,
+    is_closing: bool,
+    wake: bool,
+    out: Vec<Action>,
+    rng: fastrand::Rng,
+}
+
+/// Construction
+impl Holder {
+    /// Creates the holder of a new incarnation, without any grant.
+    pub fn new(incarnation: id::Incarnation, options: Options, now_us: u64) -> Self {
+        let shard_count = options.shard_count.max(1) as usize;
+        Self {
+            id: incarnation,
+            config_version: 0,
+            accounts: Vec::new(),
+            index: HashMap::default(),
+            active: Vec::new(),
+            sweep: sweep::Cursor::new(now_us),
+            links: (0..shard_count).map(|_| Link::default()).collect(),
+            busy: BTreeSet::new(),
+            searching: BTreeSet::new(),
+            unacknowledged: BTreeSet::new(),
+            calls_due: BTreeSet::new(),
+            gate: link::Gate::default(),
+            reservations: HashMap::default(),
+            next_reservation: 1,
+            peers: Vec::new(),
+            suspects: HashMap::default(),
+            is_closing: false,
+            wake: false,
+            out: Vec::new(),
+            rng: fastrand::Rng::with_seed(options.seed ^ incarnation.0),
+            options,
+        }
+    }
+}
+
+/// Access
+impl Holder {
+    /// Returns the incarnation.
+    pub fn id(&self) -> id::Incarnation {
+        self.id
+    }
+
+    /// Returns the configuration version in force.
+    pub fn config_version(&self) -> u64 {
+        self.config_version
+    }
+
+    /// Returns whether every row was closed after [`Holder::close`].
+    pub fn is_closed(&self) -> bool {
+        let is_done = |active: &Active| match active.status {
+            Status::Unlisted | Status::Stopped | Status::Closed => true,
+            Status::Listed => false,
+        };
+        self.is_closing
+            && self.links.iter().all(Link::is_quiet)
+            && self.active_accounts().all(|(_, active)| is_done(active))
+    }
+
+    fn active_accounts(&self) -> impl Iterator<Item = (&Account, &Active)> {
+        self.active.iter().filter_map(|index| {
+            let account = &self.accounts[*index as usize];
+            Some((account, account.active.as_deref()?))
+        })
+    }
+}
+
+/// Configuration
+impl Holder {
+    /// Takes over the purchased totals of a configuration; an older one changes nothing.
+    ///
+    /// A budget that is missing counts as lowered to 0.
+    pub fn configure(
+        &mut self,
+        now_us: u64,
+        config_version: u64,
+        budgets: impl IntoIterator<Item = (name::Budget, u64)>,
+    ) -> Vec<Action> {
+        if config_version <= self.config_version {
+            return Vec::new();
+        }
+        self.config_version = config_version;
+        let mut removed: BTreeSet<u32> = (0..self.accounts.len() as u32).collect();
+        for (budget, purchased_tokens) in budgets {
+            let index = self.account_index(&budget);
+            removed.remove(&index);
+            self.set_purchased(now_us, index, purchased_tokens);
+        }
+        for index in removed {
+            self.set_purchased(now_us, index, 0);
+        }
+        self.poll(now_us)
+    }
+
+    /// Tells the live holders of the own failure domain.
+    pub fn set_peers(&mut self, now_us: u64, peers: &[id::Incarnation]) -> Vec<Action> {
+        self.peers = peers.iter().copied().filter(|id| *id != self.id).collect();
+        self.peers.sort_unstable();
+        self.peers.dedup();
+        self.poll(now_us)
+    }
+
+    fn account_index(&mut self, budget: &name::Budget) -> u32 {
+        if let Some(index) = self.index.get(budget) {
+            return *index;
+        }
+        let index = self.accounts.len() as u32;
+        self.accounts.push(Account {
+            budget: budget.clone(),
+            shard: ledger::shard_of(budget, self.options.shard_count),
+            purchased_tokens: 0,
+            active: None,
+        });
+        self.index.insert(budget.clone(), index);
+        index
+    }
+
+    fn set_purchased(&mut self, now_us: u64, index: u32, purchased_tokens: u64) {
+        let account = &mut self.accounts[index as usize];
+        if account.purchased_tokens == purchased_tokens {
+            return;
+        }
+        account.purchased_tokens = purchased_tokens;
+        let shard = account.shard;
+        let Some(active) = account.active.as_mut() else {
+            return;
+        };
+        if matches!(active.search, Search::Dry { .. }) {
+            active.search = Search::None;
+        }
+        self.wake = true;
+        self.call_directly(now_us, shard);
+    }
+}
+
+/// Reservations
+impl Holder {
+    /// Reserves an upper bound of spend before anything is sent to a backend server.
+    ///
+    /// After [`refusal::Kind::Waiting`], try again at the next [`Action::Wake`]: each failed
+    /// attempt counts as demand until then.
+    pub fn reserve(
+        &mut self,
+        now_us: u64,
+        budget: &name::Budget,
+        tokens: u64,
+    ) -> Result<reservation::Id, Refusal> {
+        let Some(&index) = self.index.get(budget) else {
+            return Err(exhausted());
+        };
+        if self.is_closing {
+            return Err(unavailable());
+        }
+        self.activate(now_us, index);
+        let half_life_us = self.options.rate_half_life_us;
+        let Some(active) = self.accounts[index as usize].active.as_mut() else {
+            return Err(unavailable());
+        };
+        let available_tokens = active.available_tokens();
+        active.last_use_us = now_us;
+        if available_tokens < tokens {
+            return Err(self.refuse(now_us, index, tokens));
+        }
+        active.reserved_tokens += tokens;
+        active.rate.add(now_us, half_life_us, tokens as f64);
+        if available_tokens - tokens < active.low_water_tokens && !active.is_wanting {
+            self.draw_ahead(now_us, index);
+        }
+        let id = self.next_reservation;
+        self.next_reservation += 1;
+        self.reservations.insert(id, (index, tokens));
+        Ok(reservation::Id(id))
+    }
+
+    /// Settles the reported spend and sets the rest of the reservation free.
+    ///
+    /// Without a report, settle at the bound.
+    pub fn settle(
+        &mut self,
+        now_us: u64,
+        reservation: reservation::Id,
+        spent_tokens: u64,
+    ) -> reservation::Outcome {
+        let Some((index, bound_tokens)) = self.reservations.remove(&reservation.0) else {
+            return reservation::Outcome::Unknown;
+        };
+        let settled_tokens = spent_tokens.min(bound_tokens);
+        self.finish(now_us, index, bound_tokens, settled_tokens);
+        match spent_tokens.saturating_sub(bound_tokens) {
+            0 => reservation::Outcome::Settled,
+            excess_tokens => reservation::Outcome::Clamped { excess_tokens },
+        }
+    }
+
+    /// Sets a reservation free whose request was not sent to any backend server.
+    pub fn cancel(&mut self, now_us: u64, reservation: reservation::Id) -> reservation::Outcome {
+        self.settle(now_us, reservation, 0)
+    }
+
+    /// Returns the bound of an open reservation, in tokens.
+    pub fn bound_tokens(&self, reservation: reservation::Id) -> Option<u64> {
+        self.reservations
+            .get(&reservation.0)
+            .map(|(_, bound)| *bound)
+    }
+
+    fn finish(&mut self, now_us: u64, index: u32, bound_tokens: u64, settled_tokens: u64) {
+        let half_life_us = self.options.rate_half_life_us;
+        let account = &mut self.accounts[index as usize];
+        let shard = account.shard;
+        let Some(active) = account.active.as_mut() else {
+            return;
+        };
+        active.reserved_tokens -= bound_tokens;
+        active.settled_tokens += settled_tokens;
+        let freed_tokens = bound_tokens - settled_tokens;
+        let idle = self.is_closing && active.reserved_tokens == 0;
+        let has_calls = !active.calls.is_empty();
+        if freed_tokens > 0 {
+            active
+                .rate
+                .add(now_us, half_life_us, -(freed_tokens as f64));
+            self.wake |= active.demand_tokens > 0;
+        }
+        if idle {
+            self.call_directly(now_us, shard);
+        }
+        if freed_tokens > 0 && has_calls {
+            self.serve_calls(now_us, index);
+        }
+    }
+
+    fn activate(&mut self, now_us: u64, index: u32) {
+        let account = &mut self.accounts[index as usize];
+        if account.active.is_some() {
+            return;
+        }
+        account.active = Some(Box::new(Active {
+            last_use_us: now_us,
+            ..Active::default()
+        }));
+        self.active.push(index);
+        self.links[account.shard as usize].members.push(index);
+    }
+
+    /// Draws before the grant runs out; the next write of the shard may serve it.
+    fn draw_ahead(&mut self, now_us: u64, index: u32) {
+        let account = &mut self.accounts[index as usize];
+        let shard = account.shard;
+        if let Some(active) = account.active.as_mut() {
+            active.is_wanting = true;
+            self.call_by(shard, now_us + self.options.merge_us);
+        }
+    }
+}
+
+/// Events
+impl Holder {
+    /// Handles an event and returns what is to be done.
+    pub fn on_event(&mut self, now_us: u64, event: Event) -> Vec<Action> {
+        match event {
+            Event::Tick => self.on_tick(now_us),
+            Event::ShardRead {
+                shard,
+                version,
+                body,
+            } => self.on_read(now_us, shard, version, body),
+            Event::ShardAbsent { shard } => self.on_absent(now_us, shard),
+            Event::ReadFailed { shard } => self.on_read_failed(now_us, shard),
+            Event::Written { shard, version } => self.on_written(now_us, shard, version),
+            Event::WriteConflict { shard } => self.on_conflict(now_us, shard),
+            Event::WriteUnknown { shard } => self.on_unknown(now_us, shard),
+            Event::WriteRefused {
+                shard,
+                retry_after_ms,
+            } => self.on_write_refused(now_us, shard, retry_after_ms),
+            Event::Refresh { shard } => self.call_directly(now_us, shard),
+            Event::Peer { from, message } => self.on_message(now_us, from, message),
+            Event::PeerLost { peer } => self.on_peer_lost(now_us, peer),
+        }
+        self.poll(now_us)
+    }
+
+    /// Returns the actions that are due, among them those left by calls that return none.
+    pub fn poll(&mut self, now_us: u64) -> Vec<Action> {
+        self.advance_links(now_us);
+        self.advance_searches(now_us);
+        self.advance_links(now_us);
+        if std::mem::take(&mut self.wake) {
+            self.clear_demand();
+            self.out.push(Action::Wake);
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    /// Stops reserving and closes every row once its reservations are settled.
+    pub fn close(&mut self, now_us: u64) -> Vec<Action> {
+        self.is_closing = true;
+        self.wake = true;
+        for index in self.active.clone() {
+            let shard = self.accounts[index as usize].shard;
+            self.call_directly(now_us, shard);
+        }
+        self.poll(now_us)
+    }
+}
+
+fn exhausted() -> Refusal {
+    Refusal {
+        kind: refusal::Kind::Exhausted,
+        retry_after_ms: RETRY_EXHAUSTED_MS,
+    }
+}
+
+fn unavailable() -> Refusal {
+    Refusal {
+        kind: refusal::Kind::Unavailable,
+        retry_after_ms: RETRY_UNAVAILABLE_MS,
+    }
+}
+
+fn waiting() -> Refusal {
+    Refusal {
+        kind: refusal::Kind::Waiting,
+        retry_after_ms: RETRY_SOON_MS,
+    }
+}
--- /dev/null
+++ b/crates/peridotrack-budget/src/holder/account.rs
@@ -0,0 +1,147 @@
+//! What a holder keeps for one budget.
+
+use std::collections::BTreeMap;
+
+use peridotrack_types::{id, name};
+use serde::{Deserialize, Serialize};
+
+use super::{rate::Rate, search::Search};
+use crate::{ledger, options::Options};
+
+/// A configured budget.
+#[derive(Debug)]
+pub(super) struct Account {
+    pub(super) budget: name::Budget,
+    pub(super) shard: u32,
+    pub(super) purchased_tokens: u64,
+    /// Absent until the budget is first used.
+    pub(super) active: Option<Box<Active>>,
+}
+
+/// Standing of the own row in the ledger.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Status {
+    /// There is no own row yet.
+    #[default]
+    Unlisted,
+    /// The own row is open.
+    Listed,
+    /// An operator released the own row; nothing is spent any more.
+    Stopped,
+    /// The own row is closed at the end of the holder's life.
+    Closed,
+}
+
+/// Totals with one other holder.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Transfer {
+    pub(super) sent_tokens: u64,
+    pub(super) acknowledged_tokens: u64,
+    pub(super) received_tokens: u64,
+    pub(super) repeat_at_us: u64,
+    pub(super) repeat_delay_us: u64,
+    /// The other holder was released: nothing moves between the two any more.
+    pub(super) is_final: bool,
+}
+
+/// A call for tokens that could not be met at once.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Call {
+    pub(super) need_tokens: u64,
+    pub(super) until_us: u64,
+    /// The caller still waits for an answer.
+    pub(super) is_deferred: bool,
+}
+
+/// A budget in use.
+#[derive(Debug, Default)]
+pub(super) struct Active {
+    pub(super) status: Status,
+    pub(super) granted_tokens: u64,
+    pub(super) returned_tokens: u64,
+    /// Part of `returned_tokens` that the ledger is known to have.
+    pub(super) returned_written_tokens: u64,
+    pub(super) settled_tokens: u64,
+    pub(super) reserved_tokens: u64,
+    pub(super) sent_tokens: u64,
+    pub(super) received_tokens: u64,
+    pub(super) transfers: BTreeMap<id::Incarnation, Transfer>,
+    pub(super) calls: BTreeMap<id::Incarnation, Call>,
+    pub(super) rate: Rate,
+    pub(super) last_use_us: u64,
+    /// Available tokens below which a draw is due.
+    pub(super) low_water_tokens: u64,
+    pub(super) is_wanting: bool,
+    /// Tokens of reservations refused as waiting since the last wake.
+    pub(super) demand_tokens: u64,
+    pub(super) largest_demand_tokens: u64,
+    pub(super) search: Search,
+    /// Times that the memory of fruitless searches was doubled.
+    pub(super) dry_doublings: u32,
+    pub(super) left_tokens: u64,
+    pub(super) holders: u32,
+    /// The ledger exposes more than was purchased, since the budget was lowered.
+    pub(super) is_over_exposed: bool,
+}
+
+impl Active {
+    /// Returns the tokens that may be reserved, returned or sent.
+    pub(super) fn available_tokens(&self) -> u64 {
+        if matches!(self.status, Status::Stopped | Status::Closed) {
+            return 0;
+        }
+        (self.granted_tokens + self.received_tokens).saturating_sub(
+            self.returned_tokens + self.sent_tokens + self.settled_tokens + self.reserved_tokens,
+        )
+    }
+
+    /// Returns the tokens to hold at the present rate.
+    pub(super) fn target_tokens(&self, now_us: u64, options: &Options) -> u64 {
+        self.rate
+            .over(now_us, options.rate_half_life_us, options.ride_out_us)
+    }
+
+    /// Returns the tokens that waiting reservations lack.
+    pub(super) fn need_tokens(&self) -> u64 {
+        self.demand_tokens.saturating_sub(self.available_tokens())
+    }
+
+    /// Returns the tokens to draw, before the limit near exhaustion.
+    pub(super) fn want_tokens(&self, now_us: u64, options: &Options) -> u64 {
+        let target = self.target_tokens(now_us, options);
+        (target.max(options.draw_floor_tokens) + self.demand_tokens)
+            .saturating_sub(self.available_tokens())
+    }
+
+    /// Deducts tokens that go back to the ledger with the next write.
+    pub(super) fn give_back(&mut self, tokens: u64) {
+        self.returned_tokens += tokens.min(self.available_tokens());
+    }
+
+    /// Returns the closing row.
+    pub(super) fn closed_row(&self) -> ledger::Row {
+        let totals = |of: fn(&Transfer) -> u64| -> ledger::Transfers {
+            self.transfers
+                .iter()
+                .map(|(id, transfer)| (*id, of(transfer)))
+                .filter(|(_, tokens)| *tokens > 0)
+                .collect()
+        };
+        ledger::Row::Closed {
+            settled_tokens: self.settled_tokens,
+            sent_tokens: totals(|transfer| transfer.sent_tokens),
+            received_tokens: totals(|transfer| transfer.received_tokens),
+        }
+    }
+
+    /// Returns the open row that tells the present totals, with a given grant.
+    pub(super) fn open_row(&self, granted_tokens: u64) -> ledger::Row {
+        ledger::Row::Open {
+            granted_tokens,
+            returned_tokens: self.returned_tokens,
+            settled_tokens: self.settled_tokens,
+            reserved_tokens: self.reserved_tokens,
+        }
+    }
+}
--- /dev/null
+++ b/crates/peridotrack-budget/src/holder/link.rs
@@ -0,0 +1,237 @@
+//! Reading and writing of one shard object, one call at a time.
+
+use std::collections::BTreeMap;
+
+use peridotrack_types::id;
+
+use super::{Holder, plan::Plan};
+use crate::{action::Action, ledger, message};
+
+const CONFLICT_MIN_US: u64 = 2_000;
+const CONFLICT_MAX_US: u64 = 250_000;
+
+/// What a holder keeps for one shard.
+#[derive(Debug, Default)]
+pub(super) struct Link {
+    /// Accounts in use.
+    pub(super) members: Vec<u32>,
+    /// Highest version known; 0 while none is.
+    pub(super) version: u64,
+    /// When the shard was last read or written successfully.
+    pub(super) fresh_at_us: u64,
+    pub(super) phase: Phase,
+    /// When the next call is due.
+    pub(super) due_us: Option<u64>,
+    /// The next call goes to the store, not to the drawer.
+    pub(super) is_direct: bool,
+    /// Draws of peers that this holder merges.
+    pub(super) wants: Wants,
+    /// The drawer that was asked.
+    pub(super) asked: Option<Asked>,
+    conflict_delay_us: u64,
+}
+
+/// Draws by peer.
+pub(super) type Wants = BTreeMap<id::Incarnation, Vec<message::Want>>;
+
+/// Call to the store in progress.
+#[derive(Debug, Default)]
+pub(super) enum Phase {
+    #[default]
+    Idle,
+    Reading,
+    Writing(Plan),
+    Backoff {
+        until_us: u64,
+    },
+}
+
+/// A draw that waits for the drawer.
+#[derive(Debug)]
+pub(super) struct Asked {
+    pub(super) drawer: id::Incarnation,
+    pub(super) until_us: u64,
+    pub(super) accounts: Vec<u32>,
+}
+
+/// Whether the store may be called at all.
+#[derive(Debug, Default)]
+pub(super) struct Gate {
+    /// Next probe; calls wait until then.
+    pub(super) until_us: u64,
+    /// Current delay; 0 while the store answers.
+    pub(super) delay_us: u64,
+}
+
+impl Link {
+    pub(super) fn is_quiet(&self) -> bool {
+        matches!(self.phase, Phase::Idle) && self.due_us.is_none() && self.asked.is_none()
+    }
+}
+
+/// Scheduling
+impl Holder {
+    /// Makes a call due no later than a time.
+    pub(super) fn call_by(&mut self, shard: u32, due_us: u64) {
+        let link = &mut self.links[shard as usize];
+        link.due_us = Some(link.due_us.map_or(due_us, |due| due.min(due_us)));
+        self.busy.insert(shard);
+    }
+
+    /// Makes a call to the store due at once.
+    pub(super) fn call_directly(&mut self, now_us: u64, shard: u32) {
+        self.links[shard as usize].is_direct = true;
+        self.call_by(shard, now_us);
+    }
+
+    /// Returns whether the store failed lately and is left alone for now.
+    pub(super) fn is_store_shut(&self, now_us: u64) -> bool {
+        self.gate.until_us > now_us
+    }
+
+    /// Starts every call that is due.
+    pub(super) fn advance_links(&mut self, now_us: u64) {
+        let busy: Vec<u32> = self.busy.iter().copied().collect();
+        for shard in busy {
+            self.advance_link(now_us, shard);
+            if self.links[shard as usize].is_quiet() {
+                self.busy.remove(&shard);
+            }
+        }
+    }
+
+    fn advance_link(&mut self, now_us: u64, shard: u32) {
+        self.expire_drawer(now_us, shard);
+        let link = &mut self.links[shard as usize];
+        if matches!(link.phase, Phase::Backoff { until_us } if until_us <= now_us) {
+            link.phase = Phase::Idle;
+        }
+        let is_due = link.due_us.is_some_and(|due_us| due_us <= now_us);
+        if !is_due || !matches!(link.phase, Phase::Idle) {
+            return;
+        }
+        if !link.is_direct && self.ask_drawer(now_us, shard) {
+            return;
+        }
+        self.read(now_us, shard);
+    }
+
+    fn read(&mut self, now_us: u64, shard: u32) {
+        if self.is_store_shut(now_us) {
+            return;
+        }
+        if self.gate.delay_us > 0 {
+            // One probe at a time while the store fails.
+            self.gate.until_us = now_us + self.gate.delay_us;
+        }
+        let link = &mut self.links[shard as usize];
+        link.phase = Phase::Reading;
+        link.due_us = None;
+        link.is_direct = false;
+        self.out.push(Action::Read { shard });
+    }
+}
+
+/// Outcomes
+impl Holder {
+    pub(super) fn on_read(&mut self, now_us: u64, shard: u32, version: u64, body: ledger::Shard) {
+        self.on_body(now_us, shard, Some(version), body);
+    }
+
+    pub(super) fn on_absent(&mut self, now_us: u64, shard: u32) {
+        self.on_body(now_us, shard, None, ledger::Shard::empty());
+    }
+
+    fn on_body(&mut self, now_us: u64, shard: u32, version: Option<u64>, mut body: ledger::Shard) {
+        let link = &mut self.links[shard as usize];
+        if !matches!(link.phase, Phase::Reading) {
+            return;
+        }
+        self.gate = Gate::default();
+        if version.unwrap_or(0) < link.version {
+            // A stale read changes nothing.
+            let until_us = now_us + self.options.backoff_min_us;
+            return self.back_off(shard, until_us);
+        }
+        link.version = version.unwrap_or(0);
+        link.fresh_at_us = now_us;
+        link.due_us = None;
+        link.is_direct = false;
+        link.phase = Phase::Idle;
+        let plan = self.plan(now_us, shard, &mut body);
+        if !plan.is_changed {
+            return self.complete(now_us, shard, plan);
+        }
+        self.links[shard as usize].phase = Phase::Writing(plan);
+        self.out.push(Action::Write {
+            shard,
+            expected: version,
+            body,
+        });
+    }
+
+    pub(super) fn on_read_failed(&mut self, now_us: u64, shard: u32) {
+        if matches!(self.links[shard as usize].phase, Phase::Reading) {
+            self.shut_store(now_us);
+            let until_us = self.gate.until_us;
+            self.back_off(shard, until_us);
+        }
+    }
+
+    pub(super) fn on_written(&mut self, now_us: u64, shard: u32, version: u64) {
+        let link = &mut self.links[shard as usize];
+        match std::mem::take(&mut link.phase) {
+            Phase::Writing(plan) => {
+                self.gate = Gate::default();
+                link.conflict_delay_us = 0;
+                link.version = link.version.max(version);
+                link.fresh_at_us = now_us;
+                self.complete(now_us, shard, plan);
+            }
+            other => link.phase = other,
+        }
+    }
+
+    pub(super) fn on_conflict(&mut self, now_us: u64, shard: u32) {
+        let link = &mut self.links[shard as usize];
+        link.conflict_delay_us =
+            (link.conflict_delay_us * 2).clamp(CONFLICT_MIN_US, CONFLICT_MAX_US);
+        let until_us = now_us + self.rng.u64(0..=link.conflict_delay_us);
+        self.undo(shard, until_us);
+    }
+
+    pub(super) fn on_unknown(&mut self, now_us: u64, shard: u32) {
+        let until_us = now_us + self.rng.u64(0..=self.options.backoff_min_us);
+        self.undo(shard, until_us);
+    }
+
+    pub(super) fn on_write_refused(&mut self, now_us: u64, shard: u32, retry_after_ms: u64) {
+        let jitter_us = self.rng.u64(0..=self.options.backoff_min_us);
+        let until_us = now_us + retry_after_ms * 1_000 + jitter_us;
+        self.undo(shard, until_us);
+    }
+
+    /// Plans the same again after a write that had, or may have had, no effect.
+    fn undo(&mut self, shard: u32, until_us: u64) {
+        let link = &mut self.links[shard as usize];
+        match std::mem::take(&mut link.phase) {
+            Phase::Writing(plan) => {
+                self.restore(shard, plan);
+                self.back_off(shard, until_us);
+            }
+            other => link.phase = other,
+        }
+    }
+
+    fn back_off(&mut self, shard: u32, until_us: u64) {
+        self.links[shard as usize].phase = Phase::Backoff { until_us };
+        self.call_directly(until_us, shard);
+    }
+
+    fn shut_store(&mut self, now_us: u64) {
+        let delay_us = (self.gate.delay_us * 2)
+            .clamp(self.options.backoff_min_us, self.options.backoff_max_us);
+        self.gate.delay_us = delay_us;
+        self.gate.until_us = now_us + delay_us / 2 + self.rng.u64(0..=delay_us / 2);
+    }
+}
--- /dev/null
+++ b/crates/peridotrack-budget/src/ledger.rs
@@ -0,0 +1,273 @@
+//! The ledger: platform objects that each hold many budgets.
+//!
+//! # Why spend cannot exceed what was purchased
+//!
+//! Holder `i` has the total grant `G`, less returns, and has received `R` from and sent `T`
+//! to other holders. It deducts returns and transfers before it speaks of them and credits
+//! grants and receipts only once they are certain, so that its spend is at most
+//! `G + R - T`. Between any two holders `R <= T`, hence the sum of all spends is at most the
+//! sum of all `G`. A closed row has the final spend `S` and final transfers, and counts as
+//! `S + T - R`: what its counterparties hold from it stays counted with it, and what it
+//! received is already counted with the sender. Every conditional update keeps
+//! `closed + sum of exposures <= purchased`, or at least does not raise the sum.
+//!
+//! A holder that died without closing cannot tell what it sent. A released row therefore
+//! keeps its exposure until every open row has acknowledged its own totals with the dead
+//! holder, after which those holders accept nothing more from it; then the row closes. Only
+//! holders with a row take part in transfers, so none is missed.
+
+use std::collections::BTreeMap;
+
+use peridotrack_types::{id, name};
+use serde::{Deserialize, Serialize};
+
+mod release;
+mod row;
+
+pub use row::{Acknowledgement, Row, Transfers};
+
+/// One ledger object.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Shard {
+    /// Budgets of the shard that were ever drawn on.
+    pub entries: BTreeMap<name::Budget, Entry>,
+}
+
+/// One budget.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Entry {
+    /// Total purchased, as of `config_version`.
+    pub purchased_tokens: u64,
+    /// Configuration version that `purchased_tokens` comes from.
+    pub config_version: u64,
+    /// Spend of rows that were folded away.
+    pub closed_tokens: u64,
+    /// Holders.
+    pub rows: BTreeMap<id::Incarnation, Row>,
+}
+
+/// Sums over a budget, for reports.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Totals {
+    /// Total purchased.
+    pub purchased_tokens: u64,
+    /// Settled by closed and, as last reported, by open holders.
+    pub settled_tokens: u64,
+    /// Reserved by open holders, as last reported.
+    pub reserved_tokens: u64,
+    /// Counted against the purchased total: closed spend and all exposures.
+    pub exposed_tokens: u64,
+    /// Left to draw.
+    pub left_tokens: u64,
+}
+
+/// An update that the ledger's invariant forbids.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error, Serialize, Deserialize)]
+#[error("budget {budget:?}: update to {exposed_tokens} exposed of {purchased_tokens} purchased")]
+pub struct Violation {
+    /// Budget.
+    pub budget: name::Budget,
+    /// Exposure after the update.
+    pub exposed_tokens: i64,
+    /// Purchased total after the update.
+    pub purchased_tokens: u64,
+}
+
+/// An operator's release that was refused.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ReleaseError {
+    /// The budget has no entry.
+    #[error("budget {budget:?} has no entry in the ledger")]
+    UnknownBudget {
+        /// Budget.
+        budget: name::Budget,
+    },
+    /// The holder has no row.
+    #[error("holder {holder} has no row for the budget")]
+    UnknownHolder {
+        /// Holder.
+        holder: id::Incarnation,
+    },
+    /// The row was closed or released before.
+    #[error("the row of holder {holder} is already closed or released")]
+    NotOpen {
+        /// Holder.
+        holder: id::Incarnation,
+    },
+    /// The stated spend is below what the holder settled.
+    #[error("spend {spent_tokens} is below the settled {settled_tokens}")]
+    BelowSettled {
+        /// Stated spend.
+        spent_tokens: u64,
+        /// Settled, as last reported.
+        settled_tokens: u64,
+    },
+    /// The stated spend is above everything that the budget's holders could spend.
+    ///
+    /// The row's own exposure is no bound, since the holder may have spent transfers.
+    #[error("spend {spent_tokens} exceeds the exposure {exposed_tokens} of the budget")]
+    AboveExposure {
+        /// Stated spend.
+        spent_tokens: u64,
+        /// Exposure of all rows.
+        exposed_tokens: u64,
+    },
+}
+
+/// Returns the shard of a budget, by the 64-bit FNV-1a hash of its name.
+pub fn shard_of(budget: &name::Budget, shard_count: u32) -> u32 {
+    const OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
+    const PRIME: u64 = 0x0000_0100_0000_01b3;
+    let hash = budget.as_str().bytes().fold(OFFSET_BASIS, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(PRIME)
+    });
+    let folded = (hash ^ (hash >> 32)) % u64::from(shard_count.max(1));
+    u32::try_from(folded).unwrap_or(0)
+}
+
+/// Construction
+impl Shard {
+    /// Returns a shard without budgets.
+    pub fn empty() -> Self {
+        Self::default()
+    }
+}
+
+/// Access
+impl Shard {
+    /// Checks that an update from `before` to `self` keeps the invariant for every budget.
+    pub fn check_update(&self, before: &Self) -> Result<(), Violation> {
+        let none = Entry::default();
+        for budget in before.entries.keys().chain(self.entries.keys()) {
+            let earlier = before.entries.get(budget).unwrap_or(&none);
+            let entry = self.entries.get(budget).unwrap_or(&none);
+            entry.check_update(budget, earlier)?;
+        }
+        Ok(())
+    }
+
+    /// Returns the sums of one budget, if it was ever drawn on.
+    pub fn totals(&self, budget: &name::Budget) -> Option<Totals> {
+        self.entries.get(budget).map(Entry::totals)
+    }
+}
+
+/// Mutation
+impl Shard {
+    /// Releases the row of a holder whose VM is gone, after it spent `spent_tokens` in all.
+    ///
+    /// The caller checks that the VM is gone. What is held comes free once every open row
+    /// has acknowledged its transfers with the holder.
+    pub fn release(
+        &mut self,
+        budget: &name::Budget,
+        holder: id::Incarnation,
+        spent_tokens: u64,
+    ) -> Result<(), ReleaseError> {
+        self.entries
+            .get_mut(budget)
+            .ok_or_else(|| ReleaseError::UnknownBudget {
+                budget: budget.clone(),
+            })?
+            .release(holder, spent_tokens)
+    }
+}
+
+/// Access
+impl Entry {
+    /// Returns the closed spend plus the exposure of every row.
+    pub fn exposed_tokens(&self) -> i64 {
+        let rows: i64 = self.rows.values().map(Row::exposed_tokens).sum();
+        signed(self.closed_tokens) + rows
+    }
+
+    /// Returns the tokens that may still be granted.
+    pub fn left_tokens(&self) -> u64 {
+        let left = signed(self.purchased_tokens) - self.exposed_tokens();
+        u64::try_from(left).unwrap_or(0)
+    }
+
+    /// Returns the tokens exposed beyond the purchased total, after it was lowered.
+    pub fn excess_tokens(&self) -> u64 {
+        let excess = self.exposed_tokens() - signed(self.purchased_tokens);
+        u64::try_from(excess).unwrap_or(0)
+    }
+
+    /// Returns the number of open rows.
+    pub fn holders(&self) -> u32 {
+        let open = self.rows.values().filter(|row| row.is_open()).count();
+        u32::try_from(open).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the sums for reports.
+    pub fn totals(&self) -> Totals {
+        let mut totals = Totals {
+            purchased_tokens: self.purchased_tokens,
+            settled_tokens: self.closed_tokens,
+            exposed_tokens: u64::try_from(self.exposed_tokens()).unwrap_or(0),
+            left_tokens: self.left_tokens(),
+            ..Totals::default()
+        };
+        for row in self.rows.values() {
+            totals.settled_tokens += row.settled_tokens();
+            totals.reserved_tokens += row.reserved_tokens();
+        }
+        totals
+    }
+
+    /// Checks that an update from `before` to `self` keeps the invariant.
+    pub fn check_update(&self, budget: &name::Budget, before: &Self) -> Result<(), Violation> {
+        let exposed_tokens = self.exposed_tokens();
+        let limit_tokens = before.exposed_tokens().max(signed(self.purchased_tokens));
+        if exposed_tokens <= limit_tokens && self.closed_tokens >= before.closed_tokens {
+            return Ok(());
+        }
+        Err(Violation {
+            budget: budget.clone(),
+            exposed_tokens,
+            purchased_tokens: self.purchased_tokens,
+        })
+    }
+}
+
+/// Mutation
+impl Entry {
+    /// Takes over the purchased total of a newer configuration; returns whether it differs.
+    pub fn configure(&mut self, config_version: u64, purchased_tokens: u64) -> bool {
+        if config_version <= self.config_version {
+            return false;
+        }
+        let changed = purchased_tokens != self.purchased_tokens;
+        self.config_version = config_version;
+        self.purchased_tokens = purchased_tokens;
+        changed
+    }
+
+    /// Raises the open row of a holder towards a wanted total, as far as tokens are left.
+    ///
+    /// Returns the total then granted, or `None` without an open row.
+    pub fn apply_draw(
+        &mut self,
+        holder: id::Incarnation,
+        want_granted_tokens: u64,
+        limit_tokens: u64,
+    ) -> Option<u64> {
+        let left_tokens = self.left_tokens().min(limit_tokens);
+        match self.rows.get_mut(&holder) {
+            Some(Row::Open { granted_tokens, .. }) => {
+                let lacking = want_granted_tokens.saturating_sub(*granted_tokens);
+                *granted_tokens += lacking.min(left_tokens);
+                Some(*granted_tokens)
+            }
+            _ => None,
+        }
+    }
+}
+
+/// Converts a token count for sums that may be negative in part.
+pub(crate) fn signed(tokens: u64) -> i64 {
+    i64::try_from(tokens).unwrap_or(i64::MAX / 4)
+}
--- a/crates/peridotrack-budget/src/lib.rs
+++ b/crates/peridotrack-budget/src/lib.rs
@@ -1,1 +1,34 @@
-//! Placeholder.
+//! Prepaid token budgets that cannot be overrun.
+//!
+//! Tokens move and are never copied. The platform keeps [`ledger::Shard`] objects, each with
+//! many budgets; a [`holder::Holder`] in each router draws grants from them by conditional
+//! update and spends only from what it was granted. Both are pure state machines: time, I/O
+//! outcomes and peer messages come in, actions go out.
+//!
+//! ```
+//! use peridotrack_budget::{action::Action, event::Event, holder::Holder, options::Options};
+//! use peridotrack_types::{id, name};
+//!
+//! let budget = name::Budget::from("drafting");
+//! let mut holder = Holder::new(id::Incarnation(1), Options::default(), 0);
+//! holder.configure(0, 1, [(budget.clone(), 10_000)]);
+//! assert!(holder.reserve(0, &budget, 100).is_err());
+//! let shard = match holder.poll(0).remove(0) {
+//!     Action::Read { shard } => shard,
+//!     other => panic!("expected a read, not {other:?}"),
+//! };
+//! let writes = holder.on_event(10, Event::ShardAbsent { shard });
+//! assert!(matches!(writes[..], [Action::Write { expected: None, .. }]));
+//! holder.on_event(20, Event::Written { shard, version: 1 });
+//! let reservation = holder.reserve(30, &budget, 100).unwrap();
+//! holder.settle(40, reservation, 80);
+//! ```
+
+pub mod action;
+pub mod event;
+pub mod holder;
+pub mod ledger;
+pub mod message;
+pub mod options;
+pub mod refusal;
+pub mod reservation;
