--- a/crates/peridotrack-once/src/claim/claims.rs
+++ b/crates/peridotrack-once/src/claim/claims.rs
@@ -1,61 +1,388 @@
 //! Claims of one router.
 
-use peridotrack_types::id;
+use std::collections::{BTreeMap, BTreeSet};
 
-use super::{Action, Event, Options, Outcome, Request};
+use peridotrack_types::{collections, id, problem};
+
+use super::{
+    Action, Decision, Event, Note, Options, Outcome, Request,
+    plan::{Change, Waiting},
+    reply::Reply,
+    shard::{Context, Shard},
+    store::Store,
+};
+use crate::{digest, group};
 
 /// Claims of one router incarnation.
+///
+/// A request goes from waiting to granted to sent and leaves with its outcome. Only the router
+/// that made a claim, in the same incarnation, is ever granted it; no passage of time and no
+/// other router's word makes a claimed key free again.
 pub struct Claims {
+    incarnation: id::Incarnation,
     options: Options,
+    rng: fastrand::Rng,
+    store: Store,
+    shards: BTreeMap<u32, Shard>,
+    requests: collections::HashMap<id::Request, Entry>,
+}
+
+struct Entry {
+    deadline_us: u64,
+    phase: Phase,
+    /// Absent for a request without key.
+    claim: Option<Claim>,
+}
+
+#[derive(Clone, Copy)]
+struct Claim {
+    shard: u32,
+    key: digest::Digest,
+    nonce: u64,
 }
 
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    Waiting,
+    Granted,
+    Sent,
+}
+
+// Construction and access.
 impl Claims {
     /// Creates the claims of `incarnation`.
+    ///
+    /// `rng_seed` must differ between routers, so that their retries spread.
     pub fn new(
-        _incarnation: id::Incarnation,
+        incarnation: id::Incarnation,
         options: Options,
-        _rng_seed: u64,
+        rng_seed: u64,
         _now_us: u64,
     ) -> Self {
-        Self { options }
+        Self {
+            incarnation,
+            options,
+            rng: fastrand::Rng::with_seed(rng_seed),
+            store: Store::new(),
+            shards: BTreeMap::new(),
+            requests: collections::HashMap::default(),
+        }
+    }
+
+    /// Returns whether no request waits for a claim and every outcome is recorded.
+    pub fn is_settled(&self) -> bool {
+        self.shards.values().all(Shard::is_settled)
     }
 
-    /// Asks for a claim; the answer comes as one [`Action::Decide`].
-    pub fn begin(&mut self, _now_us: u64, _request: Request<'_>) -> Vec<Action> {
-        Vec::new()
+    /// Returns when the next [`Event::Tick`] is needed, in microseconds.
+    pub fn next_tick_us(&self, now_us: u64) -> Option<u64> {
+        let shards = self.shards.values();
+        shards
+            .filter_map(|shard| shard.next_tick_us(now_us, &self.store))
+            .min()
+    }
+}
+
+// Requests.
+impl Claims {
+    /// Asks for a claim; exactly one [`Action::Decide`] answers, now or later.
+    pub fn begin(&mut self, now_us: u64, request: Request<'_>) -> Vec<Action> {
+        let Request {
+            request_id,
+            account,
+            key,
+            request_digest,
+            deadline_us,
+        } = request;
+        debug_assert_eq!(request_id.incarnation, self.incarnation);
+        let key = digest::of_key(&account, key);
+        let index = key.word(0) % self.options.shards.max(1);
+        let nonce = self.rng.u64(..);
+        let (shard, mut context) = self.shard(now_us, index);
+        let is_refused = deadline_us <= now_us
+            || !context.store.allows_call(now_us)
+            || shard.waiting_claims() >= context.options.queue_claims;
+        if is_refused {
+            let retry_after_ms = context.retry_after_ms();
+            return vec![refuse(request_id, retry_after_ms)];
+        }
+        shard.wait(
+            &mut context,
+            Waiting {
+                request_id,
+                key,
+                request_digest: digest::Digest(request_digest),
+                nonce,
+                deadline_us,
+                timeout_ms: (deadline_us - now_us).div_ceil(1_000),
+                cleared_pages: BTreeSet::new(),
+                doubtful_version: None,
+            },
+        );
+        shard.advance(&mut context);
+        let actions = context.actions;
+        self.requests.insert(
+            request_id,
+            Entry {
+                deadline_us,
+                phase: Phase::Waiting,
+                claim: Some(Claim {
+                    shard: index,
+                    key,
+                    nonce,
+                }),
+            },
+        );
+        self.take_decisions(actions)
     }
 
     /// Registers a request without key: it needs no claim and may be sent once.
-    pub fn begin_without_key(&mut self, _now_us: u64, _request_id: id::Request, _deadline_us: u64) {
+    pub fn begin_without_key(&mut self, request_id: id::Request, deadline_us: u64) {
+        self.requests.insert(
+            request_id,
+            Entry {
+                deadline_us,
+                phase: Phase::Granted,
+                claim: None,
+            },
+        );
     }
 
     /// Returns whether the first byte may be sent now, and uses up the permission.
-    pub fn may_send(&mut self, _now_us: u64, _request_id: id::Request) -> bool {
-        false
+    ///
+    /// Ask immediately before the first byte. The answer is `true` at most once per request, only
+    /// after [`Decision::Granted`] and only before the deadline. After `false` nothing may be
+    /// sent; call [`Claims::finish`] with [`Outcome::NotRun`].
+    pub fn may_send(&mut self, now_us: u64, request_id: id::Request) -> bool {
+        let Some(entry) = self.requests.get_mut(&request_id) else {
+            return false;
+        };
+        let may_send = entry.phase == Phase::Granted && now_us < entry.deadline_us;
+        if may_send {
+            entry.phase = Phase::Sent;
+        }
+        may_send
     }
 
-    /// Records how a granted request ended.
+    /// Records how a request ended, or that its caller no longer waits for the decision.
+    ///
+    /// A request that was never permitted to send is recorded as not run, whatever `outcome` is.
     pub fn finish(
         &mut self,
-        _now_us: u64,
-        _request_id: id::Request,
-        _outcome: Outcome,
+        now_us: u64,
+        request_id: id::Request,
+        outcome: Outcome,
     ) -> Vec<Action> {
-        Vec::new()
+        let Some(entry) = self.requests.remove(&request_id) else {
+            return Vec::new();
+        };
+        let Some(claim) = entry.claim else {
+            return Vec::new();
+        };
+        let state = match entry.phase {
+            Phase::Waiting | Phase::Granted => None,
+            Phase::Sent => self.state_of(outcome),
+        };
+        let (shard, mut context) = self.shard(now_us, claim.shard);
+        if entry.phase == Phase::Waiting {
+            shard.abandon(&mut context, request_id);
+        } else {
+            shard.change(
+                &mut context,
+                request_id,
+                Change {
+                    key: claim.key,
+                    nonce: claim.nonce,
+                    state,
+                    doubtful_version: None,
+                },
+            );
+        }
+        shard.advance(&mut context);
+        let actions = context.actions;
+        self.take_decisions(actions)
     }
 
+    /// Returns the state to record; `None` removes the row.
+    fn state_of(&mut self, outcome: Outcome) -> Option<group::State> {
+        let (status, content_type, body) = match outcome {
+            Outcome::Answered {
+                status,
+                content_type,
+                body,
+            } => (status, content_type, body),
+            Outcome::Unknown => return Some(group::State::Unknown),
+            Outcome::NotRun => return None,
+        };
+        let room_bytes = self
+            .options
+            .backlog_bytes
+            .saturating_sub(self.backlog_bytes());
+        let limit_bytes = self.options.kept_body_bytes.min(room_bytes);
+        Some(group::State::Answered(group::Answer {
+            status,
+            content_type,
+            body: group::Body::keep(body, limit_bytes),
+        }))
+    }
+}
+
+// Events.
+impl Claims {
     /// Takes in what happened outside.
-    pub fn on_event(&mut self, _now_us: u64, _event: Event) -> Vec<Action> {
-        Vec::new()
+    pub fn on_event(&mut self, now_us: u64, event: Event) -> Vec<Action> {
+        let mut actions = self.refuse_overdue(now_us);
+        match event {
+            Event::Tick => {
+                let indices: Vec<_> = self.shards.keys().copied().collect();
+                for index in indices {
+                    let (shard, mut context) = self.shard(now_us, index);
+                    shard.advance(&mut context);
+                    actions.append(&mut context.actions);
+                }
+            }
+            Event::Read {
+                object,
+                version,
+                body,
+            } => actions.extend(self.reply(now_us, &object, Reply::Read { version, body })),
+            Event::Absent { object } => actions.extend(self.reply(now_us, &object, Reply::Absent)),
+            Event::ReadFailed { object } => {
+                actions.extend(self.reply(now_us, &object, Reply::ReadFailed));
+            }
+            Event::Written { object, version } => {
+                actions.extend(self.reply(now_us, &object, Reply::Written { version }));
+            }
+            Event::Conflict { object } => {
+                actions.extend(self.reply(now_us, &object, Reply::Conflict));
+            }
+            Event::WriteUnknown { object } => {
+                actions.extend(self.reply(now_us, &object, Reply::WriteUnknown));
+            }
+            Event::WriteRefused {
+                object,
+                retry_after_ms,
+            } => {
+                let retry_after_us = retry_after_ms.saturating_mul(1_000);
+                let reply = Reply::WriteRefused { retry_after_us };
+                actions.extend(self.reply(now_us, &object, reply));
+            }
+        }
+        self.take_decisions(actions)
     }
 
-    /// Returns whether every outcome is recorded.
-    pub fn is_settled(&self) -> bool {
-        self.options.shards > 0
+    fn reply(&mut self, now_us: u64, object: &str, reply: Reply) -> Vec<Action> {
+        let Some((index, page)) = parse_object(object) else {
+            return Vec::new();
+        };
+        let is_failure = matches!(
+            reply,
+            Reply::ReadFailed | Reply::WriteUnknown | Reply::WriteRefused { .. }
+        );
+        let (shard, mut context) = self.shard(now_us, index);
+        shard.reply(&mut context, page, reply);
+        let mut actions = context.actions;
+        if is_failure {
+            actions.extend(self.store_failed(now_us));
+        } else if self.store.succeeded() {
+            actions.push(Action::Note(Note::StoreUp));
+        }
+        let (shard, mut context) = self.shard(now_us, index);
+        shard.advance(&mut context);
+        actions.append(&mut context.actions);
+        actions
     }
 
-    /// Returns when the next [`Event::Tick`] is needed, in microseconds.
-    pub fn next_tick_us(&self) -> Option<u64> {
-        None
+    /// Refuses every waiting request if the store has just gone down.
+    fn store_failed(&mut self, now_us: u64) -> Vec<Action> {
+        let has_gone_down = self.store.failed(now_us, &self.options);
+        if !self.store.is_down() {
+            return Vec::new();
+        }
+        let mut actions = Vec::new();
+        if has_gone_down {
+            actions.push(Action::Note(Note::StoreDown));
+        }
+        actions.extend(self.refuse_where(now_us, |_| true));
+        actions
+    }
+
+    fn refuse_overdue(&mut self, now_us: u64) -> Vec<Action> {
+        self.refuse_where(now_us, |request| request.deadline_us <= now_us)
+    }
+
+    fn refuse_where(&mut self, now_us: u64, select: impl Fn(&Waiting) -> bool) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let indices: Vec<_> = self.shards.keys().copied().collect();
+        for index in indices {
+            let (shard, mut context) = self.shard(now_us, index);
+            shard.refuse(&mut context, &select);
+            actions.append(&mut context.actions);
+        }
+        actions
+    }
+
+    /// Takes in the decisions among `actions` and passes all on.
+    fn take_decisions(&mut self, actions: Vec<Action>) -> Vec<Action> {
+        for action in &actions {
+            let Action::Decide {
+                request_id,
+                decision,
+            } = action
+            else {
+                continue;
+            };
+            match decision {
+                Decision::Granted => {
+                    if let Some(entry) = self.requests.get_mut(request_id) {
+                        entry.phase = Phase::Granted;
+                    }
+                }
+                Decision::Replay { .. } | Decision::Refuse { .. } => {
+                    self.requests.remove(request_id);
+                }
+            }
+        }
+        actions
+    }
+}
+
+// Parts.
+impl Claims {
+    /// Returns the bytes of bodies that wait to be recorded.
+    fn backlog_bytes(&self) -> usize {
+        self.shards.values().map(Shard::backlog_bytes).sum()
+    }
+
+    fn shard(&mut self, now_us: u64, index: u32) -> (&mut Shard, Context<'_>) {
+        let shard = self.shards.entry(index);
+        let shard = shard.or_insert_with(|| Shard::new(format!("claims/{index}")));
+        let context = Context {
+            now_us,
+            options: &self.options,
+            rng: &mut self.rng,
+            store: &mut self.store,
+            actions: Vec::new(),
+        };
+        (shard, context)
+    }
+}
+
+fn refuse(request_id: id::Request, retry_after_ms: u64) -> Action {
+    Action::Decide {
+        request_id,
+        decision: Decision::Refuse {
+            kind: problem::Kind::ClaimUnavailable,
+            retry_after_ms: Some(retry_after_ms),
+        },
+    }
+}
+
+/// Returns the shard of an object, and its page unless it is the head.
+fn parse_object(object: &str) -> Option<(u32, Option<u64>)> {
+    let rest = object.strip_prefix("claims/")?;
+    match rest.split_once('/') {
+        Some((shard, page)) => Some((shard.parse().ok()?, Some(page.parse().ok()?))),
+        None => Some((rest.parse().ok()?, None)),
     }
 }
--- a/crates/peridotrack-once/src/claim/mod.rs
+++ b/crates/peridotrack-once/src/claim/mod.rs
@@ -5,7 +5,11 @@
 //! [`Event`]s. Every [`Action::Read`] and [`Action::Write`] is answered by exactly one event.
 
 mod claims;
+mod plan;
+mod reply;
 mod shard;
+mod store;
+mod watch;
 
 use peridotrack_types::{id, name, problem};
 
--- /dev/null
+++ b/crates/peridotrack-once/src/claim/plan.rs
@@ -0,0 +1,247 @@
+//! What a head's next content is, and what follows for the requests that wait for it.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use peridotrack_types::{id, problem};
+
+use super::{Decision, Options, watch};
+use crate::{digest, group};
+
+/// A request that waits for its claim.
+#[derive(Debug, Clone)]
+pub(super) struct Waiting {
+    pub(super) request_id: id::Request,
+    pub(super) key: digest::Digest,
+    pub(super) request_digest: digest::Digest,
+    pub(super) nonce: u64,
+    pub(super) deadline_us: u64,
+    pub(super) timeout_ms: u64,
+    /// Pages that were read and do not hold the key.
+    pub(super) cleared_pages: BTreeSet<u64>,
+    /// Highest version expected by a write of the row whose outcome is unknown.
+    pub(super) doubtful_version: Option<u64>,
+}
+
+/// An outcome that waits to be recorded.
+#[derive(Debug, Clone)]
+pub(super) struct Change {
+    pub(super) key: digest::Digest,
+    pub(super) nonce: u64,
+    /// New state; `None` removes the row.
+    pub(super) state: Option<group::State>,
+    /// See [`Waiting::doubtful_version`].
+    pub(super) doubtful_version: Option<u64>,
+}
+
+/// The next step for a shard.
+#[derive(Debug, Default)]
+pub(super) struct Plan {
+    /// Next content of the head; equal to the current one if `is_changed` is false.
+    pub(super) head: group::Group,
+    pub(super) is_changed: bool,
+    /// Requests whose rows are in `head` but not yet durable.
+    pub(super) claimed: Vec<id::Request>,
+    /// Changes that are recorded once `head` is written.
+    pub(super) applied: Vec<id::Request>,
+    /// Changes that need no write.
+    pub(super) obsolete: Vec<id::Request>,
+    /// Answers that came after their row was sealed as unknown.
+    pub(super) too_late: Vec<id::Request>,
+    pub(super) decisions: Vec<(id::Request, Decision)>,
+    /// A page that has to be read before some claim can be made.
+    pub(super) page: Option<u64>,
+}
+
+/// The state that a plan is made from.
+pub(super) struct Basis<'a> {
+    pub(super) now_us: u64,
+    pub(super) options: &'a Options,
+    pub(super) watch: &'a watch::Watch,
+    /// Version of the head that `head` derives from; 0 if the head does not exist.
+    pub(super) version: u64,
+}
+
+impl Plan {
+    /// Plans from `head`, which must not be sealing; `is_changed` tells whether it already
+    /// differs from what is stored.
+    pub(super) fn new(
+        basis: &Basis<'_>,
+        head: group::Group,
+        is_changed: bool,
+        waiting: &[Waiting],
+        changes: &BTreeMap<id::Request, Change>,
+    ) -> Self {
+        let mut plan = Self {
+            head,
+            is_changed,
+            ..Self::default()
+        };
+        for (request_id, change) in changes {
+            if !plan.apply(basis, *request_id, change) {
+                break;
+            }
+        }
+        for request in waiting {
+            plan.claim(basis, request);
+        }
+        if plan.is_changed {
+            plan.begin_seal(basis);
+        }
+        plan
+    }
+
+    /// Applies a change; returns whether there is room for more.
+    fn apply(&mut self, basis: &Basis<'_>, request_id: id::Request, change: &Change) -> bool {
+        let is_full = self.head.rows_bytes() >= 2 * basis.options.page_bytes;
+        if is_full && !self.applied.is_empty() {
+            return false;
+        }
+        let row = self.head.rows.get_mut(&change.key);
+        let row = row.filter(|row| row.is_owned_by(request_id, change.nonce));
+        match (row, &change.state) {
+            (Some(row), Some(state)) => row.state = state.clone(),
+            (Some(_), None) => {
+                self.head.rows.remove(&change.key);
+            }
+            (None, _) if change.doubtful_version >= Some(basis.version) => {
+                // The doubtful write may still take effect. Any write that moves the version
+                // past the one it expects rules that out.
+            }
+            (None, state) => {
+                if let Some(group::State::Answered(_)) = state {
+                    self.too_late.push(request_id);
+                }
+                self.obsolete.push(request_id);
+                return true;
+            }
+        }
+        self.is_changed = true;
+        self.applied.push(request_id);
+        true
+    }
+
+    /// Finds the decision for a waiting request, or puts its row into the head.
+    fn claim(&mut self, basis: &Basis<'_>, request: &Waiting) {
+        let Some(row) = self.head.rows.get(&request.key) else {
+            return self.claim_free_key(basis, request);
+        };
+        let decision = if row.is_owned_by(request.request_id, request.nonce) {
+            Decision::Granted
+        } else {
+            decide_claimed(basis, row, request.request_digest)
+        };
+        self.decisions.push((request.request_id, decision));
+    }
+
+    fn claim_free_key(&mut self, basis: &Basis<'_>, request: &Waiting) {
+        let pages = self.head.pages.iter().rev();
+        let mut pages = pages.filter(|page| page.keys.may_contain(&request.key));
+        let unread = pages.find(|page| !request.cleared_pages.contains(&page.sequence));
+        if let Some(page) = unread {
+            self.page = Some(page.sequence);
+            return;
+        }
+        if self.head.encoded_bytes() >= basis.options.head_bytes {
+            let kind = problem::Kind::ClaimUnavailable;
+            let retry_after_ms = Some(basis.options.in_progress_retry_ms);
+            let decision = Decision::Refuse {
+                kind,
+                retry_after_ms,
+            };
+            self.decisions.push((request.request_id, decision));
+            return;
+        }
+        self.head.rows.insert(request.key, request.row());
+        self.claimed.push(request.request_id);
+        self.is_changed = true;
+    }
+
+    /// Begins to seal the settled rows, or enters the next epoch, if either is due.
+    fn begin_seal(&mut self, basis: &Basis<'_>) {
+        let epoch_ends =
+            basis.watch.epoch_age_us(self.head.epoch, basis.now_us) >= Some(basis.options.epoch_us);
+        let is_large = self.head.rows_bytes() >= basis.options.page_bytes;
+        if !epoch_ends && !is_large {
+            return;
+        }
+        for row in self.head.rows.values_mut() {
+            if basis.watch.is_lost(row, basis.now_us, basis.options) {
+                row.state = group::State::Unknown;
+            }
+        }
+        let next_epoch = self.head.epoch + u64::from(epoch_ends);
+        if self.head.rows.values().any(|row| row.state.is_settled()) {
+            self.head.seal = Some(group::Seal { next_epoch });
+        } else {
+            let retained_epochs = basis.options.retained_epochs;
+            self.head.enter_epoch(next_epoch, retained_epochs);
+        }
+    }
+}
+
+impl Waiting {
+    fn row(&self) -> group::Row {
+        group::Row {
+            request_digest: self.request_digest,
+            nonce: self.nonce,
+            incarnation: self.request_id.incarnation,
+            request_id: self.request_id,
+            timeout_ms: self.timeout_ms,
+            state: group::State::Claimed,
+        }
+    }
+
+    /// Returns the change that makes sure that the row of this request is not there.
+    pub(super) fn removal(&self, doubtful_version: Option<u64>) -> Change {
+        Change {
+            key: self.key,
+            nonce: self.nonce,
+            state: None,
+            doubtful_version: doubtful_version.max(self.doubtful_version),
+        }
+    }
+}
+
+impl Change {
+    pub(super) fn kept_bytes(&self) -> usize {
+        match &self.state {
+            Some(group::State::Answered(answer)) => answer.body.encoded_bytes(),
+            Some(group::State::Claimed | group::State::Unknown) | None => 0,
+        }
+    }
+}
+
+/// Decides on a request whose key is claimed by another request.
+pub(super) fn decide_claimed(
+    basis: &Basis<'_>,
+    row: &group::Row,
+    request_digest: digest::Digest,
+) -> Decision {
+    let refuse = |kind, retry_after_ms| Decision::Refuse {
+        kind,
+        retry_after_ms,
+    };
+    if row.request_digest != request_digest {
+        return refuse(problem::Kind::KeyConflict, None);
+    }
+    match &row.state {
+        group::State::Answered(answer) => match answer.body.bytes() {
+            Some(body) => Decision::Replay {
+                status: answer.status,
+                content_type: answer.content_type.clone(),
+                body,
+            },
+            None => refuse(problem::Kind::OutcomeUnknown, None),
+        },
+        group::State::Unknown => refuse(problem::Kind::OutcomeUnknown, None),
+        group::State::Claimed => match basis.watch.remaining_us(row, basis.now_us) {
+            0 => refuse(problem::Kind::OutcomeUnknown, None),
+            remaining_us => {
+                let retry_after_ms = remaining_us
+                    .div_ceil(1_000)
+                    .min(basis.options.in_progress_retry_ms);
+                refuse(problem::Kind::InProgress, Some(retry_after_ms))
+            }
+        },
+    }
+}
--- /dev/null
+++ b/crates/peridotrack-once/src/claim/reply.rs
@@ -0,0 +1,167 @@
+//! Replies of the store to one shard's calls.
+
+use super::{
+    Action, Decision, Note,
+    plan::{self, Waiting},
+    shard::{Call, Context, HeadWrite, Known, Shard},
+};
+use crate::group;
+
+/// Result of a call, without its object name.
+pub(super) enum Reply {
+    Read { version: u64, body: group::Group },
+    Absent,
+    ReadFailed,
+    Written { version: u64 },
+    Conflict,
+    WriteUnknown,
+    WriteRefused { retry_after_us: u64 },
+}
+
+impl Shard {
+    /// Takes in the reply to the call under way; `page` is the page that it concerns, if any.
+    pub(super) fn reply(&mut self, context: &mut Context<'_>, page: Option<u64>, reply: Reply) {
+        let call = std::mem::replace(&mut self.call, Call::Idle);
+        match (call, page, reply) {
+            (Call::ReadHead, None, Reply::Read { version, body }) => {
+                self.head_read(context, version, body);
+            }
+            (Call::ReadHead, None, Reply::Absent) => {
+                self.head_read(context, 0, group::Group::default());
+            }
+            (Call::ReadPage { sequence }, Some(page), Reply::Read { body, .. })
+                if sequence == page =>
+            {
+                self.attempts = 0;
+                self.page_read(context, sequence, &body);
+            }
+            // Stale read, or the page was dropped since the head was read.
+            (Call::ReadPage { sequence }, Some(page), Reply::Absent) if sequence == page => {
+                self.retry_read(context);
+            }
+            (
+                Call::ReadHead | Call::ReadPage { .. },
+                _,
+                Reply::ReadFailed | Reply::WriteRefused { .. },
+            ) => self.retry_read(context),
+            (
+                Call::CreatePage { sequence },
+                Some(page),
+                Reply::Written { .. } | Reply::Conflict,
+            ) if sequence == page => {
+                // Every router derives the same page, so one that is there is as good.
+                self.attempts = 0;
+                self.sealed = Some(sequence);
+                let object = self.page_object(sequence);
+                context.actions.push(Action::Note(Note::Sealed { object }));
+            }
+            (Call::CreatePage { .. }, Some(_), Reply::WriteUnknown) => self.back_off(context, 0),
+            (Call::CreatePage { .. }, Some(_), Reply::WriteRefused { retry_after_us }) => {
+                self.back_off(context, retry_after_us);
+            }
+            (Call::WriteHead(write), None, Reply::Written { version }) => {
+                self.head_written(context, write, version);
+            }
+            (Call::WriteHead(_), None, Reply::Conflict) => {
+                let object = self.object.clone();
+                context
+                    .actions
+                    .push(Action::Note(Note::Conflict { object }));
+                self.known = None;
+                self.back_off_race(context);
+            }
+            (Call::WriteHead(write), None, Reply::WriteUnknown) => {
+                let object = self.object.clone();
+                context
+                    .actions
+                    .push(Action::Note(Note::WriteUnknown { object }));
+                self.doubt(&write);
+                self.retry_read(context);
+            }
+            (Call::WriteHead(_), None, Reply::WriteRefused { retry_after_us }) => {
+                self.known = None;
+                self.back_off(context, retry_after_us);
+            }
+            (call, _, _) => self.call = call,
+        }
+    }
+
+    fn head_read(&mut self, context: &mut Context<'_>, version: u64, head: group::Group) {
+        if version < self.highest_version {
+            return self.retry_read(context);
+        }
+        self.take_head(context, version, head);
+    }
+
+    fn take_head(&mut self, context: &mut Context<'_>, version: u64, head: group::Group) {
+        self.highest_version = version;
+        self.watch.observe(&head, context.now_us);
+        self.known = Some(Known {
+            version,
+            head,
+            since_us: context.now_us,
+        });
+    }
+
+    fn page_read(&mut self, context: &mut Context<'_>, sequence: u64, page: &group::Group) {
+        let basis = plan::Basis {
+            now_us: context.now_us,
+            options: context.options,
+            watch: &self.watch,
+            version: self.highest_version,
+        };
+        let mut decisions = Vec::new();
+        for request in &mut self.waiting {
+            match page.rows.get(&request.key) {
+                Some(row) => {
+                    let decision = plan::decide_claimed(&basis, row, request.request_digest);
+                    decisions.push((request.request_id, decision));
+                }
+                None => {
+                    request.cleared_pages.insert(sequence);
+                }
+            }
+        }
+        for (request_id, decision) in decisions {
+            self.decide(context, request_id, decision);
+        }
+    }
+
+    fn head_written(&mut self, context: &mut Context<'_>, write: HeadWrite, version: u64) {
+        self.attempts = 0;
+        for request_id in &write.applied {
+            self.changes.remove(request_id);
+        }
+        let is_granted = |request: &Waiting| write.claimed.contains(&request.request_id);
+        let granted = self.waiting.extract_if(.., |request| is_granted(request));
+        for request in granted {
+            context.actions.push(Action::Decide {
+                request_id: request.request_id,
+                decision: Decision::Granted,
+            });
+        }
+        for sequence in write.dropped_pages {
+            let object = self.page_object(sequence);
+            context.actions.push(Action::Remove { object });
+        }
+        self.claims_due_us = context.now_us + context.options.claim_window_us;
+        self.changes_due_us = context.now_us + context.options.outcome_window_us;
+        self.take_head(context, version, write.head);
+    }
+
+    /// Remembers that the rows of `write` may come to exist.
+    fn doubt(&mut self, write: &HeadWrite) {
+        for request in &mut self.waiting {
+            if write.claimed.contains(&request.request_id) {
+                let doubtful_version = Some(write.expected_version);
+                request.doubtful_version = request.doubtful_version.max(doubtful_version);
+            }
+        }
+    }
+
+    /// Reads the head again after a wait.
+    fn retry_read(&mut self, context: &mut Context<'_>) {
+        self.known = None;
+        self.back_off(context, 0);
+    }
+}
--- /dev/null
+++ b/crates/peridotrack-once/src/claim/watch.rs
@@ -0,0 +1,64 @@
+//! How long this router has watched epochs and unsettled claims.
+//!
+//! Routers share no clock. What one of them has watched for some time on its own monotonic clock
+//! has lasted at least as long, also if what it read was stale.
+
+use std::collections::BTreeMap;
+
+use peridotrack_types::id;
+
+use super::Options;
+use crate::group;
+
+/// First sights of one shard's epoch and unsettled claims.
+#[derive(Debug, Default)]
+pub(super) struct Watch {
+    epoch: Option<FirstSight>,
+    claims_us: BTreeMap<id::Request, u64>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct FirstSight {
+    epoch: u64,
+    seen_us: u64,
+}
+
+impl Watch {
+    /// Takes in the head as it stands in the store.
+    pub(super) fn observe(&mut self, head: &group::Group, now_us: u64) {
+        if self.epoch.is_none_or(|sight| sight.epoch != head.epoch) {
+            self.epoch = Some(FirstSight {
+                epoch: head.epoch,
+                seen_us: now_us,
+            });
+        }
+        let unsettled = head.rows.values().filter(|row| !row.state.is_settled());
+        let first_seen_us = |id| self.claims_us.get(id).copied().unwrap_or(now_us);
+        let claims_us = unsettled.map(|row| (row.request_id, first_seen_us(&row.request_id)));
+        self.claims_us = claims_us.collect();
+    }
+
+    /// Returns for how long `epoch` has been watched.
+    pub(super) fn epoch_age_us(&self, epoch: u64, now_us: u64) -> Option<u64> {
+        let sight = self.epoch.filter(|sight| sight.epoch == epoch)?;
+        Some(now_us.saturating_sub(sight.seen_us))
+    }
+
+    /// Returns the time until the claimant's deadline has passed for certain.
+    pub(super) fn remaining_us(&self, row: &group::Row, now_us: u64) -> u64 {
+        let age_us = self.age_us(row, now_us);
+        row.timeout_ms.saturating_mul(1_000).saturating_sub(age_us)
+    }
+
+    /// Returns whether a claim has been unsettled for so long that its claimant counts as lost.
+    pub(super) fn is_lost(&self, row: &group::Row, now_us: u64, options: &Options) -> bool {
+        let limit_us = row.timeout_ms.saturating_mul(1_000);
+        let limit_us = limit_us.saturating_add(options.unknown_after_us);
+        !row.state.is_settled() && self.age_us(row, now_us) >= limit_us
+    }
+
+    fn age_us(&self, row: &group::Row, now_us: u64) -> u64 {
+        let seen_us = self.claims_us.get(&row.request_id);
+        now_us.saturating_sub(seen_us.copied().unwrap_or(now_us))
+    }
+}
--- a/crates/peridotrack-once/src/group.rs
+++ b/crates/peridotrack-once/src/group.rs
@@ -170,6 +170,11 @@
 }
 
 impl Row {
+    /// Returns whether this is the claim that `request_id` made with `nonce`.
+    pub fn is_owned_by(&self, request_id: id::Request, nonce: u64) -> bool {
+        self.request_id == request_id && self.nonce == nonce
+    }
+
     fn encoded_bytes(&self) -> usize {
         let body_bytes = match &self.state {
             State::Answered(answer) => answer.body.encoded_bytes() + answer.content_type.len(),
@@ -207,7 +212,8 @@
         }
     }
 
-    fn encoded_bytes(&self) -> usize {
+    /// Estimates the length of the body as JSON, in bytes.
+    pub fn encoded_bytes(&self) -> usize {
         match self {
             // A control character takes six bytes in JSON, a quotation mark two.
             Self::Text(text) => text.len() + text.bytes().map(escape_bytes).sum::<usize>(),
--- a/crates/peridotrack-once/src/lib.rs
+++ b/crates/peridotrack-once/src/lib.rs
@@ -25,17 +25,18 @@
 //! let claim::Action::Read { object } = &actions[0] else { panic!() };
 //! let object = object.clone();
 //!
-//! let actions = claims.on_event(10, claim::Event::Absent { object: object.clone() });
+//! claims.on_event(10, claim::Event::Absent { object: object.clone() });
+//! let actions = claims.on_event(2_000, claim::Event::Tick);
 //! assert!(matches!(actions[0], claim::Action::Write { expected: None, .. }));
-//! assert!(!claims.may_send(20, request_id), "the claim is not durable yet");
+//! assert!(!claims.may_send(2_010, request_id), "the claim is not durable yet");
 //!
-//! let actions = claims.on_event(30, claim::Event::Written { object, version: 1 });
+//! let actions = claims.on_event(2_020, claim::Event::Written { object, version: 1 });
 //! assert!(matches!(
 //!     actions[0],
 //!     claim::Action::Decide { decision: claim::Decision::Granted, .. }
 //! ));
-//! assert!(claims.may_send(40, request_id));
-//! assert!(!claims.may_send(50, request_id), "the permission is used up");
+//! assert!(claims.may_send(2_030, request_id));
+//! assert!(!claims.may_send(2_040, request_id), "the permission is used up");
 //! ```
 
 pub mod bill;
