feat(route): router state machine with placement, admission, retries and drain

First public API. Decisions are split into small modules (backend, signal, limit, breaker, queue, fairness, retry, drain, prefix, place); Router joins them.

--- /dev/null
+++ b/crates/peridotrack-route/src/breaker.rs
@@ -0,0 +1,210 @@
+//! Circuit breaker with half-open probes and damping of flapping servers.
+
+use serde::{Deserialize, Serialize};
+
+use crate::options::Options;
+
+/// Doublings of the open time, beyond which it grows no more.
+const MAX_PENALTY: f64 = 10.0;
+
+/// State of a breaker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum State {
+    /// Requests pass.
+    Closed,
+    /// No request passes until the given time.
+    Open {
+        /// When probes may begin.
+        until_us: u64,
+    },
+    /// One probe at a time passes.
+    HalfOpen,
+}
+
+/// What an attempt says about the health of a backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Sample {
+    /// The server answered.
+    Success,
+    /// The connection could not be made.
+    ConnectFailure,
+    /// The connection broke or the server went silent.
+    Failure,
+    /// Says nothing, as when the caller went away.
+    Neutral,
+}
+
+/// What a sample changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Change {
+    /// Nothing.
+    None,
+    /// The breaker opened for this long.
+    Opened {
+        /// For how long.
+        open_us: u64,
+    },
+    /// The breaker closed.
+    Closed,
+}
+
+/// Breaker of one backend server.
+///
+/// Each opening adds a penalty that halves over time. The open time doubles with the penalty, so
+/// that a server that fails again and again is tried less and less often.
+#[derive(Debug, Clone)]
+pub struct Breaker {
+    state: State,
+    connect_failures: u32,
+    failures: u32,
+    probes_in_flight: u32,
+    probes_passed: u32,
+    penalty: f64,
+    penalty_us: u64,
+}
+
+impl Breaker {
+    /// Returns a closed breaker without penalty.
+    pub fn new() -> Self {
+        Self {
+            state: State::Closed,
+            connect_failures: 0,
+            failures: 0,
+            probes_in_flight: 0,
+            probes_passed: 0,
+            penalty: 0.0,
+            penalty_us: 0,
+        }
+    }
+
+    /// Returns the state, with an open time that has passed seen as half-open.
+    pub fn state(&self, now_us: u64) -> State {
+        match self.state {
+            State::Open { until_us } if now_us >= until_us => State::HalfOpen,
+            state => state,
+        }
+    }
+
+    /// Returns whether one more request may be sent now.
+    pub fn allows(&self, now_us: u64) -> bool {
+        match self.state(now_us) {
+            State::Closed => true,
+            State::Open { .. } => false,
+            State::HalfOpen => self.probes_in_flight == 0,
+        }
+    }
+
+    /// Returns whether the breaker is closed.
+    pub fn is_closed(&self) -> bool {
+        self.state == State::Closed
+    }
+
+    /// Counts a dispatch; returns whether it is a probe.
+    pub fn on_dispatch(&mut self, now_us: u64) -> bool {
+        if self.state(now_us) != State::HalfOpen {
+            return false;
+        }
+        self.state = State::HalfOpen;
+        self.probes_in_flight += 1;
+        true
+    }
+
+    /// Counts a connection that was made.
+    pub fn on_connected(&mut self) {
+        self.connect_failures = 0;
+    }
+
+    /// Takes in how an attempt ended. `jitter` in 0..1 spreads the probes of many routers.
+    pub fn on_sample(
+        &mut self,
+        now_us: u64,
+        sample: Sample,
+        probe: bool,
+        jitter: f64,
+        options: &Options,
+    ) -> Change {
+        if probe {
+            self.probes_in_flight = self.probes_in_flight.saturating_sub(1);
+        }
+        match (sample, self.state(now_us)) {
+            (Sample::Success, State::Closed) => {
+                self.connect_failures = 0;
+                self.failures = 0;
+                Change::None
+            }
+            (Sample::Success, State::HalfOpen) if probe => self.on_probe_passed(options),
+            (Sample::ConnectFailure | Sample::Failure, State::Closed) => {
+                self.on_failure(now_us, sample, jitter, options)
+            }
+            (Sample::ConnectFailure | Sample::Failure, State::HalfOpen) if probe => {
+                self.open(now_us, jitter, options)
+            }
+            _ => Change::None,
+        }
+    }
+
+    /// Adds a penalty for a sign of flapping other than a failed request.
+    pub fn on_flap(&mut self, now_us: u64, options: &Options) {
+        self.penalty = (self.decayed_penalty(now_us, options) + 1.0).min(MAX_PENALTY);
+        self.penalty_us = now_us;
+    }
+
+    /// Opens the breaker, and returns for how long.
+    pub fn open(&mut self, now_us: u64, jitter: f64, options: &Options) -> Change {
+        let penalty = self.decayed_penalty(now_us, options);
+        let open_us = options.breaker_open_us as f64 * penalty.exp2();
+        let open_us = open_us.min(options.breaker_open_max_us as f64) * (0.75 + jitter / 2.0);
+        let open_us = open_us as u64;
+        self.on_flap(now_us, options);
+        self.state = State::Open {
+            until_us: now_us + open_us,
+        };
+        self.probes_passed = 0;
+        self.probes_in_flight = 0;
+        Change::Opened { open_us }
+    }
+
+    fn on_failure(
+        &mut self,
+        now_us: u64,
+        sample: Sample,
+        jitter: f64,
+        options: &Options,
+    ) -> Change {
+        self.failures += 1;
+        if sample == Sample::ConnectFailure {
+            self.connect_failures += 1;
+        }
+        let opens = self.failures >= options.breaker_failures
+            || self.connect_failures >= options.breaker_connect_failures;
+        if opens {
+            self.open(now_us, jitter, options)
+        } else {
+            Change::None
+        }
+    }
+
+    fn on_probe_passed(&mut self, options: &Options) -> Change {
+        self.probes_passed += 1;
+        if self.probes_passed < options.breaker_probes {
+            return Change::None;
+        }
+        self.state = State::Closed;
+        self.connect_failures = 0;
+        self.failures = 0;
+        self.probes_passed = 0;
+        Change::Closed
+    }
+
+    fn decayed_penalty(&self, now_us: u64, options: &Options) -> f64 {
+        let age = now_us.saturating_sub(self.penalty_us) as f64;
+        self.penalty * (-age / options.flap_half_life_us as f64).exp2()
+    }
+}
+
+impl Default for Breaker {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/peridotrack-route/src/configure.rs
@@ -0,0 +1,183 @@
+//! Taking in the asset register and the rules.
+
+use peridotrack_types::{collections::HashMap, name, register, rules};
+
+use crate::{
+    backend::Backend,
+    drain,
+    event::{Action, Note, Target},
+    pool::{Member, Pool},
+    router::Router,
+};
+
+/// A backend server as the register declares it.
+struct Declared<'a> {
+    name: &'a name::BackendServer,
+    failure_domain: &'a name::FailureDomain,
+    slots: u32,
+    targets: Vec<Target>,
+}
+
+impl Router {
+    /// Adds, changes and removes backend servers.
+    ///
+    /// A removed server gets no new work and finishes what it has. All servers of the first
+    /// configuration are taken as warm; later ones begin with a slow start.
+    pub fn configure(
+        &mut self,
+        now_us: u64,
+        register: &register::Register,
+        rules: &rules::Rules,
+    ) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.queue_requests = rules.limits.queue_requests as usize;
+        let regions: HashMap<_, _> = register
+            .failure_domains
+            .iter()
+            .map(|domain| (domain.name.clone(), domain.region.as_str()))
+            .collect();
+        let declared = declared(register);
+        self.mark_removed(&declared);
+        for pool in &mut self.pools {
+            pool.near.clear();
+            pool.far.clear();
+        }
+        for server in &declared {
+            let distance_us = self.distance_us(&regions, server.failure_domain);
+            let index = self.upsert(now_us, server, distance_us);
+            self.join_pools(index, &server.targets);
+        }
+        for pool in &mut self.pools {
+            let (backends, own) = (&self.backends, &self.own);
+            let is_own = |member: &Member| &backends[member.index].failure_domain == own;
+            pool.near.sort_by_key(|member| !is_own(member));
+            pool.own = pool.near.iter().filter(|member| is_own(member)).count();
+        }
+        self.configured = true;
+        self.free_drained(&mut actions);
+        for pool in 0..self.pools.len() {
+            self.refuse_if_unserved(now_us, pool, &mut actions);
+            self.pump_pool(now_us, pool, &mut actions);
+        }
+        actions
+    }
+
+    /// Frees a removed server without requests.
+    pub(crate) fn free_if_drained(&mut self, index: usize, actions: &mut Vec<Action>) {
+        let backend = &self.backends[index];
+        if backend.drain != drain::State::Removed || backend.in_flight > 0 {
+            return;
+        }
+        let name = backend.name.clone();
+        if self.by_name.remove(&name).is_some() {
+            self.free.push(index);
+            actions.push(Action::Note(Note::Drained { backend: name }));
+        }
+    }
+
+    fn free_drained(&mut self, actions: &mut Vec<Action>) {
+        for index in 0..self.backends.len() {
+            self.free_if_drained(index, actions);
+        }
+    }
+
+    fn mark_removed(&mut self, declared: &[Declared<'_>]) {
+        for backend in &mut self.backends {
+            backend.pools.clear();
+            if !declared.iter().any(|server| server.name == &backend.name) {
+                backend.drain = drain::State::Removed;
+            }
+        }
+    }
+
+    fn upsert(&mut self, now_us: u64, server: &Declared<'_>, distance_us: u64) -> usize {
+        if let Some(&index) = self.by_name.get(server.name) {
+            let backend = &mut self.backends[index];
+            backend.failure_domain = server.failure_domain.clone();
+            backend.distance_us = distance_us;
+            if backend.slots != server.slots {
+                backend.slots = server.slots;
+                backend.limit.set_slots(server.slots);
+            }
+            if backend.drain == drain::State::Removed {
+                backend.drain = drain::State::Serving;
+                backend.slow_start_us = Some(now_us);
+                backend.breaker.on_flap(now_us, &self.options);
+            }
+            return index;
+        }
+        let mut backend = Backend::new(
+            server.name.clone(),
+            server.failure_domain.clone(),
+            server.slots,
+            distance_us,
+        );
+        backend.slow_start_us = self.configured.then_some(now_us);
+        let index = match self.free.pop() {
+            Some(index) => {
+                self.backends[index] = backend;
+                index
+            }
+            None => {
+                self.backends.push(backend);
+                self.backends.len() - 1
+            }
+        };
+        self.by_name.insert(server.name.clone(), index);
+        index
+    }
+
+    fn join_pools(&mut self, index: usize, targets: &[Target]) {
+        for target in targets {
+            let pool = match self.by_target.get(target) {
+                Some(&pool) => pool,
+                None => {
+                    self.pools.push(Pool::new(target.clone(), &self.options));
+                    self.by_target.insert(target.clone(), self.pools.len() - 1);
+                    self.pools.len() - 1
+                }
+            };
+            let backend = &mut self.backends[index];
+            backend.pools.push(pool);
+            let member = Member {
+                seed: backend.seed,
+                index,
+            };
+            if backend.distance_us < self.options.far_cost_us {
+                self.pools[pool].near.push(member);
+            } else {
+                self.pools[pool].far.push(member);
+            }
+        }
+    }
+
+    fn distance_us(
+        &self,
+        regions: &HashMap<name::FailureDomain, &str>,
+        failure_domain: &name::FailureDomain,
+    ) -> u64 {
+        if failure_domain == &self.own {
+            0
+        } else if regions.get(failure_domain) == regions.get(&self.own) {
+            self.options.near_cost_us
+        } else {
+            self.options.far_cost_us
+        }
+    }
+}
+
+fn declared(register: &register::Register) -> Vec<Declared<'_>> {
+    let engines = register.engines.iter().map(|engine| Declared {
+        name: &engine.name,
+        failure_domain: &engine.failure_domain,
+        slots: engine.slots,
+        targets: engine.models.iter().cloned().map(Target::Model).collect(),
+    });
+    let services = register.services.iter().map(|server| Declared {
+        name: &server.name,
+        failure_domain: &server.failure_domain,
+        slots: server.slots,
+        targets: vec![Target::Service(server.service.clone())],
+    });
+    engines.chain(services).collect()
+}
--- /dev/null
+++ b/crates/peridotrack-route/src/dispatch.rs
@@ -0,0 +1,276 @@
+//! Dispatching, queueing and refusing.
+
+use peridotrack_types::{id, problem};
+
+use crate::{
+    breaker,
+    event::Action,
+    place, queue,
+    request::{Attempt, Phase, Request},
+    router::Router,
+};
+
+impl Router {
+    /// Dispatches a request, or queues it, or refuses it.
+    pub(crate) fn place_or_queue(
+        &mut self,
+        now_us: u64,
+        request_id: id::Request,
+        request: Request,
+        actions: &mut Vec<Action>,
+    ) {
+        if request.deadline_us <= now_us {
+            let kind = problem::Kind::Overloaded;
+            let retry_after_us = self.pools[request.pool].drain_us(1);
+            return refuse(actions, request_id, &request, kind, retry_after_us);
+        }
+        if self.pools[request.pool].queue.is_empty() {
+            if let Some(index) = self.choose(now_us, &request) {
+                return self.dispatch(now_us, request_id, request, index, actions);
+            }
+            if !self.is_served(now_us, request.pool) {
+                let kind = problem::Kind::NoBackendServer;
+                let retry_after_us = self.reopen_us(now_us, request.pool);
+                return refuse(actions, request_id, &request, kind, retry_after_us);
+            }
+        }
+        self.enqueue(now_us, request_id, request, actions);
+    }
+
+    /// Dispatches what the queue of a pool holds, as long as servers take it.
+    pub(crate) fn pump_pool(&mut self, now_us: u64, pool: usize, actions: &mut Vec<Action>) {
+        while let Some((request_id, request)) = self.next_queued(now_us, pool, actions) {
+            match self.choose(now_us, &request) {
+                Some(index) => self.dispatch(now_us, request_id, request, index, actions),
+                None => {
+                    self.requests.insert(request_id, request);
+                    return;
+                }
+            }
+            self.pools[pool].queue.remove(request_id);
+        }
+    }
+
+    /// Dispatches queued work to a server that has room again.
+    pub(crate) fn pump_backend(&mut self, now_us: u64, index: usize, actions: &mut Vec<Action>) {
+        for position in 0..self.backends[index].pools.len() {
+            let pool = self.backends[index].pools[position];
+            while self.backends[index].is_available(now_us, &self.options) {
+                let Some((request_id, request)) = self.next_queued(now_us, pool, actions) else {
+                    break;
+                };
+                self.pools[pool].queue.remove(request_id);
+                self.dispatch(now_us, request_id, request, index, actions);
+            }
+        }
+    }
+
+    /// Refuses queued requests that can no longer make their deadline.
+    pub(crate) fn expire(&mut self, now_us: u64, pool: usize, actions: &mut Vec<Action>) {
+        let late: Vec<_> = self.pools[pool]
+            .queue
+            .iter()
+            .map(|entry| entry.request_id)
+            .filter(|id| {
+                let request = self.requests.get(id);
+                request.is_none_or(|request| self.is_late(now_us, request))
+            })
+            .collect();
+        for request_id in late {
+            self.refuse_queued(now_us, request_id, problem::Kind::Overloaded, actions);
+        }
+    }
+
+    /// Refuses the queued requests of pools that lost their last usable server with `index`.
+    pub(crate) fn refuse_unserved(&mut self, now_us: u64, index: usize, actions: &mut Vec<Action>) {
+        for position in 0..self.backends[index].pools.len() {
+            let pool = self.backends[index].pools[position];
+            self.refuse_if_unserved(now_us, pool, actions);
+        }
+    }
+
+    /// Refuses the queued requests of a pool without a usable server.
+    pub(crate) fn refuse_if_unserved(
+        &mut self,
+        now_us: u64,
+        pool: usize,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.pools[pool].queue.is_empty() || self.is_served(now_us, pool) {
+            return;
+        }
+        let queued: Vec<_> = self.pools[pool]
+            .queue
+            .iter()
+            .map(|entry| entry.request_id)
+            .collect();
+        for request_id in queued {
+            self.refuse_queued(now_us, request_id, problem::Kind::NoBackendServer, actions);
+        }
+    }
+
+    /// Returns whether a pool has a server that may get work now or soon.
+    pub(crate) fn is_served(&self, now_us: u64, pool: usize) -> bool {
+        self.pools[pool]
+            .members()
+            .any(|member| self.backends[member.index].is_usable(now_us))
+    }
+
+    /// Returns the time until a breaker of the pool lets a probe pass.
+    pub(crate) fn reopen_us(&self, now_us: u64, pool: usize) -> u64 {
+        self.pools[pool]
+            .members()
+            .map(|member| &self.backends[member.index])
+            .filter(|backend| backend.drain.is_serving())
+            .filter_map(|backend| match backend.breaker.state(now_us) {
+                breaker::State::Open { until_us } => Some(until_us.saturating_sub(now_us)),
+                _ => None,
+            })
+            .min()
+            .unwrap_or(self.options.retry_after_us)
+    }
+
+    fn choose(&mut self, now_us: u64, request: &Request) -> Option<usize> {
+        let query = place::Query {
+            now_us,
+            prefix_hash: request.prefix_hash,
+            idempotent: request.idempotent,
+            avoid: request.avoid(),
+        };
+        let pool = &self.pools[request.pool];
+        place::choose(&self.backends, pool, &query, &self.options, &mut self.rng)
+    }
+
+    fn dispatch(
+        &mut self,
+        now_us: u64,
+        request_id: id::Request,
+        mut request: Request,
+        index: usize,
+        actions: &mut Vec<Action>,
+    ) {
+        let pool = &mut self.pools[request.pool];
+        let backend = &mut self.backends[index];
+        let load = backend.load(now_us, &pool.prior);
+        pool.in_flight += 1;
+        request.dispatches += 1;
+        if request.dispatches == 1 {
+            pool.shares.charge(&request.account, request.size_tokens);
+            self.retries.on_first_dispatch(now_us);
+        }
+        request.phase = Phase::InFlight(Attempt {
+            backend: index,
+            dispatched_us: now_us,
+            sent: false,
+            answered: false,
+            probe: backend.on_dispatch(now_us),
+            load,
+        });
+        actions.push(Action::Dispatch {
+            request_id,
+            backend: backend.name.clone(),
+            attempt: request.dispatches,
+        });
+        self.requests.insert(request_id, request);
+    }
+
+    fn enqueue(
+        &mut self,
+        now_us: u64,
+        request_id: id::Request,
+        mut request: Request,
+        actions: &mut Vec<Action>,
+    ) {
+        let pool = &mut self.pools[request.pool];
+        let ahead = pool.queue.ahead(&request.account, request.priority);
+        let wait_us = pool.drain_us(ahead + 1);
+        let latest_us = now_us + wait_us + (pool.prior.duration_us / 2.0) as u64;
+        if latest_us > request.deadline_us {
+            let retry_after_us = latest_us - request.deadline_us;
+            let kind = problem::Kind::Overloaded;
+            return refuse(actions, request_id, &request, kind, retry_after_us);
+        }
+        let entry = queue::Entry {
+            request_id,
+            account: request.account.clone(),
+            priority: request.priority,
+            queued_us: now_us,
+        };
+        let outcome = pool
+            .queue
+            .push(entry, self.queue_requests, self.options.ageing_us);
+        if outcome == queue::Outcome::Full {
+            let kind = problem::Kind::Overloaded;
+            return refuse(actions, request_id, &request, kind, wait_us);
+        }
+        request.phase = Phase::Queued;
+        self.requests.insert(request_id, request);
+        if let queue::Outcome::Displaced(displaced) = outcome {
+            self.refuse_queued(now_us, displaced, problem::Kind::Overloaded, actions);
+        }
+    }
+
+    /// Takes the next queued request out of `requests`, but leaves it in the queue.
+    fn next_queued(
+        &mut self,
+        now_us: u64,
+        pool: usize,
+        actions: &mut Vec<Action>,
+    ) -> Option<(id::Request, Request)> {
+        loop {
+            let ageing_us = self.options.ageing_us;
+            let pool = &self.pools[pool];
+            let request_id = pool.queue.peek(now_us, ageing_us, &pool.shares)?.request_id;
+            let late = self
+                .requests
+                .get(&request_id)
+                .is_none_or(|request| self.is_late(now_us, request));
+            if late {
+                self.refuse_queued(now_us, request_id, problem::Kind::Overloaded, actions);
+                continue;
+            }
+            let mut request = self.requests.remove(&request_id)?;
+            request.avoid_none();
+            return Some((request_id, request));
+        }
+    }
+
+    fn is_late(&self, now_us: u64, request: &Request) -> bool {
+        let needed_us = self.pools[request.pool].prior.duration_us / 2.0;
+        now_us + needed_us as u64 > request.deadline_us
+    }
+
+    fn refuse_queued(
+        &mut self,
+        now_us: u64,
+        request_id: id::Request,
+        kind: problem::Kind,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(request) = self.requests.remove(&request_id) else {
+            return;
+        };
+        let pool = &mut self.pools[request.pool];
+        pool.queue.remove(request_id);
+        let retry_after_us = match kind {
+            problem::Kind::NoBackendServer => self.reopen_us(now_us, request.pool),
+            _ => pool.drain_us(pool.queue.len() + 1),
+        };
+        refuse(actions, request_id, &request, kind, retry_after_us);
+    }
+}
+
+/// Refuses a request with a kind that is true to whether it ran.
+pub(crate) fn refuse(
+    actions: &mut Vec<Action>,
+    request_id: id::Request,
+    request: &Request,
+    not_run: problem::Kind,
+    retry_after_us: u64,
+) {
+    actions.push(Action::Refuse {
+        request_id,
+        kind: request.refusal(not_run),
+        retry_after_ms: retry_after_us.div_ceil(1_000).max(1),
+    });
+}
--- /dev/null
+++ b/crates/peridotrack-route/src/finish.rs
@@ -0,0 +1,243 @@
+//! What follows when an attempt progresses or ends.
+
+use peridotrack_types::{id, problem};
+
+use crate::{
+    breaker,
+    dispatch::refuse,
+    event::{Action, Note, Outcome},
+    request::{Attempt, Phase, Request},
+    router::Router,
+};
+
+impl Router {
+    /// Remembers that a byte of the request was sent.
+    pub(crate) fn on_sent(&mut self, request_id: id::Request) {
+        if let Some(attempt) = self.attempt(request_id) {
+            attempt.sent = true;
+        }
+    }
+
+    /// Takes in the time to the first token.
+    pub(crate) fn on_first_token(&mut self, now_us: u64, request_id: id::Request) {
+        let Some(request) = self.requests.get_mut(&request_id) else {
+            return;
+        };
+        let pool = request.pool;
+        let Some(attempt) = request.attempt() else {
+            return;
+        };
+        attempt.sent = true;
+        if attempt.answered {
+            return;
+        }
+        attempt.answered = true;
+        let attempt = *attempt;
+        self.sample_first_token(now_us, pool, &attempt);
+    }
+
+    /// Ends an attempt, and decides what follows.
+    pub(crate) fn on_finished(
+        &mut self,
+        now_us: u64,
+        request_id: id::Request,
+        outcome: Outcome,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(mut request) = self.requests.remove(&request_id) else {
+            return;
+        };
+        let Phase::InFlight(mut attempt) = request.phase else {
+            self.requests.insert(request_id, request);
+            return;
+        };
+        note_outcome(&mut request, &mut attempt, outcome);
+        self.release(now_us, &request, &attempt);
+        self.sample_outcome(now_us, &request, &attempt, outcome, actions);
+        match outcome {
+            Outcome::Done | Outcome::Cancelled => {}
+            _ => self.after_failure(now_us, request_id, request, &attempt, actions),
+        }
+        self.free_if_drained(attempt.backend, actions);
+        self.pump_backend(now_us, attempt.backend, actions);
+    }
+
+    /// Resumes, retries or refuses a request whose attempt failed.
+    fn after_failure(
+        &mut self,
+        now_us: u64,
+        request_id: id::Request,
+        mut request: Request,
+        attempt: &Attempt,
+        actions: &mut Vec<Action>,
+    ) {
+        let not_run = self.not_run_kind(now_us, &request);
+        let retry_after_us = self.after_failure_us(now_us, &request, not_run);
+        let resumes = self.can_resume(&request, attempt);
+        let retries = can_retry(&request, attempt, self.options.dispatches);
+        if request.deadline_us <= now_us || !(resumes || retries) {
+            return refuse(actions, request_id, &request, not_run, retry_after_us);
+        }
+        if !self.retries.try_take(now_us) {
+            actions.push(Action::Note(Note::RetryDenied { request_id }));
+            return refuse(actions, request_id, &request, not_run, retry_after_us);
+        }
+        if resumes {
+            self.resume(now_us, request_id, request, attempt, actions);
+        } else {
+            request.avoid_also(attempt.backend);
+            self.place_or_queue(now_us, request_id, request, actions);
+        }
+    }
+
+    fn can_resume(&self, request: &Request, attempt: &Attempt) -> bool {
+        let backend = &self.backends[attempt.backend];
+        request.idempotent
+            && request.events_seen > 0
+            && request.resumes < self.options.resumes
+            && backend.breaker.is_closed()
+    }
+
+    fn resume(
+        &mut self,
+        now_us: u64,
+        request_id: id::Request,
+        mut request: Request,
+        attempt: &Attempt,
+        actions: &mut Vec<Action>,
+    ) {
+        let backend = &mut self.backends[attempt.backend];
+        backend.on_dispatch(now_us);
+        self.pools[request.pool].in_flight += 1;
+        request.resumes += 1;
+        request.phase = Phase::InFlight(Attempt {
+            dispatched_us: now_us,
+            probe: false,
+            answered: true,
+            ..*attempt
+        });
+        actions.push(Action::Resume {
+            request_id,
+            backend: backend.name.clone(),
+            offset: request.events_seen,
+        });
+        self.requests.insert(request_id, request);
+    }
+
+    fn release(&mut self, now_us: u64, request: &Request, attempt: &Attempt) {
+        self.backends[attempt.backend].on_release(now_us);
+        let pool = &mut self.pools[request.pool];
+        pool.in_flight = pool.in_flight.saturating_sub(1);
+    }
+
+    fn sample_outcome(
+        &mut self,
+        now_us: u64,
+        request: &Request,
+        attempt: &Attempt,
+        outcome: Outcome,
+        actions: &mut Vec<Action>,
+    ) {
+        let sample = match outcome {
+            Outcome::Done => breaker::Sample::Success,
+            Outcome::ConnectFailed => breaker::Sample::ConnectFailure,
+            Outcome::Broken { .. } | Outcome::Timeout { .. } => breaker::Sample::Failure,
+            Outcome::RefusedNotRun | Outcome::Cancelled => breaker::Sample::Neutral,
+        };
+        if outcome == Outcome::Done {
+            self.pools[request.pool].on_duration(now_us.saturating_sub(attempt.dispatched_us));
+            if !attempt.answered {
+                self.sample_first_token(now_us, request.pool, attempt);
+            }
+        }
+        let jitter = self.rng.f64();
+        let backend = &mut self.backends[attempt.backend];
+        if outcome == Outcome::RefusedNotRun {
+            backend.limit.on_refusal();
+            let hold_us = self.options.refusal_hold_us as f64 * (0.5 + jitter);
+            backend.hold_until_us = now_us + hold_us as u64;
+        }
+        let options = &self.options;
+        let change = backend
+            .breaker
+            .on_sample(now_us, sample, attempt.probe, jitter, options);
+        let name = backend.name.clone();
+        match change {
+            breaker::Change::None => {}
+            breaker::Change::Closed => {
+                backend.slow_start_us = Some(now_us);
+                actions.push(Action::Note(Note::BreakerClosed { backend: name }));
+            }
+            breaker::Change::Opened { open_us } => {
+                let note = Note::BreakerOpened {
+                    backend: name,
+                    open_us,
+                };
+                actions.push(Action::Note(note));
+                self.refuse_unserved(now_us, attempt.backend, actions);
+            }
+        }
+    }
+
+    fn sample_first_token(&mut self, now_us: u64, pool: usize, attempt: &Attempt) {
+        let first_token_us = now_us.saturating_sub(attempt.dispatched_us);
+        let pool = &mut self.pools[pool];
+        let backend = &mut self.backends[attempt.backend];
+        let expected_us = backend.score_us(now_us, &pool.prior);
+        backend
+            .limit
+            .on_first_token(first_token_us as f64, expected_us, backend.in_flight);
+        backend
+            .signal
+            .on_first_token(now_us, first_token_us, attempt.load, &pool.prior);
+        pool.on_cost(backend.signal.cost_us(now_us, &pool.prior));
+    }
+
+    fn not_run_kind(&self, now_us: u64, request: &Request) -> problem::Kind {
+        if self.is_served(now_us, request.pool) {
+            problem::Kind::Overloaded
+        } else {
+            problem::Kind::NoBackendServer
+        }
+    }
+
+    fn after_failure_us(&self, now_us: u64, request: &Request, not_run: problem::Kind) -> u64 {
+        if not_run == problem::Kind::NoBackendServer {
+            return self.reopen_us(now_us, request.pool);
+        }
+        let pool = &self.pools[request.pool];
+        pool.drain_us(pool.queue.len() + 1)
+    }
+
+    fn attempt(&mut self, request_id: id::Request) -> Option<&mut Attempt> {
+        self.requests.get_mut(&request_id)?.attempt()
+    }
+}
+
+/// Joins what the edge says about an attempt with what was noted before.
+fn note_outcome(request: &mut Request, attempt: &mut Attempt, outcome: Outcome) {
+    match outcome {
+        Outcome::Broken { sent, events_seen } => {
+            attempt.sent |= sent || events_seen > 0;
+            request.events_seen = request.events_seen.max(events_seen);
+        }
+        Outcome::Timeout { sent } => attempt.sent |= sent,
+        _ => {}
+    }
+    if attempt.answered {
+        request.events_seen = request.events_seen.max(1);
+    }
+    if attempt.sent && outcome != Outcome::RefusedNotRun {
+        request.may_have_run = true;
+    }
+}
+
+/// Returns whether a request may be sent from its beginning again.
+///
+/// Once a byte of a non-idempotent request was sent, it never is, whatever the server claims.
+/// Once a part of the answer reached the caller, another run could not continue it.
+fn can_retry(request: &Request, attempt: &Attempt, dispatches: u32) -> bool {
+    request.dispatches < dispatches
+        && request.events_seen == 0
+        && (request.idempotent || !attempt.sent)
+}
--- a/crates/peridotrack-route/src/lib.rs
+++ b/crates/peridotrack-route/src/lib.rs
@@ -1,1 +1,68 @@
-//! Placeholder.
+//! Placement, admission, concurrency limits, retries and drain of backend servers.
+//!
+//! [`router::Router`] is one deterministic state machine. It does no I/O and reads no clock: the
+//! process edge passes in the time in microseconds and every event, and carries out the actions.
+//!
+//! ```
+//! use peridotrack_route::{event, options::Options, router::Router};
+//! use peridotrack_types::{id, name, register, rules};
+//!
+//! let engine = register::Engine {
+//!     name: "engine-1".into(),
+//!     failure_domain: "jakarta-1".into(),
+//!     address: ([127, 0, 0, 1], 8000).into(),
+//!     models: vec!["drafting".into()],
+//!     slots: 8,
+//!     fencing: register::Fencing::Ignored,
+//! };
+//! let register = register::Register {
+//!     engines: vec![engine],
+//!     ..Default::default()
+//! };
+//!
+//! let mut router = Router::new(Options::default(), "jakarta-1".into(), 1, 0);
+//! router.configure(0, &register, &rules::Rules::default());
+//! let request_id = id::Request {
+//!     incarnation: id::Incarnation(1),
+//!     sequence: 1,
+//! };
+//! let actions = router.offer(
+//!     0,
+//!     event::Offer {
+//!         request_id,
+//!         target: event::Target::Model("drafting".into()),
+//!         account: "publisher-1".into(),
+//!         priority: rules::Priority::Normal,
+//!         prefix_hash: None,
+//!         size_tokens: 500,
+//!         deadline_us: 30_000_000,
+//!         idempotent: true,
+//!     },
+//! );
+//! let dispatch = event::Action::Dispatch {
+//!     request_id,
+//!     backend: name::BackendServer::from("engine-1"),
+//!     attempt: 1,
+//! };
+//! assert_eq!(actions, [dispatch]);
+//! ```
+
+pub mod backend;
+pub mod breaker;
+mod configure;
+mod dispatch;
+pub mod drain;
+pub mod event;
+pub mod fairness;
+mod finish;
+pub mod limit;
+pub mod options;
+pub mod place;
+pub mod pool;
+pub mod prefix;
+pub mod queue;
+mod request;
+pub mod retry;
+pub mod router;
+pub mod signal;
+pub mod status;
--- /dev/null
+++ b/crates/peridotrack-route/src/options.rs
@@ -0,0 +1,73 @@
+//! Tunable values of the router, with their units.
+
+/// Tunable values of the router.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Options {
+    /// Retries allowed as a share of first dispatches.
+    pub retry_share: f64,
+    /// Most dispatches of one request.
+    pub dispatches: u32,
+    /// Most resumes of one stream.
+    pub resumes: u32,
+    /// Failed connections in a row that open a breaker.
+    pub breaker_connect_failures: u32,
+    /// Failed requests in a row that open a breaker.
+    pub breaker_failures: u32,
+    /// Shortest time for which a breaker stays open.
+    pub breaker_open_us: u64,
+    /// Longest time for which a breaker stays open.
+    pub breaker_open_max_us: u64,
+    /// Half-life of the penalty for opening again.
+    pub flap_half_life_us: u64,
+    /// Successful probes that close a breaker.
+    pub breaker_probes: u32,
+    /// Time for which a backend server that refused gets no work.
+    pub refusal_hold_us: u64,
+    /// Time over which a new backend server is given its full share.
+    pub slow_start_us: u64,
+    /// Shortest time between a sign of leaving and a report that takes it back.
+    pub leaving_hold_us: u64,
+    /// Wait that raises a queued request by one priority.
+    pub ageing_us: u64,
+    /// Own requests on the preferred server, as a multiple of the mean, up to which it is kept.
+    pub affinity_load: f64,
+    /// Cost of a server in another failure domain of the same region.
+    pub near_cost_us: u64,
+    /// Cost of a server in another region.
+    pub far_cost_us: u64,
+    /// Servers scored for one placement.
+    pub choices: usize,
+    /// First guess of a request's duration.
+    pub duration_us: u64,
+    /// First guess of the time to the first token.
+    pub first_token_us: u64,
+    /// Retry-After where nothing better is known.
+    pub retry_after_us: u64,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            retry_share: 0.1,
+            dispatches: 3,
+            resumes: 3,
+            breaker_connect_failures: 2,
+            breaker_failures: 5,
+            breaker_open_us: 1_000_000,
+            breaker_open_max_us: 60_000_000,
+            flap_half_life_us: 60_000_000,
+            breaker_probes: 2,
+            refusal_hold_us: 200_000,
+            slow_start_us: 10_000_000,
+            leaving_hold_us: 10_000_000,
+            ageing_us: 2_000_000,
+            affinity_load: 1.5,
+            near_cost_us: 3_000,
+            far_cost_us: 60_000,
+            choices: 16,
+            duration_us: 5_000_000,
+            first_token_us: 200_000,
+            retry_after_us: 1_000_000,
+        }
+    }
+}
--- /dev/null
+++ b/crates/peridotrack-route/src/place.rs
@@ -0,0 +1,131 @@
+//! Choice of a backend server for one request.
+
+use crate::{backend::Backend, breaker, options::Options, pool, prefix};
+
+/// Factor on the score of a server that must be probed, for work that must not be repeated.
+const PROBE_FACTOR: f64 = 1e6;
+
+/// What the choice depends on, besides the backend servers.
+#[derive(Debug)]
+pub struct Query<'a> {
+    /// Now.
+    pub now_us: u64,
+    /// Hash of the prompt's prefix.
+    pub prefix_hash: Option<u64>,
+    /// Whether the request may run more than once.
+    pub idempotent: bool,
+    /// Servers that failed this request already.
+    pub avoid: &'a [usize],
+}
+
+/// Returns the index of the backend server for a request, or `None` if none is available.
+pub fn choose(
+    backends: &[Backend],
+    pool: &pool::Pool,
+    query: &Query<'_>,
+    options: &Options,
+    rng: &mut fastrand::Rng,
+) -> Option<usize> {
+    let preferred = query
+        .prefix_hash
+        .and_then(|hash| preferred(backends, pool, query, options, hash));
+    preferred.or_else(|| scored(backends, pool, query, options, rng))
+}
+
+/// Returns the available server with the highest rendezvous weight and bounded load.
+fn preferred(
+    backends: &[Backend],
+    pool: &pool::Pool,
+    query: &Query<'_>,
+    options: &Options,
+    prefix_hash: u64,
+) -> Option<usize> {
+    let members = if pool.near.is_empty() {
+        &pool.far
+    } else {
+        &pool.near
+    };
+    let mean = (pool.in_flight + 1) as f64 / pool.len() as f64;
+    let bound = (mean * options.affinity_load).ceil();
+    let mut best = None;
+    let mut best_weight = 0;
+    for member in members {
+        let weight = prefix::weight(prefix_hash, member.seed);
+        if weight <= best_weight {
+            continue;
+        }
+        let backend = &backends[member.index];
+        let takes = backend.breaker.is_closed()
+            && f64::from(backend.in_flight) < bound
+            && backend.load(query.now_us, &pool.prior) < 1.0
+            && is_open_to(backend, member.index, query, options);
+        if takes {
+            best = Some(member.index);
+            best_weight = weight;
+        }
+    }
+    best
+}
+
+/// Returns the server with the least score among all of a small pool or a sample of a large one.
+fn scored(
+    backends: &[Backend],
+    pool: &pool::Pool,
+    query: &Query<'_>,
+    options: &Options,
+    rng: &mut fastrand::Rng,
+) -> Option<usize> {
+    let len = pool.len();
+    if len == 0 {
+        return None;
+    }
+    let mut best: Option<(f64, usize)> = None;
+    let mut consider = |index: usize| {
+        let backend = &backends[index];
+        if !is_open_to(backend, index, query, options) {
+            return;
+        }
+        let score = score(backend, pool, query);
+        if best.is_none_or(|(best_score, _)| score < best_score) {
+            best = Some((score, index));
+        }
+    };
+    let start = rng.usize(..len);
+    let sampled = len.min(options.choices);
+    let stride = len / sampled;
+    for step in 0..sampled {
+        consider(member(pool, (start + step * stride) % len));
+    }
+    if best.is_none() && sampled < len {
+        best = (0..len)
+            .map(|step| member(pool, (start + step) % len))
+            .find(|&index| is_open_to(&backends[index], index, query, options))
+            .map(|index| (0.0, index));
+    }
+    best.map(|(_, index)| index)
+}
+
+#[inline]
+fn member(pool: &pool::Pool, position: usize) -> usize {
+    match position.checked_sub(pool.near.len()) {
+        None => pool.near[position].index,
+        Some(position) => pool.far[position].index,
+    }
+}
+
+#[inline]
+fn is_open_to(backend: &Backend, index: usize, query: &Query<'_>, options: &Options) -> bool {
+    backend.is_available(query.now_us, options) && !query.avoid.contains(&index)
+}
+
+#[inline]
+fn score(backend: &Backend, pool: &pool::Pool, query: &Query<'_>) -> f64 {
+    let score_us = backend.score_us(query.now_us, &pool.prior);
+    if backend.breaker.is_closed() {
+        return score_us;
+    }
+    match (query.idempotent, backend.breaker.state(query.now_us)) {
+        (true, breaker::State::HalfOpen) => 0.0,
+        _ => score_us * PROBE_FACTOR,
+    }
+}
--- /dev/null
+++ b/crates/peridotrack-route/src/pool.rs
@@ -0,0 +1,95 @@
+//! The backend servers of one model or service, with their queue.
+
+use crate::{event, fairness, options::Options, queue, signal};
+
+/// Weight of a new sample of the duration.
+const DURATION_WEIGHT: f64 = 0.05;
+/// Weight of a new sample of the first-token cost and of the others' load.
+const PRIOR_WEIGHT: f64 = 0.05;
+
+/// A backend server as member of a pool.
+#[derive(Debug, Clone, Copy)]
+pub struct Member {
+    /// Seed of its rendezvous hash.
+    pub seed: u64,
+    /// Index among all backend servers.
+    pub index: usize,
+}
+
+/// The backend servers of one model or service, with their queue.
+#[derive(Debug, Clone)]
+pub struct Pool {
+    /// What the pool serves.
+    pub target: event::Target,
+    /// Members in this router's region; those in its failure domain come first.
+    pub near: Vec<Member>,
+    /// Length of the part of `near` in this router's failure domain.
+    pub own: usize,
+    /// Members in other regions.
+    pub far: Vec<Member>,
+    /// Requests that wait.
+    pub queue: queue::Queue,
+    /// Fair share of client accounts.
+    pub shares: fairness::Shares,
+    /// Own requests in flight.
+    pub in_flight: usize,
+    /// What is known about all members together.
+    pub prior: signal::Prior,
+}
+
+impl Pool {
+    /// Returns a pool without members.
+    pub fn new(target: event::Target, options: &Options) -> Self {
+        Self {
+            target,
+            near: Vec::new(),
+            own: 0,
+            far: Vec::new(),
+            queue: queue::Queue::default(),
+            shares: fairness::Shares::default(),
+            in_flight: 0,
+            prior: signal::Prior {
+                others_per_slot: 0.0,
+                cost_us: options.first_token_us as f64,
+                duration_us: options.duration_us as f64,
+            },
+        }
+    }
+
+    /// Returns all members.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        self.near.iter().chain(&self.far)
+    }
+
+    /// Returns the number of members.
+    pub fn len(&self) -> usize {
+        self.near.len() + self.far.len()
+    }
+
+    /// Returns whether the pool has no member.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Returns how long `requests` take to leave the queue, by Little's law.
+    pub fn drain_us(&self, requests: usize) -> u64 {
+        (self.prior.duration_us * requests as f64 / self.in_flight.max(1) as f64) as u64
+    }
+
+    /// Takes in the duration of a request that was served.
+    pub fn on_duration(&mut self, duration_us: u64) {
+        let prior = &mut self.prior;
+        prior.duration_us += DURATION_WEIGHT * (duration_us as f64 - prior.duration_us);
+    }
+
+    /// Takes in the first-token time that a member would have when idle.
+    pub fn on_cost(&mut self, cost_us: f64) {
+        self.prior.cost_us += PRIOR_WEIGHT * (cost_us - self.prior.cost_us);
+    }
+
+    /// Takes in the requests of other routers per slot at a member.
+    pub fn on_others(&mut self, others_per_slot: f64) {
+        let prior = &mut self.prior;
+        prior.others_per_slot += PRIOR_WEIGHT * (others_per_slot - prior.others_per_slot);
+    }
+}
--- /dev/null
+++ b/crates/peridotrack-route/src/router.rs
@@ -0,0 +1,249 @@
+//! The router's state and its entry points.
+
+use peridotrack_types::{collections::HashMap, id, name, problem};
+
+use crate::{
+    backend::Backend,
+    event::{Action, Event, Note, Offer, Outcome, Target},
+    options::Options,
+    pool::Pool,
+    request::{Phase, Request},
+    retry, status,
+};
+
+/// Decides where requests go, which wait, which are tried again and which are refused.
+///
+/// Each offered request gets exactly one final outcome: [`Outcome::Done`] or
+/// [`Outcome::Cancelled`] from the process edge, [`Router::cancel`], or [`Action::Refuse`].
+#[derive(Debug)]
+pub struct Router {
+    pub(crate) options: Options,
+    pub(crate) own: name::FailureDomain,
+    pub(crate) rng: fastrand::Rng,
+    pub(crate) backends: Vec<Backend>,
+    pub(crate) free: Vec<usize>,
+    pub(crate) by_name: HashMap<name::BackendServer, usize>,
+    pub(crate) pools: Vec<Pool>,
+    pub(crate) by_target: HashMap<Target, usize>,
+    pub(crate) requests: HashMap<id::Request, Request>,
+    pub(crate) retries: retry::Budget,
+    pub(crate) queue_requests: usize,
+    pub(crate) configured: bool,
+}
+
+/// # Construction
+impl Router {
+    /// Returns a router of the failure domain `own` without backend servers.
+    ///
+    /// Routers with the same `seed` and the same events decide the same.
+    pub fn new(options: Options, own: name::FailureDomain, seed: u64, _now_us: u64) -> Self {
+        Self {
+            retries: retry::Budget::new(options.retry_share),
+            options,
+            own,
+            rng: fastrand::Rng::with_seed(seed),
+            backends: Vec::new(),
+            free: Vec::new(),
+            by_name: HashMap::default(),
+            pools: Vec::new(),
+            by_target: HashMap::default(),
+            requests: HashMap::default(),
+            queue_requests: 0,
+            configured: false,
+        }
+    }
+}
+
+/// # Access
+impl Router {
+    /// Returns the requests without a final outcome.
+    pub fn open_requests(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Returns what operators see.
+    pub fn status(&self, now_us: u64) -> status::Report {
+        let mut indices: Vec<_> = self.by_name.values().copied().collect();
+        indices.sort_by(|&a, &b| self.backends[a].name.cmp(&self.backends[b].name));
+        status::Report {
+            backend_servers: indices
+                .into_iter()
+                .map(|index| self.backend_status(now_us, index))
+                .collect(),
+            pools: self.pools.iter().map(pool_status).collect(),
+        }
+    }
+
+    fn backend_status(&self, now_us: u64, index: usize) -> status::BackendServer {
+        let backend = &self.backends[index];
+        let others = |&pool: &usize| {
+            let prior = &self.pools[pool].prior;
+            backend.signal.others(now_us, backend.slots, prior)
+        };
+        status::BackendServer {
+            name: backend.name.clone(),
+            failure_domain: backend.failure_domain.clone(),
+            in_flight_requests: backend.in_flight,
+            limit_requests: backend.limit_requests(now_us, &self.options),
+            others_requests: backend.pools.first().map_or(0.0, others),
+            breaker: backend.breaker.state(now_us),
+            drain: backend.drain,
+            slow_start: backend.slow_start_us.is_some(),
+            report_age_us: backend.signal.report_age_us(now_us),
+        }
+    }
+}
+
+/// # Mutation
+impl Router {
+    /// Takes in a request, and dispatches, queues or refuses it.
+    ///
+    /// A request that is already open is ignored.
+    pub fn offer(&mut self, now_us: u64, offer: Offer) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let request_id = offer.request_id;
+        if self.requests.contains_key(&request_id) {
+            return actions;
+        }
+        let Some(&pool) = self.by_target.get(&offer.target) else {
+            actions.push(Action::Refuse {
+                request_id,
+                kind: problem::Kind::NoBackendServer,
+                retry_after_ms: self.options.retry_after_us.div_ceil(1_000),
+            });
+            return actions;
+        };
+        let request = Request::new(pool, offer);
+        self.place_or_queue(now_us, request_id, request, &mut actions);
+        actions
+    }
+
+    /// Forgets a request whose caller went away.
+    pub fn cancel(&mut self, now_us: u64, request_id: id::Request) -> Vec<Action> {
+        let mut actions = Vec::new();
+        match self
+            .requests
+            .get(&request_id)
+            .map(|request| (request.phase, request.pool))
+        {
+            None => {}
+            Some((Phase::Queued, pool)) => {
+                self.pools[pool].queue.remove(request_id);
+                self.requests.remove(&request_id);
+            }
+            Some((Phase::InFlight(_), _)) => {
+                self.on_finished(now_us, request_id, Outcome::Cancelled, &mut actions);
+            }
+        }
+        actions
+    }
+
+    /// Takes in an event.
+    ///
+    /// Events of requests without an attempt in flight and of unknown servers are ignored.
+    pub fn on_event(&mut self, now_us: u64, event: Event) -> Vec<Action> {
+        let mut actions = Vec::new();
+        match event {
+            Event::Tick => self.on_tick(now_us, &mut actions),
+            Event::Sent { request_id } => self.on_sent(request_id),
+            Event::FirstToken { request_id } => self.on_first_token(now_us, request_id),
+            Event::Finished {
+                request_id,
+                outcome,
+            } => self.on_finished(now_us, request_id, outcome, &mut actions),
+            Event::LoadReport { .. } => self.on_report(now_us, &event, &mut actions),
+            Event::Leaving { backend } => self.on_leaving(now_us, &backend, &mut actions),
+            Event::Connected { backend } => {
+                if let Some(&index) = self.by_name.get(&backend) {
+                    self.backends[index].breaker.on_connected();
+                }
+            }
+        }
+        actions
+    }
+
+    fn on_tick(&mut self, now_us: u64, actions: &mut Vec<Action>) {
+        for backend in &mut self.backends {
+            backend.on_tick(now_us, &self.options);
+        }
+        for pool in 0..self.pools.len() {
+            self.expire(now_us, pool, actions);
+            self.pump_pool(now_us, pool, actions);
+        }
+    }
+
+    fn on_report(&mut self, now_us: u64, event: &Event, actions: &mut Vec<Action>) {
+        let Event::LoadReport {
+            backend: name,
+            running,
+            queued,
+            slots,
+            age_us,
+            leaving,
+        } = event
+        else {
+            return;
+        };
+        let Some(&index) = self.by_name.get(name) else {
+            return;
+        };
+        let measured_us = now_us.saturating_sub(*age_us);
+        if *leaving {
+            self.on_leaving(now_us, name, actions);
+        } else {
+            self.on_not_leaving(now_us, measured_us, index, actions);
+        }
+        let backend = &mut self.backends[index];
+        if *slots > 0 && *slots != backend.slots {
+            backend.slots = *slots;
+            backend.limit.set_slots(*slots);
+        }
+        let total = running.saturating_add(*queued);
+        let Some(own) = backend.signal.on_report(measured_us, total) else {
+            return;
+        };
+        backend.limit.on_report(own, total);
+        let others = backend.signal.reported_others().unwrap_or(0.0);
+        let others_per_slot = others / f64::from(backend.slots.max(1));
+        for &pool in &backend.pools {
+            self.pools[pool].on_others(others_per_slot);
+        }
+        self.pump_backend(now_us, index, actions);
+    }
+
+    fn on_leaving(&mut self, now_us: u64, name: &name::BackendServer, actions: &mut Vec<Action>) {
+        let Some(&index) = self.by_name.get(name) else {
+            return;
+        };
+        if self.backends[index].drain.on_leaving(now_us) {
+            let backend = name.clone();
+            actions.push(Action::Note(Note::Leaving { backend }));
+            self.refuse_unserved(now_us, index, actions);
+        }
+    }
+
+    fn on_not_leaving(
+        &mut self,
+        now_us: u64,
+        measured_us: u64,
+        index: usize,
+        actions: &mut Vec<Action>,
+    ) {
+        let backend = &mut self.backends[index];
+        if backend.drain.on_not_leaving(measured_us, &self.options) {
+            backend.breaker.on_flap(now_us, &self.options);
+            backend.slow_start_us = Some(now_us);
+            let backend = backend.name.clone();
+            actions.push(Action::Note(Note::Returned { backend }));
+        }
+    }
+}
+
+fn pool_status(pool: &Pool) -> status::Pool {
+    status::Pool {
+        target: pool.target.clone(),
+        backend_servers: pool.len(),
+        in_flight_requests: pool.in_flight,
+        queued_requests: pool.queue.len(),
+    }
+}
