--- /dev/null
+++ b/crates/peridotrack-edge/src/budget.rs
@@ -0,0 +1,342 @@
+//! Runs the budget holder: its ledger calls, its peer messages and its waiting requests.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+};
+
+use bytes::Bytes;
+use peridotrack_budget::{
+    action::{Action, Note},
+    event::Event,
+    holder::Holder,
+    ledger, message, options, refusal, reservation,
+};
+use peridotrack_kernel::{Kernel, clock, event, timer};
+use peridotrack_types::{config, id, name};
+
+use crate::{member, notify, peer, platform};
+
+/// Name of this service in the registry.
+pub const SERVICE: &str = "budget";
+
+/// Period of the holder's ticks, in microseconds.
+const TICK_US: u64 = 20 * clock::US_PER_MS;
+/// Longest wait between two attempts of one reservation, in microseconds.
+const RETRY_US: u64 = 50 * clock::US_PER_MS;
+
+/// A reservation and the budget that it is made from.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Reservation {
+    /// The reservation.
+    pub id: reservation::Id,
+    /// The budget.
+    pub budget: name::Budget,
+    /// Tokens that are reserved.
+    pub bound_tokens: u64,
+}
+
+/// Runs the holder of this router.
+pub struct Budget {
+    kernel: Rc<Kernel>,
+    platform: Rc<platform::Platform>,
+    link: Rc<peer::Link>,
+    holder: RefCell<Holder>,
+    changed: notify::Notify,
+    subscription: RefCell<Option<timer::Subscription>>,
+    last_note: Cell<u64>,
+}
+
+/// Construction and end.
+impl Budget {
+    /// Starts the holder of `incarnation`.
+    pub fn spawn(
+        kernel: &Rc<Kernel>,
+        platform: &Rc<platform::Platform>,
+        link: &Rc<peer::Link>,
+        incarnation: id::Incarnation,
+        options: options::Options,
+    ) -> Rc<Self> {
+        let holder = Holder::new(incarnation, options, kernel.now_us());
+        let service = Rc::new(Self {
+            kernel: Rc::clone(kernel),
+            platform: Rc::clone(platform),
+            link: Rc::clone(link),
+            holder: RefCell::new(holder),
+            changed: notify::Notify::default(),
+            subscription: RefCell::default(),
+            last_note: Cell::new(0),
+        });
+        let weak = Rc::downgrade(&service);
+        let subscription = kernel.timer().subscribe(TICK_US, move |_| {
+            if let Some(service) = weak.upgrade() {
+                service.handle(Event::Tick);
+            }
+        });
+        *service.subscription.borrow_mut() = Some(subscription);
+        service
+    }
+
+    /// Returns every grant and waits until the ledger holds the closing rows.
+    pub async fn close(self: &Rc<Self>, deadline_us: u64) -> bool {
+        let actions = self.holder.borrow_mut().close(self.kernel.now_us());
+        self.run(actions);
+        while !self.holder.borrow().is_closed() && self.kernel.now_us() < deadline_us {
+            self.changed.wait(TICK_US).await;
+        }
+        self.holder.borrow().is_closed()
+    }
+
+    /// Ends the ticks.
+    pub fn stop(&self) {
+        self.subscription.borrow_mut().take();
+    }
+}
+
+/// Requests.
+impl Budget {
+    /// Reserves `tokens` from the first of `budgets` that has them, before `deadline_us`.
+    pub async fn reserve(
+        self: &Rc<Self>,
+        budgets: &[name::Budget],
+        tokens: u64,
+        deadline_us: u64,
+    ) -> Result<Reservation, refusal::Refusal> {
+        loop {
+            let refusal = match self.try_reserve(budgets, tokens) {
+                Ok(reservation) => return Ok(reservation),
+                Err(refusal) => refusal,
+            };
+            let left_us = deadline_us.saturating_sub(self.kernel.now_us());
+            match refusal.kind {
+                refusal::Kind::Waiting if left_us > 0 => {
+                    self.changed.wait(RETRY_US.min(left_us)).await;
+                }
+                refusal::Kind::Waiting => {
+                    return Err(refusal::Refusal {
+                        kind: refusal::Kind::Unavailable,
+                        ..refusal
+                    });
+                }
+                refusal::Kind::Exhausted | refusal::Kind::Unavailable => return Err(refusal),
+            }
+        }
+    }
+
+    /// Settles what the backend server spent; the rest of the bound becomes free.
+    pub fn settle(self: &Rc<Self>, reservation: &Reservation, spent_tokens: u64) {
+        let now_us = self.kernel.now_us();
+        let outcome = self
+            .holder
+            .borrow_mut()
+            .settle(now_us, reservation.id, spent_tokens);
+        if let reservation::Outcome::Clamped { excess_tokens } = outcome {
+            let event = event::Event::new(event::Kind::BudgetNote)
+                .with("note", "a backend server spent beyond the reserved bound")
+                .with("budget", reservation.budget.as_str())
+                .with("excess_tokens", excess_tokens);
+            self.kernel.note(event);
+        }
+        self.poll();
+    }
+
+    /// Frees a reservation of which nothing was spent.
+    pub fn cancel(self: &Rc<Self>, reservation: &Reservation) {
+        self.holder
+            .borrow_mut()
+            .cancel(self.kernel.now_us(), reservation.id);
+        self.poll();
+    }
+
+    /// Tries each budget once. Waiting on one of them wins over the others' refusals.
+    fn try_reserve(
+        self: &Rc<Self>,
+        budgets: &[name::Budget],
+        tokens: u64,
+    ) -> Result<Reservation, refusal::Refusal> {
+        let mut refusal: Option<refusal::Refusal> = None;
+        for budget in budgets {
+            let now_us = self.kernel.now_us();
+            let result = self.holder.borrow_mut().reserve(now_us, budget, tokens);
+            match result {
+                Ok(id) => {
+                    self.poll();
+                    let budget = budget.clone();
+                    return Ok(Reservation {
+                        id,
+                        budget,
+                        bound_tokens: tokens,
+                    });
+                }
+                Err(next) => refusal = Some(refusal.map_or(next, |known| softer(known, next))),
+            }
+        }
+        self.poll();
+        Err(refusal.unwrap_or(refusal::Refusal {
+            kind: refusal::Kind::Exhausted,
+            retry_after_ms: 0,
+        }))
+    }
+}
+
+/// Inputs.
+impl Budget {
+    /// Takes the budgets of a configuration.
+    pub fn configure(self: &Rc<Self>, config: &config::Config) {
+        let budgets = config
+            .rules
+            .budgets
+            .iter()
+            .map(|rule| (rule.name.clone(), rule.purchased_tokens));
+        let now_us = self.kernel.now_us();
+        let actions = self
+            .holder
+            .borrow_mut()
+            .configure(now_us, config.version, budgets);
+        self.run(actions);
+    }
+
+    /// Takes the live peers of the own failure domain.
+    pub fn set_peers(&self, peers: &[id::Incarnation]) {
+        self.holder
+            .borrow_mut()
+            .set_peers(self.kernel.now_us(), peers);
+    }
+
+    /// Takes a message of another holder.
+    pub fn receive(self: &Rc<Self>, from: id::Incarnation, message: message::Message) {
+        self.handle(Event::Peer { from, message });
+    }
+
+    /// Takes the loss of a peer.
+    pub fn peer_lost(self: &Rc<Self>, peer: id::Incarnation) {
+        self.handle(Event::PeerLost { peer });
+    }
+
+    /// Returns the holder's state as JSON.
+    pub fn report(&self) -> serde_json::Value {
+        serde_json::to_value(self.holder.borrow().snapshot()).unwrap_or_default()
+    }
+
+    fn handle(self: &Rc<Self>, event: Event) {
+        let actions = self
+            .holder
+            .borrow_mut()
+            .on_event(self.kernel.now_us(), event);
+        self.run(actions);
+    }
+
+    fn poll(self: &Rc<Self>) {
+        let actions = self.holder.borrow_mut().poll(self.kernel.now_us());
+        self.run(actions);
+    }
+}
+
+/// Actions.
+impl Budget {
+    fn run(self: &Rc<Self>, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Read { shard } => drop(monoio::spawn(Rc::clone(self).read(shard))),
+                Action::Write {
+                    shard,
+                    expected,
+                    body,
+                } => {
+                    drop(monoio::spawn(Rc::clone(self).write(shard, expected, body)));
+                }
+                Action::Send { to, message } => self.send(to, message),
+                Action::Wake => self.changed.notify_all(),
+                Action::Note(note) => self.note(&note),
+            }
+        }
+    }
+
+    async fn read(self: Rc<Self>, shard: u32) {
+        let event = match self.platform.read(&ledger_key(shard)).await {
+            Ok(None) => Event::ShardAbsent { shard },
+            Ok(Some(object)) => match serde_json::from_slice(&object.body) {
+                Ok(body) => Event::ShardRead {
+                    shard,
+                    version: object.version,
+                    body,
+                },
+                Err(_) => Event::ReadFailed { shard },
+            },
+            Err(_) => Event::ReadFailed { shard },
+        };
+        self.handle(event);
+    }
+
+    async fn write(self: Rc<Self>, shard: u32, expected: Option<u64>, body: ledger::Shard) {
+        let bytes = Bytes::from(serde_json::to_vec(&body).expect("a shard has only text keys"));
+        let result = self
+            .platform
+            .write(&ledger_key(shard), expected, bytes)
+            .await;
+        if let Err(error) = &result {
+            let event = event::Event::new(event::Kind::BudgetWriteFailed);
+            self.kernel.note(event.with("error", error.to_string()));
+        }
+        self.handle(match result {
+            Ok(version) => Event::Written { shard, version },
+            Err(platform::Error::Conflict { .. }) => Event::WriteConflict { shard },
+            Err(platform::Error::Refused { retry_after_ms, .. }) => Event::WriteRefused {
+                shard,
+                retry_after_ms,
+            },
+            Err(platform::Error::NotSent { .. }) => Event::WriteRefused {
+                shard,
+                retry_after_ms: RETRY_US / clock::US_PER_MS,
+            },
+            Err(platform::Error::Unknown { .. }) => Event::WriteUnknown { shard },
+        });
+    }
+
+    fn send(&self, to: id::Incarnation, message: message::Message) {
+        let Ok(members) = self
+            .kernel
+            .registry()
+            .find::<member::Member>(member::SERVICE)
+        else {
+            return;
+        };
+        if let Some(address) = members.address_of(to) {
+            self.link.send(address, &peer::Frame::Budget(message));
+        }
+    }
+
+    fn note(&self, note: &Note) {
+        let kind = match note {
+            Note::Drawn { .. }
+            | Note::Returned { .. }
+            | Note::Sent { .. }
+            | Note::Received { .. } => event::Kind::BudgetGrant,
+            _ => event::Kind::BudgetNote,
+        };
+        let text = serde_json::to_string(note).unwrap_or_default();
+        let event = event::Event::new(kind)
+            .cause(self.last_note.get())
+            .with("note", text);
+        self.last_note.set(self.kernel.note(event));
+    }
+}
+
+/// Returns the key of a ledger shard.
+pub fn ledger_key(shard: u32) -> String {
+    format!("ledger/{shard}")
+}
+
+/// Returns the refusal that leaves more hope.
+fn softer(first: refusal::Refusal, second: refusal::Refusal) -> refusal::Refusal {
+    let rank = |refusal: &refusal::Refusal| match refusal.kind {
+        refusal::Kind::Waiting => 0,
+        refusal::Kind::Unavailable => 1,
+        refusal::Kind::Exhausted => 2,
+    };
+    if rank(&second) < rank(&first) {
+        second
+    } else {
+        first
+    }
+}
--- /dev/null
+++ b/crates/peridotrack-edge/src/caller/answer.rs
@@ -0,0 +1,65 @@
+//! Builds whole answers to callers.
+
+use bytes::Bytes;
+use peridotrack_http::server;
+use peridotrack_types::problem;
+
+use crate::engine;
+
+/// Milliseconds in a second, for `Retry-After`, which counts whole seconds.
+const MS_PER_S: u64 = 1_000;
+
+/// Returns a problem as an answer, with `Retry-After` if it says when to try again.
+pub fn problem(problem: &problem::Problem) -> http::Response<Bytes> {
+    let body = serde_json::to_vec(problem).expect("a problem has only text keys");
+    let mut builder = http::Response::builder()
+        .status(problem.status)
+        .header("content-type", "application/problem+json");
+    if let Some(retry_after_ms) = problem.retry_after_ms {
+        let seconds = retry_after_ms.div_ceil(MS_PER_S).max(1);
+        builder = builder.header("retry-after", seconds.to_string());
+    }
+    if let Some(request_id) = problem.request_id {
+        builder = builder.header(engine::REQUEST_ID_HEADER, request_id.to_string());
+    }
+    if problem.status == problem::Kind::Unauthorized.status() {
+        builder = builder.header("www-authenticate", "Bearer");
+    }
+    builder
+        .body(body.into())
+        .expect("the parts of a problem are valid")
+}
+
+/// Returns a JSON answer.
+pub fn json(status: u16, body: impl Into<Bytes>) -> http::Response<Bytes> {
+    http::Response::builder()
+        .status(status)
+        .header("content-type", "application/json")
+        .body(body.into())
+        .expect("the parts of a JSON answer are valid")
+}
+
+/// Returns the answer to a request that could not be read, `None` if none can be sent.
+pub fn unreadable(error: &server::Error) -> Option<http::Response<Bytes>> {
+    let kind = match error {
+        server::Error::Malformed { .. } => problem::Kind::Malformed,
+        server::Error::HeadTooLarge { .. } | server::Error::BodyTooLarge { .. } => {
+            problem::Kind::TooLarge
+        }
+        server::Error::TimedOut {
+            step: server::Step::Write,
+            ..
+        } => return None,
+        server::Error::TimedOut { .. } => problem::Kind::Malformed,
+        server::Error::Io { .. }
+        | server::Error::StreamUnsupported { .. }
+        | server::Error::OutOfOrder { .. } => return None,
+    };
+    let mut refused = problem::Problem::new(kind, error.to_string());
+    refused.status = match error {
+        server::Error::HeadTooLarge { .. } => 431,
+        server::Error::TimedOut { .. } => 408,
+        _ => refused.status,
+    };
+    Some(problem(&refused))
+}
--- /dev/null
+++ b/crates/peridotrack-edge/src/caller/server.rs
@@ -0,0 +1,316 @@
+//! Accepts callers and hands their requests on.
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use monoio::net::{TcpListener, TcpStream};
+use peridotrack_http::{client, server};
+use peridotrack_kernel::{Kernel, clock, event};
+use peridotrack_types::{id, name, problem, settings};
+
+use super::{answer, completion, service_call};
+use crate::{auth, budget, claims, config, engine, route, usage};
+
+/// Longest wait for a connection before the server looks whether it is to stop, in milliseconds.
+const ACCEPT_MS: u64 = 100;
+/// Period in which the end of open requests is awaited, in microseconds.
+const DRAIN_US: u64 = 20 * clock::US_PER_MS;
+/// Longest wait of a backend server for the next part of its answer, in milliseconds.
+const BACKEND_TIMEOUT_MS: u64 = 30_000;
+/// Idle connections that are kept to each backend server.
+const IDLE_CONNECTIONS: usize = 64;
+/// Path of chat completions.
+const COMPLETIONS_PATH: &str = "/v1/chat/completions";
+/// Path above the plain services.
+const SERVICES_PATH: &str = "/v1/services/";
+/// Time after which a refused connection may be tried again, in milliseconds.
+const CONNECTIONS_RETRY_MS: u64 = 1_000;
+
+/// What serves a request.
+pub(super) struct Services {
+    pub(super) kernel: Rc<Kernel>,
+    pub(super) budget: Rc<budget::Budget>,
+    pub(super) claims: Rc<claims::Service>,
+    pub(super) config: Rc<config::Configuration>,
+    pub(super) route: Rc<route::Route>,
+    pub(super) usage: Rc<usage::Usage>,
+    pub(super) pool: client::Pool,
+}
+
+/// Accepts callers.
+pub struct Server {
+    services: Rc<Services>,
+    incarnation: id::Incarnation,
+    address: SocketAddr,
+    limits: settings::Limits,
+    keys: RefCell<(u64, Rc<auth::Keys>)>,
+    sequence: Cell<u64>,
+    open_connections: Cell<usize>,
+    open_requests: Cell<usize>,
+    is_closing: Cell<bool>,
+    is_stopped: Cell<bool>,
+}
+
+/// One accepted request.
+pub(super) struct Call {
+    pub(super) request_id: id::Request,
+    pub(super) account: name::ClientAccount,
+    pub(super) arrived_us: u64,
+    pub(super) deadline_us: u64,
+    pub(super) cause: Cell<u64>,
+}
+
+impl Call {
+    /// Records an event of this request, caused by the one before it.
+    pub(super) fn note(&self, kernel: &Kernel, event: event::Event) {
+        let event = event.request(self.request_id).cause(self.cause.get());
+        self.cause.set(kernel.note(event));
+    }
+
+    /// Records a refusal and returns its answer.
+    pub(super) fn refuse(
+        &self,
+        kernel: &Kernel,
+        problem: problem::Problem,
+    ) -> http::Response<bytes::Bytes> {
+        let ran = match problem.ran {
+            problem::Ran::No => "no",
+            problem::Ran::Unknown => "unknown",
+        };
+        let event = event::Event::new(event::Kind::RequestRefused)
+            .with("problem", problem.type_urn.as_str())
+            .with("detail", problem.detail.as_str())
+            .with("ran", ran)
+            .with("retry_after_ms", problem.retry_after_ms.unwrap_or_default());
+        self.note(kernel, event);
+        kernel
+            .meter()
+            .labelled_counter("peridotrack_requests_refused_total", "ran", ran)
+            .increment(1);
+        answer::problem(&problem.request(self.request_id))
+    }
+}
+
+/// Construction and end.
+impl Server {
+    /// Listens for callers and returns the running server.
+    pub fn bind(
+        kernel: &Rc<Kernel>,
+        incarnation: id::Incarnation,
+        address: SocketAddr,
+        limits: settings::Limits,
+    ) -> Result<Rc<Self>, Box<dyn std::error::Error>> {
+        let listener = TcpListener::bind(address)?;
+        let address = listener.local_addr()?;
+        let registry = kernel.registry();
+        let services = Rc::new(Services {
+            kernel: Rc::clone(kernel),
+            budget: registry.find(budget::SERVICE)?,
+            claims: registry.find(claims::SERVICE)?,
+            config: registry.find(config::SERVICE)?,
+            route: registry.find(route::SERVICE)?,
+            usage: registry.find(usage::SERVICE)?,
+            pool: client::Pool::new(engine::client_options(BACKEND_TIMEOUT_MS), IDLE_CONNECTIONS),
+        });
+        let server = Rc::new(Self {
+            services,
+            incarnation,
+            address,
+            limits,
+            keys: RefCell::default(),
+            sequence: Cell::new(0),
+            open_connections: Cell::new(0),
+            open_requests: Cell::new(0),
+            is_closing: Cell::new(false),
+            is_stopped: Cell::new(false),
+        });
+        monoio::spawn(Rc::clone(&server).accept(listener));
+        Ok(server)
+    }
+
+    /// Ends idle connections and waits until no request is open, at most until `deadline_us`.
+    ///
+    /// Requests that still arrive are served. Returns the requests that are left.
+    pub async fn drain(&self, deadline_us: u64) -> usize {
+        self.is_closing.set(true);
+        let kernel = &self.services.kernel;
+        while self.open_requests.get() > 0 && kernel.now_us() < deadline_us {
+            kernel.timer().sleep_us(DRAIN_US).await;
+        }
+        self.open_requests.get()
+    }
+
+    /// Takes no more connections.
+    pub fn stop(&self) {
+        self.is_stopped.set(true);
+    }
+}
+
+/// Access.
+impl Server {
+    /// Returns where callers connect.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the requests that are being served.
+    pub fn open_requests(&self) -> usize {
+        self.open_requests.get()
+    }
+}
+
+/// Connections.
+impl Server {
+    async fn accept(self: Rc<Self>, listener: TcpListener) {
+        let timeout = Duration::from_millis(ACCEPT_MS);
+        while !self.is_stopped.get() {
+            let Ok(Ok((stream, _))) = monoio::time::timeout(timeout, listener.accept()).await
+            else {
+                continue;
+            };
+            let _ = stream.set_nodelay(true);
+            monoio::spawn(Rc::clone(&self).serve(stream));
+        }
+    }
+
+    async fn serve(self: Rc<Self>, stream: TcpStream) {
+        let options = server::Options {
+            head_bytes: self.limits.head_bytes,
+            body_bytes: self.limits.body_bytes,
+            write_timeout_ms: self.limits.caller_write_timeout_ms,
+            ..server::Options::default()
+        };
+        let mut connection = server::Connection::new(stream, options);
+        if self.open_connections.get() >= self.limits.connections {
+            let problem = problem::Problem::new(problem::Kind::Overloaded, "too many connections")
+                .retry_after_ms(CONNECTIONS_RETRY_MS);
+            let _ = connection.respond(answer::problem(&problem)).await;
+            return;
+        }
+        self.open_connections.set(self.open_connections.get() + 1);
+        self.serve_requests(&mut connection).await;
+        self.open_connections.set(self.open_connections.get() - 1);
+    }
+
+    async fn serve_requests(&self, connection: &mut server::Connection) {
+        loop {
+            let request = match self.next_request(connection).await {
+                Ok(Some(request)) => request,
+                Ok(None) => return,
+                Err(error) => {
+                    if let Some(response) = answer::unreadable(&error) {
+                        let _ = connection.respond(response).await;
+                    }
+                    return;
+                }
+            };
+            self.open_requests.set(self.open_requests.get() + 1);
+            let result = self.serve_request(connection, request).await;
+            self.open_requests.set(self.open_requests.get() - 1);
+            if result.is_err() || !connection.keep_alive() {
+                return;
+            }
+        }
+    }
+
+    /// Reads the next request; a closing server ends a connection that is idle.
+    async fn next_request(
+        &self,
+        connection: &mut server::Connection,
+    ) -> Result<Option<server::Request>, server::Error> {
+        let timeout = Duration::from_millis(ACCEPT_MS);
+        loop {
+            if self.is_closing.get() && connection.is_idle() {
+                return Ok(None);
+            }
+            if !connection.is_idle() {
+                return connection.next().await;
+            }
+            match monoio::time::timeout(timeout, connection.next()).await {
+                Ok(result) => return result,
+                Err(_) if self.is_closing.get() => {}
+                Err(_) => return connection.next().await,
+            }
+        }
+    }
+}
+
+/// Requests.
+impl Server {
+    async fn serve_request(
+        &self,
+        connection: &mut server::Connection,
+        request: server::Request,
+    ) -> Result<(), server::Error> {
+        let path = request.head.uri.path().to_owned();
+        let Some(account) = self.keys().account(&request.head.headers) else {
+            let problem = problem::Problem::new(
+                problem::Kind::Unauthorized,
+                "the bearer key is missing or unknown",
+            );
+            return connection.respond(answer::problem(&problem)).await;
+        };
+        let call = self.accept_call(account, &path, &request);
+        if path == COMPLETIONS_PATH && request.head.method == http::Method::POST {
+            completion::serve(&self.services, &call, connection, request).await
+        } else if let Some(rest) = path.strip_prefix(SERVICES_PATH) {
+            service_call::serve(&self.services, &call, connection, rest, request).await
+        } else {
+            let detail = format!("no route for {} {path}", request.head.method);
+            let problem = problem::Problem::new(problem::Kind::NotFound, detail);
+            connection
+                .respond(call.refuse(&self.services.kernel, problem))
+                .await
+        }
+    }
+
+    fn accept_call(
+        &self,
+        account: name::ClientAccount,
+        path: &str,
+        request: &server::Request,
+    ) -> Call {
+        let kernel = &self.services.kernel;
+        self.sequence.set(self.sequence.get() + 1);
+        let request_id = id::Request {
+            incarnation: self.incarnation,
+            sequence: self.sequence.get(),
+        };
+        let arrived_us = kernel.now_us();
+        let deadline_ms = self.services.config.current().rules.limits.deadline_ms;
+        let event = event::Event::new(event::Kind::RequestAccepted)
+            .request(request_id)
+            .with("client_account", account.as_str())
+            .with("method", request.head.method.as_str())
+            .with("path", path)
+            .with("body_bytes", request.body.len() as u64);
+        kernel
+            .meter()
+            .counter("peridotrack_requests_accepted_total")
+            .increment(1);
+        Call {
+            request_id,
+            account,
+            arrived_us,
+            deadline_us: arrived_us + deadline_ms * clock::US_PER_MS,
+            cause: Cell::new(kernel.note(event)),
+        }
+    }
+
+    /// Returns the keys of the configuration in force.
+    fn keys(&self) -> Rc<auth::Keys> {
+        let config = self.services.config.current();
+        let mut keys = self.keys.borrow_mut();
+        if keys.0 != config.version {
+            *keys = (
+                config.version,
+                Rc::new(auth::Keys::from_register(&config.register)),
+            );
+        }
+        Rc::clone(&keys.1)
+    }
+}
--- /dev/null
+++ b/crates/peridotrack-edge/src/claims.rs
@@ -0,0 +1,212 @@
+//! Runs the claims of non-idempotent requests: their platform calls and their waiting requests.
+
+use std::{cell::RefCell, rc::Rc};
+
+use bytes::Bytes;
+use local_sync::oneshot;
+use peridotrack_kernel::{Kernel, clock, event, timer};
+use peridotrack_once::{
+    claim::{self, Action, Claims, Decision, Event},
+    group,
+};
+use peridotrack_types::{collections, id, problem};
+
+use crate::platform;
+
+/// Name of this service in the registry.
+pub const SERVICE: &str = "claims";
+
+/// Period of the machine's ticks, in microseconds.
+const TICK_US: u64 = 5 * clock::US_PER_MS;
+/// Delay after a write of which no byte was sent, in milliseconds.
+const NOT_SENT_RETRY_MS: u64 = 50;
+
+/// Runs the claims of this router.
+pub struct Service {
+    kernel: Rc<Kernel>,
+    platform: Rc<platform::Platform>,
+    claims: RefCell<Claims>,
+    waiting: RefCell<collections::HashMap<id::Request, oneshot::Sender<Decision>>>,
+    subscription: RefCell<Option<timer::Subscription>>,
+}
+
+/// Construction and end.
+impl Service {
+    /// Starts the claims of `incarnation`.
+    pub fn spawn(
+        kernel: &Rc<Kernel>,
+        platform: &Rc<platform::Platform>,
+        incarnation: id::Incarnation,
+        options: claim::Options,
+        seed: u64,
+    ) -> Rc<Self> {
+        let service = Rc::new(Self {
+            kernel: Rc::clone(kernel),
+            platform: Rc::clone(platform),
+            claims: RefCell::new(Claims::new(incarnation, options, seed, kernel.now_us())),
+            waiting: RefCell::default(),
+            subscription: RefCell::default(),
+        });
+        let weak = Rc::downgrade(&service);
+        let subscription = kernel.timer().subscribe(TICK_US, move |now_us| {
+            if let Some(service) = weak.upgrade() {
+                service.tick(now_us);
+            }
+        });
+        *service.subscription.borrow_mut() = Some(subscription);
+        service
+    }
+
+    /// Waits until every outcome is recorded, at most until `deadline_us`.
+    pub async fn settle(&self, deadline_us: u64) -> bool {
+        while !self.claims.borrow().is_settled() && self.kernel.now_us() < deadline_us {
+            self.kernel.timer().sleep_us(TICK_US).await;
+        }
+        self.claims.borrow().is_settled()
+    }
+
+    /// Ends the ticks.
+    pub fn stop(&self) {
+        self.subscription.borrow_mut().take();
+    }
+}
+
+/// Requests.
+impl Service {
+    /// Claims a request and returns what is to be done with it.
+    pub async fn begin(self: &Rc<Self>, request: claim::Request<'_>) -> Decision {
+        let (sender, receiver) = oneshot::channel();
+        self.waiting.borrow_mut().insert(request.request_id, sender);
+        let actions = self
+            .claims
+            .borrow_mut()
+            .begin(self.kernel.now_us(), request);
+        self.run(actions);
+        receiver.await.unwrap_or(Decision::Refuse {
+            kind: problem::Kind::ClaimUnavailable,
+            retry_after_ms: None,
+        })
+    }
+
+    /// Registers a request without key, which may be sent once.
+    pub fn begin_without_key(&self, request_id: id::Request, deadline_us: u64) {
+        self.claims
+            .borrow_mut()
+            .begin_without_key(request_id, deadline_us);
+    }
+
+    /// Returns whether the first byte may be sent now, and uses up the permission.
+    pub fn may_send(&self, request_id: id::Request) -> bool {
+        self.claims
+            .borrow_mut()
+            .may_send(self.kernel.now_us(), request_id)
+    }
+
+    /// Records how a granted request ended.
+    pub fn finish(self: &Rc<Self>, request_id: id::Request, outcome: claim::Outcome) {
+        let now_us = self.kernel.now_us();
+        let actions = self.claims.borrow_mut().finish(now_us, request_id, outcome);
+        self.run(actions);
+    }
+}
+
+/// Inputs and actions.
+impl Service {
+    fn tick(self: &Rc<Self>, now_us: u64) {
+        let is_due = self
+            .claims
+            .borrow()
+            .next_tick_us(now_us)
+            .is_some_and(|due_us| due_us <= now_us);
+        if is_due {
+            self.handle(Event::Tick);
+        }
+    }
+
+    fn handle(self: &Rc<Self>, event: Event) {
+        let actions = self
+            .claims
+            .borrow_mut()
+            .on_event(self.kernel.now_us(), event);
+        self.run(actions);
+    }
+
+    fn run(self: &Rc<Self>, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Read { object } => drop(monoio::spawn(Rc::clone(self).read(object))),
+                Action::Write {
+                    object,
+                    expected,
+                    body,
+                } => {
+                    drop(monoio::spawn(Rc::clone(self).write(object, expected, body)));
+                }
+                Action::Remove { object } => {
+                    drop(monoio::spawn(Rc::clone(self).remove(object)));
+                }
+                Action::Decide {
+                    request_id,
+                    decision,
+                } => self.decide(request_id, decision),
+                Action::Note(note) => {
+                    let event = event::Event::new(event::Kind::ClaimNote);
+                    self.kernel.note(event.with("note", format!("{note:?}")));
+                }
+            }
+        }
+    }
+
+    fn decide(&self, request_id: id::Request, decision: Decision) {
+        let text = match &decision {
+            Decision::Granted => "granted",
+            Decision::Replay { .. } => "replay",
+            Decision::Refuse { kind, .. } => kind.slug(),
+        };
+        let event = event::Event::new(event::Kind::ClaimDecided).request(request_id);
+        self.kernel.note(event.with("decision", text));
+        if let Some(sender) = self.waiting.borrow_mut().remove(&request_id) {
+            let _ = sender.send(decision);
+        }
+    }
+
+    async fn read(self: Rc<Self>, object: String) {
+        let event = match self.platform.read(&object).await {
+            Ok(None) => Event::Absent { object },
+            Ok(Some(found)) => match serde_json::from_slice::<group::Group>(&found.body) {
+                Ok(body) => Event::Read {
+                    object,
+                    version: found.version,
+                    body,
+                },
+                Err(_) => Event::ReadFailed { object },
+            },
+            Err(_) => Event::ReadFailed { object },
+        };
+        self.handle(event);
+    }
+
+    async fn write(self: Rc<Self>, object: String, expected: Option<u64>, body: group::Group) {
+        let bytes = Bytes::from(serde_json::to_vec(&body).expect("a group has only text keys"));
+        let event = match self.platform.write(&object, expected, bytes).await {
+            Ok(version) => Event::Written { object, version },
+            Err(platform::Error::Conflict { .. }) => Event::Conflict { object },
+            Err(platform::Error::Refused { retry_after_ms, .. }) => Event::WriteRefused {
+                object,
+                retry_after_ms,
+            },
+            Err(platform::Error::NotSent { .. }) => Event::WriteRefused {
+                object,
+                retry_after_ms: NOT_SENT_RETRY_MS,
+            },
+            Err(platform::Error::Unknown { .. }) => Event::WriteUnknown { object },
+        };
+        self.handle(event);
+    }
+
+    async fn remove(self: Rc<Self>, object: String) {
+        if let Ok(Some(found)) = self.platform.read(&object).await {
+            let _ = self.platform.remove(&object, found.version).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/peridotrack-edge/src/daemon.rs
@@ -0,0 +1,376 @@
+//! Starts and stops the services of one router.
+
+use std::{net::SocketAddr, rc::Rc};
+
+use peridotrack_budget::options as budget_options;
+use peridotrack_kernel::{Kernel, clock, event, log, registry};
+use peridotrack_member::message::State;
+use peridotrack_once::{claim, usage as usage_log};
+use peridotrack_route::options as route_options;
+use peridotrack_types::{id, settings};
+
+use crate::{budget, caller, claims, config, load, member, operator, peer, platform, route, usage};
+
+/// Time that the last messages to peers get before the process ends, in microseconds.
+const FAREWELL_US: u64 = 50 * clock::US_PER_MS;
+/// Time that closing the budget and flushing usage may take, in microseconds.
+const CLOSE_US: u64 = 10 * clock::US_PER_S;
+
+/// A router that cannot start.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The kernel cannot be opened.
+    #[error("open the kernel: {0}")]
+    Kernel(#[from] peridotrack_kernel::Error),
+    /// An address cannot be listened on.
+    #[error("listen for {step} on {address}: {detail}")]
+    Listen {
+        /// Who is listened for.
+        step: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// Why.
+        detail: String,
+    },
+    /// A service is missing.
+    #[error("start the services: {0}")]
+    Registry(#[from] registry::Error),
+}
+
+/// What a stopping router left undone.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Outcome {
+    /// Requests that were cut.
+    pub cut_requests: usize,
+    /// Whether every grant went back to the ledger.
+    pub is_budget_closed: bool,
+    /// Whether every usage record was flushed.
+    pub is_usage_flushed: bool,
+    /// Whether every claim's outcome was recorded.
+    pub are_claims_settled: bool,
+}
+
+impl Outcome {
+    /// Returns whether nothing was left undone.
+    pub fn is_clean(&self) -> bool {
+        self.cut_requests == 0
+            && self.is_budget_closed
+            && self.is_usage_flushed
+            && self.are_claims_settled
+    }
+}
+
+/// A running router.
+pub struct Daemon {
+    kernel: Rc<Kernel>,
+    settings: settings::Settings,
+    incarnation: id::Incarnation,
+    link: Rc<peer::Link>,
+    budget: Rc<budget::Budget>,
+    callers: Rc<caller::Server>,
+    claims: Rc<claims::Service>,
+    load: Rc<load::Load>,
+    member: Rc<member::Member>,
+    operator: Rc<operator::Operator>,
+    route: Rc<route::Route>,
+    usage: Rc<usage::Usage>,
+}
+
+/// Construction.
+impl Daemon {
+    /// Starts a router with these settings on the running loop.
+    pub fn spawn(settings: settings::Settings, log: log::Output) -> Result<Self, Error> {
+        let kernel = Kernel::open(peridotrack_kernel::Options {
+            process: settings.vm.as_str().into(),
+            timeline_events: settings.limits.timeline_events,
+            log,
+        })?;
+        kernel.spawn_timer();
+        let incarnation = id::Incarnation(fastrand::u64(1..));
+        let link = peer::Link::bind(
+            Rc::clone(&kernel),
+            incarnation,
+            settings.peer_address,
+            &settings.peer_key,
+        )
+        .map_err(|error| listen("peers", settings.peer_address, &error))?;
+        let platform = platform::Platform::open(Rc::clone(&kernel), settings.platform_address);
+        let services = Services::spawn(&kernel, &platform, &link, &settings, incarnation)?;
+        let operator = operator::Operator::bind(&kernel, incarnation, settings.clone())
+            .map_err(|error| listen("operators", settings.operator_address, &error))?;
+        kernel
+            .registry()
+            .register(operator::SERVICE, Rc::clone(&operator))?;
+        let callers = caller::Server::bind(
+            &kernel,
+            incarnation,
+            settings.caller_address,
+            settings.limits.clone(),
+        )
+        .map_err(|error| listen("callers", settings.caller_address, &*error))?;
+        kernel
+            .registry()
+            .register(caller::SERVICE, Rc::clone(&callers))?;
+        let event = event::Event::new(event::Kind::RouterStarted)
+            .with("incarnation", incarnation.to_string())
+            .with("failure_domain", settings.failure_domain.as_str())
+            .with("caller_address", callers.address().to_string())
+            .with("operator_address", operator.address().to_string())
+            .with("peer_address", link.address().to_string());
+        kernel.note(event);
+        Ok(Self {
+            kernel,
+            settings,
+            incarnation,
+            link,
+            budget: services.budget,
+            callers,
+            claims: services.claims,
+            load: services.load,
+            member: services.member,
+            operator,
+            route: services.route,
+            usage: services.usage,
+        })
+    }
+}
+
+/// Access.
+impl Daemon {
+    /// Returns the incarnation of this router.
+    pub fn incarnation(&self) -> id::Incarnation {
+        self.incarnation
+    }
+
+    /// Returns where callers connect.
+    pub fn caller_address(&self) -> SocketAddr {
+        self.callers.address()
+    }
+
+    /// Returns where operators connect.
+    pub fn operator_address(&self) -> SocketAddr {
+        self.operator.address()
+    }
+
+    /// Returns where other routers connect.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.link.address()
+    }
+
+    /// Returns the kernel.
+    pub fn kernel(&self) -> &Rc<Kernel> {
+        &self.kernel
+    }
+}
+
+/// State and end.
+impl Daemon {
+    /// Waits for the first configuration, then says that the router is ready.
+    pub async fn ready(&self) {
+        let Ok(config) = self
+            .kernel
+            .registry()
+            .find::<config::Configuration>(config::SERVICE)
+        else {
+            return;
+        };
+        while config.current().version == 0 {
+            self.kernel.timer().sleep_us(FAREWELL_US).await;
+        }
+        self.set_state(State::Serving);
+    }
+
+    /// Turns readiness off while requests are still served.
+    pub fn begin_stop(&self) {
+        self.set_state(State::Stopping);
+        let event = event::Event::new(event::Kind::RouterStopping)
+            .with("open_requests", self.callers.open_requests() as u64);
+        self.kernel.note(event);
+    }
+
+    /// Finishes every open request, returns every grant and flushes every record.
+    pub async fn stop(&self) -> Outcome {
+        let limits = &self.settings.limits;
+        let begin_us = self.kernel.now_us();
+        self.kernel
+            .timer()
+            .sleep_us(limits.shutdown_grace_ms * clock::US_PER_MS)
+            .await;
+        let deadline_us = begin_us + limits.shutdown_timeout_ms * clock::US_PER_MS;
+        let cut_requests = self.callers.drain(deadline_us).await;
+        self.callers.stop();
+        let close_us = self.kernel.now_us() + CLOSE_US;
+        let outcome = Outcome {
+            cut_requests,
+            are_claims_settled: self.claims.settle(close_us).await,
+            is_usage_flushed: self.usage.flush(close_us).await,
+            is_budget_closed: self.budget.close(close_us).await,
+        };
+        self.member.stop();
+        self.kernel.timer().sleep_us(FAREWELL_US).await;
+        self.end(outcome);
+        outcome
+    }
+
+    /// Stops at once and says what is cut.
+    pub fn cut(&self) -> Outcome {
+        let cut_requests = self.callers.open_requests();
+        self.callers.stop();
+        self.member.stop();
+        let outcome = Outcome {
+            cut_requests,
+            ..Outcome::default()
+        };
+        self.end(outcome);
+        outcome
+    }
+
+    /// Ends without finishing anything, as a crash does, but on a loop that goes on.
+    pub fn kill(&self) {
+        self.callers.stop();
+        self.halt();
+    }
+
+    fn end(&self, outcome: Outcome) {
+        let kind = if outcome.is_clean() {
+            event::Kind::RouterStopped
+        } else {
+            event::Kind::RouterCut
+        };
+        let event = event::Event::new(kind)
+            .with("cut_requests", outcome.cut_requests as u64)
+            .with("is_budget_closed", outcome.is_budget_closed)
+            .with("is_usage_flushed", outcome.is_usage_flushed)
+            .with("are_claims_settled", outcome.are_claims_settled);
+        self.kernel.note(event);
+        self.halt();
+    }
+
+    fn halt(&self) {
+        self.operator.stop();
+        self.load.stop();
+        self.budget.stop();
+        self.usage.stop();
+        self.claims.stop();
+        self.route.stop();
+        self.link.stop();
+        self.kernel.stop();
+    }
+
+    fn set_state(&self, state: State) {
+        self.operator.set_state(state);
+        self.member.set_state(state);
+    }
+}
+
+/// The services between the edges.
+struct Services {
+    budget: Rc<budget::Budget>,
+    claims: Rc<claims::Service>,
+    load: Rc<load::Load>,
+    member: Rc<member::Member>,
+    route: Rc<route::Route>,
+    usage: Rc<usage::Usage>,
+}
+
+impl Services {
+    fn spawn(
+        kernel: &Rc<Kernel>,
+        platform: &Rc<platform::Platform>,
+        link: &Rc<peer::Link>,
+        settings: &settings::Settings,
+        incarnation: id::Incarnation,
+    ) -> Result<Self, Error> {
+        let domain = settings.failure_domain.clone();
+        let budget_options = budget_options::Options {
+            seed: fastrand::u64(..),
+            ..Default::default()
+        };
+        let budget = budget::Budget::spawn(kernel, platform, link, incarnation, budget_options);
+        let usage = usage::Usage::spawn(
+            kernel,
+            platform,
+            link,
+            incarnation,
+            usage_log::Options::default(),
+        );
+        let claims = claims::Service::spawn(
+            kernel,
+            platform,
+            incarnation,
+            claim::Options::default(),
+            fastrand::u64(..),
+        );
+        let route = route::Route::spawn(
+            kernel,
+            route_options::Options::default(),
+            domain.clone(),
+            fastrand::u64(..),
+        );
+        let local = member::Local {
+            vm: settings.vm.clone(),
+            incarnation,
+            started_wall_ms: kernel.clock().wall_us() / clock::US_PER_MS,
+            failure_domain: domain,
+            peer_address: link.address(),
+            caller_address: settings.caller_address,
+        };
+        let seeds = settings.seed_addresses.clone();
+        let member = member::Member::spawn(kernel, link, platform, local, seeds, fastrand::u64(..));
+        let config = config::Configuration::spawn(kernel, platform, link, &member, &route, &budget);
+        let load = load::Load::spawn(kernel, &config, &route);
+        let registry = kernel.registry();
+        registry.register(platform::SERVICE, Rc::clone(platform))?;
+        registry.register(peer::SERVICE, Rc::clone(link))?;
+        registry.register(budget::SERVICE, Rc::clone(&budget))?;
+        registry.register(usage::SERVICE, Rc::clone(&usage))?;
+        registry.register(claims::SERVICE, Rc::clone(&claims))?;
+        registry.register(route::SERVICE, Rc::clone(&route))?;
+        registry.register(member::SERVICE, Rc::clone(&member))?;
+        registry.register(config::SERVICE, Rc::clone(&config))?;
+        registry.register(load::SERVICE, Rc::clone(&load))?;
+        subscribe(link, &member, &budget, &usage, &config);
+        Ok(Self {
+            budget,
+            claims,
+            load,
+            member,
+            route,
+            usage,
+        })
+    }
+}
+
+/// Hands each frame of a peer to the service that it is for.
+fn subscribe(
+    link: &Rc<peer::Link>,
+    member: &Rc<member::Member>,
+    budget: &Rc<budget::Budget>,
+    usage: &Rc<usage::Usage>,
+    config: &Rc<config::Configuration>,
+) {
+    let (members, budget) = (Rc::clone(member), Rc::clone(budget));
+    let (usage, config) = (Rc::clone(usage), Rc::clone(config));
+    let on_frame = move |sender: peer::Sender, frame: peer::Frame| match frame {
+        peer::Frame::Hello(_) => {}
+        peer::Frame::Member(message) => members.receive(sender.address, message),
+        peer::Frame::Budget(message) => budget.receive(sender.incarnation, message),
+        peer::Frame::Usage(message) => usage.receive(sender.incarnation, message),
+        peer::Frame::ConfigRequest { above_version } => {
+            config.answer(sender.address, above_version);
+        }
+        peer::Frame::Config { json } => config.receive(&json),
+    };
+    let members = Rc::clone(member);
+    link.subscribe(on_frame, move |address| {
+        members.handle(peridotrack_member::action::Event::SendFailed { address });
+    });
+}
+
+fn listen(step: &'static str, address: SocketAddr, error: &dyn std::error::Error) -> Error {
+    Error::Listen {
+        step,
+        address,
+        detail: error.to_string(),
+    }
+}
--- a/crates/peridotrack-edge/src/lib.rs
+++ b/crates/peridotrack-edge/src/lib.rs
@@ -1,1 +1,33 @@
-//! Placeholder.
+//! The edges of a router process and the services between them.
+//!
+//! The decision crates say what is to be done; the services here do it. Each
+//! outside protocol is known to one module: [`platform`], [`engine`], [`peer`],
+//! [`caller`] and [`operator`].
+//!
+//! ```
+//! use peridotrack_edge::sse;
+//!
+//! let mut parser = sse::Parser::default();
+//! parser.push(b"id: 0\ndata: {}\n\nid: 1\nda");
+//! let event = parser.next_event()?.expect("a whole event");
+//! assert_eq!(event.id(), Some(0));
+//! assert_eq!(parser.next_event()?, None);
+//! # Ok::<(), sse::Error>(())
+//! ```
+
+pub mod auth;
+pub mod budget;
+pub mod caller;
+pub mod claims;
+pub mod config;
+pub mod daemon;
+pub mod engine;
+pub mod load;
+pub mod member;
+pub mod notify;
+pub mod operator;
+pub mod peer;
+pub mod platform;
+pub mod route;
+pub mod sse;
+pub mod usage;
--- /dev/null
+++ b/crates/peridotrack-edge/src/member.rs
@@ -0,0 +1,224 @@
+//! Runs the membership: heartbeats, live peers, and the peers' part of configuration.
+
+use std::{cell::RefCell, net::SocketAddr, rc::Rc};
+
+use peridotrack_kernel::{Kernel, clock, event, timer};
+use peridotrack_member::{
+    action::{Action, Event, ListedVm},
+    config as held,
+    member::{Members, Options},
+    message::{Message, State},
+    peer as known,
+};
+use peridotrack_types::id;
+
+use crate::{budget, config, peer, platform, usage};
+
+pub use peridotrack_member::member::Local;
+
+/// Name of this service in the registry.
+pub const SERVICE: &str = "member";
+
+/// Period of the membership's ticks, in microseconds.
+const TICK_US: u64 = 100 * clock::US_PER_MS;
+
+/// Runs the membership of this router.
+pub struct Member {
+    kernel: Rc<Kernel>,
+    link: Rc<peer::Link>,
+    platform: Rc<platform::Platform>,
+    members: RefCell<Members>,
+    subscription: RefCell<Option<timer::Subscription>>,
+}
+
+/// Construction and end.
+impl Member {
+    /// Starts the membership.
+    pub fn spawn(
+        kernel: &Rc<Kernel>,
+        link: &Rc<peer::Link>,
+        platform: &Rc<platform::Platform>,
+        local: Local,
+        seeds: Vec<SocketAddr>,
+        seed: u64,
+    ) -> Rc<Self> {
+        let members = Members::new(local, seeds, Options::default(), seed, kernel.now_us());
+        let service = Rc::new(Self {
+            kernel: Rc::clone(kernel),
+            link: Rc::clone(link),
+            platform: Rc::clone(platform),
+            members: RefCell::new(members),
+            subscription: RefCell::default(),
+        });
+        let weak = Rc::downgrade(&service);
+        let subscription = kernel.timer().subscribe(TICK_US, move |_| {
+            if let Some(service) = weak.upgrade() {
+                service.handle(Event::Tick);
+            }
+        });
+        *service.subscription.borrow_mut() = Some(subscription);
+        service
+    }
+
+    /// Tells some peers that this router has ended, and ends the ticks.
+    pub fn stop(self: &Rc<Self>) {
+        self.subscription.borrow_mut().take();
+        let actions = self.members.borrow_mut().stop(self.kernel.now_us());
+        self.run(actions);
+    }
+}
+
+/// Access.
+impl Member {
+    /// Returns where a live router listens for peers.
+    pub fn address_of(&self, incarnation: id::Incarnation) -> Option<SocketAddr> {
+        self.members
+            .borrow()
+            .peers()
+            .find(|peer| peer.record.incarnation == incarnation)
+            .map(|peer| peer.record.peer_address)
+    }
+
+    /// Returns whether this router watches the platform's configuration for its domain.
+    pub fn is_watcher(&self) -> bool {
+        self.members.borrow().is_watcher(self.kernel.now_us())
+    }
+
+    /// Returns the known peers as JSON.
+    pub fn report(&self) -> serde_json::Value {
+        let peer_report = |peer: &known::Peer| {
+            serde_json::json!({
+                "vm": peer.record.vm,
+                "incarnation": peer.record.incarnation,
+                "failure_domain": peer.record.failure_domain,
+                "peer_address": peer.record.peer_address,
+                "config_version": peer.record.config_version,
+                "state": peer.record.state,
+                "is_live": peer.is_live(),
+            })
+        };
+        self.members.borrow().peers().map(peer_report).collect()
+    }
+}
+
+/// Inputs.
+impl Member {
+    /// Takes an event.
+    pub fn handle(self: &Rc<Self>, event: Event) {
+        let actions = self
+            .members
+            .borrow_mut()
+            .on_event(self.kernel.now_us(), event);
+        self.run(actions);
+    }
+
+    /// Takes a message of another router.
+    pub fn receive(self: &Rc<Self>, from_address: SocketAddr, message: Message) {
+        self.handle(Event::Message {
+            from_address,
+            message,
+        });
+    }
+
+    /// Sets the state that this router tells its peers.
+    pub fn set_state(&self, state: State) {
+        self.members
+            .borrow_mut()
+            .set_state(self.kernel.now_us(), state);
+    }
+
+    /// Takes note that a configuration was read as a whole.
+    pub fn configure(&self, version: u64) -> held::Outcome {
+        self.members
+            .borrow_mut()
+            .configure(self.kernel.now_us(), version)
+    }
+}
+
+/// Actions.
+impl Member {
+    fn run(self: &Rc<Self>, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send { address, message } => {
+                    self.link.send(address, &peer::Frame::Member(message));
+                }
+                Action::Joined { peer } => self.peer_changed(event::Kind::PeerJoined, &peer, ""),
+                Action::Left { peer, why } => {
+                    self.peer_changed(event::Kind::PeerLeft, &peer, &format!("{why:?}"));
+                    if let Ok(budget) = self.registry_find::<budget::Budget>(budget::SERVICE) {
+                        budget.peer_lost(peer.record.incarnation);
+                    }
+                }
+                Action::FetchConfigFrom { address, .. } => {
+                    let above_version = self.members.borrow().config_version();
+                    self.link
+                        .send(address, &peer::Frame::ConfigRequest { above_version });
+                }
+                Action::FetchConfigFromPlatform { .. } => self.with_config(config::fetch),
+                Action::PollPlatform => {
+                    self.with_config(config::fetch);
+                    monoio::spawn(Rc::clone(self).list_vms());
+                }
+                Action::Note(note) => {
+                    let event = event::Event::new(event::Kind::PeerJoined);
+                    self.kernel.note(event.with("note", format!("{note:?}")));
+                }
+            }
+        }
+    }
+
+    fn with_config(&self, call: impl FnOnce(Rc<config::Configuration>)) {
+        if let Ok(config) = self.registry_find::<config::Configuration>(config::SERVICE) {
+            call(config);
+        }
+    }
+
+    fn registry_find<T: 'static>(
+        &self,
+        name: &'static str,
+    ) -> Result<Rc<T>, peridotrack_kernel::registry::Error> {
+        self.kernel.registry().find::<T>(name)
+    }
+
+    /// Records a change of the live peers and tells the services that work with peers.
+    fn peer_changed(&self, kind: event::Kind, peer: &known::Peer, why: &str) {
+        let event = event::Event::new(kind)
+            .with("vm", peer.record.vm.as_str())
+            .with("incarnation", peer.record.incarnation.to_string())
+            .with("failure_domain", peer.record.failure_domain.as_str())
+            .with("why", why);
+        self.kernel.note(event);
+        let members = self.members.borrow();
+        let domain = members.local().failure_domain.clone();
+        let live: Vec<id::Incarnation> = members
+            .live_in(self.kernel.now_us(), &domain)
+            .map(|peer| peer.record.incarnation)
+            .collect();
+        drop(members);
+        if let Ok(budget) = self.registry_find::<budget::Budget>(budget::SERVICE) {
+            budget.set_peers(&live);
+        }
+        if let Ok(usage) = self.registry_find::<usage::Usage>(usage::SERVICE) {
+            usage.set_peers(&live);
+        }
+    }
+
+    /// Reads the platform's list of VMs: routers that leave or that nobody has named yet, and
+    /// backend servers that leave.
+    async fn list_vms(self: Rc<Self>) {
+        let Ok(entries) = self.platform.vms().await else {
+            return;
+        };
+        let listed = entries
+            .iter()
+            .map(|entry| ListedVm {
+                vm: entry.name.clone(),
+                peer_address: None,
+                is_leaving: entry.state == platform::VmState::Leaving,
+            })
+            .collect();
+        self.handle(Event::VmList(listed));
+        self.with_config(|config| config.backend_servers_leaving(&entries));
+    }
+}
--- /dev/null
+++ b/crates/peridotrack-edge/src/peer/link.rs
@@ -0,0 +1,339 @@
+//! Dials, accepts and authenticates links.
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use local_sync::mpsc::unbounded as queue;
+use monoio::{
+    io::{AsyncReadRentExt, AsyncWriteRentExt},
+    net::{TcpListener, TcpStream},
+};
+use peridotrack_kernel::{Kernel, event};
+use peridotrack_types::{collections, id};
+
+use super::frame::{self, Frame};
+
+/// Longest wait to connect and to authenticate, in milliseconds.
+const HANDSHAKE_TIMEOUT_MS: u64 = 1_000;
+/// Longest wait for a peer to take one frame, in milliseconds.
+const WRITE_TIMEOUT_MS: u64 = 2_000;
+/// Frames that wait for one peer; more are dropped, which every message allows.
+const QUEUE_FRAMES: usize = 1_024;
+
+/// A link that failed.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// A socket operation failed.
+    #[error("{step} peer {peer}: {source}")]
+    Io {
+        /// What was done.
+        step: &'static str,
+        /// The other side.
+        peer: SocketAddr,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// The other side took too long.
+    #[error("{step} peer {peer}: timed out")]
+    TimedOut {
+        /// What was done.
+        step: &'static str,
+        /// The other side.
+        peer: SocketAddr,
+    },
+    /// The other side broke the protocol or lacks the peer key.
+    #[error("{step} peer {peer}: {detail}")]
+    Protocol {
+        /// What was done.
+        step: &'static str,
+        /// The other side.
+        peer: SocketAddr,
+        /// What was wrong.
+        detail: String,
+    },
+}
+
+/// The router that dialled a link.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Sender {
+    /// Its incarnation.
+    pub incarnation: id::Incarnation,
+    /// Where it listens for peers.
+    pub address: SocketAddr,
+}
+
+type OnFrame = Rc<dyn Fn(Sender, Frame)>;
+type OnFailure = Rc<dyn Fn(SocketAddr)>;
+
+struct Outgoing {
+    queue: queue::Tx<Vec<u8>>,
+    queued_frames: Rc<Cell<usize>>,
+}
+
+/// The links of one router.
+pub struct Link {
+    kernel: Rc<Kernel>,
+    incarnation: id::Incarnation,
+    address: SocketAddr,
+    key: Rc<str>,
+    outgoing: RefCell<collections::HashMap<SocketAddr, Outgoing>>,
+    on_frame: RefCell<Option<OnFrame>>,
+    on_failure: RefCell<Option<OnFailure>>,
+    stopped: Cell<bool>,
+    sent_bytes: metrics::Counter,
+}
+
+/// Construction.
+impl Link {
+    /// Listens for peers and returns the running links.
+    pub fn bind(
+        kernel: Rc<Kernel>,
+        incarnation: id::Incarnation,
+        address: SocketAddr,
+        key: &str,
+    ) -> Result<Rc<Self>, Error> {
+        let io = |source| Error::Io {
+            step: "listen for",
+            peer: address,
+            source,
+        };
+        let listener = TcpListener::bind(address).map_err(io)?;
+        let address = listener.local_addr().map_err(io)?;
+        let sent_bytes = kernel.meter().counter("peridotrack_peer_sent_bytes_total");
+        let link = Rc::new(Self {
+            kernel,
+            incarnation,
+            address,
+            key: key.into(),
+            outgoing: RefCell::default(),
+            on_frame: RefCell::default(),
+            on_failure: RefCell::default(),
+            stopped: Cell::new(false),
+            sent_bytes,
+        });
+        monoio::spawn(Rc::clone(&link).accept(listener));
+        Ok(link)
+    }
+
+    /// Sets what is called with each frame and with each address that cannot be reached.
+    pub fn subscribe(
+        &self,
+        on_frame: impl Fn(Sender, Frame) + 'static,
+        on_failure: impl Fn(SocketAddr) + 'static,
+    ) {
+        *self.on_frame.borrow_mut() = Some(Rc::new(on_frame));
+        *self.on_failure.borrow_mut() = Some(Rc::new(on_failure));
+    }
+
+    /// Stops listening and drops the links.
+    pub fn stop(&self) {
+        self.stopped.set(true);
+        self.outgoing.borrow_mut().clear();
+        self.on_frame.borrow_mut().take();
+        self.on_failure.borrow_mut().take();
+    }
+}
+
+/// Access.
+impl Link {
+    /// Returns where this router listens for peers.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+/// Sending.
+impl Link {
+    /// Queues a frame for a peer. A frame that cannot be delivered is dropped.
+    pub fn send(self: &Rc<Self>, address: SocketAddr, frame: &Frame) {
+        let Ok(bytes) = frame::encode(frame) else {
+            return;
+        };
+        if self.stopped.get() {
+            return;
+        }
+        let mut outgoing = self.outgoing.borrow_mut();
+        let entry = outgoing
+            .entry(address)
+            .or_insert_with(|| self.dial(address));
+        if entry.queued_frames.get() >= QUEUE_FRAMES {
+            return;
+        }
+        entry.queued_frames.set(entry.queued_frames.get() + 1);
+        self.sent_bytes.increment(bytes.len() as u64);
+        let _ = entry.queue.send(bytes);
+    }
+
+    fn dial(self: &Rc<Self>, address: SocketAddr) -> Outgoing {
+        let (sender, receiver) = queue::channel();
+        let queued_frames = Rc::new(Cell::new(0));
+        let link = Rc::clone(self);
+        let counted = Rc::clone(&queued_frames);
+        monoio::spawn(async move {
+            let result = link.write_frames(address, receiver, &counted).await;
+            link.outgoing.borrow_mut().remove(&address);
+            let on_failure = link.on_failure.borrow().clone();
+            if let (Err(_), Some(on_failure)) = (result, on_failure) {
+                on_failure(address);
+            }
+        });
+        Outgoing {
+            queue: sender,
+            queued_frames,
+        }
+    }
+
+    async fn write_frames(
+        &self,
+        peer: SocketAddr,
+        mut frames: queue::Rx<Vec<u8>>,
+        queued_frames: &Cell<usize>,
+    ) -> Result<(), Error> {
+        let mut stream =
+            within("connect to", peer, HANDSHAKE_TIMEOUT_MS, self.connect(peer)).await?;
+        while let Some(bytes) = frames.recv().await {
+            queued_frames.set(queued_frames.get().saturating_sub(1));
+            let write = async {
+                let (result, _) = stream.write_all(bytes).await;
+                result.map(drop).map_err(|source| Error::Io {
+                    step: "write to",
+                    peer,
+                    source,
+                })
+            };
+            within("write to", peer, WRITE_TIMEOUT_MS, write).await?;
+        }
+        Ok(())
+    }
+
+    async fn connect(&self, peer: SocketAddr) -> Result<TcpStream, Error> {
+        let io = |source| Error::Io {
+            step: "connect to",
+            peer,
+            source,
+        };
+        let mut stream = TcpStream::connect(peer).await.map_err(io)?;
+        stream.set_nodelay(true).map_err(io)?;
+        let (result, challenge) = stream.read_exact(vec![0; frame::CHALLENGE_BYTES]).await;
+        result.map_err(io)?;
+        let challenge = frame::Challenge::try_from(challenge.as_slice())
+            .expect("the buffer has the length of a challenge");
+        let hello = frame::Hello::new(&self.key, &challenge, self.incarnation, self.address);
+        let bytes = frame::encode(&Frame::Hello(hello)).map_err(|error| Error::Protocol {
+            step: "encode hello for",
+            peer,
+            detail: error.to_string(),
+        })?;
+        stream.write_all(bytes).await.0.map_err(io)?;
+        Ok(stream)
+    }
+}
+
+/// Receiving.
+impl Link {
+    async fn accept(self: Rc<Self>, listener: TcpListener) {
+        while !self.stopped.get() {
+            let Ok(Ok((stream, peer))) = monoio::time::timeout(
+                Duration::from_millis(HANDSHAKE_TIMEOUT_MS),
+                listener.accept(),
+            )
+            .await
+            else {
+                continue;
+            };
+            let link = Rc::clone(&self);
+            monoio::spawn(async move {
+                if let Err(error @ Error::Protocol { .. }) = link.read_frames(stream, peer).await {
+                    let event = event::Event::new(event::Kind::PeerRefused);
+                    link.kernel.note(event.with("error", error.to_string()));
+                }
+            });
+        }
+    }
+
+    async fn read_frames(&self, mut stream: TcpStream, peer: SocketAddr) -> Result<(), Error> {
+        let authenticate = self.authenticate(&mut stream, peer);
+        let sender = within("authenticate", peer, HANDSHAKE_TIMEOUT_MS, authenticate).await?;
+        while !self.stopped.get() {
+            let frame = read_frame(&mut stream, peer).await?;
+            let on_frame = self.on_frame.borrow().clone();
+            if let Some(on_frame) = on_frame {
+                on_frame(sender, frame);
+            }
+        }
+        Ok(())
+    }
+
+    async fn authenticate(
+        &self,
+        stream: &mut TcpStream,
+        peer: SocketAddr,
+    ) -> Result<Sender, Error> {
+        let challenge: frame::Challenge = std::array::from_fn(|_| fastrand::u8(..));
+        let (result, _) = stream.write_all(challenge.to_vec()).await;
+        result.map_err(|source| Error::Io {
+            step: "challenge",
+            peer,
+            source,
+        })?;
+        let Frame::Hello(hello) = read_frame(stream, peer).await? else {
+            return Err(refused(peer, "the first frame is not a hello"));
+        };
+        if !hello.is_valid(&self.key, &challenge) {
+            return Err(refused(peer, "the proof does not fit the peer key"));
+        }
+        Ok(Sender {
+            incarnation: hello.incarnation,
+            address: hello.address,
+        })
+    }
+}
+
+fn refused(peer: SocketAddr, detail: &str) -> Error {
+    Error::Protocol {
+        step: "authenticate",
+        peer,
+        detail: detail.to_owned(),
+    }
+}
+
+async fn read_frame(stream: &mut TcpStream, peer: SocketAddr) -> Result<Frame, Error> {
+    let io = |source| Error::Io {
+        step: "read from",
+        peer,
+        source,
+    };
+    let (result, length) = stream.read_exact(vec![0; frame::LENGTH_BYTES]).await;
+    result.map_err(io)?;
+    let length = u32::from_be_bytes([length[0], length[1], length[2], length[3]]) as usize;
+    if length > frame::FRAME_BYTES {
+        let detail = format!("a frame of {length} bytes exceeds {}", frame::FRAME_BYTES);
+        return Err(Error::Protocol {
+            step: "read from",
+            peer,
+            detail,
+        });
+    }
+    let (result, body) = stream.read_exact(vec![0; length]).await;
+    result.map_err(io)?;
+    frame::decode(&body).map_err(|error| Error::Protocol {
+        step: "decode a frame from",
+        peer,
+        detail: error.to_string(),
+    })
+}
+
+async fn within<T>(
+    step: &'static str,
+    peer: SocketAddr,
+    timeout_ms: u64,
+    future: impl Future<Output = Result<T, Error>>,
+) -> Result<T, Error> {
+    monoio::time::timeout(Duration::from_millis(timeout_ms), future)
+        .await
+        .unwrap_or(Err(Error::TimedOut { step, peer }))
+}
--- /dev/null
+++ b/crates/peridotrack-edge/src/platform.rs
@@ -0,0 +1,343 @@
+//! Client of the platform's object API. The only module that knows its protocol.
+
+use std::{cell::Cell, net::SocketAddr, rc::Rc};
+
+use bytes::Bytes;
+use peridotrack_http::client;
+use peridotrack_kernel::{Kernel, event};
+use peridotrack_types::name;
+use serde::Deserialize;
+
+/// Name of this service in the registry.
+pub const SERVICE: &str = "platform";
+
+/// Idle connections that are kept to the platform.
+const IDLE_CONNECTIONS: usize = 8;
+/// Longest wait for a plain answer, in milliseconds.
+const RESPONSE_TIMEOUT_MS: u64 = 2_000;
+/// Longest wait for a connection, in milliseconds.
+const CONNECT_TIMEOUT_MS: u64 = 1_000;
+/// Time on top of a watch's own timeout, in milliseconds.
+const WATCH_MARGIN_MS: u64 = 5_000;
+/// Most bytes of an object.
+const OBJECT_BYTES: usize = 1024 * 1024;
+/// Delay after a refusal that states none, in milliseconds.
+const DEFAULT_RETRY_MS: u64 = 1_000;
+
+/// A versioned object.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Object {
+    /// Version, which rises with each update.
+    pub version: u64,
+    /// Content.
+    pub body: Bytes,
+}
+
+/// One VM of the platform's list, which lags.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub struct VmEntry {
+    /// Name of the VM.
+    pub name: name::Vm,
+    /// Address of the process on the VM.
+    pub address: SocketAddr,
+    /// Whether the VM is live or leaving.
+    pub state: VmState,
+}
+
+/// State of a VM in the platform's list.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum VmState {
+    /// The VM serves.
+    Live,
+    /// The VM is about to stop.
+    Leaving,
+}
+
+/// A call that failed.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The object's version is not the expected one.
+    #[error("{step} {key}: the platform holds another version")]
+    Conflict {
+        /// What was done.
+        step: &'static str,
+        /// Key of the object.
+        key: String,
+    },
+    /// The platform refused the call and did nothing.
+    #[error("{step} {key}: refused with status {status}")]
+    Refused {
+        /// What was done.
+        step: &'static str,
+        /// Key of the object.
+        key: String,
+        /// HTTP status.
+        status: u16,
+        /// When to try again, in milliseconds.
+        retry_after_ms: u64,
+    },
+    /// No byte of the call reached the platform.
+    #[error("{step} {key}: {source}")]
+    NotSent {
+        /// What was done.
+        step: &'static str,
+        /// Key of the object.
+        key: String,
+        /// Why.
+        source: client::Error,
+    },
+    /// The call may have taken effect.
+    #[error("{step} {key}: outcome unknown: {detail}")]
+    Unknown {
+        /// What was done.
+        step: &'static str,
+        /// Key of the object.
+        key: String,
+        /// Why.
+        detail: String,
+    },
+}
+
+/// Client of the platform.
+pub struct Platform {
+    kernel: Rc<Kernel>,
+    address: SocketAddr,
+    pool: client::Pool,
+    watch_options: client::Options,
+    reachable: Cell<bool>,
+}
+
+/// Construction.
+impl Platform {
+    /// Returns a client of the platform at `address`.
+    pub fn open(kernel: Rc<Kernel>, address: SocketAddr) -> Rc<Self> {
+        let options = client::Options {
+            connect_timeout_ms: CONNECT_TIMEOUT_MS,
+            response_timeout_ms: RESPONSE_TIMEOUT_MS,
+            chunk_timeout_ms: RESPONSE_TIMEOUT_MS,
+            body_bytes: 2 * OBJECT_BYTES,
+            ..client::Options::default()
+        };
+        Rc::new(Self {
+            kernel,
+            address,
+            pool: client::Pool::new(options, IDLE_CONNECTIONS),
+            watch_options: options,
+            reachable: Cell::new(true),
+        })
+    }
+}
+
+/// Access.
+impl Platform {
+    /// Returns whether the newest call was answered.
+    pub fn is_reachable(&self) -> bool {
+        self.reachable.get()
+    }
+
+    /// Reads an object, `None` if there is none.
+    pub async fn read(&self, key: &str) -> Result<Option<Object>, Error> {
+        let request = request("GET", &object_path(key), &[], Bytes::new());
+        let response = self.fetch("read", key, request).await?;
+        match response.status().as_u16() {
+            404 => Ok(None),
+            200 => object("read", key, response).map(Some),
+            _ => Err(refused("read", key, &response)),
+        }
+    }
+
+    /// Waits until an object is newer than `after_version`; `None` once the wait times out.
+    pub async fn watch(
+        &self,
+        key: &str,
+        after_version: u64,
+        timeout_ms: u64,
+    ) -> Result<Option<Object>, Error> {
+        let path = format!("/v1/watch/{key}?after={after_version}&timeout_ms={timeout_ms}");
+        let options = client::Options {
+            response_timeout_ms: timeout_ms + WATCH_MARGIN_MS,
+            ..self.watch_options
+        };
+        let request = request("GET", &path, &[], Bytes::new());
+        let response = fetch_once(self.address, options, request).await;
+        let response = self.noted("watch", key, response)?;
+        match response.status().as_u16() {
+            204 => Ok(None),
+            200 => object("watch", key, response).map(Some),
+            _ => Err(refused("watch", key, &response)),
+        }
+    }
+
+    /// Returns the platform's list of VMs.
+    pub async fn vms(&self) -> Result<Vec<VmEntry>, Error> {
+        #[derive(Deserialize)]
+        struct List {
+            items: Vec<VmEntry>,
+        }
+        let response = self
+            .fetch("list", "vms", request("GET", "/v1/vms", &[], Bytes::new()))
+            .await?;
+        if response.status() != http::StatusCode::OK {
+            return Err(refused("list", "vms", &response));
+        }
+        serde_json::from_slice::<List>(response.body())
+            .map(|list| list.items)
+            .map_err(|error| unknown("list", "vms", error.to_string()))
+    }
+}
+
+/// Mutation.
+impl Platform {
+    /// Updates an object whose version is `expected`, or creates it if `expected` is `None`.
+    /// Returns the new version.
+    pub async fn write(&self, key: &str, expected: Option<u64>, body: Bytes) -> Result<u64, Error> {
+        let condition = match expected {
+            Some(version) => ("if-match", format!("\"{version}\"")),
+            None => ("if-none-match", "*".to_owned()),
+        };
+        let request = request("PUT", &object_path(key), &[condition], body);
+        let response = self.fetch("write", key, request).await?;
+        match response.status().as_u16() {
+            200 | 201 => etag(&response)
+                .ok_or_else(|| unknown("write", key, "the answer has no version".to_owned())),
+            412 => Err(Error::Conflict {
+                step: "write",
+                key: key.to_owned(),
+            }),
+            400..=499 | 503 => Err(refused("write", key, &response)),
+            status => Err(unknown("write", key, format!("status {status}"))),
+        }
+    }
+}
+
+impl Platform {
+    /// Removes an object whose version is `version`.
+    pub async fn remove(&self, key: &str, version: u64) -> Result<(), Error> {
+        let condition = ("if-match", format!("\"{version}\""));
+        let request = request("DELETE", &object_path(key), &[condition], Bytes::new());
+        let response = self.fetch("remove", key, request).await?;
+        match response.status().as_u16() {
+            200 | 204 | 404 => Ok(()),
+            412 => Err(Error::Conflict {
+                step: "remove",
+                key: key.to_owned(),
+            }),
+            _ => Err(refused("remove", key, &response)),
+        }
+    }
+}
+
+impl Platform {
+    async fn fetch(
+        &self,
+        step: &'static str,
+        key: &str,
+        request: http::Request<Bytes>,
+    ) -> Result<http::Response<Bytes>, Error> {
+        let result = self.pool.fetch(self.address, request).await;
+        self.noted(step, key, result)
+    }
+
+    /// Notes whether the platform can be reached and names the step of an error.
+    fn noted(
+        &self,
+        step: &'static str,
+        key: &str,
+        result: Result<http::Response<Bytes>, client::Error>,
+    ) -> Result<http::Response<Bytes>, Error> {
+        if self.reachable.replace(result.is_ok()) != result.is_ok() {
+            let kind = match result {
+                Ok(_) => event::Kind::PlatformReached,
+                Err(_) => event::Kind::PlatformLost,
+            };
+            let event = event::Event::new(kind).with("step", step).with("key", key);
+            self.kernel.note(match &result {
+                Ok(_) => event,
+                Err(error) => event.with("error", error.to_string()),
+            });
+        }
+        result.map_err(|source| {
+            if source.bytes_written {
+                unknown(step, key, source.to_string())
+            } else {
+                Error::NotSent {
+                    step,
+                    key: key.to_owned(),
+                    source,
+                }
+            }
+        })
+    }
+}
+
+async fn fetch_once(
+    address: SocketAddr,
+    options: client::Options,
+    request: http::Request<Bytes>,
+) -> Result<http::Response<Bytes>, client::Error> {
+    let mut connection = client::Connection::connect(address, options).await?;
+    let head = connection.send(request).await?;
+    let body = connection.read_body().await?;
+    Ok(http::Response::from_parts(head, body))
+}
+
+fn object_path(key: &str) -> String {
+    format!("/v1/objects/{key}")
+}
+
+fn request(
+    method: &str,
+    path: &str,
+    headers: &[(&str, String)],
+    body: Bytes,
+) -> http::Request<Bytes> {
+    let mut builder = http::Request::builder().method(method).uri(path);
+    for (name, value) in headers {
+        builder = builder.header(*name, value);
+    }
+    builder
+        .body(body)
+        .expect("the parts of a platform call are valid")
+}
+
+fn etag(response: &http::Response<Bytes>) -> Option<u64> {
+    response
+        .headers()
+        .get("etag")?
+        .to_str()
+        .ok()?
+        .trim_matches('"')
+        .parse()
+        .ok()
+}
+
+fn object(step: &'static str, key: &str, response: http::Response<Bytes>) -> Result<Object, Error> {
+    let version = etag(&response)
+        .ok_or_else(|| unknown(step, key, "the answer has no version".to_owned()))?;
+    Ok(Object {
+        version,
+        body: response.into_body(),
+    })
+}
+
+fn unknown(step: &'static str, key: &str, detail: String) -> Error {
+    Error::Unknown {
+        step,
+        key: key.to_owned(),
+        detail,
+    }
+}
+
+fn refused(step: &'static str, key: &str, response: &http::Response<Bytes>) -> Error {
+    let seconds = response
+        .headers()
+        .get("retry-after")
+        .and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
+    Error::Refused {
+        step,
+        key: key.to_owned(),
+        status: response.status().as_u16(),
+        retry_after_ms: seconds.map_or(DEFAULT_RETRY_MS, |seconds| seconds * 1_000),
+    }
+}
--- /dev/null
+++ b/crates/peridotrack-edge/src/usage.rs
@@ -0,0 +1,167 @@
+//! Runs the usage log: copies to peers, flushes to the platform, answers that wait for them.
+
+use std::{cell::RefCell, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use local_sync::oneshot;
+use peridotrack_kernel::{Kernel, clock, event, timer};
+use peridotrack_once::usage::{self, Action, Event, Log};
+use peridotrack_types::{collections, id};
+
+use crate::{member, peer, platform};
+
+/// Name of this service in the registry.
+pub const SERVICE: &str = "usage";
+
+/// Period of the log's ticks, in microseconds.
+const TICK_US: u64 = 20 * clock::US_PER_MS;
+/// Longest wait of an answer for its record, in microseconds.
+const SAFE_TIMEOUT_US: u64 = 400 * clock::US_PER_MS;
+/// Delay after a write of which no byte was sent, in milliseconds.
+const NOT_SENT_RETRY_MS: u64 = 200;
+
+/// Runs the usage log of this router.
+pub struct Usage {
+    kernel: Rc<Kernel>,
+    platform: Rc<platform::Platform>,
+    link: Rc<peer::Link>,
+    log: RefCell<Log>,
+    waiting: RefCell<collections::HashMap<id::Request, oneshot::Sender<()>>>,
+    subscription: RefCell<Option<timer::Subscription>>,
+}
+
+/// Construction and end.
+impl Usage {
+    /// Starts the usage log of `incarnation`.
+    pub fn spawn(
+        kernel: &Rc<Kernel>,
+        platform: &Rc<platform::Platform>,
+        link: &Rc<peer::Link>,
+        incarnation: id::Incarnation,
+        options: usage::Options,
+    ) -> Rc<Self> {
+        let service = Rc::new(Self {
+            kernel: Rc::clone(kernel),
+            platform: Rc::clone(platform),
+            link: Rc::clone(link),
+            log: RefCell::new(Log::new(incarnation, options, kernel.now_us())),
+            waiting: RefCell::default(),
+            subscription: RefCell::default(),
+        });
+        let weak = Rc::downgrade(&service);
+        let subscription = kernel.timer().subscribe(TICK_US, move |_| {
+            if let Some(service) = weak.upgrade() {
+                service.handle(Event::Tick);
+            }
+        });
+        *service.subscription.borrow_mut() = Some(subscription);
+        service
+    }
+
+    /// Flushes everything, at most until `deadline_us`. Returns whether nothing is left.
+    pub async fn flush(self: &Rc<Self>, deadline_us: u64) -> bool {
+        let actions = self.log.borrow_mut().stop(self.kernel.now_us());
+        self.run(actions);
+        while !self.log.borrow().is_flushed() && self.kernel.now_us() < deadline_us {
+            self.kernel.timer().sleep_us(TICK_US).await;
+        }
+        self.log.borrow().is_flushed()
+    }
+
+    /// Ends the ticks.
+    pub fn stop(&self) {
+        self.subscription.borrow_mut().take();
+    }
+}
+
+/// Requests.
+impl Usage {
+    /// Adds a record and waits until the last byte of the answer may go out.
+    pub async fn record(self: &Rc<Self>, record: usage::Record) {
+        let (sender, receiver) = oneshot::channel();
+        let request_id = record.request_id;
+        self.waiting.borrow_mut().insert(request_id, sender);
+        let actions = self.log.borrow_mut().record(self.kernel.now_us(), record);
+        self.run(actions);
+        let timeout = Duration::from_micros(SAFE_TIMEOUT_US);
+        let _ = monoio::time::timeout(timeout, receiver).await;
+        self.waiting.borrow_mut().remove(&request_id);
+    }
+}
+
+/// Inputs.
+impl Usage {
+    /// Takes the live peers of the own failure domain.
+    pub fn set_peers(self: &Rc<Self>, peers: &[id::Incarnation]) {
+        let actions = self.log.borrow_mut().set_peers(self.kernel.now_us(), peers);
+        self.run(actions);
+    }
+
+    /// Takes a message of another router.
+    pub fn receive(self: &Rc<Self>, peer: id::Incarnation, message: usage::Message) {
+        self.handle(Event::Received { peer, message });
+    }
+
+    /// Returns how many records wait to be flushed.
+    pub fn backlog_records(&self) -> usize {
+        self.log.borrow().backlog_records()
+    }
+
+    fn handle(self: &Rc<Self>, event: Event) {
+        let actions = self.log.borrow_mut().on_event(self.kernel.now_us(), event);
+        self.run(actions);
+    }
+}
+
+/// Actions.
+impl Usage {
+    fn run(self: &Rc<Self>, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send { peer, message } => self.send(peer, message),
+                Action::Write { object, body } => {
+                    drop(monoio::spawn(Rc::clone(self).write(object, body)));
+                }
+                Action::RecordSafe { request_id } => {
+                    if let Some(sender) = self.waiting.borrow_mut().remove(&request_id) {
+                        let _ = sender.send(());
+                    }
+                }
+                Action::Note(note) => {
+                    let event = event::Event::new(event::Kind::UsageNote);
+                    self.kernel.note(event.with("note", format!("{note:?}")));
+                }
+            }
+        }
+    }
+
+    fn send(&self, to: id::Incarnation, message: usage::Message) {
+        let Ok(members) = self
+            .kernel
+            .registry()
+            .find::<member::Member>(member::SERVICE)
+        else {
+            return;
+        };
+        if let Some(address) = members.address_of(to) {
+            self.link.send(address, &peer::Frame::Usage(message));
+        }
+    }
+
+    async fn write(self: Rc<Self>, object: String, batch: usage::Batch) {
+        let bytes = Bytes::from(serde_json::to_vec(&batch).expect("a batch has only text keys"));
+        let event = match self.platform.write(&object, None, bytes).await {
+            Ok(_) | Err(platform::Error::Conflict { .. }) => Event::Flushed { object },
+            Err(platform::Error::Refused { retry_after_ms, .. }) => Event::FlushRefused {
+                object,
+                retry_after_ms,
+            },
+            Err(platform::Error::NotSent { .. }) => Event::FlushRefused {
+                object,
+                retry_after_ms: NOT_SENT_RETRY_MS,
+            },
+            Err(platform::Error::Unknown { .. }) => Event::FlushUnknown { object },
+        };
+        self.handle(event);
+    }
+}
--- a/crates/peridotrack-types/src/rules.rs
+++ b/crates/peridotrack-types/src/rules.rs
@@ -116,6 +116,30 @@
             .is_some_and(|route| route.idempotent)
     }
 
+    /// Returns the priority of a request for a model or a service.
+    pub fn priority(
+        &self,
+        account: &name::ClientAccount,
+        model: Option<&name::Model>,
+        service: Option<&name::Service>,
+    ) -> Priority {
+        let matches = |rule: &&PriorityRule| {
+            rule.client_account
+                .as_ref()
+                .is_none_or(|name| name == account)
+                && rule.model.as_ref().is_none_or(|name| Some(name) == model)
+                && rule
+                    .service
+                    .as_ref()
+                    .is_none_or(|name| Some(name) == service)
+        };
+        self.priorities
+            .iter()
+            .find(matches)
+            .map(|rule| rule.priority)
+            .unwrap_or_default()
+    }
+
     /// Returns the budgets that `account` may spend on `model`, in order.
     pub fn budgets_for<'a>(
         &'a self,
--- a/crates/peridotrackd/src/main.rs
+++ b/crates/peridotrackd/src/main.rs
@@ -1,2 +1,101 @@
-//! Placeholder.
-fn main() {}
+//! The router daemon: reads its settings, serves until it is told to stop, exits.
+
+mod arguments;
+mod signals;
+
+use std::{path::Path, process::ExitCode, time::Duration};
+
+use arguments::Command;
+use eyre::WrapErr;
+use peridotrack_edge::daemon;
+use peridotrack_kernel::log;
+use peridotrack_types::settings;
+
+/// Exit code of a stop that cut requests or left records unflushed.
+const EXIT_CUT: u8 = 1;
+/// Exit code of wrong arguments or settings.
+const EXIT_USAGE: u8 = 2;
+/// Period in which signals are looked for.
+const SIGNAL_PERIOD: Duration = Duration::from_millis(20);
+
+fn main() -> ExitCode {
+    let settings = match arguments::parse() {
+        Ok(Command::Run { settings }) => settings,
+        Ok(Command::Print(text)) => {
+            println!("{text}");
+            return ExitCode::SUCCESS;
+        }
+        Err(error) => return fail(EXIT_USAGE, &error),
+    };
+    let settings = match read_settings(&settings) {
+        Ok(settings) => settings,
+        Err(error) => return fail(EXIT_USAGE, &error),
+    };
+    match run(settings) {
+        Ok(outcome) if outcome.is_clean() => ExitCode::SUCCESS,
+        Ok(_) => ExitCode::from(EXIT_CUT),
+        Err(error) => fail(EXIT_CUT, &error),
+    }
+}
+
+fn fail(code: u8, error: &eyre::Report) -> ExitCode {
+    eprintln!("peridotrackd: {error:#}");
+    ExitCode::from(code)
+}
+
+fn read_settings(path: &Path) -> eyre::Result<settings::Settings> {
+    let text = std::fs::read_to_string(path)
+        .wrap_err_with(|| format!("read the settings {}", path.display()))?;
+    settings::Settings::parse(&text).map_err(|problems| {
+        let lines: Vec<String> = problems
+            .iter()
+            .map(|problem| format!("  {}: {}", problem.path, problem.message))
+            .collect();
+        eyre::eyre!(
+            "the settings {} are invalid:\n{}",
+            path.display(),
+            lines.join("\n")
+        )
+    })
+}
+
+/// Runs the router on this thread until it is told to stop.
+fn run(settings: settings::Settings) -> eyre::Result<daemon::Outcome> {
+    let signals = signals::Signals::open().wrap_err("listen for signals")?;
+    let mut runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
+        .enable_timer()
+        .build()
+        .wrap_err("build the event loop")?;
+    runtime.block_on(async {
+        let daemon = daemon::Daemon::spawn(settings, log::Output::Stderr)?;
+        println!(
+            "listening: callers {} operators {} peers {}",
+            daemon.caller_address(),
+            daemon.operator_address(),
+            daemon.peer_address()
+        );
+        monoio::select! {
+            () = serve(&daemon, &signals) => {}
+            () = wait_for(&signals, 1) => {}
+        }
+        daemon.begin_stop();
+        let outcome = monoio::select! {
+            outcome = daemon.stop() => outcome,
+            () = wait_for(&signals, 2) => daemon.cut(),
+        };
+        Ok(outcome)
+    })
+}
+
+async fn serve(daemon: &daemon::Daemon, signals: &signals::Signals) {
+    daemon.ready().await;
+    println!("ready");
+    wait_for(signals, 1).await;
+}
+
+/// Waits until `count` signals have come.
+async fn wait_for(signals: &signals::Signals, count: usize) {
+    while signals.count() < count {
+        monoio::time::sleep(SIGNAL_PERIOD).await;
+    }
+}
