feat(standin): platform, engine and service stand-ins with control calls

Each is a process of its own or runs on the caller's runtime. An engine's run goes on when its connection ends, so that a stream can be resumed; cancelling within the connection's task was ruled out for that reason.

--- /dev/null
+++ b/crates/peridotrack-standin/src/engine/queue.rs
@@ -0,0 +1,99 @@
+//! Slots and the queue for them: highest priority first, then first come.
+
+use std::{
+    cell::{Cell, RefCell},
+    cmp::Reverse,
+    collections::BTreeSet,
+};
+
+use crate::notify::Notify;
+
+/// Orders waiting requests: priority, then arrival.
+type Ticket = (Reverse<i64>, u64);
+
+/// Slots of one engine.
+pub(crate) struct Queue {
+    slots: Cell<u32>,
+    running: Cell<u32>,
+    arrivals: Cell<u64>,
+    waiting: RefCell<BTreeSet<Ticket>>,
+    changed: Notify,
+}
+
+/// A slot in use; dropping it frees the slot.
+pub(crate) struct Slot<'a> {
+    queue: &'a Queue,
+}
+
+/// A place in the queue; dropping it leaves the queue.
+struct Place<'a> {
+    queue: &'a Queue,
+    ticket: Ticket,
+}
+
+impl Queue {
+    pub(crate) fn new(slots: u32) -> Self {
+        Self {
+            slots: Cell::new(slots),
+            running: Cell::new(0),
+            arrivals: Cell::new(0),
+            waiting: RefCell::default(),
+            changed: Notify::default(),
+        }
+    }
+
+    pub(crate) fn slots(&self) -> u32 {
+        self.slots.get()
+    }
+
+    pub(crate) fn running(&self) -> u32 {
+        self.running.get()
+    }
+
+    pub(crate) fn queued(&self) -> usize {
+        self.waiting.borrow().len()
+    }
+
+    pub(crate) fn set_slots(&self, slots: u32) {
+        self.slots.set(slots);
+        self.changed.notify();
+    }
+
+    /// Waits for a slot.
+    pub(crate) async fn slot(&self, priority: i64) -> Slot<'_> {
+        let place = self.enter(priority);
+        loop {
+            let seen = self.changed.generation();
+            let first = self.waiting.borrow().first() == Some(&place.ticket);
+            if first && self.running.get() < self.slots.get() {
+                self.running.set(self.running.get() + 1);
+                return Slot { queue: self };
+            }
+            self.changed.changed(seen).await;
+        }
+    }
+
+    fn enter(&self, priority: i64) -> Place<'_> {
+        self.arrivals.set(self.arrivals.get() + 1);
+        let ticket = (Reverse(priority), self.arrivals.get());
+        self.waiting.borrow_mut().insert(ticket);
+        Place {
+            queue: self,
+            ticket,
+        }
+    }
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        self.queue.waiting.borrow_mut().remove(&self.ticket);
+        self.queue.changed.notify();
+    }
+}
+
+impl Drop for Slot<'_> {
+    fn drop(&mut self) {
+        self.queue.running.set(self.queue.running.get() - 1);
+        self.queue.changed.notify();
+    }
+}
--- /dev/null
+++ b/crates/peridotrack-standin/src/engine/stream.rs
@@ -0,0 +1,143 @@
+//! Writes the events of one run to a connection.
+
+use std::fmt::Write;
+
+use bytes::Bytes;
+use http::{Response, header};
+use peridotrack_http::server::Connection;
+
+use crate::{
+    answer,
+    engine::{
+        chat::{Chunk, ChunkChoice, Delta},
+        run::{Run, State},
+    },
+    site::Cut,
+};
+
+/// Most events that share one write when they are there already.
+const EVENTS_PER_WRITE: u64 = 32;
+
+/// What one answer does wrong.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Faults {
+    pub(crate) cut_after_tokens: Option<u64>,
+    pub(crate) omit_usage: bool,
+    pub(crate) truncate: bool,
+}
+
+/// Writes events from the one with id `next` to the end of the run.
+///
+/// A run that is lost or cancelled cuts the connection. A caller that leaves ends only the
+/// writing: the run goes on and can be resumed.
+pub(crate) async fn write(
+    run: &Run,
+    mut next: u64,
+    faults: Faults,
+    connection: &mut Connection,
+) -> Result<(), Cut> {
+    let last = last_token(run, faults);
+    let mut started = false;
+    loop {
+        let seen = run.changed.generation();
+        let available = run.generated_tokens().min(last);
+        let complete = available == last && (run.state() == State::Finished || faults.truncate);
+        if !started && (next < available || complete) {
+            connection.start(head(run)).await?;
+            started = true;
+        }
+        while next < available {
+            let end = available.min(next + EVENTS_PER_WRITE);
+            connection.write(tokens(run, next, end)).await?;
+            next = end;
+        }
+        if faults.cut_after_tokens.is_some_and(|tokens| next >= tokens) {
+            return Err(Cut);
+        }
+        if complete {
+            return finish(run, faults, connection).await;
+        }
+        if run.state() != State::Active {
+            return Err(Cut);
+        }
+        monoio::select! {
+            () = run.changed.changed(seen) => {}
+            () = connection.closed() => return Err(Cut),
+        }
+    }
+}
+
+/// Where the writing ends: early by a fault, else with the last token.
+fn last_token(run: &Run, faults: Faults) -> u64 {
+    if faults.truncate {
+        return run.total_tokens / 2;
+    }
+    let cut = faults.cut_after_tokens.unwrap_or(u64::MAX);
+    run.total_tokens.min(cut)
+}
+
+fn head(run: &Run) -> Response<()> {
+    let builder = Response::builder()
+        .header(header::CONTENT_TYPE, "text/event-stream")
+        .header(header::CACHE_CONTROL, "no-store")
+        .header(answer::REQUEST_ID, &run.request_id);
+    answer::finish(builder, ())
+}
+
+async fn finish(run: &Run, faults: Faults, connection: &mut Connection) -> Result<(), Cut> {
+    if !faults.truncate {
+        connection.write(ending(run, faults.omit_usage)).await?;
+    }
+    Ok(connection.finish().await?)
+}
+
+fn tokens(run: &Run, from: u64, to: u64) -> Bytes {
+    let mut text = String::new();
+    for index in from..to {
+        let delta = Delta {
+            role: (index == 0).then(|| "assistant".to_owned()),
+            content: Some(run.token(index)),
+        };
+        put_event(&mut text, index, &chunk(run, delta, None));
+    }
+    text.into()
+}
+
+/// The finish reason, the usage if wanted, and the end marker.
+fn ending(run: &Run, omit_usage: bool) -> Bytes {
+    let mut text = String::new();
+    let finish_reason = Some(run.finish_reason.to_owned());
+    let last = chunk(run, Delta::default(), finish_reason);
+    put_event(&mut text, run.total_tokens, &last);
+    if run.include_usage && !omit_usage {
+        let usage = Chunk {
+            choices: Vec::new(),
+            usage: Some(run.usage()),
+            ..last
+        };
+        put_event(&mut text, run.total_tokens + 1, &usage);
+    }
+    text.push_str("data: [DONE]\n\n");
+    text.into()
+}
+
+fn chunk(run: &Run, delta: Delta, finish_reason: Option<String>) -> Chunk {
+    let choice = ChunkChoice {
+        index: 0,
+        delta,
+        finish_reason,
+    };
+    Chunk {
+        id: run.completion_id(),
+        object: "chat.completion.chunk".to_owned(),
+        created: 0,
+        model: run.model.clone(),
+        choices: vec![choice],
+        usage: None,
+    }
+}
+
+fn put_event(text: &mut String, id: u64, chunk: &Chunk) {
+    let data = serde_json::to_string(chunk).expect("chunks have string keys only");
+    write!(text, "id: {id}\ndata: {data}\n\n").expect("a growing string takes any text");
+}
--- /dev/null
+++ b/crates/peridotrack-standin/src/engine/whole.rs
@@ -0,0 +1,54 @@
+//! Gives the whole answer of one run.
+
+use bytes::Bytes;
+use http::Response;
+use peridotrack_http::server::Connection;
+
+use crate::{
+    answer,
+    engine::{
+        chat::{Choice, Completion, Message},
+        run::{Run, State},
+        stream::Faults,
+    },
+    site::Cut,
+};
+
+/// Waits for the end of a run and gives its whole answer.
+pub(crate) async fn answer(
+    run: &Run,
+    faults: Faults,
+    connection: &mut Connection,
+) -> Result<Response<Bytes>, Cut> {
+    monoio::select! {
+        () = run.ended() => {}
+        () = connection.closed() => return Err(Cut),
+    }
+    if run.state() != State::Finished || faults.cut_after_tokens.is_some() {
+        return Err(Cut);
+    }
+    let tokens = if faults.truncate {
+        run.total_tokens / 2
+    } else {
+        run.total_tokens
+    };
+    let message = Message {
+        role: "assistant".to_owned(),
+        content: (0..tokens).map(|index| run.token(index)).collect(),
+    };
+    let choice = Choice {
+        index: 0,
+        message,
+        finish_reason: (!faults.truncate).then(|| run.finish_reason.to_owned()),
+    };
+    let builder = Response::builder().header(answer::REQUEST_ID, &run.request_id);
+    let completion = Completion {
+        id: run.completion_id(),
+        object: "chat.completion".to_owned(),
+        created: 0,
+        model: run.model.clone(),
+        choices: vec![choice],
+        usage: (!faults.omit_usage && !faults.truncate).then(|| run.usage()),
+    };
+    Ok(answer::json_with(builder, &completion))
+}
--- /dev/null
+++ b/crates/peridotrack-standin/src/harness/mod.rs
@@ -0,0 +1,1 @@
+//! Process test harness.
--- a/crates/peridotrack-standin/src/lib.rs
+++ b/crates/peridotrack-standin/src/lib.rs
@@ -1,1 +1,34 @@
-//! Placeholder.
+//! Small stand-ins for what the router fleet talks to: the platform's object API, a model
+//! engine and a plain service.
+//!
+//! Each runs as its own process (`peridotrack-standin platform|engine|service`) or on the
+//! caller's monoio runtime, and misbehaves on request through `POST /control`.
+//!
+//! ```
+//! use bytes::Bytes;
+//! use peridotrack_http::client;
+//! use peridotrack_standin::service;
+//!
+//! let mut runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
+//!     .enable_timer()
+//!     .build()
+//!     .unwrap();
+//! runtime.block_on(async {
+//!     let service = service::spawn(&service::Options::default()).unwrap();
+//!     let pool = client::Pool::new(client::Options::default(), 1);
+//!     let request = http::Request::get("/titles/1").body(Bytes::new()).unwrap();
+//!     let response = pool.fetch(service.address(), request).await.unwrap();
+//!     assert_eq!(response.status(), 200);
+//!     assert_eq!(service.counters().runs, 1);
+//! });
+//! ```
+
+mod answer;
+pub mod engine;
+pub mod harness;
+mod notify;
+pub mod platform;
+pub mod service;
+mod settings;
+mod site;
+pub mod tally;
--- /dev/null
+++ b/crates/peridotrack-standin/src/platform/rate.rs
@@ -0,0 +1,37 @@
+//! A token bucket that holds one second's worth of calls.
+
+/// Microseconds in a second.
+const SECOND_US: u64 = 1_000_000;
+
+/// Calls that may still be made, in millionths of a call.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Bucket {
+    rate_per_s: u64,
+    micro_calls: u64,
+    refilled_us: u64,
+}
+
+impl Bucket {
+    /// Makes a full bucket.
+    pub fn new(rate_per_s: u64, now_us: u64) -> Self {
+        Self {
+            rate_per_s,
+            micro_calls: rate_per_s.saturating_mul(SECOND_US),
+            refilled_us: now_us,
+        }
+    }
+
+    /// Takes one call, if there is one.
+    pub fn take(&mut self, now_us: u64) -> bool {
+        let elapsed_us = now_us.saturating_sub(self.refilled_us);
+        let capacity = self.rate_per_s.saturating_mul(SECOND_US);
+        let refill = elapsed_us.saturating_mul(self.rate_per_s);
+        self.micro_calls = self.micro_calls.saturating_add(refill).min(capacity);
+        self.refilled_us = now_us;
+        let taken = self.micro_calls >= SECOND_US;
+        if taken {
+            self.micro_calls -= SECOND_US;
+        }
+        taken
+    }
+}
--- /dev/null
+++ b/crates/peridotrack-standin/src/platform/routes.rs
@@ -0,0 +1,385 @@
+//! Answers the platform's calls.
+
+use std::{
+    cell::RefCell,
+    collections::BTreeMap,
+    rc::{Rc, Weak},
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http::{Response, StatusCode, header};
+use peridotrack_http::server::Connection;
+use serde::Serialize;
+
+use crate::{
+    answer,
+    notify::Notify,
+    platform::{
+        Control, Counters, Vm,
+        call::{Call, Refusal},
+        rate::Bucket,
+        store::{Conflict, Item, Revision, Store},
+    },
+    settings::set,
+    site::{Application, Arrival, Cut},
+};
+
+/// Writes accepted a second unless set otherwise.
+const WRITE_RATE_PER_S: u64 = 400;
+/// Reads accepted a second unless set otherwise.
+const READ_RATE_PER_S: u64 = 2_000;
+
+/// What the control settings amount to.
+struct State {
+    store: Store,
+    counters: Counters,
+    down: bool,
+    delay_ms: u64,
+    lose_replies: u64,
+    stale_reads: u64,
+    writes: Bucket,
+    reads: Bucket,
+    vms: Vec<Vm>,
+    vms_lag_ms: u64,
+    later_vms: Vec<(Instant, Vec<Vm>)>,
+    cut_listeners: Vec<usize>,
+}
+
+/// The platform behind its listeners.
+pub(crate) struct Platform {
+    started: Instant,
+    state: RefCell<State>,
+    watched: RefCell<BTreeMap<String, Weak<Notify>>>,
+}
+
+#[derive(Serialize)]
+struct Items<'a, T> {
+    items: &'a [T],
+}
+
+impl Default for Platform {
+    fn default() -> Self {
+        let state = State {
+            store: Store::default(),
+            counters: Counters::default(),
+            down: false,
+            delay_ms: 0,
+            lose_replies: 0,
+            stale_reads: 0,
+            writes: Bucket::new(WRITE_RATE_PER_S, 0),
+            reads: Bucket::new(READ_RATE_PER_S, 0),
+            vms: Vec::new(),
+            vms_lag_ms: 0,
+            later_vms: Vec::new(),
+            cut_listeners: Vec::new(),
+        };
+        Self {
+            started: Instant::now(),
+            state: RefCell::new(state),
+            watched: RefCell::default(),
+        }
+    }
+}
+
+impl Application for Platform {
+    type Control = Control;
+    type Counters = Counters;
+
+    fn control(&self, control: Control) {
+        let now_us = self.now_us();
+        self.state.borrow_mut().apply(control, now_us);
+        for watched in self.watched.borrow().values().filter_map(Weak::upgrade) {
+            watched.notify();
+        }
+    }
+
+    fn counters(&self) -> Counters {
+        let state = self.state.borrow();
+        Counters {
+            version: state.store.version(),
+            objects: state.store.len() as u64,
+            ..state.counters.clone()
+        }
+    }
+
+    async fn answer(self: Rc<Self>, arrival: Arrival<'_>) -> Result<(), Cut> {
+        self.check_open(arrival.listener)?;
+        let delay_ms = self.state.borrow().delay_ms;
+        if delay_ms > 0 {
+            monoio::time::sleep(Duration::from_millis(delay_ms)).await;
+            self.check_open(arrival.listener)?;
+        }
+        let response = match Call::parse(&arrival.request) {
+            Err(refusal) => self.refuse(&refusal),
+            Ok(call) if !self.within_rate(&call) => too_many(),
+            Ok(Call::Watch {
+                key,
+                after,
+                timeout_ms,
+            }) => {
+                self.watch(
+                    &key,
+                    after,
+                    timeout_ms,
+                    arrival.listener,
+                    arrival.connection,
+                )
+                .await?
+            }
+            Ok(call) => self.take(call)?,
+        };
+        Ok(arrival.connection.respond(response).await?)
+    }
+}
+
+impl State {
+    fn apply(&mut self, control: Control, now_us: u64) {
+        set(&mut self.down, control.down);
+        set(&mut self.delay_ms, control.delay_ms);
+        set(&mut self.lose_replies, control.lose_replies);
+        set(&mut self.stale_reads, control.stale_reads);
+        set(&mut self.vms_lag_ms, control.vms_lag_ms);
+        set(&mut self.cut_listeners, control.cut_listeners);
+        let bucket = |rate_per_s| Bucket::new(rate_per_s, now_us);
+        set(&mut self.writes, control.write_rate_per_s.map(bucket));
+        set(&mut self.reads, control.read_rate_per_s.map(bucket));
+        if let Some(vms) = control.vms {
+            let shown = Instant::now() + Duration::from_millis(self.vms_lag_ms);
+            self.later_vms.push((shown, vms));
+        }
+    }
+
+    fn visible_vms(&mut self, now: Instant) -> &[Vm] {
+        while self
+            .later_vms
+            .first()
+            .is_some_and(|(shown, _)| *shown <= now)
+        {
+            self.vms = self.later_vms.remove(0).1;
+        }
+        &self.vms
+    }
+
+    /// Gives the object as it is, or as it was if a stale read is due.
+    fn read(&mut self, key: &str) -> Option<Revision> {
+        if self.stale_reads == 0 {
+            return self.store.read(key).cloned();
+        }
+        self.stale_reads -= 1;
+        self.counters.stale_reads += 1;
+        self.store.read_previous(key).cloned()
+    }
+}
+
+/// Calls.
+impl Platform {
+    fn take(&self, call: Call) -> Result<Response<Bytes>, Cut> {
+        let mut state = self.state.borrow_mut();
+        match call {
+            Call::Read { key } => Ok(object(state.read(&key).as_ref())),
+            Call::List {
+                prefix,
+                after,
+                limit,
+            } => {
+                let items: Vec<Item> = state.store.list(&prefix, &after, limit);
+                Ok(answer::json(&Items { items: &items }))
+            }
+            Call::Vms => {
+                let items = state.visible_vms(Instant::now());
+                Ok(answer::json(&Items { items }))
+            }
+            Call::Write {
+                key,
+                precondition,
+                value,
+            } => {
+                let outcome = state.store.write(&key, precondition, value);
+                drop(state);
+                self.written(&key, outcome.map(Some))
+            }
+            Call::Delete { key, version } => {
+                let outcome = state.store.delete(&key, version);
+                drop(state);
+                self.written(&key, outcome.map(|()| None))
+            }
+            Call::Watch { .. } => Err(Cut),
+        }
+    }
+
+    /// Answers a write, or withholds the answer of one that took effect.
+    fn written(
+        &self,
+        key: &str,
+        outcome: Result<Option<u64>, Conflict>,
+    ) -> Result<Response<Bytes>, Cut> {
+        let mut state = self.state.borrow_mut();
+        let version = match outcome {
+            Ok(version) => version,
+            Err(conflict) => {
+                state.counters.refused.precondition += 1;
+                return Ok(tagged(StatusCode::PRECONDITION_FAILED, conflict.current));
+            }
+        };
+        if let Some(watched) = self.watched.borrow().get(key).and_then(Weak::upgrade) {
+            watched.notify();
+        }
+        if state.lose_replies > 0 {
+            state.lose_replies -= 1;
+            state.counters.lost_replies += 1;
+            return Err(Cut);
+        }
+        Ok(tagged(StatusCode::OK, version))
+    }
+
+    async fn watch(
+        &self,
+        key: &str,
+        after: u64,
+        timeout_ms: u64,
+        listener: usize,
+        connection: &mut Connection,
+    ) -> Result<Response<Bytes>, Cut> {
+        let watched = self.watched(key);
+        let deadline = monoio::time::Instant::now() + Duration::from_millis(timeout_ms);
+        let _waiting = Waiting::begin(&self.state);
+        loop {
+            let seen = watched.generation();
+            self.check_open(listener)?;
+            if let Some(revision) = self.newer(key, after) {
+                return Ok(object(Some(&revision)));
+            }
+            monoio::select! {
+                () = watched.changed(seen) => {}
+                () = monoio::time::sleep_until(deadline) => {
+                    return Ok(answer::empty(StatusCode::NO_CONTENT));
+                }
+                () = connection.closed() => return Err(Cut),
+            }
+        }
+    }
+
+    fn newer(&self, key: &str, after: u64) -> Option<Revision> {
+        let state = self.state.borrow();
+        let revision = state.store.read(key)?;
+        (revision.version > after).then(|| revision.clone())
+    }
+
+    fn watched(&self, key: &str) -> Rc<Notify> {
+        let mut watched = self.watched.borrow_mut();
+        watched.retain(|_, notify| notify.strong_count() > 0);
+        if let Some(notify) = watched.get(key).and_then(Weak::upgrade) {
+            return notify;
+        }
+        let notify = Rc::new(Notify::default());
+        watched.insert(key.to_owned(), Rc::downgrade(&notify));
+        notify
+    }
+}
+
+/// Refusals.
+impl Platform {
+    fn check_open(&self, listener: usize) -> Result<(), Cut> {
+        let mut state = self.state.borrow_mut();
+        if state.down || state.cut_listeners.contains(&listener) {
+            state.counters.refused.cut += 1;
+            return Err(Cut);
+        }
+        Ok(())
+    }
+
+    fn within_rate(&self, call: &Call) -> bool {
+        let now_us = self.now_us();
+        let mut state = self.state.borrow_mut();
+        let bucket = if call.is_write() {
+            &mut state.writes
+        } else {
+            &mut state.reads
+        };
+        let within = bucket.take(now_us);
+        if within {
+            state.counters.count(call);
+        } else {
+            state.counters.refused.rate += 1;
+        }
+        within
+    }
+
+    fn refuse(&self, refusal: &Refusal) -> Response<Bytes> {
+        let mut state = self.state.borrow_mut();
+        let refused = &mut state.counters.refused;
+        match refusal.status {
+            StatusCode::PAYLOAD_TOO_LARGE => refused.too_large += 1,
+            _ => refused.malformed += 1,
+        }
+        answer::failure(refusal.status, refusal.detail)
+    }
+
+    fn now_us(&self) -> u64 {
+        u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX)
+    }
+}
+
+impl Counters {
+    fn count(&mut self, call: &Call) {
+        match call {
+            Call::Read { .. } => self.reads += 1,
+            Call::List { .. } => self.lists += 1,
+            Call::Watch { .. } => self.watches += 1,
+            Call::Vms => self.vms += 1,
+            Call::Write { key, .. } | Call::Delete { key, .. } => {
+                let prefix = key.split('/').next().unwrap_or_default();
+                self.writes += 1;
+                *self.writes_by_prefix.entry(prefix.to_owned()).or_default() += 1;
+            }
+        }
+    }
+}
+
+/// Counts one waiting watch for as long as it lives.
+struct Waiting<'a> {
+    state: &'a RefCell<State>,
+}
+
+impl<'a> Waiting<'a> {
+    fn begin(state: &'a RefCell<State>) -> Self {
+        state.borrow_mut().counters.waiting_watches += 1;
+        Self { state }
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.state.borrow_mut().counters.waiting_watches -= 1;
+    }
+}
+
+fn object(revision: Option<&Revision>) -> Response<Bytes> {
+    let Some(revision) = revision else {
+        return answer::empty(StatusCode::NOT_FOUND);
+    };
+    let builder = Response::builder()
+        .header(header::ETAG, etag(revision.version))
+        .header(header::CONTENT_TYPE, "application/octet-stream");
+    answer::finish(builder, revision.value.clone())
+}
+
+fn tagged(status: StatusCode, version: Option<u64>) -> Response<Bytes> {
+    let mut builder = Response::builder().status(status);
+    if let Some(version) = version {
+        builder = builder.header(header::ETAG, etag(version));
+    }
+    answer::finish(builder, Bytes::new())
+}
+
+fn too_many() -> Response<Bytes> {
+    let builder = Response::builder()
+        .status(StatusCode::TOO_MANY_REQUESTS)
+        .header(header::RETRY_AFTER, "1");
+    answer::finish(builder, Bytes::new())
+}
+
+fn etag(version: u64) -> String {
+    format!("\"{version}\"")
+}
--- /dev/null
+++ b/crates/peridotrack-standin/src/service/mod.rs
@@ -0,0 +1,60 @@
+//! A plain service: runs any call, and counts its runs by key.
+
+mod control;
+mod routes;
+
+pub use control::{Control, Counters};
+pub use routes::Answer;
+
+use std::{io, net::SocketAddr, rc::Rc};
+
+use crate::site::{self, Application};
+use routes::Service;
+
+/// How a service starts.
+#[derive(Debug, Clone, Copy)]
+pub struct Options {
+    /// Address to listen on; port 0 takes a free port.
+    pub listen: SocketAddr,
+    /// State of the control settings at the start.
+    pub control: Control,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            control: Control::default(),
+        }
+    }
+}
+
+/// A running service; dropping it closes its listener and connections.
+pub struct Handle {
+    site: site::Handle<Service>,
+}
+
+/// Starts a service on the current runtime.
+pub fn spawn(options: &Options) -> io::Result<Handle> {
+    let service = Rc::new(Service::default());
+    service.control(options.control);
+    let site = site::spawn(&[options.listen], service)?;
+    Ok(Handle { site })
+}
+
+impl Handle {
+    /// The address of the listener.
+    pub fn address(&self) -> SocketAddr {
+        self.site.addresses[0]
+    }
+
+    /// Does what `POST /control` does.
+    pub fn control(&self, control: Control) {
+        self.site.application.control(control);
+    }
+
+    /// Gives what `GET /control` gives.
+    pub fn counters(&self) -> Counters {
+        self.site.application.counters()
+    }
+}
--- /dev/null
+++ b/crates/peridotrack-standin/src/service/routes.rs
@@ -0,0 +1,157 @@
+//! Answers the plain service's calls.
+
+use std::{cell::RefCell, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, Response};
+use peridotrack_http::server::Request;
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+use crate::{
+    answer,
+    service::{Control, Counters},
+    settings::take_one,
+    site::{Application, Arrival, Cut},
+    tally,
+};
+
+/// Header that names a non-idempotent call.
+const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// Request id of an answer that belongs to no request.
+const CROSSED_REQUEST_ID: &str = "crossed";
+
+/// The body of every answer; it depends on the request alone.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Answer {
+    /// Method of the request.
+    pub method: String,
+    /// Path and query of the request.
+    pub path: String,
+    /// `Peridotrack-Request-Id` of the request.
+    pub request_id: Option<String>,
+    /// `Idempotency-Key` of the request.
+    pub idempotency_key: Option<String>,
+    /// SHA-256 of the request's body, in hexadecimal.
+    pub body_sha256: String,
+}
+
+#[derive(Default)]
+struct State {
+    settings: Control,
+    runs: u64,
+    refused: u64,
+    unanswered: u64,
+    by_key: tally::Table,
+    by_request_id: tally::Table,
+}
+
+/// The service behind its listener.
+#[derive(Default)]
+pub(crate) struct Service {
+    state: RefCell<State>,
+}
+
+impl Application for Service {
+    type Control = Control;
+    type Counters = Counters;
+
+    fn control(&self, control: Control) {
+        self.state.borrow_mut().settings.merge(control);
+    }
+
+    fn counters(&self) -> Counters {
+        let state = self.state.borrow();
+        Counters {
+            runs: state.runs,
+            refused: state.refused,
+            unanswered: state.unanswered,
+            by_key: state.by_key.snapshot(),
+            by_request_id: state.by_request_id.snapshot(),
+        }
+    }
+
+    async fn answer(self: Rc<Self>, arrival: Arrival<'_>) -> Result<(), Cut> {
+        if let Some(refusal) = self.refusal() {
+            return Ok(arrival.connection.respond(refusal).await?);
+        }
+        let mut answer = Answer::to(&arrival.request);
+        let delay_ms = self.state.borrow_mut().run(&answer);
+        if delay_ms > 0 {
+            monoio::time::sleep(Duration::from_millis(delay_ms)).await;
+        }
+        self.state.borrow_mut().spoil(&mut answer)?;
+        Ok(arrival.connection.respond(answer.render()).await?)
+    }
+}
+
+impl Service {
+    fn refusal(&self) -> Option<Response<Bytes>> {
+        let mut state = self.state.borrow_mut();
+        let leaving = state.settings.leaving == Some(true);
+        if !leaving && state.settings.refuse != Some(true) {
+            return None;
+        }
+        state.refused += 1;
+        Some(answer::not_run("the service takes no new work", leaving))
+    }
+}
+
+impl State {
+    /// Counts a run and gives the delay before its answer.
+    fn run(&mut self, answer: &Answer) -> u64 {
+        self.runs += 1;
+        if let Some(key) = &answer.idempotency_key {
+            self.by_key.entry(key).runs += 1;
+        }
+        if let Some(request_id) = &answer.request_id {
+            self.by_request_id.entry(request_id).runs += 1;
+        }
+        self.settings.delay_ms.unwrap_or(0)
+    }
+
+    /// Withholds or crosses the answer if that is due.
+    fn spoil(&mut self, answer: &mut Answer) -> Result<(), Cut> {
+        if take_one(&mut self.settings.die_before_answer) {
+            self.unanswered += 1;
+            return Err(Cut);
+        }
+        if take_one(&mut self.settings.cross_answers) {
+            answer.request_id = Some(CROSSED_REQUEST_ID.to_owned());
+            answer.idempotency_key = None;
+        }
+        Ok(())
+    }
+}
+
+impl Answer {
+    /// The answer that a request gets.
+    pub fn to(request: &Request) -> Self {
+        let head = &request.head;
+        let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+        Self {
+            method: head.method.to_string(),
+            path: path.to_owned(),
+            request_id: text(&head.headers, answer::REQUEST_ID),
+            idempotency_key: text(&head.headers, IDEMPOTENCY_KEY),
+            body_sha256: hex::encode(Sha256::digest(&request.body)),
+        }
+    }
+
+    fn render(&self) -> Response<Bytes> {
+        let mut builder = Response::builder();
+        if let Some(request_id) = &self.request_id {
+            builder = builder.header(answer::REQUEST_ID, request_id);
+        }
+        if let Some(key) = &self.idempotency_key {
+            builder = builder.header(IDEMPOTENCY_KEY, key);
+        }
+        answer::json_with(builder, self)
+    }
+}
+
+fn text(headers: &HeaderMap, name: &str) -> Option<String> {
+    let value = headers.get(name)?.to_str().ok()?;
+    Some(value.to_owned())
+}
--- /dev/null
+++ b/crates/peridotrack-standin/src/site.rs
@@ -0,0 +1,155 @@
+//! Listening, the loop over one connection's requests, and the control calls.
+
+use std::{io, net::SocketAddr, rc::Rc};
+
+use bytes::Bytes;
+use http::{Method, Response, StatusCode};
+use monoio::net::{TcpListener, TcpStream};
+use peridotrack_http::server::{self, Connection, Request};
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::{answer, notify::Notify};
+
+/// Path of the control calls on every listener.
+const CONTROL_PATH: &str = "/control";
+/// Limits of the stand-ins' connections; bodies pass, so that each stand-in refuses itself.
+const LIMITS: server::Options = server::Options {
+    head_bytes: 32 * 1024,
+    body_bytes: 8 * 1024 * 1024,
+    head_timeout_ms: 60_000,
+    body_timeout_ms: 60_000,
+    write_timeout_ms: 60_000,
+};
+
+/// The connection closes without a further byte.
+pub(crate) struct Cut;
+
+impl From<server::Error> for Cut {
+    fn from(_: server::Error) -> Self {
+        Self
+    }
+}
+
+/// One request as it arrived.
+pub(crate) struct Arrival<'a> {
+    /// Index of the listener among those of the stand-in.
+    pub(crate) listener: usize,
+    pub(crate) request: Request,
+    pub(crate) connection: &'a mut Connection,
+}
+
+/// What one stand-in does behind its listeners.
+pub(crate) trait Application: 'static {
+    /// Body of `POST /control`.
+    type Control: DeserializeOwned;
+    /// Body of `GET /control`.
+    type Counters: Serialize;
+
+    fn control(&self, control: Self::Control);
+    fn counters(&self) -> Self::Counters;
+    async fn answer(self: Rc<Self>, arrival: Arrival<'_>) -> Result<(), Cut>;
+}
+
+/// A running stand-in; dropping it closes its listeners and cuts its connections.
+pub(crate) struct Handle<A> {
+    pub(crate) addresses: Vec<SocketAddr>,
+    pub(crate) application: Rc<A>,
+    stop: Rc<Notify>,
+}
+
+impl<A> Drop for Handle<A> {
+    fn drop(&mut self) {
+        self.stop.notify();
+    }
+}
+
+/// Binds every address and serves `application` on them.
+pub(crate) fn spawn<A: Application>(
+    listen: &[SocketAddr],
+    application: Rc<A>,
+) -> io::Result<Handle<A>> {
+    let listeners: Vec<TcpListener> = listen
+        .iter()
+        .map(TcpListener::bind)
+        .collect::<io::Result<_>>()?;
+    let addresses = listeners
+        .iter()
+        .map(TcpListener::local_addr)
+        .collect::<io::Result<_>>()?;
+    let stop = Rc::new(Notify::default());
+    for (index, listener) in listeners.into_iter().enumerate() {
+        monoio::spawn(accept(listener, index, application.clone(), stop.clone()));
+    }
+    Ok(Handle {
+        addresses,
+        application,
+        stop,
+    })
+}
+
+async fn accept<A: Application>(
+    listener: TcpListener,
+    index: usize,
+    application: Rc<A>,
+    stop: Rc<Notify>,
+) {
+    loop {
+        let accepted = monoio::select! {
+            accepted = listener.accept() => accepted,
+            () = stop.changed(0) => return,
+        };
+        // Accepting fails while descriptors run out; that passes.
+        if let Ok((stream, _)) = accepted {
+            let (application, stop) = (application.clone(), stop.clone());
+            monoio::spawn(async move {
+                monoio::select! {
+                    _ = serve(stream, index, application) => {}
+                    () = stop.changed(0) => {}
+                }
+            });
+        }
+    }
+}
+
+async fn serve<A: Application>(
+    stream: TcpStream,
+    listener: usize,
+    application: Rc<A>,
+) -> Result<(), Cut> {
+    let mut connection = Connection::new(stream, LIMITS);
+    loop {
+        let request = match connection.next().await {
+            Ok(Some(request)) => request,
+            Ok(None) => return Ok(()),
+            Err(error) => {
+                let response = answer::failure(StatusCode::BAD_REQUEST, &error.to_string());
+                return Ok(connection.respond(response).await?);
+            }
+        };
+        if request.head.uri.path() == CONTROL_PATH {
+            let response = control(&*application, &request);
+            connection.respond(response).await?;
+            continue;
+        }
+        let arrival = Arrival {
+            listener,
+            request,
+            connection: &mut connection,
+        };
+        application.clone().answer(arrival).await?;
+    }
+}
+
+fn control<A: Application>(application: &A, request: &Request) -> Response<Bytes> {
+    match request.head.method {
+        Method::GET => answer::json(&application.counters()),
+        Method::POST => match serde_json::from_slice(&request.body) {
+            Ok(control) => {
+                application.control(control);
+                answer::empty(StatusCode::NO_CONTENT)
+            }
+            Err(error) => answer::failure(StatusCode::BAD_REQUEST, &error.to_string()),
+        },
+        _ => answer::failure(StatusCode::METHOD_NOT_ALLOWED, "GET or POST"),
+    }
+}
