--- /dev/null
+++ b/crates/peridotrack-once/src/usage/held.rs
@@ -0,0 +1,127 @@
+//! Copies that this router holds for its peers.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use peridotrack_types::id;
+
+use super::{Copy, Record};
+
+/// Copies held for all origins.
+#[derive(Debug, Default)]
+pub(super) struct Held {
+    peers: BTreeSet<id::Incarnation>,
+    origins: BTreeMap<id::Incarnation, Origin>,
+}
+
+#[derive(Debug, Default)]
+struct Origin {
+    copies: BTreeMap<u64, Vec<Record>>,
+    flushed_through: u64,
+    /// When the origin was first missing among the live peers.
+    absent_since_us: Option<u64>,
+}
+
+/// Records of a lost origin that are to be flushed.
+pub(super) struct Rescue {
+    pub(super) origin: id::Incarnation,
+    /// Sequences of the copies that hold the records.
+    pub(super) sequences: Vec<u64>,
+    pub(super) records: Vec<Record>,
+}
+
+impl Held {
+    pub(super) fn is_empty(&self) -> bool {
+        self.origins.values().all(|origin| origin.copies.is_empty())
+    }
+
+    pub(super) fn records(&self) -> usize {
+        let copies = self
+            .origins
+            .values()
+            .flat_map(|origin| origin.copies.values());
+        copies.map(Vec::len).sum()
+    }
+
+    /// Returns when the first origin counts as lost.
+    pub(super) fn next_tick_us(&self, rescue_us: u64) -> Option<u64> {
+        let origins = self
+            .origins
+            .values()
+            .filter(|origin| !origin.copies.is_empty());
+        let absent_since_us = origins.filter_map(|origin| origin.absent_since_us).min();
+        absent_since_us.map(|since_us| since_us + rescue_us)
+    }
+
+    pub(super) fn hold(&mut self, now_us: u64, origin: id::Incarnation, copy: Copy) {
+        let is_live = self.peers.contains(&origin);
+        let origin = self.origins.entry(origin).or_default();
+        if !is_live {
+            origin.absent_since_us.get_or_insert(now_us);
+        }
+        if copy.sequence > origin.flushed_through {
+            origin.copies.insert(copy.sequence, copy.records);
+        }
+    }
+
+    /// Drops the copies up to `through`; a lower value than before has no effect.
+    pub(super) fn flushed(&mut self, origin: id::Incarnation, through: u64) {
+        let origin = self.origins.entry(origin).or_default();
+        origin.flushed_through = origin.flushed_through.max(through);
+        let flushed_through = origin.flushed_through;
+        origin
+            .copies
+            .retain(|sequence, _| *sequence > flushed_through);
+    }
+
+    pub(super) fn drop_copies(&mut self, origin: id::Incarnation, sequences: &[u64]) {
+        if let Some(origin) = self.origins.get_mut(&origin) {
+            origin
+                .copies
+                .retain(|sequence, _| !sequences.contains(sequence));
+        }
+    }
+
+    pub(super) fn set_peers(&mut self, now_us: u64, peers: &BTreeSet<id::Incarnation>) {
+        self.peers.clone_from(peers);
+        for (id, origin) in &mut self.origins {
+            if peers.contains(id) {
+                origin.absent_since_us = None;
+            } else {
+                origin.absent_since_us.get_or_insert(now_us);
+            }
+        }
+        self.origins
+            .retain(|_, origin| !origin.copies.is_empty() || origin.absent_since_us.is_none());
+    }
+
+    /// Returns records of an origin that has been absent for `rescue_us`, or of any origin if
+    /// `is_stopping`; at most about `limit_records`.
+    pub(super) fn rescue(
+        &self,
+        now_us: u64,
+        rescue_us: u64,
+        is_stopping: bool,
+        limit_records: usize,
+    ) -> Option<Rescue> {
+        let is_lost = |origin: &Origin| {
+            let since_us = origin.absent_since_us;
+            is_stopping || since_us.is_some_and(|since_us| now_us >= since_us + rescue_us)
+        };
+        let mut origins = self.origins.iter();
+        let (id, origin) =
+            origins.find(|(_, origin)| !origin.copies.is_empty() && is_lost(origin))?;
+        let mut rescue = Rescue {
+            origin: *id,
+            sequences: Vec::new(),
+            records: Vec::new(),
+        };
+        for (sequence, records) in &origin.copies {
+            if !rescue.records.is_empty() && rescue.records.len() + records.len() > limit_records {
+                break;
+            }
+            rescue.sequences.push(*sequence);
+            rescue.records.extend_from_slice(records);
+        }
+        Some(rescue)
+    }
+}
--- a/crates/peridotrack-once/src/usage/mod.rs
+++ b/crates/peridotrack-once/src/usage/mod.rs
@@ -3,7 +3,10 @@
 //! [`Log`] copies each record to peers of the failure domain before the last byte of the answer
 //! goes out and flushes records to the platform in batches that are created only if absent.
 
+mod flush;
+mod held;
 mod log;
+mod own;
 
 use std::cmp;
 
@@ -24,6 +27,8 @@
     pub batch_records: usize,
     /// Time after which an unacknowledged copy is sent again, in microseconds.
     pub copy_retry_us: u64,
+    /// Time after which a released copy that no live peer holds is sent again, in microseconds.
+    pub recopy_us: u64,
     /// Time after which a record without acknowledged copy is flushed, in microseconds.
     pub copy_timeout_us: u64,
     /// Longest time that an answer waits for its record, in microseconds.
@@ -70,7 +75,7 @@
     pub origin: id::Incarnation,
     /// Router that flushed the batch; not the origin if it flushed copies of a lost origin.
     pub writer: id::Incarnation,
-    /// Count of batches by this writer for this origin, from 1.
+    /// Count of batches by this writer, own and rescued ones apart, from 1.
     pub sequence: u64,
     /// The records.
     pub records: Vec<Record>,
@@ -250,10 +255,11 @@
             flush_us: 10_000_000,
             batch_records: 1_500,
             copy_retry_us: 20_000,
+            recopy_us: 1_000_000,
             copy_timeout_us: 50_000,
             safe_timeout_us: 200_000,
             retry_min_us: 50_000,
-            retry_max_us: 2_000_000,
+            retry_max_us: 10_000_000,
             rescue_us: 5_000_000,
         }
     }
--- /dev/null
+++ b/crates/peridotrack-once/src/usage/own.rs
@@ -0,0 +1,320 @@
+//! Records of this router that are not flushed yet.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use peridotrack_types::id;
+
+use super::{Action, Copy, Message, Note, Options, Record};
+
+/// Own records, in copies by sequence.
+#[derive(Debug)]
+pub(super) struct Own {
+    incarnation: id::Incarnation,
+    peers: BTreeSet<id::Incarnation>,
+    /// Every peer that was ever sent a copy.
+    receivers: BTreeSet<id::Incarnation>,
+    open: Vec<Record>,
+    open_since_us: u64,
+    copies: BTreeMap<u64, Sealed>,
+    last_sequence: u64,
+    flushed_through: u64,
+}
+
+/// A copy whose records are fixed.
+#[derive(Debug)]
+struct Sealed {
+    records: Vec<Record>,
+    since_us: u64,
+    sent_us: u64,
+    /// Peers that the copy was sent to.
+    receivers: BTreeSet<id::Incarnation>,
+    /// Peers that acknowledged it.
+    holders: BTreeSet<id::Incarnation>,
+    /// Whether the answers were released.
+    is_released: bool,
+}
+
+/// Records to flush next.
+pub(super) struct Pending {
+    pub(super) records: Vec<Record>,
+    pub(super) through: u64,
+}
+
+// Construction and access.
+impl Own {
+    pub(super) fn new(incarnation: id::Incarnation) -> Self {
+        Self {
+            incarnation,
+            peers: BTreeSet::new(),
+            receivers: BTreeSet::new(),
+            open: Vec::new(),
+            open_since_us: 0,
+            copies: BTreeMap::new(),
+            last_sequence: 0,
+            flushed_through: 0,
+        }
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.open.is_empty() && self.copies.is_empty()
+    }
+
+    pub(super) fn records(&self) -> usize {
+        let copies = self.copies.values().map(|copy| copy.records.len());
+        self.open.len() + copies.sum::<usize>()
+    }
+
+    /// Returns how many records no live peer holds.
+    pub(super) fn unprotected_records(&self) -> usize {
+        let copies = self.copies.values();
+        let unprotected = copies.filter(|copy| copy.holders.is_disjoint(&self.peers));
+        self.open.len() + unprotected.map(|copy| copy.records.len()).sum::<usize>()
+    }
+
+    /// Returns when a flush is due.
+    pub(super) fn flush_due_us(&self, options: &Options) -> Option<u64> {
+        if self.records() >= options.batch_records {
+            return Some(0);
+        }
+        let copies = self.copies.values();
+        let due_us = copies.map(|copy| copy.flush_due_us(options));
+        due_us.min()
+    }
+
+    /// Returns when a copy is to be sent again or an answer is released.
+    pub(super) fn next_tick_us(&self, options: &Options) -> Option<u64> {
+        let release_us = self
+            .copies
+            .values()
+            .filter_map(|copy| copy.release_us(options));
+        let resend_us = self.copies.values();
+        let resend_us = resend_us.filter_map(|copy| copy.resend_us(&self.peers, options));
+        let seal_us = self.open_since_us + options.copy_retry_us;
+        let seal_us = (!self.open.is_empty()).then_some(seal_us);
+        release_us.chain(resend_us).chain(seal_us).min()
+    }
+
+    /// Returns the oldest records, about `limit_records`, that are not flushed.
+    pub(super) fn pending(&self, limit_records: usize) -> Option<Pending> {
+        let mut pending = Pending {
+            records: Vec::new(),
+            through: self.flushed_through,
+        };
+        for (sequence, copy) in &self.copies {
+            let len = pending.records.len() + copy.records.len();
+            if !pending.records.is_empty() && len > limit_records {
+                break;
+            }
+            pending.records.extend_from_slice(&copy.records);
+            pending.through = *sequence;
+        }
+        (!pending.records.is_empty()).then_some(pending)
+    }
+}
+
+// Mutation.
+impl Own {
+    pub(super) fn add(&mut self, now_us: u64, record: Record, options: &Options) -> Vec<Action> {
+        if self.open.is_empty() {
+            self.open_since_us = now_us;
+        }
+        self.open.push(record);
+        self.seal_if_due(now_us, options)
+    }
+
+    /// Seals the open records into a copy and sends it.
+    pub(super) fn seal(&mut self, now_us: u64, options: &Options) -> Vec<Action> {
+        if self.open.is_empty() {
+            return Vec::new();
+        }
+        self.last_sequence += 1;
+        let sealed = Sealed {
+            records: std::mem::take(&mut self.open),
+            since_us: self.open_since_us,
+            sent_us: now_us,
+            receivers: BTreeSet::new(),
+            holders: BTreeSet::new(),
+            is_released: false,
+        };
+        self.copies.insert(self.last_sequence, sealed);
+        self.send(now_us, self.last_sequence, options.copies)
+    }
+
+    pub(super) fn tick(&mut self, now_us: u64, options: &Options) -> Vec<Action> {
+        let mut actions = self.seal_if_due(now_us, options);
+        let sequences: Vec<_> = self.copies.keys().copied().collect();
+        for sequence in sequences {
+            let copy = &self.copies[&sequence];
+            let is_at = |due_us: Option<u64>| due_us.is_some_and(|due_us| now_us >= due_us);
+            if is_at(copy.release_us(options)) {
+                actions.extend(self.release_unprotected(sequence));
+            } else if is_at(copy.resend_us(&self.peers, options)) {
+                // One more receiver: those so far may be gone or stopping.
+                let receivers = copy.receivers.len() + 1;
+                actions.extend(self.send(now_us, sequence, receivers));
+            }
+        }
+        actions
+    }
+
+    pub(super) fn set_peers(
+        &mut self,
+        now_us: u64,
+        peers: &BTreeSet<id::Incarnation>,
+        options: &Options,
+    ) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let through = self.flushed_through;
+        let returned = peers.difference(&self.peers);
+        for peer in returned.filter(|peer| self.receivers.contains(peer)) {
+            actions.push(self.flushed_message(*peer, through));
+        }
+        self.peers.clone_from(peers);
+        let unheld = self.copies.iter();
+        let unheld = unheld.filter(|(_, copy)| copy.holders.is_disjoint(&self.peers));
+        let sequences: Vec<_> = unheld.map(|(sequence, _)| *sequence).collect();
+        for sequence in sequences {
+            actions.extend(self.send(now_us, sequence, options.copies));
+        }
+        actions
+    }
+
+    /// Takes in that `peer` holds a copy.
+    pub(super) fn held(
+        &mut self,
+        now_us: u64,
+        peer: id::Incarnation,
+        sequence: u64,
+        options: &Options,
+    ) -> Vec<Action> {
+        let Some(copy) = self.copies.get_mut(&sequence) else {
+            return Vec::new();
+        };
+        copy.holders.insert(peer);
+        let mut actions = copy.release();
+        actions.extend(self.seal_if_due(now_us, options));
+        actions
+    }
+
+    /// Takes in that every copy up to `through` is flushed.
+    pub(super) fn flushed(&mut self, through: u64) -> Vec<Action> {
+        self.flushed_through = through;
+        let unflushed = self.copies.split_off(&(through + 1));
+        let flushed = std::mem::replace(&mut self.copies, unflushed);
+        let mut actions: Vec<_> = flushed
+            .into_values()
+            .flat_map(|mut copy| copy.release())
+            .collect();
+        let receivers = self.receivers.intersection(&self.peers);
+        actions.extend(receivers.map(|peer| self.flushed_message(*peer, through)));
+        actions
+    }
+
+    /// Seals unless a copy is under way: its acknowledgement will seal what gathered meanwhile.
+    fn seal_if_due(&mut self, now_us: u64, options: &Options) -> Vec<Action> {
+        let is_sending = self.copies.values().any(|copy| !copy.is_released);
+        let is_late = now_us >= self.open_since_us + options.copy_retry_us;
+        if is_sending && !is_late {
+            return Vec::new();
+        }
+        self.seal(now_us, options)
+    }
+
+    fn send(&mut self, now_us: u64, sequence: u64, receivers: usize) -> Vec<Action> {
+        let receivers = self.choose_peers(receivers);
+        let Some(copy) = self.copies.get_mut(&sequence) else {
+            return Vec::new();
+        };
+        copy.sent_us = now_us;
+        copy.receivers.extend(&receivers);
+        self.receivers.extend(&receivers);
+        let message = Message::Copy {
+            origin: self.incarnation,
+            copy: Copy {
+                sequence,
+                records: copy.records.clone(),
+            },
+            flushed_through: self.flushed_through,
+        };
+        let unacknowledged = receivers.iter().filter(|peer| !copy.holders.contains(peer));
+        let send = |peer: &id::Incarnation| Action::Send {
+            peer: *peer,
+            message: message.clone(),
+        };
+        unacknowledged.map(send).collect()
+    }
+
+    /// Chooses live peers by rendezvous hash, so that the load of holding copies spreads.
+    fn choose_peers(&self, count: usize) -> Vec<id::Incarnation> {
+        let mut peers: Vec<_> = self.peers.iter().copied().collect();
+        peers.sort_by_key(|peer| mix(self.incarnation.0 ^ mix(peer.0)));
+        peers.truncate(count);
+        peers
+    }
+
+    fn release_unprotected(&mut self, sequence: u64) -> Vec<Action> {
+        let Some(copy) = self.copies.get_mut(&sequence) else {
+            return Vec::new();
+        };
+        let notes = copy.records.iter().map(|record| {
+            Action::Note(Note::Unprotected {
+                request_id: record.request_id,
+            })
+        });
+        let mut actions: Vec<_> = notes.collect();
+        actions.extend(copy.release());
+        actions
+    }
+
+    fn flushed_message(&self, peer: id::Incarnation, through: u64) -> Action {
+        Action::Send {
+            peer,
+            message: Message::Flushed {
+                origin: self.incarnation,
+                through,
+            },
+        }
+    }
+}
+
+impl Sealed {
+    fn flush_due_us(&self, options: &Options) -> u64 {
+        if self.is_released {
+            self.since_us + options.flush_us
+        } else {
+            self.since_us + options.copy_timeout_us
+        }
+    }
+
+    /// Returns when the copy is to be sent again, unless a peer holds it.
+    fn resend_us(&self, peers: &BTreeSet<id::Incarnation>, options: &Options) -> Option<u64> {
+        if !self.is_released {
+            return Some(self.sent_us + options.copy_retry_us);
+        }
+        let is_held = peers.is_empty() || !self.holders.is_disjoint(peers);
+        (!is_held).then_some(self.sent_us + options.recopy_us)
+    }
+
+    /// Returns when the answers are released whether or not the records are safe.
+    fn release_us(&self, options: &Options) -> Option<u64> {
+        (!self.is_released).then_some(self.since_us + options.safe_timeout_us)
+    }
+
+    /// Releases the answers, once.
+    fn release(&mut self) -> Vec<Action> {
+        if std::mem::replace(&mut self.is_released, true) {
+            return Vec::new();
+        }
+        let request_ids = self.records.iter().map(|record| record.request_id);
+        request_ids
+            .map(|request_id| Action::RecordSafe { request_id })
+            .collect()
+    }
+}
+
+/// Mixes the bits of `value` (the finalizer of SplitMix64).
+fn mix(value: u64) -> u64 {
+    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
