--- a/crates/peridotrack-once/src/claim/claims.rs
+++ b/crates/peridotrack-once/src/claim/claims.rs
@@ -167,6 +167,7 @@
     /// Records how a request ended, or that its caller no longer waits for the decision.
     ///
     /// A request that was never permitted to send is recorded as not run, whatever `outcome` is.
+    /// When a caller leaves, [`Outcome::Unknown`] is therefore right at every moment.
     pub fn finish(
         &mut self,
         now_us: u64,
--- /dev/null
+++ b/crates/peridotrack-once/tests/claim_faults.rs
@@ -0,0 +1,384 @@
+//! Fault tables for the claims of one router.
+
+mod support;
+
+use std::collections::BTreeMap;
+
+use peridotrack_once::{claim, digest, group};
+use peridotrack_types::{id, name, problem::Kind};
+use rstest::rstest;
+
+const OWN: id::Incarnation = id::Incarnation(1);
+const OTHER: id::Incarnation = id::Incarnation(2);
+const DEADLINE_US: u64 = 1_000_000;
+
+fn request_id(incarnation: id::Incarnation) -> id::Request {
+    id::Request {
+        incarnation,
+        sequence: 1,
+    }
+}
+
+fn account() -> name::ClientAccount {
+    name::ClientAccount::from("gramedia")
+}
+
+fn request(sequence: u64, deadline_us: u64) -> claim::Request<'static> {
+    claim::Request {
+        request_id: id::Request {
+            incarnation: OWN,
+            sequence,
+        },
+        account: account(),
+        key: "order-17",
+        request_digest: [1; 32],
+        deadline_us,
+    }
+}
+
+/// A head that holds another router's claim of the same key.
+fn claimed_by_other(state: group::State, request_digest: u8) -> group::Group {
+    let row = group::Row {
+        request_digest: digest::Digest([request_digest; 32]),
+        nonce: 99,
+        incarnation: OTHER,
+        request_id: request_id(OTHER),
+        timeout_ms: 5_000,
+        state,
+    };
+    group::Group {
+        rows: BTreeMap::from([(digest::of_key(&account(), "order-17"), row)]),
+        ..group::Group::default()
+    }
+}
+
+fn answered(body: group::Body) -> group::State {
+    group::State::Answered(group::Answer {
+        status: 201,
+        content_type: "text/plain".to_owned(),
+        body,
+    })
+}
+
+fn refuse(kind: Kind, retry_after_ms: Option<u64>) -> claim::Decision {
+    claim::Decision::Refuse {
+        kind,
+        retry_after_ms,
+    }
+}
+
+fn decisions(actions: &[claim::Action]) -> Vec<claim::Decision> {
+    let decision = |action: &claim::Action| match action {
+        claim::Action::Decide { decision, .. } => Some(decision.clone()),
+        _ => None,
+    };
+    actions.iter().filter_map(decision).collect()
+}
+
+fn read(actions: &[claim::Action]) -> String {
+    let object = |action: &claim::Action| match action {
+        claim::Action::Read { object } => Some(object.clone()),
+        _ => None,
+    };
+    actions.iter().find_map(object).expect("a read")
+}
+
+fn write(actions: &[claim::Action]) -> (Option<u64>, group::Group) {
+    let write = |action: &claim::Action| match action {
+        claim::Action::Write { expected, body, .. } => Some((*expected, body.clone())),
+        _ => None,
+    };
+    actions.iter().find_map(write).expect("a write")
+}
+
+/// Begins a request and brings it to its first write, on a head at version 3.
+fn first_write() -> (claim::Claims, String, group::Group) {
+    let mut claims = claim::Claims::new(OWN, claim::Options::default(), 1, 0);
+    let object = read(&claims.begin(0, request(1, DEADLINE_US)));
+    let event = claim::Event::Read {
+        object: object.clone(),
+        version: 3,
+        body: group::Group::default(),
+    };
+    claims.on_event(1_000, event);
+    let (expected, body) = write(&claims.on_event(3_000, claim::Event::Tick));
+    assert_eq!(expected, Some(3));
+    (claims, object, body)
+}
+
+/// What the store holds when the claim is read back.
+enum Stored {
+    Nothing,
+    Own,
+    Other(u8),
+}
+
+#[rstest]
+#[case::lost_reply_ours(true, Stored::Own, Some(claim::Decision::Granted))]
+#[case::lost_reply_other(true, Stored::Other(1), Some(refuse(Kind::InProgress, Some(1_000))))]
+#[case::lost_reply_other_request(true, Stored::Other(2), Some(refuse(Kind::KeyConflict, None)))]
+#[case::lost_request(true, Stored::Nothing, None)]
+#[case::lost_race(false, Stored::Other(1), Some(refuse(Kind::InProgress, Some(1_000))))]
+#[case::lost_race_other_key(false, Stored::Nothing, None)]
+fn a_claim_is_read_back(
+    #[case] is_reply_lost: bool,
+    #[case] stored: Stored,
+    #[case] decision: Option<claim::Decision>,
+) {
+    let (mut claims, object, written) = first_write();
+    let event = if is_reply_lost {
+        claim::Event::WriteUnknown {
+            object: object.clone(),
+        }
+    } else {
+        claim::Event::Conflict {
+            object: object.clone(),
+        }
+    };
+    assert_eq!(decisions(&claims.on_event(4_000, event)), []);
+    assert!(
+        !claims.may_send(4_000, request_id(OWN)),
+        "the claim is not known to stand"
+    );
+
+    let object = read(&claims.on_event(20_000, claim::Event::Tick));
+    let (version, body) = match stored {
+        Stored::Nothing if is_reply_lost => (3, group::Group::default()),
+        Stored::Nothing => (4, group::Group::default()),
+        Stored::Own => (4, written.clone()),
+        Stored::Other(request_digest) => {
+            (4, claimed_by_other(group::State::Claimed, request_digest))
+        }
+    };
+    let actions = claims.on_event(
+        21_000,
+        claim::Event::Read {
+            object,
+            version,
+            body,
+        },
+    );
+    match decision {
+        Some(decision) => assert_eq!(decisions(&actions), [decision]),
+        None => {
+            let (expected, again) = write(&actions);
+            assert_eq!(
+                (expected, again),
+                (Some(version), written),
+                "the same row is written again"
+            );
+        }
+    }
+}
+
+#[rstest]
+#[case::text(answered(group::Body::Text("978-0".to_owned())), 1, 0, claim::Decision::Replay {
+    status: 201, content_type: "text/plain".to_owned(), body: b"978-0".to_vec(),
+})]
+#[case::bytes(answered(group::Body::Hex("ff00".to_owned())), 1, 0, claim::Decision::Replay {
+    status: 201, content_type: "text/plain".to_owned(), body: vec![255, 0],
+})]
+#[case::too_large(
+    answered(group::Body::TooLarge),
+    1,
+    0,
+    refuse(Kind::OutcomeUnknown, None)
+)]
+#[case::unknown(group::State::Unknown, 1, 0, refuse(Kind::OutcomeUnknown, None))]
+#[case::running(group::State::Claimed, 1, 0, refuse(Kind::InProgress, Some(1_000)))]
+#[case::nearly_overdue(
+    group::State::Claimed,
+    1,
+    4_900_000,
+    refuse(Kind::InProgress, Some(98))
+)]
+#[case::overdue(
+    group::State::Claimed,
+    1,
+    5_000_000,
+    refuse(Kind::OutcomeUnknown, None)
+)]
+#[case::other_request(answered(group::Body::TooLarge), 2, 0, refuse(Kind::KeyConflict, None))]
+fn a_claimed_key_is_never_granted(
+    #[case] state: group::State,
+    #[case] request_digest: u8,
+    #[case] watched_us: u64,
+    #[case] decision: claim::Decision,
+) {
+    let mut claims = claim::Claims::new(OWN, claim::Options::default(), 1, 0);
+    let body = claimed_by_other(state, request_digest);
+    let mut actions = Vec::new();
+    // The first request shows the claim to this router; the second comes `watched_us` later.
+    for (sequence, now_us) in [(1, 0), (2, watched_us)] {
+        let object = read(&claims.begin(now_us, request(sequence, now_us + DEADLINE_US)));
+        let event = claim::Event::Read {
+            object,
+            version: 7,
+            body: body.clone(),
+        };
+        actions = claims.on_event(now_us, event);
+        if decisions(&actions).is_empty() {
+            actions = claims.on_event(now_us + 2_000, claim::Event::Tick);
+        }
+        claims.on_event(now_us + 60_000, claim::Event::Tick);
+    }
+    assert_eq!(decisions(&actions), [decision]);
+}
+
+#[rstest]
+#[case::absent(|object| claim::Event::ReadFailed { object })]
+#[case::overloaded(|object| claim::Event::WriteRefused { object, retry_after_ms: 10 })]
+fn without_the_store_claims_are_refused_at_once(#[case] failure: fn(String) -> claim::Event) {
+    let options = claim::Options::default();
+    let mut claims = claim::Claims::new(OWN, options.clone(), 1, 0);
+    let mut object = read(&claims.begin(0, request(1, 30_000_000)));
+    let mut now_us = 0;
+    for failures in 1..=options.down_after_failures {
+        let told = decisions(&claims.on_event(now_us, failure(object.clone())));
+        if failures == options.down_after_failures {
+            assert_eq!(told, [refuse(Kind::ClaimUnavailable, Some(1_000))]);
+            break;
+        }
+        now_us += options.retry_max_us;
+        object = read(&claims.on_event(now_us, claim::Event::Tick));
+    }
+    assert!(now_us < 30_000_000, "refused long before the deadline");
+
+    let actions = claims.begin(now_us + 1, request(2, 60_000_000));
+    assert_eq!(
+        decisions(&actions),
+        [refuse(Kind::ClaimUnavailable, Some(1_000))]
+    );
+    assert_eq!(
+        actions.len(),
+        1,
+        "a store that is down is not called for each request"
+    );
+
+    let probe_us = now_us + options.probe_us;
+    read(&claims.begin(probe_us, request(3, 60_000_000)));
+    let actions = claims.begin(probe_us, request(4, 60_000_000));
+    assert_eq!(actions.len(), 1, "one probe at a time");
+}
+
+#[rstest]
+#[case::before(DEADLINE_US - 1, true)]
+#[case::at(DEADLINE_US, false)]
+#[case::long_after(1_000 * DEADLINE_US, false)]
+fn a_paused_claimant_sends_only_before_its_deadline(#[case] wakes_us: u64, #[case] sends: bool) {
+    let (mut claims, object, _) = first_write();
+    let version = 4;
+    let actions = claims.on_event(5_000, claim::Event::Written { object, version });
+    assert_eq!(decisions(&actions), [claim::Decision::Granted]);
+    assert_eq!(claims.may_send(wakes_us, request_id(OWN)), sends);
+    assert!(
+        !claims.may_send(wakes_us, request_id(OWN)),
+        "permission is given once"
+    );
+}
+
+#[rstest]
+#[case::in_write(None)]
+#[case::lost_reply(Some(true))]
+#[case::lost_request(Some(false))]
+fn a_refused_claim_is_removed(#[case] doubt: Option<bool>) {
+    let (mut claims, object, written) = first_write();
+    if doubt.is_some() {
+        let object = object.clone();
+        claims.on_event(4_000, claim::Event::WriteUnknown { object });
+    }
+    let actions = claims.on_event(DEADLINE_US, claim::Event::Tick);
+    assert_eq!(
+        decisions(&actions),
+        [refuse(Kind::ClaimUnavailable, Some(1_000))]
+    );
+    assert!(!claims.may_send(DEADLINE_US, request_id(OWN)));
+
+    let later_us = DEADLINE_US + 2_000_000;
+    let (version, body) = match doubt {
+        Some(false) => (3, group::Group::default()),
+        Some(true) | None => (4, written),
+    };
+    if doubt.is_none() {
+        let object = object.clone();
+        claims.on_event(DEADLINE_US, claim::Event::Written { object, version });
+    }
+    let mut actions = claims.on_event(later_us, claim::Event::Tick);
+    if actions
+        .iter()
+        .any(|action| matches!(action, claim::Action::Read { .. }))
+    {
+        let object = object.clone();
+        let read = claim::Event::Read {
+            object,
+            version,
+            body,
+        };
+        actions = claims.on_event(later_us + 1_000, read);
+    }
+    if !actions
+        .iter()
+        .any(|action| matches!(action, claim::Action::Write { .. }))
+    {
+        actions = claims.on_event(later_us + 300_000, claim::Event::Tick);
+    }
+    // Also if the row is not there: the write rules out that it comes to be there later.
+    let (expected, body) = write(&actions);
+    assert_eq!((expected, body.rows.len()), (Some(version), 0));
+    claims.on_event(
+        later_us + 301_000,
+        claim::Event::Written {
+            object,
+            version: version + 1,
+        },
+    );
+    assert!(claims.is_settled());
+}
+
+#[rstest]
+#[case::answered(claim::Outcome::Answered { status: 201, content_type: String::new(), body: b"978-0".to_vec() }, 1)]
+#[case::unknown(claim::Outcome::Unknown, 1)]
+#[case::not_run(claim::Outcome::NotRun, 0)]
+fn an_outcome_is_recorded(#[case] outcome: claim::Outcome, #[case] rows: usize) {
+    let (mut claims, object, _) = first_write();
+    let version = 4;
+    claims.on_event(
+        5_000,
+        claim::Event::Written {
+            object: object.clone(),
+            version,
+        },
+    );
+    assert!(claims.may_send(6_000, request_id(OWN)));
+    let actions = claims.finish(7_000, request_id(OWN), outcome);
+    assert_eq!(actions, [], "outcomes wait to share a write");
+    assert!(!claims.is_settled());
+    assert!(!claims.may_send(7_000, request_id(OWN)));
+    let mut body = group::Group::default();
+    body.rows.clone_from(&first_write().2.rows);
+    read(&claims.on_event(300_000, claim::Event::Tick));
+    let actions = claims.on_event(
+        301_000,
+        claim::Event::Read {
+            object,
+            version,
+            body,
+        },
+    );
+    let (expected, body) = write(&actions);
+    assert_eq!((expected, body.rows.len()), (Some(version), rows));
+    assert!(body.rows.values().all(|row| row.state.is_settled()));
+}
+
+#[test]
+fn without_a_key_one_arrival_is_sent_once() {
+    let mut claims = claim::Claims::new(OWN, claim::Options::default(), 1, 0);
+    claims.begin_without_key(request_id(OWN), DEADLINE_US);
+    assert!(claims.may_send(1, request_id(OWN)));
+    assert!(!claims.may_send(2, request_id(OWN)));
+    assert_eq!(
+        claims.finish(3, request_id(OWN), claim::Outcome::Unknown),
+        []
+    );
+    assert!(!claims.may_send(4, request_id(OWN)));
+}
--- /dev/null
+++ b/crates/peridotrack-once/tests/support/fleet.rs
@@ -0,0 +1,439 @@
+//! Several routers with claims, one store, one backend server that counts runs, and callers.
+
+use std::{cmp::Reverse, collections::BTreeMap, collections::BinaryHeap};
+
+use peridotrack_once::{claim, digest};
+use peridotrack_types::{id, name, problem};
+
+use super::store::{self, Effect, Store};
+
+/// What goes wrong outside the store, in 1,000.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Faults {
+    pub killed: u32,
+    pub paused: u32,
+    pub lost_answers: u32,
+    pub refused_by_backend: u32,
+    pub callers_gone: u32,
+}
+
+/// One request of a caller.
+#[derive(Debug, Clone, Copy)]
+pub struct Attempt {
+    pub router: usize,
+    pub key: u32,
+    /// Stands for the method, path and body.
+    pub content: u8,
+    pub timeout_us: u64,
+}
+
+/// What a caller was told.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Told {
+    Answer(Vec<u8>),
+    Replay(Vec<u8>),
+    Refused(problem::Kind),
+    NotRun,
+    Unknown,
+}
+
+/// A request as the checks see it.
+#[derive(Debug)]
+pub struct Trace {
+    pub attempt: Attempt,
+    pub decisions: u32,
+    pub told: Option<Told>,
+    pub runs: u32,
+    pub begun_us: u64,
+    pub decided_us: u64,
+}
+
+enum Step {
+    Arrive(Attempt),
+    Reply(claim::Event),
+    Tick,
+    /// The router is about to send the first byte.
+    Send(id::Request),
+    /// The first byte leaves the router.
+    Byte(id::Request),
+    Outcome(id::Request, claim::Outcome),
+    /// The caller closed its connection.
+    Gone(id::Request),
+    /// A write takes effect that its router gave up on.
+    Late(store::Write),
+}
+
+struct Event {
+    router: usize,
+    /// Dropped if the router has another incarnation by then; 0 for any.
+    incarnation: u64,
+    step: Step,
+}
+
+pub struct Router {
+    pub claims: claim::Claims,
+    incarnation: id::Incarnation,
+    requests: u64,
+    paused_until_us: u64,
+    /// Monotonic clocks of different VMs have nothing in common.
+    clock_offset_us: u64,
+    tick_us: u64,
+}
+
+pub struct Fleet {
+    pub now_us: u64,
+    pub rng: fastrand::Rng,
+    pub store: Store,
+    pub faults: Faults,
+    pub routers: Vec<Router>,
+    pub traces: BTreeMap<id::Request, Trace>,
+    /// First answer by key and content.
+    pub answers: BTreeMap<(u32, u8), Vec<u8>>,
+    pub kills: u32,
+    options: claim::Options,
+    queue: BinaryHeap<Reverse<(u64, u64)>>,
+    events: BTreeMap<u64, Event>,
+    sequence: u64,
+    incarnations: u64,
+}
+
+pub fn key_text(key: u32) -> String {
+    format!("key-{key}")
+}
+
+impl Fleet {
+    pub fn new(seed: u64, routers: usize, options: claim::Options) -> Self {
+        let mut fleet = Self {
+            now_us: 0,
+            rng: fastrand::Rng::with_seed(seed),
+            store: Store::default(),
+            faults: Faults::default(),
+            routers: Vec::new(),
+            traces: BTreeMap::new(),
+            answers: BTreeMap::new(),
+            kills: 0,
+            options,
+            queue: BinaryHeap::new(),
+            events: BTreeMap::new(),
+            sequence: 0,
+            incarnations: 0,
+        };
+        for _ in 0..routers {
+            let router = fleet.start_router();
+            fleet.routers.push(router);
+        }
+        fleet
+    }
+
+    /// Queues a caller's request.
+    pub fn arrive(&mut self, at_us: u64, attempt: Attempt) {
+        self.push(at_us, attempt.router, 0, Step::Arrive(attempt));
+    }
+
+    /// Runs until nothing is left to do, at most until `end_us`.
+    pub fn run(&mut self, end_us: u64) {
+        while let Some(Reverse((at_us, sequence))) = self.queue.pop() {
+            if at_us > end_us {
+                self.queue.push(Reverse((at_us, sequence)));
+                break;
+            }
+            let event = self.events.remove(&sequence).expect("queued");
+            self.now_us = at_us;
+            self.step(event);
+        }
+        self.now_us = self.now_us.max(end_us);
+    }
+
+    pub fn is_settled(&self) -> bool {
+        self.routers.iter().all(|router| router.claims.is_settled())
+    }
+
+    pub fn kill(&mut self, index: usize) {
+        self.kills += 1;
+        let router = self.start_router();
+        self.routers[index] = router;
+    }
+
+    pub fn pause(&mut self, index: usize, until_us: u64) {
+        self.routers[index].paused_until_us = until_us;
+    }
+
+    /// Checks everything that must hold whatever went wrong.
+    pub fn check(&self) {
+        let mut runs = BTreeMap::<u32, u32>::new();
+        for (request_id, trace) in &self.traces {
+            *runs.entry(trace.attempt.key).or_default() += trace.runs;
+            assert!(
+                trace.decisions <= 1,
+                "{request_id} was decided twice: {trace:?}"
+            );
+            let says_not_run = match &trace.told {
+                Some(Told::Refused(kind)) => kind.ran() == problem::Ran::No,
+                Some(Told::NotRun) => true,
+                _ => false,
+            };
+            assert!(
+                !says_not_run || trace.runs == 0,
+                "{request_id} ran: {trace:?}"
+            );
+            if let Some(Told::Replay(body)) = &trace.told {
+                let first = self
+                    .answers
+                    .get(&(trace.attempt.key, trace.attempt.content));
+                assert_eq!(Some(body), first, "{request_id} got another answer");
+            }
+        }
+        for (key, runs) in runs {
+            assert!(runs <= 1, "key {key} ran {runs} times");
+        }
+    }
+
+    fn start_router(&mut self) -> Router {
+        self.incarnations += 1;
+        let incarnation = id::Incarnation(self.incarnations);
+        let clock_offset_us = self.rng.u64(0..1_000_000_000_000);
+        let seed = self.rng.u64(..);
+        let now_us = self.now_us + clock_offset_us;
+        Router {
+            claims: claim::Claims::new(incarnation, self.options.clone(), seed, now_us),
+            incarnation,
+            requests: 0,
+            paused_until_us: 0,
+            clock_offset_us,
+            tick_us: u64::MAX,
+        }
+    }
+
+    fn push(&mut self, at_us: u64, router: usize, incarnation: u64, step: Step) {
+        self.sequence += 1;
+        self.queue.push(Reverse((at_us, self.sequence)));
+        self.events.insert(
+            self.sequence,
+            Event {
+                router,
+                incarnation,
+                step,
+            },
+        );
+    }
+
+    fn push_own(&mut self, delay_us: u64, router: usize, step: Step) {
+        let incarnation = self.routers[router].incarnation.0;
+        self.push(self.now_us + delay_us, router, incarnation, step);
+    }
+
+    fn step(&mut self, event: Event) {
+        if let Step::Late(write) = &event.step {
+            self.store.apply(write);
+            return;
+        }
+        let index = event.router;
+        if event.incarnation != 0 && event.incarnation != self.routers[index].incarnation.0 {
+            return;
+        }
+        let paused_until_us = self.routers[index].paused_until_us;
+        if self.now_us < paused_until_us {
+            self.push(paused_until_us, index, event.incarnation, event.step);
+            return;
+        }
+        if store::chance(&mut self.rng, self.faults.killed) {
+            return self.kill(index);
+        }
+        if store::chance(&mut self.rng, self.faults.paused) {
+            let until_us = self.now_us + self.rng.u64(1_000..1_500_000);
+            self.pause(index, until_us);
+            self.push(until_us, index, event.incarnation, event.step);
+            return;
+        }
+        self.take(index, event.step);
+    }
+
+    fn take(&mut self, index: usize, step: Step) {
+        let now_us = self.now_us + self.routers[index].clock_offset_us;
+        let claims = &mut self.routers[index].claims;
+        let actions = match step {
+            Step::Arrive(attempt) => return self.begin(index, attempt),
+            Step::Reply(event) => claims.on_event(now_us, event),
+            Step::Tick => {
+                self.routers[index].tick_us = u64::MAX;
+                self.routers[index]
+                    .claims
+                    .on_event(now_us, claim::Event::Tick)
+            }
+            Step::Send(request_id) => {
+                if claims.may_send(now_us, request_id) {
+                    // A pause may fall between the permission and the byte.
+                    return self.push_own(0, index, Step::Byte(request_id));
+                }
+                self.tell(request_id, Told::NotRun);
+                claims_finish(
+                    &mut self.routers[index],
+                    now_us,
+                    request_id,
+                    claim::Outcome::NotRun,
+                )
+            }
+            Step::Byte(request_id) => return self.run_backend(index, request_id),
+            Step::Outcome(request_id, outcome) => {
+                // A router that would send again has to be stopped here.
+                if claims.may_send(now_us, request_id) {
+                    self.push_own(0, index, Step::Byte(request_id));
+                }
+                self.tell(
+                    request_id,
+                    match &outcome {
+                        claim::Outcome::Answered { body, .. } => Told::Answer(body.clone()),
+                        claim::Outcome::NotRun => Told::NotRun,
+                        claim::Outcome::Unknown => Told::Unknown,
+                    },
+                );
+                claims_finish(&mut self.routers[index], now_us, request_id, outcome)
+            }
+            Step::Gone(request_id) => {
+                let outcome = claim::Outcome::Unknown;
+                claims_finish(&mut self.routers[index], now_us, request_id, outcome)
+            }
+            Step::Late(_) => Vec::new(),
+        };
+        self.perform(index, actions);
+    }
+
+    fn begin(&mut self, index: usize, attempt: Attempt) {
+        let router = &mut self.routers[index];
+        router.requests += 1;
+        let request_id = id::Request {
+            incarnation: router.incarnation,
+            sequence: router.requests,
+        };
+        let now_us = self.now_us + router.clock_offset_us;
+        let actions = router.claims.begin(
+            now_us,
+            claim::Request {
+                request_id,
+                account: name::ClientAccount::from("gramedia"),
+                key: &key_text(attempt.key),
+                request_digest: digest::of_request("POST", "/isbn", &[attempt.content]).0,
+                deadline_us: now_us + attempt.timeout_us,
+            },
+        );
+        self.traces.insert(
+            request_id,
+            Trace {
+                attempt,
+                decisions: 0,
+                told: None,
+                runs: 0,
+                begun_us: self.now_us,
+                decided_us: 0,
+            },
+        );
+        self.perform(index, actions);
+        if store::chance(&mut self.rng, self.faults.callers_gone) {
+            let delay_us = self.rng.u64(0..20_000);
+            self.push_own(delay_us, index, Step::Gone(request_id));
+        }
+    }
+
+    fn run_backend(&mut self, index: usize, request_id: id::Request) {
+        let outcome = if store::chance(&mut self.rng, self.faults.refused_by_backend) {
+            claim::Outcome::NotRun
+        } else {
+            let trace = self.traces.get_mut(&request_id).expect("begun");
+            trace.runs += 1;
+            let body = format!("number for {request_id}").into_bytes();
+            let key = (trace.attempt.key, trace.attempt.content);
+            self.answers.entry(key).or_insert_with(|| body.clone());
+            if store::chance(&mut self.rng, self.faults.lost_answers) {
+                claim::Outcome::Unknown
+            } else {
+                claim::Outcome::Answered {
+                    status: 201,
+                    content_type: "application/json".to_owned(),
+                    body,
+                }
+            }
+        };
+        let delay_us = self.rng.u64(500..30_000);
+        self.push_own(delay_us, index, Step::Outcome(request_id, outcome));
+    }
+
+    fn perform(&mut self, index: usize, actions: Vec<claim::Action>) {
+        for action in actions {
+            match action {
+                claim::Action::Read { object } => {
+                    let effect = self.store.read(self.now_us, &mut self.rng, object);
+                    self.take_effect(index, effect);
+                }
+                claim::Action::Write {
+                    object,
+                    expected,
+                    body,
+                } => {
+                    let write = store::Write {
+                        object,
+                        expected,
+                        body,
+                    };
+                    let effect = self.store.write(self.now_us, &mut self.rng, write);
+                    self.take_effect(index, effect);
+                }
+                claim::Action::Remove { object } => self.store.remove(&object),
+                claim::Action::Decide {
+                    request_id,
+                    decision,
+                } => self.decide(index, request_id, decision),
+                claim::Action::Note(_) => {}
+            }
+        }
+        self.schedule_tick(index);
+    }
+
+    fn take_effect(&mut self, index: usize, effect: Effect) {
+        let delay_us = effect.reply_us - self.now_us;
+        self.push_own(delay_us, index, Step::Reply(effect.event));
+        if let Some((late_us, write)) = effect.late {
+            self.push(late_us, index, 0, Step::Late(write));
+        }
+    }
+
+    fn decide(&mut self, index: usize, request_id: id::Request, decision: claim::Decision) {
+        let trace = self.traces.get_mut(&request_id).expect("begun");
+        trace.decisions += 1;
+        trace.decided_us = self.now_us;
+        match decision {
+            claim::Decision::Granted => {
+                let delay_us = self.rng.u64(0..2_000);
+                self.push_own(delay_us, index, Step::Send(request_id));
+            }
+            claim::Decision::Replay { body, .. } => self.tell(request_id, Told::Replay(body)),
+            claim::Decision::Refuse { kind, .. } => self.tell(request_id, Told::Refused(kind)),
+        }
+    }
+
+    fn tell(&mut self, request_id: id::Request, told: Told) {
+        let trace = self.traces.get_mut(&request_id).expect("begun");
+        trace.told.get_or_insert(told);
+    }
+
+    fn schedule_tick(&mut self, index: usize) {
+        let router = &self.routers[index];
+        let local_us = self.now_us + router.clock_offset_us;
+        let Some(tick_us) = router.claims.next_tick_us(local_us) else {
+            return;
+        };
+        let at_us = tick_us.max(local_us + 1) - router.clock_offset_us;
+        if at_us < router.tick_us {
+            self.routers[index].tick_us = at_us;
+            self.push_own(at_us - self.now_us, index, Step::Tick);
+        }
+    }
+}
+
+fn claims_finish(
+    router: &mut Router,
+    now_us: u64,
+    request_id: id::Request,
+    outcome: claim::Outcome,
+) -> Vec<claim::Action> {
+    router.claims.finish(now_us, request_id, outcome)
+}
--- /dev/null
+++ b/crates/peridotrack-once/tests/support/mod.rs
@@ -0,0 +1,5 @@
+//! Fakes shared by the tests.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+pub mod fleet;
+pub mod store;
