--- a/crates/peridotrack-route/src/backend.rs
+++ b/crates/peridotrack-route/src/backend.rs
@@ -24,7 +24,7 @@
     /// Circuit breaker.
     pub breaker: breaker::Breaker,
     /// Whether it gets new work.
-    pub drain: drain::State,
+    pub drain: drain::Drain,
     /// Load and speed.
     pub signal: signal::Signal,
     /// Start of its slow start, if it has one.
@@ -52,7 +52,7 @@
             in_flight: 0,
             limit: limit::Limit::new(slots),
             breaker: breaker::Breaker::new(),
-            drain: drain::State::Serving,
+            drain: drain::Drain::default(),
             signal: signal::Signal::new(),
             slow_start_us: None,
             hold_until_us: 0,
--- a/crates/peridotrack-route/src/configure.rs
+++ b/crates/peridotrack-route/src/configure.rs
@@ -1,10 +1,12 @@
 //! Taking in the asset register and the rules.
 
-use peridotrack_types::{collections::HashMap, name, register, rules};
+use peridotrack_types::{
+    collections::{HashMap, HashSet},
+    name, register, rules,
+};
 
 use crate::{
     backend::Backend,
-    drain,
     event::{Action, Note, Target},
     pool::{Member, Pool},
     router::Router,
@@ -65,11 +67,12 @@
     /// Frees a removed server without requests.
     pub(crate) fn free_if_drained(&mut self, index: usize, actions: &mut Vec<Action>) {
         let backend = &self.backends[index];
-        if backend.drain != drain::State::Removed || backend.in_flight > 0 {
+        if !backend.drain.is_removed() || backend.in_flight > 0 {
             return;
         }
         let name = backend.name.clone();
-        if self.by_name.remove(&name).is_some() {
+        if self.by_name.get(&name) == Some(&index) {
+            self.by_name.remove(&name);
             self.free.push(index);
             actions.push(Action::Note(Note::Drained { backend: name }));
         }
@@ -82,10 +85,11 @@
     }
 
     fn mark_removed(&mut self, declared: &[Declared<'_>]) {
+        let names: HashSet<_> = declared.iter().map(|server| server.name).collect();
         for backend in &mut self.backends {
             backend.pools.clear();
-            if !declared.iter().any(|server| server.name == &backend.name) {
-                backend.drain = drain::State::Removed;
+            if !names.contains(&backend.name) {
+                backend.drain.set_removed(true);
             }
         }
     }
@@ -99,8 +103,7 @@
                 backend.slots = server.slots;
                 backend.limit.set_slots(server.slots);
             }
-            if backend.drain == drain::State::Removed {
-                backend.drain = drain::State::Serving;
+            if backend.drain.set_removed(false) {
                 backend.slow_start_us = Some(now_us);
                 backend.breaker.on_flap(now_us, &self.options);
             }
--- a/crates/peridotrack-route/src/drain.rs
+++ b/crates/peridotrack-route/src/drain.rs
@@ -4,12 +4,11 @@
 
 use crate::options::Options;
 
-/// Whether a backend server is given new work.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+/// Whether a backend server is given new work, as operators see it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum State {
     /// The server is given work.
-    #[default]
     Serving,
     /// The server is leaving; it finishes what it has.
     Leaving {
@@ -20,31 +19,60 @@
     Removed,
 }
 
-impl State {
+/// Signs that a backend server must be given no new work.
+///
+/// Removal from the register and a sign of leaving are independent: a server that is put back
+/// into the register while it is leaving still gets nothing.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Drain {
+    removed: bool,
+    leaving_since_us: Option<u64>,
+}
+
+impl Drain {
+    /// Returns the state.
+    pub fn state(self) -> State {
+        match (self.removed, self.leaving_since_us) {
+            (true, _) => State::Removed,
+            (false, Some(since_us)) => State::Leaving { since_us },
+            (false, None) => State::Serving,
+        }
+    }
+
     /// Returns whether the server may be given new work.
+    #[inline]
     pub fn is_serving(self) -> bool {
-        self == Self::Serving
+        !self.removed && self.leaving_since_us.is_none()
+    }
+
+    /// Returns whether the server is no longer in the register.
+    pub fn is_removed(self) -> bool {
+        self.removed
+    }
+
+    /// Takes in whether the register lacks the server; returns whether that changed.
+    pub fn set_removed(&mut self, removed: bool) -> bool {
+        let changed = self.removed != removed;
+        self.removed = removed;
+        changed
     }
 
     /// Takes in a sign of leaving; returns whether it is the first.
     pub fn on_leaving(&mut self, now_us: u64) -> bool {
-        let first = self.is_serving();
-        if first {
-            *self = Self::Leaving { since_us: now_us };
-        }
+        let first = self.leaving_since_us.is_none();
+        self.leaving_since_us.get_or_insert(now_us);
         first
     }
 
-    /// Takes in a report that the server is not leaving; returns whether it serves again.
+    /// Takes in a report that the server is not leaving; returns whether that takes it back.
     ///
-    /// Lists and reports lag, so only what was measured well after the first sign takes it back.
+    /// Lists and reports lag, so only what was measured well after the first sign does.
     pub fn on_not_leaving(&mut self, measured_us: u64, options: &Options) -> bool {
-        let returned = matches!(
-            *self,
-            Self::Leaving { since_us } if measured_us >= since_us + options.leaving_hold_us
-        );
+        let returned = self
+            .leaving_since_us
+            .is_some_and(|since_us| measured_us >= since_us + options.leaving_hold_us);
         if returned {
-            *self = Self::Serving;
+            self.leaving_since_us = None;
         }
         returned
     }
--- a/crates/peridotrack-route/src/router.rs
+++ b/crates/peridotrack-route/src/router.rs
@@ -87,7 +87,7 @@
             limit_requests: backend.limit_requests(now_us, &self.options),
             others_requests: backend.pools.first().map_or(0.0, others),
             breaker: backend.breaker.state(now_us),
-            drain: backend.drain,
+            drain: backend.drain.state(),
             slow_start: backend.slow_start_us.is_some(),
             report_age_us: backend.signal.report_age_us(now_us),
         }
--- /dev/null
+++ b/crates/peridotrack-route/tests/breaker.rs
@@ -0,0 +1,98 @@
+//! Breaker: opening, probes, damping.
+
+use peridotrack_route::{
+    breaker::{Breaker, Change, Sample, State},
+    options::Options,
+};
+use rstest::rstest;
+
+const SECOND_US: u64 = 1_000_000;
+const HALF: f64 = 0.5;
+
+#[rstest]
+#[case::refused_connections(&[Sample::ConnectFailure; 2], true)]
+#[case::one_refused_connection(&[Sample::ConnectFailure], false)]
+#[case::broken(&[Sample::Failure; 5], true)]
+#[case::fewer_broken(&[Sample::Failure; 4], false)]
+#[case::success_between(
+    &[Sample::ConnectFailure, Sample::Success, Sample::ConnectFailure], false
+)]
+#[case::cancelled(&[Sample::Neutral; 50], false)]
+fn opens(#[case] samples: &[Sample], #[case] expected: bool) {
+    let mut breaker = Breaker::new();
+    for &sample in samples {
+        breaker.on_sample(0, sample, false, HALF, &Options::default());
+    }
+    assert_eq!(matches!(breaker.state(0), State::Open { .. }), expected);
+    assert_eq!(breaker.allows(0), !expected);
+}
+
+fn opened() -> Breaker {
+    let mut breaker = Breaker::new();
+    breaker.open(0, HALF, &Options::default());
+    breaker
+}
+
+#[rstest]
+fn one_probe_at_a_time() {
+    let mut breaker = opened();
+    assert!(!breaker.allows(SECOND_US - 1));
+    assert!(breaker.allows(SECOND_US));
+    assert!(breaker.on_dispatch(SECOND_US));
+    assert!(!breaker.allows(SECOND_US));
+    let options = Options::default();
+    let change = breaker.on_sample(SECOND_US, Sample::Neutral, true, HALF, &options);
+    assert_eq!(change, Change::None);
+    assert!(breaker.allows(SECOND_US));
+}
+
+#[rstest]
+fn probes_close() {
+    let mut breaker = opened();
+    let options = Options::default();
+    for expected in [Change::None, Change::Closed] {
+        breaker.on_dispatch(SECOND_US);
+        let change = breaker.on_sample(SECOND_US, Sample::Success, true, HALF, &options);
+        assert_eq!(change, expected);
+    }
+    assert!(breaker.is_closed());
+}
+
+#[rstest]
+fn late_answer_of_an_older_request_is_no_probe() {
+    let mut breaker = opened();
+    let options = Options::default();
+    for sample in [Sample::Success, Sample::Success, Sample::Failure] {
+        let change = breaker.on_sample(SECOND_US, sample, false, HALF, &options);
+        assert_eq!(change, Change::None);
+    }
+    assert_eq!(breaker.state(SECOND_US), State::HalfOpen);
+}
+
+#[rstest]
+fn flapping_is_damped() {
+    let options = Options::default();
+    let mut breaker = Breaker::new();
+    let mut now_us = 0;
+    let mut open_times_us = Vec::new();
+    for _ in 0..12 {
+        let Change::Opened { open_us } = breaker.open(now_us, HALF, &options) else {
+            panic!("not opened");
+        };
+        now_us += open_us;
+        open_times_us.push(open_us);
+    }
+    assert!(open_times_us.is_sorted(), "{open_times_us:?}");
+    assert!(open_times_us[4] > 8 * open_times_us[0]);
+    assert!(
+        open_times_us
+            .iter()
+            .all(|&open_us| open_us <= options.breaker_open_max_us)
+    );
+    // A quiet spell forgives.
+    now_us += 10 * options.flap_half_life_us;
+    let Change::Opened { open_us } = breaker.open(now_us, HALF, &options) else {
+        panic!("not opened");
+    };
+    assert!(open_us < 2 * options.breaker_open_us);
+}
--- /dev/null
+++ b/crates/peridotrack-route/tests/queue.rs
@@ -0,0 +1,126 @@
+//! Queue: bound, order, ageing, fair share.
+
+mod support;
+
+use peridotrack_route::{
+    fairness::Shares,
+    queue::{Entry, Outcome, Queue},
+};
+use peridotrack_types::rules::Priority;
+use rstest::rstest;
+use support::{SECOND_US, request};
+
+const AGEING_US: u64 = 2 * SECOND_US;
+
+fn entry(sequence: u64, account: &str, priority: Priority, queued_us: u64) -> Entry {
+    Entry {
+        request_id: request(sequence),
+        account: account.into(),
+        priority,
+        queued_us,
+    }
+}
+
+fn push(queue: &mut Queue, bound: usize, entry: Entry) -> Outcome {
+    queue.push(entry, bound, AGEING_US)
+}
+
+fn pop(queue: &mut Queue, shares: &mut Shares, now_us: u64) -> u64 {
+    let next = queue
+        .peek(now_us, AGEING_US, shares)
+        .expect("not empty")
+        .clone();
+    shares.charge(&next.account, 100);
+    queue.remove(next.request_id);
+    next.request_id.sequence
+}
+
+#[rstest]
+#[case::same_account("a", Priority::Normal, Outcome::Full)]
+#[case::smaller_account("b", Priority::Normal, Outcome::Displaced(request(4)))]
+#[case::higher_priority("a", Priority::High, Outcome::Displaced(request(4)))]
+#[case::lower_priority("b", Priority::Low, Outcome::Full)]
+fn full(#[case] account: &str, #[case] priority: Priority, #[case] expected: Outcome) {
+    let mut queue = Queue::default();
+    for sequence in 1..=4 {
+        let entry = entry(sequence, "a", Priority::Normal, 0);
+        assert_eq!(push(&mut queue, 4, entry), Outcome::Queued);
+    }
+    assert_eq!(
+        push(&mut queue, 4, entry(5, account, priority, 0)),
+        expected
+    );
+    assert_eq!(queue.len(), 4);
+}
+
+#[rstest]
+fn aged_request_keeps_its_place() {
+    let mut queue = Queue::default();
+    push(&mut queue, 1, entry(1, "a", Priority::Low, 0));
+    let newer = entry(2, "a", Priority::High, AGEING_US);
+    assert_eq!(push(&mut queue, 1, newer), Outcome::Full);
+}
+
+#[rstest]
+#[case::fresh(0, &[3, 2, 1])]
+#[case::normal_aged(AGEING_US, &[3, 2, 1])]
+#[case::low_aged(2 * AGEING_US + 1, &[1, 3, 2])]
+fn priorities(#[case] low_wait_us: u64, #[case] expected: &[u64]) {
+    let mut queue = Queue::default();
+    let mut shares = Shares::default();
+    push(&mut queue, 8, entry(1, "a", Priority::Low, 0));
+    push(&mut queue, 8, entry(2, "a", Priority::Normal, low_wait_us));
+    push(&mut queue, 8, entry(3, "a", Priority::High, low_wait_us));
+    let order: Vec<_> = (0..3)
+        .map(|_| pop(&mut queue, &mut shares, low_wait_us))
+        .collect();
+    assert_eq!(order, expected);
+}
+
+#[rstest]
+fn accounts_take_turns() {
+    let mut queue = Queue::default();
+    let mut shares = Shares::default();
+    for sequence in 1..=50 {
+        push(
+            &mut queue,
+            64,
+            entry(sequence, "large", Priority::Normal, 0),
+        );
+    }
+    for sequence in 101..=105 {
+        push(
+            &mut queue,
+            64,
+            entry(sequence, "small", Priority::Normal, 0),
+        );
+    }
+    let order: Vec<_> = (0..10).map(|_| pop(&mut queue, &mut shares, 0)).collect();
+    let small = order.iter().filter(|&&sequence| sequence > 100).count();
+    assert_eq!(small, 5, "{order:?}");
+}
+
+#[rstest]
+fn idle_account_saves_up_nothing() {
+    let mut shares = Shares::default();
+    for _ in 0..100 {
+        shares.charge(&"large".into(), 100);
+    }
+    let lead = shares.start_tokens(&"large".into()) - shares.start_tokens(&"small".into());
+    assert!(lead <= 100, "{lead}");
+}
+
+#[rstest]
+#[case::own_account_waits_behind_itself("large", 50)]
+#[case::small_account_waits_one_turn("small", 1)]
+fn ahead(#[case] account: &str, #[case] expected: usize) {
+    let mut queue = Queue::default();
+    for sequence in 1..=50 {
+        push(
+            &mut queue,
+            64,
+            entry(sequence, "large", Priority::Normal, 0),
+        );
+    }
+    assert_eq!(queue.ahead(&account.into(), Priority::Normal), expected);
+}
--- /dev/null
+++ b/crates/peridotrack-route/tests/retry.rs
@@ -0,0 +1,71 @@
+//! Retry budget, and no storm when half the engines vanish.
+
+mod support;
+
+use std::collections::BTreeMap;
+
+use peridotrack_route::{
+    event::{Action, Event, Outcome},
+    retry,
+};
+use rstest::rstest;
+use support::*;
+
+#[rstest]
+#[case::hardly_any_traffic(3, 1)]
+#[case::ten(10, 1)]
+#[case::hundred(100, 10)]
+#[case::thousand(1_000, 100)]
+fn budget_is_a_share_of_traffic(#[case] dispatches: u64, #[case] expected: usize) {
+    let mut budget = retry::Budget::new(0.1);
+    for _ in 0..dispatches {
+        budget.on_first_dispatch(0);
+    }
+    let taken = (0..2_000).filter(|_| budget.try_take(SECOND_US)).count();
+    assert_eq!(taken, expected);
+    assert!(budget.try_take(11 * SECOND_US), "the window has passed");
+}
+
+/// Attempts a request over the seconds after half of the engines vanished.
+#[rstest]
+#[case::connections_refused(Outcome::ConnectFailed)]
+#[case::connections_break(Outcome::Broken { sent: true, events_seen: 0 })]
+fn half_of_the_engines_vanish(#[case] failure: Outcome) {
+    const REQUEST_US: u64 = 400_000;
+    const STEP_US: u64 = 10_000;
+    const VANISH_US: u64 = 10 * SECOND_US;
+    let mut router = router(14, 8, 64);
+    let gone: Vec<_> = (0..7).map(|number| engine(number, 8).name).collect();
+    let mut ends = BTreeMap::<u64, Vec<u64>>::new();
+    let (mut offers, mut attempts, mut sequence) = (0, 0, 0);
+    for now_us in (0..30 * SECOND_US).step_by(STEP_US as usize) {
+        let mut actions = router.on_event(now_us, Event::Tick);
+        sequence += 1;
+        let mut offer = offer(sequence);
+        offer.deadline_us = now_us + 30 * SECOND_US;
+        actions.extend(router.offer(now_us, offer));
+        offers += u32::from(now_us >= VANISH_US);
+        for ended in ends.remove(&now_us).unwrap_or_default() {
+            actions.extend(finish(&mut router, now_us, ended, Outcome::Done));
+        }
+        while let Some(action) = actions.pop() {
+            let Action::Dispatch {
+                request_id,
+                backend,
+                ..
+            } = action
+            else {
+                continue;
+            };
+            attempts += u32::from(now_us >= VANISH_US);
+            if now_us >= VANISH_US && gone.contains(&backend) {
+                actions.extend(finish(&mut router, now_us, request_id.sequence, failure));
+            } else {
+                let end_us = now_us + REQUEST_US;
+                ends.entry(end_us).or_default().push(request_id.sequence);
+            }
+        }
+    }
+    let amplification = f64::from(attempts) / f64::from(offers);
+    assert!(amplification <= 1.1, "{attempts} attempts for {offers}");
+}
