fix(http): listen on an address for one process alone

Cause: monoio's listener sets SO_REUSEPORT by default. Ruled out: the shutdown order, because the old process had not been told to stop accepting.

--- a/crates/peridotrack-edge/src/caller/chat.rs
+++ b/crates/peridotrack-edge/src/caller/chat.rs
@@ -98,8 +98,10 @@
 
     /// Returns the body to forward, with the priority that the operators' rules give.
     pub fn forward(mut self, priority: rules::Priority) -> Bytes {
-        let priority = serde_json::to_value(priority).unwrap_or_default();
-        self.body.insert("priority".to_owned(), priority);
+        self.body.insert(
+            "priority".to_owned(),
+            engine::priority_number(priority).into(),
+        );
         Bytes::from(serde_json::to_vec(&self.body).expect("a JSON object can be written"))
     }
 }
--- a/crates/peridotrack-edge/src/caller/server.rs
+++ b/crates/peridotrack-edge/src/caller/server.rs
@@ -8,7 +8,7 @@
 };
 
 use monoio::net::{TcpListener, TcpStream};
-use peridotrack_http::{client, server};
+use peridotrack_http::{client, listen, server};
 use peridotrack_kernel::{Kernel, clock, event};
 use peridotrack_types::{id, name, problem, settings};
 
@@ -104,7 +104,7 @@
         address: SocketAddr,
         limits: settings::Limits,
     ) -> Result<Rc<Self>, Box<dyn std::error::Error>> {
-        let listener = TcpListener::bind(address)?;
+        let listener = listen::bind(address)?;
         let address = listener.local_addr()?;
         let registry = kernel.registry();
         let services = Rc::new(Services {
--- a/crates/peridotrack-edge/src/engine.rs
+++ b/crates/peridotrack-edge/src/engine.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use peridotrack_http::client;
-use peridotrack_types::id;
+use peridotrack_types::{id, rules};
 use serde::Deserialize;
 
 use crate::sse;
@@ -169,6 +169,15 @@
     text_bytes as u64 + messages as u64 * MESSAGE_OVERHEAD_TOKENS
 }
 
+/// Returns a priority as engines take it: the higher number goes first.
+pub fn priority_number(priority: rules::Priority) -> i64 {
+    match priority {
+        rules::Priority::Low => -1,
+        rules::Priority::Normal => 0,
+        rules::Priority::High => 1,
+    }
+}
+
 #[derive(Deserialize)]
 struct Body {
     id: String,
--- a/crates/peridotrack-edge/src/operator.rs
+++ b/crates/peridotrack-edge/src/operator.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use monoio::net::{TcpListener, TcpStream};
-use peridotrack_http::server;
+use peridotrack_http::{listen, server};
 use peridotrack_kernel::{Kernel, clock, timeline};
 use peridotrack_member::message::State;
 use peridotrack_types::{id, problem, settings};
@@ -41,7 +41,7 @@
         incarnation: id::Incarnation,
         settings: settings::Settings,
     ) -> std::io::Result<Rc<Self>> {
-        let listener = TcpListener::bind(settings.operator_address)?;
+        let listener = listen::bind(settings.operator_address)?;
         let address = listener.local_addr()?;
         let operator = Rc::new(Self {
             kernel: Rc::clone(kernel),
--- a/crates/peridotrack-edge/src/peer/link.rs
+++ b/crates/peridotrack-edge/src/peer/link.rs
@@ -12,6 +12,7 @@
     io::{AsyncReadRentExt, AsyncWriteRentExt},
     net::{TcpListener, TcpStream},
 };
+use peridotrack_http::listen;
 use peridotrack_kernel::{Kernel, event};
 use peridotrack_types::{collections, id};
 
@@ -101,7 +102,7 @@
             peer: address,
             source,
         };
-        let listener = TcpListener::bind(address).map_err(io)?;
+        let listener = listen::bind(address).map_err(io)?;
         let address = listener.local_addr().map_err(io)?;
         let sent_bytes = kernel.meter().counter("peridotrack_peer_sent_bytes_total");
         let link = Rc::new(Self {
--- a/crates/peridotrack-http/src/lib.rs
+++ b/crates/peridotrack-http/src/lib.rs
@@ -34,5 +34,6 @@
 pub mod client;
 mod encode;
 mod head;
+pub mod listen;
 pub mod server;
 mod wire;
--- a/crates/peridotrack-standin/src/site.rs
+++ b/crates/peridotrack-standin/src/site.rs
@@ -5,7 +5,10 @@
 use bytes::Bytes;
 use http::{Method, Response, StatusCode};
 use monoio::net::{TcpListener, TcpStream};
-use peridotrack_http::server::{self, Connection, Request};
+use peridotrack_http::{
+    listen,
+    server::{self, Connection, Request},
+};
 use serde::{Serialize, de::DeserializeOwned};
 
 use crate::{answer, notify::Notify};
@@ -65,12 +68,13 @@
 
 /// Binds every address and serves `application` on them.
 pub(crate) fn spawn<A: Application>(
-    listen: &[SocketAddr],
+    addresses: &[SocketAddr],
     application: Rc<A>,
 ) -> io::Result<Handle<A>> {
-    let listeners: Vec<TcpListener> = listen
+    let listeners: Vec<TcpListener> = addresses
         .iter()
-        .map(TcpListener::bind)
+        .copied()
+        .map(listen::bind)
         .collect::<io::Result<_>>()?;
     let addresses = listeners
         .iter()
