--- /dev/null
+++ b/crates/peridotrack-standin/tests/common/mod.rs
@@ -0,0 +1,60 @@
+//! Shared set-up: one runtime per test and plain calls to a stand-in.
+#![allow(dead_code)]
+
+use std::{future::Future, net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::{Request, Response};
+use peridotrack_http::client::{Connection, Error, Options};
+
+/// Bound on a whole test, so that a hang is a failure.
+const TEST_LIMIT: Duration = Duration::from_secs(20);
+
+/// Runs one test body on its own runtime.
+pub fn run<T>(body: impl Future<Output = T>) -> T {
+    let mut runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
+        .enable_timer()
+        .build()
+        .unwrap();
+    runtime
+        .block_on(async { monoio::time::timeout(TEST_LIMIT, body).await })
+        .expect("the test hangs")
+}
+
+/// One call on a connection of its own. `head` is a method and a path, then headers, as in
+/// `PUT /a | if-match: "1"`.
+pub async fn call(
+    address: SocketAddr,
+    head: &str,
+    body: impl Into<Bytes>,
+) -> Result<Response<Bytes>, Error> {
+    let mut connection = Connection::connect(address, Options::default()).await?;
+    let head = connection.send(request(head, body)).await?;
+    let body = connection.read_body().await?;
+    Ok(Response::from_parts(head, body))
+}
+
+pub fn request(head: &str, body: impl Into<Bytes>) -> Request<Bytes> {
+    let mut parts = head.split(" | ");
+    let (method, path) = parts.next().unwrap().split_once(' ').unwrap();
+    let mut builder = Request::builder().method(method).uri(path);
+    for header in parts {
+        let (name, value) = header.split_once(": ").unwrap();
+        builder = builder.header(name, value);
+    }
+    builder.body(body.into()).unwrap()
+}
+
+pub fn header<'a>(response: &'a Response<Bytes>, name: &str) -> &'a str {
+    response
+        .headers()
+        .get(name)
+        .map_or("", |value| value.to_str().unwrap())
+}
+
+/// Waits until `condition` holds; the test's bound ends a wait in vain.
+pub async fn until(mut condition: impl FnMut() -> bool) {
+    while !condition() {
+        monoio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
