fix(edge): a stopped listener hands no connection on

Cause: each accepting loop looked at its stop flag only before it waited for the next connection, so one more connection was served after the stop, by services whose timers had ended; its usage record was never copied or flushed. Ruled out: the rescue of copies (seven other records of the same router were rescued) and the fold of the bill.

The three loops become one acceptor that closes its listener on the stop. An answer now waits for its record without a second timeout of the edge, because the usage log bounds that wait itself. Load is asked of engines alone: a plain service counted the question as a run.

--- a/crates/peridotrack-edge/src/budget.rs
+++ b/crates/peridotrack-edge/src/budget.rs
@@ -9,7 +9,7 @@
 use peridotrack_budget::{
     action::{Action, Note},
     event::Event,
-    holder::Holder,
+    holder::{Holder, Report},
     ledger, message, options, refusal, reservation,
 };
 use peridotrack_kernel::{Kernel, clock, event, timer};
@@ -213,9 +213,9 @@
         self.handle(Event::PeerLost { peer });
     }
 
-    /// Returns the holder's state as JSON.
-    pub fn report(&self) -> serde_json::Value {
-        serde_json::to_value(self.holder.borrow().snapshot()).unwrap_or_default()
+    /// Returns the holder's state, budget by budget.
+    pub fn snapshot(&self) -> Vec<Report> {
+        self.holder.borrow().snapshot()
     }
 
     fn handle(self: &Rc<Self>, event: Event) {
--- a/crates/peridotrack-edge/src/caller/completion.rs
+++ b/crates/peridotrack-edge/src/caller/completion.rs
@@ -643,7 +643,9 @@
         let fetch = self.services.pool.fetch(address, request);
         let usage = match monoio::time::timeout(timeout, fetch).await {
             Ok(Ok(response)) if response.status().is_success() => {
-                serde_json::from_slice(response.body()).ok()
+                engine::check_whole(response.body(), self.call.request_id)
+                    .ok()
+                    .flatten()
             }
             _ => None,
         };
--- a/crates/peridotrack-edge/src/caller/server.rs
+++ b/crates/peridotrack-edge/src/caller/server.rs
@@ -7,16 +7,16 @@
     time::Duration,
 };
 
-use monoio::net::{TcpListener, TcpStream};
+use monoio::net::TcpStream;
 use peridotrack_http::{client, listen, server};
 use peridotrack_kernel::{Kernel, clock, event};
 use peridotrack_types::{id, name, problem, settings};
 
 use super::{answer, completion, service_call};
-use crate::{auth, budget, claims, config, engine, route, usage};
+use crate::{acceptor, auth, budget, claims, config, engine, notify, route, usage};
 
-/// Longest wait for a connection before the server looks whether it is to stop, in milliseconds.
-const ACCEPT_MS: u64 = 100;
+/// Period in which an idle connection looks whether the server is closing, in milliseconds.
+const IDLE_MS: u64 = 100;
 /// Period in which the end of open requests is awaited, in microseconds.
 const DRAIN_US: u64 = 20 * clock::US_PER_MS;
 /// Longest wait of a backend server for the next part of its answer, in milliseconds.
@@ -52,7 +52,8 @@
     open_connections: Cell<usize>,
     open_requests: Cell<usize>,
     is_closing: Cell<bool>,
-    is_stopped: Cell<bool>,
+    acceptor: RefCell<Option<Rc<acceptor::Acceptor>>>,
+    killed: notify::Notify,
 }
 
 /// One accepted request.
@@ -126,9 +127,16 @@
             open_connections: Cell::new(0),
             open_requests: Cell::new(0),
             is_closing: Cell::new(false),
-            is_stopped: Cell::new(false),
+            acceptor: RefCell::default(),
+            killed: notify::Notify::default(),
         });
-        monoio::spawn(Rc::clone(&server).accept(listener));
+        let weak = Rc::downgrade(&server);
+        let acceptor = acceptor::Acceptor::spawn(listener, move |stream, _| {
+            if let Some(server) = weak.upgrade() {
+                monoio::spawn(server.serve(stream));
+            }
+        });
+        *server.acceptor.borrow_mut() = Some(acceptor);
         Ok(server)
     }
 
@@ -146,7 +154,15 @@
 
     /// Takes no more connections.
     pub fn stop(&self) {
-        self.is_stopped.set(true);
+        if let Some(acceptor) = self.acceptor.borrow().as_ref() {
+            acceptor.stop();
+        }
+    }
+
+    /// Drops every connection and what is being done for it.
+    pub fn kill(&self) {
+        self.stop();
+        self.killed.notify_all();
     }
 }
 
@@ -165,19 +181,8 @@
 
 /// Connections.
 impl Server {
-    async fn accept(self: Rc<Self>, listener: TcpListener) {
-        let timeout = Duration::from_millis(ACCEPT_MS);
-        while !self.is_stopped.get() {
-            let Ok(Ok((stream, _))) = monoio::time::timeout(timeout, listener.accept()).await
-            else {
-                continue;
-            };
-            let _ = stream.set_nodelay(true);
-            monoio::spawn(Rc::clone(&self).serve(stream));
-        }
-    }
-
     async fn serve(self: Rc<Self>, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
         let options = server::Options {
             head_bytes: self.limits.head_bytes,
             body_bytes: self.limits.body_bytes,
@@ -192,7 +197,10 @@
             return;
         }
         self.open_connections.set(self.open_connections.get() + 1);
-        self.serve_requests(&mut connection).await;
+        monoio::select! {
+            () = self.serve_requests(&mut connection) => {}
+            () = self.killed.notified() => {}
+        }
         self.open_connections.set(self.open_connections.get() - 1);
     }
 
@@ -222,7 +230,7 @@
         &self,
         connection: &mut server::Connection,
     ) -> Result<Option<server::Request>, server::Error> {
-        let timeout = Duration::from_millis(ACCEPT_MS);
+        let timeout = Duration::from_millis(IDLE_MS);
         loop {
             if self.is_closing.get() && connection.is_idle() {
                 return Ok(None);
--- a/crates/peridotrack-edge/src/daemon.rs
+++ b/crates/peridotrack-edge/src/daemon.rs
@@ -157,6 +157,11 @@
         self.link.address()
     }
 
+    /// Returns the budget service.
+    pub fn budget(&self) -> &Rc<budget::Budget> {
+        &self.budget
+    }
+
     /// Returns the kernel.
     pub fn kernel(&self) -> &Rc<Kernel> {
         &self.kernel
@@ -215,7 +220,7 @@
     /// Stops at once and says what is cut.
     pub fn cut(&self) -> Outcome {
         let cut_requests = self.callers.open_requests();
-        self.callers.stop();
+        self.callers.kill();
         self.member.stop();
         let outcome = Outcome {
             cut_requests,
@@ -227,7 +232,7 @@
 
     /// Ends without finishing anything, as a crash does, but on a loop that goes on.
     pub fn kill(&self) {
-        self.callers.stop();
+        self.callers.kill();
         self.halt();
     }
 
--- a/crates/peridotrack-edge/src/lib.rs
+++ b/crates/peridotrack-edge/src/lib.rs
@@ -15,6 +15,7 @@
 //! # Ok::<(), sse::Error>(())
 //! ```
 
+pub mod acceptor;
 pub mod auth;
 pub mod budget;
 pub mod caller;
--- a/crates/peridotrack-edge/src/load.rs
+++ b/crates/peridotrack-edge/src/load.rs
@@ -5,7 +5,7 @@
 use peridotrack_http::client;
 use peridotrack_kernel::{Kernel, clock, timer};
 use peridotrack_route::event::Event;
-use peridotrack_types::{name, register};
+use peridotrack_types::name;
 
 use crate::{config, engine, route};
 
@@ -57,14 +57,8 @@
 
     fn ask_all(self: &Rc<Self>) {
         let config = self.config.current();
-        let engines = config.register.engines.iter().map(endpoint);
-        let services = config
-            .register
-            .services
-            .iter()
-            .map(|server| (server.name.clone(), server.address));
-        for (backend, address) in engines.chain(services) {
-            monoio::spawn(Rc::clone(self).ask(backend, address));
+        for engine in &config.register.engines {
+            monoio::spawn(Rc::clone(self).ask(engine.name.clone(), engine.address));
         }
     }
 
@@ -89,7 +83,3 @@
         });
     }
 }
-
-fn endpoint(engine: &register::Engine) -> (name::BackendServer, SocketAddr) {
-    (engine.name.clone(), engine.address)
-}
--- a/crates/peridotrack-edge/src/notify.rs
+++ b/crates/peridotrack-edge/src/notify.rs
@@ -18,6 +18,13 @@
         }
     }
 
+    /// Waits for the next change.
+    pub async fn notified(&self) {
+        let (sender, receiver) = oneshot::channel();
+        self.waiting.borrow_mut().push(sender);
+        let _ = receiver.await;
+    }
+
     /// Waits for the next change, at most `timeout_us`. Returns whether there was one.
     pub async fn wait(&self, timeout_us: u64) -> bool {
         let (sender, receiver) = oneshot::channel();
--- a/crates/peridotrack-edge/src/operator.rs
+++ b/crates/peridotrack-edge/src/operator.rs
@@ -4,24 +4,20 @@
     cell::{Cell, RefCell},
     net::SocketAddr,
     rc::Rc,
-    time::Duration,
 };
 
 use bytes::Bytes;
-use monoio::net::{TcpListener, TcpStream};
+use monoio::net::TcpStream;
 use peridotrack_http::{listen, server};
 use peridotrack_kernel::{Kernel, clock, timeline};
 use peridotrack_member::message::State;
 use peridotrack_types::{id, problem, settings};
 
-use crate::{auth, budget, caller, config, member, platform, route, usage};
+use crate::{acceptor, auth, budget, caller, config, member, platform, route, usage};
 
 /// Name of this service in the registry.
 pub const SERVICE: &str = "operator";
 
-/// Longest wait for a connection before the server looks whether it is to stop, in milliseconds.
-const ACCEPT_MS: u64 = 100;
-
 /// Answers operators.
 pub struct Operator {
     kernel: Rc<Kernel>,
@@ -29,8 +25,7 @@
     incarnation: id::Incarnation,
     address: SocketAddr,
     state: Cell<State>,
-    is_stopped: Cell<bool>,
-    connections: RefCell<usize>,
+    acceptor: RefCell<Option<Rc<acceptor::Acceptor>>>,
 }
 
 /// Construction and end.
@@ -49,16 +44,23 @@
             incarnation,
             address,
             state: Cell::new(State::Starting),
-            is_stopped: Cell::new(false),
-            connections: RefCell::default(),
+            acceptor: RefCell::default(),
+        });
+        let weak = Rc::downgrade(&operator);
+        let acceptor = acceptor::Acceptor::spawn(listener, move |stream, _| {
+            if let Some(operator) = weak.upgrade() {
+                monoio::spawn(operator.serve(stream));
+            }
         });
-        monoio::spawn(Rc::clone(&operator).accept(listener));
+        *operator.acceptor.borrow_mut() = Some(acceptor);
         Ok(operator)
     }
 
     /// Takes no more connections.
     pub fn stop(&self) {
-        self.is_stopped.set(true);
+        if let Some(acceptor) = self.acceptor.borrow().as_ref() {
+            acceptor.stop();
+        }
     }
 }
 
@@ -69,6 +71,13 @@
         self.address
     }
 
+    fn is_stopped(&self) -> bool {
+        self.acceptor
+            .borrow()
+            .as_ref()
+            .is_some_and(|acceptor| acceptor.is_stopped())
+    }
+
     /// Sets the state of the process, which decides readiness.
     pub fn set_state(&self, state: State) {
         self.state.set(state);
@@ -77,24 +86,12 @@
 
 /// Connections.
 impl Operator {
-    async fn accept(self: Rc<Self>, listener: TcpListener) {
-        let timeout = Duration::from_millis(ACCEPT_MS);
-        while !self.is_stopped.get() {
-            let Ok(Ok((stream, _))) = monoio::time::timeout(timeout, listener.accept()).await
-            else {
-                continue;
-            };
-            monoio::spawn(Rc::clone(&self).serve(stream));
-        }
-    }
-
     async fn serve(self: Rc<Self>, stream: TcpStream) {
         let options = server::Options {
             head_bytes: self.settings.limits.head_bytes,
             ..server::Options::default()
         };
         let mut connection = server::Connection::new(stream, options);
-        *self.connections.borrow_mut() += 1;
         loop {
             let response = match connection.next().await {
                 Ok(Some(request)) => self.answer(&request),
@@ -104,11 +101,10 @@
                     None => break,
                 },
             };
-            if connection.respond(response).await.is_err() || self.is_stopped.get() {
+            if connection.respond(response).await.is_err() || self.is_stopped() {
                 break;
             }
         }
-        *self.connections.borrow_mut() -= 1;
     }
 }
 
@@ -142,7 +138,7 @@
                 None => not_found(path),
             },
             "/v1/budgets" => match self.find::<budget::Budget>(budget::SERVICE) {
-                Some(budget) => json(&budget.report()),
+                Some(budget) => json(&budget.snapshot()),
                 None => not_found(path),
             },
             _ => not_found(path),
--- a/crates/peridotrack-edge/src/peer/link.rs
+++ b/crates/peridotrack-edge/src/peer/link.rs
@@ -10,13 +10,14 @@
 use local_sync::mpsc::unbounded as queue;
 use monoio::{
     io::{AsyncReadRentExt, AsyncWriteRentExt},
-    net::{TcpListener, TcpStream},
+    net::TcpStream,
 };
 use peridotrack_http::listen;
 use peridotrack_kernel::{Kernel, event};
 use peridotrack_types::{collections, id};
 
 use super::frame::{self, Frame};
+use crate::acceptor;
 
 /// Longest wait to connect and to authenticate, in milliseconds.
 const HANDSHAKE_TIMEOUT_MS: u64 = 1_000;
@@ -84,7 +85,7 @@
     outgoing: RefCell<collections::HashMap<SocketAddr, Outgoing>>,
     on_frame: RefCell<Option<OnFrame>>,
     on_failure: RefCell<Option<OnFailure>>,
-    stopped: Cell<bool>,
+    acceptor: RefCell<Option<Rc<acceptor::Acceptor>>>,
     sent_bytes: metrics::Counter,
 }
 
@@ -113,10 +114,16 @@
             outgoing: RefCell::default(),
             on_frame: RefCell::default(),
             on_failure: RefCell::default(),
-            stopped: Cell::new(false),
+            acceptor: RefCell::default(),
             sent_bytes,
         });
-        monoio::spawn(Rc::clone(&link).accept(listener));
+        let weak = Rc::downgrade(&link);
+        let acceptor = acceptor::Acceptor::spawn(listener, move |stream, peer| {
+            if let Some(link) = weak.upgrade() {
+                monoio::spawn(link.accept(stream, peer));
+            }
+        });
+        *link.acceptor.borrow_mut() = Some(acceptor);
         Ok(link)
     }
 
@@ -132,7 +139,9 @@
 
     /// Stops listening and drops the links.
     pub fn stop(&self) {
-        self.stopped.set(true);
+        if let Some(acceptor) = self.acceptor.borrow().as_ref() {
+            acceptor.stop();
+        }
         self.outgoing.borrow_mut().clear();
         self.on_frame.borrow_mut().take();
         self.on_failure.borrow_mut().take();
@@ -149,12 +158,19 @@
 
 /// Sending.
 impl Link {
+    fn is_stopped(&self) -> bool {
+        self.acceptor
+            .borrow()
+            .as_ref()
+            .is_some_and(|acceptor| acceptor.is_stopped())
+    }
+
     /// Queues a frame for a peer. A frame that cannot be delivered is dropped.
     pub fn send(self: &Rc<Self>, address: SocketAddr, frame: &Frame) {
         let Ok(bytes) = frame::encode(frame) else {
             return;
         };
-        if self.stopped.get() {
+        if self.is_stopped() {
             return;
         }
         let mut outgoing = self.outgoing.borrow_mut();
@@ -236,30 +252,17 @@
 
 /// Receiving.
 impl Link {
-    async fn accept(self: Rc<Self>, listener: TcpListener) {
-        while !self.stopped.get() {
-            let Ok(Ok((stream, peer))) = monoio::time::timeout(
-                Duration::from_millis(HANDSHAKE_TIMEOUT_MS),
-                listener.accept(),
-            )
-            .await
-            else {
-                continue;
-            };
-            let link = Rc::clone(&self);
-            monoio::spawn(async move {
-                if let Err(error @ Error::Protocol { .. }) = link.read_frames(stream, peer).await {
-                    let event = event::Event::new(event::Kind::PeerRefused);
-                    link.kernel.note(event.with("error", error.to_string()));
-                }
-            });
+    async fn accept(self: Rc<Self>, stream: TcpStream, peer: SocketAddr) {
+        if let Err(error @ Error::Protocol { .. }) = self.read_frames(stream, peer).await {
+            let event = event::Event::new(event::Kind::PeerRefused);
+            self.kernel.note(event.with("error", error.to_string()));
         }
     }
 
     async fn read_frames(&self, mut stream: TcpStream, peer: SocketAddr) -> Result<(), Error> {
         let authenticate = self.authenticate(&mut stream, peer);
         let sender = within("authenticate", peer, HANDSHAKE_TIMEOUT_MS, authenticate).await?;
-        while !self.stopped.get() {
+        while !self.is_stopped() {
             let frame = read_frame(&mut stream, peer).await?;
             let on_frame = self.on_frame.borrow().clone();
             if let Some(on_frame) = on_frame {
--- a/crates/peridotrack-edge/src/usage.rs
+++ b/crates/peridotrack-edge/src/usage.rs
@@ -1,6 +1,6 @@
 //! Runs the usage log: copies to peers, flushes to the platform, answers that wait for them.
 
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{cell::RefCell, rc::Rc};
 
 use bytes::Bytes;
 use local_sync::oneshot;
@@ -15,8 +15,6 @@
 
 /// Period of the log's ticks, in microseconds.
 const TICK_US: u64 = 20 * clock::US_PER_MS;
-/// Longest wait of an answer for its record, in microseconds.
-const SAFE_TIMEOUT_US: u64 = 400 * clock::US_PER_MS;
 /// Delay after a write of which no byte was sent, in milliseconds.
 const NOT_SENT_RETRY_MS: u64 = 200;
 
@@ -83,9 +81,8 @@
         self.waiting.borrow_mut().insert(request_id, sender);
         let actions = self.log.borrow_mut().record(self.kernel.now_us(), record);
         self.run(actions);
-        let timeout = Duration::from_micros(SAFE_TIMEOUT_US);
-        let _ = monoio::time::timeout(timeout, receiver).await;
-        self.waiting.borrow_mut().remove(&request_id);
+        // The log bounds this wait.
+        let _ = receiver.await;
     }
 }
 
--- /dev/null
+++ b/crates/peridotrack-edge/tests/acceptor.rs
@@ -0,0 +1,33 @@
+//! A stopped listener hands no connection on.
+
+use std::{cell::Cell, rc::Rc, time::Duration};
+
+use monoio::net::TcpStream;
+use peridotrack_edge::acceptor::Acceptor;
+use peridotrack_http::listen;
+
+#[test]
+fn connection_after_the_stop_is_not_served() {
+    let mut runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
+        .enable_timer()
+        .build()
+        .expect("runtime");
+    runtime.block_on(async {
+        let listener = listen::bind("127.0.0.1:0".parse().expect("address")).expect("a free port");
+        let address = listener.local_addr().expect("address");
+        let served = Rc::new(Cell::new(0));
+        let count = Rc::clone(&served);
+        let acceptor = Acceptor::spawn(listener, move |_, _| count.set(count.get() + 1));
+        let _first = TcpStream::connect(address).await.expect("a connection");
+        while served.get() == 0 {
+            monoio::time::sleep(Duration::from_millis(1)).await;
+        }
+        // The accepting task now waits for the next connection.
+        acceptor.stop();
+        let _ = TcpStream::connect(address).await;
+        for _ in 0..10 {
+            monoio::time::sleep(Duration::from_millis(1)).await;
+        }
+        assert_eq!(served.get(), 1);
+    });
+}
--- a/crates/peridotrack-kernel/src/event.rs
+++ b/crates/peridotrack-kernel/src/event.rs
@@ -115,6 +115,8 @@
     500 Info RouteNote,
     /// A backend server is leaving and gets no new work.
     501 Info BackendServerLeaving,
+    /// An operator, or a demonstration in an operator's place, acted on the fleet.
+    600 Info OperatorAction,
 }
 
 /// A value of an event's field.
