feat(demo): a whole fleet with stand-ins on one thread, audited

Four routers in two failure domains serve both kinds of work while one domain is cut from the platform, one router is killed, and a budget that runs out is topped up. Every answer is compared to the last byte with what the engine must have generated; spend is what the engines counted, runs are what the services counted, bills are read from the platform.

--- /dev/null
+++ b/crates/peridotrack-demo/tests/demo.rs
@@ -0,0 +1,23 @@
+//! The demonstration keeps every promise.
+
+use peridotrack_demo::{Options, run};
+
+#[test]
+fn short_demonstration_keeps_every_promise() {
+    let outcome = run(Options {
+        callers: 8,
+        step_ms: 400,
+    })
+    .expect("the demonstration runs");
+    assert!(outcome.summary.is_kept(), "{:#?}", outcome.summary);
+    let process_names: std::collections::BTreeSet<&str> = outcome
+        .timeline
+        .iter()
+        .map(|event| &*event.process)
+        .collect();
+    assert_eq!(
+        process_names.len(),
+        5,
+        "the time line merges every process: {process_names:?}"
+    );
+}
