feat(standin): process harness with kill, pause, relay and bounded waits

A process ends with its handle, also when paused. Signals go by kill(1) to the id of a child that is not reaped yet, so that they reach no other process.

--- /dev/null
+++ b/crates/peridotrack-standin/src/harness/http.rs
@@ -0,0 +1,92 @@
+//! Calls from a test to the processes under test.
+
+use std::{future::Future, net::SocketAddr};
+
+use bytes::Bytes;
+use http::{Request, Response};
+use peridotrack_http::client::{Connection, Error, Options};
+use serde::{Serialize, de::DeserializeOwned};
+
+/// Limits of a test's calls; short, so that a poll of a dead process goes on soon.
+const LIMITS: Options = Options {
+    connect_timeout_ms: 1_000,
+    response_timeout_ms: 2_000,
+    chunk_timeout_ms: 2_000,
+    head_bytes: 32 * 1024,
+    body_bytes: 16 * 1024 * 1024,
+};
+
+/// Runs one test body on a runtime of its own.
+///
+/// # Panics
+///
+/// If the system gives no epoll descriptor.
+pub fn block_on<F: Future>(body: F) -> F::Output {
+    monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
+        .enable_timer()
+        .build()
+        .expect("an epoll descriptor is available")
+        .block_on(body)
+}
+
+/// Why a control call failed.
+#[derive(Debug, thiserror::Error)]
+pub enum ControlError {
+    /// The exchange failed.
+    #[error(transparent)]
+    Exchange(#[from] Error),
+    /// The stand-in at `peer` refused the call.
+    #[error("control call refused by {peer} with status {status}")]
+    Refused {
+        /// The stand-in.
+        peer: SocketAddr,
+        /// The status of its answer.
+        status: u16,
+    },
+    /// The counters are not of the expected form.
+    #[error("counters of {peer} are malformed: {source}")]
+    Malformed {
+        /// The stand-in.
+        peer: SocketAddr,
+        /// The cause.
+        source: serde_json::Error,
+    },
+}
+
+/// One exchange on a connection of its own, never repeated.
+pub async fn fetch(address: SocketAddr, request: Request<Bytes>) -> Result<Response<Bytes>, Error> {
+    let mut connection = Connection::connect(address, LIMITS).await?;
+    let head = connection.send(request).await?;
+    let body = connection.read_body().await?;
+    Ok(Response::from_parts(head, body))
+}
+
+/// Changes a stand-in's settings by `POST /control`.
+pub async fn control(address: SocketAddr, control: &impl Serialize) -> Result<(), ControlError> {
+    let body = serde_json::to_vec(control).expect("control settings have string keys only");
+    let request = Request::post("/control").body(Bytes::from(body));
+    let response = fetch(address, request.expect("the head is valid")).await?;
+    refused(address, &response)
+}
+
+/// Reads a stand-in's counters by `GET /control`.
+pub async fn counters<T: DeserializeOwned>(address: SocketAddr) -> Result<T, ControlError> {
+    let request = Request::get("/control").body(Bytes::new());
+    let response = fetch(address, request.expect("the head is valid")).await?;
+    refused(address, &response)?;
+    serde_json::from_slice(response.body()).map_err(|source| ControlError::Malformed {
+        peer: address,
+        source,
+    })
+}
+
+fn refused(peer: SocketAddr, response: &Response<Bytes>) -> Result<(), ControlError> {
+    let status = response.status();
+    if status.is_success() {
+        return Ok(());
+    }
+    Err(ControlError::Refused {
+        peer,
+        status: status.as_u16(),
+    })
+}
--- a/crates/peridotrack-standin/src/harness/mod.rs
+++ b/crates/peridotrack-standin/src/harness/mod.rs
@@ -1,1 +1,32 @@
-//! Process test harness.
+//! Tests of real processes: start a built program, pause it, kill it, cut its links, and
+//! wait for what it shows.
+//!
+//! A test holds each process by a handle whose drop ends it. Every wait polls a state and
+//! has a limit; none is a fixed sleep.
+//!
+//! ```no_run
+//! use std::time::Duration;
+//!
+//! use bytes::Bytes;
+//! use peridotrack_standin::harness::{http, process, wait};
+//!
+//! http::block_on(async {
+//!     let program = process::built("peridotrack-standin").unwrap();
+//!     let options = process::Options::new(program).arguments(["service"]);
+//!     let mut service = process::spawn(&options).unwrap();
+//!     let address = service.addresses(1).await.unwrap()[0];
+//!     service.pause().await.unwrap();
+//!     service.resume().unwrap();
+//!     let request = || ::http::Request::get("/titles/1").body(Bytes::new()).unwrap();
+//!     let answered = async || http::fetch(address, request()).await.ok();
+//!     let limit = Duration::from_secs(5);
+//!     assert_eq!(wait::some(limit, "an answer", answered).await.unwrap().status(), 200);
+//!     service.kill().unwrap();
+//! });
+//! ```
+
+pub mod http;
+mod output;
+pub mod process;
+pub mod relay;
+pub mod wait;
--- /dev/null
+++ b/crates/peridotrack-standin/src/harness/process.rs
@@ -0,0 +1,276 @@
+//! Child processes that end with their handle.
+
+use std::{
+    ffi::OsString,
+    fs, io,
+    net::SocketAddr,
+    path::PathBuf,
+    process::{Child, Command, ExitStatus, Stdio},
+    time::Duration,
+};
+
+use crate::harness::{output::Output, wait};
+
+/// How the line of an address begins on standard output.
+const ADDRESS_PREFIX: &str = "listening ";
+/// Longest wait for a line or a state unless set otherwise.
+const LIMIT: Duration = Duration::from_secs(10);
+/// Lines of output that an error shows.
+const SHOWN_LINES: usize = 20;
+
+/// How a process starts.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// The program.
+    pub program: PathBuf,
+    /// Its arguments.
+    pub arguments: Vec<OsString>,
+    /// Longest wait for a line, an address, or the end.
+    pub limit: Duration,
+}
+
+/// What was done when an error arose.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Step {
+    /// Finding the program.
+    Find,
+    /// Starting the process.
+    Spawn,
+    /// Sending a signal.
+    Signal,
+    /// Waiting for a line.
+    Line,
+    /// Waiting for the process to stop or end.
+    State,
+}
+
+/// A process that could not be handled.
+#[derive(Debug, thiserror::Error)]
+#[error("step {step:?} failed for {program}: {detail}\n{output}")]
+pub struct Error {
+    /// The step that failed.
+    pub step: Step,
+    /// The program.
+    pub program: String,
+    /// What happened.
+    pub detail: String,
+    /// The last lines that the process printed.
+    pub output: String,
+}
+
+/// A running child process; dropping it kills the process and reaps it.
+#[derive(Debug)]
+pub struct Process {
+    options: Options,
+    child: Child,
+    stdout: Output,
+    stderr: Output,
+}
+
+impl Options {
+    /// Starts `program` without arguments.
+    pub fn new(program: impl Into<PathBuf>) -> Self {
+        Self {
+            program: program.into(),
+            arguments: Vec::new(),
+            limit: LIMIT,
+        }
+    }
+
+    /// Adds arguments.
+    #[must_use]
+    pub fn arguments<A: Into<OsString>>(mut self, arguments: impl IntoIterator<Item = A>) -> Self {
+        self.arguments.extend(arguments.into_iter().map(Into::into));
+        self
+    }
+
+    fn error(&self, step: Step, detail: &impl ToString) -> Error {
+        Error {
+            step,
+            program: self.program.display().to_string(),
+            detail: detail.to_string(),
+            output: String::new(),
+        }
+    }
+}
+
+/// Finds a program of the workspace beside the running test.
+///
+/// Cargo builds the programs of a package before that package's tests only; other programs
+/// are there after `cargo build --workspace` or `cargo test --workspace`.
+pub fn built(name: &str) -> Result<PathBuf, Error> {
+    let options = Options::new(name);
+    let test = std::env::current_exe().map_err(|error| options.error(Step::Find, &error))?;
+    let mut directories = test.ancestors().skip(1).take(2);
+    directories
+        .find_map(|directory| Some(directory.join(name)).filter(|path| path.is_file()))
+        .ok_or_else(|| options.error(Step::Find, &"not built: run `cargo build --workspace`"))
+}
+
+/// Starts a process with its output collected and no input.
+pub fn spawn(options: &Options) -> Result<Process, Error> {
+    let mut child = Command::new(&options.program)
+        .args(&options.arguments)
+        .stdin(Stdio::null())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .map_err(|error| options.error(Step::Spawn, &error))?;
+    let stdout = child.stdout.take().map(Output::collect);
+    let stderr = child.stderr.take().map(Output::collect);
+    Ok(Process {
+        options: options.clone(),
+        child,
+        stdout: stdout.unwrap_or_default(),
+        stderr: stderr.unwrap_or_default(),
+    })
+}
+
+/// Access.
+impl Process {
+    /// The process id; it is not given to another process while this handle lives.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Whether the process has not ended. A paused one is running.
+    pub fn is_running(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
+    /// The last lines of standard output.
+    pub fn stdout(&self) -> Vec<String> {
+        self.stdout.lines()
+    }
+
+    /// The last lines of standard error.
+    pub fn stderr(&self) -> Vec<String> {
+        self.stderr.lines()
+    }
+}
+
+/// Waits.
+impl Process {
+    /// Waits for `count` lines `listening ADDRESS` and gives their addresses.
+    pub async fn addresses(&self, count: usize) -> Result<Vec<SocketAddr>, Error> {
+        let addresses = |lines: &[String]| {
+            let addresses: Vec<SocketAddr> = lines
+                .iter()
+                .filter_map(|line| line.strip_prefix(ADDRESS_PREFIX)?.parse().ok())
+                .take(count)
+                .collect();
+            (addresses.len() == count).then_some(addresses)
+        };
+        self.lines(addresses).await
+    }
+
+    /// Waits for a line of standard output that begins with `prefix` and gives the rest of it.
+    pub async fn line(&self, prefix: &str) -> Result<String, Error> {
+        let rest = |lines: &[String]| {
+            let mut rests = lines.iter().filter_map(|line| line.strip_prefix(prefix));
+            rests.next().map(str::to_owned)
+        };
+        self.lines(rest).await
+    }
+
+    /// Waits for the process to end by itself.
+    pub async fn ended(&mut self) -> Result<ExitStatus, Error> {
+        let limit = self.options.limit;
+        let child = &mut self.child;
+        let exited = async || child.try_wait().transpose();
+        match wait::some(limit, "end of the process", exited).await {
+            Ok(Ok(status)) => Ok(status),
+            Ok(Err(error)) => Err(self.error(Step::State, &error)),
+            Err(error) => Err(self.error(Step::State, &error)),
+        }
+    }
+
+    /// Polls standard output until `find` gives a value or no line can follow.
+    async fn lines<T>(&self, find: impl Fn(&[String]) -> Option<T>) -> Result<T, Error> {
+        let found = wait::some(self.options.limit, "awaited line", async || {
+            let complete = self.stdout.is_complete();
+            find(&self.stdout.lines())
+                .map(Some)
+                .or_else(|| complete.then_some(None))
+        });
+        match found.await {
+            Ok(Some(value)) => Ok(value),
+            Ok(None) => Err(self.error(Step::Line, &"the output ended")),
+            Err(error) => Err(self.error(Step::Line, &error)),
+        }
+    }
+}
+
+/// Faults.
+impl Process {
+    /// Kills the process without warning and waits for its end.
+    pub fn kill(&mut self) -> Result<ExitStatus, Error> {
+        self.child
+            .kill()
+            .and_then(|()| self.child.wait())
+            .map_err(|error| self.error(Step::Signal, &error))
+    }
+
+    /// Asks the process to end; see [`Process::ended`].
+    pub fn terminate(&mut self) -> Result<(), Error> {
+        self.signal("TERM")
+    }
+
+    /// Stops the process until [`Process::resume`] and waits until it stands still.
+    pub async fn pause(&mut self) -> Result<(), Error> {
+        self.signal("STOP")?;
+        let pid = self.pid();
+        wait::until(self.options.limit, "stop", || {
+            state(pid).is_ok_and(|state| state == 'T')
+        })
+        .await
+        .map_err(|error| self.error(Step::State, &error))
+    }
+
+    /// Lets a paused process go on.
+    pub fn resume(&mut self) -> Result<(), Error> {
+        self.signal("CONT")
+    }
+
+    /// Sends a signal to this child alone; it is not reaped, so its id is still its own.
+    fn signal(&mut self, name: &str) -> Result<(), Error> {
+        if !self.is_running() {
+            return Err(self.error(Step::Signal, &"the process ended"));
+        }
+        let pid = self.pid().to_string();
+        let status = Command::new("kill")
+            .args([&format!("-{name}"), &pid])
+            .status()
+            .map_err(|error| self.error(Step::Signal, &error))?;
+        if status.success() {
+            return Ok(());
+        }
+        Err(self.error(Step::Signal, &format!("kill -{name} {pid} failed")))
+    }
+
+    fn error(&self, step: Step, detail: &impl ToString) -> Error {
+        let lines = [self.stdout.lines(), self.stderr.lines()].concat();
+        let shown = lines.len().saturating_sub(SHOWN_LINES);
+        Error {
+            output: lines[shown..].join("\n"),
+            ..self.options.error(step, detail)
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// The state letter of a process, as in `ps`.
+fn state(pid: u32) -> io::Result<char> {
+    let stat = fs::read_to_string(format!("/proc/{pid}/stat"))?;
+    // The name before it is in parentheses and may hold spaces.
+    let state = stat
+        .rsplit_once(") ")
+        .and_then(|(_, rest)| rest.chars().next());
+    state.ok_or_else(|| io::ErrorKind::InvalidData.into())
+}
--- /dev/null
+++ b/crates/peridotrack-standin/src/harness/relay.rs
@@ -0,0 +1,166 @@
+//! A TCP relay on loopback whose link can be held or cut, to part two processes.
+
+use std::{cell::Cell, io, net::SocketAddr, rc::Rc};
+
+use monoio::{
+    io::{AsyncReadRent, AsyncWriteRent, AsyncWriteRentExt, Splitable},
+    net::{TcpListener, TcpStream},
+};
+
+use crate::notify::Notify;
+
+/// Bytes carried at once.
+const CARRY_BYTES: usize = 16 * 1024;
+
+/// What the link does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Link {
+    /// Carries everything.
+    Open,
+    /// Carries nothing and tells nobody: what is sent waits, as when packets are lost. New
+    /// connections are accepted and wait too.
+    Held,
+    /// Closes every connection, and new ones at once.
+    Cut,
+}
+
+struct Shared {
+    target: Cell<SocketAddr>,
+    link: Cell<Link>,
+    changed: Notify,
+    carried_bytes: Cell<u64>,
+    stop: Notify,
+}
+
+/// A running relay; dropping it closes its listener and connections.
+pub struct Relay {
+    address: SocketAddr,
+    shared: Rc<Shared>,
+}
+
+/// Starts a relay to `target` on the current runtime.
+pub fn spawn(target: SocketAddr) -> io::Result<Relay> {
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let address = listener.local_addr()?;
+    let shared = Rc::new(Shared {
+        target: Cell::new(target),
+        link: Cell::new(Link::Open),
+        changed: Notify::default(),
+        carried_bytes: Cell::new(0),
+        stop: Notify::default(),
+    });
+    monoio::spawn(accept(listener, shared.clone()));
+    Ok(Relay { address, shared })
+}
+
+impl Relay {
+    /// Where to connect in place of the target.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Changes what the link does, for open connections too.
+    pub fn set(&self, link: Link) {
+        self.shared.link.set(link);
+        self.shared.changed.notify();
+    }
+
+    /// Connects later connections to another target, as after a restart at a new address.
+    pub fn retarget(&self, target: SocketAddr) {
+        self.shared.target.set(target);
+    }
+
+    /// Bytes carried in both directions.
+    pub fn carried_bytes(&self) -> u64 {
+        self.shared.carried_bytes.get()
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        self.shared.stop.notify();
+    }
+}
+
+impl Shared {
+    /// Waits while the link is held; `false` once it is cut.
+    async fn passes(&self) -> bool {
+        loop {
+            let seen = self.changed.generation();
+            match self.link.get() {
+                Link::Open => return true,
+                Link::Cut => return false,
+                Link::Held => self.changed.changed(seen).await,
+            }
+        }
+    }
+
+    async fn cut(&self) {
+        loop {
+            let seen = self.changed.generation();
+            if self.link.get() == Link::Cut {
+                return;
+            }
+            self.changed.changed(seen).await;
+        }
+    }
+}
+
+async fn accept(listener: TcpListener, shared: Rc<Shared>) {
+    loop {
+        let accepted = monoio::select! {
+            accepted = listener.accept() => accepted,
+            () = shared.stop.changed(0) => return,
+        };
+        if let Ok((stream, _)) = accepted {
+            let shared = shared.clone();
+            monoio::spawn(async move {
+                monoio::select! {
+                    () = relay(stream, &shared) => {}
+                    () = shared.cut() => {}
+                    () = shared.stop.changed(0) => {}
+                }
+            });
+        }
+    }
+}
+
+async fn relay(near: TcpStream, shared: &Shared) {
+    if !shared.passes().await {
+        return;
+    }
+    let Ok(far) = TcpStream::connect_addr(shared.target.get()).await else {
+        return;
+    };
+    let _ = (near.set_nodelay(true), far.set_nodelay(true));
+    let (near_read, near_write) = near.into_split();
+    let (far_read, far_write) = far.into_split();
+    // Both directions run to their end: one side may close its sending half alone.
+    monoio::join!(
+        carry(near_read, far_write, shared),
+        carry(far_read, near_write, shared),
+    );
+}
+
+async fn carry(mut from: impl AsyncReadRent, mut to: impl AsyncWriteRent, shared: &Shared) {
+    let mut buffer = Vec::with_capacity(CARRY_BYTES);
+    loop {
+        let (outcome, read) = from.read(buffer).await;
+        let Ok(count) = outcome else { break };
+        if count == 0 || !shared.passes().await {
+            break;
+        }
+        let (outcome, written) = to.write_all(read).await;
+        if outcome.is_err() {
+            break;
+        }
+        shared
+            .carried_bytes
+            .set(shared.carried_bytes.get() + count as u64);
+        buffer = written;
+        buffer.clear();
+    }
+    if shared.passes().await {
+        let _ = to.shutdown().await;
+    }
+}
--- /dev/null
+++ b/crates/peridotrack-standin/tests/harness.rs
@@ -0,0 +1,220 @@
+//! Contract of the process harness: every process ends with its handle, every wait ends.
+
+use std::{fs, time::Duration};
+
+use bytes::Bytes;
+use http::Request;
+use peridotrack_http::client;
+use peridotrack_standin::{
+    harness::{
+        http::{block_on, control, counters, fetch},
+        process::{self, Options, Process, Step},
+        relay::{self, Link},
+        wait,
+    },
+    service,
+};
+use rstest::rstest;
+
+const LIMIT: Duration = Duration::from_secs(10);
+const SHORT_LIMIT: Duration = Duration::from_millis(20);
+
+fn standin(arguments: &[&str]) -> Process {
+    let program = env!("CARGO_BIN_EXE_peridotrack-standin");
+    process::spawn(&Options::new(program).arguments(arguments)).unwrap()
+}
+
+fn get() -> Request<Bytes> {
+    Request::get("/a").body(Bytes::new()).unwrap()
+}
+
+#[rstest]
+#[case::platform(&["platform", "--listen", "127.0.0.1:0", "--listen", "127.0.0.1:0"], 2)]
+#[case::engine(&["engine"], 1)]
+#[case::service(&["service", "--control", "{\"delay_ms\":0}"], 1)]
+fn program_prints_its_addresses_and_counts(#[case] arguments: &[&str], #[case] count: usize) {
+    block_on(async {
+        let process = standin(arguments);
+        for address in process.addresses(count).await.unwrap() {
+            counters::<serde_json::Value>(address).await.unwrap();
+        }
+    });
+}
+
+#[rstest]
+#[case::no_name(&[])]
+#[case::unknown_name(&["router"])]
+#[case::unknown_option(&["service", "--lisen", "127.0.0.1:0"])]
+#[case::malformed_control(&["service", "--control", "{\"delay\":0}"])]
+#[case::two_addresses(&["engine", "--listen", "127.0.0.1:0", "--listen", "127.0.0.1:0"])]
+fn wrong_arguments_end_the_program(#[case] arguments: &[&str]) {
+    block_on(async {
+        let mut process = standin(arguments);
+        assert_eq!(process.ended().await.unwrap().code(), Some(2));
+    });
+}
+
+#[test]
+fn control_reaches_the_process() {
+    block_on(async {
+        let process = standin(&["service"]);
+        let address = process.addresses(1).await.unwrap()[0];
+        let refuse = service::Control {
+            refuse: Some(true),
+            ..service::Control::default()
+        };
+        control(address, &refuse).await.unwrap();
+        assert_eq!(fetch(address, get()).await.unwrap().status(), 503);
+        assert!(
+            control(address, &serde_json::json!({"refuze": true}))
+                .await
+                .is_err()
+        );
+        let counted: service::Counters = counters(address).await.unwrap();
+        assert_eq!((counted.runs, counted.refused), (0, 1));
+    });
+}
+
+#[test]
+fn paused_process_answers_only_once_resumed() {
+    block_on(async {
+        let mut process = standin(&["service"]);
+        let address = process.addresses(1).await.unwrap()[0];
+        process.pause().await.unwrap();
+        assert!(process.is_running());
+        let impatient = client::Options {
+            response_timeout_ms: 20,
+            ..client::Options::default()
+        };
+        // The kernel accepts the connection and the request for the paused process.
+        let mut connection = client::Connection::connect(address, impatient)
+            .await
+            .unwrap();
+        let error = connection.send(get()).await.unwrap_err();
+        assert!(matches!(error.kind, client::Kind::TimedOut) && error.bytes_written);
+        process.resume().unwrap();
+        assert_eq!(fetch(address, get()).await.unwrap().status(), 200);
+    });
+}
+
+#[test]
+fn killed_process_refuses_connections() {
+    block_on(async {
+        let mut process = standin(&["service"]);
+        let address = process.addresses(1).await.unwrap()[0];
+        assert!(!process.kill().unwrap().success());
+        assert!(!process.is_running());
+        assert!(!fetch(address, get()).await.unwrap_err().bytes_written);
+        assert_eq!(process.terminate().unwrap_err().step, Step::Signal);
+    });
+}
+
+#[rstest]
+#[case::running(false)]
+#[case::paused(true)]
+fn process_ends_with_its_handle(#[case] paused: bool) {
+    block_on(async {
+        let mut process = standin(&["service"]);
+        process.addresses(1).await.unwrap();
+        let directory = format!("/proc/{}", process.pid());
+        if paused {
+            process.pause().await.unwrap();
+        }
+        assert!(fs::exists(&directory).unwrap());
+        drop(process);
+        assert!(!fs::exists(&directory).unwrap());
+    });
+}
+
+#[test]
+fn asked_process_ends() {
+    block_on(async {
+        let mut process = standin(&["service"]);
+        process.addresses(1).await.unwrap();
+        process.terminate().unwrap();
+        assert!(!process.ended().await.unwrap().success());
+    });
+}
+
+#[rstest]
+#[case::ended(&["nonsense"], "the output ended")]
+#[case::silent(&["service"], "no awaited line within 20ms")]
+fn awaited_line_that_never_comes_is_an_error(#[case] arguments: &[&str], #[case] detail: &str) {
+    block_on(async {
+        let program = env!("CARGO_BIN_EXE_peridotrack-standin");
+        let mut options = Options::new(program).arguments(arguments);
+        if detail.starts_with("no") {
+            options.limit = SHORT_LIMIT;
+        }
+        let process = process::spawn(&options).unwrap();
+        let error = process.line("ready ").await.unwrap_err();
+        assert_eq!((error.step, error.detail.as_str()), (Step::Line, detail));
+    });
+}
+
+#[test]
+fn missing_program_is_an_error() {
+    assert_eq!(
+        process::built("no-such-program").unwrap_err().step,
+        Step::Find
+    );
+    let error = process::spawn(&Options::new("/no/such/program")).unwrap_err();
+    assert_eq!(error.step, Step::Spawn);
+    assert!(process::built("peridotrack-standin").is_ok());
+}
+
+#[test]
+fn wait_in_vain_names_what_was_awaited() {
+    block_on(async {
+        let error = wait::until(SHORT_LIMIT, "miracle", || false)
+            .await
+            .unwrap_err();
+        assert_eq!(error.to_string(), "no miracle within 20ms");
+    });
+}
+
+#[test]
+fn relay_carries_holds_and_cuts() {
+    block_on(async {
+        let service = service::spawn(&service::Options::default()).unwrap();
+        let relay = relay::spawn(service.address()).unwrap();
+        let address = relay.address();
+        assert_eq!(fetch(address, get()).await.unwrap().status(), 200);
+        assert!(relay.carried_bytes() > 0);
+
+        relay.set(Link::Held);
+        let held = monoio::spawn(async move { fetch(address, get()).await });
+        monoio::time::sleep(SHORT_LIMIT).await;
+        assert_eq!(service.counters().runs, 1);
+        relay.set(Link::Open);
+        assert_eq!(held.await.unwrap().status(), 200);
+
+        relay.set(Link::Cut);
+        assert!(fetch(address, get()).await.is_err());
+        assert_eq!(service.counters().runs, 2);
+    });
+}
+
+/// The request passes, its answer is lost with the link.
+#[test]
+fn cut_relay_loses_the_answer_under_way() {
+    block_on(async {
+        let slow = service::Control {
+            delay_ms: Some(3_600_000),
+            ..service::Control::default()
+        };
+        let options = service::Options {
+            control: slow,
+            ..service::Options::default()
+        };
+        let service = service::spawn(&options).unwrap();
+        let relay = relay::spawn(service.address()).unwrap();
+        let address = relay.address();
+        let cut = monoio::spawn(async move { fetch(address, get()).await });
+        wait::until(LIMIT, "run", || service.counters().runs == 1)
+            .await
+            .unwrap();
+        relay.set(Link::Cut);
+        assert!(cut.await.unwrap_err().bytes_written);
+    });
+}
