--- a/crates/peridotrack-standin/src/harness/relay.rs
+++ b/crates/peridotrack-standin/src/harness/relay.rs
@@ -6,6 +6,7 @@
     io::{AsyncReadRent, AsyncWriteRent, AsyncWriteRentExt, Splitable},
     net::{TcpListener, TcpStream},
 };
+use peridotrack_http::listen;
 
 use crate::notify::Notify;
 
@@ -40,7 +41,7 @@
 
 /// Starts a relay to `target` on the current runtime.
 pub fn spawn(target: SocketAddr) -> io::Result<Relay> {
-    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let listener = listen::bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
     let address = listener.local_addr()?;
     let shared = Rc::new(Shared {
         target: Cell::new(target),
