--- a/crates/peridotrack-once/src/group.rs
+++ b/crates/peridotrack-once/src/group.rs
@@ -13,8 +13,12 @@
 
 use crate::{digest, filter};
 
-/// Bytes that a row takes beside its body, as JSON, rounded up.
-const ROW_BYTES: usize = 360;
+/// Bytes that a row takes beside its body, as JSON, at most.
+const ROW_BYTES: usize = 400;
+/// Bytes that a head takes beside its rows and pages, as JSON, at most.
+const HEAD_BYTES: usize = 120;
+/// Bytes that a listed page takes beside its filter, as JSON, at most.
+const PAGE_BYTES: usize = 80;
 
 /// A head or a page.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -113,7 +117,7 @@
 impl Group {
     /// Estimates the length of the group as JSON, in bytes.
     pub fn encoded_bytes(&self) -> usize {
-        self.rows_bytes() + self.pages_bytes()
+        HEAD_BYTES + self.rows_bytes() + self.pages_bytes()
     }
 
     /// Estimates the length of the rows as JSON, in bytes.
@@ -164,7 +168,7 @@
     }
 
     fn pages_bytes(&self) -> usize {
-        let page_bytes = |page: &Page| page.keys.text_bytes() + 60;
+        let page_bytes = |page: &Page| page.keys.text_bytes() + PAGE_BYTES;
         self.pages.iter().map(page_bytes).sum()
     }
 }
--- a/crates/peridotrack-once/src/usage/held.rs
+++ b/crates/peridotrack-once/src/usage/held.rs
@@ -4,7 +4,7 @@
 
 use peridotrack_types::id;
 
-use super::{Copy, Record};
+use super::{Action, Copy, Message, Options, Record};
 
 /// Copies held for all origins.
 #[derive(Debug, Default)]
@@ -19,6 +19,8 @@
     flushed_through: u64,
     /// When the origin was first missing among the live peers.
     absent_since_us: Option<u64>,
+    /// When the first copy came, or the origin was last reminded.
+    reminded_us: u64,
 }
 
 /// Records of a lost origin that are to be flushed.
@@ -42,14 +44,39 @@
         copies.map(Vec::len).sum()
     }
 
-    /// Returns when the first origin counts as lost.
-    pub(super) fn next_tick_us(&self, rescue_us: u64) -> Option<u64> {
+    /// Returns when the first origin counts as lost or has to be reminded.
+    pub(super) fn next_tick_us(&self, options: &Options) -> Option<u64> {
         let origins = self
             .origins
             .values()
             .filter(|origin| !origin.copies.is_empty());
-        let absent_since_us = origins.filter_map(|origin| origin.absent_since_us).min();
-        absent_since_us.map(|since_us| since_us + rescue_us)
+        let due_us = |origin: &Origin| match origin.absent_since_us {
+            Some(since_us) => since_us + options.rescue_us,
+            None => origin.reminded_us + options.remind_us,
+        };
+        origins.map(due_us).min()
+    }
+
+    /// Tells live origins again what is held for them, so that a copy whose flush was announced
+    /// in a lost message is dropped at last.
+    pub(super) fn remind(&mut self, now_us: u64, options: &Options) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for (id, origin) in &mut self.origins {
+            let is_due = now_us >= origin.reminded_us + options.remind_us;
+            let Some(sequence) = origin.copies.keys().next() else {
+                continue;
+            };
+            if !is_due || origin.absent_since_us.is_some() {
+                continue;
+            }
+            origin.reminded_us = now_us;
+            let message = Message::Held {
+                origin: *id,
+                sequence: *sequence,
+            };
+            actions.push(Action::Send { peer: *id, message });
+        }
+        actions
     }
 
     pub(super) fn hold(&mut self, now_us: u64, origin: id::Incarnation, copy: Copy) {
@@ -58,6 +85,9 @@
         if !is_live {
             origin.absent_since_us.get_or_insert(now_us);
         }
+        if origin.copies.is_empty() {
+            origin.reminded_us = now_us;
+        }
         if copy.sequence > origin.flushed_through {
             origin.copies.insert(copy.sequence, copy.records);
         }
--- a/crates/peridotrack-once/src/usage/log.rs
+++ b/crates/peridotrack-once/src/usage/log.rs
@@ -74,7 +74,7 @@
         };
         let rescue_us = match self.rescue_flush.batch() {
             Some(_) => self.rescue_flush.next_tick_us(),
-            None => self.held.next_tick_us(self.options.rescue_us),
+            None => self.held.next_tick_us(&self.options),
         };
         let own_us = self.own.next_tick_us(&self.options);
         own_us
@@ -107,7 +107,11 @@
     /// Takes in what happened outside.
     pub fn on_event(&mut self, now_us: u64, event: Event) -> Vec<Action> {
         let mut actions = match event {
-            Event::Tick => self.own.tick(now_us, &self.options),
+            Event::Tick => {
+                let mut actions = self.own.tick(now_us, &self.options);
+                actions.extend(self.held.remind(now_us, &self.options));
+                actions
+            }
             Event::Received { peer, message } => self.receive(now_us, peer, message),
             Event::Flushed { object } => self.flushed(&object),
             Event::FlushUnknown { object } => self.back_off(now_us, &object, 0),
--- a/crates/peridotrack-once/src/usage/mod.rs
+++ b/crates/peridotrack-once/src/usage/mod.rs
@@ -37,6 +37,8 @@
     pub retry_min_us: u64,
     /// Longest wait after a failed flush, in microseconds.
     pub retry_max_us: u64,
+    /// Time after which a live origin is told again what is held for it, in microseconds.
+    pub remind_us: u64,
     /// Time after which the copies of an absent origin are flushed, in microseconds.
     pub rescue_us: u64,
 }
@@ -104,7 +106,8 @@
         /// Every copy up to this sequence is flushed.
         flushed_through: u64,
     },
-    /// The sender holds a copy, or knows it to be flushed.
+    /// The sender holds a copy, or knows it to be flushed; answered by [`Message::Flushed`] if it
+    /// is flushed.
     Held {
         /// Router that served the requests.
         origin: id::Incarnation,
@@ -260,6 +263,7 @@
             safe_timeout_us: 200_000,
             retry_min_us: 50_000,
             retry_max_us: 10_000_000,
+            remind_us: 30_000_000,
             rescue_us: 5_000_000,
         }
     }
--- a/crates/peridotrack-once/src/usage/own.rs
+++ b/crates/peridotrack-once/src/usage/own.rs
@@ -188,7 +188,7 @@
         options: &Options,
     ) -> Vec<Action> {
         let Some(copy) = self.copies.get_mut(&sequence) else {
-            return Vec::new();
+            return vec![self.flushed_message(peer, self.flushed_through)];
         };
         copy.holders.insert(peer);
         let mut actions = copy.release();
--- /dev/null
+++ b/crates/peridotrack-once/tests/group.rs
@@ -0,0 +1,86 @@
+//! Sizes and text forms of the platform objects.
+
+use std::collections::BTreeMap;
+
+use peridotrack_once::{digest, filter, group};
+use peridotrack_types::{id, name};
+use rstest::rstest;
+
+fn key(index: u32) -> digest::Digest {
+    digest::of_key(&name::ClientAccount::from("gramedia"), &index.to_string())
+}
+
+fn head(state: &group::State) -> group::Group {
+    let row = |index| {
+        let row = group::Row {
+            request_digest: key(index),
+            nonce: u64::MAX,
+            incarnation: id::Incarnation(u64::MAX),
+            request_id: id::Request {
+                incarnation: id::Incarnation(u64::MAX),
+                sequence: u64::MAX,
+            },
+            timeout_ms: u64::MAX,
+            state: state.clone(),
+        };
+        (key(index), row)
+    };
+    let keys: Vec<_> = (100..400).map(key).collect();
+    group::Group {
+        rows: (0..50).map(row).collect::<BTreeMap<_, _>>(),
+        pages: vec![group::Page {
+            sequence: 1_000_000,
+            epoch: 1_000_000,
+            keys: filter::Filter::of(keys.iter()),
+        }],
+        ..group::Group::default()
+    }
+}
+
+fn answered(body: &[u8]) -> group::State {
+    group::State::Answered(group::Answer {
+        status: 201,
+        content_type: "application/json".to_owned(),
+        body: group::Body::keep(body.to_vec(), 8_192),
+    })
+}
+
+#[rstest]
+#[case::claimed(group::State::Claimed)]
+#[case::text(answered(b"{\"isbn\": \"978-602\"}"))]
+#[case::control(answered(&[7; 2_000]))]
+#[case::bytes(answered(&[200; 2_000]))]
+#[case::too_large(answered(&[65; 9_000]))]
+fn the_estimate_bounds_the_text(#[case] state: group::State) {
+    let head = head(&state);
+    let text = serde_json::to_string(&head).unwrap();
+    let (estimate, len) = (head.encoded_bytes(), text.len());
+    assert!(
+        len <= estimate && estimate <= len * 2,
+        "estimated {estimate}, is {len}"
+    );
+    assert_eq!(serde_json::from_str::<group::Group>(&text).unwrap(), head);
+}
+
+#[test]
+fn a_filter_never_misses_a_key_and_seldom_reports_another() {
+    let keys: Vec<_> = (0..10_000).map(key).collect();
+    let filter = filter::Filter::of(keys.iter());
+    assert!(keys.iter().all(|key| filter.may_contain(key)));
+    let wrong = (10_000..110_000)
+        .filter(|index| filter.may_contain(&key(*index)))
+        .count();
+    assert!(wrong < 1_500, "{wrong} of 100,000 keys");
+    let text = String::from(filter.clone());
+    assert_eq!(text.len(), filter.text_bytes());
+    assert_eq!(filter::Filter::try_from(text).unwrap(), filter);
+}
+
+#[rstest]
+#[case::empty("")]
+#[case::odd("abc")]
+#[case::not_hex("zz")]
+fn malformed_text_is_refused(#[case] text: &str) {
+    assert!(filter::Filter::try_from(text.to_owned()).is_err());
+    assert!(digest::Digest::try_from(text.to_owned()).is_err());
+}
--- a/crates/peridotrack-once/tests/support/mod.rs
+++ b/crates/peridotrack-once/tests/support/mod.rs
@@ -2,4 +2,5 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 pub mod fleet;
+pub mod records;
 pub mod store;
