feat(route): count other routers' reactions, weigh affinity by wait, bound the queue's wait

Cause of the first version's long tail: every router saw the same late reports and sent its work to the same engine until the next report. Each own request since the report now stands for one of every router (the number of routers is seen from the reports), and the report's weight decays over the mean duration of a request.

A test found that an overtaking account moved virtual time past the waiting ones, which lost their claim; virtual time now never passes an account that waits.

--- a/crates/peridotrack-route/src/backend.rs
+++ b/crates/peridotrack-route/src/backend.rs
@@ -92,8 +92,8 @@
     /// Returns the estimated requests per slot, from all routers.
     #[inline]
     pub fn load(&self, now_us: u64, prior: &signal::Prior) -> f64 {
-        let others = self.signal.others(now_us, self.slots, prior);
-        (f64::from(self.in_flight) + others) / f64::from(self.slots.max(1))
+        let total = self.signal.total(now_us, f64::from(self.in_flight), prior);
+        total / f64::from(self.slots.max(1))
     }
 
     /// Returns the estimated time to the first token of one more request.
--- a/crates/peridotrack-route/src/dispatch.rs
+++ b/crates/peridotrack-route/src/dispatch.rs
@@ -10,6 +10,9 @@
     router::Router,
 };
 
+/// Part of the mean duration that a request is granted at least.
+const NEEDED_SHARE: f64 = 0.5;
+
 impl Router {
     /// Dispatches a request, or queues it, or refuses it.
     pub(crate) fn place_or_queue(
@@ -39,7 +42,7 @@
 
     /// Dispatches what the queue of a pool holds, as long as servers take it.
     pub(crate) fn pump_pool(&mut self, now_us: u64, pool: usize, actions: &mut Vec<Action>) {
-        while let Some((request_id, request)) = self.next_queued(now_us, pool, actions) {
+        while let Some((request_id, request)) = self.next_queued(now_us, pool, None, actions) {
             match self.choose(now_us, &request) {
                 Some(index) => self.dispatch(now_us, request_id, request, index, actions),
                 None => {
@@ -56,7 +59,8 @@
         for position in 0..self.backends[index].pools.len() {
             let pool = self.backends[index].pools[position];
             while self.backends[index].is_available(now_us, &self.options) {
-                let Some((request_id, request)) = self.next_queued(now_us, pool, actions) else {
+                let next = self.next_queued(now_us, pool, Some(index), actions);
+                let Some((request_id, request)) = next else {
                     break;
                 };
                 self.pools[pool].queue.remove(request_id);
@@ -155,7 +159,9 @@
         pool.in_flight += 1;
         request.dispatches += 1;
         if request.dispatches == 1 {
-            pool.shares.charge(&request.account, request.size_tokens);
+            let waiting_tokens = pool.queue.start_tokens(&pool.shares);
+            pool.shares
+                .charge(&request.account, request.size_tokens, waiting_tokens);
             self.retries.on_first_dispatch(now_us);
         }
         request.phase = Phase::InFlight(Attempt {
@@ -181,20 +187,22 @@
         mut request: Request,
         actions: &mut Vec<Action>,
     ) {
-        let pool = &mut self.pools[request.pool];
-        let ahead = pool.queue.ahead(&request.account, request.priority);
-        let wait_us = pool.drain_us(ahead + 1);
-        let latest_us = now_us + wait_us + (pool.prior.duration_us / 2.0) as u64;
-        if latest_us > request.deadline_us {
-            let retry_after_us = latest_us - request.deadline_us;
+        let wait_us = self.wait_us(now_us, &request);
+        let slack_us = (request.deadline_us - now_us).saturating_sub(self.needed_us(&request));
+        let bound_us = (slack_us as f64 * self.options.queue_wait_share) as u64;
+        if wait_us > bound_us {
             let kind = problem::Kind::Overloaded;
-            return refuse(actions, request_id, &request, kind, retry_after_us);
+            return refuse(actions, request_id, &request, kind, wait_us - bound_us);
         }
+        let pool = &mut self.pools[request.pool];
         let entry = queue::Entry {
             request_id,
             account: request.account.clone(),
             priority: request.priority,
             queued_us: now_us,
+            preferred: request
+                .prefix_hash
+                .and_then(|hash| place::home(&self.backends, pool, hash)),
         };
         let outcome = pool
             .queue
@@ -215,12 +223,19 @@
         &mut self,
         now_us: u64,
         pool: usize,
+        backend: Option<usize>,
         actions: &mut Vec<Action>,
     ) -> Option<(id::Request, Request)> {
         loop {
-            let ageing_us = self.options.ageing_us;
             let pool = &self.pools[pool];
-            let request_id = pool.queue.peek(now_us, ageing_us, &pool.shares)?.request_id;
+            let query = queue::Query {
+                now_us,
+                ageing_us: self.options.ageing_us,
+                overtake_tokens: self.options.overtake_tokens,
+                shares: &pool.shares,
+                backend,
+            };
+            let request_id = pool.queue.peek(&query)?.request_id;
             let late = self
                 .requests
                 .get(&request_id)
@@ -236,8 +251,25 @@
     }
 
     fn is_late(&self, now_us: u64, request: &Request) -> bool {
-        let needed_us = self.pools[request.pool].prior.duration_us / 2.0;
-        now_us + needed_us as u64 > request.deadline_us
+        now_us + self.needed_us(request) > request.deadline_us
+    }
+
+    /// Returns the least time that the request is expected to take at a server.
+    fn needed_us(&self, request: &Request) -> u64 {
+        (self.pools[request.pool].prior.duration_us * NEEDED_SHARE) as u64
+    }
+
+    /// Returns the expected wait of a request in the queue.
+    ///
+    /// What the account's first request has waited counts as well: it tells of competitors that
+    /// come and go between dispatches.
+    fn wait_us(&self, now_us: u64, request: &Request) -> u64 {
+        let pool = &self.pools[request.pool];
+        let ahead = pool.queue.ahead(&request.account, request.priority);
+        let waited_us = pool
+            .queue
+            .waited_us(now_us, &request.account, request.priority);
+        pool.drain_us(ahead + 1).max(waited_us)
     }
 
     fn refuse_queued(
--- a/crates/peridotrack-route/src/fairness.rs
+++ b/crates/peridotrack-route/src/fairness.rs
@@ -22,10 +22,20 @@
         finish.max(self.virtual_now_tokens)
     }
 
-    /// Charges a dispatch to `account`.
-    pub fn charge(&mut self, account: &name::ClientAccount, size_tokens: u64) {
+    /// Charges a dispatch to `account`, with `waiting_tokens` the least virtual time of the accounts
+    /// that still wait.
+    ///
+    /// Virtual time never passes an account that waits, so that it keeps its claim when another
+    /// account overtakes it.
+    pub fn charge(
+        &mut self,
+        account: &name::ClientAccount,
+        size_tokens: u64,
+        waiting_tokens: Option<u64>,
+    ) {
         let start = self.start_tokens(account);
-        self.virtual_now_tokens = start;
+        let least = waiting_tokens.map_or(start, |waiting| waiting.min(start));
+        self.virtual_now_tokens = self.virtual_now_tokens.max(least);
         let finish = start.saturating_add(size_tokens.max(1));
         match self.finish_tokens.get_mut(account) {
             Some(known) => *known = finish,
--- a/crates/peridotrack-route/src/options.rs
+++ b/crates/peridotrack-route/src/options.rs
@@ -27,10 +27,14 @@
     pub slow_start_us: u64,
     /// Shortest time between a sign of leaving and a report that takes it back.
     pub leaving_hold_us: u64,
+    /// Part of the time to a request's deadline that it may be expected to wait in a queue.
+    pub queue_wait_share: f64,
+    /// Tokens by which an account may get ahead of its fair share to use a cached prefix.
+    pub overtake_tokens: u64,
     /// Wait that raises a queued request by one priority.
     pub ageing_us: u64,
-    /// Own requests on the preferred server, as a multiple of the mean, up to which it is kept.
-    pub affinity_load: f64,
+    /// Estimated wait at the preferred server, as a multiple of the least, up to which it is kept.
+    pub affinity_worth: f64,
     /// Cost of a server in another failure domain of the same region.
     pub near_cost_us: u64,
     /// Cost of a server in another region.
@@ -60,8 +64,10 @@
             refusal_hold_us: 200_000,
             slow_start_us: 10_000_000,
             leaving_hold_us: 10_000_000,
+            queue_wait_share: 0.2,
+            overtake_tokens: 16_000,
             ageing_us: 2_000_000,
-            affinity_load: 1.5,
+            affinity_worth: 3.0,
             near_cost_us: 3_000,
             far_cost_us: 60_000,
             choices: 16,
--- a/crates/peridotrack-route/src/place.rs
+++ b/crates/peridotrack-route/src/place.rs
@@ -26,13 +26,37 @@
     options: &Options,
     rng: &mut fastrand::Rng,
 ) -> Option<usize> {
+    let (best_us, best) = scored(backends, pool, query, options, rng)?;
     let preferred = query
         .prefix_hash
         .and_then(|hash| preferred(backends, pool, query, options, hash));
-    preferred.or_else(|| scored(backends, pool, query, options, rng))
+    match preferred {
+        Some(index) if is_worth(&backends[index], pool, query, best_us, options) => Some(index),
+        _ => Some(best),
+    }
 }
 
-/// Returns the available server with the highest rendezvous weight and bounded load.
+/// Returns whether a cached prefix outweighs a shorter wait elsewhere.
+fn is_worth(
+    backend: &Backend,
+    pool: &pool::Pool,
+    query: &Query<'_>,
+    best_us: f64,
+    options: &Options,
+) -> bool {
+    score(backend, pool, query) <= best_us * options.affinity_worth
+}
+
+/// Returns the serving member with the highest rendezvous weight, whether or not it has room.
+pub fn home(backends: &[Backend], pool: &pool::Pool, prefix_hash: u64) -> Option<usize> {
+    highest(pool, prefix_hash, |index| {
+        backends[index].drain.is_serving()
+    })
+}
+
+/// Returns the member with the highest rendezvous weight that takes the request.
+///
+/// A full server passes its prefixes on to the next in order, the same in every router.
 fn preferred(
     backends: &[Backend],
     pool: &pool::Pool,
@@ -40,26 +64,25 @@
     options: &Options,
     prefix_hash: u64,
 ) -> Option<usize> {
-    let members = if pool.near.is_empty() {
-        &pool.far
-    } else {
-        &pool.near
+    highest(pool, prefix_hash, |index| {
+        let backend = &backends[index];
+        backend.breaker.is_closed()
+            && backend.load(query.now_us, &pool.prior) < 1.0
+            && is_open_to(backend, index, query, options)
+    })
+}
+
+#[inline]
+fn highest(pool: &pool::Pool, prefix_hash: u64, takes: impl Fn(usize) -> bool) -> Option<usize> {
+    let members = match pool.near.is_empty() {
+        true => &pool.far,
+        false => &pool.near,
     };
-    let mean = (pool.in_flight + 1) as f64 / pool.len() as f64;
-    let bound = (mean * options.affinity_load).ceil();
     let mut best = None;
     let mut best_weight = 0;
     for member in members {
         let weight = prefix::weight(prefix_hash, member.seed);
-        if weight <= best_weight {
-            continue;
-        }
-        let backend = &backends[member.index];
-        let takes = backend.breaker.is_closed()
-            && f64::from(backend.in_flight) < bound
-            && backend.load(query.now_us, &pool.prior) < 1.0
-            && is_open_to(backend, member.index, query, options);
-        if takes {
+        if weight > best_weight && takes(member.index) {
             best = Some(member.index);
             best_weight = weight;
         }
@@ -74,7 +97,7 @@
     query: &Query<'_>,
     options: &Options,
     rng: &mut fastrand::Rng,
-) -> Option<usize> {
+) -> Option<(f64, usize)> {
     let len = pool.len();
     if len == 0 {
         return None;
@@ -102,7 +125,7 @@
             .find(|&index| is_open_to(&backends[index], index, query, options))
             .map(|index| (0.0, index));
     }
-    best.map(|(_, index)| index)
+    best
 }
 
 #[inline]
--- a/crates/peridotrack-route/src/pool.rs
+++ b/crates/peridotrack-route/src/pool.rs
@@ -4,8 +4,12 @@
 
 /// Weight of a new sample of the duration.
 const DURATION_WEIGHT: f64 = 0.05;
-/// Weight of a new sample of the first-token cost and of the others' load.
-const PRIOR_WEIGHT: f64 = 0.05;
+/// Weight of a new sample of the first-token cost.
+const COST_WEIGHT: f64 = 0.05;
+/// Weight of a new report.
+const REPORT_WEIGHT: f64 = 0.01;
+/// Most routers assumed to share the members.
+const MAX_ROUTERS: f64 = 8.0;
 
 /// A backend server as member of a pool.
 #[derive(Debug, Clone, Copy)]
@@ -35,6 +39,8 @@
     pub in_flight: usize,
     /// What is known about all members together.
     pub prior: signal::Prior,
+    own_mean: f64,
+    total_mean: f64,
 }
 
 impl Pool {
@@ -49,10 +55,12 @@
             shares: fairness::Shares::default(),
             in_flight: 0,
             prior: signal::Prior {
-                others_per_slot: 0.0,
+                routers: 1.0,
                 cost_us: options.first_token_us as f64,
                 duration_us: options.duration_us as f64,
             },
+            own_mean: 0.0,
+            total_mean: 0.0,
         }
     }
 
@@ -84,12 +92,16 @@
 
     /// Takes in the first-token time that a member would have when idle.
     pub fn on_cost(&mut self, cost_us: f64) {
-        self.prior.cost_us += PRIOR_WEIGHT * (cost_us - self.prior.cost_us);
+        self.prior.cost_us += COST_WEIGHT * (cost_us - self.prior.cost_us);
     }
 
-    /// Takes in the requests of other routers per slot at a member.
-    pub fn on_others(&mut self, others_per_slot: f64) {
+    /// Takes in a report of a member: own requests and all requests when it was measured.
+    pub fn on_report(&mut self, own: u32, total: u32) {
         let prior = &mut self.prior;
-        prior.others_per_slot += PRIOR_WEIGHT * (others_per_slot - prior.others_per_slot);
+        self.own_mean += REPORT_WEIGHT * (f64::from(own) - self.own_mean);
+        self.total_mean += REPORT_WEIGHT * (f64::from(total) - self.total_mean);
+        if self.own_mean > 0.0 {
+            prior.routers = (self.total_mean / self.own_mean).clamp(1.0, MAX_ROUTERS);
+        }
     }
 }
--- a/crates/peridotrack-route/src/queue.rs
+++ b/crates/peridotrack-route/src/queue.rs
@@ -7,6 +7,10 @@
 use crate::fairness;
 
 const CLASSES: usize = 3;
+/// Requests of one account among which one is sought that suits a server's cache.
+const SUITED_REQUESTS: usize = 16;
+/// Longest time by which a request is overtaken by a later one of its account.
+const OVERTAKEN_US: u64 = 1_000_000;
 
 /// A queued request.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -19,6 +23,8 @@
     pub priority: rules::Priority,
     /// When it was queued.
     pub queued_us: u64,
+    /// Server that is expected to have its prefix cached.
+    pub preferred: Option<usize>,
 }
 
 /// What became of a request that asked to be queued.
@@ -32,6 +38,21 @@
     Full,
 }
 
+/// What the choice of the next request depends on.
+#[derive(Debug)]
+pub struct Query<'a> {
+    /// Now.
+    pub now_us: u64,
+    /// Wait that raises a request by one priority.
+    pub ageing_us: u64,
+    /// Tokens by which an account may get ahead of its fair share.
+    pub overtake_tokens: u64,
+    /// What each account was given.
+    pub shares: &'a fairness::Shares,
+    /// Server that has room, if it is a certain one.
+    pub backend: Option<usize>,
+}
+
 type Class = BTreeMap<name::ClientAccount, VecDeque<Entry>>;
 
 /// Bounded queue of one pool.
@@ -69,6 +90,24 @@
         higher + same.min(fair)
     }
 
+    /// Returns how long the first request of an account has waited.
+    pub fn waited_us(
+        &self,
+        now_us: u64,
+        account: &name::ClientAccount,
+        priority: rules::Priority,
+    ) -> u64 {
+        let entries = self.classes[priority as usize].get(account);
+        let queued_us = entries.and_then(head_us);
+        queued_us.map_or(0, |queued_us| now_us.saturating_sub(queued_us))
+    }
+
+    /// Returns the least virtual time of the accounts that wait.
+    pub fn start_tokens(&self, shares: &fairness::Shares) -> Option<u64> {
+        let accounts = self.classes.iter().flat_map(BTreeMap::keys);
+        accounts.map(|account| shares.start_tokens(account)).min()
+    }
+
     /// Returns every queued request, oldest first within an account.
     pub fn iter(&self) -> impl Iterator<Item = &Entry> {
         self.classes
@@ -101,18 +140,22 @@
     }
 
     /// Returns the request to dispatch next, and leaves it queued.
-    pub fn peek(&self, now_us: u64, ageing_us: u64, shares: &fairness::Shares) -> Option<&Entry> {
-        let mut best: Option<(u64, &Entry)> = None;
+    ///
+    /// Priority with ageing chooses the class. Within it, the account that was given least goes
+    /// first, unless a request of an account not far ahead suits the cache of `backend`.
+    pub fn peek(&self, query: &Query<'_>) -> Option<&Entry> {
+        let mut best: Option<(u64, &Class)> = None;
         for (rank, class) in self.classes.iter().enumerate().rev() {
             let Some(oldest_us) = class.values().filter_map(head_us).min() else {
                 continue;
             };
-            let aged_us = rank as u64 * ageing_us + now_us.saturating_sub(oldest_us);
+            let waited_us = query.now_us.saturating_sub(oldest_us);
+            let aged_us = rank as u64 * query.ageing_us + waited_us;
             if best.is_none_or(|(best_us, _)| aged_us > best_us) {
-                best = fairest(class, shares).map(|entry| (aged_us, entry));
+                best = Some((aged_us, class));
             }
         }
-        best.map(|(_, entry)| entry)
+        best.and_then(|(_, class)| choose(class, query))
     }
 
     /// Takes a request out; returns it if it was queued.
@@ -160,9 +203,31 @@
     class.values().max_by_key(|entries| entries.len())
 }
 
-fn fairest<'a>(class: &'a Class, shares: &fairness::Shares) -> Option<&'a Entry> {
-    class
+/// Chooses within a class: what suits the cache of the server, else the fairest account's first.
+fn choose<'a>(class: &'a Class, query: &Query<'_>) -> Option<&'a Entry> {
+    let start_tokens = |account| query.shares.start_tokens(account);
+    let (fairest, entries) = class
+        .iter()
+        .min_by_key(|(account, _)| start_tokens(account))?;
+    let latest_tokens = start_tokens(fairest).saturating_add(query.overtake_tokens);
+    let suited = query.backend.and_then(|backend| {
+        class
+            .iter()
+            .filter(|(account, _)| start_tokens(account) <= latest_tokens)
+            .flat_map(|(_, entries)| first(entries))
+            .filter(|entry| entry.preferred == Some(backend))
+            .min_by_key(|entry| start_tokens(&entry.account))
+    });
+    suited
+        .or_else(|| first(entries).find(|entry| entry.preferred.is_none()))
+        .or_else(|| entries.front())
+}
+
+/// Returns the requests of one account that may overtake its first.
+fn first(entries: &VecDeque<Entry>) -> impl Iterator<Item = &Entry> {
+    let latest_us = head_us(entries).unwrap_or(0) + OVERTAKEN_US;
+    entries
         .iter()
-        .min_by_key(|(account, _)| shares.start_tokens(account))
-        .and_then(|(_, entries)| entries.front())
+        .take(SUITED_REQUESTS)
+        .take_while(move |entry| entry.queued_us <= latest_us)
 }
--- a/crates/peridotrack-route/src/router.rs
+++ b/crates/peridotrack-route/src/router.rs
@@ -76,9 +76,10 @@
 
     fn backend_status(&self, now_us: u64, index: usize) -> status::BackendServer {
         let backend = &self.backends[index];
+        let own = f64::from(backend.in_flight);
         let others = |&pool: &usize| {
             let prior = &self.pools[pool].prior;
-            backend.signal.others(now_us, backend.slots, prior)
+            backend.signal.total(now_us, own, prior) - own
         };
         status::BackendServer {
             name: backend.name.clone(),
@@ -203,10 +204,8 @@
             return;
         };
         backend.limit.on_report(own, total);
-        let others = backend.signal.reported_others().unwrap_or(0.0);
-        let others_per_slot = others / f64::from(backend.slots.max(1));
         for &pool in &backend.pools {
-            self.pools[pool].on_others(others_per_slot);
+            self.pools[pool].on_report(own, total);
         }
         self.pump_backend(now_us, index, actions);
     }
--- a/crates/peridotrack-route/src/signal.rs
+++ b/crates/peridotrack-route/src/signal.rs
@@ -9,11 +9,12 @@
 /// Time over which an unused cost returns to the mean of the pool.
 const COST_MEMORY_US: f64 = 20_000_000.0;
 
-/// A late report, less the part that this router knew as its own.
+/// A late report, with the own requests at the time it was measured.
 #[derive(Debug, Clone, Copy)]
 struct Report {
     measured_us: u64,
-    others: f64,
+    own: f64,
+    total: f64,
 }
 
 /// Load and speed of one backend server.
@@ -28,8 +29,8 @@
 /// What is known about all backend servers together; stands in where a report is missing.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Prior {
-    /// Requests of other routers per slot.
-    pub others_per_slot: f64,
+    /// Routers that share the servers, seen from how many requests are not this router's.
+    pub routers: f64,
     /// First-token time of an idle server.
     pub cost_us: f64,
     /// Mean duration of a request: the time over which a report loses its meaning.
@@ -63,7 +64,8 @@
         let own = self.own.at(measured_us);
         self.report = Some(Report {
             measured_us,
-            others: f64::from(total.saturating_sub(own)),
+            own: f64::from(own),
+            total: f64::from(total),
         });
         Some(own)
     }
@@ -76,21 +78,20 @@
         self.cost_sampled_us = now_us;
     }
 
-    /// Returns the estimated requests of other routers.
+    /// Returns the estimated requests of all routers, `own` of them this router's.
+    ///
+    /// Other routers act on the same reports, so each own request since the report stands for one
+    /// of every router. As the report ages, the estimate returns to own requests times routers.
     #[inline]
-    pub fn others(&self, now_us: u64, slots: u32, prior: &Prior) -> f64 {
-        let expected = prior.others_per_slot * f64::from(slots);
+    pub fn total(&self, now_us: u64, own: f64, prior: &Prior) -> f64 {
+        let expected = own * prior.routers;
         let Some(report) = self.report else {
             return expected;
         };
         let age_us = now_us.saturating_sub(report.measured_us) as f64;
-        let weight = 1.0 / (1.0 + age_us / prior.duration_us.max(1.0));
-        report.others * weight + expected * (1.0 - weight)
-    }
-
-    /// Returns the others' requests of the last report.
-    pub fn reported_others(&self) -> Option<f64> {
-        self.report.map(|report| report.others)
+        let weight = (-age_us / prior.duration_us.max(1.0)).exp();
+        let correction = report.total - report.own * prior.routers;
+        (expected + weight * correction).max(own)
     }
 
     /// Returns the first-token time of this server when idle.
