--- a/crates/peridotrack-member/src/gossip.rs
+++ b/crates/peridotrack-member/src/gossip.rs
@@ -14,15 +14,17 @@
     peer::{Peer, Status, Why},
 };
 
-/// Messages to contacts in one period while no peer is usable.
+/// Messages to contacts in one period while no peer of the same failure domain is usable.
 const CONTACTS_WHEN_ALONE: usize = 3;
 /// With `n` usable peers, a contact is tried in one of `1 + n / CONTACT_SHARE` periods.
-const CONTACT_SHARE: usize = 8;
+const CONTACT_SHARE: usize = 2;
+/// Most records in a reply to a router of another failure domain.
+const FOREIGN_REPLY_RECORDS: usize = 2;
 /// Peers that are told directly that this router has ended.
 const FAREWELLS: usize = 8;
 /// One in this many heartbeats carries the record of a peer in another failure domain.
 const FOREIGN_RECORD_SHARE: u32 = 4;
-/// Messages that carry a piece of news, beyond twice the binary logarithm of the peers.
+/// Messages that carry a piece of news, beyond the binary logarithm of the peers.
 const NEWS_BASE_MESSAGES: u32 = 2;
 
 /// The state of a router's heartbeats.
@@ -34,7 +36,10 @@
     round: Vec<name::Vm>,
     /// Failure domain that got the last heartbeat to another one.
     last_domain: Option<name::FailureDomain>,
+    /// Replies in this period.
     replies: u32,
+    /// Records sent in this period.
+    records: usize,
     /// Peers whose record is news, and the messages that have carried it.
     news: VecDeque<(name::Vm, u32)>,
 }
@@ -47,6 +52,7 @@
             round: Vec::new(),
             last_domain: None,
             replies: 0,
+            records: 0,
             news: VecDeque::new(),
         }
     }
@@ -77,6 +83,7 @@
         }
         self.gossip.next_us = now_us + self.gossip.jitter(self.options.heartbeat_period_us);
         self.gossip.replies = 0;
+        self.gossip.records = 0;
         self.local.beat += 1;
         let near = self.next_in_domain();
         let far = self.next_foreign();
@@ -96,7 +103,7 @@
     pub(crate) fn reply(&mut self, now_us: u64, to: &Report, actions: &mut Vec<Action>) {
         self.gossip.replies += 1;
         let report = if self.gossip.replies > self.options.replies_per_period {
-            self.empty_report()
+            self.short_report(now_us, to)
         } else {
             self.reply_report(now_us, to)
         };
@@ -187,7 +194,11 @@
             .filter(|peer| peer.is_live())
             .map(|peer| peer.record.peer_address)
             .collect();
-        let count = if live.is_empty() {
+        let is_alone = !self
+            .table
+            .in_domain(&self.local.failure_domain)
+            .any(Peer::is_live);
+        let count = if is_alone {
             CONTACTS_WHEN_ALONE
         } else {
             usize::from(self.gossip.rng.usize(..=live.len() / CONTACT_SHARE) == 0)
@@ -254,8 +265,14 @@
             }
         }
         self.sample(&mut beats, self.options.beats_per_message);
-        let wanted = usize::from(to.wanted_records).min(self.options.records_per_message);
+        let wanted = usize::from(to.wanted_records).min(self.records_left());
+        let wanted = if self.is_same_domain(&to.from) {
+            wanted
+        } else {
+            wanted.min(FOREIGN_REPLY_RECORDS)
+        };
         self.sample(&mut unknown, wanted);
+        self.gossip.records += unknown.len();
         Report {
             beats,
             records: unknown,
@@ -263,6 +280,23 @@
         }
     }
 
+    /// Returns one other peer for a router that lacks some, to spread the load.
+    fn short_report(&mut self, now_us: u64, to: &Report) -> Report {
+        let mut records = Vec::new();
+        if to.wanted_records > 0 && self.is_same_domain(&to.from) {
+            records = self
+                .heard(now_us, &self.local.failure_domain)
+                .filter(|peer| peer.record.vm != to.from.vm)
+                .map(|peer| peer.record.clone())
+                .collect();
+            self.sample(&mut records, 1);
+        }
+        Report {
+            records,
+            ..self.empty_report()
+        }
+    }
+
     fn empty_report(&self) -> Report {
         Report {
             from: self.local.clone(),
@@ -295,9 +329,9 @@
     /// Returns the records that are news, and counts them as carried once more.
     fn take_news(&mut self) -> Vec<Record> {
         let peers = self.table.iter().count();
-        let messages = NEWS_BASE_MESSAGES + 2 * (peers + 1).ilog2();
+        let messages = NEWS_BASE_MESSAGES + (peers + 1).ilog2();
         let mut records = Vec::new();
-        for _ in 0..self.gossip.news.len().min(self.options.records_per_message) {
+        for _ in 0..self.gossip.news.len().min(self.records_left()) {
             let Some((vm, carried)) = self.gossip.news.pop_front() else {
                 break;
             };
@@ -309,9 +343,19 @@
                 self.gossip.news.push_back((vm, carried + 1));
             }
         }
+        self.gossip.records += records.len();
         records
     }
 
+    /// Returns how many records the next message may carry.
+    fn records_left(&self) -> usize {
+        let left = self
+            .options
+            .records_per_period
+            .saturating_sub(self.gossip.records);
+        left.min(self.options.records_per_message)
+    }
+
     /// Returns at times a peer of another failure domain, for routers that know none.
     fn foreign_record(&mut self, now_us: u64) -> Option<Record> {
         if self.gossip.rng.u32(..FOREIGN_RECORD_SHARE) != 0 {
--- a/crates/peridotrack-member/src/member.rs
+++ b/crates/peridotrack-member/src/member.rs
@@ -55,11 +55,15 @@
     pub beats_per_message: usize,
     /// Most records in one message, besides the sender's own.
     pub records_per_message: usize,
+    /// Most records in all messages of one heartbeat period.
+    pub records_per_period: usize,
     /// Most full replies in one heartbeat period.
     pub replies_per_period: u32,
     /// Routers of a failure domain that watch the platform's configuration.
     pub watchers_per_domain: usize,
-    /// Time between polls of the platform, in microseconds.
+    /// Time between polls of the platform by a router that watches it, in microseconds.
+    pub watcher_poll_period_us: u64,
+    /// Time between polls of the platform by any other router, in microseconds.
     pub poll_period_us: u64,
     /// Time after which the fetch of a configuration counts as failed, in microseconds.
     pub fetch_timeout_us: u64,
@@ -85,17 +89,19 @@
     fn default() -> Self {
         Self {
             heartbeat_period_us: 1_000_000,
-            silent_after_us: 8_000_000,
+            silent_after_us: 10_000_000,
             foreign_silent_after_us: 30_000_000,
             forget_after_us: 60_000_000,
-            unanswered_heartbeats: 3,
+            unanswered_heartbeats: 5,
             domain_peers: 256,
             foreign_peers: 8,
             beats_per_message: 64,
-            records_per_message: 4,
-            replies_per_period: 4,
+            records_per_message: 16,
+            records_per_period: 24,
+            replies_per_period: 5,
             watchers_per_domain: 2,
-            poll_period_us: 10_000_000,
+            watcher_poll_period_us: 5_000_000,
+            poll_period_us: 30_000_000,
             fetch_timeout_us: 2_000_000,
         }
     }
@@ -261,7 +267,7 @@
         }
         self.forget(now_us);
         if now_us >= self.next_poll_us {
-            self.next_poll_us = now_us + self.gossip.jitter(self.options.poll_period_us);
+            self.next_poll_us = now_us + self.gossip.jitter(self.poll_period_us(now_us));
             actions.push(Action::PollPlatform);
         }
         self.heartbeats(now_us, actions);
@@ -434,10 +440,18 @@
         }
     }
 
+    fn poll_period_us(&self, now_us: u64) -> u64 {
+        if self.is_watcher(now_us) {
+            self.options.watcher_poll_period_us
+        } else {
+            self.options.poll_period_us
+        }
+    }
+
     /// Polls soon again after a first failure, then less and less often.
     fn on_platform_unreachable(&mut self, now_us: u64) {
         let wait_us = (self.options.heartbeat_period_us << self.poll_failures.min(8))
-            .min(self.options.poll_period_us);
+            .min(self.poll_period_us(now_us));
         self.poll_failures += 1;
         self.next_poll_us = now_us + self.gossip.jitter(wait_us);
     }
--- /dev/null
+++ b/crates/peridotrack-member/tests/search.rs
@@ -0,0 +1,151 @@
+//! Random faults never take a configuration version back, and all reachable
+//! routers converge once the faults end.
+
+mod fleet;
+
+use fleet::{Fleet, SECOND_US};
+use rstest::rstest;
+
+const MAX_CONVERGENCE_US: u64 = 11 * SECOND_US;
+const DOMAINS: [usize; 4] = [2, 2, 2, 2];
+const FAULT_STEPS: usize = 40;
+
+/// Makes one random fault or repair.
+fn disturb(fleet: &mut Fleet) {
+    let index = fleet.rng.usize(..fleet.vms.len());
+    let domain = fleet.rng.usize(..DOMAINS.len());
+    let other = fleet.rng.usize(..DOMAINS.len());
+    match fleet.rng.u32(..10) {
+        0 => fleet.loss_percent = fleet.rng.u32(..40),
+        1 => fleet.vms[index].is_paused = true,
+        2 => fleet.vms[index].is_paused = false,
+        3 => fleet.vms[index].is_up = false,
+        4 => fleet.restart(index),
+        5 => {
+            fleet.cuts.insert((domain.min(other), domain.max(other)));
+        }
+        6 => fleet.cuts.clear(),
+        7 => {
+            fleet.platform_reaches.remove(&domain);
+        }
+        8 => {
+            fleet.platform_reaches.insert(domain);
+        }
+        _ => fleet.platform_version += 1,
+    }
+}
+
+fn assert_versions_rise(fleet: &Fleet) {
+    for vm in &fleet.vms {
+        let held = vm.members.config_version();
+        assert!(vm.in_force.is_sorted_by(|a, b| a < b), "{:?}", vm.in_force);
+        assert!(held <= fleet.platform_version);
+        assert_eq!(vm.in_force.last().copied().unwrap_or(0), held);
+    }
+}
+
+fn repair(fleet: &mut Fleet) {
+    fleet.loss_percent = 0;
+    fleet.cuts.clear();
+    for index in 0..fleet.vms.len() {
+        fleet.vms[index].is_paused = false;
+        if !fleet.vms[index].is_up {
+            fleet.restart(index);
+        }
+    }
+}
+
+#[rstest]
+fn versions_never_go_back_and_converge_after_faults(#[values(0, 1, 2, 3)] part: u64) {
+    const SEEDS_PER_PART: u64 = 50;
+    let mut worst_us = 0;
+    for seed in part * SEEDS_PER_PART..(part + 1) * SEEDS_PER_PART {
+        let mut fleet = Fleet::start(&DOMAINS, seed);
+        for _ in 0..FAULT_STEPS {
+            disturb(&mut fleet);
+            let duration_us = fleet.rng.u64(100_000..8 * SECOND_US);
+            fleet.run_for(duration_us);
+            assert_versions_rise(&fleet);
+        }
+        repair(&mut fleet);
+        fleet.platform_version += 1;
+        // One domain learns of it from the platform, the others from their peers.
+        fleet.platform_reaches = [fleet.rng.usize(..DOMAINS.len())].into();
+        let version = fleet.platform_version;
+        let took_us = fleet.run_until(MAX_CONVERGENCE_US, |fleet| fleet.all_hold(version));
+        assert!(fleet.all_hold(version), "seed {seed}");
+        worst_us = worst_us.max(took_us);
+        assert_versions_rise(&fleet);
+    }
+    println!("slowest convergence after faults: {} ms", worst_us / 1_000);
+}
+
+#[test]
+fn a_restart_without_the_platform_takes_the_version_from_peers() {
+    let mut fleet = Fleet::start(&DOMAINS, 3);
+    fleet.run_for(20 * SECOND_US);
+    fleet.platform_version = 7;
+    fleet.run_until(MAX_CONVERGENCE_US, |fleet| fleet.all_hold(7));
+    fleet.platform_reaches.clear();
+    for index in 0..fleet.vms.len() {
+        fleet.restart(index);
+        let took_us = fleet.run_until(MAX_CONVERGENCE_US, |fleet| fleet.all_hold(7));
+        assert!(took_us <= 3 * SECOND_US, "VM {index} after {took_us} us");
+    }
+    assert!(fleet.all_hold(7));
+}
+
+#[test]
+fn a_store_that_lost_versions_takes_no_router_back() {
+    let mut fleet = Fleet::start(&DOMAINS, 4);
+    fleet.platform_version = 9;
+    fleet.run_until(MAX_CONVERGENCE_US, |fleet| fleet.all_hold(9));
+    fleet.platform_version = 4;
+    fleet.restart(0);
+    fleet.run_for(60 * SECOND_US);
+    assert!(fleet.all_hold(9));
+}
+
+#[test]
+fn a_paused_router_is_left_out_and_comes_back() {
+    let mut fleet = Fleet::start(&[6, 6], 5);
+    fleet.run_until(60 * SECOND_US, Fleet::all_live);
+    fleet.vms[2].is_paused = true;
+    let left_us = fleet.run_until(60 * SECOND_US, Fleet::all_live);
+    assert!(left_us <= 15 * SECOND_US, "left out after {left_us} us");
+    fleet.run_for(600 * SECOND_US);
+    fleet.vms[2].is_paused = false;
+    let back_us = fleet.run_until(60 * SECOND_US, Fleet::all_live);
+    assert!(back_us <= 11 * SECOND_US, "back after {back_us} us");
+}
+
+#[rstest]
+#[case::with_the_seeds(true)]
+#[case::without_the_seeds(false)]
+fn domains_find_each_other_after_an_hour_apart(#[case] seeds_are_up: bool) {
+    let mut fleet = Fleet::start(&DOMAINS, 6);
+    fleet.run_for(60 * SECOND_US);
+    let all_pairs = |fleet: &Fleet| {
+        let live = |vm: &fleet::Vm| vm.members.live(fleet.now_us).count();
+        fleet
+            .running()
+            .all(|vm| live(vm) + 1 == fleet.running().count())
+    };
+    assert!(all_pairs(&fleet));
+    for index in (0..fleet.vms.len()).step_by(2) {
+        fleet.vms[index].is_up = seeds_are_up;
+    }
+    fleet.cuts = (0..4)
+        .flat_map(|a| (a + 1..4).map(move |b| (a, b)))
+        .collect();
+    fleet.run_for(3_600 * SECOND_US);
+    let live = fleet.vms[1].members.live(fleet.now_us).count();
+    assert_eq!(
+        live,
+        usize::from(seeds_are_up),
+        "peers of other domains are left out"
+    );
+    fleet.cuts.clear();
+    let took_us = fleet.run_until(60 * SECOND_US, all_pairs);
+    assert!(took_us <= 11 * SECOND_US, "after {took_us} us");
+}
