--- a/crates/peridotrack-types/src/config.rs
+++ b/crates/peridotrack-types/src/config.rs
@@ -1,5 +1,7 @@
 //! The versioned configuration: register and rules, accepted as one.
 
+pub mod store;
+
 mod validate;
 
 use serde::{Deserialize, Serialize};
@@ -8,10 +10,10 @@
 
 pub(crate) use validate::name_fault;
 pub use validate::{
-    MAX_BACKEND_SERVERS, MAX_BUDGETS, MAX_CLIENT_ACCOUNTS, MAX_DEADLINE_MS, MAX_FAILURE_DOMAINS,
-    MAX_KEYS_PER_ACCOUNT, MAX_MODELS_PER_ENGINE, MAX_NAME_BYTES, MAX_OUTPUT_TOKENS,
-    MAX_PATH_PREFIX_BYTES, MAX_PURCHASED_TOKENS, MAX_QUEUE_REQUESTS, MAX_RULES, MAX_SLOTS, check,
-    check_change,
+    MAX_ACCOUNTS_PER_BUDGET, MAX_BACKEND_SERVERS, MAX_BUDGETS, MAX_CLIENT_ACCOUNTS,
+    MAX_DEADLINE_MS, MAX_FAILURE_DOMAINS, MAX_KEYS_PER_ACCOUNT, MAX_MODELS_PER_BUDGET,
+    MAX_MODELS_PER_ENGINE, MAX_NAME_BYTES, MAX_OUTPUT_TOKENS, MAX_PATH_PREFIX_BYTES,
+    MAX_PURCHASED_TOKENS, MAX_QUEUE_REQUESTS, MAX_RULES, MAX_SLOTS, check, check_change,
 };
 
 /// One accepted configuration.
--- a/crates/peridotrack-types/src/config/validate.rs
+++ b/crates/peridotrack-types/src/config/validate.rs
@@ -28,6 +28,10 @@
 pub const MAX_SLOTS: u32 = 65_536;
 /// Most budgets.
 pub const MAX_BUDGETS: usize = 1_000_000;
+/// Most client accounts of one budget.
+pub const MAX_ACCOUNTS_PER_BUDGET: usize = 4_096;
+/// Most models of one budget.
+pub const MAX_MODELS_PER_BUDGET: usize = 256;
 /// Most tokens ever purchased for one budget: the largest integer that every JSON reader keeps.
 pub const MAX_PURCHASED_TOKENS: u64 = (1 << 53) - 1;
 /// Most priority rules, and most routes.
--- a/crates/peridotrack-types/src/config/validate/rules.rs
+++ b/crates/peridotrack-types/src/config/validate/rules.rs
@@ -3,8 +3,9 @@
 use std::collections::BTreeMap;
 
 use super::{
-    Declared, Form, MAX_BUDGETS, MAX_DEADLINE_MS, MAX_OUTPUT_TOKENS, MAX_PATH_PREFIX_BYTES,
-    MAX_PURCHASED_TOKENS, MAX_QUEUE_REQUESTS, MAX_RULES, Report,
+    Declared, Form, MAX_ACCOUNTS_PER_BUDGET, MAX_BUDGETS, MAX_DEADLINE_MS, MAX_MODELS_PER_BUDGET,
+    MAX_OUTPUT_TOKENS, MAX_PATH_PREFIX_BYTES, MAX_PURCHASED_TOKENS, MAX_QUEUE_REQUESTS, MAX_RULES,
+    Report,
 };
 use crate::rules::{Limits, PriorityRule, Route, Rules};
 
@@ -35,6 +36,11 @@
         if budget.client_accounts.is_empty() {
             report.add(&accounts_path, "has no element, so no one can spend it");
         }
+        report.count(
+            &accounts_path,
+            budget.client_accounts.len(),
+            MAX_ACCOUNTS_PER_BUDGET,
+        );
         let mut accounts = BTreeMap::new();
         for (number, account) in budget.client_accounts.iter().enumerate() {
             let path = format!("{accounts_path}[{number}]");
@@ -42,9 +48,11 @@
             report.reference(&path, &declared.client_accounts, account, "client account");
             report.unique(&mut accounts, &path, account, "client account");
         }
+        let models_path = format!("{path}.models");
+        report.count(&models_path, budget.models.len(), MAX_MODELS_PER_BUDGET);
         let mut models = BTreeMap::new();
         for (number, model) in budget.models.iter().enumerate() {
-            let path = format!("{path}.models[{number}]");
+            let path = format!("{models_path}[{number}]");
             report.reference(&path, &declared.models, model.as_str(), "model");
             report.unique(&mut models, &path, model.as_str(), "model");
         }
