fix(member): routers whose seeds are in another failure domain find their own

Cause: a reply carries only peers of the replying router's domain, so a domain without a seed of its own stays unknown to itself. Ruled out: the usage log (it was told no peers).

A heartbeat now says how many peers of its domain the sender knows, and a router of another domain answers one that knows fewer with one of them.

--- a/crates/peridotrack-member/src/gossip.rs
+++ b/crates/peridotrack-member/src/gossip.rs
@@ -24,6 +24,8 @@
 const FAREWELLS: usize = 8;
 /// One in this many heartbeats carries the record of a peer in another failure domain.
 const FOREIGN_RECORD_SHARE: u32 = 4;
+/// One in this many replies to another failure domain carries a peer of that domain.
+const NEIGHBOUR_SHARE: u32 = 32;
 /// Messages that carry a piece of news, beyond the binary logarithm of the peers.
 const NEWS_BASE_MESSAGES: u32 = 2;
 
@@ -186,6 +188,12 @@
         Some(vm)
     }
 
+    /// Returns how many other routers of the same failure domain are usable, at most 255.
+    fn domain_peers(&self) -> u8 {
+        let peers = self.table.in_domain(&self.local.failure_domain);
+        u8::try_from(peers.filter(|peer| peer.is_live()).count()).unwrap_or(u8::MAX)
+    }
+
     /// Returns addresses to try where a router may be found that is not a usable peer.
     fn contacts_due(&mut self) -> Vec<SocketAddr> {
         let live: BTreeSet<_> = self
@@ -194,11 +202,7 @@
             .filter(|peer| peer.is_live())
             .map(|peer| peer.record.peer_address)
             .collect();
-        let is_alone = !self
-            .table
-            .in_domain(&self.local.failure_domain)
-            .any(Peer::is_live);
-        let count = if is_alone {
+        let count = if self.domain_peers() == 0 {
             CONTACTS_WHEN_ALONE
         } else {
             usize::from(self.gossip.rng.usize(..=live.len() / CONTACT_SHARE) == 0)
@@ -243,6 +247,7 @@
             beats,
             records,
             wanted_records: u8::try_from(wanted_records).unwrap_or(u8::MAX),
+            domain_peers: self.domain_peers(),
         }
     }
 
@@ -272,6 +277,7 @@
             wanted.min(FOREIGN_REPLY_RECORDS)
         };
         self.sample(&mut unknown, wanted);
+        unknown.extend(self.neighbour(now_us, to));
         self.gossip.records += unknown.len();
         Report {
             beats,
@@ -280,6 +286,28 @@
         }
     }
 
+    /// Returns a peer in the failure domain of a sender from another one.
+    ///
+    /// Routers whose seeds are all in other failure domains find those of their own this way.
+    /// A sender that knows fewer of them than this router always gets one; others get one at
+    /// times, so that groups that do not know of each other meet.
+    fn neighbour(&mut self, now_us: u64, to: &Report) -> Option<Record> {
+        if self.is_same_domain(&to.from) || self.records_left() == 0 {
+            return None;
+        }
+        let mut neighbours: Vec<_> = self
+            .heard(now_us, &to.from.failure_domain)
+            .filter(|peer| peer.record.vm != to.from.vm)
+            .map(|peer| peer.record.clone())
+            .collect();
+        let knows_fewer = usize::from(to.domain_peers) < neighbours.len();
+        if !knows_fewer && self.gossip.rng.u32(..NEIGHBOUR_SHARE) != 0 {
+            return None;
+        }
+        self.sample(&mut neighbours, 1);
+        neighbours.pop()
+    }
+
     /// Returns one other peer for a router that lacks some, to spread the load.
     fn short_report(&mut self, now_us: u64, to: &Report) -> Report {
         let mut records = Vec::new();
@@ -303,6 +331,7 @@
             beats: Vec::new(),
             records: Vec::new(),
             wanted_records: 0,
+            domain_peers: self.domain_peers(),
         }
     }
 
--- a/crates/peridotrack-member/src/message.rs
+++ b/crates/peridotrack-member/src/message.rs
@@ -65,6 +65,8 @@
     pub records: Vec<Record>,
     /// Records of peers not named in `beats` that the sender would take.
     pub wanted_records: u8,
+    /// Usable peers of its own failure domain that the sender knows, at most 255.
+    pub domain_peers: u8,
 }
 
 /// A message between routers about liveness.
--- a/crates/peridotrack-member/tests/fleet/mod.rs
+++ b/crates/peridotrack-member/tests/fleet/mod.rs
@@ -127,6 +127,21 @@
         vm.in_force.clear();
     }
 
+    /// Starts every router anew with seeds in one failure domain alone.
+    pub fn restart_with_seeds_in(&mut self, domain: usize) {
+        let of_domain = |vm: &&Vm| vm.domain == domain;
+        self.seeds = self
+            .vms
+            .iter()
+            .filter(of_domain)
+            .map(|vm| vm.address)
+            .take(2)
+            .collect();
+        for index in 0..self.vms.len() {
+            self.restart(index);
+        }
+    }
+
     pub fn run_for(&mut self, duration_us: u64) {
         let end_us = self.now_us + duration_us;
         while let Some(entry) = self.queue.first_entry() {
--- a/crates/peridotrack-member/tests/members.rs
+++ b/crates/peridotrack-member/tests/members.rs
@@ -69,6 +69,7 @@
             beats,
             records,
             wanted_records: 0,
+            domain_peers: 0,
         }),
     }
 }
--- a/crates/peridotrack-member/tests/search.rs
+++ b/crates/peridotrack-member/tests/search.rs
@@ -149,3 +149,19 @@
     let took_us = fleet.run_until(60 * SECOND_US, all_pairs);
     assert!(took_us <= 11 * SECOND_US, "after {took_us} us");
 }
+
+#[rstest]
+#[case::pairs(&[2, 2])]
+#[case::today(&[2, 2, 2, 2])]
+#[case::larger(&[8, 8, 8])]
+fn peers_of_a_domain_find_each_other_through_seeds_of_another(#[case] domains: &[usize]) {
+    for seed in 0..20 {
+        let mut fleet = Fleet::start(domains, seed);
+        fleet.restart_with_seeds_in(0);
+        let took_us = fleet.run_until(60 * SECOND_US, Fleet::all_live);
+        assert!(
+            took_us <= MAX_CONVERGENCE_US,
+            "seed {seed}: after {took_us} us"
+        );
+    }
+}
