perf(http): less memory for each open stream, and many events in one write

A connection that waits held 8 KiB for the read to come, and a decoded head kept the read buffer alive. Waits now need no buffer, heads are copied out (a few hundred bytes), and reads grow from 2 to 32 KiB only while bytes wait. buffered_chunk gives what one read brought, so that a relay writes it together.

--- a/crates/peridotrack-http/src/client/connection.rs
+++ b/crates/peridotrack-http/src/client/connection.rs
@@ -134,6 +134,22 @@
         }
     }
 
+    /// Gives the next bytes of the answer's body that were read already, without any wait.
+    ///
+    /// `None` if there are none now; the end of the body is told by [`Connection::next_chunk`]
+    /// alone. Under load one read brings many chunks: passing them on together saves a write
+    /// for each.
+    pub fn buffered_chunk(&mut self) -> Result<Option<Bytes>, Error> {
+        match self.next_piece() {
+            Ok(Piece::Data(data)) => {
+                self.skip_empty_body();
+                Ok(Some(data))
+            }
+            Ok(Piece::Insufficient | Piece::End) => Ok(None),
+            Err(kind) => Err(self.fail(Step::Body, kind)),
+        }
+    }
+
     /// Reads the rest of the answer's body whole, up to the limit.
     pub async fn read_body(&mut self) -> Result<Bytes, Error> {
         let mut whole = BytesMut::new();
--- a/crates/peridotrack-http/src/head.rs
+++ b/crates/peridotrack-http/src/head.rs
@@ -1,6 +1,6 @@
 //! Finds, checks and decodes message heads.
 
-use bytes::BytesMut;
+use bytes::{Buf, BytesMut};
 use http::{HeaderMap, header};
 use monoio_codec::{Decoded, Decoder};
 use monoio_http::h1::codec::decoder::{DecodeError, RequestHeadDecoder, ResponseHeadDecoder};
@@ -28,7 +28,7 @@
 }
 
 impl Scanner {
-    /// Splits a complete head off `buffer`, or returns `None` if more bytes are needed.
+    /// Takes a complete head off `buffer`, or returns `None` if more bytes are needed.
     pub(crate) fn split(
         &mut self,
         buffer: &mut BytesMut,
@@ -46,7 +46,10 @@
             }
             if line.len() == 2 {
                 self.line_start = 0;
-                return Ok(Some(buffer.split_to(end)));
+                // A copy, because the decoded head would keep the whole read buffer alive.
+                let head = BytesMut::from(&buffer[..end]);
+                buffer.advance(end);
+                return Ok(Some(head));
             }
             self.line_start = end;
         }
--- a/crates/peridotrack-http/src/server/answer.rs
+++ b/crates/peridotrack-http/src/server/answer.rs
@@ -60,6 +60,7 @@
         };
         let text = encode::response_head(&head, length, !keep_alive);
         self.write_bytes(text.freeze()).await?;
+        self.wire.release();
         self.phase = Phase::Streaming;
         Ok(())
     }
--- a/crates/peridotrack-http/src/server/connection.rs
+++ b/crates/peridotrack-http/src/server/connection.rs
@@ -132,6 +132,9 @@
     /// head limit; behind more than that, the close is not seen. Safe to drop and repeat.
     pub async fn closed(&mut self) {
         while self.wire.buffer.len() < self.options.head_bytes {
+            if self.wire.readable().await.is_err() {
+                return;
+            }
             if !self.wire.read_more().await.unwrap_or(false) {
                 return;
             }
@@ -162,12 +165,15 @@
 
     /// Waits for the first byte of a request; `false` when none will come.
     async fn wait_for_request(&mut self) -> Result<bool, Error> {
+        self.wire.release();
         let limit_ms = self.options.head_timeout_ms;
-        match wire::within(limit_ms, self.wire.read_more()).await {
-            None => Ok(false),
-            Some(Ok(more)) => Ok(more),
-            Some(Err(error)) if error.kind() == io::ErrorKind::ConnectionReset => Ok(false),
-            Some(Err(error)) => Err(self.io(Step::Head, error)),
+        if wire::within(limit_ms, self.wire.readable()).await.is_none() {
+            return Ok(false);
+        }
+        match self.wire.read_more().await {
+            Ok(more) => Ok(more),
+            Err(error) if error.kind() == io::ErrorKind::ConnectionReset => Ok(false),
+            Err(error) => Err(self.io(Step::Head, error)),
         }
     }
 
--- a/crates/peridotrack-http/src/wire.rs
+++ b/crates/peridotrack-http/src/wire.rs
@@ -15,8 +15,10 @@
     net::TcpStream,
 };
 
-/// Bytes asked for in one read.
-const READ_BYTES: usize = 8 * 1024;
+/// Bytes asked for in one read of a quiet connection.
+const MIN_READ_BYTES: usize = 2 * 1024;
+/// Bytes asked for in one read of a busy connection.
+const MAX_READ_BYTES: usize = 32 * 1024;
 /// Most bytes written under one timeout.
 const WRITE_BYTES: usize = 64 * 1024;
 
@@ -31,6 +33,7 @@
     stream: TcpStream,
     peer: SocketAddr,
     written_bytes: u64,
+    read_bytes: usize,
     /// Bytes that arrived and were not used yet.
     pub(crate) buffer: BytesMut,
 }
@@ -43,6 +46,7 @@
             stream,
             peer,
             written_bytes: 0,
+            read_bytes: MIN_READ_BYTES,
             buffer: BytesMut::new(),
         }
     }
@@ -63,14 +67,40 @@
         readable.poll(&mut context).is_ready()
     }
 
+    /// Resolves when a read would give bytes, the end of the stream, or an error.
+    ///
+    /// Unlike a read, the wait needs no memory for the bytes to come.
+    pub(crate) async fn readable(&self) -> io::Result<()> {
+        self.stream.readable(false).await
+    }
+
+    /// Frees the buffer's memory if it holds no bytes.
+    pub(crate) fn release(&mut self) {
+        if self.buffer.is_empty() {
+            self.buffer = BytesMut::new();
+        }
+    }
+
     /// Appends what arrives next to the buffer; `false` at the end of the stream.
     pub(crate) async fn read_more(&mut self) -> io::Result<bool> {
-        self.buffer.reserve(READ_BYTES);
+        self.buffer.reserve(self.read_bytes);
         // The spare part shares the buffer's memory, so that joining them copies nothing.
         let spare = self.buffer.split_off(self.buffer.len());
+        let room_bytes = spare.capacity();
         let (outcome, spare) = self.stream.read(spare).await;
         self.buffer.unsplit(spare);
-        Ok(outcome? > 0)
+        let count_bytes = outcome?;
+        self.adapt(count_bytes, room_bytes);
+        Ok(count_bytes > 0)
+    }
+
+    /// Reads more at once while bytes wait in the kernel, and less once they do not.
+    fn adapt(&mut self, count_bytes: usize, room_bytes: usize) {
+        if count_bytes == room_bytes {
+            self.read_bytes = (self.read_bytes * 2).min(MAX_READ_BYTES);
+        } else if count_bytes < self.read_bytes / 4 {
+            self.read_bytes = (self.read_bytes / 2).max(MIN_READ_BYTES);
+        }
     }
 
     /// Writes all of `bytes`, each 64 KiB of it within `limit_ms`.
--- a/crates/peridotrack-http/tests/client.rs
+++ b/crates/peridotrack-http/tests/client.rs
@@ -264,6 +264,45 @@
     });
 }
 
+#[test]
+fn chunks_read_together_are_given_without_a_wait() {
+    run(async {
+        let answer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n\
+                      1\r\na\r\n1\r\nb\r\n1\r\nc\r\n0\r\n\r\n";
+        let mut connection = connection_to(vec![answer.into()], Then::Hold, options()).await;
+        connection.send(get()).await.unwrap();
+        let mut whole = connection.next_chunk().await.unwrap().unwrap().to_vec();
+        while let Some(chunk) = connection.buffered_chunk().unwrap() {
+            whole.extend_from_slice(&chunk);
+        }
+        assert_eq!(whole, b"abc");
+        assert!(connection.next_chunk().await.unwrap().is_none());
+        assert!(connection.buffered_chunk().unwrap().is_none() && connection.is_reusable());
+    });
+}
+
+#[rstest]
+#[case::malformed("2\r\nhi\r\nzz\r\n", "Body malformed")]
+#[case::cut("2\r\nhi\r\nfffff\r\n", "Body closed")]
+fn bad_chunk_behind_a_good_one_is_an_error(#[case] chunks: &str, #[case] expected: &str) {
+    run(async {
+        let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        let answer = format!("{head}{chunks}");
+        let mut connection = connection_to(vec![answer.into()], Then::Close, options()).await;
+        connection.send(get()).await.unwrap();
+        assert_eq!(connection.next_chunk().await.unwrap().unwrap(), "hi");
+        let error = match connection.buffered_chunk() {
+            Ok(chunk) => {
+                assert!(chunk.is_none());
+                connection.next_chunk().await.unwrap_err()
+            }
+            Err(error) => error,
+        };
+        assert_eq!(name(&error), expected);
+        assert!(!connection.is_reusable());
+    });
+}
+
 #[test]
 fn dropped_read_loses_no_bytes() {
     run(async {
