feat(route): probe only where the retry budget can bear a failure

When half of the engines vanish, each half-open breaker drew in a caller's request as probe, and its failure used up the retry that another request needed. A probe is now preferred only while the retry budget has something left, and one failed connection opens a breaker (its penalty still doubles).

The breaker's table names its two thresholds now, so that its cases stay what they were.

--- a/crates/peridotrack-route/src/dispatch.rs
+++ b/crates/peridotrack-route/src/dispatch.rs
@@ -138,7 +138,7 @@
         let query = place::Query {
             now_us,
             prefix_hash: request.prefix_hash,
-            idempotent: request.idempotent,
+            may_probe: request.idempotent && self.retries.allows(now_us),
             avoid: request.avoid(),
         };
         let pool = &self.pools[request.pool];
--- a/crates/peridotrack-route/src/options.rs
+++ b/crates/peridotrack-route/src/options.rs
@@ -55,7 +55,7 @@
             retry_share: 0.1,
             dispatches: 3,
             resumes: 3,
-            breaker_connect_failures: 2,
+            breaker_connect_failures: 1,
             breaker_failures: 5,
             breaker_open_us: 1_000_000,
             breaker_open_max_us: 60_000_000,
--- a/crates/peridotrack-route/src/place.rs
+++ b/crates/peridotrack-route/src/place.rs
@@ -1,8 +1,8 @@
 //! Choice of a backend server for one request.
 
-use crate::{backend::Backend, breaker, options::Options, pool, prefix};
+use crate::{backend::Backend, options::Options, pool, prefix};
 
-/// Factor on the score of a server that must be probed, for work that must not be repeated.
+/// Factor on the score of a server that must be probed, for a request that should not probe it.
 const PROBE_FACTOR: f64 = 1e6;
 
 /// What the choice depends on, besides the backend servers.
@@ -12,8 +12,9 @@
     pub now_us: u64,
     /// Hash of the prompt's prefix.
     pub prefix_hash: Option<u64>,
-    /// Whether the request may run more than once.
-    pub idempotent: bool,
+    /// Whether the request may probe a breaker: it may run more than once, and the retry budget has
+    /// something left for it.
+    pub may_probe: bool,
     /// Servers that failed this request already.
     pub avoid: &'a [usize],
 }
@@ -147,8 +148,8 @@
     if backend.breaker.is_closed() {
         return score_us;
     }
-    match (query.idempotent, backend.breaker.state(query.now_us)) {
-        (true, breaker::State::HalfOpen) => 0.0,
-        _ => score_us * PROBE_FACTOR,
+    match query.may_probe {
+        true => 0.0,
+        false => score_us * PROBE_FACTOR,
     }
 }
--- a/crates/peridotrack-route/src/retry.rs
+++ b/crates/peridotrack-route/src/retry.rs
@@ -34,8 +34,8 @@
         self.bucket(now_us).first_dispatches += 1;
     }
 
-    /// Takes one retry; returns whether the budget allows it.
-    pub fn try_take(&mut self, now_us: u64) -> bool {
+    /// Returns whether the budget allows one more retry.
+    pub fn allows(&self, now_us: u64) -> bool {
         let second = now_us / BUCKET_US;
         let (mut first_dispatches, mut retries) = (0, 0);
         for bucket in &self.buckets {
@@ -45,7 +45,12 @@
             }
         }
         let allowed = (first_dispatches as f64 * self.share).max(1.0);
-        let taken = (retries + 1) as f64 <= allowed;
+        (retries + 1) as f64 <= allowed
+    }
+
+    /// Takes one retry; returns whether the budget allows it.
+    pub fn try_take(&mut self, now_us: u64) -> bool {
+        let taken = self.allows(now_us);
         if taken {
             self.bucket(now_us).retries += 1;
         }
--- a/crates/peridotrack-route/tests/breaker.rs
+++ b/crates/peridotrack-route/tests/breaker.rs
@@ -19,9 +19,14 @@
 )]
 #[case::cancelled(&[Sample::Neutral; 50], false)]
 fn opens(#[case] samples: &[Sample], #[case] expected: bool) {
+    let options = Options {
+        breaker_connect_failures: 2,
+        breaker_failures: 5,
+        ..Options::default()
+    };
     let mut breaker = Breaker::new();
     for &sample in samples {
-        breaker.on_sample(0, sample, false, HALF, &Options::default());
+        breaker.on_sample(0, sample, false, HALF, &options);
     }
     assert_eq!(matches!(breaker.state(0), State::Open { .. }), expected);
     assert_eq!(breaker.allows(0), !expected);
