perf(route): weigh a window of the ring for a prefix, sample regions apart

Pools of up to 16 members are weighed whole, as before.

Placement tests: own failure domain first, others when it pays, other regions last; routers agree on the home of a prefix, a removed server moves hardly any prefix of others, a hot one spills over; reports age out; slow start.

--- a/crates/peridotrack-route/src/configure.rs
+++ b/crates/peridotrack-route/src/configure.rs
@@ -50,10 +50,8 @@
             self.join_pools(index, &server.targets);
         }
         for pool in &mut self.pools {
-            let (backends, own) = (&self.backends, &self.own);
-            let is_own = |member: &Member| &backends[member.index].failure_domain == own;
-            pool.near.sort_by_key(|member| !is_own(member));
-            pool.own = pool.near.iter().filter(|member| is_own(member)).count();
+            pool.near.sort_by_key(|member| member.seed);
+            pool.far.sort_by_key(|member| member.seed);
         }
         self.configured = true;
         self.free_drained(&mut actions);
--- a/crates/peridotrack-route/src/place.rs
+++ b/crates/peridotrack-route/src/place.rs
@@ -4,6 +4,10 @@
 
 /// Factor on the score of a server that must be probed, for a request that should not probe it.
 const PROBE_FACTOR: f64 = 1e6;
+/// Members weighed for one prefix.
+const RING_MEMBERS: usize = 16;
+/// Part of the sample that is taken from other regions.
+const FAR_PART: usize = 4;
 
 /// What the choice depends on, besides the backend servers.
 #[derive(Debug)]
@@ -73,15 +77,21 @@
     })
 }
 
+/// Returns the member with the highest rendezvous weight among those that take the request.
+///
+/// In a large pool only the members that follow the prefix on a ring are weighed, so that the cost
+/// doesn't grow with the pool; a member that comes or goes still moves few prefixes.
 #[inline]
 fn highest(pool: &pool::Pool, prefix_hash: u64, takes: impl Fn(usize) -> bool) -> Option<usize> {
     let members = match pool.near.is_empty() {
         true => &pool.far,
         false => &pool.near,
     };
+    let start = members.partition_point(|member| member.seed < prefix_hash);
+    let (before, after) = members.split_at(start);
     let mut best = None;
     let mut best_weight = 0;
-    for member in members {
+    for member in after.iter().chain(before).take(RING_MEMBERS) {
         let weight = prefix::weight(prefix_hash, member.seed);
         if weight > best_weight && takes(member.index) {
             best = Some(member.index);
@@ -99,42 +109,39 @@
     options: &Options,
     rng: &mut fastrand::Rng,
 ) -> Option<(f64, usize)> {
-    let len = pool.len();
-    if len == 0 {
-        return None;
-    }
     let mut best: Option<(f64, usize)> = None;
-    let mut consider = |index: usize| {
-        let backend = &backends[index];
-        if !is_open_to(backend, index, query, options) {
+    let mut consider = |member: &pool::Member| {
+        let backend = &backends[member.index];
+        if !is_open_to(backend, member.index, query, options) {
             return;
         }
         let score = score(backend, pool, query);
         if best.is_none_or(|(best_score, _)| score < best_score) {
-            best = Some((score, index));
+            best = Some((score, member.index));
         }
     };
-    let start = rng.usize(..len);
-    let sampled = len.min(options.choices);
-    let stride = len / sampled;
-    for step in 0..sampled {
-        consider(member(pool, (start + step * stride) % len));
-    }
-    if best.is_none() && sampled < len {
-        best = (0..len)
-            .map(|step| member(pool, (start + step) % len))
-            .find(|&index| is_open_to(&backends[index], index, query, options))
-            .map(|index| (0.0, index));
-    }
-    best
+    let far = (options.choices / FAR_PART).min(pool.far.len());
+    let near = (options.choices - far).min(pool.near.len());
+    sample(&pool.near, near, rng).for_each(&mut consider);
+    sample(&pool.far, options.choices - near, rng).for_each(&mut consider);
+    best.or_else(|| {
+        let mut members = pool.members();
+        let open = members.find(|m| is_open_to(&backends[m.index], m.index, query, options))?;
+        Some((f64::MAX, open.index))
+    })
 }
 
-#[inline]
-fn member(pool: &pool::Pool, position: usize) -> usize {
-    match position.checked_sub(pool.near.len()) {
-        None => pool.near[position].index,
-        Some(position) => pool.far[position].index,
-    }
+/// Returns `count` members spread over the list, from a random one on.
+fn sample<'a>(
+    members: &'a [pool::Member],
+    count: usize,
+    rng: &mut fastrand::Rng,
+) -> impl Iterator<Item = &'a pool::Member> {
+    let len = members.len();
+    let start = if len == 0 { 0 } else { rng.usize(..len) };
+    let count = count.min(len);
+    let stride = len.checked_div(count).unwrap_or(0);
+    (0..count).map(move |step| &members[(start + step * stride) % len])
 }
 
 #[inline]
--- a/crates/peridotrack-route/src/pool.rs
+++ b/crates/peridotrack-route/src/pool.rs
@@ -25,11 +25,9 @@
 pub struct Pool {
     /// What the pool serves.
     pub target: event::Target,
-    /// Members in this router's region; those in its failure domain come first.
+    /// Members in this router's region, in the order of their seeds.
     pub near: Vec<Member>,
-    /// Length of the part of `near` in this router's failure domain.
-    pub own: usize,
-    /// Members in other regions.
+    /// Members in other regions, in the order of their seeds.
     pub far: Vec<Member>,
     /// Requests that wait.
     pub queue: queue::Queue,
@@ -49,7 +47,6 @@
         Self {
             target,
             near: Vec::new(),
-            own: 0,
             far: Vec::new(),
             queue: queue::Queue::default(),
             shares: fairness::Shares::default(),
--- /dev/null
+++ b/crates/peridotrack-route/tests/place.rs
@@ -0,0 +1,178 @@
+//! Placement: failure domain first, prefix affinity, load, slow start.
+
+mod support;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use peridotrack_route::{event::Event, options::Options, router::Router};
+use peridotrack_types::{name, register};
+use rstest::rstest;
+use support::*;
+
+fn router_in(domain: &str, seed: u64, register: &register::Register) -> Router {
+    let mut router = Router::new(Options::default(), domain.into(), seed, 0);
+    router.configure(0, register, &rules(64));
+    router
+}
+
+fn domain_of(register: &register::Register, backend: &name::BackendServer) -> String {
+    let mut engines = register.engines.iter();
+    let engine = engines.find(|engine| &engine.name == backend);
+    engine.expect("listed").failure_domain.to_string()
+}
+
+#[rstest]
+fn idle_fleet_serves_in_its_own_failure_domain(
+    #[values("domain-0", "domain-1", "domain-2", "domain-3")] domain: &str,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let register = register(14, 0, 8);
+    let mut router = router_in(domain, seed, &register);
+    let backend = dispatched(&router.offer(0, offer(1))).expect("dispatched");
+    assert_eq!(domain_of(&register, &backend), domain);
+}
+
+#[rstest]
+fn other_failure_domains_help_when_it_pays() {
+    let register = register(8, 0, 8);
+    let mut router = router_in("domain-0", 1, &register);
+    let mut domains = BTreeMap::<_, usize>::new();
+    for sequence in 1..=16 {
+        let backend = dispatched(&router.offer(0, offer(sequence))).expect("dispatched");
+        *domains.entry(domain_of(&register, &backend)).or_default() += 1;
+    }
+    assert_eq!(domains.len(), 4, "{domains:?}");
+    assert!(domains["domain-0"] <= 6, "{domains:?}");
+}
+
+#[rstest]
+fn other_regions_come_last() {
+    let mut register = register(4, 0, 4);
+    for domain in &mut register.failure_domains[2..] {
+        domain.region = "bali".to_owned();
+    }
+    let mut router = router_in("domain-0", 1, &register);
+    let backends = (1..=16).map(|sequence| dispatched(&router.offer(0, offer(sequence))));
+    let domains: Vec<_> = backends
+        .map(|backend| domain_of(&register, &backend.expect("dispatched")))
+        .collect();
+    let far = |domain: &String| domain == "domain-2" || domain == "domain-3";
+    assert!(!domains[..2].iter().any(far), "{domains:?}");
+    assert_eq!(domains.iter().filter(|domain| far(domain)).count(), 8);
+}
+
+/// The server that an idle fleet gives each prefix.
+fn homes(domain: &str, seed: u64, register: &register::Register) -> Vec<name::BackendServer> {
+    let mut rng = fastrand::Rng::with_seed(9);
+    let mut router = router_in(domain, seed, register);
+    let mut home = |sequence| {
+        let mut offer = offer(sequence);
+        offer.prefix_hash = Some(rng.u64(..));
+        let backend = dispatched(&router.offer(sequence, offer)).expect("dispatched");
+        // A cancelled request says nothing about the server's speed.
+        router.cancel(sequence, request(sequence));
+        backend
+    };
+    (1..=400).map(&mut home).collect()
+}
+
+#[rstest]
+#[case::small(14)]
+#[case::larger_than_the_ring_window(100)]
+fn routers_agree_on_the_home_of_a_prefix(#[case] engines: usize) {
+    let register = register(engines, 0, 8);
+    let first = homes("domain-0", 1, &register);
+    assert_eq!(first, homes("domain-3", 2, &register));
+    let used: BTreeSet<_> = first.iter().collect();
+    assert!(used.len() > engines / 2, "{} of {engines}", used.len());
+}
+
+#[rstest]
+#[case::small(14)]
+#[case::larger_than_the_ring_window(100)]
+fn prefixes_move_only_from_a_removed_server(#[case] engines: usize) {
+    let mut register = register(engines, 0, 8);
+    let before = homes("domain-0", 1, &register);
+    let removed = register.engines.remove(engines / 2).name;
+    let after = homes("domain-0", 1, &register);
+    let moved = before.iter().zip(&after).filter(|(b, a)| a != b);
+    let others = moved.filter(|(before, _)| **before != removed).count();
+    assert!(others <= before.len() / 50, "{others} moved");
+}
+
+#[rstest]
+fn hot_prefix_spills_over() {
+    let register = register(14, 0, 8);
+    let mut router = router_in("domain-0", 1, &register);
+    let mut counts = BTreeMap::<_, usize>::new();
+    for sequence in 1..=56 {
+        let mut offer = offer(sequence);
+        offer.prefix_hash = Some(7);
+        let backend = dispatched(&router.offer(0, offer)).expect("dispatched");
+        *counts.entry(backend).or_default() += 1;
+    }
+    assert!(counts.len() >= 7, "{counts:?}");
+}
+
+/// One server has two own requests, the other was reported to be full by `age_us` ago.
+#[rstest]
+#[case::fresh(0, 1)]
+#[case::late(2 * SECOND_US, 1)]
+#[case::long_ago(25 * SECOND_US, 0)]
+fn reported_load_ages_out(#[case] age_us: u64, #[case] chosen: usize) {
+    let register = register(2, 0, 8);
+    for seed in 0..20 {
+        let mut router = router_in("elsewhere", seed, &register);
+        let now_us = 30 * SECOND_US;
+        let report = |number: usize, running, age_us| Event::LoadReport {
+            backend: engine(number, 8).name,
+            running,
+            queued: 0,
+            slots: 8,
+            age_us,
+            leaving: false,
+        };
+        router.on_event(now_us, report(0, 8, 0));
+        router.offer(now_us, offer(1));
+        router.offer(now_us, offer(2));
+        let now_us = now_us + age_us;
+        let backend = dispatched(&router.offer(now_us, offer(3)));
+        assert_eq!(backend, Some(engine(chosen, 8).name));
+    }
+}
+
+#[rstest]
+fn older_report_does_not_replace_a_newer_one() {
+    let register = register(2, 0, 8);
+    let mut router = router_in("elsewhere", 1, &register);
+    let now_us = 30 * SECOND_US;
+    for (running, age_us) in [(8, 0), (0, 3 * SECOND_US)] {
+        let report = Event::LoadReport {
+            backend: engine(0, 8).name,
+            running,
+            queued: 0,
+            slots: 8,
+            age_us,
+            leaving: false,
+        };
+        router.on_event(now_us, report);
+    }
+    let backend = dispatched(&router.offer(now_us, offer(1)));
+    assert_eq!(backend, Some(engine(1, 8).name));
+}
+
+#[rstest]
+fn newcomer_starts_slowly() {
+    let mut router = router_in("domain-0", 1, &register(1, 0, 16));
+    router.configure(SECOND_US, &register(2, 0, 16), &rules(64));
+    let newcomer = engine(1, 16).name;
+    let limit = |router: &Router, now_us| {
+        let servers = router.status(now_us).backend_servers;
+        let server = servers.into_iter().find(|server| server.name == newcomer);
+        server.expect("listed").limit_requests
+    };
+    assert_eq!(limit(&router, SECOND_US), 1.0);
+    assert_eq!(limit(&router, 6 * SECOND_US), 8.0);
+    router.on_event(11 * SECOND_US, Event::Tick);
+    assert_eq!(limit(&router, 11 * SECOND_US), 16.0);
+}
