feat(edge): configurations of any size, from the platform or from peers

The service reads the manifest, fetches only the parts that it does not hold (from whoever told of the version), checks the whole and puts it in force; an older or invalid one is refused with its reason. The platform's list of VMs names routers by their peer address, so a router without a live seed finds others through it.

--- a/crates/peridotrack-edge/src/config.rs
+++ b/crates/peridotrack-edge/src/config.rs
@@ -1,20 +1,25 @@
 //! Holds the configuration in force and fetches newer ones.
 
-use std::{cell::RefCell, rc::Rc};
+mod parts;
 
+use std::{
+    cell::RefCell,
+    net::SocketAddr,
+    rc::{Rc, Weak},
+};
+
+use bytes::Bytes;
+use parts::{Parts, Source};
 use peridotrack_kernel::{Kernel, clock, event};
 use peridotrack_member::{action, config as held};
 use peridotrack_route::event::Event;
-use peridotrack_types::config;
+use peridotrack_types::config::{self, store};
 
 use crate::{budget, member, peer, platform, route};
 
 /// Name of this service in the registry.
 pub const SERVICE: &str = "config";
 
-/// Key of the configuration's object.
-pub const CONFIG_KEY: &str = "config/current";
-
 /// Longest wait of one watch, in milliseconds.
 const WATCH_MS: u64 = 30_000;
 /// Wait after a failed watch and between looks whether to watch, in microseconds.
@@ -29,6 +34,9 @@
     route: Rc<route::Route>,
     budget: Rc<budget::Budget>,
     current: RefCell<Rc<config::Config>>,
+    /// Content of the configuration's object, as given to peers.
+    object: RefCell<Bytes>,
+    parts: Parts,
 }
 
 /// Construction.
@@ -50,6 +58,8 @@
             route: Rc::clone(route),
             budget: Rc::clone(budget),
             current: RefCell::default(),
+            object: RefCell::default(),
+            parts: Parts::new(Rc::clone(platform), Rc::clone(link)),
         });
         monoio::spawn(watch(Rc::downgrade(&service)));
         service
@@ -64,27 +74,43 @@
     }
 }
 
-/// Inputs.
+/// Peers.
 impl Configuration {
-    /// Sends the configuration in force to a peer that holds an older one.
-    pub fn answer(&self, address: std::net::SocketAddr, above_version: u64) {
-        let current = self.current();
-        if current.version <= above_version {
-            return;
-        }
-        if let Ok(json) = serde_json::to_string(&*current) {
-            self.link.send(address, &peer::Frame::Config { json });
+    /// Sends the configuration's object to a peer that holds an older one.
+    pub fn answer(&self, peer: SocketAddr, above_version: u64) {
+        if self.current.borrow().version > above_version {
+            let content = self.object.borrow().to_vec();
+            self.link.send(peer, &peer::Frame::Config { content });
         }
     }
 
-    /// Takes a configuration that a peer sent.
-    pub fn receive(&self, json: &str) {
-        match serde_json::from_str(json) {
-            Ok(config) => self.apply(config, "peer"),
-            Err(error) => self.refuse(0, &error.to_string()),
+    /// Sends a part of the configuration to a peer that lacks it.
+    pub fn answer_part(&self, peer: SocketAddr, key: &str) {
+        if let Some(content) = self.parts.get(key) {
+            let frame = peer::Frame::ConfigPart {
+                key: key.to_owned(),
+                content: content.to_vec(),
+            };
+            self.link.send(peer, &frame);
         }
     }
 
+    /// Takes the configuration's object from a peer.
+    pub fn receive(self: &Rc<Self>, peer: SocketAddr, content: Vec<u8>) {
+        let service = Rc::clone(self);
+        monoio::spawn(async move {
+            service.take(content.into(), Source::Peer(peer)).await;
+        });
+    }
+
+    /// Takes a part that a peer was asked for.
+    pub fn receive_part(&self, key: &str, content: Vec<u8>) {
+        self.parts.receive(key, &content.into());
+    }
+}
+
+/// Inputs.
+impl Configuration {
     /// Tells the router machine which backend servers the platform lists as leaving.
     pub fn backend_servers_leaving(&self, entries: &[platform::VmEntry]) {
         for entry in entries
@@ -96,43 +122,76 @@
         }
     }
 
-    /// Puts a configuration in force if it is newer than the one held.
-    fn apply(&self, config: config::Config, source: &str) {
+    /// Reads a configuration's object and its parts, and puts it in force if it is newer.
+    async fn take(self: &Rc<Self>, content: Bytes, source: Source) {
+        match self.assemble(&content, source).await {
+            Ok(Some(config)) => self.apply(config, content, source),
+            Ok(None) => {}
+            Err(reason) => self.refuse(&reason),
+        }
+    }
+
+    /// Returns the configuration of an object, `None` if it is not newer than the one in force.
+    async fn assemble(
+        &self,
+        content: &Bytes,
+        source: Source,
+    ) -> Result<Option<config::Config>, String> {
+        let current = store::Current::parse(content).map_err(|error| error.to_string())?;
+        let held_version = self.current.borrow().version;
+        if current.version() < held_version {
+            return Err(format!(
+                "version {} is older than version {held_version} in force",
+                current.version()
+            ));
+        }
+        if current.version() == held_version {
+            return Ok(None);
+        }
+        match current {
+            store::Current::Whole(config) => Ok(Some(*config)),
+            store::Current::Split(manifest) => self.parts.join(&manifest, source).await.map(Some),
+        }
+    }
+
+    /// Puts a configuration in force if it is valid and newer than the one held.
+    fn apply(&self, config: config::Config, object: Bytes, source: Source) {
+        let problems = config::check(&config.register, &config.rules);
+        if let Some(problem) = problems.first() {
+            self.refuse(&format!("{}: {}", problem.path, problem.message));
+            return;
+        }
         let version = config.version;
         match self.member.configure(version) {
             held::Outcome::Accepted { previous_version } => {
                 self.route.configure(&config);
                 self.budget.configure(&config);
                 *self.current.borrow_mut() = Rc::new(config);
+                *self.object.borrow_mut() = object;
                 let event = event::Event::new(event::Kind::ConfigApplied)
                     .with("version", version)
                     .with("previous_version", previous_version)
-                    .with("source", source);
+                    .with("source", source.name());
                 self.kernel.note(event);
             }
             held::Outcome::Unchanged => {}
             held::Outcome::Refused { held_version } => {
-                self.refuse(version, &format!("version {held_version} is in force"));
+                self.refuse(&format!("version {held_version} is in force"));
             }
         }
     }
 
-    fn refuse(&self, version: u64, reason: &str) {
-        let event = event::Event::new(event::Kind::ConfigRefused)
-            .with("version", version)
-            .with("reason", reason);
-        self.kernel.note(event);
+    fn refuse(&self, reason: &str) {
+        let event = event::Event::new(event::Kind::ConfigRefused);
+        self.kernel.note(event.with("reason", reason));
     }
 
-    fn take_object(&self, object: &platform::Object) {
-        match serde_json::from_slice::<config::Config>(&object.body) {
-            Ok(config) => {
-                let version = config.version;
-                self.apply(config, "platform");
-                self.member
-                    .handle(action::Event::PlatformConfig { version });
-            }
-            Err(error) => self.refuse(object.version, &error.to_string()),
+    async fn take_platform_object(self: &Rc<Self>, object: &platform::Object) {
+        self.take(object.body.clone(), Source::Platform).await;
+        if let Ok(current) = store::Current::parse(&object.body) {
+            let version = current.version();
+            self.member
+                .handle(action::Event::PlatformConfig { version });
         }
     }
 }
@@ -140,8 +199,8 @@
 /// Reads the platform's configuration in a task of its own.
 pub fn fetch(service: Rc<Configuration>) {
     monoio::spawn(async move {
-        match service.platform.read(CONFIG_KEY).await {
-            Ok(Some(object)) => service.take_object(&object),
+        match service.platform.read(store::CURRENT_KEY).await {
+            Ok(Some(object)) => service.take_platform_object(&object).await,
             Ok(None) => {}
             Err(_) => service.member.handle(action::Event::PlatformUnreachable),
         }
@@ -149,7 +208,7 @@
 }
 
 /// Watches the platform's configuration while this router is a watcher of its domain.
-async fn watch(service: std::rc::Weak<Configuration>) {
+async fn watch(service: Weak<Configuration>) {
     let mut seen_version = 0;
     while let Some(service) = service.upgrade() {
         if !service.member.is_watcher() {
@@ -158,12 +217,12 @@
         }
         match service
             .platform
-            .watch(CONFIG_KEY, seen_version, WATCH_MS)
+            .watch(store::CURRENT_KEY, seen_version, WATCH_MS)
             .await
         {
             Ok(Some(object)) => {
                 seen_version = object.version;
-                service.take_object(&object);
+                service.take_platform_object(&object).await;
             }
             Ok(None) => {}
             Err(_) => service.kernel.timer().sleep_us(WATCH_RETRY_US).await,
--- a/crates/peridotrack-edge/src/daemon.rs
+++ b/crates/peridotrack-edge/src/daemon.rs
@@ -364,7 +364,9 @@
         peer::Frame::ConfigRequest { above_version } => {
             config.answer(sender.address, above_version);
         }
-        peer::Frame::Config { json } => config.receive(&json),
+        peer::Frame::Config { content } => config.receive(sender.address, content),
+        peer::Frame::ConfigPartRequest { key } => config.answer_part(sender.address, &key),
+        peer::Frame::ConfigPart { key, content } => config.receive_part(&key, content),
     };
     let members = Rc::clone(member);
     link.subscribe(on_frame, move |address| {
--- a/crates/peridotrack-edge/src/member.rs
+++ b/crates/peridotrack-edge/src/member.rs
@@ -210,11 +210,14 @@
         let Ok(entries) = self.platform.vms().await else {
             return;
         };
+        let config = self.registry_find::<config::Configuration>(config::SERVICE);
+        let current = config.map(|config| config.current()).unwrap_or_default();
         let listed = entries
             .iter()
+            .filter(|entry| !current.register.has_backend_server(entry.name.as_str()))
             .map(|entry| ListedVm {
                 vm: entry.name.clone(),
-                peer_address: None,
+                peer_address: Some(entry.address),
                 is_leaving: entry.state == platform::VmState::Leaving,
             })
             .collect();
--- a/crates/peridotrack-edge/src/peer/frame.rs
+++ b/crates/peridotrack-edge/src/peer/frame.rs
@@ -38,10 +38,22 @@
         /// Version that the asking router holds.
         above_version: u64,
     },
-    /// A configuration, as JSON.
+    /// The content of the configuration's object.
     Config {
-        /// Text of the configuration.
-        json: String,
+        /// The object's bytes.
+        content: Vec<u8>,
+    },
+    /// Asks for a part of the configuration.
+    ConfigPartRequest {
+        /// Key of the part.
+        key: String,
+    },
+    /// A part of the configuration.
+    ConfigPart {
+        /// Key of the part.
+        key: String,
+        /// The part's bytes.
+        content: Vec<u8>,
     },
 }
 
--- a/crates/peridotrack-types/src/register.rs
+++ b/crates/peridotrack-types/src/register.rs
@@ -85,3 +85,16 @@
     /// Requests that the server handles at once.
     pub slots: u32,
 }
+
+impl Register {
+    /// Returns whether an engine or a server of a plain service has this name.
+    pub fn has_backend_server(&self, name: &str) -> bool {
+        self.engines
+            .iter()
+            .any(|engine| engine.name.as_str() == name)
+            || self
+                .services
+                .iter()
+                .any(|server| server.name.as_str() == name)
+    }
+}
