fix(http): the last answer stays whole when the caller sent more

Closing a socket with unread bytes resets the connection, and the kernel drops what it had not sent: an 8 MiB answer with Connection: close to a caller that had pipelined one more request was cut. Such bytes are now discarded for at most 500 ms after a half-close, as after a refused request. The new test failed before for the whole answer and passed by chance for the streamed one.

--- a/crates/peridotrack-http/src/server/answer.rs
+++ b/crates/peridotrack-http/src/server/answer.rs
@@ -14,18 +14,18 @@
     },
 };
 
-/// Longest wait for the rest of a refused request to be discarded.
+/// Longest wait for the bytes behind the last request to be discarded.
 const LINGER_MS: u64 = 500;
-/// Most bytes of a refused request that are discarded.
+/// Most bytes behind the last request that are discarded.
 const LINGER_BYTES: usize = 1024 * 1024;
 
 /// Answers.
 impl Connection {
     /// Writes a whole answer with `Content-Length`.
     ///
-    /// A `Connection: close` header in `response` closes the connection after it. After a
-    /// failed [`Connection::next`] the rest of the refused request is discarded for a
-    /// bounded time, so that the caller gets to read the answer.
+    /// A `Connection: close` header in `response` closes the connection after it. Bytes that
+    /// the caller sent behind the last request, or behind a refused one, are discarded for
+    /// a bounded time, so that the caller gets to read the answer.
     pub async fn respond(&mut self, response: http::Response<Bytes>) -> Result<(), Error> {
         let (head, body) = response.into_parts();
         let refused = self.phase == Phase::Refused;
@@ -39,10 +39,7 @@
         for bytes in encode::join(text, body) {
             self.write_bytes(bytes).await?;
         }
-        if refused {
-            self.wire.linger(LINGER_MS, LINGER_BYTES).await;
-        }
-        self.end(keep_alive);
+        self.end(keep_alive, refused).await;
         Ok(())
     }
 
@@ -89,7 +86,7 @@
             self.write_bytes(Bytes::from_static(encode::LAST_CHUNK))
                 .await?;
         }
-        self.end(self.exchange.keep_alive);
+        self.end(self.exchange.keep_alive, false).await;
         Ok(())
     }
 
@@ -107,7 +104,12 @@
         Ok(self.exchange.keep_alive && !head::has_connection_token(&head.headers, "close"))
     }
 
-    fn end(&mut self, keep_alive: bool) {
+    /// Ends an answer. If the connection closes while the caller is still sending, what it
+    /// sends is discarded first, so that it gets to read the answer.
+    async fn end(&mut self, keep_alive: bool, still_sending: bool) {
+        if !keep_alive && (still_sending || self.wire.has_unread()) {
+            self.wire.linger(LINGER_MS, LINGER_BYTES).await;
+        }
         self.phase = if keep_alive {
             Phase::Ready
         } else {
--- a/crates/peridotrack-http/src/wire.rs
+++ b/crates/peridotrack-http/src/wire.rs
@@ -67,6 +67,11 @@
         readable.poll(&mut context).is_ready()
     }
 
+    /// Whether bytes arrived that were not used, as far as the event loop has seen.
+    pub(crate) fn has_unread(&self) -> bool {
+        !self.buffer.is_empty() || self.is_readable_now()
+    }
+
     /// Resolves when a read would give bytes, the end of the stream, or an error.
     ///
     /// Unlike a read, the wait needs no memory for the bytes to come.
--- a/crates/peridotrack-http/tests/server_answers.rs
+++ b/crates/peridotrack-http/tests/server_answers.rs
@@ -187,6 +187,32 @@
     });
 }
 
+/// A close with unread bytes resets the connection, which drops what was not sent yet.
+#[rstest]
+#[case::whole(false)]
+#[case::streamed(true)]
+fn last_answer_is_whole_although_the_caller_sent_more(#[case] streamed: bool) {
+    run(async {
+        let request = "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+        let (mut caller, mut connection) = accepted_request(request, Options::default()).await;
+        common::send_parts(&mut caller, vec![request.into()], Then::Hold).await;
+        common::settle().await;
+        let body = Bytes::from("b".repeat(8 * 1024 * 1024));
+        let length = body.len();
+        let reader = monoio::spawn(async move { common::read_to_end(&mut caller).await });
+        if streamed {
+            connection.start(Response::new(())).await.unwrap();
+            connection.write(body).await.unwrap();
+            connection.finish().await.unwrap();
+        } else {
+            connection.respond(Response::new(body)).await.unwrap();
+        }
+        drop(connection);
+        let text = reader.await;
+        assert!(text.len() > length && text.ends_with(if streamed { "0\r\n\r\n" } else { "b" }));
+    });
+}
+
 #[test]
 fn calls_out_of_order_are_refused() {
     run(async {
