feat(route): expect a queue's wait from the pace of the account's first request

The queue's length and the accounts that wait now understate the wait of a large account, whose competitors come and go between dispatches.

--- a/crates/peridotrack-route/src/dispatch.rs
+++ b/crates/peridotrack-route/src/dispatch.rs
@@ -203,6 +203,7 @@
             preferred: request
                 .prefix_hash
                 .and_then(|hash| place::home(&self.backends, pool, hash)),
+            ahead_requests: 0,
         };
         let outcome = pool
             .queue
@@ -260,16 +261,11 @@
     }
 
     /// Returns the expected wait of a request in the queue.
-    ///
-    /// What the account's first request has waited counts as well: it tells of competitors that
-    /// come and go between dispatches.
     fn wait_us(&self, now_us: u64, request: &Request) -> u64 {
         let pool = &self.pools[request.pool];
-        let ahead = pool.queue.ahead(&request.account, request.priority);
-        let waited_us = pool
-            .queue
-            .waited_us(now_us, &request.account, request.priority);
-        pool.drain_us(ahead + 1).max(waited_us)
+        let (account, priority) = (&request.account, request.priority);
+        let drain_us = pool.drain_us(pool.queue.ahead(account, priority) + 1);
+        drain_us.max(pool.queue.paced_wait_us(now_us, account, priority))
     }
 
     fn refuse_queued(
--- a/crates/peridotrack-route/src/options.rs
+++ b/crates/peridotrack-route/src/options.rs
@@ -64,7 +64,7 @@
             refusal_hold_us: 200_000,
             slow_start_us: 10_000_000,
             leaving_hold_us: 10_000_000,
-            queue_wait_share: 0.2,
+            queue_wait_share: 0.25,
             overtake_tokens: 16_000,
             ageing_us: 2_000_000,
             affinity_worth: 3.0,
--- a/crates/peridotrack-route/src/place.rs
+++ b/crates/peridotrack-route/src/place.rs
@@ -4,6 +4,8 @@
 
 /// Factor on the score of a server that must be probed, for a request that should not probe it.
 const PROBE_FACTOR: f64 = 1e6;
+/// Requests per slot from which on a cached prefix no longer attracts work.
+const FULL_LOAD: f64 = 1.0;
 /// Members weighed for one prefix.
 const RING_MEMBERS: usize = 16;
 /// Part of the sample that is taken from other regions.
@@ -72,7 +74,7 @@
     highest(pool, prefix_hash, |index| {
         let backend = &backends[index];
         backend.breaker.is_closed()
-            && backend.load(query.now_us, &pool.prior) < 1.0
+            && backend.load(query.now_us, &pool.prior) < FULL_LOAD
             && is_open_to(backend, index, query, options)
     })
 }
--- a/crates/peridotrack-route/src/queue.rs
+++ b/crates/peridotrack-route/src/queue.rs
@@ -25,6 +25,8 @@
     pub queued_us: u64,
     /// Server that is expected to have its prefix cached.
     pub preferred: Option<usize>,
+    /// Requests of its account that were before it when it was queued; set by the queue.
+    pub ahead_requests: usize,
 }
 
 /// What became of a request that asked to be queued.
@@ -90,16 +92,24 @@
         higher + same.min(fair)
     }
 
-    /// Returns how long the first request of an account has waited.
-    pub fn waited_us(
+    /// Returns how long a new request of an account would wait at the pace of its first request.
+    ///
+    /// The first request has seen all that were before it go. This tells of competitors that come
+    /// and go between dispatches, which the queue's length does not show.
+    pub fn paced_wait_us(
         &self,
         now_us: u64,
         account: &name::ClientAccount,
         priority: rules::Priority,
     ) -> u64 {
-        let entries = self.classes[priority as usize].get(account);
-        let queued_us = entries.and_then(head_us);
-        queued_us.map_or(0, |queued_us| now_us.saturating_sub(queued_us))
+        let Some(entries) = self.classes[priority as usize].get(account) else {
+            return 0;
+        };
+        let Some(head) = entries.front() else {
+            return 0;
+        };
+        let waited_us = now_us.saturating_sub(head.queued_us);
+        waited_us * (entries.len() as u64 + 1) / (head.ahead_requests as u64 + 1)
     }
 
     /// Returns the least virtual time of the accounts that wait.
@@ -119,7 +129,7 @@
 impl Queue {
     /// Queues a request. A full queue gives it the place of a request of lower priority that has
     /// not aged, or of an account that holds more of the queue.
-    pub fn push(&mut self, entry: Entry, bound_requests: usize, ageing_us: u64) -> Outcome {
+    pub fn push(&mut self, mut entry: Entry, bound_requests: usize, ageing_us: u64) -> Outcome {
         let displaced = if self.len_requests < bound_requests {
             None
         } else {
@@ -132,10 +142,11 @@
             self.remove(request_id);
         }
         self.len_requests += 1;
-        self.classes[entry.priority as usize]
+        let entries = self.classes[entry.priority as usize]
             .entry(entry.account.clone())
-            .or_default()
-            .push_back(entry);
+            .or_default();
+        entry.ahead_requests = entries.len();
+        entries.push_back(entry);
         displaced.map_or(Outcome::Queued, Outcome::Displaced)
     }
 
--- a/crates/peridotrack-route/tests/queue.rs
+++ b/crates/peridotrack-route/tests/queue.rs
@@ -19,6 +19,7 @@
         priority,
         queued_us,
         preferred: None,
+        ahead_requests: 0,
     }
 }
 
@@ -175,3 +176,28 @@
     let position = order.iter().position(|&sequence| sequence == 1);
     assert!(position.is_some_and(|position| position <= 5), "{order:?}");
 }
+
+#[rstest]
+#[case::unknown_account("other", 0)]
+#[case::at_the_pace_of_its_first("large", 3 * SECOND_US)]
+fn paced_wait(#[case] account: &str, #[case] expected_us: u64) {
+    let mut queue = Queue::default();
+    let mut shares = Shares::default();
+    for sequence in 1..=4 {
+        push(
+            &mut queue,
+            64,
+            entry(sequence, "large", Priority::Normal, 0),
+        );
+    }
+    for _ in 0..3 {
+        pop(&mut queue, &mut shares, SECOND_US);
+    }
+    // The fourth saw three go in a second; ten more wait behind it.
+    for sequence in 5..=14 {
+        let entry = entry(sequence, "large", Priority::Normal, SECOND_US);
+        push(&mut queue, 64, entry);
+    }
+    let wait_us = queue.paced_wait_us(SECOND_US, &account.into(), Priority::Normal);
+    assert_eq!(wait_us, expected_us);
+}
