--- /dev/null
+++ b/crates/peridotrack/src/arguments.rs
@@ -0,0 +1,249 @@
+//! The command line.
+
+use std::{ffi::OsString, net::SocketAddr, path::PathBuf, str::FromStr, time::Duration};
+
+use eyre::WrapErr;
+use peridotrack_types::{id, name};
+use pico_args::Arguments;
+
+use crate::{help, report::Exit, report::Failure, report::OrExit};
+
+/// Longest wait of `config apply --wait` if none is given.
+const DEFAULT_WAIT: Duration = Duration::from_secs(15);
+
+/// What the command line asks for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Invocation {
+    /// The command.
+    pub command: Command,
+    /// Whether to print JSON.
+    pub json: bool,
+}
+
+/// A command.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Command {
+    /// Print a text, such as a help or the version.
+    Print(String),
+    /// Check a register and rules.
+    ConfigCheck(Inputs),
+    /// Put a register and rules in force.
+    ConfigApply(Apply),
+    /// Show the configuration that the platform holds.
+    ConfigShow {
+        /// Address of the platform.
+        platform: SocketAddr,
+    },
+    /// Show routers.
+    Status(Routers),
+    /// Show budgets.
+    BudgetShow {
+        /// Address of the platform.
+        platform: SocketAddr,
+        /// Show this budget alone, with its holders.
+        budget: Option<name::Budget>,
+    },
+    /// Release what a destroyed router held of a budget.
+    BudgetRelease(Release),
+    /// Merge the events of routers.
+    Timeline {
+        /// The routers.
+        routers: Routers,
+        /// Most events to print.
+        last: Option<usize>,
+    },
+    /// Tell what happened to one request.
+    Explain {
+        /// The request.
+        request: id::Request,
+        /// The routers.
+        routers: Routers,
+    },
+}
+
+/// Files of a configuration.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Inputs {
+    /// File with the register.
+    pub register: PathBuf,
+    /// File with the rules.
+    pub rules: PathBuf,
+}
+
+/// Routers to ask, and the key to do so.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Routers {
+    /// Operator addresses.
+    pub addresses: Vec<SocketAddr>,
+    /// File with the operators' bearer key.
+    pub key_file: Option<PathBuf>,
+}
+
+/// Arguments of `config apply`.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Apply {
+    /// Files of the configuration.
+    pub inputs: Inputs,
+    /// Address of the platform.
+    pub platform: SocketAddr,
+    /// Routers to ask.
+    pub routers: Routers,
+    /// Longest wait for the routers; absent without `--wait`.
+    pub wait: Option<Duration>,
+}
+
+/// Arguments of `budget release`.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Release {
+    /// Address of the platform.
+    pub platform: SocketAddr,
+    /// The budget.
+    pub budget: name::Budget,
+    /// Incarnation of the router that held its tokens.
+    pub holder: id::Incarnation,
+    /// Tokens that the holder spent in all.
+    pub spent_tokens: u64,
+}
+
+/// Parses the arguments of the process, without its name.
+///
+/// # Errors
+///
+/// Returns a failure that exits with [`Exit::Usage`] and names the argument.
+pub fn parse(arguments: Vec<OsString>) -> Result<Invocation, Failure> {
+    let mut arguments = Arguments::from_vec(arguments);
+    let json = arguments.contains("--json");
+    let wants_help = arguments.contains(["-h", "--help"]);
+    if arguments.contains(["-V", "--version"]) {
+        let version = format!("peridotrack {}\n", env!("CARGO_PKG_VERSION"));
+        return Ok(print(version, json));
+    }
+    let words = words(&mut arguments).or_exit(Exit::Usage)?;
+    if wants_help || words.is_empty() {
+        return Ok(print(help::text(&words), json));
+    }
+    let command = command(&words, arguments)
+        .wrap_err_with(|| format!("{words} (see peridotrack {words} --help)"))
+        .or_exit(Exit::Usage)?;
+    Ok(Invocation { command, json })
+}
+
+fn print(text: String, json: bool) -> Invocation {
+    Invocation {
+        command: Command::Print(text),
+        json,
+    }
+}
+
+/// Takes the words that name the command.
+fn words(arguments: &mut Arguments) -> eyre::Result<String> {
+    let Some(first) = arguments.subcommand()? else {
+        return Ok(String::new());
+    };
+    let prefix = format!("{first} ");
+    if !help::COMMANDS
+        .iter()
+        .any(|entry| entry.words.starts_with(&prefix))
+    {
+        return Ok(first);
+    }
+    match arguments.subcommand()? {
+        Some(second) => Ok(format!("{first} {second}")),
+        None => Ok(first),
+    }
+}
+
+fn command(words: &str, mut arguments: Arguments) -> eyre::Result<Command> {
+    let args = &mut arguments;
+    let command = match words {
+        "config check" => Command::ConfigCheck(inputs(args)?),
+        "config apply" => Command::ConfigApply(apply(args)?),
+        "config show" => Command::ConfigShow {
+            platform: value(args, "--platform")?,
+        },
+        "status" => Command::Status(routers(args)?),
+        "budget show" => Command::BudgetShow {
+            platform: value(args, "--platform")?,
+            budget: args
+                .opt_value_from_str::<_, String>("--budget")?
+                .map(Into::into),
+        },
+        "budget release" => Command::BudgetRelease(release(args)?),
+        "timeline" => Command::Timeline {
+            routers: routers(args)?,
+            last: args.opt_value_from_str("--last")?,
+        },
+        "explain" => Command::Explain {
+            routers: routers(args)?,
+            request: args.free_from_str().wrap_err("REQUEST-ID")?,
+        },
+        _ => eyre::bail!("there is no such command"),
+    };
+    let rest = arguments.finish();
+    eyre::ensure!(rest.is_empty(), "unexpected argument {:?}", rest[0]);
+    Ok(command)
+}
+
+fn inputs(arguments: &mut Arguments) -> eyre::Result<Inputs> {
+    Ok(Inputs {
+        register: value(arguments, "--register")?,
+        rules: value(arguments, "--rules")?,
+    })
+}
+
+fn apply(arguments: &mut Arguments) -> eyre::Result<Apply> {
+    let is_waiting = arguments.contains("--wait");
+    let timeout_s = arguments.opt_value_from_str("--timeout-s")?;
+    let routers = optional_routers(arguments)?;
+    eyre::ensure!(
+        !is_waiting || !routers.addresses.is_empty(),
+        "--wait needs --router for each router to wait for"
+    );
+    Ok(Apply {
+        inputs: inputs(arguments)?,
+        platform: value(arguments, "--platform")?,
+        routers,
+        wait: is_waiting.then(|| timeout_s.map_or(DEFAULT_WAIT, Duration::from_secs)),
+    })
+}
+
+fn release(arguments: &mut Arguments) -> eyre::Result<Release> {
+    let is_confirmed = arguments.contains("--confirm-destroyed");
+    let release = Release {
+        platform: value(arguments, "--platform")?,
+        budget: value::<String>(arguments, "--budget")?.into(),
+        holder: value(arguments, "--holder")?,
+        spent_tokens: value(arguments, "--spent")?,
+    };
+    eyre::ensure!(
+        is_confirmed,
+        "--confirm-destroyed is needed: a holder that runs again would overspend"
+    );
+    Ok(release)
+}
+
+fn routers(arguments: &mut Arguments) -> eyre::Result<Routers> {
+    let routers = optional_routers(arguments)?;
+    eyre::ensure!(!routers.addresses.is_empty(), "--router is needed");
+    Ok(routers)
+}
+
+fn optional_routers(arguments: &mut Arguments) -> eyre::Result<Routers> {
+    let addresses = arguments.values_from_str("--router").wrap_err("--router")?;
+    let key_file = arguments.opt_value_from_str("--operator-key-file")?;
+    eyre::ensure!(
+        addresses.is_empty() || key_file.is_some(),
+        "--operator-key-file is needed to ask routers"
+    );
+    Ok(Routers {
+        addresses,
+        key_file,
+    })
+}
+
+fn value<T: FromStr>(arguments: &mut Arguments, option: &'static str) -> eyre::Result<T>
+where
+    T::Err: std::fmt::Display,
+{
+    arguments.value_from_str(option).wrap_err(option)
+}
--- /dev/null
+++ b/crates/peridotrack/src/budget.rs
@@ -0,0 +1,236 @@
+//! `budget show` and `budget release`.
+
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use bytes::Bytes;
+use peridotrack_budget::ledger::{Entry, Row, Shard, Totals};
+use peridotrack_types::{id, name};
+use serde::Serialize;
+
+use crate::{
+    arguments::Release,
+    config::object,
+    platform::{Platform, Write},
+    report::{Exit, Failure, OrExit, Report},
+};
+
+/// Prefix of the keys of ledger shards.
+const LEDGER_PREFIX: &str = "ledger/";
+/// Attempts of a release that meets the routers' own updates.
+const ATTEMPTS: usize = 20;
+
+/// A budget, as operators see it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Shown {
+    /// Name of the budget.
+    pub budget: name::Budget,
+    /// Whether the configuration in force declares it.
+    pub is_configured: bool,
+    /// Sums over all holders.
+    pub totals: Totals,
+    /// What each holder counts for.
+    pub holders: BTreeMap<id::Incarnation, Row>,
+}
+
+/// Shows budgets, or one with its holders.
+///
+/// # Errors
+///
+/// Returns a failure if the platform cannot be reached or there is no such budget.
+pub async fn show(address: SocketAddr, only: Option<&name::Budget>) -> Result<Report, Failure> {
+    let platform = Platform::open(address);
+    let mut shown = configured(&platform).await?;
+    for (_, shard) in shards(&platform).await? {
+        for (budget, entry) in shard.entries {
+            add_entry(&mut shown, budget, &entry);
+        }
+    }
+    if let Some(only) = only {
+        shown.retain(|budget, _| budget == only);
+        if shown.is_empty() {
+            let message = format!("neither the configuration nor the ledger holds budget {only}");
+            return Err(Failure::new(Exit::Refused, message));
+        }
+    }
+    let with_holders = only.is_some();
+    let text = shown
+        .values()
+        .map(|budget| text(budget, with_holders))
+        .collect::<String>();
+    let budgets: Vec<_> = shown.into_values().collect();
+    Ok(Report::done(
+        text,
+        serde_json::json!({ "budgets": budgets }),
+    ))
+}
+
+/// Releases what a destroyed router held of a budget.
+///
+/// # Errors
+///
+/// Returns a failure if the ledger refuses the release or the platform cannot be reached.
+pub async fn release(release: &Release) -> Result<Report, Failure> {
+    let platform = Platform::open(release.platform);
+    for _ in 0..ATTEMPTS {
+        let (key, version, shard) = find(&platform, &release.budget).await?;
+        if is_released(&shard, release) {
+            return Ok(released(release));
+        }
+        let mut next = shard.clone();
+        next.release(&release.budget, release.holder, release.spent_tokens)
+            .or_exit(Exit::Refused)?;
+        next.check_update(&shard).or_exit(Exit::Refused)?;
+        let content = Bytes::from(serde_json::to_vec(&next).or_exit(Exit::Refused)?);
+        let written = platform.write(&key, Some(version), &content).await;
+        if written.or_exit(Exit::Unreachable)? == Write::Done {
+            return Ok(released(release));
+        }
+    }
+    Err(Failure::new(
+        Exit::Refused,
+        "the routers updated the ledger at each attempt; nothing was released",
+    ))
+}
+
+/// Returns the budgets of the configuration in force, as if nothing were drawn on them.
+async fn configured(platform: &Platform) -> Result<BTreeMap<name::Budget, Shown>, Failure> {
+    let Some(held) = object::read(platform).await? else {
+        return Ok(BTreeMap::new());
+    };
+    let budgets = held.config.rules.budgets.into_iter();
+    let shown = budgets.map(|budget| {
+        let totals = Totals {
+            purchased_tokens: budget.purchased_tokens,
+            left_tokens: budget.purchased_tokens,
+            ..Totals::default()
+        };
+        let shown = Shown {
+            budget: budget.name.clone(),
+            is_configured: true,
+            totals,
+            holders: BTreeMap::new(),
+        };
+        (budget.name, shown)
+    });
+    Ok(shown.collect())
+}
+
+/// Adds what the ledger holds. The purchased total is the configuration's, if it has one.
+fn add_entry(shown: &mut BTreeMap<name::Budget, Shown>, budget: name::Budget, entry: &Entry) {
+    let mut totals = entry.totals();
+    let configured = shown.get(&budget);
+    if let Some(configured) = configured {
+        totals.purchased_tokens = configured.totals.purchased_tokens;
+        totals.left_tokens = totals
+            .purchased_tokens
+            .saturating_sub(totals.exposed_tokens);
+    }
+    let next = Shown {
+        budget: budget.clone(),
+        is_configured: configured.is_some(),
+        totals,
+        holders: entry.rows.clone(),
+    };
+    shown.insert(budget, next);
+}
+
+/// Reads every shard of the ledger, with its key and version.
+async fn shards(platform: &Platform) -> Result<Vec<((String, u64), Shard)>, Failure> {
+    let keys = platform
+        .list(LEDGER_PREFIX)
+        .await
+        .or_exit(Exit::Unreachable)?;
+    let mut shards = Vec::new();
+    for key in keys {
+        let object = platform.read(&key).await.or_exit(Exit::Unreachable)?;
+        let Some(object) = object else {
+            continue;
+        };
+        let shard = serde_json::from_slice(&object.content).or_exit(Exit::Refused)?;
+        shards.push(((key, object.version), shard));
+    }
+    Ok(shards)
+}
+
+/// Finds the shard that holds a budget.
+async fn find(platform: &Platform, budget: &name::Budget) -> Result<(String, u64, Shard), Failure> {
+    for ((key, version), shard) in shards(platform).await? {
+        if shard.entries.contains_key(budget) {
+            return Ok((key, version, shard));
+        }
+    }
+    Err(Failure::new(
+        Exit::Refused,
+        format!("the ledger holds nothing of budget {budget}"),
+    ))
+}
+
+/// Returns whether the ledger shows this release already, as after a lost reply.
+fn is_released(shard: &Shard, release: &Release) -> bool {
+    let entry = shard.entries.get(&release.budget);
+    let row = entry.and_then(|entry| entry.rows.get(&release.holder));
+    matches!(row, Some(Row::Released { spent_tokens, .. }) if *spent_tokens == release.spent_tokens)
+}
+
+fn released(release: &Release) -> Report {
+    let Release {
+        budget,
+        holder,
+        spent_tokens,
+        ..
+    } = release;
+    let text = format!(
+        "released what {holder} held of {budget}; it counts as {spent_tokens} tokens spent \
+         once every open holder has acknowledged it\n"
+    );
+    let json = serde_json::json!({
+        "budget": budget,
+        "holder": holder,
+        "spent_tokens": spent_tokens,
+    });
+    Report::done(text, json)
+}
+
+fn text(shown: &Shown, with_holders: bool) -> String {
+    let Totals {
+        purchased_tokens,
+        settled_tokens,
+        reserved_tokens,
+        exposed_tokens,
+        left_tokens,
+    } = shown.totals;
+    let mut text = format!(
+        "{}: {purchased_tokens} purchased, {settled_tokens} settled, {reserved_tokens} reserved, \
+         {exposed_tokens} granted or spent, {left_tokens} left, {} holders{}\n",
+        shown.budget,
+        shown.holders.len(),
+        if shown.is_configured {
+            ""
+        } else {
+            ", not in the configuration"
+        },
+    );
+    if with_holders {
+        let lines = shown
+            .holders
+            .iter()
+            .map(|(holder, row)| holder_text(*holder, row));
+        text.extend(lines);
+    }
+    text
+}
+
+fn holder_text(holder: id::Incarnation, row: &Row) -> String {
+    let state = match row {
+        Row::Open { .. } => "open",
+        Row::Released { .. } => "released",
+        Row::Closed { .. } => "closed",
+    };
+    format!(
+        "  {holder} {state}: {} granted or spent, {} settled, {} reserved, {} idle\n",
+        row.exposed_tokens(),
+        row.settled_tokens(),
+        row.reserved_tokens(),
+        row.idle_tokens(),
+    )
+}
--- /dev/null
+++ b/crates/peridotrack/src/config/object.rs
@@ -0,0 +1,81 @@
+//! The configuration as the platform holds it.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use eyre::WrapErr;
+use peridotrack_types::config::{Config, store};
+
+use crate::{
+    platform::{self, Platform},
+    report::{Exit, Failure, OrExit},
+};
+
+/// A configuration, and the version of the object that holds it or its manifest.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Held {
+    /// Version of the object.
+    pub object_version: u64,
+    /// Content of the object.
+    pub content: Bytes,
+    /// The configuration.
+    pub config: Config,
+}
+
+/// Reads the configuration that the platform holds, with all its parts.
+///
+/// # Errors
+///
+/// Returns a failure if the platform cannot be reached or holds no configuration.
+pub async fn read(platform: &Platform) -> Result<Option<Held>, Failure> {
+    let object = platform.read(store::CURRENT_KEY).await;
+    let Some(object) = object.or_exit(Exit::Unreachable)? else {
+        return Ok(None);
+    };
+    let current = store::Current::parse(&object.content).or_exit(Exit::Refused)?;
+    let config = match current {
+        store::Current::Whole(config) => *config,
+        store::Current::Split(manifest) => read_parts(platform, &manifest).await?,
+    };
+    Ok(Some(Held {
+        object_version: object.version,
+        content: object.content,
+        config,
+    }))
+}
+
+/// Creates the parts of a configuration that the platform does not hold yet.
+///
+/// # Errors
+///
+/// Returns a failure if the platform cannot be reached.
+pub async fn write_parts(platform: &Platform, parts: Vec<store::Object>) -> Result<(), Failure> {
+    let known = platform.list(store::PART_PREFIX).await;
+    let known = known.or_exit(Exit::Unreachable)?;
+    for part in parts {
+        if known.binary_search(&part.key).is_ok() {
+            continue;
+        }
+        // A conflict means that the part exists: its content follows from its key.
+        let written = platform.write(&part.key, None, &part.content.into()).await;
+        let _: platform::Write = written.or_exit(Exit::Unreachable)?;
+    }
+    Ok(())
+}
+
+async fn read_parts(platform: &Platform, manifest: &store::Manifest) -> Result<Config, Failure> {
+    let mut contents: BTreeMap<String, Bytes> = BTreeMap::new();
+    for part in &manifest.parts {
+        let key = part.key();
+        if contents.contains_key(&key) {
+            continue;
+        }
+        let object = platform.read(&key).await.or_exit(Exit::Unreachable)?;
+        if let Some(object) = object {
+            contents.insert(key, object.content);
+        }
+    }
+    store::join(manifest, |key| contents.get(key).map(AsRef::as_ref))
+        .wrap_err("join the parts of the configuration")
+        .or_exit(Exit::Refused)
+}
--- /dev/null
+++ b/crates/peridotrack/src/explain.rs
@@ -0,0 +1,75 @@
+//! `explain`: tells what happened to one request.
+
+use std::collections::BTreeSet;
+
+use peridotrack_types::id;
+
+use crate::{
+    arguments::Routers,
+    report::{Exit, Failure, Report},
+    timeline::{self, Merged},
+};
+
+/// Tells what happened to one request.
+///
+/// # Errors
+///
+/// Returns a failure if the operators' key cannot be read.
+pub async fn explain(request: id::Request, routers: &Routers) -> Result<Report, Failure> {
+    let collected = timeline::collect(routers).await?;
+    let events = select(&collected.events, request);
+    let mut exit = collected.exit();
+    let mut text = String::new();
+    if events.is_empty() {
+        text.push_str(&format!(
+            "no router asked has an event of request {request}: its time line may have moved on, \
+             or the router of incarnation {} was not asked or has ended\n",
+            request.incarnation
+        ));
+        exit = exit.max(Exit::Refused);
+    }
+    let start_us = events.first().map_or(0, |event| event.at_wall_us);
+    for event in &events {
+        let since_us = event.at_wall_us - start_us;
+        text.push_str(&format!("+{:.3} ms  ", since_us as f64 / 1_000.0));
+        text.push_str(&timeline::line(event));
+    }
+    text.push_str(&collected.footer());
+    let json = serde_json::json!({
+        "request_id": request,
+        "events": events,
+        "routers": collected.routers_json(),
+    });
+    Ok(Report::done(text, json).exit(exit))
+}
+
+/// Returns the events of a request, what caused them, and what they caused.
+pub fn select(events: &[Merged], request: id::Request) -> Vec<Merged> {
+    let place = |merged: &Merged| (merged.event.process.clone(), merged.event.sequence);
+    let cause = |merged: &Merged| {
+        let cause = merged.event.cause?;
+        Some((merged.event.process.clone(), cause))
+    };
+    let mut selected: BTreeSet<_> = events
+        .iter()
+        .filter(|merged| merged.event.request_id == Some(request))
+        .map(place)
+        .collect();
+    // A cause precedes its effect in a process, so one pass in each direction suffices.
+    for merged in events {
+        let is_other = merged
+            .event
+            .request_id
+            .is_some_and(|other| other != request);
+        if !is_other && cause(merged).is_some_and(|cause| selected.contains(&cause)) {
+            selected.insert(place(merged));
+        }
+    }
+    for merged in events.iter().rev() {
+        if selected.contains(&place(merged)) {
+            selected.extend(cause(merged));
+        }
+    }
+    let is_selected = |merged: &&Merged| selected.contains(&place(merged));
+    events.iter().filter(is_selected).cloned().collect()
+}
--- /dev/null
+++ b/crates/peridotrack/src/help.rs
@@ -0,0 +1,137 @@
+//! Help texts of the commands.
+
+/// A command of the tool.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Entry {
+    /// Words that name the command.
+    pub words: &'static str,
+    /// What it does, in one line.
+    pub summary: &'static str,
+    /// Its usage and options.
+    pub text: &'static str,
+}
+
+/// Exit codes, the same for every command.
+pub const EXIT_CODES: &str = "\
+Exit codes:
+  0  done
+  1  a promise is broken, the operation was refused, or it is not in force everywhere
+  2  the usage or an input is wrong
+  3  the platform or a router could not be reached";
+
+/// Options that every command takes.
+pub const COMMON_OPTIONS: &str = "\
+Common options:
+  --json     print one JSON value in place of text
+  --help     print this help
+  --version  print the version";
+
+/// Every command.
+pub const COMMANDS: &[Entry] = &[
+    Entry {
+        words: "config check",
+        summary: "check a register and rules as a whole",
+        text: "\
+usage: peridotrack config check --register FILE --rules FILE
+
+Prints every error of both files at its JSON path.",
+    },
+    Entry {
+        words: "config apply",
+        summary: "put a register and rules in force",
+        text: "\
+usage: peridotrack config apply --platform ADDRESS --register FILE --rules FILE
+           [--wait] [--router ADDRESS]... [--operator-key-file FILE] [--timeout-s N]
+
+Checks the files, then writes them as the next version. Of two operators that
+apply at once, one wins and the other is told. A lost reply is resolved by
+reading back.
+
+  --platform ADDRESS        address of the platform, IP:PORT
+  --router ADDRESS          operator address of a router; give each router
+  --operator-key-file FILE  file with the operators' bearer key
+  --wait                    wait until each router given holds the version, and
+                            say which does not and why
+  --timeout-s N             longest wait in seconds, 15 if absent",
+    },
+    Entry {
+        words: "config show",
+        summary: "show the configuration that the platform holds",
+        text: "\
+usage: peridotrack config show --platform ADDRESS
+
+Prints the version and what it counts; with --json the whole configuration.",
+    },
+    Entry {
+        words: "status",
+        summary: "show routers, their peers and configuration versions",
+        text: "\
+usage: peridotrack status --router ADDRESS... --operator-key-file FILE",
+    },
+    Entry {
+        words: "budget show",
+        summary: "show purchased, spent and held tokens of budgets",
+        text: "\
+usage: peridotrack budget show --platform ADDRESS [--budget NAME]
+
+With --budget, shows each holder too. Tokens of a holder that died without
+closing stay counted as spent until `budget release`.",
+    },
+    Entry {
+        words: "budget release",
+        summary: "release what a destroyed router held of a budget",
+        text: "\
+usage: peridotrack budget release --platform ADDRESS --budget NAME
+           --holder INCARNATION --spent TOKENS --confirm-destroyed
+
+  --holder INCARNATION  incarnation of the router, as `budget show` prints it
+  --spent TOKENS        tokens that the provider counted for it in all
+  --confirm-destroyed   states that the VM is destroyed and can never run
+                        again; a paused VM that wakes would overspend",
+    },
+    Entry {
+        words: "timeline",
+        summary: "merge the events of routers into one time line",
+        text: "\
+usage: peridotrack timeline --router ADDRESS... --operator-key-file FILE [--last N]
+
+Times are those of this machine: the offset of each router's clock is estimated
+from the midpoints of requests, and printed with its bound.
+
+  --last N  print only the last N events",
+    },
+    Entry {
+        words: "explain",
+        summary: "tell what happened to one request",
+        text: "\
+usage: peridotrack explain REQUEST-ID --router ADDRESS... --operator-key-file FILE
+
+Prints the events of the request at all routers given, with their causes.",
+    },
+];
+
+/// Returns the help of the command named by `words`, or of the whole tool.
+pub fn text(words: &str) -> String {
+    match COMMANDS.iter().find(|entry| entry.words == words) {
+        Some(entry) => format!("{}\n\n{COMMON_OPTIONS}\n\n{EXIT_CODES}\n", entry.text),
+        None => overview(words),
+    }
+}
+
+/// Returns the list of commands, or of those below one word.
+fn overview(word: &str) -> String {
+    let mut text = "usage: peridotrack COMMAND [OPTIONS]\n\nCommands:\n".to_owned();
+    let below: Vec<_> = COMMANDS
+        .iter()
+        .filter(|entry| !word.is_empty() && entry.words.starts_with(word))
+        .collect();
+    let shown = if below.is_empty() {
+        COMMANDS.iter().collect()
+    } else {
+        below
+    };
+    for entry in shown {
+        text.push_str(&format!("  {:<15}{}\n", entry.words, entry.summary));
+    }
+    format!("{text}\n{COMMON_OPTIONS}\n\n{EXIT_CODES}\n")
+}
--- /dev/null
+++ b/crates/peridotrack/src/lib.rs
@@ -0,0 +1,24 @@
+//! The operators' tool: configuration, status, budgets and time line of a router fleet.
+//!
+//! Each command is a function that returns a [`report::Report`], which the binary
+//! prints as text or JSON before it exits with the report's code.
+//!
+//! ```
+//! use peridotrack::{arguments, arguments::Command};
+//!
+//! let arguments = ["status", "--router", "127.0.0.1:9101", "--operator-key-file", "key"];
+//! let invocation = arguments::parse(arguments.map(Into::into).to_vec()).unwrap();
+//! assert!(matches!(invocation.command, Command::Status(_)));
+//! ```
+
+pub mod arguments;
+pub mod budget;
+pub mod config;
+pub mod explain;
+pub mod fleet;
+pub mod help;
+pub mod platform;
+pub mod report;
+pub mod run;
+pub mod status;
+pub mod timeline;
--- /dev/null
+++ b/crates/peridotrack/src/platform.rs
@@ -0,0 +1,325 @@
+//! Client of the platform's object API, as `docs/PROTOCOLS.md` describes it.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use peridotrack_http::client;
+use serde::Deserialize;
+
+/// Longest wait for each step of a call, in milliseconds.
+const TIMEOUT_MS: u64 = 3_000;
+/// Largest answer, in bytes.
+const ANSWER_BYTES: usize = 2 * 1024 * 1024;
+/// Idle connections that are kept.
+const IDLE_CONNECTIONS: usize = 2;
+/// Objects in one page of a list.
+const LIST_ITEMS: usize = 1_000;
+/// Attempts of a call that does not reach the platform or is refused for its rate.
+const ATTEMPTS: u32 = 5;
+/// Wait before another attempt, if the platform states none.
+const RETRY: Duration = Duration::from_millis(200);
+/// Longest wait that the platform may state.
+const MAX_RETRY: Duration = Duration::from_secs(5);
+
+/// A versioned object.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Object {
+    /// Version of the object.
+    pub version: u64,
+    /// Content of the object.
+    pub content: Bytes,
+}
+
+/// What became of a conditional write.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Write {
+    /// It took effect.
+    Done,
+    /// The object has another version, and the write took no effect.
+    Conflict,
+    /// The object has another version; an earlier attempt may have taken effect.
+    ConflictAfterLostReply,
+}
+
+/// A call that failed.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The platform was not reached, or the write's outcome is unknown.
+    #[error("{step} {key} at {address}: {source}")]
+    Http {
+        /// What was done.
+        step: &'static str,
+        /// Key of the object.
+        key: String,
+        /// Address of the platform.
+        address: SocketAddr,
+        /// Why it failed.
+        source: Box<client::Error>,
+    },
+    /// The platform refused the call.
+    #[error("{step} {key} at {address}: status {status}")]
+    Status {
+        /// What was done.
+        step: &'static str,
+        /// Key of the object.
+        key: String,
+        /// Address of the platform.
+        address: SocketAddr,
+        /// HTTP status.
+        status: u16,
+    },
+    /// The answer cannot be read.
+    #[error("{step} {key} at {address}: {message}")]
+    Malformed {
+        /// What was done.
+        step: &'static str,
+        /// Key of the object.
+        key: String,
+        /// Address of the platform.
+        address: SocketAddr,
+        /// What is wrong.
+        message: String,
+    },
+}
+
+/// Client of the platform.
+pub struct Platform {
+    address: SocketAddr,
+    pool: client::Pool,
+}
+
+/// What is done with which object.
+#[derive(Clone, Copy)]
+struct Call<'a> {
+    step: &'static str,
+    key: &'a str,
+}
+
+#[derive(Deserialize)]
+struct List {
+    items: Vec<Item>,
+}
+
+#[derive(Deserialize)]
+struct Item {
+    key: String,
+}
+
+/// Construction.
+impl Platform {
+    /// Returns a client of the platform at an address.
+    pub fn open(address: SocketAddr) -> Self {
+        let options = client::Options {
+            connect_timeout_ms: TIMEOUT_MS,
+            response_timeout_ms: TIMEOUT_MS,
+            chunk_timeout_ms: TIMEOUT_MS,
+            body_bytes: ANSWER_BYTES,
+            ..client::Options::default()
+        };
+        Self {
+            address,
+            pool: client::Pool::new(options, IDLE_CONNECTIONS),
+        }
+    }
+}
+
+/// Access.
+impl Platform {
+    /// Reads an object; `None` if there is none.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the platform cannot be reached or refuses.
+    pub async fn read(&self, key: &str) -> Result<Option<Object>, Error> {
+        let call = Call { step: "read", key };
+        let path = format!("/v1/objects/{key}");
+        let response = self
+            .fetch_often(call, "GET", &path, None, &Bytes::new())
+            .await?;
+        match response.status().as_u16() {
+            404 => Ok(None),
+            200 => self.object(call, response).map(Some),
+            status => Err(self.refused(call, status)),
+        }
+    }
+
+    /// Returns the keys that begin with `prefix`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the platform cannot be reached or refuses.
+    pub async fn list(&self, prefix: &str) -> Result<Vec<String>, Error> {
+        let call = Call {
+            step: "list",
+            key: prefix,
+        };
+        let mut keys: Vec<String> = Vec::new();
+        loop {
+            let after = keys.last().map_or("", String::as_str);
+            let path = format!("/v1/objects?prefix={prefix}&after={after}&limit={LIST_ITEMS}");
+            let response = self
+                .fetch_often(call, "GET", &path, None, &Bytes::new())
+                .await?;
+            if response.status() != http::StatusCode::OK {
+                return Err(self.refused(call, response.status().as_u16()));
+            }
+            let list: List = serde_json::from_slice(response.body())
+                .map_err(|error| self.malformed(call, &error.to_string()))?;
+            let count = list.items.len();
+            keys.extend(list.items.into_iter().map(|item| item.key));
+            if count < LIST_ITEMS {
+                return Ok(keys);
+            }
+        }
+    }
+}
+
+/// Mutation.
+impl Platform {
+    /// Updates an object of version `expected`, or creates it if `expected` is `None`.
+    ///
+    /// A lost reply is followed by the same conditional write, which takes effect at
+    /// most once.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the platform cannot be reached or refuses. If the error is
+    /// [`Error::Http`], the write may have taken effect.
+    pub async fn write(
+        &self,
+        key: &str,
+        expected: Option<u64>,
+        content: &Bytes,
+    ) -> Result<Write, Error> {
+        let call = Call { step: "write", key };
+        let path = format!("/v1/objects/{key}");
+        let mut is_reply_lost = false;
+        let mut attempt = 1;
+        loop {
+            let result = self
+                .fetch(call, "PUT", &path, Some(expected), content)
+                .await;
+            let wait = match &result {
+                Ok(response) => match response.status().as_u16() {
+                    200 | 201 => return Ok(Write::Done),
+                    412 if is_reply_lost => return Ok(Write::ConflictAfterLostReply),
+                    412 => return Ok(Write::Conflict),
+                    429 | 503 => retry_after(response),
+                    status => return Err(self.refused(call, status)),
+                },
+                Err(error) => {
+                    is_reply_lost |= may_have_arrived(error);
+                    RETRY
+                }
+            };
+            if attempt == ATTEMPTS {
+                let status = result?.status().as_u16();
+                return Err(self.refused(call, status));
+            }
+            attempt += 1;
+            monoio::time::sleep(wait).await;
+        }
+    }
+}
+
+impl Platform {
+    /// Makes a call that may be repeated.
+    async fn fetch_often(
+        &self,
+        call: Call<'_>,
+        method: &str,
+        path: &str,
+        condition: Option<Option<u64>>,
+        content: &Bytes,
+    ) -> Result<http::Response<Bytes>, Error> {
+        let mut attempt = 1;
+        loop {
+            let result = self.fetch(call, method, path, condition, content).await;
+            let wait = match &result {
+                Ok(response) if matches!(response.status().as_u16(), 429 | 503) => {
+                    retry_after(response)
+                }
+                Ok(_) => return result,
+                Err(_) => RETRY,
+            };
+            if attempt == ATTEMPTS {
+                return result;
+            }
+            attempt += 1;
+            monoio::time::sleep(wait).await;
+        }
+    }
+
+    async fn fetch(
+        &self,
+        call: Call<'_>,
+        method: &str,
+        path: &str,
+        condition: Option<Option<u64>>,
+        content: &Bytes,
+    ) -> Result<http::Response<Bytes>, Error> {
+        let mut request = http::Request::builder().method(method).uri(path);
+        match condition {
+            Some(Some(version)) => {
+                request = request.header("if-match", format!("\"{version}\""));
+            }
+            Some(None) => request = request.header("if-none-match", "*"),
+            None => {}
+        }
+        let request = request
+            .body(content.clone())
+            .map_err(|error| self.malformed(call, &error.to_string()))?;
+        let response = self.pool.fetch(self.address, request).await;
+        response.map_err(|source| Error::Http {
+            step: call.step,
+            key: call.key.to_owned(),
+            address: self.address,
+            source: Box::new(source),
+        })
+    }
+
+    fn object(&self, call: Call<'_>, response: http::Response<Bytes>) -> Result<Object, Error> {
+        let etag = response.headers().get("etag");
+        let version = etag
+            .and_then(|etag| etag.to_str().ok()?.trim_matches('"').parse().ok())
+            .ok_or_else(|| self.malformed(call, "the answer has no version"))?;
+        Ok(Object {
+            version,
+            content: response.into_body(),
+        })
+    }
+
+    fn refused(&self, call: Call<'_>, status: u16) -> Error {
+        Error::Status {
+            step: call.step,
+            key: call.key.to_owned(),
+            address: self.address,
+            status,
+        }
+    }
+
+    fn malformed(&self, call: Call<'_>, message: &str) -> Error {
+        Error::Malformed {
+            step: call.step,
+            key: call.key.to_owned(),
+            address: self.address,
+            message: message.to_owned(),
+        }
+    }
+}
+
+fn may_have_arrived(error: &Error) -> bool {
+    match error {
+        Error::Http { source, .. } => source.bytes_written,
+        Error::Status { .. } | Error::Malformed { .. } => true,
+    }
+}
+
+fn retry_after(response: &http::Response<Bytes>) -> Duration {
+    response
+        .headers()
+        .get("retry-after")
+        .and_then(|value| value.to_str().ok()?.parse().ok())
+        .map_or(RETRY, Duration::from_secs)
+        .min(MAX_RETRY)
+}
--- /dev/null
+++ b/crates/peridotrack/src/run.rs
@@ -0,0 +1,66 @@
+//! Carries out a command and prints its report.
+
+use std::{ffi::OsString, io::Write};
+
+use crate::{
+    arguments::{self, Command, Invocation},
+    budget, config, explain,
+    report::{Exit, Failure, OrExit, Report},
+    status, timeline,
+};
+
+/// Runs the tool with the arguments of the process, without its name.
+pub fn run(arguments: Vec<OsString>) -> Exit {
+    let json = arguments.iter().any(|argument| argument == "--json");
+    let outcome = arguments::parse(arguments).and_then(execute);
+    match outcome {
+        Ok(report) => {
+            print(&report, json);
+            report.exit
+        }
+        Err(failure) => {
+            if json {
+                let error = serde_json::json!({ "error": failure.to_string() });
+                print(&Report::done("", error), json);
+            }
+            eprintln!("peridotrack: {failure}");
+            failure.exit
+        }
+    }
+}
+
+/// Carries out a command on an event loop of its own.
+fn execute(invocation: Invocation) -> Result<Report, Failure> {
+    let mut runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
+        .enable_timer()
+        .build()
+        .or_exit(Exit::Refused)?;
+    runtime.block_on(dispatch(invocation.command))
+}
+
+async fn dispatch(command: Command) -> Result<Report, Failure> {
+    match command {
+        Command::Print(text) => {
+            let json = serde_json::json!({ "text": text });
+            Ok(Report::done(text, json))
+        }
+        Command::ConfigCheck(inputs) => config::check::check(&inputs),
+        Command::ConfigApply(apply) => config::apply::apply(&apply).await,
+        Command::ConfigShow { platform } => config::show::show(platform).await,
+        Command::Status(routers) => status::status(&routers).await,
+        Command::BudgetShow { platform, budget } => budget::show(platform, budget.as_ref()).await,
+        Command::BudgetRelease(release) => budget::release(&release).await,
+        Command::Timeline { routers, last } => timeline::timeline(&routers, last).await,
+        Command::Explain { request, routers } => explain::explain(request, &routers).await,
+    }
+}
+
+/// Prints a report. A closed pipe is no error of the command.
+fn print(report: &Report, json: bool) {
+    let mut stdout = std::io::stdout().lock();
+    let _ = if json {
+        writeln!(stdout, "{:#}", report.json)
+    } else {
+        write!(stdout, "{}", report.text)
+    };
+}
--- /dev/null
+++ b/crates/peridotrack/src/status.rs
@@ -0,0 +1,69 @@
+//! `status`: shows routers, their peers and configuration versions.
+
+use std::net::SocketAddr;
+
+use serde_json::Value;
+
+use crate::{
+    arguments::Routers,
+    fleet::{self, Answer, Error, Fleet, Status},
+    report::{Failure, Report},
+};
+
+/// Shows the status of routers.
+///
+/// # Errors
+///
+/// Returns a failure if the operators' key cannot be read.
+pub async fn status(routers: &Routers) -> Result<Report, Failure> {
+    let fleet = Fleet::open(routers)?;
+    let answers = fleet.ask_all::<Value>("/v1/status").await;
+    let text: String = answers
+        .iter()
+        .map(|(router, answer)| line(*router, answer))
+        .collect();
+    let exit = fleet::exit_of(&answers);
+    let routers: Vec<Value> = answers
+        .into_iter()
+        .map(|(router, answer)| match answer {
+            Ok(answer) => serde_json::json!({ "router": router, "status": answer.value }),
+            Err(error) => serde_json::json!({ "router": router, "error": error.to_string() }),
+        })
+        .collect();
+    let json = serde_json::json!({ "routers": routers });
+    Ok(Report::done(text, json).exit(exit))
+}
+
+fn line(router: SocketAddr, answer: &Result<Answer<Value>, Error>) -> String {
+    let value = match answer {
+        Ok(answer) => &answer.value,
+        Err(error) => return format!("{router}: {error}\n"),
+    };
+    let Ok(status) = serde_json::from_value::<Status>(value.clone()) else {
+        return format!("{router}: {value}\n");
+    };
+    let live = |list: &str| {
+        let elements = value[list].as_array().map_or(&[][..], Vec::as_slice);
+        let live = elements
+            .iter()
+            .filter(|element| element["is_live"] != false);
+        (live.count(), elements.len())
+    };
+    let (live_peers, peers) = live("peers");
+    let platform = match value["is_platform_reachable"].as_bool() {
+        Some(true) => ", platform reached",
+        Some(false) => ", platform lost",
+        None => "",
+    };
+    let Status {
+        vm,
+        incarnation,
+        failure_domain,
+        state,
+        config_version,
+    } = status;
+    format!(
+        "{router}: {vm} {incarnation} in {failure_domain}, {state}, config {config_version}, \
+         {live_peers} of {peers} peers live{platform}\n"
+    )
+}
--- /dev/null
+++ b/crates/peridotrack/src/timeline.rs
@@ -0,0 +1,168 @@
+//! `timeline`: merges the events of routers into one time line.
+
+mod merge;
+mod wall;
+
+use std::net::SocketAddr;
+
+use peridotrack_kernel::{event, timeline::Page};
+
+use crate::{
+    arguments::Routers,
+    fleet::{self, Answer, Error, Fleet},
+    report::{Exit, Failure, Report},
+};
+
+pub use merge::{Merged, Offset, Source, merge};
+pub use wall::utc;
+
+/// Requests from which the offset of a router's clock is estimated.
+const OFFSET_SAMPLES: usize = 4;
+/// A request for no events, which tells the router's clock alone.
+const CLOCK_PATH: &str = "/v1/timeline?after=18446744073709551615";
+
+/// The events of several routers.
+pub struct Collected {
+    /// Events by time, oldest first.
+    pub events: Vec<Merged>,
+    /// Offsets of the routers' clocks.
+    pub offsets: Vec<(SocketAddr, Offset)>,
+    /// Routers that gave no usable answer.
+    pub errors: Vec<(SocketAddr, Error)>,
+}
+
+/// Merges the events of routers.
+///
+/// # Errors
+///
+/// Returns a failure if the operators' key cannot be read.
+pub async fn timeline(routers: &Routers, last: Option<usize>) -> Result<Report, Failure> {
+    let mut collected = collect(routers).await?;
+    let surplus = last.map_or(0, |last| collected.events.len().saturating_sub(last));
+    collected.events.drain(..surplus);
+    let mut text: String = collected.events.iter().map(line).collect();
+    text.push_str(&collected.footer());
+    let json = serde_json::json!({
+        "events": collected.events,
+        "routers": collected.routers_json(),
+    });
+    Ok(Report::done(text, json).exit(collected.exit()))
+}
+
+/// Reads the events of routers and estimates the offsets of their clocks.
+///
+/// # Errors
+///
+/// Returns a failure if the operators' key cannot be read.
+pub async fn collect(routers: &Routers) -> Result<Collected, Failure> {
+    let fleet = Fleet::open(routers)?;
+    let mut samples = fleet.ask_all::<Page>("/v1/timeline?after=0").await;
+    let mut offsets: Vec<_> = samples.iter().map(|(_, answer)| offset(answer)).collect();
+    for _ in 1..OFFSET_SAMPLES {
+        let answers = fleet.ask_all::<Page>(CLOCK_PATH).await;
+        for (best, (_, answer)) in offsets.iter_mut().zip(&answers) {
+            *best = Offset::better(*best, offset(answer));
+        }
+    }
+    let mut collected = Collected {
+        events: Vec::new(),
+        offsets: Vec::new(),
+        errors: Vec::new(),
+    };
+    let mut sources = Vec::new();
+    for ((address, answer), offset) in samples.drain(..).zip(offsets) {
+        match (answer, offset) {
+            (Ok(answer), Some(offset)) => {
+                collected.offsets.push((address, offset));
+                sources.push(Source {
+                    offset,
+                    events: answer.value.events,
+                });
+            }
+            (Err(error), _) => collected.errors.push((address, error)),
+            (Ok(_), None) => {}
+        }
+    }
+    collected.events = merge(sources);
+    Ok(collected)
+}
+
+impl Collected {
+    /// Returns how the command ends.
+    pub fn exit(&self) -> Exit {
+        let exits = self.errors.iter().map(|(_, error)| error.exit());
+        exits.max().unwrap_or(Exit::Done)
+    }
+
+    /// Returns the clocks of the routers, and those that gave no answer.
+    pub fn footer(&self) -> String {
+        let clocks = self.offsets.iter().map(|(address, offset)| {
+            format!(
+                "{address}: clock is {} us ahead, by at most {} us off\n",
+                offset.ahead_us, offset.bound_us
+            )
+        });
+        let errors = self
+            .errors
+            .iter()
+            .map(|(address, error)| format!("{address}: {error}\n"));
+        clocks.chain(errors).collect()
+    }
+
+    /// Returns the same as JSON.
+    pub fn routers_json(&self) -> serde_json::Value {
+        let clocks = self.offsets.iter().map(|(address, offset)| {
+            serde_json::json!({
+                "router": address,
+                "clock_ahead_us": offset.ahead_us,
+                "clock_bound_us": offset.bound_us,
+            })
+        });
+        let errors = self.errors.iter().map(
+            |(address, error)| serde_json::json!({ "router": address, "error": error.to_string() }),
+        );
+        clocks.chain(errors).collect()
+    }
+}
+
+/// Returns an event as a line of text.
+pub fn line(merged: &Merged) -> String {
+    let event = &merged.event;
+    let mut line = format!(
+        "{} {} #{} {} {}",
+        utc(merged.at_wall_us),
+        event.process,
+        event.sequence,
+        event.number,
+        event.name,
+    );
+    if let Some(request) = event.request_id {
+        line.push_str(&format!(" request={request}"));
+    }
+    for (name, value) in &event.fields {
+        line.push_str(&format!(" {name}={}", value_text(value)));
+    }
+    if let Some(cause) = event.cause {
+        line.push_str(&format!(" because of #{cause}"));
+    }
+    line.push('\n');
+    line
+}
+
+fn value_text(value: &event::Value) -> String {
+    match value {
+        event::Value::Number(number) => number.to_string(),
+        event::Value::Flag(flag) => flag.to_string(),
+        event::Value::Text(text) if text.contains(' ') || text.is_empty() => format!("{text:?}"),
+        event::Value::Text(text) => text.clone(),
+    }
+}
+
+fn offset(answer: &Result<Answer<Page>, fleet::Error>) -> Option<Offset> {
+    let answer = answer.as_ref().ok()?;
+    Some(Offset::estimate(
+        answer.sent_wall_us,
+        answer.received_wall_us,
+        answer.value.now_wall_us,
+    ))
+}
