--- /dev/null
+++ b/crates/peridotrack-bench/src/fleet.rs
@@ -0,0 +1,619 @@
+//! A fleet of budget holders over simulated time, with a fake store and a fake network.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BinaryHeap},
+};
+
+use peridotrack_budget::{
+    action::Action, event::Event, holder::Holder, ledger, message::Message, refusal, reservation,
+};
+use peridotrack_types::{collections::HashMap, id, name};
+
+mod audit;
+mod options;
+mod store;
+
+pub use audit::{Counts, Spend};
+pub use options::{Faults, Options};
+pub use store::Store;
+
+/// State of a holder's process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum State {
+    /// The process runs.
+    Running,
+    /// The process is paused; what arrives waits.
+    Paused,
+    /// The process was killed.
+    Dead,
+    /// The process closed its rows and ended.
+    Closed,
+}
+
+/// A holder and its surroundings.
+#[derive(Debug)]
+pub struct Node {
+    /// The holder.
+    pub holder: Holder,
+    /// Failure domain.
+    pub domain: usize,
+    /// State of the process.
+    pub state: State,
+    /// Tokens that the provider counted for each budget, by index.
+    pub spent_tokens: BTreeMap<usize, u64>,
+    waiting: Vec<Request>,
+    held: Vec<Item>,
+}
+
+/// One request of a caller.
+#[derive(Debug, Clone, Copy)]
+pub struct Request {
+    /// Index of the budget.
+    pub budget: usize,
+    /// Upper bound of the spend.
+    pub bound_tokens: u64,
+    /// Spend that the provider will count.
+    pub spent_tokens: u64,
+    /// Time between sending and the end of the answer, in microseconds.
+    pub service_us: u64,
+    deadline_us: u64,
+}
+
+impl Request {
+    /// Creates a request that spends as given.
+    pub fn new(budget: usize, bound_tokens: u64, spent_tokens: u64, service_us: u64) -> Self {
+        Self {
+            budget,
+            bound_tokens,
+            spent_tokens,
+            service_us,
+            deadline_us: 0,
+        }
+    }
+}
+
+#[derive(Debug, Clone)]
+enum Item {
+    Event(Event),
+    Read {
+        shard: u32,
+    },
+    Write {
+        shard: u32,
+        expected: Option<u64>,
+        body: ledger::Shard,
+        is_answered: bool,
+    },
+    Send {
+        reservation: reservation::Id,
+        request: Request,
+    },
+    Finish {
+        reservation: reservation::Id,
+        request: Request,
+    },
+    Deadline,
+}
+
+/// The fleet.
+#[derive(Debug)]
+pub struct Fleet {
+    options: Options,
+    /// Time, in microseconds.
+    pub now_us: u64,
+    /// Faults in force.
+    pub faults: Faults,
+    /// The platform's objects.
+    pub store: Store,
+    /// Every holder that ever was.
+    pub nodes: Vec<Node>,
+    /// Names of the budgets.
+    pub budgets: Vec<name::Budget>,
+    /// The provider's view of each budget.
+    pub spends: Vec<Spend>,
+    /// Outcomes of operators' releases.
+    pub releases: Vec<Result<(), ledger::ReleaseError>>,
+    /// Counts of the run.
+    pub counts: Counts,
+    config_version: u64,
+    queue: BinaryHeap<Reverse<(u64, u64)>>,
+    items: HashMap<u64, (usize, Item)>,
+    sequence: u64,
+    next_tick_us: u64,
+    by_id: BTreeMap<id::Incarnation, usize>,
+    rng: fastrand::Rng,
+}
+
+/// Construction
+impl Fleet {
+    /// Creates a fleet without holders, with the purchased total of each budget.
+    pub fn new(options: Options, purchased_tokens: &[u64]) -> Self {
+        let budgets = (0..purchased_tokens.len())
+            .map(|index| name::Budget::from(format!("budget-{index}")))
+            .collect();
+        let spends = purchased_tokens
+            .iter()
+            .map(|tokens| Spend {
+                ceiling_tokens: *tokens,
+                purchased_tokens: *tokens,
+                ..Spend::default()
+            })
+            .collect();
+        Self {
+            rng: fastrand::Rng::with_seed(options.seed),
+            options,
+            now_us: 0,
+            faults: Faults::default(),
+            store: Store::default(),
+            nodes: Vec::new(),
+            budgets,
+            spends,
+            releases: Vec::new(),
+            counts: Counts::default(),
+            config_version: 1,
+            queue: BinaryHeap::new(),
+            items: HashMap::default(),
+            sequence: 0,
+            next_tick_us: 0,
+            by_id: BTreeMap::new(),
+        }
+    }
+
+    /// Starts a holder in a failure domain and returns its index.
+    pub fn spawn(&mut self, domain: usize) -> usize {
+        let id = id::Incarnation(self.rng.u64(1..));
+        let node = self.nodes.len();
+        self.nodes.push(Node {
+            holder: Holder::new(id, self.options.holder.clone(), self.now_us),
+            domain,
+            state: State::Running,
+            spent_tokens: BTreeMap::new(),
+            waiting: Vec::new(),
+            held: Vec::new(),
+        });
+        self.by_id.insert(id, node);
+        self.configure(node);
+        node
+    }
+}
+
+/// Control
+impl Fleet {
+    /// Changes the purchased total of a budget; [`Fleet::configure`] spreads it.
+    pub fn set_purchased(&mut self, budget: usize, purchased_tokens: u64) {
+        self.config_version += 1;
+        let spend = &mut self.spends[budget];
+        spend.purchased_tokens = purchased_tokens;
+        spend.ceiling_tokens = spend.ceiling_tokens.max(purchased_tokens);
+    }
+
+    /// Hands the present configuration to a holder.
+    pub fn configure(&mut self, node: usize) {
+        if self.nodes[node].state != State::Running {
+            return;
+        }
+        let totals = self.spends.iter().map(|spend| spend.purchased_tokens);
+        let config: Vec<(name::Budget, u64)> = self.budgets.iter().cloned().zip(totals).collect();
+        let (now_us, version) = (self.now_us, self.config_version);
+        let actions = self.nodes[node].holder.configure(now_us, version, config);
+        self.perform(node, actions);
+    }
+
+    /// Hands the present configuration to every running holder.
+    pub fn configure_all(&mut self) {
+        for node in 0..self.nodes.len() {
+            self.configure(node);
+        }
+    }
+
+    /// Tells every running holder the running holders of its failure domain.
+    pub fn meet(&mut self) {
+        for node in 0..self.nodes.len() {
+            if self.nodes[node].state != State::Running {
+                continue;
+            }
+            let domain = self.nodes[node].domain;
+            let is_peer = |other: &&Node| other.domain == domain && other.state == State::Running;
+            let peers: Vec<id::Incarnation> = self
+                .nodes
+                .iter()
+                .filter(is_peer)
+                .map(|other| other.holder.id())
+                .collect();
+            let actions = self.nodes[node].holder.set_peers(self.now_us, &peers);
+            self.perform(node, actions);
+        }
+    }
+
+    /// Kills a holder's process.
+    pub fn kill(&mut self, node: usize) {
+        self.nodes[node].state = State::Dead;
+        self.nodes[node].waiting.clear();
+        for item in std::mem::take(&mut self.nodes[node].held) {
+            self.handle(node, item);
+        }
+    }
+
+    /// Pauses a holder's process.
+    pub fn pause(&mut self, node: usize) {
+        if self.nodes[node].state == State::Running {
+            self.nodes[node].state = State::Paused;
+        }
+    }
+
+    /// Wakes a paused holder, which then gets all that waited for it.
+    pub fn wake(&mut self, node: usize) {
+        if self.nodes[node].state == State::Paused {
+            self.nodes[node].state = State::Running;
+            for item in std::mem::take(&mut self.nodes[node].held) {
+                self.handle(node, item);
+            }
+        }
+    }
+
+    /// Starts the graceful end of a holder.
+    pub fn close(&mut self, node: usize) {
+        if self.nodes[node].state == State::Running {
+            let actions = self.nodes[node].holder.close(self.now_us);
+            self.perform(node, actions);
+        }
+    }
+
+    /// Releases a dead holder's rows, stating its true spend, as an operator would.
+    pub fn release(&mut self, node: usize) {
+        let holder = self.nodes[node].holder.id();
+        for (index, budget) in self.budgets.iter().enumerate() {
+            let shard = ledger::shard_of(budget, self.options.holder.shard_count);
+            let spent = self.nodes[node].spent_tokens.get(&index);
+            let spent_tokens = spent.copied().unwrap_or(0);
+            let outcome = self
+                .store
+                .edit(shard, |body| body.release(budget, holder, spent_tokens));
+            self.releases.push(outcome);
+        }
+        let shards = 0..self.options.holder.shard_count;
+        for other in 0..self.nodes.len() {
+            if self.nodes[other].state == State::Running {
+                shards
+                    .clone()
+                    .for_each(|shard| self.deliver(other, Event::Refresh { shard }));
+            }
+        }
+    }
+
+    /// Offers a request to a running holder.
+    pub fn request(&mut self, node: usize, mut request: Request) {
+        if self.nodes[node].state != State::Running {
+            return;
+        }
+        self.counts.requests += 1;
+        request.deadline_us = self.now_us + self.options.queue_us;
+        self.attempt(node, request);
+        self.poll(node);
+    }
+
+    /// Lets time pass.
+    pub fn run_until(&mut self, until_us: u64) {
+        loop {
+            let next_us = self
+                .queue
+                .peek()
+                .map_or(u64::MAX, |Reverse((at_us, _))| *at_us);
+            let at_us = next_us.min(self.next_tick_us);
+            if at_us > until_us {
+                break;
+            }
+            self.now_us = self.now_us.max(at_us);
+            if self.next_tick_us <= next_us {
+                self.tick();
+            } else if let Some(Reverse((_, sequence))) = self.queue.pop()
+                && let Some((node, item)) = self.items.remove(&sequence)
+            {
+                self.handle(node, item);
+            }
+        }
+        self.now_us = self.now_us.max(until_us);
+    }
+}
+
+/// Delivery
+impl Fleet {
+    fn tick(&mut self) {
+        self.next_tick_us += self.options.tick_us;
+        for node in 0..self.nodes.len() {
+            if self.nodes[node].state == State::Running {
+                self.deliver(node, Event::Tick);
+                if self.nodes[node].holder.is_closed() {
+                    self.nodes[node].state = State::Closed;
+                }
+            }
+        }
+    }
+
+    fn schedule(&mut self, at_us: u64, node: usize, item: Item) {
+        self.sequence += 1;
+        self.queue.push(Reverse((at_us, self.sequence)));
+        self.items.insert(self.sequence, (node, item));
+    }
+
+    fn handle(&mut self, node: usize, item: Item) {
+        match item {
+            // Calls already on their way to the store arrive whatever becomes of the caller.
+            Item::Read { shard } => return self.arrive_read(node, shard),
+            Item::Write {
+                shard,
+                expected,
+                body,
+                is_answered,
+            } => return self.arrive_write(node, shard, expected, body, is_answered),
+            Item::Event(_) | Item::Send { .. } | Item::Finish { .. } | Item::Deadline => {}
+        }
+        match self.nodes[node].state {
+            State::Dead | State::Closed => {
+                if let Item::Finish { request, .. } | Item::Send { request, .. } = item {
+                    self.spends[request.budget].open_tokens -= request.bound_tokens;
+                }
+            }
+            State::Paused => self.nodes[node].held.push(item),
+            State::Running => self.handle_running(node, item),
+        }
+    }
+
+    fn handle_running(&mut self, node: usize, item: Item) {
+        match item {
+            Item::Event(event) => self.deliver(node, event),
+            Item::Send {
+                reservation,
+                request,
+            } => {
+                self.counts.served += 1;
+                *self.nodes[node]
+                    .spent_tokens
+                    .entry(request.budget)
+                    .or_default() += request.spent_tokens;
+                self.spends[request.budget].spent_tokens += request.spent_tokens;
+                self.spends[request.budget].open_tokens -= request.spent_tokens;
+                let rest = Request {
+                    bound_tokens: request.bound_tokens - request.spent_tokens,
+                    ..request
+                };
+                let at_us = self.now_us + request.service_us;
+                let item = Item::Finish {
+                    reservation,
+                    request: rest,
+                };
+                self.schedule(at_us, node, item);
+            }
+            Item::Finish {
+                reservation,
+                request,
+            } => {
+                self.spends[request.budget].open_tokens -= request.bound_tokens;
+                let holder = &mut self.nodes[node].holder;
+                holder.settle(self.now_us, reservation, request.spent_tokens);
+                self.poll(node);
+            }
+            Item::Deadline => self.expire(node),
+            Item::Read { .. } | Item::Write { .. } => {}
+        }
+    }
+
+    fn deliver(&mut self, node: usize, event: Event) {
+        let actions = self.nodes[node].holder.on_event(self.now_us, event);
+        self.perform(node, actions);
+    }
+
+    fn poll(&mut self, node: usize) {
+        let actions = self.nodes[node].holder.poll(self.now_us);
+        self.perform(node, actions);
+    }
+
+    fn perform(&mut self, node: usize, actions: Vec<Action>) {
+        let mut wakes = false;
+        for action in actions {
+            match action {
+                Action::Read { shard } => self.send_read(node, shard),
+                Action::Write {
+                    shard,
+                    expected,
+                    body,
+                } => self.send_write(node, shard, expected, body),
+                Action::Send { to, message } => self.send_message(node, to, &message),
+                Action::Wake => wakes = true,
+                Action::Note(_) => {}
+            }
+        }
+        if wakes && !self.nodes[node].waiting.is_empty() {
+            for request in std::mem::take(&mut self.nodes[node].waiting) {
+                self.attempt(node, request);
+            }
+            self.poll(node);
+        }
+    }
+}
+
+/// Requests
+impl Fleet {
+    fn attempt(&mut self, node: usize, request: Request) {
+        let now_us = self.now_us;
+        let budget = &self.budgets[request.budget];
+        let holder = &mut self.nodes[node].holder;
+        match holder.reserve(now_us, budget, request.bound_tokens) {
+            Ok(reservation) => {
+                self.spends[request.budget].open_tokens += request.bound_tokens;
+                let at_us = now_us + self.rng.u64(0..1_000);
+                let item = Item::Send {
+                    reservation,
+                    request,
+                };
+                self.schedule(at_us, node, item);
+            }
+            Err(refusal) if refusal.kind == refusal::Kind::Waiting => {
+                self.schedule(request.deadline_us, node, Item::Deadline);
+                self.nodes[node].waiting.push(request);
+            }
+            Err(refusal) => {
+                self.on_refusal(node, request.budget, request.bound_tokens, refusal.kind);
+            }
+        }
+    }
+
+    fn expire(&mut self, node: usize) {
+        let now_us = self.now_us;
+        let waiting = std::mem::take(&mut self.nodes[node].waiting);
+        let (late, rest) = waiting.into_iter().partition(|r| r.deadline_us <= now_us);
+        self.nodes[node].waiting = rest;
+        let late: Vec<Request> = late;
+        for request in late {
+            let kind = refusal::Kind::Waiting;
+            self.on_refusal(node, request.budget, request.bound_tokens, kind);
+        }
+    }
+}
+
+/// Store calls and messages
+impl Fleet {
+    fn chance(&mut self, per_mille: u32) -> bool {
+        per_mille > 0 && self.rng.u32(0..1_000) < per_mille
+    }
+
+    fn reaches_store(&self, node: usize) -> bool {
+        self.faults.reaches_store(self.nodes[node].domain)
+    }
+
+    fn send_read(&mut self, node: usize, shard: u32) {
+        match self.reaches_store(node) {
+            true => {
+                let at_us = self.now_us + self.options.store_us;
+                self.schedule(at_us, node, Item::Read { shard });
+            }
+            false => self.answer_late(node, Event::ReadFailed { shard }),
+        }
+    }
+
+    fn answer_late(&mut self, node: usize, event: Event) {
+        let at_us = self.now_us + self.options.timeout_us;
+        self.schedule(at_us, node, Item::Event(event));
+    }
+
+    fn answer(&mut self, node: usize, event: Event) {
+        let at_us = self.now_us + self.options.store_us;
+        self.schedule(at_us, node, Item::Event(event));
+    }
+
+    fn arrive_read(&mut self, node: usize, shard: u32) {
+        let is_lost = self.chance(self.faults.lost_replies_per_mille);
+        if is_lost || !self.reaches_store(node) {
+            return self.answer_late(node, Event::ReadFailed { shard });
+        }
+        let age = match self.chance(self.faults.stale_reads_per_mille) {
+            true => self.rng.usize(1..5),
+            false => 0,
+        };
+        let event = match self.store.read(shard, age) {
+            Some((version, body)) => Event::ShardRead {
+                shard,
+                version,
+                body,
+            },
+            None => Event::ShardAbsent { shard },
+        };
+        self.answer(node, event);
+    }
+
+    fn send_write(&mut self, node: usize, shard: u32, expected: Option<u64>, body: ledger::Shard) {
+        let is_late = self.chance(self.faults.late_calls_per_mille);
+        let is_sent = self.reaches_store(node);
+        let delay_us = match is_late {
+            true => self.options.timeout_us + self.rng.u64(0..3_000_000),
+            false => self.options.store_us,
+        };
+        if is_late || !is_sent {
+            self.answer_late(node, Event::WriteUnknown { shard });
+        }
+        if is_sent {
+            let item = Item::Write {
+                shard,
+                expected,
+                body,
+                is_answered: is_late,
+            };
+            self.schedule(self.now_us + delay_us, node, item);
+        }
+    }
+
+    fn arrive_write(
+        &mut self,
+        node: usize,
+        shard: u32,
+        expected: Option<u64>,
+        body: ledger::Shard,
+        is_answered: bool,
+    ) {
+        let is_reached = self.reaches_store(node);
+        if is_reached && self.chance(self.faults.refused_writes_per_mille) {
+            let retry_after_ms = self.rng.u64(1..200);
+            if !is_answered {
+                let event = Event::WriteRefused {
+                    shard,
+                    retry_after_ms,
+                };
+                self.answer(node, event);
+            }
+            return;
+        }
+        let outcome = match is_reached {
+            true => self.store.write(shard, expected, body),
+            false => None,
+        };
+        let is_lost = self.chance(self.faults.lost_replies_per_mille);
+        if is_answered {
+            return;
+        }
+        if is_lost || !is_reached {
+            return self.answer_late(node, Event::WriteUnknown { shard });
+        }
+        let event = match outcome {
+            Some(version) => Event::Written { shard, version },
+            None => Event::WriteConflict { shard },
+        };
+        self.answer(node, event);
+    }
+
+    fn send_message(&mut self, node: usize, to: id::Incarnation, message: &Message) {
+        self.counts.messages += 1;
+        if self.options.counts_bytes {
+            let bytes = postcard::to_stdvec(message).map_or(0, |bytes| bytes.len());
+            self.counts.message_bytes += bytes as u64;
+        }
+        let Some(&receiver) = self.by_id.get(&to) else {
+            return;
+        };
+        let (one, other) = (self.nodes[node].domain, self.nodes[receiver].domain);
+        let is_gone = matches!(self.nodes[receiver].state, State::Dead | State::Closed);
+        if is_gone || !self.faults.reaches(one, other) {
+            if self.chance(500) {
+                let at_us = self.now_us + self.options.peer_us;
+                self.schedule(at_us, node, Item::Event(Event::PeerLost { peer: to }));
+            }
+            return;
+        }
+        let repeats = match self.chance(self.faults.repeated_messages_per_mille) {
+            true => 2,
+            false => 1,
+        };
+        for _ in 0..repeats {
+            if self.chance(self.faults.lost_messages_per_mille) {
+                continue;
+            }
+            let extra_us = self.rng.u64(0..=self.faults.reorder_us);
+            let event = Event::Peer {
+                from: self.nodes[node].holder.id(),
+                message: message.clone(),
+            };
+            let at_us = self.now_us + self.options.peer_us + extra_us;
+            self.schedule(at_us, receiver, Item::Event(event));
+        }
+    }
+}
--- /dev/null
+++ b/crates/peridotrack-bench/src/fleet/audit.rs
@@ -0,0 +1,120 @@
+//! The provider's view of spend, and the verdict on every refusal.
+
+use peridotrack_budget::{ledger, refusal};
+
+use super::{Fleet, State};
+
+/// Counts of a run.
+#[derive(Debug, Clone, Default)]
+pub struct Counts {
+    /// Requests that arrived at a running holder.
+    pub requests: u64,
+    /// Requests sent to a backend server.
+    pub served: u64,
+    /// Requests refused, for whatever reason.
+    pub refused: u64,
+    /// Refusals as waiting for too long.
+    pub refused_waiting: u64,
+    /// Refusals while the caller's domain could reach enough tokens.
+    pub false_strict: u64,
+    /// Refusals while enough tokens were unspent and unreserved anywhere.
+    pub false_loose: u64,
+    /// Messages between holders.
+    pub messages: u64,
+    /// Bytes of messages between holders, where counted.
+    pub message_bytes: u64,
+}
+
+/// Spend of one budget as the provider counts it.
+#[derive(Debug, Clone, Default)]
+pub struct Spend {
+    /// Tokens spent.
+    pub spent_tokens: u64,
+    /// Bounds of requests reserved and not yet finished, on running holders.
+    pub open_tokens: u64,
+    /// Highest purchased total ever configured.
+    pub ceiling_tokens: u64,
+    /// Purchased total now.
+    pub purchased_tokens: u64,
+}
+
+impl Fleet {
+    /// Returns the tokens spent beyond what was ever purchased, over all budgets.
+    pub fn overspend_tokens(&self) -> u64 {
+        let over = |spend: &Spend| spend.spent_tokens.saturating_sub(spend.ceiling_tokens);
+        self.spends.iter().map(over).sum()
+    }
+
+    /// Returns the tokens of a budget that are unspent and unreserved anywhere.
+    pub fn free_anywhere_tokens(&self, budget: usize) -> u64 {
+        let spend = &self.spends[budget];
+        spend
+            .purchased_tokens
+            .saturating_sub(spend.spent_tokens + spend.open_tokens)
+    }
+
+    /// Returns the free tokens that a holder's domain can reach: those of the ledger, of
+    /// holders, and on the way between them while everything is connected.
+    pub fn free_reachable_tokens(&self, node: usize, budget: usize) -> u64 {
+        let domain = self.nodes[node].domain;
+        let name = &self.budgets[budget];
+        let shard = ledger::shard_of(name, self.options.holder.shard_count);
+        let has_store = self.faults.reaches_store(domain);
+        let entry = self
+            .store
+            .peek(shard)
+            .and_then(|shard| shard.entries.get(name));
+        let purchased_tokens = self.spends[budget].purchased_tokens;
+        let mut tokens = match (has_store, entry) {
+            (true, Some(entry)) => {
+                let exposed = u64::try_from(entry.exposed_tokens()).unwrap_or(0);
+                purchased_tokens.saturating_sub(exposed)
+            }
+            (true, None) => purchased_tokens,
+            (false, _) => 0,
+        };
+        let (mut sent, mut received) = (0, 0);
+        let mut is_whole = true;
+        for other in &self.nodes {
+            if other.state != State::Running || !self.faults.reaches(domain, other.domain) {
+                is_whole &= other.state == State::Closed;
+                continue;
+            }
+            let Some(report) = other.holder.report(name) else {
+                continue;
+            };
+            tokens += report.available_tokens;
+            sent += report.sent_tokens;
+            received += report.received_tokens;
+            let row = entry.and_then(|entry| entry.rows.get(&other.holder.id()));
+            if let (true, Some(row)) = (has_store, row) {
+                let known = i128::from(report.granted_tokens) - i128::from(report.returned_tokens);
+                let unknown = i128::from(row.exposed_tokens()) - known;
+                tokens += u64::try_from(unknown).unwrap_or(0);
+            }
+        }
+        match is_whole {
+            true => tokens + u64::saturating_sub(sent, received),
+            false => tokens,
+        }
+    }
+
+    pub(super) fn on_refusal(
+        &mut self,
+        node: usize,
+        budget: usize,
+        bound_tokens: u64,
+        kind: refusal::Kind,
+    ) {
+        self.counts.refused += 1;
+        if kind == refusal::Kind::Waiting {
+            self.counts.refused_waiting += 1;
+        }
+        if self.free_anywhere_tokens(budget) >= bound_tokens {
+            self.counts.false_loose += 1;
+            if self.free_reachable_tokens(node, budget) >= bound_tokens {
+                self.counts.false_strict += 1;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/peridotrack-bench/src/fleet/options.rs
@@ -0,0 +1,77 @@
+//! Options and faults of a simulated fleet.
+
+use peridotrack_budget::options;
+
+/// Options of a fleet.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// Options of every holder.
+    pub holder: options::Options,
+    /// Seed of latencies and faults.
+    pub seed: u64,
+    /// Period of ticks, in microseconds.
+    pub tick_us: u64,
+    /// One-way latency to the store, in microseconds.
+    pub store_us: u64,
+    /// One-way latency between holders, in microseconds.
+    pub peer_us: u64,
+    /// Timeout of a store call, in microseconds.
+    pub timeout_us: u64,
+    /// Longest time that a request waits for tokens, in microseconds.
+    pub queue_us: u64,
+    /// Whether the bytes of peer messages are counted.
+    pub counts_bytes: bool,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            holder: options::Options::default(),
+            seed: 1,
+            tick_us: 20_000,
+            store_us: 2_000,
+            peer_us: 750,
+            timeout_us: 1_000_000,
+            queue_us: 2_000_000,
+            counts_bytes: false,
+        }
+    }
+}
+
+/// Faults in force; parts are in 1,000.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Faults {
+    /// The store answers nobody.
+    pub is_store_down: bool,
+    /// Store replies lost after the call took effect.
+    pub lost_replies_per_mille: u32,
+    /// Store calls that arrive only after their timeout.
+    pub late_calls_per_mille: u32,
+    /// Reads that return an older version.
+    pub stale_reads_per_mille: u32,
+    /// Writes refused by the store's rate limit.
+    pub refused_writes_per_mille: u32,
+    /// Peer messages lost.
+    pub lost_messages_per_mille: u32,
+    /// Peer messages delivered twice.
+    pub repeated_messages_per_mille: u32,
+    /// Longest extra delay of a peer message, in microseconds.
+    pub reorder_us: u64,
+    /// Failure domains cut off from the platform.
+    pub platform_cuts: Vec<usize>,
+    /// Failure domains cut off from all others.
+    pub domain_cuts: Vec<usize>,
+}
+
+impl Faults {
+    /// Returns whether a failure domain reaches the store.
+    pub fn reaches_store(&self, domain: usize) -> bool {
+        !self.is_store_down && !self.platform_cuts.contains(&domain)
+    }
+
+    /// Returns whether two failure domains reach each other.
+    pub fn reaches(&self, one: usize, other: usize) -> bool {
+        let is_cut = |domain| self.domain_cuts.contains(&domain);
+        one == other || !(is_cut(one) || is_cut(other))
+    }
+}
--- a/crates/peridotrack-bench/src/lib.rs
+++ b/crates/peridotrack-bench/src/lib.rs
@@ -13,4 +13,5 @@
 //! ```
 
 pub mod budget;
+pub mod fleet;
 pub mod report;
--- a/crates/peridotrack-budget/src/holder/plan.rs
+++ b/crates/peridotrack-budget/src/holder/plan.rs
@@ -342,17 +342,16 @@
     /// Takes over the reported totals of an open row; returns whether more was returned.
     fn report(&mut self, holder: id::Incarnation, want: &message::Want) -> bool {
         let Some(Row::Open {
-            granted_tokens,
             returned_tokens,
             settled_tokens,
             reserved_tokens,
+            ..
         }) = self.rows.get_mut(&holder)
         else {
             return false;
         };
-        let reported = want.returned_tokens.min(*granted_tokens);
-        let is_more = reported > *returned_tokens;
-        *returned_tokens = reported.max(*returned_tokens);
+        let is_more = want.returned_tokens > *returned_tokens;
+        *returned_tokens = want.returned_tokens.max(*returned_tokens);
         *settled_tokens = want.settled_tokens.max(*settled_tokens);
         *reserved_tokens = want.reserved_tokens;
         is_more
--- a/crates/peridotrack-budget/src/holder/report.rs
+++ b/crates/peridotrack-budget/src/holder/report.rs
@@ -3,7 +3,10 @@
 use peridotrack_types::name;
 use serde::{Deserialize, Serialize};
 
-use super::{Holder, Status};
+use super::{
+    Holder, Status,
+    account::{Account, Active},
+};
 
 /// What a holder has of one budget in use.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -32,10 +35,9 @@
     pub left_tokens: u64,
 }
 
-impl Holder {
-    /// Returns a report on every budget in use, in the order of first use.
-    pub fn snapshot(&self) -> Vec<Report> {
-        let report = |(account, active): (&super::Account, &super::Active)| Report {
+impl Report {
+    fn new(account: &Account, active: &Active) -> Self {
+        Self {
             budget: account.budget.clone(),
             status: active.status,
             purchased_tokens: account.purchased_tokens,
@@ -47,7 +49,22 @@
             reserved_tokens: active.reserved_tokens,
             available_tokens: active.available_tokens(),
             left_tokens: active.left_tokens,
-        };
-        self.active_accounts().map(report).collect()
+        }
+    }
+}
+
+impl Holder {
+    /// Returns a report on every budget in use, in the order of first use.
+    pub fn snapshot(&self) -> Vec<Report> {
+        self.active_accounts()
+            .map(|(account, active)| Report::new(account, active))
+            .collect()
+    }
+
+    /// Returns a report on one budget, if it is in use.
+    pub fn report(&self, budget: &name::Budget) -> Option<Report> {
+        let index = self.index.get(budget)?;
+        let account = &self.accounts[*index as usize];
+        Some(Report::new(account, account.active.as_deref()?))
     }
 }
--- a/crates/peridotrack-budget/src/ledger/release.rs
+++ b/crates/peridotrack-budget/src/ledger/release.rs
@@ -22,7 +22,7 @@
         let Row::Open { settled_tokens, .. } = *row else {
             return Err(ReleaseError::NotOpen { holder });
         };
-        let exposed_tokens = u64::try_from(row.exposed_tokens()).unwrap_or(0);
+        let exposed_tokens = row.exposed_tokens();
         if spent_tokens < settled_tokens {
             return Err(ReleaseError::BelowSettled {
                 spent_tokens,
--- a/crates/peridotrack-budget/src/ledger/row.rs
+++ b/crates/peridotrack-budget/src/ledger/row.rs
@@ -36,8 +36,8 @@
     },
     /// An operator declared the holder gone; open holders have yet to acknowledge it.
     Released {
-        /// Exposure of the open row.
-        exposed_tokens: u64,
+        /// Exposure of the open row; negative if it returned what it had received.
+        exposed_tokens: i64,
         /// Spend that the operator stated.
         spent_tokens: u64,
         /// Acknowledgements by open holders.
@@ -66,7 +66,7 @@
                 returned_tokens,
                 ..
             } => signed(*granted_tokens) - signed(*returned_tokens),
-            Self::Released { exposed_tokens, .. } => signed(*exposed_tokens),
+            Self::Released { exposed_tokens, .. } => *exposed_tokens,
             Self::Closed {
                 settled_tokens,
                 sent_tokens,
--- /dev/null
+++ b/crates/peridotrack-budget/tests/support/mod.rs
@@ -0,0 +1,102 @@
+//! Checks that every run must pass, whatever went wrong in it.
+
+use peridotrack_bench::fleet::{Faults, Fleet, Options, Request, State};
+use peridotrack_budget::{ledger, options};
+
+pub const SECOND_US: u64 = 1_000_000;
+
+/// Options that make draws, returns and repeats happen within seconds.
+pub fn fast_options(seed: u64) -> Options {
+    Options {
+        holder: options::Options {
+            shard_count: 1 + (seed % 3) as u32,
+            ride_out_us: 5 * SECOND_US,
+            rate_half_life_us: 2 * SECOND_US,
+            draw_floor_tokens: [1, 20, 100][(seed / 3 % 3) as usize],
+            return_after_us: SECOND_US,
+            sweep_us: SECOND_US / 2,
+            refresh_us: 5 * SECOND_US,
+            drawer_retry_us: SECOND_US,
+            ..options::Options::default()
+        },
+        seed,
+        timeout_us: SECOND_US / 5,
+        queue_us: SECOND_US,
+        ..Options::default()
+    }
+}
+
+/// Fails if the provider counted more than was ever purchased, or an update broke the ledger.
+pub fn check_safety(fleet: &Fleet) -> Result<(), String> {
+    if fleet.overspend_tokens() > 0 {
+        return Err(format!("overspend of {} tokens", fleet.overspend_tokens()));
+    }
+    match fleet.store.violations.first() {
+        Some(violation) => Err(format!("violation: {violation}")),
+        None => Ok(()),
+    }
+}
+
+/// Ends all faults and lets the fleet come to rest.
+pub fn heal(fleet: &mut Fleet) {
+    fleet.faults = Faults::default();
+    for node in 0..fleet.nodes.len() {
+        fleet.wake(node);
+    }
+    fleet.configure_all();
+    fleet.meet();
+    fleet.run_until(fleet.now_us + 130 * SECOND_US);
+}
+
+/// Releases every dead holder, truthfully.
+pub fn release_dead(fleet: &mut Fleet) {
+    for node in 0..fleet.nodes.len() {
+        if fleet.nodes[node].state == State::Dead {
+            fleet.release(node);
+        }
+    }
+    fleet.run_until(fleet.now_us + 130 * SECOND_US);
+}
+
+/// Fails unless one holder can serve one request for all that is left of each budget.
+pub fn check_nothing_stranded(fleet: &mut Fleet, node: usize) -> Result<(), String> {
+    for budget in 0..fleet.budgets.len() {
+        let free_tokens = fleet.free_anywhere_tokens(budget);
+        if free_tokens == 0 {
+            continue;
+        }
+        let served = fleet.counts.served;
+        fleet.request(
+            node,
+            Request::new(budget, free_tokens, free_tokens / 2, 1_000),
+        );
+        fleet.run_until(fleet.now_us + 10 * SECOND_US);
+        if fleet.counts.served == served {
+            return Err(format!(
+                "budget {budget}: {free_tokens} tokens cannot be used at holder {node}"
+            ));
+        }
+    }
+    Ok(())
+}
+
+/// Closes every holder; fails unless the ledger then has exactly the provider's count.
+pub fn check_close(fleet: &mut Fleet) -> Result<(), String> {
+    for node in 0..fleet.nodes.len() {
+        fleet.close(node);
+    }
+    fleet.run_until(fleet.now_us + 30 * SECOND_US);
+    for (budget, spend) in fleet.budgets.iter().zip(&fleet.spends) {
+        let bodies = (0..3).filter_map(|shard| fleet.store.peek(shard));
+        let entry: Option<&ledger::Entry> =
+            bodies.filter_map(|shard| shard.entries.get(budget)).next();
+        let Some(entry) = entry else { continue };
+        if !entry.rows.is_empty() || entry.closed_tokens != spend.spent_tokens {
+            return Err(format!(
+                "{budget}: provider counts {}, ledger {entry:?}",
+                spend.spent_tokens
+            ));
+        }
+    }
+    Ok(())
+}
