--- a/crates/peridotrack-budget/src/holder/sweep.rs
+++ b/crates/peridotrack-budget/src/holder/sweep.rs
@@ -121,7 +121,9 @@
         };
         let surplus_tokens = self.available_tokens().saturating_sub(2 * target);
         let is_large = self.is_drawer && surplus_tokens > 2 * floor;
-        match is_large || self.is_idle(now_us, options) {
+        // As the rate decays, idle grants go back in few large steps.
+        let is_half = 2 * surplus_tokens >= self.available_tokens();
+        match is_large || is_half && self.is_idle(now_us, options) {
             true => surplus_tokens,
             false => 0,
         }
