--- a/crates/peridotrack-standin/src/harness/mod.rs
+++ b/crates/peridotrack-standin/src/harness/mod.rs
@@ -29,4 +29,5 @@
 mod output;
 pub mod process;
 pub mod relay;
+pub mod router;
 pub mod wait;
--- a/crates/peridotrack-standin/src/harness/process.rs
+++ b/crates/peridotrack-standin/src/harness/process.rs
@@ -15,6 +15,12 @@
 const ADDRESS_PREFIX: &str = "listening ";
 /// Longest wait for a line or a state unless set otherwise.
 const LIMIT: Duration = Duration::from_secs(10);
+/// Milliseconds in one tick of `/proc/PID/stat`, which Linux fixes at 100 a second.
+const MS_PER_TICK: u64 = 10;
+/// Index of the ticks in user mode among the fields behind the name.
+const USER_TICKS_FIELD: usize = 11;
+/// Index of the ticks in system mode among the fields behind the name.
+const SYSTEM_TICKS_FIELD: usize = 12;
 /// Lines of output that an error shows.
 const SHOWN_LINES: usize = 20;
 
@@ -34,6 +40,8 @@
 pub enum Step {
     /// Finding the program.
     Find,
+    /// Writing the program's settings.
+    Settings,
     /// Starting the process.
     Spawn,
     /// Sending a signal.
@@ -84,7 +92,7 @@
         self
     }
 
-    fn error(&self, step: Step, detail: &impl ToString) -> Error {
+    pub(super) fn error(&self, step: Step, detail: &impl ToString) -> Error {
         Error {
             step,
             program: self.program.display().to_string(),
@@ -138,6 +146,43 @@
         matches!(self.child.try_wait(), Ok(None))
     }
 
+    /// What the process holds open, as in `/proc/PID/fd`, such as `socket:[1]`.
+    pub fn descriptors(&self) -> io::Result<Vec<String>> {
+        let mut descriptors = Vec::new();
+        for entry in fs::read_dir(format!("/proc/{}/fd", self.pid()))? {
+            // A descriptor can be closed while the directory is read.
+            if let Ok(target) = fs::read_link(entry?.path()) {
+                descriptors.push(target.to_string_lossy().into_owned());
+            }
+        }
+        Ok(descriptors)
+    }
+
+    /// Threads of the process.
+    pub fn threads(&self) -> io::Result<usize> {
+        Ok(fs::read_dir(format!("/proc/{}/task", self.pid()))?.count())
+    }
+
+    /// Resident memory in bytes.
+    pub fn resident_bytes(&self) -> io::Result<u64> {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.pid()))?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kib = line.and_then(|line| line.trim().strip_suffix(" kB")?.parse().ok());
+        kib.map(|kib: u64| kib * 1024)
+            .ok_or_else(|| io::ErrorKind::InvalidData.into())
+    }
+
+    /// Processor time used so far, in user and system mode, in milliseconds.
+    pub fn processor_ms(&self) -> io::Result<u64> {
+        let fields = stat_fields(self.pid())?;
+        let ticks = |index: usize| fields.get(index).and_then(|field| field.parse().ok());
+        let user: Option<u64> = ticks(USER_TICKS_FIELD);
+        let system: Option<u64> = ticks(SYSTEM_TICKS_FIELD);
+        user.zip(system)
+            .map(|(user, system)| (user + system) * MS_PER_TICK)
+            .ok_or_else(|| io::ErrorKind::InvalidData.into())
+    }
+
     /// The last lines of standard output.
     pub fn stdout(&self) -> Vec<String> {
         self.stdout.lines()
@@ -173,12 +218,15 @@
         self.lines(rest).await
     }
 
-    /// Waits for the process to end by itself.
+    /// Waits for the process to end by itself and for all that it printed.
     pub async fn ended(&mut self) -> Result<ExitStatus, Error> {
-        let limit = self.options.limit;
-        let child = &mut self.child;
-        let exited = async || child.try_wait().transpose();
-        match wait::some(limit, "end of the process", exited).await {
+        let (stdout, stderr, child) = (&self.stdout, &self.stderr, &mut self.child);
+        let ended = wait::some(self.options.limit, "end of the process", async || {
+            let status = child.try_wait().transpose()?;
+            let complete = stdout.is_complete() && stderr.is_complete();
+            (complete || status.is_err()).then_some(status)
+        });
+        match ended.await {
             Ok(Ok(status)) => Ok(status),
             Ok(Err(error)) => Err(self.error(Step::State, &error)),
             Err(error) => Err(self.error(Step::State, &error)),
@@ -188,7 +236,7 @@
     /// Polls standard output until `find` gives a value or no line can follow.
     async fn lines<T>(&self, find: impl Fn(&[String]) -> Option<T>) -> Result<T, Error> {
         let found = wait::some(self.options.limit, "awaited line", async || {
-            let complete = self.stdout.is_complete();
+            let complete = self.stdout.is_complete() && self.stderr.is_complete();
             find(&self.stdout.lines())
                 .map(Some)
                 .or_else(|| complete.then_some(None))
@@ -220,11 +268,9 @@
     pub async fn pause(&mut self) -> Result<(), Error> {
         self.signal("STOP")?;
         let pid = self.pid();
-        wait::until(self.options.limit, "stop", || {
-            state(pid).is_ok_and(|state| state == 'T')
-        })
-        .await
-        .map_err(|error| self.error(Step::State, &error))
+        wait::until(self.options.limit, "stop", || is_stopped(pid))
+            .await
+            .map_err(|error| self.error(Step::State, &error))
     }
 
     /// Lets a paused process go on.
@@ -248,7 +294,7 @@
         Err(self.error(Step::Signal, &format!("kill -{name} {pid} failed")))
     }
 
-    fn error(&self, step: Step, detail: &impl ToString) -> Error {
+    pub(super) fn error(&self, step: Step, detail: &impl ToString) -> Error {
         let lines = [self.stdout.lines(), self.stderr.lines()].concat();
         let shown = lines.len().saturating_sub(SHOWN_LINES);
         Error {
@@ -265,12 +311,14 @@
     }
 }
 
-/// The state letter of a process, as in `ps`.
-fn state(pid: u32) -> io::Result<char> {
+/// Whether a process stands still, by its state letter as in `ps`.
+fn is_stopped(pid: u32) -> bool {
+    stat_fields(pid).is_ok_and(|fields| fields.first().is_some_and(|state| state == "T"))
+}
+
+/// The fields of `/proc/PID/stat` behind the name, which may hold spaces itself.
+fn stat_fields(pid: u32) -> io::Result<Vec<String>> {
     let stat = fs::read_to_string(format!("/proc/{pid}/stat"))?;
-    // The name before it is in parentheses and may hold spaces.
-    let state = stat
-        .rsplit_once(") ")
-        .and_then(|(_, rest)| rest.chars().next());
-    state.ok_or_else(|| io::ErrorKind::InvalidData.into())
+    let (_, fields) = stat.rsplit_once(") ").ok_or(io::ErrorKind::InvalidData)?;
+    Ok(fields.split(' ').map(str::to_owned).collect())
 }
--- a/crates/peridotrack-standin/tests/harness.rs
+++ b/crates/peridotrack-standin/tests/harness.rs
@@ -75,6 +75,23 @@
     });
 }
 
+#[test]
+fn process_shows_what_it_uses() {
+    block_on(async {
+        let process = standin(&["service"]);
+        process.addresses(1).await.unwrap();
+        assert_eq!(process.threads().unwrap(), 1);
+        let descriptors = process.descriptors().unwrap();
+        assert!(
+            descriptors
+                .iter()
+                .any(|target| target.contains("eventpoll"))
+        );
+        assert!(process.resident_bytes().unwrap() > 0);
+        assert!(process.processor_ms().unwrap() < 10_000);
+    });
+}
+
 #[test]
 fn paused_process_answers_only_once_resumed() {
     block_on(async {
