--- /dev/null
+++ b/crates/peridotrackd/tests/process.rs
@@ -0,0 +1,114 @@
+//! The daemon as a process: its start, its place on the machine, its end.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::Request;
+use peridotrack_standin::{
+    harness::{
+        http::{block_on, fetch},
+        process, router,
+    },
+    platform,
+};
+use peridotrack_types::settings::Settings;
+use rstest::rstest;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_peridotrackd");
+
+/// A platform on the test's runtime and settings of a router that uses it.
+fn set_up() -> (platform::Handle, Settings) {
+    let platform = platform::spawn(&platform::Options::default()).unwrap();
+    let mut settings = router::settings("vm-1", "jakarta-1", platform.address(), &[]);
+    settings.limits.shutdown_grace_ms = 0;
+    (platform, settings)
+}
+
+async fn status(address: SocketAddr, path: &str) -> u16 {
+    let request = Request::get(path).body(Bytes::new()).unwrap();
+    fetch(address, request).await.unwrap().status().as_u16()
+}
+
+/// One loop on one thread, and no io_uring although a library could use it.
+#[test]
+fn daemon_runs_on_one_thread_without_io_uring() {
+    block_on(async {
+        let (_platform, settings) = set_up();
+        let router = router::spawn(PROGRAM, &settings).await.unwrap();
+        assert_eq!(status(router.operator_address, "/healthz").await, 200);
+        assert_eq!(router.process.threads().unwrap(), 1);
+        let descriptors = router.process.descriptors().unwrap();
+        assert!(
+            descriptors
+                .iter()
+                .any(|target| target.contains("eventpoll")),
+            "{descriptors:?}"
+        );
+        assert!(
+            !descriptors.iter().any(|target| target.contains("uring")),
+            "{descriptors:?}"
+        );
+    });
+}
+
+#[test]
+fn killed_daemon_starts_again_at_its_addresses() {
+    block_on(async {
+        let (_platform, settings) = set_up();
+        let mut router = router::spawn(PROGRAM, &settings).await.unwrap();
+        let first = (router.process.pid(), router.caller_address);
+        router.restart().await.unwrap();
+        assert_ne!(router.process.pid(), first.0);
+        assert_eq!(router.caller_address, first.1);
+        assert_eq!(status(router.operator_address, "/healthz").await, 200);
+        assert_eq!(status(router.operator_address, "/readyz").await, 503);
+    });
+}
+
+#[test]
+fn daemon_told_to_stop_ends_cleanly() {
+    block_on(async {
+        let (_platform, settings) = set_up();
+        let mut router = router::spawn(PROGRAM, &settings).await.unwrap();
+        router.process.terminate().unwrap();
+        let status = router.process.ended().await.unwrap();
+        assert_eq!(status.code(), Some(0), "{:?}", router.process.stderr());
+    });
+}
+
+#[test]
+fn second_daemon_at_the_same_address_is_refused() {
+    block_on(async {
+        let (_platform, settings) = set_up();
+        let _first = router::spawn(PROGRAM, &settings).await.unwrap();
+        let error = router::spawn(PROGRAM, &settings).await.unwrap_err();
+        assert!(error.output.contains("in use"), "{error}");
+    });
+}
+
+#[rstest]
+#[case::no_arguments(&[], "--settings FILE is needed")]
+#[case::no_file(&["--settings", "/no/such/file"], "/no/such/file")]
+#[case::unknown_argument(&["--settings", "/no/such/file", "--x"], "unknown arguments")]
+fn wrong_arguments_end_with_code_2(#[case] arguments: &[&str], #[case] cause: &str) {
+    block_on(async {
+        let options = process::Options::new(PROGRAM).arguments(arguments);
+        let mut daemon = process::spawn(&options).unwrap();
+        assert_eq!(daemon.ended().await.unwrap().code(), Some(2));
+        let error = daemon.line("listening").await.unwrap_err();
+        assert!(error.output.contains(cause), "{error}");
+    });
+}
+
+#[test]
+fn settings_are_checked_as_a_whole() {
+    block_on(async {
+        let (_platform, mut settings) = set_up();
+        settings.limits.body_bytes = 0;
+        settings.operator_key_digest_sha256 = "x".to_owned();
+        let error = router::spawn(PROGRAM, &settings).await.unwrap_err();
+        for path in ["$.limits.body_bytes", "$.operator_key_digest_sha256"] {
+            assert!(error.output.contains(path), "{error}");
+        }
+    });
+}
