feat(bench): routing measures on six routers and fourteen fake engines

Fake engines batch continuously: a step takes 12 ms, 0.5 ms for each request and 0.05 ms for each prompt token, and they cache 12 prefixes.

--- /dev/null
+++ b/crates/peridotrack-bench/src/route/engine.rs
@@ -0,0 +1,211 @@
+//! A fake engine that batches continuously and caches prompt prefixes.
+
+use std::collections::VecDeque;
+
+use crate::route::workload::Arrival;
+
+/// Time of a step with an empty batch.
+const STEP_BASE_US: f64 = 12_000.0;
+/// Time that each running request adds to a step.
+const STEP_REQUEST_US: f64 = 500.0;
+/// Time that each prompt token adds to a step.
+const PREFILL_TOKEN_US: f64 = 50.0;
+/// Most prompt tokens of one step.
+const PREFILL_CHUNK_TOKENS: u64 = 512;
+/// Prefixes that the cache holds.
+const CACHED_PREFIXES: usize = 12;
+
+/// A request at the engine.
+#[derive(Debug, Clone)]
+pub struct Job {
+    /// Number of the request.
+    pub request: usize,
+    /// Number of the attempt.
+    pub attempt: u32,
+    /// Prompt prefix.
+    pub prefix: Option<u64>,
+    /// Tokens of that prefix.
+    pub prefix_tokens: u64,
+    /// Tokens of the prompt still to process.
+    pub prompt_tokens: u64,
+    /// Tokens of the answer still to generate.
+    pub output_tokens: u64,
+}
+
+impl Job {
+    /// Returns the job of a request's attempt.
+    pub fn new(request: usize, attempt: u32, arrival: &Arrival) -> Self {
+        Self {
+            request,
+            attempt,
+            prefix: arrival.prefix,
+            prefix_tokens: arrival.prefix_tokens,
+            prompt_tokens: arrival.prompt_tokens,
+            output_tokens: arrival.output_tokens,
+        }
+    }
+}
+
+/// What a step produced.
+#[derive(Debug, Clone, Copy)]
+pub enum Output {
+    /// The first token of a request.
+    First {
+        /// Number of the request.
+        request: usize,
+        /// Number of the attempt.
+        attempt: u32,
+    },
+    /// The last token of a request.
+    Last {
+        /// Number of the request.
+        request: usize,
+        /// Number of the attempt.
+        attempt: u32,
+    },
+}
+
+/// A fake engine. Its steps take longer the more requests run and the more prompt is processed.
+#[derive(Debug, Clone)]
+pub struct Engine {
+    /// Requests that run at once.
+    pub slots: usize,
+    /// Speed relative to a healthy engine.
+    pub speed: f64,
+    /// Whether it answers at all.
+    pub alive: bool,
+    /// Whether it refuses new work.
+    pub leaving: bool,
+    /// Whether a step is under way.
+    pub stepping: bool,
+    /// Prefixes found in the cache.
+    pub prefix_hits: u64,
+    /// Prefixes looked up.
+    pub prefix_lookups: u64,
+    batch: Vec<Job>,
+    started: Vec<bool>,
+    queue: VecDeque<Job>,
+    cache: VecDeque<u64>,
+}
+
+impl Engine {
+    /// Returns an idle engine.
+    pub fn new(slots: usize, speed: f64) -> Self {
+        Self {
+            slots,
+            speed,
+            alive: true,
+            leaving: false,
+            stepping: false,
+            prefix_hits: 0,
+            prefix_lookups: 0,
+            batch: Vec::new(),
+            started: Vec::new(),
+            queue: VecDeque::new(),
+            cache: VecDeque::new(),
+        }
+    }
+
+    /// Returns the requests in the batch.
+    pub fn running(&self) -> usize {
+        self.batch.len()
+    }
+
+    /// Returns the requests that wait.
+    pub fn queued(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Returns whether nothing runs or waits.
+    pub fn is_idle(&self) -> bool {
+        self.batch.is_empty() && self.queue.is_empty()
+    }
+
+    /// Takes a request.
+    pub fn push(&mut self, job: Job) {
+        self.queue.push_back(job);
+    }
+
+    /// Drops a request.
+    pub fn cancel(&mut self, request: usize) {
+        self.queue.retain(|job| job.request != request);
+        if let Some(position) = self.batch.iter().position(|job| job.request == request) {
+            self.batch.swap_remove(position);
+            self.started.swap_remove(position);
+        }
+    }
+
+    /// Drops everything and returns the numbers of requests and attempts.
+    pub fn clear(&mut self) -> Vec<(usize, u32, bool)> {
+        let batch = self.batch.drain(..).zip(self.started.drain(..));
+        let batch: Vec<_> = batch
+            .map(|(job, started)| (job.request, job.attempt, started))
+            .collect();
+        let queue = self.queue.drain(..);
+        let queue = queue.map(|job| (job.request, job.attempt, false));
+        batch.into_iter().chain(queue).collect()
+    }
+
+    /// Fills the batch and returns how long the next step takes.
+    pub fn begin_step(&mut self) -> u64 {
+        while self.batch.len() < self.slots {
+            let Some(mut job) = self.queue.pop_front() else {
+                break;
+            };
+            if !self.look_up(job.prefix) {
+                job.prompt_tokens += job.prefix_tokens;
+            }
+            self.batch.push(job);
+            self.started.push(false);
+        }
+        let waiting: u64 = self.batch.iter().map(|job| job.prompt_tokens).sum();
+        let prefill = waiting.min(PREFILL_CHUNK_TOKENS) as f64 * PREFILL_TOKEN_US;
+        let step = STEP_BASE_US + STEP_REQUEST_US * self.batch.len() as f64 + prefill;
+        (step / self.speed) as u64
+    }
+
+    /// Ends the step: processes prompt tokens in order and generates one token a request.
+    pub fn end_step(&mut self, outputs: &mut Vec<Output>) {
+        let mut chunk = PREFILL_CHUNK_TOKENS;
+        for (job, started) in self.batch.iter_mut().zip(&mut self.started) {
+            if job.prompt_tokens > 0 {
+                let processed = job.prompt_tokens.min(chunk);
+                job.prompt_tokens -= processed;
+                chunk -= processed;
+                if job.prompt_tokens > 0 {
+                    continue;
+                }
+            }
+            let (request, attempt) = (job.request, job.attempt);
+            if !*started {
+                *started = true;
+                outputs.push(Output::First { request, attempt });
+            }
+            job.output_tokens -= 1;
+            if job.output_tokens == 0 {
+                outputs.push(Output::Last { request, attempt });
+            }
+        }
+        let mut kept = self.batch.iter().map(|job| job.output_tokens > 0);
+        self.started.retain(|_| kept.next().unwrap_or(false));
+        self.batch.retain(|job| job.output_tokens > 0);
+    }
+
+    /// Looks a prefix up in the cache, least recently used out first.
+    fn look_up(&mut self, prefix: Option<u64>) -> bool {
+        let Some(prefix) = prefix else {
+            return false;
+        };
+        self.prefix_lookups += 1;
+        let position = self.cache.iter().position(|&cached| cached == prefix);
+        if let Some(position) = position {
+            self.cache.remove(position);
+            self.prefix_hits += 1;
+        }
+        self.cache.push_back(prefix);
+        if self.cache.len() > CACHED_PREFIXES {
+            self.cache.pop_front();
+        }
+        position.is_some()
+    }
+}
--- /dev/null
+++ b/crates/peridotrack-bench/src/route/policy.rs
@@ -0,0 +1,105 @@
+//! The router under measurement and the baselines.
+
+use peridotrack_route::{options::Options, router::Router};
+use peridotrack_types::{register, rules};
+
+/// How a router chooses engines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Policy {
+    /// The router of this project.
+    Peridotrack,
+    /// Any engine, at random.
+    Random,
+    /// One engine after the other.
+    RoundRobin,
+    /// The engine with the fewest requests of this router, ties at random.
+    LeastInFlight,
+}
+
+impl Policy {
+    /// Every policy.
+    pub const ALL: [Self; 4] = [
+        Self::Peridotrack,
+        Self::Random,
+        Self::RoundRobin,
+        Self::LeastInFlight,
+    ];
+
+    /// Returns the name used in figures.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Peridotrack => "peridotrack",
+            Self::Random => "random",
+            Self::RoundRobin => "round robin",
+            Self::LeastInFlight => "least in flight",
+        }
+    }
+}
+
+/// One router that follows a policy.
+#[derive(Debug)]
+pub enum Chooser {
+    /// The router of this project.
+    Peridotrack(Box<Router>),
+    /// A baseline: it knows its requests in flight for each engine.
+    Baseline {
+        /// Policy.
+        policy: Policy,
+        /// Own requests in flight for each engine.
+        in_flight: Vec<u32>,
+        /// Next engine of round robin.
+        next: usize,
+        /// Random source.
+        rng: fastrand::Rng,
+    },
+}
+
+impl Chooser {
+    /// Returns router number `number` of a fleet.
+    pub fn new(
+        policy: Policy,
+        number: usize,
+        register: &register::Register,
+        options: &Options,
+        seed: u64,
+    ) -> Self {
+        let seed = seed.wrapping_mul(1_000) + number as u64;
+        let engines = register.engines.len();
+        if policy != Policy::Peridotrack {
+            return Self::Baseline {
+                policy,
+                in_flight: vec![0; engines],
+                next: number * engines / 6,
+                rng: fastrand::Rng::with_seed(seed),
+            };
+        }
+        let domains = &register.failure_domains;
+        let own = domains[number % domains.len()].name.clone();
+        let mut router = Router::new(options.clone(), own, seed, 0);
+        router.configure(0, register, &rules::Rules::default());
+        Self::Peridotrack(Box::new(router))
+    }
+}
+
+/// Chooses an engine for a baseline.
+pub fn choose(
+    policy: Policy,
+    in_flight: &[u32],
+    next: &mut usize,
+    rng: &mut fastrand::Rng,
+) -> usize {
+    match policy {
+        Policy::RoundRobin => {
+            *next = (*next + 1) % in_flight.len();
+            *next
+        }
+        Policy::LeastInFlight => {
+            let start = rng.usize(..in_flight.len());
+            (0..in_flight.len())
+                .map(|step| (start + step) % in_flight.len())
+                .min_by_key(|&engine| in_flight[engine])
+                .unwrap_or(start)
+        }
+        _ => rng.usize(..in_flight.len()),
+    }
+}
