--- a/crates/peridotrack-bench/benches/measures.rs
+++ b/crates/peridotrack-bench/benches/measures.rs
@@ -2,11 +2,12 @@
 
 use std::process::ExitCode;
 
-use peridotrack_bench::{budget, report::Report};
+use peridotrack_bench::{budget, report::Report, route};
 
 fn main() -> ExitCode {
     let mut report = Report::default();
     budget::measure(&mut report);
+    route::measure(&mut report);
     for figure in report.past_bounds() {
         eprintln!("past its bound: {}", figure.measure);
     }
--- a/crates/peridotrack-bench/benches/timing.rs
+++ b/crates/peridotrack-bench/benches/timing.rs
@@ -1,3 +1,7 @@
 //! Prints time and memory slopes of this machine; no bounds.
 
-fn main() {}
+use peridotrack_bench::route;
+
+fn main() {
+    route::timing::print();
+}
--- a/crates/peridotrack-bench/src/lib.rs
+++ b/crates/peridotrack-bench/src/lib.rs
@@ -15,3 +15,4 @@
 pub mod budget;
 pub mod fleet;
 pub mod report;
+pub mod route;
