--- a/crates/peridotrack/src/arguments.rs
+++ b/crates/peridotrack/src/arguments.rs
@@ -119,9 +119,13 @@
         return Ok(print(version, json));
     }
     let words = words(&mut arguments).or_exit(Exit::Usage)?;
-    if wants_help || words.is_empty() {
+    if wants_help {
         return Ok(print(help::text(&words), json));
     }
+    if words.is_empty() {
+        let message = "a command is needed (see peridotrack --help)";
+        return Err(Failure::new(Exit::Usage, message));
+    }
     let command = command(&words, arguments)
         .wrap_err_with(|| format!("{words} (see peridotrack {words} --help)"))
         .or_exit(Exit::Usage)?;
