fix(tool): a release that folds at once survives a lost reply

Cause: the ledger now folds a released row as soon as no other holder has to acknowledge it, so after a lost reply the tool found no row and reported a refusal of a release that had taken effect. The test ledgers name their holders as members, as routers do; a new case has a single holder and a lost reply, and failed with 'holder has no row for the budget'.

--- a/crates/peridotrack/src/budget.rs
+++ b/crates/peridotrack/src/budget.rs
@@ -71,9 +71,10 @@
 /// Returns a failure if the ledger refuses the release or the platform cannot be reached.
 pub async fn release(release: &Release) -> Result<Report, Failure> {
     let platform = Platform::open(release.platform);
+    let mut is_reply_lost = false;
     for _ in 0..ATTEMPTS {
         let (key, version, shard) = find(&platform, &release.budget).await?;
-        if is_released(&shard, release) {
+        if is_released(&shard, release, is_reply_lost) {
             return Ok(released(release));
         }
         let mut next = shard.clone();
@@ -82,8 +83,10 @@
         next.check_update(&shard).or_exit(Exit::Refused)?;
         let content = Bytes::from(serde_json::to_vec(&next).or_exit(Exit::Refused)?);
         let written = platform.write(&key, Some(version), &content).await;
-        if written.or_exit(Exit::Unreachable)? == Write::Done {
-            return Ok(released(release));
+        match written.or_exit(Exit::Unreachable)? {
+            Write::Done => return Ok(released(release)),
+            Write::Conflict => {}
+            Write::ConflictAfterLostReply => is_reply_lost = true,
         }
     }
     Err(Failure::new(
@@ -165,11 +168,17 @@
     ))
 }
 
-/// Returns whether the ledger shows this release already, as after a lost reply.
-fn is_released(shard: &Shard, release: &Release) -> bool {
+/// Returns whether the ledger shows this release already.
+///
+/// A released row that waits for no other holder is folded into the closed total and is gone;
+/// after a lost reply that is how the own release shows.
+fn is_released(shard: &Shard, release: &Release, is_reply_lost: bool) -> bool {
     let entry = shard.entries.get(&release.budget);
-    let row = entry.and_then(|entry| entry.rows.get(&release.holder));
-    matches!(row, Some(Row::Released { spent_tokens, .. }) if *spent_tokens == release.spent_tokens)
+    match entry.and_then(|entry| entry.rows.get(&release.holder)) {
+        Some(Row::Released { spent_tokens, .. }) => *spent_tokens == release.spent_tokens,
+        Some(Row::Open { .. } | Row::Closed { .. }) => false,
+        None => is_reply_lost,
+    }
 }
 
 fn released(release: &Release) -> Report {
--- a/crates/peridotrack/tests/budget.rs
+++ b/crates/peridotrack/tests/budget.rs
@@ -32,6 +32,8 @@
         .await
         .unwrap();
     let mut shard = Shard::empty();
+    shard.join(HOLDER);
+    shard.join(OTHER);
     let entry = shard.entries.entry(name::Budget::from("b")).or_default();
     entry.configure(1, 1_000);
     entry.rows.insert(HOLDER, row(300, 100));
@@ -133,6 +135,30 @@
     });
 }
 
+#[test]
+fn a_release_that_waits_for_nobody_survives_a_lost_reply() {
+    run(async {
+        let platform = common::platform();
+        let address = platform.address();
+        prepare(address).await;
+        let (version, mut shard) = read(address).await;
+        shard.entries.get_mut("b").unwrap().rows.remove(&OTHER);
+        shard.leave(OTHER);
+        write(address, Some(version), &shard).await;
+        platform.control(Control {
+            lose_replies: Some(1),
+            ..Control::default()
+        });
+        let report = budget::release(&release(address, "b", HOLDER, 120))
+            .await
+            .unwrap();
+        assert_eq!(report.exit, Exit::Done);
+        let (_, shard) = read(address).await;
+        assert_eq!(shard.entries["b"].closed_tokens, 120);
+        assert!(shard.entries["b"].rows.is_empty());
+    });
+}
+
 #[rstest]
 #[case::unknown_budget("c", HOLDER, 120)]
 #[case::unknown_holder("b", id::Incarnation(1), 120)]
