--- a/crates/peridotrack/src/arguments.rs
+++ b/crates/peridotrack/src/arguments.rs
@@ -103,6 +103,8 @@
     pub holder: id::Incarnation,
     /// Tokens that the holder spent in all.
     pub spent_tokens: u64,
+    /// Routers to ask whether the holder still runs.
+    pub routers: Routers,
 }
 
 /// Parses the arguments of the process, without its name.
@@ -218,6 +220,7 @@
         budget: value::<String>(arguments, "--budget")?.into(),
         holder: value(arguments, "--holder")?,
         spent_tokens: value(arguments, "--spent")?,
+        routers: optional_routers(arguments)?,
     };
     eyre::ensure!(
         is_confirmed,
--- a/crates/peridotrack/src/budget.rs
+++ b/crates/peridotrack/src/budget.rs
@@ -6,10 +6,12 @@
 use peridotrack_budget::ledger::{Entry, Row, Shard, Totals};
 use peridotrack_types::{id, name};
 use serde::Serialize;
+use serde_json::Value;
 
 use crate::{
     arguments::Release,
     config::object,
+    fleet::Fleet,
     platform::{Platform, Write},
     report::{Exit, Failure, OrExit, Report},
 };
@@ -70,6 +72,7 @@
 ///
 /// Returns a failure if the ledger refuses the release or the platform cannot be reached.
 pub async fn release(release: &Release) -> Result<Report, Failure> {
+    check_not_running(release).await?;
     let platform = Platform::open(release.platform);
     let mut is_reply_lost = false;
     for _ in 0..ATTEMPTS {
@@ -95,6 +98,32 @@
     ))
 }
 
+/// Refuses the release of a holder that a router shows as running.
+async fn check_not_running(release: &Release) -> Result<(), Failure> {
+    let fleet = Fleet::open(&release.routers)?;
+    for (router, answer) in fleet.ask_all::<Value>("/v1/status").await {
+        // A router that does not answer proves nothing.
+        let Ok(answer) = answer else {
+            continue;
+        };
+        if runs(&answer.value, release.holder) {
+            let holder = release.holder;
+            let message = format!("holder {holder} runs, as router {router} shows");
+            return Err(Failure::new(Exit::Refused, message));
+        }
+    }
+    Ok(())
+}
+
+/// Returns whether a status is that of `holder`, or shows it as a live peer.
+fn runs(status: &Value, holder: id::Incarnation) -> bool {
+    let holder = holder.to_string();
+    let is_holder = |value: &Value| value["incarnation"] == holder.as_str();
+    let peers = status["peers"].as_array().map_or(&[][..], Vec::as_slice);
+    let is_live = |peer: &Value| is_holder(peer) && peer["is_live"] == true;
+    is_holder(status) || peers.iter().any(is_live)
+}
+
 /// Returns the budgets of the configuration in force, as if nothing were drawn on them.
 async fn configured(platform: &Platform) -> Result<BTreeMap<name::Budget, Shown>, Failure> {
     let Some(held) = object::read(platform).await? else {
--- a/crates/peridotrack/src/help.rs
+++ b/crates/peridotrack/src/help.rs
@@ -83,11 +83,14 @@
         text: "\
 usage: peridotrack budget release --platform ADDRESS --budget NAME
            --holder INCARNATION --spent TOKENS --confirm-destroyed
+           [--router ADDRESS]... [--operator-key-file FILE]
 
   --holder INCARNATION  incarnation of the router, as `budget show` prints it
   --spent TOKENS        tokens that the provider counted for it in all
   --confirm-destroyed   states that the VM is destroyed and can never run
-                        again; a paused VM that wakes would overspend",
+                        again; a paused VM that wakes would overspend
+  --router ADDRESS      operator address of a router; the release is refused if
+                        the holder runs there or is a live peer of it",
     },
     Entry {
         words: "timeline",
--- a/crates/peridotrack/tests/budget.rs
+++ b/crates/peridotrack/tests/budget.rs
@@ -4,7 +4,7 @@
 
 use std::net::SocketAddr;
 
-use common::{apply, nowhere, rules, run};
+use common::{Router, apply, no_routers, nowhere, routers, rules, run, status};
 use peridotrack::{
     arguments::Release, budget, config, platform::Platform, report::Exit, report::Failure,
 };
@@ -12,6 +12,7 @@
 use peridotrack_standin::platform::Control;
 use peridotrack_types::{id, name};
 use rstest::rstest;
+use serde_json::{Value, json};
 
 const HOLDER: id::Incarnation = id::Incarnation(0xaa);
 const OTHER: id::Incarnation = id::Incarnation(0xbb);
@@ -63,6 +64,7 @@
         budget: budget.into(),
         holder,
         spent_tokens: spent,
+        routers: no_routers(),
     }
 }
 
@@ -182,6 +184,37 @@
     });
 }
 
+#[rstest]
+#[case::itself(json!({"incarnation": HOLDER}), true)]
+#[case::live_peer(json!({"peers": [{"incarnation": HOLDER, "is_live": true}]}), true)]
+#[case::lost_peer(json!({"peers": [{"incarnation": HOLDER, "is_live": false}]}), false)]
+#[case::other_peer(json!({"peers": [{"incarnation": OTHER, "is_live": true}]}), false)]
+fn a_holder_that_runs_is_not_released(#[case] shown: Value, #[case] is_refused: bool) {
+    run(async {
+        let platform = common::platform();
+        let address = platform.address();
+        prepare(address).await;
+        let router = Router::spawn(move |_| {
+            let mut answer = status("vm-1", 1);
+            answer["incarnation"] = json!("00000000000000ff");
+            answer
+                .as_object_mut()
+                .unwrap()
+                .extend(shown.as_object().unwrap().clone());
+            answer
+        });
+        let arguments = Release {
+            routers: routers("release", &[router.address, nowhere()], common::KEY),
+            ..release(address, "b", HOLDER, 120)
+        };
+        let outcome = budget::release(&arguments).await;
+        assert_eq!(outcome.is_err(), is_refused, "{outcome:?}");
+        if let Err(failure) = outcome {
+            assert_eq!(failure.exit, Exit::Refused);
+        }
+    });
+}
+
 #[test]
 fn a_release_meets_the_updates_of_routers() {
     run(async {
--- a/crates/peridotrack/tests/common/mod.rs
+++ b/crates/peridotrack/tests/common/mod.rs
@@ -92,10 +92,7 @@
     Apply {
         inputs: inputs(test, &register(), rules),
         platform,
-        routers: Routers {
-            addresses: Vec::new(),
-            key_file: None,
-        },
+        routers: no_routers(),
         wait: None,
     }
 }
@@ -103,6 +100,13 @@
 /// Answers a path and query.
 type Answer = Rc<RefCell<dyn FnMut(&str) -> Value>>;
 
+pub fn no_routers() -> Routers {
+    Routers {
+        addresses: Vec::new(),
+        key_file: None,
+    }
+}
+
 /// A fake router.
 pub struct Router {
     pub address: SocketAddr,
