--- a/crates/peridotrack/src/arguments.rs
+++ b/crates/peridotrack/src/arguments.rs
@@ -52,6 +52,8 @@
         /// Most events to print.
         last: Option<usize>,
     },
+    /// Run a fleet with stand-ins in this process.
+    Demo,
     /// Tell what happened to one request.
     Explain {
         /// The request.
@@ -179,6 +181,7 @@
             routers: routers(args)?,
             last: args.opt_value_from_str("--last")?,
         },
+        "demo" => Command::Demo,
         "explain" => Command::Explain {
             routers: routers(args)?,
             request: args.free_from_str().wrap_err("REQUEST-ID")?,
--- a/crates/peridotrack/src/help.rs
+++ b/crates/peridotrack/src/help.rs
@@ -22,7 +22,7 @@
 /// Options that every command takes.
 pub const COMMON_OPTIONS: &str = "\
 Common options:
-  --json     print one JSON value in place of text
+  --json     print one JSON value on one line in place of text
   --help     print this help
   --version  print the version";
 
@@ -111,6 +111,17 @@
 
 Prints the events of the request at all routers given, with their causes.",
     },
+    Entry {
+        words: "demo",
+        summary: "run a whole fleet with stand-ins in this process",
+        text: "\
+usage: peridotrack demo
+
+Starts a platform, engines, plain services and four routers in two failure
+domains on loopback, serves both kinds of work, cuts one domain from the
+platform, kills one router without warning, tops up a budget, stops the fleet,
+and prints what happened. Exits with 1 if a promise broke.",
+    },
 ];
 
 /// Returns the help of the command named by `words`, or of the whole tool.
--- a/crates/peridotrack/src/lib.rs
+++ b/crates/peridotrack/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod arguments;
 pub mod budget;
 pub mod config;
+pub mod demo;
 pub mod explain;
 pub mod fleet;
 pub mod help;
--- a/crates/peridotrack/src/run.rs
+++ b/crates/peridotrack/src/run.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     arguments::{self, Command, Invocation},
-    budget, config, explain,
+    budget, config, demo, explain,
     report::{Exit, Failure, OrExit, Report},
     status, timeline,
 };
@@ -31,6 +31,10 @@
 
 /// Carries out a command on an event loop of its own.
 fn execute(invocation: Invocation) -> Result<Report, Failure> {
+    if invocation.command == Command::Demo {
+        // The demonstration builds an event loop of its own.
+        return demo::demo();
+    }
     let mut runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
         .enable_timer()
         .build()
@@ -51,6 +55,7 @@
         Command::BudgetShow { platform, budget } => budget::show(platform, budget.as_ref()).await,
         Command::BudgetRelease(release) => budget::release(&release).await,
         Command::Timeline { routers, last } => timeline::timeline(&routers, last).await,
+        Command::Demo => Err(Failure::new(Exit::Usage, "demo runs on a loop of its own")),
         Command::Explain { request, routers } => explain::explain(request, &routers).await,
     }
 }
@@ -59,7 +64,7 @@
 fn print(report: &Report, json: bool) {
     let mut stdout = std::io::stdout().lock();
     let _ = if json {
-        writeln!(stdout, "{:#}", report.json)
+        writeln!(stdout, "{}", report.json)
     } else {
         write!(stdout, "{}", report.text)
     };
