refactor(edge): metrics in one module, their handles opened once

Names stood as text at each use and every count looked its metric up again. A killed router of the demonstration also stops watching the configuration: its time line showed a version applied after its death. Edge, kernel and demonstration tests pass.

--- a/crates/peridotrack-edge/src/caller/completion.rs
+++ b/crates/peridotrack-edge/src/caller/completion.rs
@@ -90,9 +90,7 @@
     let completion = match Completion::new(services, call, &request) {
         Ok(completion) => completion,
         Err(problem) => {
-            return connection
-                .respond(call.refuse(&services.kernel, problem))
-                .await;
+            return connection.respond(call.refuse(services, problem)).await;
         }
     };
     completion.run(connection).await
@@ -292,6 +290,7 @@
         let reservation = self.reservation.take()?.reservation;
         let spent_tokens = usage.map_or(reservation.bound_tokens, engine::Usage::total_tokens);
         self.services.budget.settle(&reservation, spent_tokens);
+        self.services.metrics.settled_tokens.increment(spent_tokens);
         let event = event::Event::new(event::Kind::RequestSettled)
             .with("budget", reservation.budget.as_str())
             .with("spent_tokens", spent_tokens)
@@ -353,7 +352,7 @@
             problem.ran = problem::Ran::Unknown;
             self.bill(settled, None, false).await;
         }
-        let response = self.call.refuse(&self.services.kernel, problem);
+        let response = self.call.refuse(self.services, problem);
         match self.forwarded {
             Forwarded::Nothing => connection.respond(response).await,
             Forwarded::Part => {
@@ -397,11 +396,7 @@
         };
         self.call
             .note(&self.services.kernel, event::Event::new(kind));
-        self.services
-            .kernel
-            .meter()
-            .counter("peridotrack_requests_completed_total")
-            .increment(1);
+        self.services.metrics.completed.increment(1);
         result
     }
 
@@ -432,6 +427,7 @@
             .with("backend_server", backend_server.as_str())
             .with("detail", detail);
         self.call.note(&self.services.kernel, event);
+        self.services.metrics.failed_attempts.increment(1);
         match outcome {
             Outcome::RefusedNotRun => self.reservation_unused(),
             // The next attempt needs tokens of its own, unless it resumes this stream.
@@ -628,9 +624,8 @@
             self.call
                 .note(&self.services.kernel, event.with("elapsed_us", elapsed_us));
             self.services
-                .kernel
-                .meter()
-                .histogram("peridotrack_first_token_seconds")
+                .metrics
+                .first_token
                 .record(Duration::from_micros(elapsed_us).as_secs_f64());
         }
         connection.write(events.into()).await
--- a/crates/peridotrack-edge/src/caller/server.rs
+++ b/crates/peridotrack-edge/src/caller/server.rs
@@ -13,7 +13,7 @@
 use peridotrack_types::{id, name, problem, settings};
 
 use super::{answer, completion, service_call};
-use crate::{acceptor, auth, budget, claims, config, engine, notify, route, usage};
+use crate::{acceptor, auth, budget, claims, config, engine, metric, notify, route, usage};
 
 /// Period in which an idle connection looks whether the server is closing, in milliseconds.
 const IDLE_MS: u64 = 100;
@@ -39,6 +39,7 @@
     pub(super) route: Rc<route::Route>,
     pub(super) usage: Rc<usage::Usage>,
     pub(super) pool: client::Pool,
+    pub(super) metrics: metric::Requests,
 }
 
 /// Accepts callers.
@@ -75,7 +76,7 @@
     /// Records a refusal and returns its answer.
     pub(super) fn refuse(
         &self,
-        kernel: &Kernel,
+        services: &Services,
         problem: problem::Problem,
     ) -> http::Response<bytes::Bytes> {
         let ran = match problem.ran {
@@ -87,11 +88,8 @@
             .with("detail", problem.detail.as_str())
             .with("ran", ran)
             .with("retry_after_ms", problem.retry_after_ms.unwrap_or_default());
-        self.note(kernel, event);
-        kernel
-            .meter()
-            .labelled_counter("peridotrack_requests_refused_total", "ran", ran)
-            .increment(1);
+        self.note(&services.kernel, event);
+        services.metrics.refused(problem.ran).increment(1);
         answer::problem(&problem.request(self.request_id))
     }
 }
@@ -116,6 +114,7 @@
             route: registry.find(route::SERVICE)?,
             usage: registry.find(usage::SERVICE)?,
             pool: client::Pool::new(engine::client_options(BACKEND_TIMEOUT_MS), IDLE_CONNECTIONS),
+            metrics: metric::Requests::open(kernel.meter()),
         });
         let server = Rc::new(Self {
             services,
@@ -271,7 +270,7 @@
             let detail = format!("no route for {} {path}", request.head.method);
             let problem = problem::Problem::new(problem::Kind::NotFound, detail);
             connection
-                .respond(call.refuse(&self.services.kernel, problem))
+                .respond(call.refuse(&self.services, problem))
                 .await
         }
     }
@@ -296,10 +295,7 @@
             .with("method", request.head.method.as_str())
             .with("path", path)
             .with("body_bytes", request.body.len() as u64);
-        kernel
-            .meter()
-            .counter("peridotrack_requests_accepted_total")
-            .increment(1);
+        self.services.metrics.accepted.increment(1);
         Call {
             request_id,
             account,
--- a/crates/peridotrack-edge/src/caller/service_call.rs
+++ b/crates/peridotrack-edge/src/caller/service_call.rs
@@ -83,14 +83,10 @@
                 &services.kernel,
                 event::Event::new(event::Kind::RequestCompleted),
             );
-            services
-                .kernel
-                .meter()
-                .counter("peridotrack_requests_completed_total")
-                .increment(1);
+            services.metrics.completed.increment(1);
             response
         }
-        Err(problem) => call.refuse(&services.kernel, problem),
+        Err(problem) => call.refuse(services, problem),
     };
     connection.respond(response).await
 }
@@ -231,6 +227,7 @@
                         .with("backend_server", backend_server.as_str())
                         .with("detail", detail);
                     self.call.note(&self.services.kernel, event);
+                    self.services.metrics.failed_attempts.increment(1);
                     ticket.finished(outcome);
                 }
             }
--- a/crates/peridotrack-edge/src/config.rs
+++ b/crates/peridotrack-edge/src/config.rs
@@ -210,7 +210,10 @@
 /// Watches the platform's configuration while this router is a watcher of its domain.
 async fn watch(service: Weak<Configuration>) {
     let mut seen_version = 0;
-    while let Some(service) = service.upgrade() {
+    while let Some(service) = service
+        .upgrade()
+        .filter(|service| !service.kernel.is_stopped())
+    {
         if !service.member.is_watcher() {
             service.kernel.timer().sleep_us(WATCH_RETRY_US).await;
             continue;
--- a/crates/peridotrack-edge/src/lib.rs
+++ b/crates/peridotrack-edge/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod engine;
 pub mod load;
 pub mod member;
+pub mod metric;
 pub mod notify;
 pub mod operator;
 pub mod peer;
--- /dev/null
+++ b/crates/peridotrack-edge/src/metric.rs
@@ -0,0 +1,73 @@
+//! Metrics of the router. docs/OPERATORS.md lists them.
+
+use metrics::{Counter, Histogram};
+use peridotrack_kernel::meter;
+use peridotrack_types::problem;
+
+/// Requests accepted from callers.
+pub const ACCEPTED: &str = "peridotrack_requests_accepted_total";
+/// Requests answered whole.
+pub const COMPLETED: &str = "peridotrack_requests_completed_total";
+/// Requests refused, by whether they ran.
+pub const REFUSED: &str = "peridotrack_requests_refused_total";
+/// Time from a request's arrival to the first part of its answer, in seconds.
+pub const FIRST_TOKEN: &str = "peridotrack_first_token_seconds";
+/// Attempts on backend servers that failed.
+pub const FAILED_ATTEMPTS: &str = "peridotrack_failed_attempts_total";
+/// Tokens settled on budgets.
+pub const SETTLED_TOKENS: &str = "peridotrack_settled_tokens_total";
+/// Bytes sent to peers.
+pub const PEER_SENT_BYTES: &str = "peridotrack_peer_sent_bytes_total";
+/// Calls of the platform, by kind.
+pub const PLATFORM_CALLS: &str = "peridotrack_platform_calls_total";
+
+/// Name of every metric.
+pub const ALL: [&str; 8] = [
+    ACCEPTED,
+    COMPLETED,
+    REFUSED,
+    FIRST_TOKEN,
+    FAILED_ATTEMPTS,
+    SETTLED_TOKENS,
+    PEER_SENT_BYTES,
+    PLATFORM_CALLS,
+];
+
+/// Metrics of requests.
+pub struct Requests {
+    /// Counts [`ACCEPTED`].
+    pub accepted: Counter,
+    /// Counts [`COMPLETED`].
+    pub completed: Counter,
+    /// Records [`FIRST_TOKEN`].
+    pub first_token: Histogram,
+    /// Counts [`FAILED_ATTEMPTS`].
+    pub failed_attempts: Counter,
+    /// Counts [`SETTLED_TOKENS`].
+    pub settled_tokens: Counter,
+    refused_not_run: Counter,
+    refused_unknown: Counter,
+}
+
+impl Requests {
+    /// Returns the metrics, which start at zero.
+    pub fn open(meter: &meter::Meter) -> Self {
+        Self {
+            accepted: meter.counter(ACCEPTED),
+            completed: meter.counter(COMPLETED),
+            first_token: meter.histogram(FIRST_TOKEN),
+            failed_attempts: meter.counter(FAILED_ATTEMPTS),
+            settled_tokens: meter.counter(SETTLED_TOKENS),
+            refused_not_run: meter.labelled_counter(REFUSED, "ran", "no"),
+            refused_unknown: meter.labelled_counter(REFUSED, "ran", "unknown"),
+        }
+    }
+
+    /// Returns the count of refusals of one kind.
+    pub fn refused(&self, ran: problem::Ran) -> &Counter {
+        match ran {
+            problem::Ran::No => &self.refused_not_run,
+            problem::Ran::Unknown => &self.refused_unknown,
+        }
+    }
+}
--- a/crates/peridotrack-edge/src/peer/link.rs
+++ b/crates/peridotrack-edge/src/peer/link.rs
@@ -17,7 +17,7 @@
 use peridotrack_types::{collections, id};
 
 use super::frame::{self, Frame};
-use crate::acceptor;
+use crate::{acceptor, metric};
 
 /// Longest wait to connect and to authenticate, in milliseconds.
 const HANDSHAKE_TIMEOUT_MS: u64 = 1_000;
@@ -105,7 +105,7 @@
         };
         let listener = listen::bind(address).map_err(io)?;
         let address = listener.local_addr().map_err(io)?;
-        let sent_bytes = kernel.meter().counter("peridotrack_peer_sent_bytes_total");
+        let sent_bytes = kernel.meter().counter(metric::PEER_SENT_BYTES);
         let link = Rc::new(Self {
             kernel,
             incarnation,
--- a/crates/peridotrack-edge/src/platform.rs
+++ b/crates/peridotrack-edge/src/platform.rs
@@ -8,6 +8,8 @@
 use peridotrack_types::name;
 use serde::Deserialize;
 
+use crate::metric;
+
 /// Name of this service in the registry.
 pub const SERVICE: &str = "platform";
 
@@ -160,6 +162,7 @@
             ..self.watch_options
         };
         let request = request("GET", &path, &[], Bytes::new());
+        self.count("watch");
         let response = fetch_once(self.address, options, request).await;
         let response = self.noted("watch", key, response)?;
         match response.status().as_u16() {
@@ -235,10 +238,18 @@
         key: &str,
         request: http::Request<Bytes>,
     ) -> Result<http::Response<Bytes>, Error> {
+        self.count(step);
         let result = self.pool.fetch(self.address, request).await;
         self.noted(step, key, result)
     }
 
+    fn count(&self, step: &'static str) {
+        let meter = self.kernel.meter();
+        meter
+            .labelled_counter(metric::PLATFORM_CALLS, "kind", step)
+            .increment(1);
+    }
+
     /// Notes whether the platform can be reached and names the step of an error.
     fn noted(
         &self,
--- a/crates/peridotrack-kernel/src/kernel.rs
+++ b/crates/peridotrack-kernel/src/kernel.rs
@@ -87,6 +87,11 @@
         self.clock.now_us()
     }
 
+    /// Returns whether the kernel was stopped.
+    pub fn is_stopped(&self) -> bool {
+        self.timer.is_stopped()
+    }
+
     /// Returns the clock.
     pub fn clock(&self) -> clock::Clock {
         self.clock
--- a/crates/peridotrack-kernel/src/timer.rs
+++ b/crates/peridotrack-kernel/src/timer.rs
@@ -88,6 +88,10 @@
         monoio::time::sleep(Duration::from_micros(span_us)).await;
     }
 
+    pub(crate) fn is_stopped(&self) -> bool {
+        self.state.stopped.get()
+    }
+
     /// Ends the task.
     pub(crate) fn stop(&self) {
         self.state.stopped.set(true);
