feat(standin): whole fleets under test, and engines whose runs differ

harness::fleet starts real routers around stand-ins on the test's runtime and writes the configuration. vary_runs makes a second run of a request generate another text: with one text for all runs, an answer spliced from two runs passed for a whole one.

--- a/crates/peridotrack-standin/src/engine/chat.rs
+++ b/crates/peridotrack-standin/src/engine/chat.rs
@@ -191,6 +191,15 @@
     (0..tokens).map(|index| token(&seed, index)).collect()
 }
 
+/// The id in place of the request id in [`answer_text`] for the `run`th run, from 1, of an
+/// engine that varies its runs.
+pub fn run_id(request_id: &str, run: u64) -> String {
+    match run {
+        1 => request_id.to_owned(),
+        _ => format!("{request_id}#{run}"),
+    }
+}
+
 /// Eight hexadecimal digits that depend on the request id and the prompt.
 pub(crate) fn seed(request_id: &str, messages: &[Message]) -> String {
     let mut digest = Sha256::new();
--- a/crates/peridotrack-standin/src/engine/control.rs
+++ b/crates/peridotrack-standin/src/engine/control.rs
@@ -18,6 +18,8 @@
     pub slots: Option<u32>,
     /// Tokens after which answers end by themselves, if `max_tokens` allows that many.
     pub natural_tokens: Option<u64>,
+    /// Whether each run of a request id after its first generates another text.
+    pub vary_runs: Option<bool>,
     /// Delay before the first byte of each answer, in milliseconds.
     pub late_ms: Option<u64>,
     /// Age up to which a load report is given out again, in milliseconds.
@@ -47,6 +49,7 @@
         merge(&mut self.first_token_ms, other.first_token_ms);
         merge(&mut self.slots, other.slots);
         merge(&mut self.natural_tokens, other.natural_tokens);
+        merge(&mut self.vary_runs, other.vary_runs);
         merge(&mut self.late_ms, other.late_ms);
         merge(&mut self.load_lag_ms, other.load_lag_ms);
         merge(&mut self.freeze, other.freeze);
--- a/crates/peridotrack-standin/src/engine/routes.rs
+++ b/crates/peridotrack-standin/src/engine/routes.rs
@@ -222,22 +222,29 @@
     }
 
     fn begin(&self, request_id: String, chat: &chat::Request) -> Rc<Run> {
-        let (natural_tokens, dies_after_tokens) = {
-            let mut settings = self.settings.borrow_mut();
-            (settings.natural_tokens, settings.die_after_tokens.take())
-        };
+        let runs = self.count_run(&request_id);
+        let mut settings = self.settings.borrow_mut();
+        let varied = settings.vary_runs == Some(true);
         let run = Rc::new(Run::new(
             request_id,
+            if varied { runs } else { 1 },
             chat,
-            natural_tokens,
-            dies_after_tokens,
+            settings.natural_tokens,
+            settings.die_after_tokens.take(),
         ));
         self.runs.borrow_mut().insert(run.clone());
-        self.counters.borrow_mut().runs += 1;
-        self.tallies.borrow_mut().entry(&run.request_id).runs += 1;
         run
     }
 
+    /// Counts a run and gives the count of its request id.
+    fn count_run(&self, request_id: &str) -> u64 {
+        self.counters.borrow_mut().runs += 1;
+        let mut tallies = self.tallies.borrow_mut();
+        let tally = tallies.entry(request_id);
+        tally.runs += 1;
+        tally.runs
+    }
+
     /// The faults due for the next answer: in the stream, crossed, delay in milliseconds.
     fn faults(&self) -> (Faults, bool, u64) {
         let mut settings = self.settings.borrow_mut();
--- a/crates/peridotrack-standin/src/engine/run.rs
+++ b/crates/peridotrack-standin/src/engine/run.rs
@@ -40,8 +40,10 @@
 }
 
 impl Run {
+    /// Makes a run that generates the text of its `run`th repetition, from 1.
     pub(crate) fn new(
         request_id: String,
+        run: u64,
         request: &Request,
         natural_tokens: Option<u64>,
         dies_after_tokens: Option<u64>,
@@ -50,7 +52,7 @@
         let total_tokens = natural_tokens.map_or(max_tokens, |tokens| tokens.min(max_tokens));
         let stops = total_tokens < max_tokens;
         Self {
-            seed: chat::seed(&request_id, &request.messages),
+            seed: chat::seed(&chat::run_id(&request_id, run), &request.messages),
             request_id,
             model: request.model.clone(),
             priority: request.priority,
--- a/crates/peridotrack-standin/src/engine/runs.rs
+++ b/crates/peridotrack-standin/src/engine/runs.rs
@@ -66,7 +66,7 @@
         },
         priority: 0,
     };
-    let other = Run::new("crossed".to_owned(), &request, None, None);
+    let other = Run::new("crossed".to_owned(), 1, &request, None, None);
     other.advance(u64::MAX);
     other
 }
--- a/crates/peridotrack-standin/src/harness/mod.rs
+++ b/crates/peridotrack-standin/src/harness/mod.rs
@@ -25,6 +25,7 @@
 //! });
 //! ```
 
+pub mod fleet;
 pub mod http;
 mod output;
 pub mod process;
--- a/crates/peridotrack-standin/tests/engine.rs
+++ b/crates/peridotrack-standin/tests/engine.rs
@@ -195,6 +195,21 @@
     });
 }
 
+#[test]
+fn varied_runs_of_one_request_differ() {
+    run(async {
+        let engine = spawn(Control {
+            vary_runs: Some(true),
+            ..Control::default()
+        });
+        for (run, id) in ["r1", "r1#2", "r1#3"].iter().enumerate() {
+            let answer = streamed(engine.address(), "r1").await.unwrap();
+            assert_eq!(answer.text, expected_text(id));
+            assert_eq!(chat::run_id("r1", run as u64 + 1), *id);
+        }
+    });
+}
+
 #[rstest]
 #[case::no_usage(Control { omit_usage: Some(1), ..Control::default() }, "r1", TOKENS, false, true)]
 #[case::truncated(Control { truncate: Some(1), ..Control::default() }, "r1", TOKENS / 2, false, false)]
