--- /dev/null
+++ b/crates/peridotrackd/tests/serve.rs
@@ -0,0 +1,301 @@
+//! Requests through real routers, whole or refused, whatever fails on the way.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response};
+use peridotrack_http::client;
+use peridotrack_standin::{
+    engine::{
+        self,
+        chat::{self, Chunk, Message},
+    },
+    harness::{
+        fleet::{self, Fleet},
+        http::{block_on, fetch},
+        router::{self, Router},
+        wait,
+    },
+    platform, service,
+};
+use peridotrack_types::{
+    config::Config,
+    problem::{Problem, Ran},
+};
+use rstest::rstest;
+
+const LIMIT: Duration = Duration::from_secs(20);
+const PROMPT: &str = "hello";
+const TOKENS: u64 = 12;
+/// Runs of one request that the tests tell apart.
+const MAX_RUNS: u64 = 5;
+const PURCHASED_TOKENS: u64 = 100_000;
+
+/// Settings of an engine without lasting faults.
+const HEALTHY: engine::Control = engine::Control {
+    token_delay_ms: Some(0),
+    first_token_ms: Some(0),
+    slots: Some(64),
+    natural_tokens: None,
+    vary_runs: Some(true),
+    late_ms: Some(0),
+    load_lag_ms: Some(0),
+    freeze: Some(false),
+    refuse: Some(false),
+    leaving: Some(false),
+    die_after_tokens: None,
+    cut_after_tokens: None,
+    cross_answers: None,
+    omit_usage: None,
+    truncate: None,
+};
+
+async fn spawn(failure_domains: usize, routers: usize) -> Fleet {
+    let options = fleet::Options {
+        program: env!("CARGO_BIN_EXE_peridotrackd").into(),
+        failure_domains,
+        routers,
+        engines: 1,
+        services: 1,
+        purchased_tokens: PURCHASED_TOKENS,
+    };
+    let fleet = fleet::spawn(&options).await.unwrap();
+    for engine in &fleet.engines {
+        engine.control(HEALTHY);
+    }
+    fleet
+}
+
+/// What a caller can tell of a streamed answer.
+#[derive(Debug, PartialEq, Eq)]
+enum Answer {
+    /// Ended as its protocol says, with this text belonging to its own id.
+    Whole,
+    /// Refused or ended in a way that a caller takes for a failure.
+    Failed,
+    /// Looks whole and is not.
+    Wrong(String),
+}
+
+fn judge(outcome: Result<Response<Bytes>, client::Error>) -> Answer {
+    let Ok(response) = outcome else {
+        return Answer::Failed;
+    };
+    if response.status() != 200 {
+        return Answer::Failed;
+    }
+    let body = String::from_utf8_lossy(response.body()).into_owned();
+    if !body.ends_with("data: [DONE]\n\n") {
+        return Answer::Failed;
+    }
+    let data = body.lines().filter_map(|line| line.strip_prefix("data: {"));
+    let chunks: Vec<Chunk> = data
+        .map(|data| serde_json::from_str(&format!("{{{data}")).unwrap())
+        .collect();
+    let contents = chunks.iter().flat_map(|chunk| &chunk.choices);
+    let text: String = contents
+        .filter_map(|choice| choice.delta.content.clone())
+        .collect();
+    let request_id = chunks[0].id.trim_start_matches("chatcmpl-");
+    let of_run = |run| {
+        let id = chat::run_id(request_id, run);
+        chat::answer_text(&id, &[Message::user(PROMPT)], TOKENS)
+    };
+    // The engines vary their runs, so that parts of two runs never add up to one answer.
+    if (1..=MAX_RUNS).any(|run| text == of_run(run)) {
+        Answer::Whole
+    } else {
+        Answer::Wrong(body)
+    }
+}
+
+async fn ask(fleet: &Fleet, router: usize) -> Answer {
+    let address = fleet.routers[router].caller_address;
+    judge(fetch(address, fleet::chat(PROMPT, TOKENS, true)).await)
+}
+
+#[test]
+fn request_through_every_router_is_whole() {
+    block_on(async {
+        let fleet = spawn(2, 2).await;
+        for router in 0..4 {
+            assert_eq!(ask(&fleet, router).await, Answer::Whole);
+        }
+        assert_eq!(fleet.generated_tokens(), 4 * TOKENS);
+    });
+}
+
+/// A fault of an engine costs the caller at most its answer, and never shows as a whole one.
+#[rstest]
+#[case::lost_run(engine::Control { die_after_tokens: Some(5), ..HEALTHY }, Answer::Failed)]
+#[case::lost_before_the_first(engine::Control { die_after_tokens: Some(0), ..HEALTHY }, Answer::Whole)]
+#[case::cut_connection(engine::Control { cut_after_tokens: Some(5), ..HEALTHY }, Answer::Whole)]
+#[case::truncated(engine::Control { truncate: Some(1), ..HEALTHY }, Answer::Whole)]
+#[case::crossed(engine::Control { cross_answers: Some(1), ..HEALTHY }, Answer::Whole)]
+#[case::no_usage(engine::Control { omit_usage: Some(1), ..HEALTHY }, Answer::Whole)]
+#[case::late(engine::Control { late_ms: Some(50), ..HEALTHY }, Answer::Whole)]
+#[case::refused(engine::Control { refuse: Some(true), ..HEALTHY }, Answer::Failed)]
+fn fault_of_an_engine(#[case] fault: engine::Control, #[case] expected: Answer) {
+    block_on(async {
+        let fleet = spawn(1, 1).await;
+        assert_eq!(ask(&fleet, 0).await, Answer::Whole);
+        fleet.engines[0].control(fault);
+        assert_eq!(ask(&fleet, 0).await, expected);
+        fleet.engines[0].control(HEALTHY);
+        let whole = async || (ask(&fleet, 0).await == Answer::Whole).then_some(());
+        wait::some(LIMIT, "whole answer", whole).await.unwrap();
+    });
+}
+
+#[test]
+fn graceful_stop_cuts_no_open_stream() {
+    block_on(async {
+        let mut fleet = spawn(1, 1).await;
+        fleet.engines[0].control(engine::Control {
+            token_delay_ms: Some(20),
+            ..engine::Control::default()
+        });
+        let address = fleet.routers[0].caller_address;
+        let asking = monoio::spawn(fetch(address, fleet::chat(PROMPT, TOKENS, true)));
+        wait::until(LIMIT, "token", || fleet.generated_tokens() > 0)
+            .await
+            .unwrap();
+        fleet.routers[0].process.terminate().unwrap();
+        assert_eq!(judge(asking.await), Answer::Whole);
+        let status = fleet.routers[0].process.ended().await.unwrap();
+        assert_eq!(status.code(), Some(0));
+    });
+}
+
+/// The router dies between the run and its answer; the caller repeats its call elsewhere.
+#[test]
+fn keyed_call_runs_once_although_its_router_is_killed() {
+    block_on(async {
+        let mut fleet = spawn(1, 2).await;
+        fleet.services[0].control(service::Control {
+            delay_ms: Some(60_000),
+            ..service::Control::default()
+        });
+        let addresses = [0, 1].map(|router| fleet.routers[router].caller_address);
+        let first = monoio::spawn(fetch(addresses[0], fleet::call("/isbn", Some("k1"))));
+        wait::until(LIMIT, "run", || fleet.service_runs() == 1)
+            .await
+            .unwrap();
+        fleet.routers[0].process.kill().unwrap();
+        assert!(first.await.is_err());
+        fleet.services[0].control(service::Control {
+            delay_ms: Some(0),
+            ..service::Control::default()
+        });
+        for _ in 0..3 {
+            let answer = fetch(addresses[1], fleet::call("/isbn", Some("k1")))
+                .await
+                .unwrap();
+            assert!(!answer.status().is_success(), "{answer:?}");
+            let problem: Problem = serde_json::from_slice(answer.body()).unwrap();
+            assert_eq!(problem.ran, Ran::Unknown, "{problem:?}");
+        }
+        assert_eq!(fleet.service_runs(), 1);
+    });
+}
+
+#[test]
+fn routers_serve_from_their_grants_while_the_platform_is_down() {
+    block_on(async {
+        let fleet = spawn(1, 1).await;
+        assert_eq!(ask(&fleet, 0).await, Answer::Whole);
+        fleet.platform.control(platform::Control {
+            down: Some(true),
+            ..platform::Control::default()
+        });
+        for _ in 0..5 {
+            assert_eq!(ask(&fleet, 0).await, Answer::Whole);
+        }
+        let refused = fetch(
+            fleet.routers[0].caller_address,
+            fleet::call("/isbn", Some("k1")),
+        )
+        .await;
+        assert!(!refused.unwrap().status().is_success());
+        assert_eq!(fleet.service_runs(), 0);
+    });
+}
+
+/// The version of the configuration that a router holds.
+async fn config_version(router: &Router) -> Option<u64> {
+    let key = format!("Bearer {}", router::OPERATOR_KEY);
+    let request = Request::get("/v1/status").header("authorization", key);
+    let request = request.body(Bytes::new()).unwrap();
+    let response = fetch(router.operator_address, request).await.ok()?;
+    let status: serde_json::Value = serde_json::from_slice(response.body()).ok()?;
+    status["config_version"].as_u64()
+}
+
+async fn all_hold(fleet: &Fleet, version: u64) {
+    for router in &fleet.routers {
+        let holds = async || (config_version(router).await == Some(version)).then_some(());
+        wait::some(LIMIT, "configuration", holds).await.unwrap();
+    }
+}
+
+#[test]
+fn configuration_reaches_a_failure_domain_cut_off_from_the_platform() {
+    block_on(async {
+        let mut fleet = spawn(2, 1).await;
+        fleet.platform.control(platform::Control {
+            cut_listeners: Some(vec![1]),
+            ..platform::Control::default()
+        });
+        let raise = |config: &mut Config| config.rules.budgets[0].purchased_tokens += 1;
+        let version = fleet.apply(raise).await.unwrap();
+        all_hold(&fleet, version).await;
+    });
+}
+
+#[test]
+fn router_started_while_the_platform_is_down_learns_the_latest_configuration() {
+    block_on(async {
+        let mut fleet = spawn(1, 2).await;
+        let raise = |config: &mut Config| config.rules.budgets[0].purchased_tokens += 1;
+        let version = fleet.apply(raise).await.unwrap();
+        all_hold(&fleet, version).await;
+        fleet.platform.control(platform::Control {
+            down: Some(true),
+            ..platform::Control::default()
+        });
+        fleet.routers[1].restart().await.unwrap();
+        all_hold(&fleet, version).await;
+    });
+}
+
+/// A router is paused with a grant while another spends the rest, and then goes on.
+#[test]
+fn paused_router_never_leads_to_overspend() {
+    block_on(async {
+        let mut fleet = spawn(1, 2).await;
+        fleet
+            .apply(|config| config.rules.budgets[0].purchased_tokens = PURCHASED_TOKENS + 500)
+            .await
+            .unwrap();
+        assert_eq!(ask(&fleet, 0).await, Answer::Whole);
+        fleet.routers[0].process.pause().await.unwrap();
+        let mut refused = 0;
+        let address = fleet.routers[1].caller_address;
+        while refused < 3 {
+            let request = fleet::chat(PROMPT, 4_000, false);
+            let response = fetch(address, request).await.unwrap();
+            refused += u32::from(response.status() != 200);
+        }
+        fleet.routers[0].process.resume().unwrap();
+        for _ in 0..20 {
+            let request = fleet::chat(PROMPT, 4_000, false);
+            let _ = fetch(fleet.routers[0].caller_address, request).await;
+        }
+        let prompts: u64 = fleet
+            .engines
+            .iter()
+            .map(|engine| engine.counters().runs * 5)
+            .sum();
+        assert!(fleet.generated_tokens() + prompts <= PURCHASED_TOKENS + 500);
+    });
+}
