feat(once): 32 shards and a one-second outcome window, by measurement

Cause: with 64 shards and 250 ms, two claims seldom shared a write (1,964 writes for 1,000 claims at 100/s, 8 routers), since a write is shared only by claims of one shard at one router.

--- a/crates/peridotrack-once/src/claim/mod.rs
+++ b/crates/peridotrack-once/src/claim/mod.rs
@@ -231,9 +231,9 @@
 impl Default for Options {
     fn default() -> Self {
         Self {
-            shards: 64,
+            shards: 32,
             claim_window_us: 2_000,
-            outcome_window_us: 250_000,
+            outcome_window_us: 1_000_000,
             fresh_us: 20_000,
             retry_min_us: 5_000,
             retry_max_us: 1_000_000,
--- a/crates/peridotrack-once/tests/claim_faults.rs
+++ b/crates/peridotrack-once/tests/claim_faults.rs
@@ -320,13 +320,13 @@
         .iter()
         .any(|action| matches!(action, claim::Action::Write { .. }))
     {
-        actions = claims.on_event(later_us + 300_000, claim::Event::Tick);
+        actions = claims.on_event(later_us + 1_100_000, claim::Event::Tick);
     }
     // Also if the row is not there: the write rules out that it comes to be there later.
     let (expected, body) = write(&actions);
     assert_eq!((expected, body.rows.len()), (Some(version), 0));
     claims.on_event(
-        later_us + 301_000,
+        later_us + 1_101_000,
         claim::Event::Written {
             object,
             version: version + 1,
@@ -356,9 +356,9 @@
     assert!(!claims.may_send(7_000, request_id(OWN)));
     let mut body = group::Group::default();
     body.rows.clone_from(&first_write().2.rows);
-    read(&claims.on_event(300_000, claim::Event::Tick));
+    read(&claims.on_event(1_100_000, claim::Event::Tick));
     let actions = claims.on_event(
-        301_000,
+        1_101_000,
         claim::Event::Read {
             object,
             version,
--- a/crates/peridotrack-once/tests/support/fleet.rs
+++ b/crates/peridotrack-once/tests/support/fleet.rs
@@ -7,6 +7,9 @@
 
 use super::store::{self, Effect, Store};
 
+/// Steps of one run, far above what any run needs.
+const MOST_STEPS: u64 = 2_000_000;
+
 /// What goes wrong outside the store, in 1,000.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Faults {
@@ -133,6 +136,7 @@
     /// Runs until nothing is left to do, at most until `end_us`.
     pub fn run(&mut self, end_us: u64) {
         while let Some(Reverse((at_us, sequence))) = self.queue.pop() {
+            assert!(sequence < MOST_STEPS, "the routers tick without end");
             if at_us > end_us {
                 self.queue.push(Reverse((at_us, sequence)));
                 break;
--- a/crates/peridotrack-once/tests/usage_search.rs
+++ b/crates/peridotrack-once/tests/usage_search.rs
@@ -14,6 +14,8 @@
 
 const ROUTERS: usize = 4;
 const SEEDS: u64 = 300;
+/// Steps of one run, far above what any run needs.
+const MOST_STEPS: u64 = 200_000;
 
 #[derive(Debug, Clone, Copy, Default)]
 struct Faults {
@@ -143,6 +145,7 @@
 
     fn run(&mut self, end_us: u64) {
         while let Some(Reverse((at_us, sequence))) = self.queue.pop() {
+            assert!(sequence < MOST_STEPS, "the routers tick without end");
             if at_us > end_us {
                 self.queue.push(Reverse((at_us, sequence)));
                 break;
