--- a/crates/peridotrack-once/src/claim/mod.rs
+++ b/crates/peridotrack-once/src/claim/mod.rs
@@ -3,6 +3,36 @@
 //! A request with an idempotency key is sent only after a row for (client account, key) stands in
 //! the platform. [`Claims`] decides; the daemon carries out the [`Action`]s and reports
 //! [`Event`]s. Every [`Action::Read`] and [`Action::Write`] is answered by exactly one event.
+//!
+//! # Why a key runs at most once
+//!
+//! 1. *Only an owner sends.* [`Claims::may_send`] is true only for a request whose own row (same
+//!    request id and nonce) was seen in the store, and only once. Incarnations are random, so a
+//!    restarted router owns none of its earlier rows.
+//! 2. *A key has one row.* A row is added by a conditional update of the shard's head, in which
+//!    the key was free and whose list of pages was searched. The update fails if anything
+//!    changed since that head was read, so a stale read cannot hide a row. A row leaves the head
+//!    only into a page that stands already and is listed by the same update, or by point 3.
+//! 3. *Only the owner frees a key*, by removing its row, and only after its request has lost the
+//!    permission to send without using it, or the backend server proved that it did not run. No
+//!    other router and no passage of time frees a key within the retention.
+//!
+//! A pause at any point is therefore harmless: before the permission, the deadline check refuses
+//! it; after it, nobody else can send. Point 3 also holds for a claim that was refused while the
+//! outcome of its write was unknown: no byte was sent, so "not run" is true, and the router goes
+//! on until the row is removed or ruled out by a write that moves the head past the version that
+//! the doubtful write expects. If the router dies before that, the row may stay: retries with the
+//! key are then told first that it is in progress and later that its outcome is unknown, which is
+//! weaker than the earlier "not run" but never false, and a new key may be used at once.
+//!
+//! # Retention without clocks
+//!
+//! Settled rows are sealed into pages of an epoch; pages are dropped
+//! [`Options::retained_epochs`] epochs later. A router ends an epoch only after it has itself
+//! watched it for [`Options::epoch_us`] on its monotonic clock, so a key is kept for at least
+//! `(retained_epochs - 1) * epoch_us`, whatever the clocks of the VMs show. Beyond that a key is
+//! new. A claimant that is stopped for longer than the retention between the permission and its
+//! first byte is the one case that this does not cover.
 
 mod claims;
 mod plan;
--- a/crates/peridotrack-once/src/usage/mod.rs
+++ b/crates/peridotrack-once/src/usage/mod.rs
@@ -1,7 +1,26 @@
 //! Usage records on their way to the platform.
 //!
 //! [`Log`] copies each record to peers of the failure domain before the last byte of the answer
-//! goes out and flushes records to the platform in batches that are created only if absent.
+//! goes out and flushes records to the platform in batches that are created only if absent. Every
+//! [`Action::Write`] is answered by exactly one event; messages may be lost, repeated or
+//! reordered.
+//!
+//! The content of a batch is fixed before it is first written, and only its writer uses its name
+//! (see [`Batch::object`]): a write, its lost reply and its retry are the same. A peer flushes the
+//! copies of an origin that is gone under `usage/<origin>/<peer>/<sequence>`, so it cannot take a
+//! name from an origin that was only cut off. A record flushed by both makes one line, because
+//! [`crate::bill`] keys lines by client account and request key.
+//!
+//! # Which failures lose a record
+//!
+//! After [`Action::RecordSafe`], a record is lost only if, before it is flushed,
+//!
+//! - its origin and every peer that holds a copy die, or
+//! - its origin dies after [`Note::Unprotected`]: neither a peer nor the platform had answered
+//!   within [`Options::safe_timeout_us`], which takes a second failure.
+//!
+//! A router that dies before it releases the last byte may take the record along; its caller then
+//! has a visibly cut answer. An absent platform delays records and loses none.
 
 mod flush;
 mod held;
