--- /dev/null
+++ b/crates/peridotrack-kernel/examples/catalogue.rs
@@ -0,0 +1,5 @@
+//! Prints docs/EVENTS.md.
+
+fn main() {
+    print!("{}", peridotrack_kernel::event::catalogue());
+}
--- a/crates/peridotrack-kernel/src/event.rs
+++ b/crates/peridotrack-kernel/src/event.rs
@@ -119,6 +119,41 @@
     600 Info OperatorAction,
 }
 
+/// Returns the catalogue of events, which is the content of docs/EVENTS.md.
+pub fn catalogue() -> String {
+    let mut text = String::from(CATALOGUE_HEAD);
+    for kind in Kind::ALL {
+        let severity = serde_json::to_value(kind.severity()).unwrap_or_default();
+        let row = format!(
+            "| {} | {} | {} | {} |\n",
+            kind.number(),
+            kind.name(),
+            severity.as_str().unwrap_or_default(),
+            kind.meaning().trim()
+        );
+        text.push_str(&row);
+    }
+    text
+}
+
+/// Beginning of the catalogue.
+const CATALOGUE_HEAD: &str = "\
+# Events
+
+Every event of a router has a number, which is never reused. The log writes one
+JSON object a line to standard error; `peridotrack timeline` merges the events of
+all routers. Each has `process`, `sequence` (from 1 within the process),
+`wall_us`, `number`, `name` and `severity`; an event of a request has
+`request_id`; `cause` is the sequence number of the event of the same process
+that caused it; `fields` holds further facts, whose names end in their unit.
+No event holds a key or text of a prompt.
+
+This page is printed by `cargo run -p peridotrack-kernel --example catalogue`.
+
+| number | name | severity | meaning |
+| --- | --- | --- | --- |
+";
+
 /// A value of an event's field.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(untagged)]
--- a/crates/peridotrack-kernel/tests/kernel.rs
+++ b/crates/peridotrack-kernel/tests/kernel.rs
@@ -126,3 +126,9 @@
     assert!(first.meter().render().contains("requests_total 3"));
     assert!(!second.meter().render().contains("requests_total"));
 }
+
+#[test]
+fn catalogue_page_is_the_one_in_the_docs() {
+    let page = include_str!("../../../docs/EVENTS.md");
+    assert_eq!(page, event::catalogue());
+}
--- a/crates/peridotrack-types/src/problem.rs
+++ b/crates/peridotrack-types/src/problem.rs
@@ -74,6 +74,25 @@
 }
 
 impl Kind {
+    /// Every kind.
+    pub const ALL: [Self; 15] = [
+        Self::Malformed,
+        Self::Unauthorized,
+        Self::Forbidden,
+        Self::NotFound,
+        Self::TooLarge,
+        Self::BudgetExhausted,
+        Self::BudgetUnavailable,
+        Self::Overloaded,
+        Self::NoBackendServer,
+        Self::KeyConflict,
+        Self::InProgress,
+        Self::ClaimUnavailable,
+        Self::Stopping,
+        Self::OutcomeUnknown,
+        Self::BackendFailed,
+    ];
+
     /// Returns the HTTP status of this kind.
     pub fn status(self) -> u16 {
         match self {
