--- a/crates/peridotrack-once/tests/claim_retention.rs
+++ b/crates/peridotrack-once/tests/claim_retention.rs
@@ -5,8 +5,9 @@
 use peridotrack_once::claim;
 use rstest::rstest;
 use support::{
-    fleet::{Attempt, Fleet, Told},
+    fleet::{Attempt, Fleet},
     store,
+    trace::Told,
 };
 
 const EPOCH_US: u64 = 1_000_000;
--- a/crates/peridotrack-once/tests/claim_search.rs
+++ b/crates/peridotrack-once/tests/claim_search.rs
@@ -5,8 +5,9 @@
 use peridotrack_once::claim;
 use rstest::rstest;
 use support::{
-    fleet::{Attempt, Faults, Fleet, Told},
+    fleet::{Attempt, Faults, Fleet},
     store,
+    trace::Told,
 };
 
 /// Seeds tried for each case.
--- a/crates/peridotrack-once/tests/claim_writes.rs
+++ b/crates/peridotrack-once/tests/claim_writes.rs
@@ -6,7 +6,10 @@
 
 use peridotrack_once::claim;
 use rstest::rstest;
-use support::fleet::{Attempt, Fleet, Told};
+use support::{
+    fleet::{Attempt, Fleet},
+    trace::{Told, Trace},
+};
 
 const ROUTERS: usize = 8;
 const SIMULATED_S: u64 = 5;
@@ -60,7 +63,7 @@
         .collect();
     waits_us.sort_unstable();
     let quantile_ms = |per_mille: usize| waits_us[waits_us.len() * per_mille / 1_000] as f64 / 1e3;
-    let refused = |trace: &&support::fleet::Trace| !matches!(trace.told, Some(Told::Answer(_)));
+    let refused = |trace: &&Trace| !matches!(trace.told, Some(Told::Answer(_)));
     Counts {
         writes: fleet.store.writes * 1_000 / claims,
         reads: fleet.store.reads * 1_000 / claims,
--- a/crates/peridotrack-once/tests/support/mod.rs
+++ b/crates/peridotrack-once/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! Fakes shared by the tests.
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod domain;
 pub mod fleet;
 pub mod records;
 pub mod store;
+pub mod trace;
