fix(once): a request that asks to send twice is never recorded as not run

Cause: finish(NotRun) trusted its caller also after a second may_send had been refused, when the refusal says nothing of the first byte; a mistaken 'not run' would have freed the key. The daemon's routing does not do this today (it never dispatches a non-idempotent request again once it was sent); the machine now holds alone. Shown by an_outcome_is_recorded::not_run_after_resend.

--- a/crates/peridotrack-once/src/claim/claims.rs
+++ b/crates/peridotrack-once/src/claim/claims.rs
@@ -46,6 +46,8 @@
     Waiting,
     Granted,
     Sent,
+    /// Sent, and permission to send again was asked for and refused.
+    Resent,
 }
 
 // Construction and access.
@@ -157,17 +159,24 @@
         let Some(entry) = self.requests.get_mut(&request_id) else {
             return false;
         };
-        let may_send = entry.phase == Phase::Granted && now_us < entry.deadline_us;
-        if may_send {
-            entry.phase = Phase::Sent;
+        match entry.phase {
+            Phase::Granted if now_us < entry.deadline_us => {
+                entry.phase = Phase::Sent;
+                true
+            }
+            Phase::Sent => {
+                entry.phase = Phase::Resent;
+                false
+            }
+            Phase::Waiting | Phase::Granted | Phase::Resent => false,
         }
-        may_send
     }
 
     /// Records how a request ended, or that its caller no longer waits for the decision.
     ///
     /// A request that was never permitted to send is recorded as not run, whatever `outcome` is.
-    /// When a caller leaves, [`Outcome::Unknown`] is therefore right at every moment.
+    /// When a caller leaves, [`Outcome::Unknown`] is therefore right at every moment. A request
+    /// that asked for permission again after it was sent is never recorded as not run.
     pub fn finish(
         &mut self,
         now_us: u64,
@@ -183,6 +192,9 @@
         let state = match entry.phase {
             Phase::Waiting | Phase::Granted => None,
             Phase::Sent => self.state_of(outcome),
+            // A refused second permission says nothing of the first byte.
+            Phase::Resent if outcome == Outcome::NotRun => Some(group::State::Unknown),
+            Phase::Resent => self.state_of(outcome),
         };
         let (shard, mut context) = self.shard(now_us, claim.shard);
         if entry.phase == Phase::Waiting {
