perf(once): an idle shard drops its head when it is stale

Cause: next_tick_us asked for no tick once a shard had nothing to do, so a daemon that ticks on demand kept up to one decoded head a shard.

--- a/crates/peridotrack-once/src/claim/claims.rs
+++ b/crates/peridotrack-once/src/claim/claims.rs
@@ -7,7 +7,7 @@
 use super::{
     Action, Decision, Event, Note, Options, Outcome, Request,
     plan::{Change, Waiting},
-    reply::Reply,
+    reply::{self, Reply},
     shard::{Context, Shard},
     store::Store,
 };
@@ -80,7 +80,7 @@
     pub fn next_tick_us(&self, now_us: u64) -> Option<u64> {
         let shards = self.shards.values();
         shards
-            .filter_map(|shard| shard.next_tick_us(now_us, &self.store))
+            .filter_map(|shard| shard.next_tick_us(now_us, &self.store, &self.options))
             .min()
     }
 }
@@ -285,7 +285,7 @@
     }
 
     fn reply(&mut self, now_us: u64, object: &str, reply: Reply) -> Vec<Action> {
-        let Some((index, page)) = parse_object(object) else {
+        let Some((index, page)) = reply::parse_object(object) else {
             return Vec::new();
         };
         let is_failure = matches!(
@@ -390,12 +390,3 @@
         },
     }
 }
-
-/// Returns the shard of an object, and its page unless it is the head.
-fn parse_object(object: &str) -> Option<(u32, Option<u64>)> {
-    let rest = object.strip_prefix("claims/")?;
-    match rest.split_once('/') {
-        Some((shard, page)) => Some((shard.parse().ok()?, Some(page.parse().ok()?))),
-        None => Some((rest.parse().ok()?, None)),
-    }
-}
--- a/crates/peridotrack-once/src/claim/mod.rs
+++ b/crates/peridotrack-once/src/claim/mod.rs
@@ -281,3 +281,10 @@
         }
     }
 }
+
+impl Options {
+    /// Returns the age up to which a head is used, in microseconds.
+    fn head_lifetime_us(&self) -> u64 {
+        self.fresh_us.max(self.claim_window_us)
+    }
+}
--- a/crates/peridotrack-once/src/claim/reply.rs
+++ b/crates/peridotrack-once/src/claim/reply.rs
@@ -165,3 +165,12 @@
         self.back_off(context, 0);
     }
 }
+
+/// Returns the shard of an object, and its page unless it is the head.
+pub(super) fn parse_object(object: &str) -> Option<(u32, Option<u64>)> {
+    let rest = object.strip_prefix("claims/")?;
+    match rest.split_once('/') {
+        Some((shard, page)) => Some((shard.parse().ok()?, Some(page.parse().ok()?))),
+        None => Some((rest.parse().ok()?, None)),
+    }
+}
--- a/crates/peridotrack-once/src/claim/shard.rs
+++ b/crates/peridotrack-once/src/claim/shard.rs
@@ -118,11 +118,21 @@
     }
 
     /// Returns when the shard needs a tick.
-    pub(super) fn next_tick_us(&self, now_us: u64, store: &Store) -> Option<u64> {
+    pub(super) fn next_tick_us(
+        &self,
+        now_us: u64,
+        store: &Store,
+        options: &Options,
+    ) -> Option<u64> {
         let deadline_us = self.waiting.iter().map(|request| request.deadline_us).min();
-        if !matches!(self.call, Call::Idle) || !self.has_work() {
+        if !matches!(self.call, Call::Idle) {
             return deadline_us;
         }
+        if !self.has_work() {
+            // The head is dropped when it is stale, so that idle shards take no memory.
+            let known = self.known.as_ref();
+            return known.map(|known| known.since_us + options.head_lifetime_us() + 1);
+        }
         let call_us = self.due_us().max(self.retry_us);
         let call_us = call_us.max(store.next_call_us(now_us));
         Some(deadline_us.unwrap_or(u64::MAX).min(call_us))
@@ -255,10 +265,7 @@
     }
 
     fn is_fresh(&self, context: &Context<'_>) -> bool {
-        let limit_us = context
-            .options
-            .fresh_us
-            .max(context.options.claim_window_us);
+        let limit_us = context.options.head_lifetime_us();
         let age_us = |known: &Known| context.now_us.saturating_sub(known.since_us);
         self.known
             .as_ref()
--- a/crates/peridotrack-once/tests/claim_faults.rs
+++ b/crates/peridotrack-once/tests/claim_faults.rs
@@ -388,3 +388,12 @@
     );
     assert!(!claims.may_send(4, request_id(OWN)));
 }
+
+#[test]
+fn an_idle_shard_keeps_no_head() {
+    let (mut claims, object, _) = first_write();
+    claims.on_event(5_000, claim::Event::Written { object, version: 4 });
+    let due_us = claims.next_tick_us(5_000).expect("a head is kept");
+    assert_eq!(claims.on_event(due_us, claim::Event::Tick), []);
+    assert_eq!(claims.next_tick_us(due_us), None);
+}
