feat(route): more homes for a popular prefix

Each router now counts the share of each prefix (decayed, bounded memory) and gives it homes in proportion, the same hashes in every router; of two homes drawn the better one is taken. Reports are not needed for it.

The placement test of homes serves other work first, so that its prefixes are rare: it asserts the same of them as before.

--- a/crates/peridotrack-route/src/dispatch.rs
+++ b/crates/peridotrack-route/src/dispatch.rs
@@ -202,7 +202,7 @@
             queued_us: now_us,
             preferred: request
                 .prefix_hash
-                .and_then(|hash| place::home(&self.backends, pool, hash)),
+                .and_then(|hash| place::home(&self.backends, pool, hash, &mut self.rng)),
             ahead_requests: 0,
         };
         let outcome = pool
--- a/crates/peridotrack-route/src/place.rs
+++ b/crates/peridotrack-route/src/place.rs
@@ -36,7 +36,7 @@
     let (best_us, best) = scored(backends, pool, query, options, rng)?;
     let preferred = query
         .prefix_hash
-        .and_then(|hash| preferred(backends, pool, query, options, hash));
+        .and_then(|hash| preferred(backends, pool, query, options, hash, rng));
     match preferred {
         Some(index) if is_worth(&backends[index], pool, query, best_us, options) => Some(index),
         _ => Some(best),
@@ -54,14 +54,19 @@
     score(backend, pool, query) <= best_us * options.affinity_worth
 }
 
-/// Returns the serving member with the highest rendezvous weight, whether or not it has room.
-pub fn home(backends: &[Backend], pool: &pool::Pool, prefix_hash: u64) -> Option<usize> {
-    highest(pool, prefix_hash, |index| {
-        backends[index].drain.is_serving()
-    })
+/// Returns a home of a prefix, whether or not it has room.
+pub fn home(
+    backends: &[Backend],
+    pool: &pool::Pool,
+    prefix_hash: u64,
+    rng: &mut fastrand::Rng,
+) -> Option<usize> {
+    let homes = pool.popularity.homes(prefix_hash, pool.preferable().len());
+    let hash = prefix::home(prefix_hash, rng.usize(..homes));
+    highest(pool, hash, |index| backends[index].drain.is_serving())
 }
 
-/// Returns the member with the highest rendezvous weight that takes the request.
+/// Returns the better of two homes of a prefix that take the request.
 ///
 /// A full server passes its prefixes on to the next in order, the same in every router.
 fn preferred(
@@ -70,12 +75,26 @@
     query: &Query<'_>,
     options: &Options,
     prefix_hash: u64,
+    rng: &mut fastrand::Rng,
 ) -> Option<usize> {
-    highest(pool, prefix_hash, |index| {
+    let takes = |index: usize| {
         let backend = &backends[index];
         backend.breaker.is_closed()
             && backend.load(query.now_us, &pool.prior) < FULL_LOAD
             && is_open_to(backend, index, query, options)
+    };
+    let homes = pool.popularity.homes(prefix_hash, pool.preferable().len());
+    let mut draw = || highest(pool, prefix::home(prefix_hash, rng.usize(..homes)), takes);
+    let first = draw()?;
+    if homes == 1 {
+        return Some(first);
+    }
+    let second = draw()?;
+    let score = |index: usize| score(&backends[index], pool, query);
+    Some(if score(second) < score(first) {
+        second
+    } else {
+        first
     })
 }
 
@@ -85,10 +104,7 @@
 /// doesn't grow with the pool; a member that comes or goes still moves few prefixes.
 #[inline]
 fn highest(pool: &pool::Pool, prefix_hash: u64, takes: impl Fn(usize) -> bool) -> Option<usize> {
-    let members = match pool.near.is_empty() {
-        true => &pool.far,
-        false => &pool.near,
-    };
+    let members = pool.preferable();
     let start = members.partition_point(|member| member.seed < prefix_hash);
     let (before, after) = members.split_at(start);
     let mut best = None;
--- a/crates/peridotrack-route/src/pool.rs
+++ b/crates/peridotrack-route/src/pool.rs
@@ -1,6 +1,6 @@
 //! The backend servers of one model or service, with their queue.
 
-use crate::{event, fairness, options::Options, queue, signal};
+use crate::{event, fairness, options::Options, prefix, queue, signal};
 
 /// Weight of a new sample of the duration.
 const DURATION_WEIGHT: f64 = 0.05;
@@ -33,6 +33,8 @@
     pub queue: queue::Queue,
     /// Fair share of client accounts.
     pub shares: fairness::Shares,
+    /// Shares of the prompt prefixes.
+    pub popularity: prefix::Popularity,
     /// Own requests in flight.
     pub in_flight: usize,
     /// What is known about all members together.
@@ -50,6 +52,7 @@
             far: Vec::new(),
             queue: queue::Queue::default(),
             shares: fairness::Shares::default(),
+            popularity: prefix::Popularity::default(),
             in_flight: 0,
             prior: signal::Prior {
                 routers: 1.0,
@@ -66,6 +69,14 @@
         self.near.iter().chain(&self.far)
     }
 
+    /// Returns the members among which prefixes have their homes.
+    pub fn preferable(&self) -> &[Member] {
+        match self.near.is_empty() {
+            true => &self.far,
+            false => &self.near,
+        }
+    }
+
     /// Returns the number of members.
     pub fn len(&self) -> usize {
         self.near.len() + self.far.len()
--- a/crates/peridotrack-route/src/router.rs
+++ b/crates/peridotrack-route/src/router.rs
@@ -114,6 +114,7 @@
             });
             return actions;
         };
+        self.pools[pool].popularity.on_request(offer.prefix_hash);
         let request = Request::new(pool, offer);
         self.place_or_queue(now_us, request_id, request, &mut actions);
         actions
--- a/crates/peridotrack-route/tests/place.rs
+++ b/crates/peridotrack-route/tests/place.rs
@@ -61,10 +61,15 @@
     assert_eq!(domains.iter().filter(|domain| far(domain)).count(), 8);
 }
 
-/// The server that an idle fleet gives each prefix.
+/// The server that an idle fleet gives each of many rare prefixes.
 fn homes(domain: &str, seed: u64, register: &register::Register) -> Vec<name::BackendServer> {
     let mut rng = fastrand::Rng::with_seed(9);
     let mut router = router_in(domain, seed, register);
+    // What was served before makes the share of each prefix small.
+    for sequence in 1_001..=3_000 {
+        router.offer(0, offer(sequence));
+        router.cancel(0, request(sequence));
+    }
     let mut home = |sequence| {
         let mut offer = offer(sequence);
         offer.prefix_hash = Some(rng.u64(..));
