fix(route): no slow start where no warm server could take the work

A lone server that came back, or the first server of a new model, was held to a tenth of its slots with nothing else to serve the rest, which refuses for no reason. Slow start now needs a warm server in each of its pools.

--- a/crates/peridotrack-route/src/configure.rs
+++ b/crates/peridotrack-route/src/configure.rs
@@ -44,15 +44,22 @@
             pool.near.clear();
             pool.far.clear();
         }
+        let mut cold = Vec::new();
         for server in &declared {
             let distance_us = self.distance_us(&regions, server.failure_domain);
-            let index = self.upsert(now_us, server, distance_us);
+            let (index, is_new) = self.upsert(now_us, server, distance_us);
             self.join_pools(index, &server.targets);
+            if is_new && self.configured {
+                cold.push(index);
+            }
         }
         for pool in &mut self.pools {
             pool.near.sort_by_key(|member| member.seed);
             pool.far.sort_by_key(|member| member.seed);
         }
+        for index in cold {
+            self.begin_slow_start(now_us, index);
+        }
         self.configured = true;
         self.free_drained(&mut actions);
         for pool in 0..self.pools.len() {
@@ -62,6 +69,20 @@
         actions
     }
 
+    /// Begins a server's slow start, unless no warm server could take the work meanwhile.
+    pub(crate) fn begin_slow_start(&mut self, now_us: u64, index: usize) {
+        let is_warm = |other: usize| {
+            let backend = &self.backends[other];
+            other != index && backend.slow_start_us.is_none() && backend.is_usable(now_us)
+        };
+        let mut pools = self.backends[index].pools.iter();
+        let relieved = pools.all(|&pool| {
+            let mut members = self.pools[pool].members();
+            members.any(|member| is_warm(member.index))
+        });
+        self.backends[index].slow_start_us = relieved.then_some(now_us);
+    }
+
     /// Frees a removed server without requests.
     pub(crate) fn free_if_drained(&mut self, index: usize, actions: &mut Vec<Action>) {
         let backend = &self.backends[index];
@@ -92,7 +113,8 @@
         }
     }
 
-    fn upsert(&mut self, now_us: u64, server: &Declared<'_>, distance_us: u64) -> usize {
+    /// Returns the index of a declared server, and whether it was not there before.
+    fn upsert(&mut self, now_us: u64, server: &Declared<'_>, distance_us: u64) -> (usize, bool) {
         if let Some(&index) = self.by_name.get(server.name) {
             let backend = &mut self.backends[index];
             backend.failure_domain = server.failure_domain.clone();
@@ -101,19 +123,18 @@
                 backend.slots = server.slots;
                 backend.limit.set_slots(server.slots);
             }
-            if backend.drain.set_removed(false) {
-                backend.slow_start_us = Some(now_us);
+            let returned = backend.drain.set_removed(false);
+            if returned {
                 backend.breaker.on_flap(now_us, &self.options);
             }
-            return index;
+            return (index, returned);
         }
-        let mut backend = Backend::new(
+        let backend = Backend::new(
             server.name.clone(),
             server.failure_domain.clone(),
             server.slots,
             distance_us,
         );
-        backend.slow_start_us = self.configured.then_some(now_us);
         let index = match self.free.pop() {
             Some(index) => {
                 self.backends[index] = backend;
@@ -125,7 +146,7 @@
             }
         };
         self.by_name.insert(server.name.clone(), index);
-        index
+        (index, true)
     }
 
     fn join_pools(&mut self, index: usize, targets: &[Target]) {
--- a/crates/peridotrack-route/src/finish.rs
+++ b/crates/peridotrack-route/src/finish.rs
@@ -165,7 +165,7 @@
         match change {
             breaker::Change::None => {}
             breaker::Change::Closed => {
-                backend.slow_start_us = Some(now_us);
+                self.begin_slow_start(now_us, attempt.backend);
                 actions.push(Action::Note(Note::BreakerClosed { backend: name }));
             }
             breaker::Change::Opened { open_us } => {
--- a/crates/peridotrack-route/src/router.rs
+++ b/crates/peridotrack-route/src/router.rs
@@ -232,8 +232,8 @@
         let backend = &mut self.backends[index];
         if backend.drain.on_not_leaving(measured_us, &self.options) {
             backend.breaker.on_flap(now_us, &self.options);
-            backend.slow_start_us = Some(now_us);
             let backend = backend.name.clone();
+            self.begin_slow_start(now_us, index);
             actions.push(Action::Note(Note::Returned { backend }));
         }
     }
--- a/crates/peridotrack-route/tests/place.rs
+++ b/crates/peridotrack-route/tests/place.rs
@@ -4,7 +4,12 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use peridotrack_route::{event::Event, options::Options, router::Router};
+use peridotrack_route::{
+    breaker::State,
+    event::{Event, Outcome},
+    options::Options,
+    router::Router,
+};
 use peridotrack_types::{name, register};
 use rstest::rstest;
 use support::*;
@@ -181,3 +186,41 @@
     router.on_event(11 * SECOND_US, Event::Tick);
     assert_eq!(limit(&router, 11 * SECOND_US), 16.0);
 }
+
+#[rstest]
+fn lone_server_starts_at_once() {
+    let mut router = router_in("domain-0", 1, &register::Register::default());
+    router.configure(SECOND_US, &register(1, 0, 16), &rules(64));
+    let status = router.status(SECOND_US);
+    assert_eq!(status.backend_servers[0].limit_requests, 16.0);
+}
+
+#[rstest]
+#[case::lone_server(1, 16.0)]
+#[case::one_of_two(2, 1.0)]
+fn recovered_server(#[case] engines: usize, #[case] expected_requests: f64) {
+    let mut router = router_in("elsewhere", 1, &register(engines, 0, 16));
+    let broken = dispatched(&router.offer(0, offer(1))).expect("dispatched");
+    finish(&mut router, 0, 1, Outcome::ConnectFailed);
+    let mut now_us = 2 * SECOND_US;
+    for sequence in 2..=60 {
+        router.offer(now_us, offer(sequence));
+        finish(
+            &mut router,
+            now_us + SECOND_US / 10,
+            sequence,
+            Outcome::Done,
+        );
+        now_us += SECOND_US / 5;
+        let status = router.status(now_us);
+        let mut servers = status.backend_servers.iter();
+        let server = servers
+            .find(|server| server.name == broken)
+            .expect("listed");
+        if server.breaker == State::Closed {
+            assert!((server.limit_requests - expected_requests).abs() < 0.5);
+            return;
+        }
+    }
+    panic!("never closed");
+}
