--- a/crates/peridotrack-types/src/config/store.rs
+++ b/crates/peridotrack-types/src/config/store.rs
@@ -229,6 +229,44 @@
     Ok((manifest, parts.contents))
 }
 
+/// A configuration that is joined part by part, for a caller with other work in between.
+#[derive(Debug, Clone, Default)]
+pub struct Joiner {
+    config: Config,
+}
+
+impl Joiner {
+    /// Starts a configuration of a version.
+    pub fn new(version: u64) -> Self {
+        Self {
+            config: Config {
+                version,
+                ..Config::default()
+            },
+        }
+    }
+
+    /// Adds the next part of the manifest.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the content differs from the part's digest or cannot be read.
+    pub fn push(&mut self, part: &Part, content: &[u8]) -> Result<(), Error> {
+        if content.len() as u64 != part.bytes || digest(content) != part.sha256 {
+            return Err(Error::Digest { key: part.key() });
+        }
+        append(&mut self.config, part.kind, content).map_err(|error| Error::Malformed {
+            key: part.key(),
+            message: error.to_string(),
+        })
+    }
+
+    /// Returns the configuration, once every part was added.
+    pub fn finish(self) -> Config {
+        self.config
+    }
+}
+
 /// Joins a configuration from its manifest and parts. `content` returns a part by its key.
 ///
 /// # Errors
@@ -238,24 +276,15 @@
     manifest: &Manifest,
     mut content: impl FnMut(&str) -> Option<&'a [u8]>,
 ) -> Result<Config, Error> {
-    let mut config = Config {
-        version: manifest.version,
-        ..Config::default()
-    };
+    let mut joiner = Joiner::new(manifest.version);
     for part in &manifest.parts {
         let key = part.key();
         let Some(content) = content(&key) else {
             return Err(Error::Missing { key });
         };
-        if content.len() as u64 != part.bytes || digest(content) != part.sha256 {
-            return Err(Error::Digest { key });
-        }
-        append(&mut config, part.kind, content).map_err(|error| Error::Malformed {
-            key,
-            message: error.to_string(),
-        })?;
+        joiner.push(part, content)?;
     }
-    Ok(config)
+    Ok(joiner.finish())
 }
 
 /// Returns the keys among `keys` of parts that no manifest names.
