--- a/crates/peridotrack-kernel/src/event.rs
+++ b/crates/peridotrack-kernel/src/event.rs
@@ -141,8 +141,8 @@
 # Events
 
 Every event of a router has a number, which is never reused. The log writes one
-JSON object a line to standard error; `peridotrack timeline` merges the events of
-all routers. Each has `process`, `sequence` (from 1 within the process),
+JSON object a line to standard error for each event above `debug`; `peridotrack
+timeline` merges the events of all routers, `debug` included. Each has `process`, `sequence` (from 1 within the process),
 `wall_us`, `number`, `name` and `severity`; an event of a request has
 `request_id`; `cause` is the sequence number of the event of the same process
 that caused it; `fields` holds further facts, whose names end in their unit.
--- a/crates/peridotrack-kernel/src/log.rs
+++ b/crates/peridotrack-kernel/src/log.rs
@@ -47,9 +47,12 @@
         })
     }
 
-    /// Writes one event.
+    /// Writes one event, unless it is a detail of normal work.
     pub(crate) fn write(&self, recorded: &event::Recorded) {
         let Some(logger) = &self.logger else { return };
+        if recorded.severity == event::Severity::Debug {
+            return;
+        }
         let Ok(line) = serde_json::to_string(recorded) else {
             return;
         };
