--- /dev/null
+++ b/crates/peridotrack-bench/src/budget/cases.rs
@@ -0,0 +1,258 @@
+//! Refusals in a fixed table of cases, beside an even split of each budget.
+
+use peridotrack_budget::options as holder_options;
+
+use super::split::Split;
+use crate::fleet::{Faults, Fleet, Options, Request};
+
+const SECOND_US: u64 = 1_000_000;
+const MINUTE_US: u64 = 60 * SECOND_US;
+const HOUR_US: u64 = 60 * MINUTE_US;
+/// Time in which the holders learn the rate, before a case is measured.
+const WARM_UP_US: u64 = 30 * MINUTE_US;
+const FAILURE_DOMAINS: usize = 4;
+const HOLDERS: usize = 8;
+
+/// Last 2% of the budget that runs out, in tokens.
+const LAST_TWO_PERCENT_TOKENS: u64 = 4_000_000;
+/// Least bound of a request, in tokens.
+const LEAST_BOUND_TOKENS: u64 = 200;
+
+/// A case of the table.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Case {
+    /// Ten budgets, all in use everywhere, far from exhaustion.
+    Steady,
+    /// One budget that is drawn on from all failure domains.
+    HotBudget,
+    /// The last 2% of a budget.
+    LastTwoPercent,
+    /// One failure domain is cut off from the others and the platform for an hour.
+    DomainCut,
+    /// A holder is killed in every hundredth draw, and another takes its place.
+    CrashInDraws,
+    /// The store is down for ten minutes.
+    StoreDown,
+    /// The budgets are topped up while one failure domain is cut off.
+    TopUpInCut,
+}
+
+/// What a case came to.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Outcome {
+    /// Requests measured.
+    pub requests: u64,
+    /// Requests refused.
+    pub refused: u64,
+    /// Refusals while the caller's domain could reach enough tokens.
+    pub false_strict: u64,
+    /// Refusals while enough tokens were unspent and unreserved anywhere.
+    pub false_loose: u64,
+    /// Refusals, loosely false, of an even split fixed at the start.
+    pub split_false_loose: u64,
+    /// Tokens spent beyond what was purchased.
+    pub overspend_tokens: u64,
+    /// Holders killed.
+    pub crashes: u64,
+    /// Tokens counted for the killed holders beyond their spend.
+    pub held_back_tokens: u64,
+}
+
+impl Case {
+    /// Every case.
+    pub const ALL: [Self; 7] = [
+        Self::Steady,
+        Self::HotBudget,
+        Self::LastTwoPercent,
+        Self::DomainCut,
+        Self::CrashInDraws,
+        Self::StoreDown,
+        Self::TopUpInCut,
+    ];
+
+    /// Returns the name used in reports.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Steady => "steady",
+            Self::HotBudget => "hot_budget",
+            Self::LastTwoPercent => "last_2_percent",
+            Self::DomainCut => "domain_cut_1_h",
+            Self::CrashInDraws => "crash_in_100_draws",
+            Self::StoreDown => "store_down_10_min",
+            Self::TopUpInCut => "top_up_in_cut",
+        }
+    }
+
+    fn budgets(self) -> Vec<u64> {
+        match self {
+            Self::HotBudget => vec![30_000_000],
+            Self::LastTwoPercent => vec![LAST_TWO_PERCENT_TOKENS * 50],
+            Self::TopUpInCut => vec![2_500_000; 10],
+            _ => vec![20_000_000; 10],
+        }
+    }
+
+    fn measured_us(self) -> u64 {
+        match self {
+            Self::DomainCut | Self::TopUpInCut | Self::CrashInDraws => HOUR_US,
+            // Until nothing is left.
+            Self::LastTwoPercent => 2 * HOUR_US,
+            _ => 10 * MINUTE_US,
+        }
+    }
+}
+
+/// A run of one case.
+struct Run {
+    case: Case,
+    fleet: Fleet,
+    split: Split,
+    rng: fastrand::Rng,
+    live: Vec<usize>,
+    writes_at_crash: u64,
+    crashes: u64,
+}
+
+/// Runs one case.
+pub fn run(case: Case) -> Outcome {
+    let options = Options {
+        tick_us: SECOND_US / 20,
+        holder: holder_options::Options::default(),
+        ..Options::default()
+    };
+    let budgets = case.budgets();
+    let mut fleet = Fleet::new(options, &budgets);
+    let live = (0..HOLDERS)
+        .map(|holder| fleet.spawn(holder % FAILURE_DOMAINS))
+        .collect();
+    fleet.meet();
+    let mut run = Run {
+        case,
+        fleet,
+        split: Split::new(&budgets, HOLDERS),
+        rng: fastrand::Rng::with_seed(11),
+        live,
+        writes_at_crash: 0,
+        crashes: 0,
+    };
+    run.warm_up();
+    run.begin();
+    let before = run.fleet.counts.clone();
+    let split_before = run.split.false_loose;
+    let half_us = case.measured_us() / 2;
+    run.drive(run.fleet.now_us + half_us);
+    if case == Case::TopUpInCut {
+        run.top_up();
+    }
+    run.drive(run.fleet.now_us + half_us);
+    run.fleet.run_until(run.fleet.now_us + 10 * SECOND_US);
+    let counts = &run.fleet.counts;
+    Outcome {
+        requests: counts.requests - before.requests,
+        refused: counts.refused - before.refused,
+        false_strict: counts.false_strict - before.false_strict,
+        false_loose: counts.false_loose - before.false_loose,
+        split_false_loose: run.split.false_loose - split_before,
+        overspend_tokens: run.fleet.overspend_tokens(),
+        crashes: run.crashes,
+        held_back_tokens: run.fleet.held_by_dead_tokens(),
+    }
+}
+
+impl Run {
+    fn warm_up(&mut self) {
+        if self.case == Case::LastTwoPercent {
+            self.spend_first();
+        }
+        self.drive(WARM_UP_US);
+        while self.case == Case::LastTwoPercent
+            && self.fleet.free_anywhere_tokens(0) > LAST_TWO_PERCENT_TOKENS
+        {
+            self.drive(self.fleet.now_us + 10 * SECOND_US);
+        }
+    }
+
+    /// Spends all but the last tenth at once.
+    fn spend_first(&mut self) {
+        let tokens = LAST_TWO_PERCENT_TOKENS * 45;
+        let request = Request::new(0, tokens, tokens, SECOND_US);
+        self.fleet.request(self.live[0], request);
+        self.split.spend_evenly(0, tokens);
+        self.fleet.run_until(self.fleet.now_us + 10 * SECOND_US);
+    }
+
+    fn is_over(&self) -> bool {
+        let spend = &self.fleet.spends[0];
+        self.case == Case::LastTwoPercent
+            && spend.open_tokens == 0
+            && self.fleet.free_anywhere_tokens(0) < LEAST_BOUND_TOKENS
+    }
+
+    fn begin(&mut self) {
+        let cut = Faults {
+            domain_cuts: vec![0],
+            platform_cuts: vec![0],
+            ..Faults::default()
+        };
+        match self.case {
+            Case::DomainCut => self.fleet.faults = cut,
+            Case::StoreDown => self.fleet.faults.is_store_down = true,
+            Case::TopUpInCut => self.fleet.faults = cut,
+            Case::Steady | Case::HotBudget | Case::LastTwoPercent | Case::CrashInDraws => {}
+        }
+        self.writes_at_crash = self.fleet.store.writes;
+    }
+
+    /// Tops all budgets up, of which the cut failure domain does not learn.
+    fn top_up(&mut self) {
+        for budget in 0..self.fleet.budgets.len() {
+            self.fleet.set_purchased(budget, 6_000_000);
+        }
+        for node in 0..self.fleet.nodes.len() {
+            if self.fleet.nodes[node].domain != 0 {
+                self.fleet.configure(node);
+            }
+        }
+    }
+
+    /// Picks a holder; half of the load on the hot budget comes from one of them.
+    fn slot(&mut self) -> usize {
+        match self.case == Case::HotBudget && self.rng.bool() {
+            true => 0,
+            false => self.rng.usize(..self.live.len()),
+        }
+    }
+
+    fn drive(&mut self, until_us: u64) {
+        while self.fleet.now_us < until_us && !self.is_over() {
+            let slot = self.slot();
+            let bound_tokens = self.rng.u64(LEAST_BOUND_TOKENS..800);
+            let spent_tokens = bound_tokens * self.rng.u64(30..=100) / 100;
+            let budget = self.rng.usize(..self.fleet.budgets.len());
+            let service_us = self.rng.u64(SECOND_US..4 * SECOND_US);
+            let request = Request::new(budget, bound_tokens, spent_tokens, service_us);
+            self.fleet.request(self.live[slot], request);
+            self.split.request(self.fleet.now_us, slot, &request);
+            self.fleet
+                .run_until(self.fleet.now_us + self.rng.u64(..100_000));
+            self.crash();
+        }
+    }
+
+    /// Kills a holder at every hundredth write.
+    fn crash(&mut self) {
+        if self.case != Case::CrashInDraws || self.fleet.now_us < WARM_UP_US {
+            return;
+        }
+        if self.fleet.store.writes < self.writes_at_crash + 100 {
+            return;
+        }
+        self.writes_at_crash = self.fleet.store.writes;
+        let slot = self.rng.usize(..self.live.len());
+        let domain = self.fleet.nodes[self.live[slot]].domain;
+        self.fleet.kill(self.live[slot]);
+        self.live[slot] = self.fleet.spawn(domain);
+        self.fleet.meet();
+        self.crashes += 1;
+    }
+}
--- a/crates/peridotrack-bench/src/budget/scale.rs
+++ b/crates/peridotrack-bench/src/budget/scale.rs
@@ -5,8 +5,6 @@
 use crate::fleet::{Fleet, Options, Request};
 
 const SECOND_US: u64 = 1_000_000;
-const WARM_UP_US: u64 = 20 * SECOND_US;
-const MEASURED_US: u64 = 20 * SECOND_US;
 
 /// Size of a fleet and its load.
 #[derive(Debug, Clone, Copy)]
@@ -21,6 +19,10 @@
     pub active_budgets: usize,
     /// Requests a second over the whole fleet.
     pub requests_per_s: u64,
+    /// Time in which the holders learn the rates, in seconds.
+    pub warm_up_s: u64,
+    /// Time measured, in seconds.
+    pub measured_s: u64,
 }
 
 /// Calls and bytes of one run, after a warm-up.
@@ -56,16 +58,21 @@
     }
     fleet.meet();
     let mut rng = fastrand::Rng::with_seed(7);
-    drive(&mut fleet, size, &mut rng, WARM_UP_US);
+    drive(&mut fleet, size, &mut rng, size.warm_up_s * SECOND_US);
     let (reads, writes) = (fleet.store.reads, fleet.store.writes);
     let counts = fleet.counts.clone();
-    drive(&mut fleet, size, &mut rng, WARM_UP_US + MEASURED_US);
+    drive(
+        &mut fleet,
+        size,
+        &mut rng,
+        (size.warm_up_s + size.measured_s) * SECOND_US,
+    );
     Load {
         requests: fleet.counts.requests - counts.requests,
         reads: fleet.store.reads - reads,
         writes: fleet.store.writes - writes,
         peer_bytes: fleet.counts.message_bytes - counts.message_bytes,
-        seconds: MEASURED_US as f64 / SECOND_US as f64,
+        seconds: size.measured_s as f64,
         overspend_tokens: fleet.overspend_tokens(),
         false_strict: fleet.counts.false_strict,
     }
--- /dev/null
+++ b/crates/peridotrack-bench/src/budget/split.rs
@@ -0,0 +1,69 @@
+//! Baseline: an even split of every budget over the holders, fixed at the start.
+
+use std::{cmp::Reverse, collections::BinaryHeap};
+
+use crate::fleet::Request;
+
+/// The shares of an even split.
+#[derive(Debug)]
+pub struct Split {
+    /// Unreserved tokens by holder, then by budget.
+    shares: Vec<Vec<u64>>,
+    /// Ends of answers: time, holder, budget and tokens set free.
+    ends: BinaryHeap<Reverse<(u64, usize, usize, u64)>>,
+    /// Refusals while the other holders had enough tokens.
+    pub false_loose: u64,
+    /// All refusals.
+    pub refused: u64,
+}
+
+impl Split {
+    /// Splits each budget evenly over the holders.
+    pub fn new(purchased_tokens: &[u64], holders: usize) -> Self {
+        let share = |tokens: &u64| tokens / holders.max(1) as u64;
+        let shares: Vec<u64> = purchased_tokens.iter().map(share).collect();
+        Self {
+            shares: vec![shares; holders],
+            ends: BinaryHeap::new(),
+            false_loose: 0,
+            refused: 0,
+        }
+    }
+
+    /// Spends an equal part of every holder's share.
+    pub fn spend_evenly(&mut self, budget: usize, tokens: u64) {
+        let holders = self.shares.len().max(1) as u64;
+        for shares in &mut self.shares {
+            shares[budget] = shares[budget].saturating_sub(tokens / holders);
+        }
+    }
+
+    /// Serves or refuses a request from the share of its holder.
+    pub fn request(&mut self, now_us: u64, holder: usize, request: &Request) {
+        self.finish(now_us);
+        let budget = request.budget;
+        if self.shares[holder][budget] >= request.bound_tokens {
+            self.shares[holder][budget] -= request.bound_tokens;
+            let end_us = now_us + request.service_us;
+            let freed_tokens = request.bound_tokens - request.spent_tokens;
+            self.ends
+                .push(Reverse((end_us, holder, budget, freed_tokens)));
+            return;
+        }
+        self.refused += 1;
+        let everywhere: u64 = self.shares.iter().map(|shares| shares[budget]).sum();
+        if everywhere >= request.bound_tokens {
+            self.false_loose += 1;
+        }
+    }
+
+    fn finish(&mut self, now_us: u64) {
+        while let Some(Reverse((end_us, ..))) = self.ends.peek()
+            && *end_us <= now_us
+        {
+            if let Some(Reverse((_, holder, budget, freed_tokens))) = self.ends.pop() {
+                self.shares[holder][budget] += freed_tokens;
+            }
+        }
+    }
+}
--- a/crates/peridotrack-bench/src/fleet/audit.rs
+++ b/crates/peridotrack-bench/src/fleet/audit.rs
@@ -45,6 +45,28 @@
         self.spends.iter().map(over).sum()
     }
 
+    /// Returns the tokens that the ledger counts for dead holders beyond their spend.
+    pub fn held_by_dead_tokens(&self) -> u64 {
+        let mut tokens = 0;
+        for node in self.nodes.iter().filter(|node| node.state == State::Dead) {
+            for (index, budget) in self.budgets.iter().enumerate() {
+                let shard = ledger::shard_of(budget, self.options.holder.shard_count);
+                let entries = self.store.peek(shard).map(|shard| &shard.entries);
+                let entry = entries.and_then(|entries| entries.get(budget));
+                let row = entry.and_then(|entry| entry.rows.get(&node.holder.id()));
+                let report = node.holder.report(budget);
+                let (Some(row), Some(report)) = (row, report) else {
+                    continue;
+                };
+                let moved = i128::from(report.received_tokens) - i128::from(report.sent_tokens);
+                let spent = node.spent_tokens.get(&index).copied().unwrap_or(0);
+                let held = i128::from(row.exposed_tokens()) + moved - i128::from(spent);
+                tokens += u64::try_from(held).unwrap_or(0);
+            }
+        }
+        tokens
+    }
+
     /// Returns the tokens of a budget that are unspent and unreserved anywhere.
     pub fn free_anywhere_tokens(&self, budget: usize) -> u64 {
         let spend = &self.spends[budget];
--- a/crates/peridotrack-budget/src/holder.rs
+++ b/crates/peridotrack-budget/src/holder.rs
@@ -301,6 +301,7 @@
         }
         account.active = Some(Box::new(Active {
             last_use_us: now_us,
+            rate: rate::Rate::new(now_us),
             ..Active::default()
         }));
         self.active.push(index);
--- a/crates/peridotrack-budget/src/holder/account.rs
+++ b/crates/peridotrack-budget/src/holder/account.rs
@@ -85,6 +85,8 @@
     /// Times that the memory of fruitless searches was doubled.
     pub(super) dry_doublings: u32,
     pub(super) left_tokens: u64,
+    /// Other holders with an open row, the most idle first, when the ledger was last seen.
+    pub(super) rows: Vec<id::Incarnation>,
     /// The ledger exposes more than was purchased, since the budget was lowered.
     pub(super) is_over_exposed: bool,
 }
--- a/crates/peridotrack-budget/src/holder/plan.rs
+++ b/crates/peridotrack-budget/src/holder/plan.rs
@@ -37,7 +37,6 @@
     granted_tokens: u64,
     returned_tokens: u64,
     left_tokens: u64,
-    holders: u32,
     was_wanting: bool,
     /// Holders to ask if requests still lack tokens: rows, then other counterparties.
     rows: Vec<id::Incarnation>,
@@ -364,7 +363,11 @@
 
     fn complete_own(&mut self, now_us: u64, own: OwnRow) {
         self.credit(own.index, own.granted_tokens, own.returned_tokens);
-        self.note_left(now_us, own.index, own.left_tokens, own.holders);
+        if let Some(active) = self.accounts[own.index as usize].active.as_mut() {
+            active.left_tokens = own.left_tokens;
+            active.rows.clone_from(&own.rows);
+            active.set_low_water(now_us, &self.options);
+        }
         self.serve_calls(now_us, own.index, None);
         let active = self.accounts[own.index as usize].active.as_deref();
         // Demand that came after the plan is drawn for next.
@@ -373,20 +376,6 @@
         }
     }
 
-    /// Remembers what is left, and sets the level at which the next draw is due.
-    fn note_left(&mut self, now_us: u64, index: u32, left_tokens: u64, holders: u32) {
-        let options = &self.options;
-        let Some(active) = self.accounts[index as usize].active.as_mut() else {
-            return;
-        };
-        active.left_tokens = left_tokens;
-        let target = active
-            .target_tokens(now_us, options)
-            .max(options.draw_floor_tokens);
-        let share = left_tokens / (SHARE_DIVISOR * u64::from(holders.max(1)));
-        active.low_water_tokens = target.min(share) / 2;
-    }
-
     /// Takes back a plan that had, or may have had, no effect.
     pub(super) fn restore(&mut self, shard: u32, plan: Plan) {
         for own in plan.own {
@@ -405,12 +394,7 @@
         };
         self.returned_tokens = active.returned_tokens;
         self.left_tokens = entry.left_tokens();
-        self.holders = entry.holders();
         active.is_over_exposed = entry.excess_tokens() > 0;
-        let drawn = self.granted_tokens.saturating_sub(active.granted_tokens);
-        if active.need_tokens() <= drawn {
-            return;
-        }
         let mut idle: Vec<(u64, id::Incarnation)> = Vec::new();
         for (id, row) in entry.rows.iter().filter(|(id, _)| **id != holder) {
             match row {
@@ -455,6 +439,14 @@
 }
 
 impl Active {
+    /// Sets the level at which the next draw is due.
+    pub(super) fn set_low_water(&mut self, now_us: u64, options: &Options) {
+        let target = self.target_tokens(now_us, options);
+        let holders = self.rows.len() as u64 + 1;
+        let share = self.left_tokens / (SHARE_DIVISOR * holders);
+        self.low_water_tokens = target.max(options.draw_floor_tokens).min(share) / 2;
+    }
+
     fn has_transfers(&self) -> bool {
         self.transfers
             .values()
--- a/crates/peridotrack-budget/src/holder/search.rs
+++ b/crates/peridotrack-budget/src/holder/search.rs
@@ -19,7 +19,7 @@
 /// Longest wait for a holder that said it is searching, or for a store that neither answers
 /// nor fails.
 const SEARCH_TIMEOUT_US: u64 = 3_000_000;
-const DRY_DOUBLINGS_MAX: u32 = 5;
+const DRY_DOUBLINGS_MAX: u32 = 10;
 /// Times that a drawer is asked again in one search after it gave something.
 const ROUNDS_MAX: u32 = 8;
 
@@ -199,6 +199,21 @@
         if active.need_tokens() == 0 {
             return self.end_search(now_us, index);
         }
+        self.ask_everybody(now_us, index, Scope::Fleet, rows, others);
+    }
+
+    /// Asks the drawers of other failure domains and the own peers.
+    fn ask_everybody(
+        &mut self,
+        now_us: u64,
+        index: u32,
+        scope: Scope,
+        rows: Vec<id::Incarnation>,
+        others: BTreeSet<id::Incarnation>,
+    ) {
+        let Some(active) = self.accounts[index as usize].active.as_deref() else {
+            return;
+        };
         // What the first of the callers has counts towards its call already.
         let mut callers = active.calls.iter().filter(|(_, call)| call.is_deferred);
         let first_caller = callers.next().map(|(id, _)| *id);
@@ -209,7 +224,7 @@
             rows.into_iter().map(|id| (Reach::Domain, id)).collect();
         queue.extend(near.into_iter().map(|id| (Reach::Holder, id)));
         queue.retain(|(_, id)| Some(*id) != first_caller);
-        self.ask(now_us, index, Scope::Fleet, queue);
+        self.ask(now_us, index, scope, queue);
     }
 }
 
@@ -344,6 +359,10 @@
             };
             return;
         } else {
+            if active.available_tokens() > 0 {
+                // Tokens are about, if too few here.
+                active.dry_doublings = 0;
+            }
             let until_us = now_us + (self.options.dry_us << active.dry_doublings);
             active.dry_doublings = (active.dry_doublings + 1).min(DRY_DOUBLINGS_MAX);
             active.search = Search::Dry {
@@ -400,8 +419,8 @@
                 if *has_asked && (is_shut || waited_us >= SEARCH_TIMEOUT_US) {
                     self.end_search(now_us, index);
                 } else if !*has_asked && (is_shut || waited_us >= self.options.store_patience_us) {
-                    let peers = self.peers.iter().map(|peer| (Reach::Holder, *peer));
-                    self.ask(now_us, index, Scope::Cut, peers.collect());
+                    let rows = active.rows.clone();
+                    self.ask_everybody(now_us, index, Scope::Cut, rows, BTreeSet::new());
                 }
             }
             Search::Asking(asking) if asking.until_us <= now_us => {
--- a/crates/peridotrack-budget/src/holder/sweep.rs
+++ b/crates/peridotrack-budget/src/holder/sweep.rs
@@ -88,6 +88,7 @@
             return;
         };
         active.is_drawer = is_drawer;
+        active.set_low_water(now_us, options);
         let has_returns = active.returned_tokens > active.returned_written_tokens
             || active.surplus_tokens(now_us, options) > 0;
         let available_tokens = active.available_tokens();
--- a/crates/peridotrack-budget/src/options.rs
+++ b/crates/peridotrack-budget/src/options.rs
@@ -8,7 +8,8 @@
 pub struct Options {
     /// Number of ledger shards; the same for the whole fleet and for good.
     pub shard_count: u32,
-    /// Time that a grant should last at the observed rate, in microseconds.
+    /// Time that a grant should last at the observed rate, in microseconds; half of it is
+    /// left when the next draw is due.
     pub ride_out_us: u64,
     /// Half-life of the observed rate, in microseconds.
     pub rate_half_life_us: u64,
@@ -29,7 +30,8 @@
     pub store_patience_us: u64,
     /// Longest wait for the answers of the peers asked at once, in microseconds.
     pub ask_timeout_us: u64,
-    /// Time for which a fruitless search is remembered, in microseconds.
+    /// Time for which a fruitless search is remembered, in microseconds; doubled with every
+    /// further one that met no tokens at all.
     pub dry_us: u64,
     /// First delay after a failed store call, in microseconds.
     pub backoff_min_us: u64,
@@ -52,17 +54,17 @@
     fn default() -> Self {
         Self {
             shard_count: 256,
-            ride_out_us: 3_600 * SECOND_US,
-            rate_half_life_us: 300 * SECOND_US,
-            draw_floor_tokens: 1_024,
-            return_after_us: 60 * SECOND_US,
+            ride_out_us: 7_200 * SECOND_US,
+            rate_half_life_us: 1_800 * SECOND_US,
+            draw_floor_tokens: 4_096,
+            return_after_us: 600 * SECOND_US,
             float_us: 60 * SECOND_US,
             merge_us: SECOND_US,
             urgent_merge_us: 2 * MILLISECOND_US,
             suspect_us: 10 * SECOND_US,
             store_patience_us: 100 * MILLISECOND_US,
             ask_timeout_us: 100 * MILLISECOND_US,
-            dry_us: SECOND_US,
+            dry_us: 20 * MILLISECOND_US,
             backoff_min_us: 50 * MILLISECOND_US,
             backoff_max_us: 5 * SECOND_US,
             repeat_us: SECOND_US,
