--- a/crates/peridotrack-edge/src/daemon.rs
+++ b/crates/peridotrack-edge/src/daemon.rs
@@ -334,7 +334,7 @@
         registry.register(member::SERVICE, Rc::clone(&member))?;
         registry.register(config::SERVICE, Rc::clone(&config))?;
         registry.register(load::SERVICE, Rc::clone(&load))?;
-        subscribe(link, &member, &budget, &usage, &config);
+        subscribe(link, &member, &budget, &usage, &config, &route);
         Ok(Self {
             budget,
             claims,
@@ -353,14 +353,16 @@
     budget: &Rc<budget::Budget>,
     usage: &Rc<usage::Usage>,
     config: &Rc<config::Configuration>,
+    route: &Rc<route::Route>,
 ) {
     let (members, budget) = (Rc::clone(member), Rc::clone(budget));
-    let (usage, config) = (Rc::clone(usage), Rc::clone(config));
+    let (usage, config, route) = (Rc::clone(usage), Rc::clone(config), Rc::clone(route));
     let on_frame = move |sender: peer::Sender, frame: peer::Frame| match frame {
         peer::Frame::Hello(_) => {}
         peer::Frame::Member(message) => members.receive(sender.address, message),
         peer::Frame::Budget(message) => budget.receive(sender.incarnation, message),
         peer::Frame::Usage(message) => usage.receive(sender.incarnation, message),
+        peer::Frame::Leaving { backend_server } => route.leaving_by_peer(backend_server),
         peer::Frame::ConfigRequest { above_version } => {
             config.answer(sender.address, above_version);
         }
--- a/crates/peridotrack-edge/src/member.rs
+++ b/crates/peridotrack-edge/src/member.rs
@@ -101,6 +101,20 @@
     }
 }
 
+/// Sending.
+impl Member {
+    /// Sends a frame to every live peer that this router knows.
+    pub fn tell_live(&self, frame: &peer::Frame) {
+        let members = self.members.borrow();
+        let live = members
+            .live(self.kernel.now_us())
+            .map(|peer| peer.record.peer_address);
+        for address in live {
+            self.link.send(address, frame);
+        }
+    }
+}
+
 /// Inputs.
 impl Member {
     /// Takes an event.
--- a/crates/peridotrack-edge/src/peer/frame.rs
+++ b/crates/peridotrack-edge/src/peer/frame.rs
@@ -6,7 +6,7 @@
 use peridotrack_budget::message as budget_message;
 use peridotrack_member::message as member_message;
 use peridotrack_once::usage;
-use peridotrack_types::id;
+use peridotrack_types::{id, name};
 use serde::{Deserialize, Serialize};
 use sha2::Sha256;
 
@@ -33,6 +33,11 @@
     Budget(budget_message::Message),
     /// Copies of usage records.
     Usage(usage::Message),
+    /// A backend server is leaving, by a sign that the sending router saw itself.
+    Leaving {
+        /// The backend server.
+        backend_server: name::BackendServer,
+    },
     /// Asks for a configuration newer than `above_version`.
     ConfigRequest {
         /// Version that the asking router holds.
--- a/crates/peridotrack-edge/src/route.rs
+++ b/crates/peridotrack-edge/src/route.rs
@@ -15,6 +15,8 @@
 };
 use peridotrack_types::{collections, config, id, name, problem};
 
+use crate::{member, peer};
+
 /// Name of this service in the registry.
 pub const SERVICE: &str = "route";
 
@@ -61,6 +63,8 @@
     addresses: RefCell<collections::HashMap<name::BackendServer, SocketAddr>>,
     subscription: RefCell<Option<timer::Subscription>>,
     last_note: Cell<u64>,
+    /// Whether the event that is being handled came from a peer, which told the others itself.
+    is_told_by_peer: Cell<bool>,
 }
 
 /// A request in the router's hands, which is cancelled when this is dropped early.
@@ -137,6 +141,7 @@
             addresses: RefCell::default(),
             subscription: RefCell::default(),
             last_note: Cell::new(0),
+            is_told_by_peer: Cell::new(false),
         });
         let weak = Rc::downgrade(&service);
         let subscription = kernel.timer().subscribe(TICK_US, move |_| {
@@ -197,6 +202,15 @@
         ticket
     }
 
+    /// Takes a sign that a backend server is leaving, which a peer saw.
+    pub fn leaving_by_peer(&self, backend_server: name::BackendServer) {
+        self.is_told_by_peer.set(true);
+        self.handle(Event::Leaving {
+            backend: backend_server,
+        });
+        self.is_told_by_peer.set(false);
+    }
+
     /// Takes an event about a backend server.
     pub fn handle(&self, event: Event) {
         let actions = self
@@ -286,7 +300,26 @@
         }
     }
 
+    /// Tells peers of a leaving backend server, whose own signs may reach them seconds later.
+    fn tell_peers(&self, backend_server: &name::BackendServer) {
+        if self.is_told_by_peer.get() {
+            return;
+        }
+        if let Ok(members) = self
+            .kernel
+            .registry()
+            .find::<member::Member>(member::SERVICE)
+        {
+            members.tell_live(&peer::Frame::Leaving {
+                backend_server: backend_server.clone(),
+            });
+        }
+    }
+
     fn note(&self, note: &Note) {
+        if let Note::Leaving { backend } = note {
+            self.tell_peers(backend);
+        }
         let kind = match note {
             Note::Leaving { .. } => event::Kind::BackendServerLeaving,
             _ => event::Kind::RouteNote,
