fix(edge): make the store calls that follow a change of peers

Cause: the actions that the holder returned from set_peers were dropped. When a read of the ledger fell due in that call, the holder waited for its outcome without end, and with it every peer whose drawer it was. Ruled out by traces: lost frames, a hanging pool, the platform. The holder's calls that return actions are must_use now.

--- a/crates/peridotrack-budget/src/holder.rs
+++ b/crates/peridotrack-budget/src/holder.rs
@@ -131,6 +131,7 @@
     /// Takes over the purchased totals of a configuration; an older one changes nothing.
     ///
     /// A budget that is missing counts as lowered to 0.
+    #[must_use = "a call to the store that is not made is waited for without end"]
     pub fn configure(
         &mut self,
         now_us: u64,
@@ -154,6 +155,7 @@
     }
 
     /// Tells the live holders of the own failure domain.
+    #[must_use = "a call to the store that is not made is waited for without end"]
     pub fn set_peers(&mut self, now_us: u64, peers: &[id::Incarnation]) -> Vec<Action> {
         self.peers = peers.iter().copied().filter(|id| *id != self.id).collect();
         self.peers.sort_unstable();
@@ -312,6 +314,7 @@
 /// Events
 impl Holder {
     /// Handles an event and returns what is to be done.
+    #[must_use = "a call to the store that is not made is waited for without end"]
     pub fn on_event(&mut self, now_us: u64, event: Event) -> Vec<Action> {
         match event {
             Event::Tick => self.on_tick(now_us),
@@ -337,6 +340,7 @@
     }
 
     /// Returns the actions that are due, among them those left by calls that return none.
+    #[must_use = "a call to the store that is not made is waited for without end"]
     pub fn poll(&mut self, now_us: u64) -> Vec<Action> {
         for index in std::mem::take(&mut self.calls_due) {
             self.settle_calls(now_us, index);
@@ -352,6 +356,7 @@
     }
 
     /// Stops reserving and closes every row once its reservations are settled.
+    #[must_use = "a call to the store that is not made is waited for without end"]
     pub fn close(&mut self, now_us: u64) -> Vec<Action> {
         self.is_closing = true;
         self.wake = true;
--- a/crates/peridotrack-edge/src/budget.rs
+++ b/crates/peridotrack-edge/src/budget.rs
@@ -197,10 +197,10 @@
     }
 
     /// Takes the live peers of the own failure domain.
-    pub fn set_peers(&self, peers: &[id::Incarnation]) {
-        self.holder
-            .borrow_mut()
-            .set_peers(self.kernel.now_us(), peers);
+    pub fn set_peers(self: &Rc<Self>, peers: &[id::Incarnation]) {
+        let now_us = self.kernel.now_us();
+        let actions = self.holder.borrow_mut().set_peers(now_us, peers);
+        self.run(actions);
     }
 
     /// Takes a message of another holder.
