fix(edge): say that a request may have run when an earlier attempt did

A run that was lost before its first byte reached the caller is settled, and the next attempt reserves anew. The completion now remembers it. A not-run refusal of a resumption no longer frees the tokens of the run that it would have resumed.

--- a/crates/peridotrack-edge/src/caller/completion.rs
+++ b/crates/peridotrack-edge/src/caller/completion.rs
@@ -29,6 +29,8 @@
     body: Bytes,
     reservation: Option<Held>,
     forwarded: Forwarded,
+    /// Whether an attempt that was settled already may have run.
+    may_have_run: bool,
 }
 
 /// What has reached the caller.
@@ -102,6 +104,7 @@
             body,
             reservation: None,
             forwarded: Forwarded::Nothing,
+            may_have_run: false,
         })
     }
 
@@ -213,8 +216,11 @@
         connection: &mut server::Connection,
         mut problem: problem::Problem,
     ) -> Result<(), server::Error> {
-        if let Some(settled) = self.release() {
+        let settled = self.release();
+        if settled.is_some() || self.may_have_run {
             problem.ran = problem::Ran::Unknown;
+        }
+        if let Some(settled) = settled {
             self.bill(settled, None, false).await;
         }
         let response = self.call.refuse(self.services, problem);
@@ -294,9 +300,14 @@
         self.call.note(&self.services.kernel, event);
         self.services.metrics.failed_attempts.increment(1);
         match outcome {
-            Outcome::RefusedNotRun => self.reservation_unused(),
+            // A refused resumption does not undo the run that it would have resumed.
+            Outcome::RefusedNotRun if self.forwarded == Forwarded::Nothing => {
+                self.reservation_unused();
+            }
             // The next attempt needs tokens of its own, unless it resumes this stream.
-            _ if self.forwarded == Forwarded::Nothing => drop(self.release_for_retry()),
+            _ if self.forwarded == Forwarded::Nothing => {
+                self.may_have_run |= self.release_for_retry().is_some();
+            }
             _ => {}
         }
         ticket.finished(outcome);
