test(daemon): truth of refusals, second runs, a fresh fleet, random faults

chaos.rs: callers, kills, pauses, cuts, lost replies, engine faults and top-ups in seeded order against four real routers; then no overspend, no keyed call run twice, no wrong answer, no refusal that lies, and recovery.

--- /dev/null
+++ b/crates/peridotrackd/tests/chaos.rs
@@ -0,0 +1,299 @@
+//! Random faults against a fleet of real routers: whatever the order and the timing, no
+//! budget is overspent, no keyed call runs twice, no answer is wrong, no refusal lies.
+
+use std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use fastrand::Rng;
+use http::Response;
+use peridotrack_http::client;
+use peridotrack_standin::{
+    engine::{self, chat},
+    harness::{
+        fleet::{self, Fleet},
+        http::{block_on, fetch},
+        wait,
+    },
+    platform, service,
+};
+use peridotrack_types::problem::{Problem, Ran};
+use rstest::rstest;
+
+const LIMIT: Duration = Duration::from_secs(20);
+const STEPS: usize = 250;
+const PROMPT: &str = "hello";
+/// What an engine counts for the prompt.
+const PROMPT_TOKENS: u64 = 5;
+const OUTPUT_TOKENS: u64 = 40;
+/// Runs of one request that the test tells apart.
+const MAX_RUNS: u64 = 8;
+/// Attempts of a caller at one keyed call, each at another router.
+const ATTEMPTS: usize = 3;
+
+/// What callers saw.
+#[derive(Debug, Default)]
+struct Seen {
+    whole_answers: usize,
+    /// Answers that ended as whole ones and are not.
+    wrong_answers: Vec<String>,
+    /// Refusals that say that the request did not run, by request id.
+    not_run: BTreeMap<String, Problem>,
+    /// Keyed calls by their key, with whether one attempt succeeded.
+    keyed_calls: BTreeMap<String, bool>,
+}
+
+type Shared = Rc<RefCell<Seen>>;
+
+#[rstest]
+#[case::ample_budget(1, 1_000_000)]
+#[case::ample_budget_again(2, 1_000_000)]
+#[case::tight_budget(3, 3_000)]
+#[case::tight_budget_again(4, 3_000)]
+fn promises_hold_under_random_faults(#[case] seed: u64, #[case] purchased_tokens: u64) {
+    block_on(async {
+        let mut rng = Rng::with_seed(seed);
+        let mut fleet = spawn(purchased_tokens).await;
+        let mut purchased_tokens = purchased_tokens;
+        let seen = Shared::default();
+        let mut callers = Vec::new();
+        for step in 0..STEPS {
+            match rng.u32(0..10) {
+                0..=5 => callers.push(monoio::spawn(complete(&fleet, &mut rng, &seen))),
+                6..=7 => callers.push(monoio::spawn(call(&fleet, &mut rng, &seen, step))),
+                _ => purchased_tokens += fault(&mut fleet, &mut rng).await,
+            }
+            monoio::time::sleep(Duration::from_millis(rng.u64(0..8))).await;
+        }
+        heal(&fleet);
+        for caller in callers {
+            caller.await;
+        }
+        check(&fleet, &seen.borrow(), purchased_tokens);
+        recovers(&fleet).await;
+    });
+}
+
+async fn spawn(purchased_tokens: u64) -> Fleet {
+    let options = fleet::Options {
+        program: env!("CARGO_BIN_EXE_peridotrackd").into(),
+        failure_domains: 2,
+        routers: 2,
+        engines: 1,
+        services: 1,
+        purchased_tokens,
+    };
+    let fleet = fleet::spawn(&options).await.unwrap();
+    for engine in &fleet.engines {
+        engine.control(engine::Control {
+            token_delay_ms: Some(1),
+            vary_runs: Some(true),
+            ..engine::Control::default()
+        });
+    }
+    for service in &fleet.services {
+        service.control(service::Control {
+            delay_ms: Some(5),
+            ..service::Control::default()
+        });
+    }
+    fleet
+}
+
+/// Does one fault; gives the tokens that it topped up.
+async fn fault(fleet: &mut Fleet, rng: &mut Rng) -> u64 {
+    let router = rng.usize(0..fleet.routers.len());
+    let engine = rng.usize(0..fleet.engines.len());
+    match rng.u32(0..10) {
+        0 => fleet.routers[router].restart().await.unwrap(),
+        1 => {
+            let process = &mut fleet.routers[router].process;
+            process.pause().await.unwrap();
+            monoio::time::sleep(Duration::from_millis(rng.u64(1..300))).await;
+            process.resume().unwrap();
+        }
+        2 => fleet.engines[engine].control(broken_engine(rng)),
+        3 => fleet.services[engine].control(service::Control {
+            die_before_answer: Some(1),
+            ..service::Control::default()
+        }),
+        4 => {
+            heal(fleet);
+            let top_up = |tokens: &mut u64| *tokens += 100;
+            let change =
+                fleet.apply(|config| top_up(&mut config.rules.budgets[0].purchased_tokens));
+            change.await.unwrap();
+            return 100;
+        }
+        _ => fleet.platform.control(broken_platform(rng)),
+    }
+    0
+}
+
+fn broken_engine(rng: &mut Rng) -> engine::Control {
+    let mut control = engine::Control::default();
+    match rng.u32(0..5) {
+        0 => control.die_after_tokens = Some(rng.u64(0..OUTPUT_TOKENS)),
+        1 => control.cut_after_tokens = Some(rng.u64(0..OUTPUT_TOKENS)),
+        2 => control.cross_answers = Some(1),
+        3 => control.truncate = Some(1),
+        _ => control.omit_usage = Some(1),
+    }
+    control
+}
+
+fn broken_platform(rng: &mut Rng) -> platform::Control {
+    let mut control = platform::Control::default();
+    match rng.u32(0..6) {
+        0 => control.down = Some(true),
+        1 => control.down = Some(false),
+        2 => control.lose_replies = Some(rng.u64(1..4)),
+        3 => control.stale_reads = Some(rng.u64(1..4)),
+        4 => control.cut_listeners = Some(vec![rng.usize(0..2)]),
+        _ => control.delay_ms = Some(rng.u64(0..100)),
+    }
+    control
+}
+
+fn heal(fleet: &Fleet) {
+    fleet.platform.control(platform::Control {
+        down: Some(false),
+        delay_ms: Some(0),
+        lose_replies: Some(0),
+        stale_reads: Some(0),
+        cut_listeners: Some(Vec::new()),
+        ..platform::Control::default()
+    });
+}
+
+/// A caller that asks once for a streamed answer.
+fn complete(fleet: &Fleet, rng: &mut Rng, seen: &Shared) -> impl Future<Output = ()> + use<> {
+    let address = fleet.routers[rng.usize(0..fleet.routers.len())].caller_address;
+    let seen = seen.clone();
+    async move {
+        let outcome = fetch(address, fleet::chat(PROMPT, OUTPUT_TOKENS, true)).await;
+        seen.borrow_mut().note(outcome);
+    }
+}
+
+/// A caller that repeats a keyed call at other routers until one attempt succeeds.
+fn call(
+    fleet: &Fleet,
+    rng: &mut Rng,
+    seen: &Shared,
+    step: usize,
+) -> impl Future<Output = ()> + use<> {
+    let mut addresses: Vec<_> = fleet
+        .routers
+        .iter()
+        .map(|router| router.caller_address)
+        .collect();
+    rng.shuffle(&mut addresses);
+    let (key, seen) = (format!("key-{step}"), seen.clone());
+    async move {
+        let mut succeeded = false;
+        for address in addresses.into_iter().take(ATTEMPTS) {
+            let outcome = fetch(address, fleet::call("/isbn", Some(&key))).await;
+            succeeded |= outcome.is_ok_and(|response| response.status() == 200);
+        }
+        seen.borrow_mut().keyed_calls.insert(key, succeeded);
+    }
+}
+
+impl Seen {
+    fn note(&mut self, outcome: Result<Response<Bytes>, client::Error>) {
+        let Ok(response) = outcome else { return };
+        if response.status() != 200 {
+            let problem: Problem = serde_json::from_slice(response.body()).unwrap();
+            if let (Ran::No, Some(request_id)) = (problem.ran, problem.request_id) {
+                self.not_run.insert(request_id.to_string(), problem);
+            }
+            return;
+        }
+        let body = String::from_utf8_lossy(response.body()).into_owned();
+        if !body.ends_with("data: [DONE]\n\n") {
+            return;
+        }
+        if is_whole(&body) {
+            self.whole_answers += 1;
+        } else {
+            self.wrong_answers.push(body);
+        }
+    }
+}
+
+/// Whether an answer holds the text of one run of its own request.
+fn is_whole(body: &str) -> bool {
+    let chunks: Vec<chat::Chunk> = body
+        .lines()
+        .filter_map(|line| line.strip_prefix("data: "))
+        .filter_map(|data| serde_json::from_str(data).ok())
+        .collect();
+    let choices = chunks.iter().flat_map(|chunk| &chunk.choices);
+    let text: String = choices
+        .filter_map(|choice| choice.delta.content.clone())
+        .collect();
+    let request_id = chunks[0].id.trim_start_matches("chatcmpl-");
+    let messages = [chat::Message::user(PROMPT)];
+    let of_run = |run| chat::answer_text(&chat::run_id(request_id, run), &messages, OUTPUT_TOKENS);
+    (1..=MAX_RUNS).any(|run| text == of_run(run))
+}
+
+fn check(fleet: &Fleet, seen: &Seen, purchased_tokens: u64) {
+    assert!(seen.wrong_answers.is_empty(), "{:#?}", seen.wrong_answers);
+    assert!(seen.whole_answers > 0);
+    let engines: Vec<_> = fleet.engines.iter().map(engine::Handle::counters).collect();
+    let spent = |counters: &engine::Counters| counters.tokens + counters.runs * PROMPT_TOKENS;
+    let spent_tokens: u64 = engines.iter().map(spent).sum();
+    assert!(
+        spent_tokens <= purchased_tokens,
+        "{spent_tokens} of {purchased_tokens}"
+    );
+    for (request_id, problem) in &seen.not_run {
+        let runs: Vec<_> = engines
+            .iter()
+            .filter_map(|engine| engine.by_request_id.get(request_id))
+            .collect();
+        assert!(runs.is_empty(), "{runs:?} although {problem:?}");
+    }
+    let services: Vec<_> = fleet
+        .services
+        .iter()
+        .map(service::Handle::counters)
+        .collect();
+    for (key, succeeded) in &seen.keyed_calls {
+        let runs = |service: &service::Counters| service.by_key.get(key).map_or(0, |key| key.runs);
+        let runs: u64 = services.iter().map(runs).sum();
+        assert!(runs <= 1, "{key} ran {runs} times");
+        assert!(runs == 1 || !succeeded, "{key} succeeded without a run");
+    }
+    println!(
+        "whole answers {}, refused as not run {}, keyed calls {}, of them answered {}, \
+         tokens spent {spent_tokens} of {purchased_tokens}",
+        seen.whole_answers,
+        seen.not_run.len(),
+        seen.keyed_calls.len(),
+        seen.keyed_calls
+            .values()
+            .filter(|succeeded| **succeeded)
+            .count(),
+    );
+}
+
+/// After the faults every router takes a keyed call again.
+async fn recovers(fleet: &Fleet) {
+    for (index, router) in fleet.routers.iter().enumerate() {
+        let mut attempt = 0;
+        let answered = async || {
+            attempt += 1;
+            let key = format!("after-{index}-{attempt}");
+            let call = fleet::call("/isbn", Some(&key));
+            let outcome = fetch(router.caller_address, call).await;
+            outcome
+                .is_ok_and(|response| response.status() == 200)
+                .then_some(())
+        };
+        wait::some(LIMIT, "answer after the faults", answered)
+            .await
+            .unwrap();
+    }
+}
