--- a/crates/peridotrack-bench/src/route/timing.rs
+++ b/crates/peridotrack-bench/src/route/timing.rs
@@ -11,7 +11,9 @@
 
 use crate::route::case;
 
-const PLACEMENTS: u64 = 200_000;
+const PLACEMENTS: u64 = 100_000;
+/// Rounds, of which the quickest counts: the others waited for the processor.
+const ROUNDS: usize = 7;
 const SLOTS: usize = 16;
 const OPEN_REQUESTS: u64 = 64;
 const PREFIXES: u64 = 1_000;
@@ -21,8 +23,8 @@
 /// A placement is an offer that is dispatched, together with the end of an earlier request.
 pub fn print() {
     for engines in [14, 100, 400, 810] {
-        let plain_ns = placement_ns(engines, false);
-        let prefix_ns = placement_ns(engines, true);
+        let plain_ns = quickest_ns(engines, false);
+        let prefix_ns = quickest_ns(engines, true);
         println!(
             "{{\"measure\":\"placement among {engines} engines\",\
              \"plain_ns\":{plain_ns:.0},\"prefix_ns\":{prefix_ns:.0}}}"
@@ -30,6 +32,12 @@
     }
 }
 
+fn quickest_ns(engines: usize, with_prefix: bool) -> f64 {
+    (0..ROUNDS)
+        .map(|_| placement_ns(engines, with_prefix))
+        .fold(f64::INFINITY, f64::min)
+}
+
 fn placement_ns(engines: usize, with_prefix: bool) -> f64 {
     let register = case::register(engines, SLOTS);
     let mut router = Router::new(Options::default(), "domain-0".into(), 1, 0);
