--- a/crates/peridotrack-route/tests/place.rs
+++ b/crates/peridotrack-route/tests/place.rs
@@ -224,3 +224,36 @@
     }
     panic!("never closed");
 }
+
+/// Every first token takes 10 ms, but `slow_us` at the home of a prefix that is too rare for two.
+#[rstest]
+#[case::as_fast_as_the_others(SECOND_US / 100, true)]
+#[case::ten_times_slower(SECOND_US / 10, false)]
+fn slow_home_loses_its_prefix(#[case] slow_us: u64, #[case] kept: bool) {
+    let mut router = router_in("domain-2", 1, &register(2, 0, 8));
+    let mut home = None;
+    let mut at_home = Vec::new();
+    for sequence in 1..=800 {
+        let now_us = sequence * SECOND_US / 8;
+        let mut offer = offer(sequence);
+        offer.deadline_us = now_us + 30 * SECOND_US;
+        // The first requests teach the router how fast the servers are.
+        let has_prefix = sequence > 400 && sequence.is_multiple_of(20);
+        offer.prefix_hash = has_prefix.then_some(7);
+        let backend = dispatched(&router.offer(now_us, offer)).expect("dispatched");
+        if has_prefix && home.is_none() {
+            home = Some(backend.clone());
+        }
+        let is_home = home.as_ref() == Some(&backend);
+        if has_prefix {
+            at_home.push(is_home);
+        }
+        let wait_us = if is_home { slow_us } else { SECOND_US / 100 };
+        let request_id = request(sequence);
+        router.on_event(now_us + wait_us, Event::FirstToken { request_id });
+        finish(&mut router, now_us + wait_us, sequence, Outcome::Done);
+    }
+    let last = &at_home[at_home.len() - 5..];
+    let held = last.iter().filter(|is_home| **is_home).count();
+    assert_eq!(held >= 4, kept, "{at_home:?}");
+}
