--- a/crates/peridotrack/src/platform.rs
+++ b/crates/peridotrack/src/platform.rs
@@ -45,7 +45,7 @@
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
     /// The platform was not reached, or the write's outcome is unknown.
-    #[error("{step} {key} at {address}: {source}")]
+    #[error("{step} {key} at {address}")]
     Http {
         /// What was done.
         step: &'static str,
