fix(route): a sign of leaving holds as long as it goes on

Cause: only the first sign counted, so a server that the platform lists as leaving while its own lagging report says serving got new work again every ten seconds; and a plain service, which reports no load, never came back at all. Signs now renew the hold, and a server whose signs have ceased for a minute is tried again. The edge takes a refusal that closes its connection as a sign, and two routers of each failure domain read the platform's list every second instead of all routers every ten, because the bound of 3 s counts from the list.

--- a/crates/peridotrack-edge/src/caller/completion/attempt.rs
+++ b/crates/peridotrack-edge/src/caller/completion/attempt.rs
@@ -64,6 +64,9 @@
             Ok(head) => head,
             Err(error) => return failed(broken(&error, events_seen), error.to_string()),
         };
+        if engine::is_leaving(&head) {
+            ticket.leaving();
+        }
         let attempt = if let Some(attempt) = self.unusual(&mut backend, &head, events_seen).await {
             attempt
         } else if self.chat.is_stream {
--- a/crates/peridotrack-edge/src/caller/service_call.rs
+++ b/crates/peridotrack-edge/src/caller/service_call.rs
@@ -270,6 +270,9 @@
             Ok(body) => body,
             Err(error) => return failed(broken(&error), error.to_string()),
         };
+        if engine::is_leaving(&head) {
+            ticket.leaving();
+        }
         if engine::is_not_run(&head) {
             return failed(
                 Outcome::RefusedNotRun,
--- a/crates/peridotrack-edge/src/engine.rs
+++ b/crates/peridotrack-edge/src/engine.rs
@@ -164,6 +164,15 @@
             .is_some_and(|value| value == "true")
 }
 
+/// Returns whether a refusal says that the backend server is about to stop.
+pub fn is_leaving(head: &http::response::Parts) -> bool {
+    is_not_run(head)
+        && head
+            .headers
+            .get(http::header::CONNECTION)
+            .is_some_and(|value| value == "close")
+}
+
 /// Returns the most tokens that an engine can count for text: one a byte.
 pub fn bound_tokens(text_bytes: usize, messages: usize) -> u64 {
     text_bytes as u64 + messages as u64 * MESSAGE_OVERHEAD_TOKENS
--- a/crates/peridotrack-edge/src/member.rs
+++ b/crates/peridotrack-edge/src/member.rs
@@ -21,6 +21,8 @@
 
 /// Period of the membership's ticks, in microseconds.
 const TICK_US: u64 = 100 * clock::US_PER_MS;
+/// Time between two readings of the platform's list of VMs, in microseconds.
+const LIST_US: u64 = clock::US_PER_S;
 
 /// Runs the membership of this router.
 pub struct Member {
@@ -28,7 +30,7 @@
     link: Rc<peer::Link>,
     platform: Rc<platform::Platform>,
     members: RefCell<Members>,
-    subscription: RefCell<Option<timer::Subscription>>,
+    subscriptions: RefCell<Vec<timer::Subscription>>,
 }
 
 /// Construction and end.
@@ -48,7 +50,7 @@
             link: Rc::clone(link),
             platform: Rc::clone(platform),
             members: RefCell::new(members),
-            subscription: RefCell::default(),
+            subscriptions: RefCell::default(),
         });
         let weak = Rc::downgrade(&service);
         let subscription = kernel.timer().subscribe(TICK_US, move |_| {
@@ -56,13 +58,23 @@
                 service.handle(Event::Tick);
             }
         });
-        *service.subscription.borrow_mut() = Some(subscription);
+        let weak = Rc::downgrade(&service);
+        let listing = kernel.timer().subscribe(LIST_US, move |_| {
+            // A few routers of a failure domain read the list and tell the others.
+            if let Some(service) = weak.upgrade().filter(|service| service.is_watcher()) {
+                monoio::spawn(service.list_vms());
+            }
+        });
+        service
+            .subscriptions
+            .borrow_mut()
+            .extend([subscription, listing]);
         service
     }
 
     /// Tells some peers that this router has ended, and ends the ticks.
     pub fn stop(self: &Rc<Self>) {
-        self.subscription.borrow_mut().take();
+        self.subscriptions.borrow_mut().clear();
         let actions = self.members.borrow_mut().stop(self.kernel.now_us());
         self.run(actions);
     }
@@ -170,10 +182,7 @@
                         .send(address, &peer::Frame::ConfigRequest { above_version });
                 }
                 Action::FetchConfigFromPlatform { .. } => self.with_config(config::fetch),
-                Action::PollPlatform => {
-                    self.with_config(config::fetch);
-                    monoio::spawn(Rc::clone(self).list_vms());
-                }
+                Action::PollPlatform => self.with_config(config::fetch),
                 Action::Note(note) => {
                     let event = event::Event::new(event::Kind::PeerJoined);
                     self.kernel.note(event.with("note", format!("{note:?}")));
--- a/crates/peridotrack-edge/src/route.rs
+++ b/crates/peridotrack-edge/src/route.rs
@@ -72,6 +72,7 @@
     route: Rc<Route>,
     request_id: id::Request,
     steps: queue::Rx<Step>,
+    backend_server: Option<name::BackendServer>,
     is_done: bool,
 }
 
@@ -82,7 +83,12 @@
             kind: problem::Kind::Stopping,
             retry_after_ms: clock::US_PER_S / clock::US_PER_MS,
         });
-        self.is_done |= matches!(step, Step::Refuse { .. });
+        match &step {
+            Step::Dispatch { backend_server, .. } | Step::Resume { backend_server, .. } => {
+                self.backend_server = Some(backend_server.clone());
+            }
+            Step::Refuse { .. } => self.is_done = true,
+        }
         step
     }
 
@@ -100,6 +106,13 @@
         });
     }
 
+    /// Says that the backend server of the newest dispatch refused because it is about to stop.
+    pub fn leaving(&self) {
+        if let Some(backend) = self.backend_server.clone() {
+            self.route.handle(Event::Leaving { backend });
+        }
+    }
+
     /// Says how the attempt ended.
     pub fn finished(&mut self, outcome: Outcome) {
         self.is_done = matches!(outcome, Outcome::Done | Outcome::Cancelled);
@@ -195,6 +208,7 @@
             route: Rc::clone(self),
             request_id,
             steps,
+            backend_server: None,
             is_done: false,
         };
         let actions = self.router.borrow_mut().offer(self.kernel.now_us(), offer);
--- a/crates/peridotrack-route/src/drain.rs
+++ b/crates/peridotrack-route/src/drain.rs
@@ -26,15 +26,24 @@
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Drain {
     removed: bool,
-    leaving_since_us: Option<u64>,
+    leaving: Option<Leaving>,
+}
+
+/// A server that is leaving.
+#[derive(Debug, Clone, Copy)]
+struct Leaving {
+    first_sign_us: u64,
+    latest_sign_us: u64,
 }
 
 impl Drain {
     /// Returns the state.
     pub fn state(self) -> State {
-        match (self.removed, self.leaving_since_us) {
+        match (self.removed, self.leaving) {
             (true, _) => State::Removed,
-            (false, Some(since_us)) => State::Leaving { since_us },
+            (false, Some(leaving)) => State::Leaving {
+                since_us: leaving.first_sign_us,
+            },
             (false, None) => State::Serving,
         }
     }
@@ -42,7 +51,7 @@
     /// Returns whether the server may be given new work.
     #[inline]
     pub fn is_serving(self) -> bool {
-        !self.removed && self.leaving_since_us.is_none()
+        !self.removed && self.leaving.is_none()
     }
 
     /// Returns whether the server is no longer in the register.
@@ -59,20 +68,34 @@
 
     /// Takes in a sign of leaving; returns whether it is the first.
     pub fn on_leaving(&mut self, now_us: u64) -> bool {
-        let first = self.leaving_since_us.is_none();
-        self.leaving_since_us.get_or_insert(now_us);
+        let first = self.leaving.is_none();
+        let leaving = self.leaving.get_or_insert(Leaving {
+            first_sign_us: now_us,
+            latest_sign_us: now_us,
+        });
+        leaving.latest_sign_us = now_us;
         first
     }
 
     /// Takes in a report that the server is not leaving; returns whether that takes it back.
     ///
-    /// Lists and reports lag, so only what was measured well after the first sign does.
+    /// Lists and reports lag, so only what was measured well after the latest sign does.
     pub fn on_not_leaving(&mut self, measured_us: u64, options: &Options) -> bool {
+        self.take_back(|latest_sign_us| measured_us >= latest_sign_us + options.leaving_hold_us)
+    }
+
+    /// Takes in that time has passed; returns whether the signs have ceased for so long that
+    /// the server is tried again. A server that reports no load returns in no other way.
+    pub fn on_tick(&mut self, now_us: u64, options: &Options) -> bool {
+        self.take_back(|latest_sign_us| now_us > latest_sign_us + options.leaving_forget_us)
+    }
+
+    fn take_back(&mut self, is_over: impl FnOnce(u64) -> bool) -> bool {
         let returned = self
-            .leaving_since_us
-            .is_some_and(|since_us| measured_us >= since_us + options.leaving_hold_us);
+            .leaving
+            .is_some_and(|leaving| is_over(leaving.latest_sign_us));
         if returned {
-            self.leaving_since_us = None;
+            self.leaving = None;
         }
         returned
     }
--- a/crates/peridotrack-route/src/options.rs
+++ b/crates/peridotrack-route/src/options.rs
@@ -27,6 +27,8 @@
     pub slow_start_us: u64,
     /// Shortest time between a sign of leaving and a report that takes it back.
     pub leaving_hold_us: u64,
+    /// Time without a sign of leaving after which the server is tried again.
+    pub leaving_forget_us: u64,
     /// Part of the time to a request's deadline that it may be expected to wait in a queue.
     pub queue_wait_share: f64,
     /// Tokens by which an account may get ahead of its fair share to use a cached prefix.
@@ -64,6 +66,7 @@
             refusal_hold_us: 200_000,
             slow_start_us: 10_000_000,
             leaving_hold_us: 10_000_000,
+            leaving_forget_us: 60_000_000,
             queue_wait_share: 0.25,
             overtake_tokens: 16_000,
             ageing_us: 2_000_000,
--- a/crates/peridotrack-route/src/router.rs
+++ b/crates/peridotrack-route/src/router.rs
@@ -165,8 +165,12 @@
     }
 
     fn on_tick(&mut self, now_us: u64, actions: &mut Vec<Action>) {
-        for backend in &mut self.backends {
+        for index in 0..self.backends.len() {
+            let backend = &mut self.backends[index];
             backend.on_tick(now_us, &self.options);
+            if backend.drain.on_tick(now_us, &self.options) {
+                self.on_returned(now_us, index, actions);
+            }
         }
         for pool in 0..self.pools.len() {
             self.expire(now_us, pool, actions);
@@ -229,14 +233,21 @@
         index: usize,
         actions: &mut Vec<Action>,
     ) {
-        let backend = &mut self.backends[index];
-        if backend.drain.on_not_leaving(measured_us, &self.options) {
-            backend.breaker.on_flap(now_us, &self.options);
-            let backend = backend.name.clone();
-            self.begin_slow_start(now_us, index);
-            actions.push(Action::Note(Note::Returned { backend }));
+        if self.backends[index]
+            .drain
+            .on_not_leaving(measured_us, &self.options)
+        {
+            self.on_returned(now_us, index, actions);
         }
     }
+
+    fn on_returned(&mut self, now_us: u64, index: usize, actions: &mut Vec<Action>) {
+        let backend = &mut self.backends[index];
+        backend.breaker.on_flap(now_us, &self.options);
+        let backend = backend.name.clone();
+        self.begin_slow_start(now_us, index);
+        actions.push(Action::Note(Note::Returned { backend }));
+    }
 }
 
 fn pool_status(pool: &Pool) -> status::Pool {
