--- a/crates/peridotrack-standin/src/notify.rs
+++ b/crates/peridotrack-standin/src/notify.rs
@@ -2,15 +2,24 @@
 
 use std::{
     cell::{Cell, RefCell},
-    future::poll_fn,
-    task::{Poll, Waker},
+    collections::BTreeMap,
+    pin::Pin,
+    task::{Context, Poll, Waker},
 };
 
 /// A counter of changes that tasks can wait on.
 #[derive(Default)]
 pub(crate) struct Notify {
     generation: Cell<u64>,
-    wakers: RefCell<Vec<Waker>>,
+    waits: Cell<u64>,
+    wakers: RefCell<BTreeMap<u64, Waker>>,
+}
+
+/// One wait; dropping it forgets its waker.
+struct Changed<'a> {
+    notify: &'a Notify,
+    seen: u64,
+    wait: u64,
 }
 
 impl Notify {
@@ -22,23 +31,39 @@
     /// Records a change and wakes every waiting task.
     pub(crate) fn notify(&self) {
         self.generation.set(self.generation.get() + 1);
-        for waker in self.wakers.take() {
+        for waker in self.wakers.take().into_values() {
             waker.wake();
         }
     }
 
     /// Resolves once a change after generation `seen` was recorded.
     pub(crate) async fn changed(&self, seen: u64) {
-        poll_fn(|context| {
-            if self.generation.get() != seen {
-                return Poll::Ready(());
-            }
-            let mut wakers = self.wakers.borrow_mut();
-            if !wakers.iter().any(|waker| waker.will_wake(context.waker())) {
-                wakers.push(context.waker().clone());
-            }
-            Poll::Pending
-        })
-        .await;
+        self.waits.set(self.waits.get() + 1);
+        let changed = Changed {
+            notify: self,
+            seen,
+            wait: self.waits.get(),
+        };
+        changed.await;
+    }
+}
+
+impl Future for Changed<'_> {
+    type Output = ();
+
+    fn poll(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<()> {
+        if self.notify.generation.get() != self.seen {
+            return Poll::Ready(());
+        }
+        let mut wakers = self.notify.wakers.borrow_mut();
+        wakers.insert(self.wait, context.waker().clone());
+        Poll::Pending
+    }
+}
+
+impl Drop for Changed<'_> {
+    fn drop(&mut self) {
+        // Else every connection that ended would leave a waker until the next change.
+        self.notify.wakers.borrow_mut().remove(&self.wait);
     }
 }
