fix(route): a refused request moves on without a share of the retries

Found by the process test of leaving servers: with little traffic the retry budget holds one retry in ten seconds, so idempotent requests that a leaving server refused were refused in turn although another server was idle. Ruled out: a higher floor of the budget, which its own test forbids. A server that refuses is held off at once, so refusals cannot grow into a storm, and each request keeps its bound on dispatches. A plain call's first expected duration is 100 ms, not a model request's 5 s.

A non-idempotent call that a server refused is answered 'not run' and not sent again: the rule that nothing follows the first byte stays without exception, and the caller's retry with its key runs elsewhere.

refused_requests_move_on_without_a_share_of_the_retries failed before; it and three process tests of leaving pass now.

--- a/crates/peridotrack-route/src/finish.rs
+++ b/crates/peridotrack-route/src/finish.rs
@@ -56,7 +56,7 @@
         self.sample_outcome(now_us, &request, &attempt, outcome, actions);
         match outcome {
             Outcome::Done | Outcome::Cancelled => {}
-            _ => self.after_failure(now_us, request_id, request, &attempt, actions),
+            _ => self.after_failure(now_us, request_id, request, &attempt, outcome, actions),
         }
         self.free_if_drained(attempt.backend, actions);
         self.pump_backend(now_us, attempt.backend, actions);
@@ -69,6 +69,7 @@
         request_id: id::Request,
         mut request: Request,
         attempt: &Attempt,
+        outcome: Outcome,
         actions: &mut Vec<Action>,
     ) {
         let not_run = self.not_run_kind(now_us, &request);
@@ -78,7 +79,10 @@
         if request.deadline_us <= now_us || !(resumes || retries) {
             return refuse(actions, request_id, &request, not_run, retry_after_us);
         }
-        if !self.retries.try_take(now_us) {
+        // A server that refuses is held off at once, so refusals cannot grow into a storm; each
+        // request still has its bound on dispatches.
+        let is_free = outcome == Outcome::RefusedNotRun;
+        if !is_free && !self.retries.try_take(now_us) {
             actions.push(Action::Note(Note::RetryDenied { request_id }));
             return refuse(actions, request_id, &request, not_run, retry_after_us);
         }
--- a/crates/peridotrack-route/src/options.rs
+++ b/crates/peridotrack-route/src/options.rs
@@ -43,8 +43,10 @@
     pub far_cost_us: u64,
     /// Servers scored for one placement.
     pub choices: usize,
-    /// First guess of a request's duration.
+    /// Duration of a model request before any was seen.
     pub duration_us: u64,
+    /// Duration of a plain call before any was seen.
+    pub call_duration_us: u64,
     /// First guess of the time to the first token.
     pub first_token_us: u64,
     /// Retry-After where nothing better is known.
@@ -75,6 +77,7 @@
             far_cost_us: 60_000,
             choices: 16,
             duration_us: 5_000_000,
+            call_duration_us: 100_000,
             first_token_us: 200_000,
             retry_after_us: 1_000_000,
         }
--- a/crates/peridotrack-route/src/pool.rs
+++ b/crates/peridotrack-route/src/pool.rs
@@ -46,6 +46,7 @@
 impl Pool {
     /// Returns a pool without members.
     pub fn new(target: event::Target, options: &Options) -> Self {
+        let duration_us = expected_duration_us(&target, options);
         Self {
             target,
             near: Vec::new(),
@@ -57,7 +58,7 @@
             prior: signal::Prior {
                 routers: 1.0,
                 cost_us: options.first_token_us as f64,
-                duration_us: options.duration_us as f64,
+                duration_us: duration_us as f64,
             },
             own_mean: 0.0,
             total_mean: 0.0,
@@ -113,3 +114,11 @@
         }
     }
 }
+
+/// Returns how long a request is expected to take before any has ended.
+fn expected_duration_us(target: &event::Target, options: &Options) -> u64 {
+    match target {
+        event::Target::Model(_) => options.duration_us,
+        event::Target::Service(_) => options.call_duration_us,
+    }
+}
--- a/crates/peridotrack-route/tests/retry.rs
+++ b/crates/peridotrack-route/tests/retry.rs
@@ -69,3 +69,19 @@
     let amplification = f64::from(attempts) / f64::from(offers);
     assert!(amplification <= 1.1, "{attempts} attempts for {offers}");
 }
+
+#[test]
+fn refused_requests_move_on_without_a_share_of_the_retries() {
+    let mut router = router(4, 8, 64);
+    for sequence in 1..=8 {
+        let now_us = sequence * SECOND_US;
+        router.on_event(now_us, Event::Tick);
+        let mut offer = offer(sequence);
+        offer.deadline_us = now_us + 30 * SECOND_US;
+        let first = dispatched(&router.offer(now_us, offer)).expect("a dispatch");
+        let actions = finish(&mut router, now_us, sequence, Outcome::RefusedNotRun);
+        let second = dispatched(&actions).expect("another dispatch");
+        assert_ne!(first, second);
+        finish(&mut router, now_us, sequence, Outcome::Done);
+    }
+}
--- /dev/null
+++ b/crates/peridotrackd/tests/leaving.rs
@@ -0,0 +1,154 @@
+//! Backend servers that leave get no new work.
+
+use std::time::{Duration, Instant};
+
+use http::StatusCode;
+use peridotrack_standin::{
+    engine,
+    harness::{
+        fleet::{self, Fleet},
+        http::{block_on, fetch},
+        wait,
+    },
+    platform, service,
+};
+use rstest::rstest;
+
+/// Longest time from the first sign to the last new work.
+const LEAVE_WITHIN: Duration = Duration::from_secs(3);
+/// Requests that show that no new work comes.
+const QUIET_REQUESTS: u64 = 40;
+
+async fn spawn() -> Fleet {
+    let options = fleet::Options {
+        program: env!("CARGO_BIN_EXE_peridotrackd").into(),
+        failure_domains: 1,
+        routers: 2,
+        engines: 2,
+        services: 2,
+        purchased_tokens: 1_000_000,
+    };
+    fleet::spawn(&options).await.unwrap()
+}
+
+/// Lets the platform list a backend server of the register as leaving.
+fn list_leaving(fleet: &Fleet, name: &str) {
+    let vm = platform::Vm {
+        name: name.to_owned(),
+        address: fleet.engines[0].address(),
+        state: platform::VmState::Leaving,
+    };
+    fleet.platform.control(platform::Control {
+        vms: Some(vec![vm]),
+        ..Default::default()
+    });
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Sign {
+    Report,
+    List,
+}
+
+#[rstest]
+#[case::report_and_refusal(Sign::Report)]
+#[case::list_alone(Sign::List)]
+fn leaving_engine_gets_no_new_work(#[case] sign: Sign) {
+    block_on(async {
+        let fleet = spawn().await;
+        let ask = async |number: u64| {
+            let router = fleet.routers[usize::try_from(number % 2).unwrap()].caller_address;
+            let chat = fleet::chat(&format!("prompt {number}"), 4, true);
+            fetch(router, chat).await.unwrap().status()
+        };
+        match sign {
+            Sign::Report => fleet.engines[0].control(engine::Control {
+                leaving: Some(true),
+                ..Default::default()
+            }),
+            Sign::List => list_leaving(&fleet, "engine-0-0"),
+        }
+        let signed = Instant::now();
+        let mut number = 0;
+        while signed.elapsed() < LEAVE_WITHIN {
+            number += 1;
+            assert_eq!(ask(number).await, StatusCode::OK, "the other engine serves");
+        }
+        let work = || {
+            let counters = fleet.engines[0].counters();
+            counters.runs + counters.refused
+        };
+        let work_before = work();
+        for quiet in 0..QUIET_REQUESTS {
+            assert_eq!(ask(number + quiet).await, StatusCode::OK);
+        }
+        assert_eq!(work(), work_before, "new work reached a leaving engine");
+    });
+}
+
+/// Calls that are made at the same time, so that every server gets some.
+const BATCH: u64 = 8;
+
+/// Makes calls at the same time. One that is refused as not run is made again with its key.
+async fn call_at_once(fleet: &Fleet, first: u64) {
+    let calls: Vec<_> = (first..first + BATCH)
+        .map(|number| {
+            let router = fleet.routers[usize::try_from(number % 2).unwrap()].caller_address;
+            monoio::spawn(async move {
+                let call = || fleet::call("/isbn", Some(&format!("key-{number}")));
+                let served = async || {
+                    let response = fetch(router, call()).await.unwrap();
+                    let body = String::from_utf8_lossy(response.body()).into_owned();
+                    let is_served = response.status() == StatusCode::OK;
+                    assert!(is_served || body.contains("\"ran\":\"no\""), "{body}");
+                    is_served.then_some(())
+                };
+                wait::some(LEAVE_WITHIN, "answer", served).await.unwrap();
+            })
+        })
+        .collect();
+    for call in calls {
+        call.await;
+    }
+}
+
+#[test]
+fn leaving_service_gets_no_new_work_and_its_calls_run_elsewhere() {
+    block_on(async {
+        let fleet = spawn().await;
+        for service in &fleet.services {
+            service.control(service::Control {
+                delay_ms: Some(20),
+                ..Default::default()
+            });
+        }
+        fleet.services[0].control(service::Control {
+            leaving: Some(true),
+            ..Default::default()
+        });
+        let mut number = 0;
+        let refused = async || {
+            call_at_once(&fleet, number).await;
+            number += BATCH;
+            (fleet.services[0].counters().refused > 0).then_some(())
+        };
+        wait::some(LEAVE_WITHIN, "refusal", refused).await.unwrap();
+        let told = Instant::now();
+        while told.elapsed() < LEAVE_WITHIN {
+            call_at_once(&fleet, number).await;
+            number += BATCH;
+        }
+        let refused_before = fleet.services[0].counters().refused;
+        for _ in 0..QUIET_REQUESTS / BATCH {
+            call_at_once(&fleet, number).await;
+            number += BATCH;
+        }
+        assert_eq!(fleet.services[0].counters().refused, refused_before);
+        assert_eq!(fleet.services[0].counters().runs, 0);
+        assert_eq!(
+            fleet.services[1].counters().runs,
+            number,
+            "each call ran once"
+        );
+    });
+}
