--- a/crates/peridotrack-budget/src/holder/transfer.rs
+++ b/crates/peridotrack-budget/src/holder/transfer.rs
@@ -363,7 +363,12 @@
         active.calls.retain(|_, call| call.until_us > now_us);
         let dry_answer = active.search.dry_answer(now_us);
         let is_searching = active.search.is_running();
-        let mut available_tokens = active.available_tokens();
+        // What the own waiting requests were just found is theirs.
+        let own_tokens = match dry_answer {
+            Some(_) => 0,
+            None => active.demand_tokens,
+        };
+        let mut available_tokens = active.available_tokens().saturating_sub(own_tokens);
         let mut gifts = Vec::new();
         let mut calls: Vec<_> = active.calls.iter_mut().collect();
         calls.sort_by_key(|(_, call)| !call.is_deferred);
