--- a/crates/peridotrack-bench/benches/timing.rs
+++ b/crates/peridotrack-bench/benches/timing.rs
@@ -23,10 +23,13 @@
         let names: Vec<name::Budget> = (0..budgets)
             .map(|index| name::Budget::from(format!("budget-{index}")))
             .collect();
+        let before_bytes = resident_bytes();
         let mut holder = Holder::new(id::Incarnation(1), Options::default(), 0);
         let config = names.iter().map(|name| (name.clone(), 1_000_000_000));
-        holder.configure(0, 1, config);
+        let _ = holder.configure(0, 1, config);
+        let configured_bytes = resident_bytes().saturating_sub(before_bytes);
         draw_all(&mut holder, &names);
+        let active_bytes = resident_bytes().saturating_sub(before_bytes);
         let reserve_ns = time_reserve(&mut holder, &names);
         report.add(Figure::shown(
             format!("budget.reserve_settle.{budgets}_budgets"),
@@ -34,9 +37,28 @@
             "ns",
             "target under 1 us",
         ));
+        for (state, bytes) in [("configured", configured_bytes), ("active", active_bytes)] {
+            report.add(Figure::shown(
+                format!("budget.resident.{state}.{budgets}_budgets"),
+                bytes as f64 / budgets as f64,
+                "B per budget",
+                "target under 512 bytes",
+            ));
+        }
     }
 }
 
+/// Returns the resident memory of this process, in bytes; 0 where it cannot be read.
+fn resident_bytes() -> usize {
+    const PAGE_BYTES: usize = 4_096;
+    let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statm.split_whitespace().nth(1);
+    pages
+        .and_then(|pages| pages.parse::<usize>().ok())
+        .unwrap_or(0)
+        * PAGE_BYTES
+}
+
 /// Makes every budget active, with a grant.
 fn draw_all(holder: &mut Holder, names: &[name::Budget]) {
     for name in names {
