--- a/crates/peridotrack-bench/src/fleet.rs
+++ b/crates/peridotrack-bench/src/fleet.rs
@@ -6,11 +6,12 @@
 };
 
 use peridotrack_budget::{
-    action::Action, event::Event, holder::Holder, ledger, message::Message, refusal, reservation,
+    action::Action, event::Event, holder::Holder, ledger, refusal, reservation,
 };
 use peridotrack_types::{collections::HashMap, id, name};
 
 mod audit;
+mod network;
 mod options;
 mod store;
 
@@ -471,149 +472,3 @@
         }
     }
 }
-
-/// Store calls and messages
-impl Fleet {
-    fn chance(&mut self, per_mille: u32) -> bool {
-        per_mille > 0 && self.rng.u32(0..1_000) < per_mille
-    }
-
-    fn reaches_store(&self, node: usize) -> bool {
-        self.faults.reaches_store(self.nodes[node].domain)
-    }
-
-    fn send_read(&mut self, node: usize, shard: u32) {
-        match self.reaches_store(node) {
-            true => {
-                let at_us = self.now_us + self.options.store_us;
-                self.schedule(at_us, node, Item::Read { shard });
-            }
-            false => self.answer_late(node, Event::ReadFailed { shard }),
-        }
-    }
-
-    fn answer_late(&mut self, node: usize, event: Event) {
-        let at_us = self.now_us + self.options.timeout_us;
-        self.schedule(at_us, node, Item::Event(event));
-    }
-
-    fn answer(&mut self, node: usize, event: Event) {
-        let at_us = self.now_us + self.options.store_us;
-        self.schedule(at_us, node, Item::Event(event));
-    }
-
-    fn arrive_read(&mut self, node: usize, shard: u32) {
-        let is_lost = self.chance(self.faults.lost_replies_per_mille);
-        if is_lost || !self.reaches_store(node) {
-            return self.answer_late(node, Event::ReadFailed { shard });
-        }
-        let age = match self.chance(self.faults.stale_reads_per_mille) {
-            true => self.rng.usize(1..5),
-            false => 0,
-        };
-        let event = match self.store.read(shard, age) {
-            Some((version, body)) => Event::ShardRead {
-                shard,
-                version,
-                body,
-            },
-            None => Event::ShardAbsent { shard },
-        };
-        self.answer(node, event);
-    }
-
-    fn send_write(&mut self, node: usize, shard: u32, expected: Option<u64>, body: ledger::Shard) {
-        let is_late = self.chance(self.faults.late_calls_per_mille);
-        let is_sent = self.reaches_store(node);
-        let delay_us = match is_late {
-            true => self.options.timeout_us + self.rng.u64(0..3_000_000),
-            false => self.options.store_us,
-        };
-        if is_late || !is_sent {
-            self.answer_late(node, Event::WriteUnknown { shard });
-        }
-        if is_sent {
-            let item = Item::Write {
-                shard,
-                expected,
-                body,
-                is_answered: is_late,
-            };
-            self.schedule(self.now_us + delay_us, node, item);
-        }
-    }
-
-    fn arrive_write(
-        &mut self,
-        node: usize,
-        shard: u32,
-        expected: Option<u64>,
-        body: ledger::Shard,
-        is_answered: bool,
-    ) {
-        let is_reached = self.reaches_store(node);
-        if is_reached && self.chance(self.faults.refused_writes_per_mille) {
-            let retry_after_ms = self.rng.u64(1..200);
-            if !is_answered {
-                let event = Event::WriteRefused {
-                    shard,
-                    retry_after_ms,
-                };
-                self.answer(node, event);
-            }
-            return;
-        }
-        let outcome = match is_reached {
-            true => self.store.write(shard, expected, body),
-            false => None,
-        };
-        let is_lost = self.chance(self.faults.lost_replies_per_mille);
-        if is_answered {
-            return;
-        }
-        if is_lost || !is_reached {
-            return self.answer_late(node, Event::WriteUnknown { shard });
-        }
-        let event = match outcome {
-            Some(version) => Event::Written { shard, version },
-            None => Event::WriteConflict { shard },
-        };
-        self.answer(node, event);
-    }
-
-    fn send_message(&mut self, node: usize, to: id::Incarnation, message: &Message) {
-        self.counts.messages += 1;
-        if self.options.counts_bytes {
-            let bytes = postcard::to_stdvec(message).map_or(0, |bytes| bytes.len());
-            self.counts.message_bytes += bytes as u64;
-        }
-        let Some(&receiver) = self.by_id.get(&to) else {
-            return;
-        };
-        let (one, other) = (self.nodes[node].domain, self.nodes[receiver].domain);
-        let is_gone = matches!(self.nodes[receiver].state, State::Dead | State::Closed);
-        if is_gone || !self.faults.reaches(one, other) {
-            if self.chance(500) {
-                let at_us = self.now_us + self.options.peer_us;
-                self.schedule(at_us, node, Item::Event(Event::PeerLost { peer: to }));
-            }
-            return;
-        }
-        let repeats = match self.chance(self.faults.repeated_messages_per_mille) {
-            true => 2,
-            false => 1,
-        };
-        for _ in 0..repeats {
-            if self.chance(self.faults.lost_messages_per_mille) {
-                continue;
-            }
-            let extra_us = self.rng.u64(0..=self.faults.reorder_us);
-            let event = Event::Peer {
-                from: self.nodes[node].holder.id(),
-                message: message.clone(),
-            };
-            let at_us = self.now_us + self.options.peer_us + extra_us;
-            self.schedule(at_us, receiver, Item::Event(event));
-        }
-    }
-}
--- a/crates/peridotrack-budget/src/holder.rs
+++ b/crates/peridotrack-budget/src/holder.rs
@@ -14,6 +14,7 @@
 };
 
 mod account;
+mod calls;
 mod drawer;
 mod link;
 mod plan;
--- a/crates/peridotrack-budget/src/holder/search.rs
+++ b/crates/peridotrack-budget/src/holder/search.rs
@@ -10,7 +10,7 @@
 use super::{Holder, Status, exhausted, unavailable, waiting};
 use crate::{
     action::{Action, Note},
-    message::{Answer, Message, Reach},
+    message::{Answer, Reach},
     refusal::Refusal,
 };
 
@@ -23,6 +23,8 @@
 /// Times that a drawer is asked again in one search after it gave something.
 const ROUNDS_MAX: u32 = 8;
 
+mod waves;
+
 /// Search of one account.
 #[derive(Debug, Default)]
 pub(super) enum Search {
@@ -232,111 +234,8 @@
     }
 }
 
-/// Waves
+/// End
 impl Holder {
-    fn ask(
-        &mut self,
-        now_us: u64,
-        index: u32,
-        scope: Scope,
-        mut queue: Vec<(Reach, id::Incarnation)>,
-    ) {
-        let account = &mut self.accounts[index as usize];
-        let link = &self.links[account.shard as usize];
-        let Some(active) = account.active.as_mut() else {
-            return;
-        };
-        let since_us = match &active.search {
-            Search::Drawing { since_us, .. } => *since_us,
-            _ => now_us,
-        };
-        let suspects = &self.suspects;
-        let is_trusted = |(_, id): &(Reach, id::Incarnation)| {
-            suspects.get(id).is_none_or(|until_us| *until_us <= now_us)
-        };
-        queue.retain(|(_, id)| *id != self.id && !link.gone.contains(id));
-        queue.reverse();
-        queue.sort_by_key(is_trusted);
-        active.search = Search::Asking(Box::new(Asking {
-            since_us,
-            queue,
-            outstanding: Vec::new(),
-            until_us: now_us,
-            wave: FIRST_WAVE,
-            rounds: 0,
-            scope,
-            store_unreachable: scope == Scope::Cut,
-        }));
-        self.next_wave(now_us, index);
-    }
-
-    /// Asks the next holders, or ends the search after the last.
-    fn next_wave(&mut self, now_us: u64, index: u32) {
-        let Some(active) = self.accounts[index as usize].active.as_mut() else {
-            return;
-        };
-        let Search::Asking(asking) = &mut active.search else {
-            return;
-        };
-        let rest = asking.queue.len().saturating_sub(asking.wave);
-        let wave = asking.queue.split_off(rest);
-        asking.outstanding = wave.iter().map(|(_, id)| *id).collect();
-        asking.wave *= WAVE_FACTOR;
-        asking.until_us = now_us + self.options.ask_timeout_us;
-        if wave.is_empty() {
-            return self.end_search(now_us, index);
-        }
-        for (reach, to) in wave {
-            self.send_ask(now_us, index, reach, to);
-        }
-    }
-
-    /// Notes what a holder answered.
-    pub(super) fn on_answer(
-        &mut self,
-        now_us: u64,
-        index: u32,
-        from: id::Incarnation,
-        answer: Answer,
-        tokens: u64,
-    ) {
-        let Some(active) = self.accounts[index as usize].active.as_mut() else {
-            return;
-        };
-        let needs_more = active.need_tokens() > 0;
-        let Search::Asking(asking) = &mut active.search else {
-            return;
-        };
-        if !needs_more {
-            return self.end_search(now_us, index);
-        }
-        if !asking.outstanding.contains(&from) {
-            return;
-        }
-        match answer {
-            Answer::Unasked => return,
-            Answer::Pending => {
-                asking.until_us = now_us + SEARCH_TIMEOUT_US;
-                return;
-            }
-            Answer::Leaving if asking.scope == Scope::Drawer => {
-                return self.pass_over(now_us, index, from);
-            }
-            Answer::Unreachable => asking.store_unreachable = true,
-            Answer::Final | Answer::Exhausted | Answer::Leaving => {}
-        }
-        let again = asking.scope == Scope::Drawer && answer == Answer::Final && tokens > 0;
-        if again && asking.rounds < ROUNDS_MAX {
-            asking.rounds += 1;
-            asking.until_us = now_us + self.options.ask_timeout_us;
-            return self.send_ask(now_us, index, Reach::Fleet, from);
-        }
-        asking.outstanding.retain(|id| *id != from);
-        if asking.outstanding.is_empty() {
-            self.next_wave(now_us, index);
-        }
-    }
-
     fn end_search(&mut self, now_us: u64, index: u32) {
         let is_shut = self.is_store_shut(now_us) || self.gate.delay_us > 0;
         let account = &mut self.accounts[index as usize];
@@ -469,25 +368,4 @@
             }
         }
     }
-
-    fn send_ask(&mut self, now_us: u64, index: u32, reach: Reach, to: id::Incarnation) {
-        let account = &self.accounts[index as usize];
-        let Some(active) = account.active.as_deref() else {
-            return;
-        };
-        let link = &self.links[account.shard as usize];
-        let received_tokens = active.transfers.get(&to).map_or(0, |t| t.received_tokens);
-        let message = Message::Ask {
-            budget: account.budget.clone(),
-            need_tokens: active.need_tokens(),
-            wish_tokens: active.float_tokens(now_us, &self.options),
-            reach,
-            member_version: match link.is_member() {
-                true => link.member_version,
-                false => 0,
-            },
-            received_tokens,
-        };
-        self.out.push(Action::Send { to, message });
-    }
 }
