feat(bench): slopes of memory, sizes and processor time for the capacity page

The bench prints resident memory (one process a state), stored bytes and processor time at growing sizes, without bounds. A counting allocator was ruled out: it needs unsafe code. The fleet of the budget measure is split into start and drive so that the ledger's objects can be weighed.

--- a/crates/peridotrack-bench/src/budget/scale.rs
+++ b/crates/peridotrack-bench/src/budget/scale.rs
@@ -58,8 +58,8 @@
     }
 }
 
-/// Runs a fleet under steady load; the busiest budgets get most of it.
-pub fn run(size: Size) -> Load {
+/// Starts a fleet whose holders know each other.
+pub fn start(size: Size) -> Fleet {
     let options = Options {
         tick_us: SECOND_US / 20,
         counts_bytes: true,
@@ -71,6 +71,12 @@
         fleet.spawn(holder % size.failure_domains);
     }
     fleet.meet();
+    fleet
+}
+
+/// Runs a fleet under steady load; the busiest budgets get most of it.
+pub fn run(size: Size) -> Load {
+    let mut fleet = start(size);
     let mut rng = fastrand::Rng::with_seed(7);
     drive(&mut fleet, size, &mut rng, size.warm_up_s * SECOND_US);
     let (reads, writes) = (fleet.store.reads, fleet.store.writes);
@@ -93,7 +99,8 @@
     }
 }
 
-fn drive(fleet: &mut Fleet, size: Size, rng: &mut fastrand::Rng, until_us: u64) {
+/// Sends requests until a time.
+pub fn drive(fleet: &mut Fleet, size: Size, rng: &mut fastrand::Rng, until_us: u64) {
     let interval_us = SECOND_US / size.requests_per_s;
     while fleet.now_us < until_us {
         let node = rng.usize(..size.holders);
--- /dev/null
+++ b/crates/peridotrack-bench/src/capacity.rs
@@ -0,0 +1,6 @@
+//! Slopes for the capacity page: bytes, resident memory and processor time at growing sizes.
+
+pub mod fixture;
+pub mod memory;
+pub mod size;
+pub mod time;
--- /dev/null
+++ b/crates/peridotrack-bench/src/capacity/memory.rs
@@ -0,0 +1,138 @@
+//! Resident memory of one state at a time, each in a process of its own.
+
+use std::{env, fs, hint::black_box, io, process::Command};
+
+use peridotrack_edge::auth;
+use peridotrack_route::{options::Options, router::Router};
+use peridotrack_types::{config::store, register, rules};
+
+use crate::{
+    capacity::fixture,
+    report::{Figure, Report},
+    route::case,
+};
+
+/// Cases and the sizes at which each is measured.
+const CASES: [(&str, &[usize]); 7] = [
+    ("budgets_known", &[1_000, 10_000, fixture::BUDGETS]),
+    ("budgets_active", &[1_000, 10_000, fixture::BUDGETS]),
+    ("client_keys", &[100, fixture::ACCOUNTS, 14_000]),
+    ("engines", &[14, 100, fixture::ENGINES]),
+    (
+        "peers_told_of",
+        &[fixture::DOMAIN_ROUTERS, fixture::ROUTERS],
+    ),
+    ("config_budgets", &[1_000, 10_000, fixture::BUDGETS]),
+    ("config_parts_budgets", &[1_000, 10_000, fixture::BUDGETS]),
+];
+
+/// A figure that could not be taken.
+#[derive(Debug)]
+pub struct Error(String);
+
+impl std::fmt::Display for Error {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// Prints the memory of every case.
+///
+/// # Errors
+///
+/// Returns an error if a process cannot be started or prints no figure.
+pub fn measure(report: &mut Report) -> Result<(), Error> {
+    for (case, sizes) in CASES {
+        for size in sizes {
+            let bytes = in_process(case, *size)?;
+            report.add(Figure::shown(
+                format!("memory.{case}.{size}"),
+                bytes,
+                "B",
+                "no bound",
+            ));
+        }
+    }
+    Ok(())
+}
+
+/// Returns by how many bytes resident memory grows when a state is built.
+///
+/// # Errors
+///
+/// Returns an error if the case is unknown or resident memory cannot be read.
+pub fn run_case(case: &str, size: &str) -> Result<i64, Error> {
+    let size: usize = size.parse().map_err(|error| fault(case, error))?;
+    match case {
+        "budgets_known" => {
+            let names = fixture::budget_names(size);
+            grown(|| fixture::holder(&names))
+        }
+        "budgets_active" => {
+            let names = fixture::budget_names(size);
+            let mut holder = fixture::holder(&names);
+            grown(|| fixture::draw_all(&mut holder, &names))
+        }
+        "client_keys" => {
+            let register = register::Register {
+                client_accounts: fixture::accounts(size),
+                ..register::Register::default()
+            };
+            grown(|| auth::Keys::from_register(&register))
+        }
+        "engines" => {
+            let register = case::register(size, fixture::SLOTS);
+            grown(|| {
+                let mut router = Router::new(Options::default(), "domain-0".into(), 1, 0);
+                let _ = router.configure(0, &register, &rules::Rules::default());
+                router
+            })
+        }
+        "peers_told_of" => grown(|| {
+            let mut members = fixture::members();
+            fixture::meet(&mut members, size, 1_000_000);
+            members
+        }),
+        "config_budgets" => grown(|| fixture::config(size)),
+        "config_parts_budgets" => {
+            let config = fixture::config(size);
+            grown(|| store::split(&config))
+        }
+        _ => Err(fault(case, "unknown case")),
+    }
+}
+
+fn in_process(case: &str, size: usize) -> Result<f64, Error> {
+    let binary = env::current_exe().map_err(|error| fault(case, error))?;
+    let output = Command::new(binary)
+        .args(["memory", case, &size.to_string()])
+        .output()
+        .map_err(|error| fault(case, error))?;
+    let text = String::from_utf8_lossy(&output.stdout);
+    text.trim().parse().map_err(|error| fault(case, error))
+}
+
+fn grown<T>(build: impl FnOnce() -> T) -> Result<i64, Error> {
+    let before = resident_bytes().map_err(|error| fault("resident memory", error))?;
+    let state = black_box(build());
+    let after = resident_bytes().map_err(|error| fault("resident memory", error))?;
+    drop(black_box(state));
+    Ok(after - before)
+}
+
+fn resident_bytes() -> io::Result<i64> {
+    let status = fs::read_to_string("/proc/self/status")?;
+    let kilobytes = status
+        .lines()
+        .find_map(|line| line.strip_prefix("VmRSS:"))
+        .and_then(|line| line.trim().strip_suffix("kB")?.trim().parse::<i64>().ok());
+    kilobytes
+        .map(|kilobytes| kilobytes * 1_024)
+        .ok_or_else(|| io::Error::other("no VmRSS in /proc/self/status"))
+}
+
+fn fault(step: &str, error: impl std::fmt::Display) -> Error {
+    Error(format!("{step}: {error}"))
+}
--- a/crates/peridotrack-bench/src/lib.rs
+++ b/crates/peridotrack-bench/src/lib.rs
@@ -13,6 +13,7 @@
 //! ```
 
 pub mod budget;
+pub mod capacity;
 pub mod fleet;
 pub mod report;
 pub mod route;
