--- a/crates/peridotrack-budget/src/holder/search/waves.rs
+++ b/crates/peridotrack-budget/src/holder/search/waves.rs
@@ -100,13 +100,18 @@
                 return self.pass_over(now_us, index, from);
             }
             Answer::Unreachable => asking.store_unreachable = true,
-            Answer::Final | Answer::Exhausted | Answer::Leaving => {}
+            Answer::Repeated | Answer::Final | Answer::Exhausted | Answer::Leaving => {}
         }
-        let again = asking.scope == Scope::Drawer && answer == Answer::Final && tokens > 0;
-        if again && asking.rounds < ROUNDS_MAX {
+        let is_drawer = asking.scope == Scope::Drawer;
+        let is_more = is_drawer && answer == Answer::Final && tokens > 0;
+        if (is_more || answer == Answer::Repeated) && asking.rounds < ROUNDS_MAX {
             asking.rounds += 1;
             asking.until_us = now_us + self.options.ask_timeout_us;
-            return self.send_ask(now_us, index, Reach::Fleet, from);
+            let reach = match is_drawer {
+                true => Reach::Fleet,
+                false => Reach::Holder,
+            };
+            return self.send_ask(now_us, index, reach, from);
         }
         asking.outstanding.retain(|id| *id != from);
         if asking.outstanding.is_empty() {
--- a/crates/peridotrack-budget/src/holder/transfer.rs
+++ b/crates/peridotrack-budget/src/holder/transfer.rs
@@ -94,7 +94,7 @@
         let sent_tokens = active.transfers.get(&from).map_or(0, |t| t.sent_tokens);
         if sent_tokens > asked.received_tokens {
             // An earlier transfer is still under way, or was lost.
-            return self.answer(index, from, Answer::Final);
+            return self.answer(index, from, Answer::Repeated);
         }
         active.calls.remove(&from);
         match asked.reach {
--- a/crates/peridotrack-budget/src/message.rs
+++ b/crates/peridotrack-budget/src/message.rs
@@ -76,6 +76,8 @@
     Unasked,
     /// A search is under way; another answer follows.
     Pending,
+    /// A repetition of a transfer that was not yet acknowledged; ask again for more.
+    Repeated,
     /// What was asked for, as far as there was any.
     Final,
     /// Ledger and holders have too little.
