perf(edge): one log line for a served request

Acceptance, dispatch and claim decisions stand in the time line as debug events; the log has one line for each request, with its account and duration. A cancelled request is no longer counted as completed.

--- a/crates/peridotrack-edge/src/caller/completion.rs
+++ b/crates/peridotrack-edge/src/caller/completion.rs
@@ -261,13 +261,13 @@
                 connection.finish().await
             }
         };
-        let kind = match result {
-            Ok(()) => event::Kind::RequestCompleted,
-            Err(_) => event::Kind::RequestCancelled,
-        };
-        self.call
-            .note(&self.services.kernel, event::Event::new(kind));
-        self.services.metrics.completed.increment(1);
+        match result {
+            Ok(()) => self.call.complete(self.services),
+            Err(_) => {
+                let event = event::Event::new(event::Kind::RequestCancelled);
+                self.call.note(&self.services.kernel, event);
+            }
+        }
         result
     }
 
--- a/crates/peridotrack-edge/src/caller/server.rs
+++ b/crates/peridotrack-edge/src/caller/server.rs
@@ -73,6 +73,16 @@
         self.cause.set(kernel.note(event));
     }
 
+    /// Records that the request was answered whole.
+    pub(super) fn complete(&self, services: &Services) {
+        let elapsed_us = services.kernel.now_us() - self.arrived_us;
+        let event = event::Event::new(event::Kind::RequestCompleted)
+            .with("client_account", self.account.as_str())
+            .with("elapsed_us", elapsed_us);
+        self.note(&services.kernel, event);
+        services.metrics.completed.increment(1);
+    }
+
     /// Records a refusal and returns its answer.
     pub(super) fn refuse(
         &self,
--- a/crates/peridotrack-edge/src/caller/service_call.rs
+++ b/crates/peridotrack-edge/src/caller/service_call.rs
@@ -79,11 +79,7 @@
     };
     let response = match result {
         Ok(response) => {
-            call.note(
-                &services.kernel,
-                event::Event::new(event::Kind::RequestCompleted),
-            );
-            services.metrics.completed.increment(1);
+            call.complete(services);
             response
         }
         Err(problem) => call.refuse(services, problem),
--- a/crates/peridotrack-kernel/src/event.rs
+++ b/crates/peridotrack-kernel/src/event.rs
@@ -78,11 +78,11 @@
     /// A peer connection was refused or failed its authentication.
     132 Warn PeerRefused,
     /// A request was accepted from a caller.
-    200 Info RequestAccepted,
+    200 Debug RequestAccepted,
     /// Tokens were reserved for a request.
     201 Debug RequestReserved,
     /// A request was sent to a backend server.
-    202 Info RequestDispatched,
+    202 Debug RequestDispatched,
     /// The first part of an answer arrived.
     203 Debug RequestAnswering,
     /// A request was answered whole.
@@ -106,7 +106,7 @@
     /// A budget event that the holder reported.
     302 Info BudgetNote,
     /// A claim of a non-idempotent request was decided.
-    400 Info ClaimDecided,
+    400 Debug ClaimDecided,
     /// A claim event that the machine reported.
     401 Info ClaimNote,
     /// Usage records were copied or flushed.
