--- a/crates/peridotrack-bench/src/capacity/time.rs
+++ b/crates/peridotrack-bench/src/capacity/time.rs
@@ -181,8 +181,13 @@
     shown(report, format!("{name}.client_keys"), keys_ns);
     let account = name::ClientAccount::from("account-0700");
     let model = name::Model::from(case::MODEL);
+    let index_ns = quickest_ns(1, || {
+        black_box(rules::BudgetIndex::new(rules));
+    });
+    shown(report, format!("{name}.budget_index"), index_ns);
+    let index = rules::BudgetIndex::new(rules);
     let budgets_ns = quickest_ns(20, || {
-        black_box(rules.budgets_for(&account, &model).count());
+        black_box(index.budgets_for(rules, &account, &model).count());
     });
     shown(report, format!("{name}.budgets_of_a_request"), budgets_ns);
 }
--- a/crates/peridotrack-edge/src/caller/completion.rs
+++ b/crates/peridotrack-edge/src/caller/completion.rs
@@ -76,9 +76,10 @@
             let detail = format!("no engine serves model {:?}", chat.model.as_str());
             return Err(problem::Problem::new(problem::Kind::NotFound, detail));
         }
-        let budgets: Vec<name::Budget> = config
-            .rules
-            .budgets_for(&call.account, &chat.model)
+        let budgets: Vec<name::Budget> = services
+            .config
+            .budgets()
+            .budgets_for(&config.rules, &call.account, &chat.model)
             .map(|budget| budget.name.clone())
             .collect();
         if budgets.is_empty() {
--- a/crates/peridotrack-edge/src/claims.rs
+++ b/crates/peridotrack-edge/src/claims.rs
@@ -1,10 +1,13 @@
 //! Runs the claims of non-idempotent requests: their platform calls and their waiting requests.
 
-use std::{cell::RefCell, rc::Rc};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+};
 
 use bytes::Bytes;
 use local_sync::oneshot;
-use peridotrack_kernel::{Kernel, clock, event, timer};
+use peridotrack_kernel::{Kernel, clock, event};
 use peridotrack_once::{
     claim::{self, Action, Claims, Decision, Event},
     group,
@@ -16,8 +19,10 @@
 /// Name of this service in the registry.
 pub const SERVICE: &str = "claims";
 
-/// Period of the machine's ticks, in microseconds.
-const TICK_US: u64 = 5 * clock::US_PER_MS;
+/// Period in which the end of open claims is awaited, in microseconds.
+const SETTLE_US: u64 = 5 * clock::US_PER_MS;
+/// Shortest wait for a tick, in microseconds.
+const MIN_TICK_US: u64 = clock::US_PER_MS;
 /// Delay after a write of which no byte was sent, in milliseconds.
 const NOT_SENT_RETRY_MS: u64 = 50;
 
@@ -27,7 +32,9 @@
     platform: Rc<platform::Platform>,
     claims: RefCell<Claims>,
     waiting: RefCell<collections::HashMap<id::Request, oneshot::Sender<Decision>>>,
-    subscription: RefCell<Option<timer::Subscription>>,
+    /// When the next tick is scheduled; `u64::MAX` if none is.
+    tick_us: Cell<u64>,
+    is_stopped: Cell<bool>,
 }
 
 /// Construction and end.
@@ -40,34 +47,27 @@
         options: claim::Options,
         seed: u64,
     ) -> Rc<Self> {
-        let service = Rc::new(Self {
+        Rc::new(Self {
             kernel: Rc::clone(kernel),
             platform: Rc::clone(platform),
             claims: RefCell::new(Claims::new(incarnation, options, seed, kernel.now_us())),
             waiting: RefCell::default(),
-            subscription: RefCell::default(),
-        });
-        let weak = Rc::downgrade(&service);
-        let subscription = kernel.timer().subscribe(TICK_US, move |now_us| {
-            if let Some(service) = weak.upgrade() {
-                service.tick(now_us);
-            }
-        });
-        *service.subscription.borrow_mut() = Some(subscription);
-        service
+            tick_us: Cell::new(u64::MAX),
+            is_stopped: Cell::new(false),
+        })
     }
 
     /// Waits until every outcome is recorded, at most until `deadline_us`.
     pub async fn settle(&self, deadline_us: u64) -> bool {
         while !self.claims.borrow().is_settled() && self.kernel.now_us() < deadline_us {
-            self.kernel.timer().sleep_us(TICK_US).await;
+            self.kernel.timer().sleep_us(SETTLE_US).await;
         }
         self.claims.borrow().is_settled()
     }
 
     /// Ends the ticks.
     pub fn stop(&self) {
-        self.subscription.borrow_mut().take();
+        self.is_stopped.set(true);
     }
 }
 
@@ -112,15 +112,25 @@
 
 /// Inputs and actions.
 impl Service {
-    fn tick(self: &Rc<Self>, now_us: u64) {
-        let is_due = self
-            .claims
-            .borrow()
-            .next_tick_us(now_us)
-            .is_some_and(|due_us| due_us <= now_us);
-        if is_due {
-            self.handle(Event::Tick);
+    /// Schedules the machine's next tick, so that a router at rest has none.
+    fn schedule(self: &Rc<Self>) {
+        let now_us = self.kernel.now_us();
+        let Some(due_us) = self.claims.borrow().next_tick_us(now_us) else {
+            return;
+        };
+        if due_us >= self.tick_us.get() || self.is_stopped.get() {
+            return;
         }
+        self.tick_us.set(due_us);
+        let service = Rc::clone(self);
+        monoio::spawn(async move {
+            let wait_us = due_us.saturating_sub(now_us).max(MIN_TICK_US);
+            service.kernel.timer().sleep_us(wait_us).await;
+            if service.tick_us.get() == due_us && !service.is_stopped.get() {
+                service.tick_us.set(u64::MAX);
+                service.handle(Event::Tick);
+            }
+        });
     }
 
     fn handle(self: &Rc<Self>, event: Event) {
@@ -155,6 +165,7 @@
                 }
             }
         }
+        self.schedule();
     }
 
     fn decide(&self, request_id: id::Request, decision: Decision) {
--- a/crates/peridotrack-edge/src/config.rs
+++ b/crates/peridotrack-edge/src/config.rs
@@ -13,7 +13,10 @@
 use peridotrack_kernel::{Kernel, clock, event};
 use peridotrack_member::{action, config as held};
 use peridotrack_route::event::Event;
-use peridotrack_types::config::{self, store};
+use peridotrack_types::{
+    config::{self, store},
+    rules,
+};
 
 use crate::{budget, member, peer, platform, route};
 
@@ -34,6 +37,7 @@
     route: Rc<route::Route>,
     budget: Rc<budget::Budget>,
     current: RefCell<Rc<config::Config>>,
+    budgets: RefCell<Rc<rules::BudgetIndex>>,
     /// Content of the configuration's object, as given to peers.
     object: RefCell<Bytes>,
     parts: Parts,
@@ -58,6 +62,7 @@
             route: Rc::clone(route),
             budget: Rc::clone(budget),
             current: RefCell::default(),
+            budgets: RefCell::default(),
             object: RefCell::default(),
             parts: Parts::new(Rc::clone(platform), Rc::clone(link)),
         });
@@ -74,6 +79,14 @@
     }
 }
 
+/// Access.
+impl Configuration {
+    /// Returns the index of the budgets of the configuration in force.
+    pub fn budgets(&self) -> Rc<rules::BudgetIndex> {
+        Rc::clone(&self.budgets.borrow())
+    }
+}
+
 /// Peers.
 impl Configuration {
     /// Sends the configuration's object to a peer that holds an older one.
@@ -166,6 +179,7 @@
             held::Outcome::Accepted { previous_version } => {
                 self.route.configure(&config);
                 self.budget.configure(&config);
+                *self.budgets.borrow_mut() = Rc::new(rules::BudgetIndex::new(&config.rules));
                 *self.current.borrow_mut() = Rc::new(config);
                 *self.object.borrow_mut() = object;
                 let event = event::Event::new(event::Kind::ConfigApplied)
--- a/crates/peridotrack-types/src/rules.rs
+++ b/crates/peridotrack-types/src/rules.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::name;
+use crate::{collections, name};
 
 /// All rules on top of the asset register.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -139,18 +139,6 @@
             .map(|rule| rule.priority)
             .unwrap_or_default()
     }
-
-    /// Returns the budgets that `account` may spend on `model`, in order.
-    pub fn budgets_for<'a>(
-        &'a self,
-        account: &'a name::ClientAccount,
-        model: &'a name::Model,
-    ) -> impl Iterator<Item = &'a Budget> + 'a {
-        self.budgets.iter().filter(move |budget| {
-            budget.client_accounts.contains(account)
-                && (budget.models.is_empty() || budget.models.contains(model))
-        })
-    }
 }
 
 impl Route {
@@ -187,3 +175,40 @@
 fn is_plain_byte(byte: u8) -> bool {
     byte.is_ascii_alphanumeric() || b"-._~!$&'()*+,;=:@".contains(&byte)
 }
+
+/// Finds the budgets of a client account without a look at all of them.
+#[derive(Debug, Clone, Default)]
+pub struct BudgetIndex {
+    by_account: collections::HashMap<name::ClientAccount, Vec<usize>>,
+}
+
+impl BudgetIndex {
+    /// Returns the index of these rules; it fits no others.
+    pub fn new(rules: &Rules) -> Self {
+        let mut by_account: collections::HashMap<_, Vec<usize>> = collections::HashMap::default();
+        for (position, budget) in rules.budgets.iter().enumerate() {
+            for account in &budget.client_accounts {
+                by_account
+                    .entry(account.clone())
+                    .or_default()
+                    .push(position);
+            }
+        }
+        Self { by_account }
+    }
+
+    /// Returns the budgets that `account` may spend on `model`, in the order of the rules.
+    pub fn budgets_for<'a>(
+        &'a self,
+        rules: &'a Rules,
+        account: &name::ClientAccount,
+        model: &'a name::Model,
+    ) -> impl Iterator<Item = &'a Budget> + 'a {
+        self.by_account
+            .get(account)
+            .into_iter()
+            .flatten()
+            .filter_map(|position| rules.budgets.get(*position))
+            .filter(move |budget| budget.models.is_empty() || budget.models.contains(model))
+    }
+}
