perf(edge): fewer writes and faster searches on the way of an answer

Cause, by a profile of the router at short requests: a third of the time in system calls, most of it writes; at streams, 37% in byte-wise searches of each event. The head now goes out with the first events and the held tail with the end of the answer (two writes fewer), and searches use memchr.

An answer of which only the tail came was started by nobody; it is now.

--- a/crates/peridotrack-edge/src/caller/answer.rs
+++ b/crates/peridotrack-edge/src/caller/answer.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use peridotrack_http::server;
-use peridotrack_types::problem;
+use peridotrack_types::{id, problem};
 
 use crate::engine;
 
@@ -39,6 +39,17 @@
         .expect("the parts of a JSON answer are valid")
 }
 
+/// Returns the head of a streamed answer.
+pub fn stream_head(request_id: id::Request) -> http::Response<()> {
+    http::Response::builder()
+        .status(200)
+        .header("content-type", "text/event-stream")
+        .header("cache-control", "no-store")
+        .header(engine::REQUEST_ID_HEADER, request_id.to_string())
+        .body(())
+        .expect("the parts of a stream's head are valid")
+}
+
 /// Returns the answer to a request that could not be read, `None` if none can be sent.
 pub fn unreadable(error: &server::Error) -> Option<http::Response<Bytes>> {
     let kind = match error {
--- a/crates/peridotrack-edge/src/caller/completion.rs
+++ b/crates/peridotrack-edge/src/caller/completion.rs
@@ -258,8 +258,12 @@
                 connection.respond(response).await
             }
             Rest::Tail(tail) => {
-                connection.write(tail.into()).await?;
-                connection.finish().await
+                if self.forwarded == Forwarded::Nothing {
+                    connection
+                        .start(answer::stream_head(self.call.request_id))
+                        .await?;
+                }
+                connection.finish_with(tail.into()).await
             }
         };
         match result {
--- a/crates/peridotrack-edge/src/caller/completion/attempt.rs
+++ b/crates/peridotrack-edge/src/caller/completion/attempt.rs
@@ -209,14 +209,8 @@
         events: Vec<u8>,
     ) -> Result<(), server::Error> {
         if self.forwarded == Forwarded::Nothing {
-            let head = http::Response::builder()
-                .status(200)
-                .header("content-type", "text/event-stream")
-                .header("cache-control", "no-store")
-                .header(engine::REQUEST_ID_HEADER, self.call.request_id.to_string())
-                .body(())
-                .expect("the parts of a stream's head are valid");
-            connection.start(head).await?;
+            let head = answer::stream_head(self.call.request_id);
+            connection.start_with(head, events.into()).await?;
             self.forwarded = Forwarded::Part;
             ticket.first_token();
             let elapsed_us = self.services.kernel.now_us() - self.call.arrived_us;
@@ -227,6 +221,7 @@
                 .metrics
                 .first_token
                 .record(Duration::from_micros(elapsed_us).as_secs_f64());
+            return Ok(());
         }
         connection.write(events.into()).await
     }
--- a/crates/peridotrack-edge/src/engine.rs
+++ b/crates/peridotrack-edge/src/engine.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
+use memchr::memmem;
 use peridotrack_http::client;
 use peridotrack_types::{id, rules};
 use serde::Deserialize;
@@ -321,7 +322,7 @@
 }
 
 fn contains(text: &[u8], part: &[u8]) -> bool {
-    text.windows(part.len()).any(|window| window == part)
+    memmem::find(text, part).is_some()
 }
 
 /// Names what an event of another request says, without any text of its answer.
--- a/crates/peridotrack-edge/src/sse.rs
+++ b/crates/peridotrack-edge/src/sse.rs
@@ -1,6 +1,7 @@
 //! Splits a server-sent event stream into whole events.
 
 use bytes::{Buf, Bytes, BytesMut};
+use memchr::memmem;
 
 /// Most bytes of one event.
 pub const EVENT_BYTES: usize = 256 * 1024;
@@ -30,16 +31,13 @@
 
     /// Takes the next whole event with its closing empty line.
     pub fn next_event(&mut self) -> Result<Option<Event>, Error> {
-        let Some(end) = self.buffer.windows(2).position(|pair| pair == b"\n\n") else {
+        let Some(end) = memmem::find(&self.buffer, b"\n\n") else {
             if self.buffer.len() > EVENT_BYTES {
                 return Err(Error::TooLong);
             }
             return Ok(None);
         };
         let bytes = self.buffer.split_to(end + 2).freeze();
-        if self.buffer.is_empty() {
-            self.buffer.reserve(0);
-        }
         Ok(Some(Event { bytes }))
     }
 
--- a/crates/peridotrack-http/src/server/answer.rs
+++ b/crates/peridotrack-http/src/server/answer.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{StatusCode, Version};
 
 use crate::{
@@ -45,6 +45,15 @@
 
     /// Writes the head of a chunked answer.
     pub async fn start(&mut self, head: http::Response<()>) -> Result<(), Error> {
+        self.start_with(head, Bytes::new()).await
+    }
+
+    /// Writes the head of a chunked answer together with its first chunk, unless that is empty.
+    pub async fn start_with(
+        &mut self,
+        head: http::Response<()>,
+        first: Bytes,
+    ) -> Result<(), Error> {
         if self.phase == Phase::Answering && self.exchange.version != Version::HTTP_11 {
             return Err(Error::StreamUnsupported { peer: self.peer() });
         }
@@ -55,7 +64,10 @@
             StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED => Length::Unstated,
             _ => Length::Chunked,
         };
-        let text = encode::response_head(&head, length, !keep_alive);
+        let mut text = encode::response_head(&head, length, !keep_alive);
+        if !self.omit_body && !first.is_empty() {
+            text.extend_from_slice(&encode::chunk(&first));
+        }
         self.write_bytes(text.freeze()).await?;
         self.wire.release();
         self.phase = Phase::Streaming;
@@ -78,13 +90,22 @@
 
     /// Writes the chunk that ends the answer; without it the answer looks cut.
     pub async fn finish(&mut self) -> Result<(), Error> {
+        self.finish_with(Bytes::new()).await
+    }
+
+    /// Writes a last chunk, unless that is empty, together with the one that ends the answer.
+    pub async fn finish_with(&mut self, last: Bytes) -> Result<(), Error> {
         if self.phase != Phase::Streaming {
             return Err(self.out_of_order());
         }
         self.phase = Phase::Doubtful;
         if !self.omit_body {
-            self.write_bytes(Bytes::from_static(encode::LAST_CHUNK))
-                .await?;
+            let mut text = BytesMut::new();
+            if !last.is_empty() {
+                text.extend_from_slice(&encode::chunk(&last));
+            }
+            text.extend_from_slice(encode::LAST_CHUNK);
+            self.write_bytes(text.freeze()).await?;
         }
         self.end(self.exchange.keep_alive, false).await;
         Ok(())
