refactor(edge): outcomes of platform writes and sends to peers in one place

Budget, claims and usage each mapped the platform's errors to the outcomes of a conditional write, and two of them looked up a peer's address in the same words. A write of which no byte was sent is tried again after 50 ms everywhere (usage waited 200 ms). Edge, daemon and demonstration tests pass.

--- a/crates/peridotrack-edge/src/budget.rs
+++ b/crates/peridotrack-edge/src/budget.rs
@@ -40,7 +40,6 @@
 pub struct Budget {
     kernel: Rc<Kernel>,
     platform: Rc<platform::Platform>,
-    link: Rc<peer::Link>,
     holder: RefCell<Holder>,
     changed: notify::Notify,
     subscription: RefCell<Option<timer::Subscription>>,
@@ -53,7 +52,6 @@
     pub fn spawn(
         kernel: &Rc<Kernel>,
         platform: &Rc<platform::Platform>,
-        link: &Rc<peer::Link>,
         incarnation: id::Incarnation,
         options: options::Options,
     ) -> Rc<Self> {
@@ -61,7 +59,6 @@
         let service = Rc::new(Self {
             kernel: Rc::clone(kernel),
             platform: Rc::clone(platform),
-            link: Rc::clone(link),
             holder: RefCell::new(holder),
             changed: notify::Notify::default(),
             subscription: RefCell::default(),
@@ -278,32 +275,19 @@
             let event = event::Event::new(event::Kind::BudgetWriteFailed);
             self.kernel.note(event.with("error", error.to_string()));
         }
-        self.handle(match result {
-            Ok(version) => Event::Written { shard, version },
-            Err(platform::Error::Conflict { .. }) => Event::WriteConflict { shard },
-            Err(platform::Error::Refused { retry_after_ms, .. }) => Event::WriteRefused {
+        self.handle(match platform::Write::from(result) {
+            platform::Write::Done { version } => Event::Written { shard, version },
+            platform::Write::Conflict => Event::WriteConflict { shard },
+            platform::Write::Refused { retry_after_ms } => Event::WriteRefused {
                 shard,
                 retry_after_ms,
             },
-            Err(platform::Error::NotSent { .. }) => Event::WriteRefused {
-                shard,
-                retry_after_ms: RETRY_US / clock::US_PER_MS,
-            },
-            Err(platform::Error::Unknown { .. }) => Event::WriteUnknown { shard },
+            platform::Write::Unknown => Event::WriteUnknown { shard },
         });
     }
 
     fn send(&self, to: id::Incarnation, message: message::Message) {
-        let Ok(members) = self
-            .kernel
-            .registry()
-            .find::<member::Member>(member::SERVICE)
-        else {
-            return;
-        };
-        if let Some(address) = members.address_of(to) {
-            self.link.send(address, &peer::Frame::Budget(message));
-        }
+        member::send(&self.kernel, to, &peer::Frame::Budget(message));
     }
 
     fn note(&self, note: &Note) {
--- a/crates/peridotrack-edge/src/claims.rs
+++ b/crates/peridotrack-edge/src/claims.rs
@@ -23,8 +23,6 @@
 const SETTLE_US: u64 = 5 * clock::US_PER_MS;
 /// Shortest wait for a tick, in microseconds.
 const MIN_TICK_US: u64 = clock::US_PER_MS;
-/// Delay after a write of which no byte was sent, in milliseconds.
-const NOT_SENT_RETRY_MS: u64 = 50;
 
 /// Runs the claims of this router.
 pub struct Service {
@@ -199,18 +197,15 @@
 
     async fn write(self: Rc<Self>, object: String, expected: Option<u64>, body: group::Group) {
         let bytes = Bytes::from(serde_json::to_vec(&body).expect("a group has only text keys"));
-        let event = match self.platform.write(&object, expected, bytes).await {
-            Ok(version) => Event::Written { object, version },
-            Err(platform::Error::Conflict { .. }) => Event::Conflict { object },
-            Err(platform::Error::Refused { retry_after_ms, .. }) => Event::WriteRefused {
+        let result = self.platform.write(&object, expected, bytes).await;
+        let event = match platform::Write::from(result) {
+            platform::Write::Done { version } => Event::Written { object, version },
+            platform::Write::Conflict => Event::Conflict { object },
+            platform::Write::Refused { retry_after_ms } => Event::WriteRefused {
                 object,
                 retry_after_ms,
             },
-            Err(platform::Error::NotSent { .. }) => Event::WriteRefused {
-                object,
-                retry_after_ms: NOT_SENT_RETRY_MS,
-            },
-            Err(platform::Error::Unknown { .. }) => Event::WriteUnknown { object },
+            platform::Write::Unknown => Event::WriteUnknown { object },
         };
         self.handle(event);
     }
--- a/crates/peridotrack-edge/src/daemon.rs
+++ b/crates/peridotrack-edge/src/daemon.rs
@@ -291,14 +291,9 @@
             seed: fastrand::u64(..),
             ..Default::default()
         };
-        let budget = budget::Budget::spawn(kernel, platform, link, incarnation, budget_options);
-        let usage = usage::Usage::spawn(
-            kernel,
-            platform,
-            link,
-            incarnation,
-            usage_log::Options::default(),
-        );
+        let budget = budget::Budget::spawn(kernel, platform, incarnation, budget_options);
+        let usage =
+            usage::Usage::spawn(kernel, platform, incarnation, usage_log::Options::default());
         let claims = claims::Service::spawn(
             kernel,
             platform,
--- a/crates/peridotrack-edge/src/member.rs
+++ b/crates/peridotrack-edge/src/member.rs
@@ -125,6 +125,16 @@
     }
 }
 
+/// Sends a frame to the router of an incarnation, if its address is known.
+pub fn send(kernel: &Kernel, to: id::Incarnation, frame: &peer::Frame) {
+    let Ok(members) = kernel.registry().find::<Member>(SERVICE) else {
+        return;
+    };
+    if let Some(address) = members.address_of(to) {
+        members.link.send(address, frame);
+    }
+}
+
 /// Sending.
 impl Member {
     /// Sends a frame to every live peer that this router knows.
--- a/crates/peridotrack-edge/src/platform.rs
+++ b/crates/peridotrack-edge/src/platform.rs
@@ -23,6 +23,8 @@
 const WATCH_MARGIN_MS: u64 = 5_000;
 /// Most bytes of an object.
 const OBJECT_BYTES: usize = 1024 * 1024;
+/// Delay after a write of which no byte was sent, in milliseconds.
+const NOT_SENT_RETRY_MS: u64 = 50;
 /// Delay after a refusal that states none, in milliseconds.
 const DEFAULT_RETRY_MS: u64 = 1_000;
 
@@ -101,6 +103,39 @@
     },
 }
 
+/// What became of a conditional write, as the decision crates tell it apart.
+#[derive(Debug)]
+pub enum Write {
+    /// It took effect.
+    Done {
+        /// Version that it produced.
+        version: u64,
+    },
+    /// It met another version and had no effect.
+    Conflict,
+    /// It had no effect, because it was refused or never sent.
+    Refused {
+        /// When to try again, in milliseconds.
+        retry_after_ms: u64,
+    },
+    /// It may have taken effect, or may yet.
+    Unknown,
+}
+
+impl From<Result<u64, Error>> for Write {
+    fn from(result: Result<u64, Error>) -> Self {
+        match result {
+            Ok(version) => Self::Done { version },
+            Err(Error::Conflict { .. }) => Self::Conflict,
+            Err(Error::Refused { retry_after_ms, .. }) => Self::Refused { retry_after_ms },
+            Err(Error::NotSent { .. }) => Self::Refused {
+                retry_after_ms: NOT_SENT_RETRY_MS,
+            },
+            Err(Error::Unknown { .. }) => Self::Unknown,
+        }
+    }
+}
+
 /// Client of the platform.
 pub struct Platform {
     kernel: Rc<Kernel>,
--- a/crates/peridotrack-edge/src/usage.rs
+++ b/crates/peridotrack-edge/src/usage.rs
@@ -15,14 +15,11 @@
 
 /// Period of the log's ticks, in microseconds.
 const TICK_US: u64 = 20 * clock::US_PER_MS;
-/// Delay after a write of which no byte was sent, in milliseconds.
-const NOT_SENT_RETRY_MS: u64 = 200;
 
 /// Runs the usage log of this router.
 pub struct Usage {
     kernel: Rc<Kernel>,
     platform: Rc<platform::Platform>,
-    link: Rc<peer::Link>,
     log: RefCell<Log>,
     waiting: RefCell<collections::HashMap<id::Request, oneshot::Sender<()>>>,
     subscription: RefCell<Option<timer::Subscription>>,
@@ -34,14 +31,12 @@
     pub fn spawn(
         kernel: &Rc<Kernel>,
         platform: &Rc<platform::Platform>,
-        link: &Rc<peer::Link>,
         incarnation: id::Incarnation,
         options: usage::Options,
     ) -> Rc<Self> {
         let service = Rc::new(Self {
             kernel: Rc::clone(kernel),
             platform: Rc::clone(platform),
-            link: Rc::clone(link),
             log: RefCell::new(Log::new(incarnation, options, kernel.now_us())),
             waiting: RefCell::default(),
             subscription: RefCell::default(),
@@ -133,31 +128,20 @@
     }
 
     fn send(&self, to: id::Incarnation, message: usage::Message) {
-        let Ok(members) = self
-            .kernel
-            .registry()
-            .find::<member::Member>(member::SERVICE)
-        else {
-            return;
-        };
-        if let Some(address) = members.address_of(to) {
-            self.link.send(address, &peer::Frame::Usage(message));
-        }
+        member::send(&self.kernel, to, &peer::Frame::Usage(message));
     }
 
     async fn write(self: Rc<Self>, object: String, batch: usage::Batch) {
         let bytes = Bytes::from(serde_json::to_vec(&batch).expect("a batch has only text keys"));
-        let event = match self.platform.write(&object, None, bytes).await {
-            Ok(_) | Err(platform::Error::Conflict { .. }) => Event::Flushed { object },
-            Err(platform::Error::Refused { retry_after_ms, .. }) => Event::FlushRefused {
+        let result = self.platform.write(&object, None, bytes).await;
+        let event = match platform::Write::from(result) {
+            // A batch that is there already is this one: nobody else writes under its name.
+            platform::Write::Done { .. } | platform::Write::Conflict => Event::Flushed { object },
+            platform::Write::Refused { retry_after_ms } => Event::FlushRefused {
                 object,
                 retry_after_ms,
             },
-            Err(platform::Error::NotSent { .. }) => Event::FlushRefused {
-                object,
-                retry_after_ms: NOT_SENT_RETRY_MS,
-            },
-            Err(platform::Error::Unknown { .. }) => Event::FlushUnknown { object },
+            platform::Write::Unknown => Event::FlushUnknown { object },
         };
         self.handle(event);
     }
