--- a/crates/peridotrack-edge/src/member.rs
+++ b/crates/peridotrack-edge/src/member.rs
@@ -206,7 +206,7 @@
                 Action::FetchConfigFromPlatform { .. } => self.with_config(config::fetch),
                 Action::PollPlatform => self.with_config(config::fetch),
                 Action::Note(note) => {
-                    let event = event::Event::new(event::Kind::PeerJoined);
+                    let event = event::Event::new(event::Kind::MemberNote);
                     self.kernel.note(event.with("note", format!("{note:?}")));
                 }
             }
--- a/crates/peridotrack-kernel/src/event.rs
+++ b/crates/peridotrack-kernel/src/event.rs
@@ -77,6 +77,8 @@
     131 Warn PeerLeft,
     /// A peer connection was refused or failed its authentication.
     132 Warn PeerRefused,
+    /// A membership event: a pause of this process, a newer process on its VM, a stale version.
+    133 Warn MemberNote,
     /// A request was accepted from a caller.
     200 Debug RequestAccepted,
     /// Tokens were reserved for a request.
