perf(budget): draws cover the spread of the spend and a longer outage

Cause: while VMs are cut off from the store for 8 s, most requests were refused for want of tokens: draws covered 6 s of a rate that was underestimated, without its spread. Searches also waited 100 ms for peers to which the gateway has no links.

--- a/crates/peridotrack-budget/src/holder.rs
+++ b/crates/peridotrack-budget/src/holder.rs
@@ -33,7 +33,6 @@
 
 const RETRY_SOON_MS: u64 = 100;
 const RETRY_EXHAUSTED_MS: u64 = 10_000;
-const RETRY_UNAVAILABLE_MS: u64 = 2_000;
 
 /// One router incarnation's grants and reservations of all budgets.
 ///
@@ -216,12 +215,12 @@
             return Err(exhausted());
         };
         if self.is_closing {
-            return Err(unavailable());
+            return Err(self.unavailable());
         }
         self.activate(now_us, index);
         let half_life_us = self.options.rate_half_life_us;
         let Some(active) = self.accounts[index as usize].active.as_mut() else {
-            return Err(unavailable());
+            return Err(self.unavailable());
         };
         let available_tokens = active.available_tokens();
         active.last_use_us = now_us;
@@ -370,17 +369,20 @@
     }
 }
 
-fn exhausted() -> Refusal {
-    Refusal {
-        kind: refusal::Kind::Exhausted,
-        retry_after_ms: RETRY_EXHAUSTED_MS,
+impl Holder {
+    /// Returns the refusal while the store cannot be reached.
+    fn unavailable(&self) -> Refusal {
+        Refusal {
+            kind: refusal::Kind::Unavailable,
+            retry_after_ms: self.options.unavailable_retry_ms,
+        }
     }
 }
 
-fn unavailable() -> Refusal {
+fn exhausted() -> Refusal {
     Refusal {
-        kind: refusal::Kind::Unavailable,
-        retry_after_ms: RETRY_UNAVAILABLE_MS,
+        kind: refusal::Kind::Exhausted,
+        retry_after_ms: RETRY_EXHAUSTED_MS,
     }
 }
 
--- a/crates/peridotrack-budget/src/holder/account.rs
+++ b/crates/peridotrack-budget/src/holder/account.rs
@@ -104,8 +104,9 @@
 
     /// Returns the tokens to hold at the present rate.
     pub(super) fn target_tokens(&self, now_us: u64, options: &Options) -> u64 {
+        let deviations = options.ride_out_deviations;
         self.rate
-            .over(now_us, options.rate_half_life_us, options.ride_out_us)
+            .bound_over(now_us, options, options.ride_out_us, deviations)
     }
 
     /// Returns the tokens that waiting reservations and calls lack.
@@ -121,8 +122,7 @@
 
     /// Returns the tokens to take from the drawer at the present rate.
     pub(super) fn float_tokens(&self, now_us: u64, options: &Options) -> u64 {
-        self.rate
-            .over(now_us, options.rate_half_life_us, options.float_us)
+        self.rate.over(now_us, options, options.float_us)
     }
 
     /// Returns the tokens to draw, before the limit near exhaustion.
--- a/crates/peridotrack-budget/src/holder/rate.rs
+++ b/crates/peridotrack-budget/src/holder/rate.rs
@@ -2,13 +2,14 @@
 
 use std::f64::consts::LN_2;
 
-/// Shortest time that a rate is averaged over, in microseconds.
-const AGE_MIN_US: u64 = 300_000_000;
+use crate::options::Options;
 
 /// Spend that halves its weight with every half-life.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct Rate {
     level_tokens: f64,
+    /// Decayed sum of the squares of single reservations.
+    squares: f64,
     since_us: u64,
     at_us: u64,
 }
@@ -18,6 +19,7 @@
     pub(super) fn new(now_us: u64) -> Self {
         Self {
             level_tokens: 0.0,
+            squares: 0.0,
             since_us: now_us,
             at_us: now_us,
         }
@@ -25,22 +27,52 @@
 
     /// Adds spend, or takes back spend that was added but did not happen.
     pub(super) fn add(&mut self, now_us: u64, half_life_us: u64, tokens: f64) {
-        self.level_tokens = (self.level(now_us, half_life_us) + tokens).max(0.0);
+        let kept = self.kept(now_us, half_life_us);
+        self.level_tokens = (self.level_tokens * kept + tokens).max(0.0);
+        self.squares *= kept;
+        if tokens > 0.0 {
+            self.squares += tokens * tokens;
+        }
         self.at_us = self.at_us.max(now_us);
     }
 
     /// Returns the spend expected over a period, in tokens.
-    pub(super) fn over(&self, now_us: u64, half_life_us: u64, period_us: u64) -> u64 {
+    pub(super) fn over(&self, now_us: u64, options: &Options, period_us: u64) -> u64 {
+        self.mean_over(now_us, options, period_us) as u64
+    }
+
+    /// Returns the mean spend over a period and `deviations` standard deviations on top, in
+    /// tokens: arrivals are taken as independent, of the sizes seen.
+    pub(super) fn bound_over(
+        &self,
+        now_us: u64,
+        options: &Options,
+        period_us: u64,
+        deviations: f64,
+    ) -> u64 {
+        let mean = self.mean_over(now_us, options, period_us);
+        let size = self.squares / self.level_tokens.max(1.0);
+        (mean + deviations * (mean * size).sqrt()) as u64
+    }
+
+    fn mean_over(&self, now_us: u64, options: &Options, period_us: u64) -> f64 {
+        let half_life_us = options.rate_half_life_us;
         let half_life = half_life_us.max(1) as f64;
-        let age_us = now_us.saturating_sub(self.since_us).max(AGE_MIN_US) as f64;
+        let age_us = now_us.saturating_sub(self.since_us);
+        let age_us = age_us.max(options.rate_age_min_us) as f64;
         // A constant rate has reached this part of its level by now.
         let reached = 1.0 - (-age_us / half_life).exp2();
         let per_us = self.level(now_us, half_life_us) * LN_2 / half_life / reached;
-        (per_us * period_us as f64) as u64
+        per_us * period_us as f64
     }
 
     fn level(&self, now_us: u64, half_life_us: u64) -> f64 {
+        self.level_tokens * self.kept(now_us, half_life_us)
+    }
+
+    /// Returns the part of the level that has not decayed yet.
+    fn kept(&self, now_us: u64, half_life_us: u64) -> f64 {
         let elapsed_us = now_us.saturating_sub(self.at_us) as f64;
-        self.level_tokens * (-elapsed_us / half_life_us.max(1) as f64).exp2()
+        (-elapsed_us / half_life_us.max(1) as f64).exp2()
     }
 }
--- a/crates/peridotrack-budget/src/holder/search.rs
+++ b/crates/peridotrack-budget/src/holder/search.rs
@@ -7,7 +7,7 @@
 
 use peridotrack_types::id;
 
-use super::{Holder, Status, exhausted, unavailable, waiting};
+use super::{Holder, Status, exhausted, waiting};
 use crate::{
     action::{Action, Note},
     message::{Answer, Reach},
@@ -97,19 +97,20 @@
 impl Holder {
     /// Refuses a reservation, and starts a search unless one ended lately.
     pub(super) fn refuse(&mut self, now_us: u64, index: u32, tokens: u64) -> Refusal {
+        let unavailable = self.unavailable();
         let account = &mut self.accounts[index as usize];
         let is_gone = self.links[account.shard as usize].is_gone;
         if tokens > account.purchased_tokens {
             return exhausted();
         }
         let Some(active) = account.active.as_mut() else {
-            return unavailable();
+            return unavailable;
         };
         if is_gone || matches!(active.status, Status::Stopped | Status::Closed) {
-            return unavailable();
+            return unavailable;
         }
         match active.search.dry_answer(now_us) {
-            Some(Answer::Unreachable) => return unavailable(),
+            Some(Answer::Unreachable) => return unavailable,
             Some(_) => return exhausted(),
             None => {}
         }
--- a/crates/peridotrack-budget/src/options.rs
+++ b/crates/peridotrack-budget/src/options.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Options of a [`crate::holder::Holder`]; the defaults fit a fleet of 6 to 9 routers.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Options {
     /// Number of ledger shards; the same for the whole fleet and for good.
@@ -13,6 +13,12 @@
     pub ride_out_us: u64,
     /// Half-life of the observed rate, in microseconds.
     pub rate_half_life_us: u64,
+    /// Age that a budget's use is taken to have at least when its rate is worked out, in
+    /// microseconds.
+    pub rate_age_min_us: u64,
+    /// Standard deviations of the spend over the ride-out that a grant covers on top of its
+    /// mean.
+    pub ride_out_deviations: f64,
     /// Smallest draw while the budget is far from exhaustion, in tokens.
     pub draw_floor_tokens: u64,
     /// Time without use after which unneeded grants are returned, in microseconds.
@@ -39,6 +45,8 @@
     pub backoff_max_us: u64,
     /// First delay before an unacknowledged transfer is repeated, in microseconds.
     pub repeat_us: u64,
+    /// When to come back after a refusal because the store cannot be reached, in milliseconds.
+    pub unavailable_retry_ms: u64,
     /// Period in which every active budget is inspected once, in microseconds.
     pub sweep_us: u64,
     /// Age at which a shard is read again without other cause, in microseconds.
@@ -56,6 +64,8 @@
             shard_count: 256,
             ride_out_us: 7_200 * SECOND_US,
             rate_half_life_us: 1_800 * SECOND_US,
+            rate_age_min_us: 300 * SECOND_US,
+            ride_out_deviations: 0.0,
             draw_floor_tokens: 4_096,
             return_after_us: 600 * SECOND_US,
             float_us: 60 * SECOND_US,
@@ -68,6 +78,7 @@
             backoff_min_us: 50 * MILLISECOND_US,
             backoff_max_us: 5 * SECOND_US,
             repeat_us: SECOND_US,
+            unavailable_retry_ms: 2_000,
             sweep_us: 10 * SECOND_US,
             refresh_us: 3_600 * SECOND_US,
             seed: 0,
--- a/crates/peridotrack-edge/src/budget.rs
+++ b/crates/peridotrack-edge/src/budget.rs
@@ -285,8 +285,10 @@
         });
     }
 
-    fn send(&self, to: id::Incarnation, message: message::Message) {
-        member::send(&self.kernel, to, &peer::Frame::Budget(message));
+    fn send(self: &Rc<Self>, to: id::Incarnation, message: message::Message) {
+        if !member::send(&self.kernel, to, &peer::Frame::Budget(message)) {
+            self.handle(Event::PeerLost { peer: to });
+        }
     }
 
     fn note(&self, note: &Note) {
--- a/crates/peridotrack-edge/src/gateway.rs
+++ b/crates/peridotrack-edge/src/gateway.rs
@@ -30,9 +30,18 @@
 const LEAVE_ROTATION_US: u64 = 2_600 * clock::US_PER_MS;
 /// Tokens of a grant are drawn for this span of the observed spend, in microseconds: longer
 /// than the outages of the store that are to be ridden out.
-const DRAW_SPAN_US: u64 = 6 * clock::US_PER_S;
+const DRAW_SPAN_US: u64 = 12 * clock::US_PER_S;
+/// Standard deviations of the spend over that span that are drawn on top.
+const DRAW_DEVIATIONS: f64 = 1.0;
 /// Half-life of the observed spend, in microseconds.
-const RATE_HALF_LIFE_US: u64 = 4 * clock::US_PER_S;
+const RATE_HALF_LIFE_US: u64 = 8 * clock::US_PER_S;
+/// Time over which the first spend of an account is averaged at least, in microseconds.
+const RATE_AGE_MIN_US: u64 = 2 * clock::US_PER_S;
+/// Period in which each account's grant is inspected, in microseconds.
+const INSPECT_US: u64 = clock::US_PER_S;
+/// When to come back after a refusal because the store cannot be reached, in milliseconds;
+/// clients cap it at a third of the time they have.
+const UNAVAILABLE_RETRY_MS: u64 = 5_000;
 /// Time without use after which a grant goes back, in microseconds.
 const RETURN_AFTER_US: u64 = 8 * clock::US_PER_S;
 /// Write calls a second for which one shard of the ledger is made.
@@ -229,6 +238,10 @@
         shard_count: u32::try_from(shard_count.max(1)).unwrap_or(u32::MAX),
         ride_out_us: DRAW_SPAN_US,
         rate_half_life_us: RATE_HALF_LIFE_US,
+        rate_age_min_us: RATE_AGE_MIN_US,
+        ride_out_deviations: DRAW_DEVIATIONS,
+        sweep_us: INSPECT_US,
+        unavailable_retry_ms: UNAVAILABLE_RETRY_MS,
         return_after_us: RETURN_AFTER_US,
         seed: fastrand::u64(..),
         ..budget_options::Options::default()
--- a/crates/peridotrack-edge/src/member.rs
+++ b/crates/peridotrack-edge/src/member.rs
@@ -126,13 +126,16 @@
 }
 
 /// Sends a frame to the router of an incarnation, if its address is known.
-pub fn send(kernel: &Kernel, to: id::Incarnation, frame: &peer::Frame) {
+///
+/// Returns whether the process has links to peers at all.
+pub fn send(kernel: &Kernel, to: id::Incarnation, frame: &peer::Frame) -> bool {
     let Ok(members) = kernel.registry().find::<Member>(SERVICE) else {
-        return;
+        return false;
     };
     if let Some(address) = members.address_of(to) {
         members.link.send(address, frame);
     }
+    true
 }
 
 /// Sending.
--- a/crates/peridotrack-http/tests/client.rs
+++ b/crates/peridotrack-http/tests/client.rs
@@ -16,6 +16,7 @@
         chunk_timeout_ms: 10_000,
         head_bytes: 256,
         body_bytes: 64,
+        ..Options::default()
     }
 }
 
--- a/crates/peridotrack-standin/src/site.rs
+++ b/crates/peridotrack-standin/src/site.rs
@@ -19,6 +19,7 @@
 const LIMITS: server::Options = server::Options {
     head_bytes: 32 * 1024,
     body_bytes: 8 * 1024 * 1024,
+    idle_timeout_ms: 60_000,
     head_timeout_ms: 60_000,
     body_timeout_ms: 60_000,
     write_timeout_ms: 60_000,
