perf(budget): grants cover 20 s and two deviations, shares of a third

The share of what is left is now an option.

Completed requests are logged with the time to their first part and the longest gap.

--- a/crates/peridotrack-budget/src/holder/plan.rs
+++ b/crates/peridotrack-budget/src/holder/plan.rs
@@ -16,9 +16,6 @@
 
 mod complete;
 
-/// Divides what is left among the holders twice over, so that draws shrink near exhaustion.
-const SHARE_DIVISOR: u64 = 2;
-
 /// A planned update and what it means once it took effect.
 #[derive(Debug, Default)]
 pub(super) struct Plan {
@@ -45,8 +42,8 @@
 }
 
 /// Returns how much of a wanted draw is granted.
-fn allowance(want_tokens: u64, need_tokens: u64, left_tokens: u64, holders: u32) -> u64 {
-    let share = left_tokens / (SHARE_DIVISOR * u64::from(holders.max(1)));
+fn allowance(want_tokens: u64, need_tokens: u64, left_tokens: u64, portions: u64) -> u64 {
+    let share = left_tokens / portions.max(1);
     want_tokens.min(share.max(need_tokens)).min(left_tokens)
 }
 
@@ -362,7 +359,8 @@
     };
     entry.rows.insert(holder, active.open_row(granted_before));
     let (left_tokens, holders) = (entry.left_tokens(), entry.holders());
-    let limit = allowance(want_tokens, active.need_tokens(), left_tokens, holders);
+    let portions = options.share_divisor * u64::from(holders);
+    let limit = allowance(want_tokens, active.need_tokens(), left_tokens, portions);
     own.granted_tokens = entry
         .apply_draw(holder, granted_before + want_tokens, limit)
         .unwrap_or(granted_before);
@@ -377,7 +375,7 @@
     pub(super) fn set_low_water(&mut self, now_us: u64, options: &Options) {
         let target = self.target_tokens(now_us, options);
         let holders = self.rows.len() as u64 + 1;
-        let share = self.left_tokens / (SHARE_DIVISOR * holders);
+        let share = self.left_tokens / (options.share_divisor * holders).max(1);
         self.low_water_tokens = target.max(options.draw_floor_tokens).min(share) / 2;
     }
 
--- a/crates/peridotrack-budget/src/options.rs
+++ b/crates/peridotrack-budget/src/options.rs
@@ -19,6 +19,9 @@
     /// Standard deviations of the spend over the ride-out that a grant covers on top of its
     /// mean.
     pub ride_out_deviations: f64,
+    /// What is left of a budget is divided among its holders this many times over; a draw
+    /// takes one portion at most, so that draws shrink near exhaustion.
+    pub share_divisor: u64,
     /// Smallest draw while the budget is far from exhaustion, in tokens.
     pub draw_floor_tokens: u64,
     /// Time without use after which unneeded grants are returned, in microseconds.
@@ -66,6 +69,7 @@
             rate_half_life_us: 1_800 * SECOND_US,
             rate_age_min_us: 300 * SECOND_US,
             ride_out_deviations: 0.0,
+            share_divisor: 2,
             draw_floor_tokens: 4_096,
             return_after_us: 600 * SECOND_US,
             float_us: 60 * SECOND_US,
--- a/crates/peridotrack-edge/src/gateway.rs
+++ b/crates/peridotrack-edge/src/gateway.rs
@@ -30,9 +30,11 @@
 const LEAVE_ROTATION_US: u64 = 2_600 * clock::US_PER_MS;
 /// Tokens of a grant are drawn for this span of the observed spend, in microseconds: longer
 /// than the outages of the store that are to be ridden out.
-const DRAW_SPAN_US: u64 = 12 * clock::US_PER_S;
+const DRAW_SPAN_US: u64 = 20 * clock::US_PER_S;
 /// Standard deviations of the spend over that span that are drawn on top.
-const DRAW_DEVIATIONS: f64 = 1.0;
+const DRAW_DEVIATIONS: f64 = 2.0;
+/// What is left of an account is divided among the routers this many times over.
+const SHARE_DIVISOR: u64 = 3;
 /// Half-life of the observed spend, in microseconds.
 const RATE_HALF_LIFE_US: u64 = 8 * clock::US_PER_S;
 /// Time over which the first spend of an account is averaged at least, in microseconds.
@@ -240,6 +242,7 @@
         rate_half_life_us: RATE_HALF_LIFE_US,
         rate_age_min_us: RATE_AGE_MIN_US,
         ride_out_deviations: DRAW_DEVIATIONS,
+        share_divisor: SHARE_DIVISOR,
         sweep_us: INSPECT_US,
         unavailable_retry_ms: UNAVAILABLE_RETRY_MS,
         return_after_us: RETURN_AFTER_US,
--- a/crates/peridotrack-edge/src/gateway/exchange.rs
+++ b/crates/peridotrack-edge/src/gateway/exchange.rs
@@ -303,7 +303,7 @@
                     return cut(shared, call, "no backend server continues the stream");
                 }
                 if let Some(response) = last_answer {
-                    return complete(shared, connection, call, response).await;
+                    return respond(shared, connection, response).await;
                 }
                 let problem = match kind.ran() {
                     problem::Ran::No => problem::Problem::new(kind, "no backend server took it")
@@ -331,11 +331,12 @@
         match attempt.run(connection, &mut progress).await {
             Attempt::Answered(response) => {
                 ticket.finished(Outcome::Done);
-                return complete(shared, connection, call, response).await;
+                note_completed(shared, call, &target, &progress);
+                return respond(shared, connection, response).await;
             }
             Attempt::Streamed => {
                 ticket.finished(Outcome::Done);
-                note_completed(shared, call);
+                note_completed(shared, call, &target, &progress);
                 return Ok(());
             }
             Attempt::ClientLeft => {
@@ -393,21 +394,24 @@
     shared.last().map(|part| part.id)
 }
 
-async fn complete(
-    shared: &Rc<Shared>,
-    connection: &mut server::Connection,
+/// Records that the request was answered whole, with what tells whether that was in time.
+fn note_completed(
+    shared: &Shared,
     call: &Call,
-    response: http::Response<Bytes>,
-) -> Result<(), Ended> {
-    note_completed(shared, call);
-    respond(shared, connection, response).await
-}
-
-fn note_completed(shared: &Shared, call: &Call) {
+    target: &attempt::Target,
+    progress: &stream::Progress,
+) {
     let elapsed_us = shared.kernel.now_us() - call.arrived_us;
-    let event = event::Event::new(event::Kind::RequestCompleted)
+    let mut event = event::Event::new(event::Kind::RequestCompleted)
         .with("client_request", client_request(call))
+        .with("route", &*call.route().name)
+        .with("backend_server", target.backend_server.as_str())
         .with("elapsed_us", elapsed_us);
+    if progress.has_begun() {
+        event = event
+            .with("first_part_us", progress.first_part_us() - call.arrived_us)
+            .with("longest_gap_us", progress.longest_gap_us());
+    }
     call.note(shared, event);
     shared.metrics.completed.increment(1);
 }
--- a/crates/peridotrack-edge/src/gateway/stream.rs
+++ b/crates/peridotrack-edge/src/gateway/stream.rs
@@ -17,6 +17,9 @@
     events_seen: u64,
     last_event: Option<u64>,
     event_tokens: u64,
+    first_part_us: u64,
+    last_part_us: u64,
+    longest_gap_us: u64,
 }
 
 impl Progress {
@@ -27,6 +30,9 @@
             events_seen: 0,
             last_event: call.facts.last_event,
             event_tokens: call.engine().map_or(1, |engine| engine.event_tokens),
+            first_part_us: 0,
+            last_part_us: 0,
+            longest_gap_us: 0,
         }
     }
 
@@ -40,6 +46,27 @@
         self.events_seen
     }
 
+    /// Returns when the first part went to the client, in monotonic microseconds.
+    pub(super) fn first_part_us(&self) -> u64 {
+        self.first_part_us
+    }
+
+    /// Returns the longest time between two parts, in microseconds.
+    pub(super) fn longest_gap_us(&self) -> u64 {
+        self.longest_gap_us
+    }
+
+    /// Takes in that a part goes to the client.
+    fn on_part(&mut self, now_us: u64) {
+        if self.has_begun {
+            self.longest_gap_us = self.longest_gap_us.max(now_us - self.last_part_us);
+        } else {
+            self.first_part_us = now_us;
+        }
+        self.has_begun = true;
+        self.last_part_us = now_us;
+    }
+
     /// Returns the number of the last event that the client has.
     pub(super) fn last_event(&self) -> Option<u64> {
         self.last_event
@@ -124,11 +151,13 @@
     progress: &mut Progress,
     events: Bytes,
 ) -> Result<(), server::Error> {
-    if progress.has_begun {
+    let now_us = run.shared.kernel.now_us();
+    let has_begun = progress.has_begun;
+    progress.on_part(now_us);
+    if has_begun {
         return client.write(events).await;
     }
-    progress.has_begun = true;
-    let elapsed_us = run.shared.kernel.now_us() - run.call.arrived_us;
+    let elapsed_us = now_us - run.call.arrived_us;
     run.shared
         .metrics
         .first_token
