perf(route): place by the tokens that are still to be read

Requests with a known prompt go where their first token is due first: own tokens in flight, the last report of waiting requests, parts that the engine keeps, the home of the shared parts by rendezvous, and how much slower the engine was than predicted.

--- a/crates/peridotrack-bench/src/route/fleet/caller.rs
+++ b/crates/peridotrack-bench/src/route/fleet/caller.rs
@@ -29,6 +29,7 @@
             idempotent: arrival.idempotent,
             continuation: Continuation::default(),
             max_dispatches: None,
+            prompt: None,
         };
         match &mut self.routers[number] {
             Chooser::Peridotrack(router) => {
--- a/crates/peridotrack-edge/src/caller/completion.rs
+++ b/crates/peridotrack-edge/src/caller/completion.rs
@@ -197,6 +197,7 @@
             idempotent: true,
             continuation: Continuation::default(),
             max_dispatches: None,
+            prompt: None,
         }
     }
 
--- a/crates/peridotrack-edge/src/caller/service_call.rs
+++ b/crates/peridotrack-edge/src/caller/service_call.rs
@@ -245,6 +245,7 @@
             idempotent: self.mode == Mode::Idempotent,
             continuation: Continuation::default(),
             max_dispatches: None,
+            prompt: None,
         }
     }
 }
--- a/crates/peridotrack-edge/src/gateway/exchange.rs
+++ b/crates/peridotrack-edge/src/gateway/exchange.rs
@@ -7,7 +7,10 @@
 use peridotrack_http::server;
 use peridotrack_kernel::{clock, event};
 use peridotrack_platform::request as wire;
-use peridotrack_route::event::{Continuation, Offer, Outcome, Target};
+use peridotrack_route::{
+    event::{Continuation, Offer, Outcome, Target},
+    prefill,
+};
 use peridotrack_types::{id, name, problem, rules, site};
 
 use super::{
@@ -369,12 +372,14 @@
     };
     let is_resumable = route.repetition == site::Repetition::ResumableStream;
     let account = call.account.clone();
+    let prompt = prompt(&call.facts);
     Offer {
         request_id: call.request_id,
         target,
         account: account.unwrap_or_else(|| "".into()),
         priority: call.priority,
-        prefix_hash: shared_prefix(&call.facts),
+        prefix_hash: prompt.as_ref().and_then(prefill::Prompt::shared_id),
+        prompt,
         size_tokens: (call.facts.prompt_tokens + call.facts.max_output_tokens).max(1),
         deadline_us: call.deadline_us,
         idempotent: is_resumable || route.repetition == site::Repetition::Idempotent,
@@ -386,12 +391,16 @@
     }
 }
 
-/// Returns the identifier of the longest run of parts that other requests share.
-///
-/// The last part belongs to the request or its session alone.
-fn shared_prefix(facts: &wire::Facts) -> Option<u64> {
-    let (_, shared) = facts.prompt_parts.split_last()?;
-    shared.last().map(|part| part.id)
+/// Returns the prompt of a request that states its parts.
+fn prompt(facts: &wire::Facts) -> Option<prefill::Prompt> {
+    let part = |part: &wire::PromptPart| prefill::Part {
+        id: part.id,
+        tokens: part.tokens,
+    };
+    (!facts.prompt_parts.is_empty()).then(|| prefill::Prompt {
+        parts: facts.prompt_parts.iter().map(part).collect(),
+        tokens: facts.prompt_tokens,
+    })
 }
 
 /// Records that the request was answered whole, with what tells whether that was in time.
--- a/crates/peridotrack-route/src/backend.rs
+++ b/crates/peridotrack-route/src/backend.rs
@@ -2,7 +2,7 @@
 
 use peridotrack_types::name;
 
-use crate::{breaker, drain, limit, options::Options, prefix, signal};
+use crate::{breaker, drain, limit, options::Options, prefill, prefix, signal};
 
 /// One backend server.
 #[derive(Debug, Clone)]
@@ -27,6 +27,8 @@
     pub drain: drain::Drain,
     /// Load and speed.
     pub signal: signal::Signal,
+    /// Prompts that it reads, and parts that it keeps.
+    pub prefill: prefill::Prefill,
     /// Start of its slow start, if it has one.
     pub slow_start_us: Option<u64>,
     /// Time until which it gets no work after a refusal.
@@ -54,6 +56,7 @@
             breaker: breaker::Breaker::new(),
             drain: drain::Drain::default(),
             signal: signal::Signal::new(),
+            prefill: prefill::Prefill::default(),
             slow_start_us: None,
             hold_until_us: 0,
             pools: Vec::new(),
--- a/crates/peridotrack-route/src/dispatch.rs
+++ b/crates/peridotrack-route/src/dispatch.rs
@@ -138,6 +138,7 @@
         let query = place::Query {
             now_us,
             prefix_hash: request.prefix_hash,
+            prompt: request.prompt.as_ref(),
             may_probe: request.idempotent && self.retries.allows(now_us),
             avoid: request.avoid(),
         };
@@ -156,6 +157,14 @@
         let pool = &mut self.pools[request.pool];
         let backend = &mut self.backends[index];
         let load = backend.load(now_us, &pool.prior);
+        let (mut prefill_tokens, mut predicted_us, mut wait_us) = (0.0, 0.0, 0.0);
+        if let Some(prompt) = &request.prompt {
+            prefill_tokens = backend.prefill.tokens_to_read(now_us, prompt);
+            wait_us = backend.prefill.wait_us(now_us, &pool.speed);
+            predicted_us = wait_us + prefill_tokens * pool.speed.us_per_token;
+            backend.prefill.on_dispatch(now_us, prompt, prefill_tokens);
+            pool.speed.on_dispatch(prefill_tokens);
+        }
         pool.in_flight += 1;
         request.dispatches += 1;
         if request.dispatches == 1 {
@@ -171,6 +180,9 @@
             answered: false,
             probe: backend.on_dispatch(now_us),
             load,
+            prefill_tokens,
+            predicted_us,
+            wait_us,
         });
         actions.push(Action::Dispatch {
             request_id,
--- a/crates/peridotrack-route/src/event.rs
+++ b/crates/peridotrack-route/src/event.rs
@@ -3,6 +3,8 @@
 use peridotrack_types::{id, name, problem, rules};
 use serde::{Deserialize, Serialize};
 
+use crate::prefill;
+
 /// What a request is for.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -26,6 +28,8 @@
     pub priority: rules::Priority,
     /// Hash of the prompt's prefix, if it has one worth caching.
     pub prefix_hash: Option<u64>,
+    /// The prompt's parts, if they are known.
+    pub prompt: Option<prefill::Prompt>,
     /// Estimated size in tokens: prompt and output. A plain call counts as 1.
     pub size_tokens: u64,
     /// When the whole answer is due.
--- a/crates/peridotrack-route/src/finish.rs
+++ b/crates/peridotrack-route/src/finish.rs
@@ -32,7 +32,12 @@
             return;
         }
         attempt.answered = true;
-        let attempt = *attempt;
+        let read_tokens = std::mem::take(&mut attempt.prefill_tokens);
+        let attempt = Attempt {
+            prefill_tokens: read_tokens,
+            ..*attempt
+        };
+        self.backends[attempt.backend].prefill.on_read(read_tokens);
         self.sample_first_token(now_us, pool, &attempt);
     }
 
@@ -130,7 +135,9 @@
     }
 
     fn release(&mut self, now_us: u64, request: &Request, attempt: &Attempt) {
-        self.backends[attempt.backend].on_release(now_us);
+        let backend = &mut self.backends[attempt.backend];
+        backend.on_release(now_us);
+        backend.prefill.on_read(attempt.prefill_tokens);
         let pool = &mut self.pools[request.pool];
         pool.in_flight = pool.in_flight.saturating_sub(1);
     }
@@ -188,7 +195,17 @@
         let first_token_us = now_us.saturating_sub(attempt.dispatched_us);
         let pool = &mut self.pools[pool];
         let backend = &mut self.backends[attempt.backend];
-        let expected_us = backend.score_us(now_us, &pool.prior);
+        if attempt.predicted_us > 0.0 {
+            let (first_us, predicted_us) = (first_token_us as f64, attempt.predicted_us);
+            backend.prefill.on_first_token(now_us, first_us, predicted_us);
+            if attempt.wait_us == 0.0 {
+                pool.speed.on_unqueued(first_us, attempt.prefill_tokens);
+            }
+        }
+        let expected_us = match attempt.predicted_us > 0.0 {
+            true => attempt.predicted_us,
+            false => backend.score_us(now_us, &pool.prior),
+        };
         backend
             .limit
             .on_first_token(first_token_us as f64, expected_us, backend.in_flight);
--- a/crates/peridotrack-route/src/lib.rs
+++ b/crates/peridotrack-route/src/lib.rs
@@ -39,6 +39,7 @@
 //!         idempotent: true,
 //!         continuation: event::Continuation::default(),
 //!         max_dispatches: None,
+//!         prompt: None,
 //!     },
 //! );
 //! let dispatch = event::Action::Dispatch {
@@ -61,6 +62,7 @@
 pub mod options;
 pub mod place;
 pub mod pool;
+pub mod prefill;
 pub mod prefix;
 pub mod queue;
 mod request;
--- a/crates/peridotrack-route/src/options.rs
+++ b/crates/peridotrack-route/src/options.rs
@@ -47,6 +47,13 @@
     pub far_cost_us: u64,
     /// Servers scored for one placement.
     pub choices: usize,
+    /// Time to read one token of a prompt before any was seen, in microseconds.
+    pub prefill_us_per_token: f64,
+    /// Weight of the time to read shared parts again, on top of that time itself: the engine's
+    /// work for them is wasted.
+    pub reread_weight: f64,
+    /// Cost of a full server beside one that does nothing, for a request with a known prompt.
+    pub full_cost_us: f64,
     /// Duration of a model request before any was seen.
     pub duration_us: u64,
     /// Duration of a plain call before any was seen.
@@ -82,6 +89,9 @@
             near_cost_us: 3_000,
             far_cost_us: 60_000,
             choices: 16,
+            prefill_us_per_token: 12.0,
+            reread_weight: 2.0,
+            full_cost_us: 100_000.0,
             duration_us: 5_000_000,
             call_duration_us: 100_000,
             first_token_us: 200_000,
--- a/crates/peridotrack-route/src/place.rs
+++ b/crates/peridotrack-route/src/place.rs
@@ -1,6 +1,6 @@
 //! Choice of a backend server for one request.
 
-use crate::{backend::Backend, options::Options, pool, prefix};
+use crate::{backend::Backend, options::Options, pool, prefill, prefix};
 
 /// Factor on the score of a server that must be probed, for a request that should not probe it.
 const PROBE_FACTOR: f64 = 1e6;
@@ -8,6 +8,8 @@
 const FULL_LOAD: f64 = 1.0;
 /// Members weighed for one prefix.
 const RING_MEMBERS: usize = 16;
+/// Homes of a prompt's shared parts that are weighed.
+const HOMES_WEIGHED: usize = 4;
 /// Part of the sample that is taken from other regions.
 const FAR_PART: usize = 4;
 
@@ -18,6 +20,8 @@
     pub now_us: u64,
     /// Hash of the prompt's prefix.
     pub prefix_hash: Option<u64>,
+    /// The prompt's parts, if they are known.
+    pub prompt: Option<&'a prefill::Prompt>,
     /// Whether the request may probe a breaker: it may run more than once, and the retry budget has
     /// something left for it.
     pub may_probe: bool,
@@ -33,6 +37,9 @@
     options: &Options,
     rng: &mut fastrand::Rng,
 ) -> Option<usize> {
+    if let Some(prompt) = query.prompt {
+        return by_prompt(backends, pool, query, prompt, options, rng);
+    }
     let (best_us, best) = scored(backends, pool, query, options, rng)?;
     let preferred = query
         .prefix_hash
@@ -43,6 +50,63 @@
     }
 }
 
+/// Returns the server at which the first token of a request with a known prompt is due first.
+///
+/// The homes of the prompt's shared parts count as having read them, because every router sends
+/// requests with those parts there.
+fn by_prompt(
+    backends: &[Backend],
+    pool: &pool::Pool,
+    query: &Query<'_>,
+    prompt: &prefill::Prompt,
+    options: &Options,
+    rng: &mut fastrand::Rng,
+) -> Option<usize> {
+    let mut homes = Vec::new();
+    if let Some(id) = prompt.shared_id() {
+        let serves = |index: usize| {
+            let backend = &backends[index];
+            backend.drain.is_serving() && backend.breaker.is_closed()
+        };
+        let count = pool.popularity.homes(id, pool.preferable().len());
+        let numbers = 0..count.min(HOMES_WEIGHED);
+        homes.extend(numbers.filter_map(|number| highest(pool, prefix::home(id, number), serves)));
+    }
+    let own_tokens = prompt.parts.last().map_or(0, |part| part.tokens) as f64;
+    let score = |index: usize| {
+        let backend = &backends[index];
+        let tokens = match homes.contains(&index) {
+            true => own_tokens,
+            false => backend.prefill.tokens_to_read(query.now_us, prompt),
+        };
+        let wait_us = backend.prefill.wait_us(query.now_us, &pool.speed);
+        let again_tokens = (tokens - own_tokens).max(0.0);
+        let read_us = tokens * pool.speed.us_per_token;
+        let again_us = again_tokens * pool.speed.us_per_token * options.reread_weight;
+        let load_us = backend.load(query.now_us, &pool.prior) * options.full_cost_us;
+        let slowness = backend.prefill.slowness(query.now_us);
+        let score_us = slowness * (wait_us + read_us + load_us) + again_us + backend.distance_us as f64;
+        match (backend.breaker.is_closed(), query.may_probe) {
+            (true, _) => score_us,
+            (false, true) => 0.0,
+            (false, false) => score_us * PROBE_FACTOR,
+        }
+    };
+    let far = (options.choices / FAR_PART).min(pool.far.len());
+    let near = (options.choices - far).min(pool.near.len());
+    let mut candidates = homes.clone();
+    candidates.extend(sample(&pool.near, near, rng).map(|member| member.index));
+    candidates.extend(sample(&pool.far, options.choices - near, rng).map(|member| member.index));
+    candidates
+        .into_iter()
+        .filter(|index| is_open_to(&backends[*index], *index, query, options))
+        .min_by(|a, b| score(*a).total_cmp(&score(*b)))
+        .or_else(|| {
+            let mut members = pool.members().map(|member| member.index);
+            members.find(|index| is_open_to(&backends[*index], *index, query, options))
+        })
+}
+
 /// Returns whether a cached prefix outweighs a shorter wait elsewhere.
 fn is_worth(
     backend: &Backend,
--- a/crates/peridotrack-route/src/pool.rs
+++ b/crates/peridotrack-route/src/pool.rs
@@ -1,6 +1,6 @@
 //! The backend servers of one model or service, with their queue.
 
-use crate::{event, fairness, options::Options, prefix, queue, signal};
+use crate::{event, fairness, options::Options, prefill, prefix, queue, signal};
 
 /// Weight of a new sample of the duration.
 const DURATION_WEIGHT: f64 = 0.05;
@@ -39,6 +39,8 @@
     pub in_flight: usize,
     /// What is known about all members together.
     pub prior: signal::Prior,
+    /// Reading of prompts by its servers.
+    pub speed: prefill::Speed,
     own_mean: f64,
     total_mean: f64,
 }
@@ -60,6 +62,7 @@
                 cost_us: options.first_token_us as f64,
                 duration_us: duration_us as f64,
             },
+            speed: prefill::Speed::new(options.prefill_us_per_token),
             own_mean: 0.0,
             total_mean: 0.0,
         }
--- a/crates/peridotrack-route/src/request.rs
+++ b/crates/peridotrack-route/src/request.rs
@@ -2,7 +2,7 @@
 
 use peridotrack_types::{name, problem, rules};
 
-use crate::event;
+use crate::{event, prefill};
 
 /// Failed servers remembered for one request.
 const AVOIDED: usize = 4;
@@ -22,6 +22,12 @@
     pub probe: bool,
     /// Estimated requests per slot at the server when it was dispatched.
     pub load: f64,
+    /// Tokens that the server has to read before the first token.
+    pub prefill_tokens: f64,
+    /// Predicted time to the first token, in microseconds; 0 without a known prompt.
+    pub predicted_us: f64,
+    /// Part of it that is spent waiting for other prompts, in microseconds.
+    pub wait_us: f64,
 }
 
 /// Where a request is.
@@ -44,6 +50,8 @@
     pub priority: rules::Priority,
     /// Hash of the prompt's prefix.
     pub prefix_hash: Option<u64>,
+    /// The prompt's parts, if they are known.
+    pub prompt: Option<prefill::Prompt>,
     /// Estimated size.
     pub size_tokens: u64,
     /// When the whole answer is due.
@@ -76,6 +84,7 @@
             account: offer.account,
             priority: offer.priority,
             prefix_hash: offer.prefix_hash,
+            prompt: offer.prompt,
             size_tokens: offer.size_tokens,
             deadline_us: offer.deadline_us,
             idempotent: offer.idempotent,
--- a/crates/peridotrack-route/src/router.rs
+++ b/crates/peridotrack-route/src/router.rs
@@ -200,6 +200,7 @@
             self.on_not_leaving(now_us, measured_us, index, actions);
         }
         let backend = &mut self.backends[index];
+        backend.prefill.on_report(measured_us, *queued);
         if *slots > 0 && *slots != backend.slots {
             backend.slots = *slots;
             backend.limit.set_slots(*slots);
--- a/crates/peridotrack-route/tests/invariants.rs
+++ b/crates/peridotrack-route/tests/invariants.rs
@@ -107,6 +107,7 @@
             idempotent,
             continuation: event::Continuation::default(),
             max_dispatches: None,
+            prompt: None,
         };
         let actions = self.router.offer(self.now_us, offer);
         self.check(&actions);
