perf(gateway): probe a lost store each 0.4 s and drop its old connections

Cause: refusals for want of tokens went on for 5 s after VMs were reachable again: the pause between probes grew to 5 s and pooled connections stayed silent.

--- a/crates/peridotrack-edge/src/gateway.rs
+++ b/crates/peridotrack-edge/src/gateway.rs
@@ -41,6 +41,8 @@
 const RATE_AGE_MIN_US: u64 = 2 * clock::US_PER_S;
 /// Period in which each account's grant is inspected, in microseconds.
 const INSPECT_US: u64 = clock::US_PER_S;
+/// Longest pause between two probes of a store that cannot be reached, in microseconds.
+const STORE_BACKOFF_US: u64 = 400 * clock::US_PER_MS;
 /// When to come back after a refusal because the store cannot be reached, in milliseconds;
 /// clients cap it at a third of the time they have.
 const UNAVAILABLE_RETRY_MS: u64 = 5_000;
@@ -244,6 +246,7 @@
         ride_out_deviations: DRAW_DEVIATIONS,
         share_divisor: SHARE_DIVISOR,
         sweep_us: INSPECT_US,
+        backoff_max_us: STORE_BACKOFF_US,
         unavailable_retry_ms: UNAVAILABLE_RETRY_MS,
         return_after_us: RETURN_AFTER_US,
         seed: fastrand::u64(..),
--- a/crates/peridotrack-edge/src/gateway/exchange.rs
+++ b/crates/peridotrack-edge/src/gateway/exchange.rs
@@ -437,7 +437,13 @@
         .with("detail", problem.detail.as_str())
         .with("retry_after_ms", problem.retry_after_ms.unwrap_or_default());
     match call {
-        Some(call) => call.note(shared, event.with("client_request", client_request(call))),
+        Some(call) => {
+            let account = call.account.as_ref().map_or("", name::ClientAccount::as_str);
+            let event = event
+                .with("client_request", client_request(call))
+                .with("client_account", account);
+            call.note(shared, event);
+        }
         None => drop(shared.kernel.note(event)),
     }
     shared.metrics.refused(problem.ran).increment(1);
--- a/crates/peridotrack-edge/src/platform.rs
+++ b/crates/peridotrack-edge/src/platform.rs
@@ -27,10 +27,11 @@
 
 /// Idle connections that are kept to the platform.
 const IDLE_CONNECTIONS: usize = 8;
-/// Longest wait for a plain answer, in milliseconds.
-const RESPONSE_TIMEOUT_MS: u64 = 2_000;
-/// Longest wait for a connection, in milliseconds.
-const CONNECT_TIMEOUT_MS: u64 = 1_000;
+/// Longest wait for a plain answer, in milliseconds: three times that of a slow store.
+const RESPONSE_TIMEOUT_MS: u64 = 1_000;
+/// Longest wait for a connection, in milliseconds: short enough to notice soon that a cut
+/// has healed.
+const CONNECT_TIMEOUT_MS: u64 = 400;
 /// Period of probes on a silent connection, in milliseconds; three without an answer end it.
 const KEEPALIVE_MS: u64 = 1_000;
 /// Time on top of a watch's own timeout, in milliseconds.
@@ -347,6 +348,8 @@
     ) -> Result<http::Response<Bytes>, Error> {
         if result.is_err() {
             self.lost_us.set(self.kernel.now_us());
+            // Connections that were opened before a cut may stay silent after it has healed.
+            self.pool.clear(self.address);
         }
         if self.reachable.replace(result.is_ok()) != result.is_ok() {
             let kind = match result {
--- a/crates/peridotrack-http/src/client/pool.rs
+++ b/crates/peridotrack-http/src/client/pool.rs
@@ -71,6 +71,11 @@
         });
     }
 
+    /// Closes every idle connection to one server.
+    pub fn clear(&self, address: SocketAddr) {
+        self.idle.borrow_mut().remove(&address);
+    }
+
     /// One whole exchange with a bounded answer, never repeated.
     pub async fn fetch(
         &self,
