--- a/crates/peridotrack-edge/src/gateway/exchange.rs
+++ b/crates/peridotrack-edge/src/gateway/exchange.rs
@@ -416,12 +416,17 @@
         .with("route", &*call.route().name)
         .with("backend_server", target.backend_server.as_str())
         .with("elapsed_us", elapsed_us);
+    let mut first_part_us = elapsed_us;
     if progress.has_begun() {
+        first_part_us = progress.first_part_us() - call.arrived_us;
         event = event
-            .with("first_part_us", progress.first_part_us() - call.arrived_us)
+            .with("first_part_us", first_part_us)
             .with("longest_gap_us", progress.longest_gap_us());
     }
-    call.note(shared, event);
+    let route = call.route();
+    let is_late = first_part_us > route.objective_ms * clock::US_PER_MS
+        || progress.longest_gap_us() > route.event_gap_ms * clock::US_PER_MS;
+    call.note(shared, event.with("is_late", is_late));
     shared.metrics.completed.increment(1);
 }
 
