perf(budget): draw again at nine tenths of a grant

Cause: the busiest router held 889,000 tokens of its largest account, drew again only at half, and was cut off for 8 s when it had used nearly half of it.

--- a/crates/peridotrack-budget/src/holder/plan.rs
+++ b/crates/peridotrack-budget/src/holder/plan.rs
@@ -376,7 +376,8 @@
         let target = self.target_tokens(now_us, options);
         let holders = self.rows.len() as u64 + 1;
         let share = self.left_tokens / (options.share_divisor * holders).max(1);
-        self.low_water_tokens = target.max(options.draw_floor_tokens).min(share) / 2;
+        let full = target.max(options.draw_floor_tokens).min(share);
+        self.low_water_tokens = (full as f64 * options.low_water_part) as u64;
     }
 
     fn has_transfers(&self) -> bool {
--- a/crates/peridotrack-budget/src/options.rs
+++ b/crates/peridotrack-budget/src/options.rs
@@ -8,8 +8,7 @@
 pub struct Options {
     /// Number of ledger shards; the same for the whole fleet and for good.
     pub shard_count: u32,
-    /// Time that a grant should last at the observed rate, in microseconds; half of it is
-    /// left when the next draw is due.
+    /// Time that a grant should last at the observed rate, in microseconds.
     pub ride_out_us: u64,
     /// Half-life of the observed rate, in microseconds.
     pub rate_half_life_us: u64,
@@ -22,6 +21,8 @@
     /// What is left of a budget is divided among its holders this many times over; a draw
     /// takes one portion at most, so that draws shrink near exhaustion.
     pub share_divisor: u64,
+    /// Part of a full grant below which the next draw is due.
+    pub low_water_part: f64,
     /// Smallest draw while the budget is far from exhaustion, in tokens.
     pub draw_floor_tokens: u64,
     /// Time without use after which unneeded grants are returned, in microseconds.
@@ -70,6 +71,7 @@
             rate_age_min_us: 300 * SECOND_US,
             ride_out_deviations: 0.0,
             share_divisor: 2,
+            low_water_part: 0.5,
             draw_floor_tokens: 4_096,
             return_after_us: 600 * SECOND_US,
             float_us: 60 * SECOND_US,
--- a/crates/peridotrack-edge/src/gateway.rs
+++ b/crates/peridotrack-edge/src/gateway.rs
@@ -30,15 +30,17 @@
 const LEAVE_ROTATION_US: u64 = 2_600 * clock::US_PER_MS;
 /// Tokens of a grant are drawn for this span of the observed spend, in microseconds: longer
 /// than the outages of the store that are to be ridden out.
-const DRAW_SPAN_US: u64 = 20 * clock::US_PER_S;
+const DRAW_SPAN_US: u64 = 12 * clock::US_PER_S;
 /// Standard deviations of the spend over that span that are drawn on top.
-const DRAW_DEVIATIONS: f64 = 2.0;
+const DRAW_DEVIATIONS: f64 = 1.5;
 /// What is left of an account is divided among the routers this many times over.
 const SHARE_DIVISOR: u64 = 3;
 /// Half-life of the observed spend, in microseconds.
 const RATE_HALF_LIFE_US: u64 = 8 * clock::US_PER_S;
 /// Time over which the first spend of an account is averaged at least, in microseconds.
 const RATE_AGE_MIN_US: u64 = 2 * clock::US_PER_S;
+/// Part of a full grant below which the next draw is due: the rest must last an outage.
+const LOW_WATER_PART: f64 = 0.9;
 /// Period in which each account's grant is inspected, in microseconds.
 const INSPECT_US: u64 = clock::US_PER_S;
 /// Longest pause between two probes of a store that cannot be reached, in microseconds.
@@ -245,6 +247,7 @@
         rate_age_min_us: RATE_AGE_MIN_US,
         ride_out_deviations: DRAW_DEVIATIONS,
         share_divisor: SHARE_DIVISOR,
+        low_water_part: LOW_WATER_PART,
         sweep_us: INSPECT_US,
         backoff_max_us: STORE_BACKOFF_US,
         unavailable_retry_ms: UNAVAILABLE_RETRY_MS,
