--- a/crates/peridotrack-budget/src/holder/rate.rs
+++ b/crates/peridotrack-budget/src/holder/rate.rs
@@ -55,6 +55,11 @@
         (mean + deviations * (mean * size).sqrt()) as u64
     }
 
+    /// Returns the size of the reservation that a token of the spend typically belongs to.
+    pub(super) fn typical_tokens(&self) -> u64 {
+        (self.squares / self.level_tokens.max(1.0)) as u64
+    }
+
     fn mean_over(&self, now_us: u64, options: &Options, period_us: u64) -> f64 {
         let half_life_us = options.rate_half_life_us;
         let half_life = half_life_us.max(1) as f64;
--- a/crates/peridotrack-budget/src/holder/sweep.rs
+++ b/crates/peridotrack-budget/src/holder/sweep.rs
@@ -104,6 +104,21 @@
 }
 
 impl Active {
+    /// Returns the tokens held beyond the cap that near exhaustion keeps the rest drawable.
+    fn over_cap_tokens(&self, options: &Options) -> u64 {
+        if options.hold_portions == 0 {
+            return 0;
+        }
+        let portion =
+            self.left_tokens / (options.share_divisor * (self.rows.len() as u64 + 1)).max(1);
+        let cap = (portion * options.hold_portions).max(self.rate.typical_tokens());
+        let available_tokens = self.available_tokens();
+        match available_tokens > cap + cap / 2 {
+            true => available_tokens - cap,
+            false => 0,
+        }
+    }
+
     fn is_idle(&self, now_us: u64, options: &Options) -> bool {
         now_us.saturating_sub(self.last_use_us) > options.return_after_us
     }
@@ -121,6 +136,10 @@
             false => (self.float_tokens(now_us, options), 0),
         };
         let surplus_tokens = self.available_tokens().saturating_sub(2 * target);
+        let over_tokens = self.over_cap_tokens(options);
+        if over_tokens > 0 {
+            return over_tokens.max(surplus_tokens);
+        }
         let is_large = self.is_drawer && surplus_tokens > 2 * floor;
         // As the rate decays, idle grants go back in few large steps.
         let is_half = 2 * surplus_tokens >= self.available_tokens();
--- a/crates/peridotrack-budget/src/options.rs
+++ b/crates/peridotrack-budget/src/options.rs
@@ -21,6 +21,8 @@
     /// What is left of a budget is divided among its holders this many times over; a draw
     /// takes one portion at most, so that draws shrink near exhaustion.
     pub share_divisor: u64,
+    /// Portions of what is left that a holder keeps at most; 0 if there is no such cap.
+    pub hold_portions: u64,
     /// Part of a full grant below which the next draw is due.
     pub low_water_part: f64,
     /// Smallest draw while the budget is far from exhaustion, in tokens.
@@ -71,6 +73,7 @@
             rate_age_min_us: 300 * SECOND_US,
             ride_out_deviations: 0.0,
             share_divisor: 2,
+            hold_portions: 0,
             low_water_part: 0.5,
             draw_floor_tokens: 4_096,
             return_after_us: 600 * SECOND_US,
--- a/crates/peridotrack-edge/src/gateway.rs
+++ b/crates/peridotrack-edge/src/gateway.rs
@@ -39,6 +39,8 @@
 const RATE_HALF_LIFE_US: u64 = 8 * clock::US_PER_S;
 /// Time over which the first spend of an account is averaged at least, in microseconds.
 const RATE_AGE_MIN_US: u64 = 2 * clock::US_PER_S;
+/// Portions of what is left that a router keeps at most.
+const HOLD_PORTIONS: u64 = 2;
 /// Part of a full grant below which the next draw is due: the rest must last an outage.
 const LOW_WATER_PART: f64 = 0.9;
 /// Period in which each account's grant is inspected, in microseconds.
@@ -248,6 +250,7 @@
         ride_out_deviations: DRAW_DEVIATIONS,
         share_divisor: SHARE_DIVISOR,
         low_water_part: LOW_WATER_PART,
+        hold_portions: HOLD_PORTIONS,
         sweep_us: INSPECT_US,
         backoff_max_us: STORE_BACKOFF_US,
         unavailable_retry_ms: UNAVAILABLE_RETRY_MS,
--- a/crates/peridotrack-edge/src/gateway/exchange.rs
+++ b/crates/peridotrack-edge/src/gateway/exchange.rs
@@ -443,7 +443,10 @@
         .with("retry_after_ms", problem.retry_after_ms.unwrap_or_default());
     match call {
         Some(call) => {
-            let account = call.account.as_ref().map_or("", name::ClientAccount::as_str);
+            let account = call
+                .account
+                .as_ref()
+                .map_or("", name::ClientAccount::as_str);
             let event = event
                 .with("client_request", client_request(call))
                 .with("client_account", account);
--- a/crates/peridotrack-route/src/finish.rs
+++ b/crates/peridotrack-route/src/finish.rs
@@ -197,7 +197,9 @@
         let backend = &mut self.backends[attempt.backend];
         if attempt.predicted_us > 0.0 {
             let (first_us, predicted_us) = (first_token_us as f64, attempt.predicted_us);
-            backend.prefill.on_first_token(now_us, first_us, predicted_us);
+            backend
+                .prefill
+                .on_first_token(now_us, first_us, predicted_us);
             if attempt.wait_us == 0.0 {
                 pool.speed.on_unqueued(first_us, attempt.prefill_tokens);
             }
--- a/crates/peridotrack-route/src/place.rs
+++ b/crates/peridotrack-route/src/place.rs
@@ -85,7 +85,8 @@
         let again_us = again_tokens * pool.speed.us_per_token * options.reread_weight;
         let load_us = backend.load(query.now_us, &pool.prior) * options.full_cost_us;
         let slowness = backend.prefill.slowness(query.now_us);
-        let score_us = slowness * (wait_us + read_us + load_us) + again_us + backend.distance_us as f64;
+        let score_us =
+            slowness * (wait_us + read_us + load_us) + again_us + backend.distance_us as f64;
         match (backend.breaker.is_closed(), query.may_probe) {
             (true, _) => score_us,
             (false, true) => 0.0,
