--- a/crates/peridotrack-edge/src/gateway.rs
+++ b/crates/peridotrack-edge/src/gateway.rs
@@ -177,6 +177,24 @@
     }
 }
 
+/// Access.
+impl Gateway {
+    /// Returns where clients connect.
+    pub fn client_address(&self) -> SocketAddr {
+        self.clients.address()
+    }
+
+    /// Returns where readiness is asked for.
+    pub fn readiness_address(&self) -> SocketAddr {
+        self.probes.address()
+    }
+
+    /// Returns the kernel.
+    pub fn kernel(&self) -> &Rc<Kernel> {
+        &self.shared.kernel
+    }
+}
+
 /// End.
 impl Gateway {
     /// Turns readiness off while requests are still served.
--- a/crates/peridotrack-edge/src/gateway/probe.rs
+++ b/crates/peridotrack-edge/src/gateway/probe.rs
@@ -1,9 +1,9 @@
 //! Answers the balancer's question for readiness, and serves metrics.
 
-use std::{cell::RefCell, net::SocketAddr, rc::Rc};
+use std::{net::SocketAddr, rc::Rc};
 
 use bytes::Bytes;
-use monoio::net::TcpStream;
+use monoio::net::{TcpListener, TcpStream};
 use peridotrack_http::{listen, server};
 
 use super::Shared;
@@ -14,37 +14,41 @@
 
 /// Running listeners for probes.
 pub(super) struct Probe {
-    acceptors: RefCell<Vec<Rc<acceptor::Acceptor>>>,
+    address: SocketAddr,
+    acceptors: Vec<Rc<acceptor::Acceptor>>,
 }
 
 impl Probe {
     /// Listens for probes and returns the running listeners.
     pub(super) fn bind(shared: &Rc<Shared>) -> std::io::Result<Rc<Self>> {
         let settings = &shared.settings;
-        let addresses = [Some(settings.readiness_address), settings.metrics_address];
-        let mut acceptors = Vec::new();
-        for address in addresses.into_iter().flatten() {
-            acceptors.push(accept(shared, address)?);
+        let listener = listen::bind(settings.readiness_address)?;
+        let address = listener.local_addr()?;
+        let mut acceptors = vec![accept(shared, listener)];
+        if let Some(address) = settings.metrics_address {
+            acceptors.push(accept(shared, listen::bind(address)?));
         }
-        Ok(Rc::new(Self {
-            acceptors: RefCell::new(acceptors),
-        }))
+        Ok(Rc::new(Self { address, acceptors }))
+    }
+
+    /// Returns where readiness is asked for.
+    pub(super) fn address(&self) -> SocketAddr {
+        self.address
     }
 
     /// Takes no more connections.
     pub(super) fn stop(&self) {
-        for acceptor in self.acceptors.borrow().iter() {
+        for acceptor in &self.acceptors {
             acceptor.stop();
         }
     }
 }
 
-fn accept(shared: &Rc<Shared>, address: SocketAddr) -> std::io::Result<Rc<acceptor::Acceptor>> {
-    let listener = listen::bind(address)?;
+fn accept(shared: &Rc<Shared>, listener: TcpListener) -> Rc<acceptor::Acceptor> {
     let shared = Rc::clone(shared);
-    Ok(acceptor::Acceptor::spawn(listener, move |stream, _| {
+    acceptor::Acceptor::spawn(listener, move |stream, _| {
         monoio::spawn(serve(Rc::clone(&shared), stream));
-    }))
+    })
 }
 
 async fn serve(shared: Rc<Shared>, stream: TcpStream) {
--- a/crates/peridotrack-edge/src/gateway/server.rs
+++ b/crates/peridotrack-edge/src/gateway/server.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    net::SocketAddr,
     rc::Rc,
 };
 
@@ -20,6 +21,7 @@
 /// Accepts clients.
 pub(super) struct Server {
     shared: Rc<Shared>,
+    address: SocketAddr,
     closing: idle::Closing,
     open_requests: Cell<usize>,
     acceptor: RefCell<Option<Rc<acceptor::Acceptor>>>,
@@ -32,6 +34,7 @@
         let listener = listen::bind(shared.settings.client_address)?;
         let server = Rc::new(Self {
             shared: Rc::clone(shared),
+            address: listener.local_addr()?,
             closing: idle::Closing::default(),
             open_requests: Cell::new(0),
             acceptor: RefCell::default(),
@@ -46,6 +49,11 @@
         Ok(server)
     }
 
+    /// Returns where clients connect.
+    pub(super) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Returns the requests that are being served.
     pub(super) fn open_requests(&self) -> usize {
         self.open_requests.get()
--- /dev/null
+++ b/crates/peridotrack-edge/tests/gateway/budget.rs
@@ -0,0 +1,100 @@
+//! Prepaid accounts: nothing beyond the balance, nothing refused within it.
+
+use std::time::Duration;
+
+use peridotrack_standin::{
+    harness::{http::block_on, wait},
+    hosted::{engine::Mode, store},
+};
+use rstest::rstest;
+
+use crate::rig::{LIMIT, Rig, config, request};
+
+/// Tokens of a request's prompt.
+const PROMPT: u64 = 90;
+/// Most tokens of its answer.
+const OUTPUT: u64 = 10;
+
+async fn ask(rig: &Rig) -> u16 {
+    let size = format!("{PROMPT},{OUTPUT}");
+    let sent = request("/unsafe/x", &[("peridotrack-token-usage", &size)]);
+    rig.send(sent)
+        .await
+        .map_or(0, |answer| answer.status().as_u16())
+}
+
+#[test]
+fn an_account_is_served_to_its_last_token_and_no_further() {
+    block_on(async {
+        let rig = Rig::spawn_before_config(1);
+        rig.store.put("config", "main", config(4, 1_050));
+        rig.ready().await;
+        let mut served = 0;
+        for _ in 0..20 {
+            match ask(&rig).await {
+                200 => served += 1,
+                status => assert_eq!(status, 402),
+            }
+        }
+        assert_eq!(served, 10, "ten requests of 100 tokens fit into 1,050");
+        assert_eq!(rig.runs(), served);
+        rig.store.put("config", "main", config(5, 1_250));
+        let topped_up = async || (ask(&rig).await == 200).then_some(());
+        wait::some(LIMIT, "the top-up", topped_up).await.unwrap();
+    });
+}
+
+#[rstest]
+#[case::not_run(Mode::Refuse)]
+#[case::reset(Mode::Reset)]
+fn what_did_not_run_is_not_paid_and_what_may_have_run_is(#[case] mode: Mode) {
+    block_on(async {
+        let rig = Rig::spawn_before_config(1);
+        rig.store.put("config", "main", config(4, 1_000));
+        rig.ready().await;
+        rig.set_modes(mode);
+        for _ in 0..3 {
+            assert!(ask(&rig).await >= 429);
+        }
+        rig.set_modes(Mode::Serve);
+        let ran = rig.runs() as u64;
+        // A server that refused or failed is left alone for a while.
+        let served = async || (ask(&rig).await == 200).then_some(());
+        wait::some(LIMIT, "a served request", served).await.unwrap();
+        let mut served = 1;
+        while ask(&rig).await == 200 {
+            served += 1;
+        }
+        assert_eq!(served, (1_000 - ran * PROMPT) / (PROMPT + OUTPUT));
+    });
+}
+
+#[rstest]
+#[case(store::Mode::Busy)]
+#[case(store::Mode::Reset)]
+#[case(store::Mode::LoseWrites)]
+fn what_was_drawn_outlasts_the_store(#[case] mode: store::Mode) {
+    block_on(async {
+        let rig = Rig::spawn(1).await;
+        assert_eq!(ask(&rig).await, 200);
+        rig.store.set_mode(mode);
+        for _ in 0..10 {
+            assert_eq!(ask(&rig).await, 200);
+        }
+    });
+}
+
+#[test]
+fn without_the_store_and_without_a_grant_a_request_is_not_run() {
+    block_on(async {
+        let rig = Rig::spawn(1).await;
+        rig.store.set_mode(store::Mode::Reset);
+        assert_eq!(ask(&rig).await, 503);
+        assert_eq!(rig.runs(), 0);
+        rig.store.set_mode(store::Mode::Serve);
+        let served = async || (ask(&rig).await == 200).then_some(());
+        wait::some(Duration::from_secs(3), "the store's return", served)
+            .await
+            .unwrap();
+    });
+}
--- /dev/null
+++ b/crates/peridotrack-edge/tests/gateway/main.rs
@@ -0,0 +1,7 @@
+//! A gateway before stand-ins of the users' platform.
+
+mod budget;
+mod directory;
+mod requests;
+mod rig;
+mod streams;
--- /dev/null
+++ b/crates/peridotrack-standin/src/hosted/engine.rs
@@ -0,0 +1,227 @@
+//! A backend server of the users' platform: plain answers and streams of events.
+
+use std::{
+    cell::{Cell, RefCell},
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::{HeaderMap, Response, StatusCode};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    answer,
+    site::{self, Application, Arrival, Cut},
+};
+
+/// Events of a whole stream.
+pub const EVENTS: u64 = 6;
+/// Time between two events of a stream.
+const EVENT_PAUSE: Duration = Duration::from_millis(5);
+
+/// How the server treats requests.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Mode {
+    /// It runs and answers them.
+    #[default]
+    Serve,
+    /// It refuses them with a proof that they did not run.
+    Refuse,
+    /// It answers 503 without such a proof, after it ran them.
+    RefuseAfterRun,
+    /// It answers as another incarnation.
+    Misdirect,
+    /// It runs them and fails.
+    Fail,
+    /// It runs them and closes the connection without an answer.
+    Reset,
+    /// It runs them and never answers.
+    Mute,
+    /// It answers with the identifier of another request.
+    Cross,
+    /// It answers without its signature.
+    Unsigned,
+    /// It breaks streams that begin here off in the middle of their third event.
+    CutStream,
+    /// It pauses for seconds between the events of a stream.
+    Slow,
+}
+
+/// One request that the server ran.
+#[derive(Debug, Clone)]
+pub struct Run {
+    /// Path and query.
+    pub target: String,
+    /// Headers as they arrived.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+#[derive(Default)]
+struct Server {
+    mode: Cell<Mode>,
+    runs: RefCell<Vec<Run>>,
+    arrivals: Cell<u64>,
+    cancelled: Cell<u64>,
+}
+
+/// A running server; dropping it closes its listener and cuts its connections.
+pub struct Handle(site::Handle<Server>);
+
+/// Starts a server on a port of its own.
+pub fn spawn() -> io::Result<Handle> {
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    site::spawn(&[address], Rc::new(Server::default())).map(Handle)
+}
+
+impl Handle {
+    /// Returns where the server listens.
+    pub fn address(&self) -> SocketAddr {
+        self.0.addresses[0]
+    }
+
+    /// Changes how the server treats requests.
+    pub fn set_mode(&self, mode: Mode) {
+        self.0.application.mode.set(mode);
+    }
+
+    /// Returns the requests that the server ran.
+    pub fn runs(&self) -> Vec<Run> {
+        self.0.application.runs.borrow().clone()
+    }
+
+    /// Returns the requests that arrived, refused ones included.
+    pub fn arrivals(&self) -> u64 {
+        self.0.application.arrivals.get()
+    }
+
+    /// Returns the streams whose connection was closed before their end.
+    pub fn cancelled(&self) -> u64 {
+        self.0.application.cancelled.get()
+    }
+}
+
+impl Server {
+    async fn stream(&self, arrival: Arrival<'_>, mode: Mode) -> Result<(), Cut> {
+        let headers = &arrival.request.head.headers;
+        let first = headers
+            .get("last-event-id")
+            .and_then(|value| value.to_str().ok()?.parse::<u64>().ok())
+            .map_or(0, |last| last + 1);
+        let head = signed(headers).header("content-type", "text/event-stream");
+        let connection = arrival.connection;
+        connection.start(answer::finish(head, ())).await?;
+        for number in first..EVENTS {
+            if mode == Mode::CutStream && number == 2 && first == 0 {
+                connection.write(Bytes::from("id: 2\nda")).await?;
+                return Err(Cut);
+            }
+            let event = format!("id: {number}\ndata: part {number}\n\n");
+            if connection.write(event.into()).await.is_err() {
+                self.cancelled.set(self.cancelled.get() + 1);
+                return Err(Cut);
+            }
+            let pause = match mode {
+                Mode::Slow => 400 * EVENT_PAUSE,
+                _ => EVENT_PAUSE,
+            };
+            let left = monoio::select! {
+                () = connection.closed() => true,
+                () = monoio::time::sleep(pause) => false,
+            };
+            if left {
+                self.cancelled.set(self.cancelled.get() + 1);
+                return Err(Cut);
+            }
+        }
+        Ok(connection.finish().await?)
+    }
+}
+
+impl Application for Server {
+    type Control = Mode;
+    type Counters = u64;
+
+    fn control(&self, mode: Mode) {
+        self.mode.set(mode);
+    }
+
+    fn counters(&self) -> u64 {
+        self.arrivals.get()
+    }
+
+    async fn answer(self: Rc<Self>, arrival: Arrival<'_>) -> Result<(), Cut> {
+        self.arrivals.set(self.arrivals.get() + 1);
+        let mode = self.mode.get();
+        let request = &arrival.request;
+        let headers = &request.head.headers;
+        let refusal = |status| {
+            signed(headers)
+                .status(status)
+                .header("peridotrack-not-executed", "1")
+        };
+        match mode {
+            Mode::Refuse => {
+                let response =
+                    answer::finish(refusal(StatusCode::SERVICE_UNAVAILABLE), Bytes::new());
+                return Ok(arrival.connection.respond(response).await?);
+            }
+            Mode::Misdirect => {
+                let head = Response::builder()
+                    .status(StatusCode::MISDIRECTED_REQUEST)
+                    .header("peridotrack-request-id", &headers["peridotrack-request-id"]);
+                let response = answer::finish(head, Bytes::new());
+                return Ok(arrival.connection.respond(response).await?);
+            }
+            _ => {}
+        }
+        self.runs.borrow_mut().push(Run {
+            target: request.head.uri.to_string(),
+            headers: headers.clone(),
+            body: request.body.clone(),
+        });
+        let whole = |status: StatusCode| {
+            answer::finish(signed(headers).status(status), Bytes::from("the answer"))
+        };
+        let response = match mode {
+            Mode::Reset => return Err(Cut),
+            Mode::Mute => {
+                arrival.connection.closed().await;
+                self.cancelled.set(self.cancelled.get() + 1);
+                return Err(Cut);
+            }
+            Mode::Fail => whole(StatusCode::INTERNAL_SERVER_ERROR),
+            Mode::RefuseAfterRun => whole(StatusCode::SERVICE_UNAVAILABLE),
+            Mode::Cross => {
+                let mut response = whole(StatusCode::OK);
+                let other = http::HeaderValue::from_static("another");
+                response
+                    .headers_mut()
+                    .insert("peridotrack-request-id", other);
+                response
+            }
+            Mode::Unsigned => {
+                let mut response = whole(StatusCode::OK);
+                response.headers_mut().remove("peridotrack-response-seal");
+                response
+            }
+            _ if request.head.uri.path().starts_with("/stream/") => {
+                return self.stream(arrival, mode).await;
+            }
+            _ => whole(StatusCode::OK),
+        };
+        Ok(arrival.connection.respond(response).await?)
+    }
+}
+
+fn signed(request: &HeaderMap) -> http::response::Builder {
+    Response::builder()
+        .header("peridotrack-request-id", &request["peridotrack-request-id"])
+        .header("peridotrack-response-seal", "3e1b")
+        .header("peridotrack-server-load", "1,0,8")
+}
--- /dev/null
+++ b/crates/peridotrack-standin/src/hosted/store.rs
@@ -0,0 +1,337 @@
+//! The metadata store: objects by kind and name, conditional writes, lists and watches.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::{Method, Response, StatusCode};
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+
+use crate::{
+    answer,
+    notify::Notify,
+    site::{self, Application, Arrival, Cut},
+};
+
+/// How the store misbehaves.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Mode {
+    /// It answers.
+    #[default]
+    Serve,
+    /// It refuses every call with 503 and does nothing.
+    Busy,
+    /// It closes every connection without an answer and does nothing.
+    Reset,
+    /// It does what writes ask and closes their connections without an answer.
+    LoseWrites,
+}
+
+/// What the store has counted.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counters {
+    /// Calls, refused ones included.
+    pub calls: u64,
+    /// Writes that took effect.
+    pub writes: u64,
+}
+
+#[derive(Debug, Clone)]
+struct Object {
+    revision: u64,
+    created_revision: u64,
+    spec: Value,
+}
+
+#[derive(Debug, Clone)]
+struct Change {
+    revision: u64,
+    kind: String,
+    event: Value,
+}
+
+#[derive(Default)]
+struct State {
+    revision: u64,
+    objects: BTreeMap<(String, String), Object>,
+    history: Vec<Change>,
+}
+
+/// What the stand-in holds behind its listener.
+#[derive(Default)]
+struct Store {
+    state: RefCell<State>,
+    mode: Cell<Mode>,
+    counters: Cell<Counters>,
+    changed: Notify,
+}
+
+/// A running store; dropping it closes its listener and cuts its connections.
+pub struct Handle(site::Handle<Store>);
+
+/// Starts an empty store on a port of its own.
+pub fn spawn() -> io::Result<Handle> {
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    site::spawn(&[address], Rc::new(Store::default())).map(Handle)
+}
+
+impl Handle {
+    /// Returns where the store listens.
+    pub fn address(&self) -> SocketAddr {
+        self.0.addresses[0]
+    }
+
+    /// Makes the store misbehave, or serve again.
+    pub fn set_mode(&self, mode: Mode) {
+        self.0.application.control(mode);
+    }
+
+    /// Writes an object as its operator or its server does.
+    pub fn put(&self, kind: &str, name: &str, spec: Value) {
+        self.0.application.put(kind, name, spec);
+    }
+
+    /// Removes an object.
+    pub fn remove(&self, kind: &str, name: &str) {
+        self.0.application.remove(kind, name);
+    }
+
+    /// Returns what an object holds.
+    pub fn get(&self, kind: &str, name: &str) -> Option<Value> {
+        let state = self.0.application.state.borrow();
+        let key = (kind.to_owned(), name.to_owned());
+        state.objects.get(&key).map(|object| object.spec.clone())
+    }
+
+    /// Forgets the history, so that watches must list again.
+    pub fn forget_history(&self) {
+        self.0.application.state.borrow_mut().history.clear();
+        self.0.application.changed.notify();
+    }
+
+    /// Returns what the store has counted.
+    pub fn counters(&self) -> Counters {
+        self.0.application.counters.get()
+    }
+}
+
+impl Object {
+    fn document(&self, name: &str) -> Value {
+        json!({
+            "metadata": {
+                "name": name,
+                "revision": self.revision,
+                "createdRev": self.created_revision,
+                "finalizers": [],
+                "deleting": false,
+            },
+            "spec": self.spec,
+            "status": null,
+        })
+    }
+}
+
+impl Store {
+    fn put(&self, kind: &str, name: &str, spec: Value) -> Value {
+        let mut state = self.state.borrow_mut();
+        let key = (kind.to_owned(), name.to_owned());
+        let known = state.objects.get(&key).cloned();
+        if let Some(object) = known.as_ref().filter(|object| object.spec == spec) {
+            return object.document(name);
+        }
+        state.revision += 1;
+        let object = Object {
+            revision: state.revision,
+            created_revision: known.map_or(state.revision, |object| object.created_revision),
+            spec,
+        };
+        let document = object.document(name);
+        state.objects.insert(key, object);
+        self.record(
+            &mut state,
+            kind,
+            json!({"object": document, "tombstone": false}),
+        );
+        document
+    }
+
+    fn remove(&self, kind: &str, name: &str) {
+        let mut state = self.state.borrow_mut();
+        let Some(object) = state.objects.remove(&(kind.to_owned(), name.to_owned())) else {
+            return;
+        };
+        state.revision += 1;
+        let event = json!({"object": object.document(name), "tombstone": true});
+        self.record(&mut state, kind, event);
+    }
+
+    fn record(&self, state: &mut State, kind: &str, event: Value) {
+        let revision = state.revision;
+        state.history.push(Change {
+            revision,
+            kind: kind.to_owned(),
+            event,
+        });
+        let counters = self.counters.get();
+        self.counters.set(Counters {
+            writes: counters.writes + 1,
+            ..counters
+        });
+        self.changed.notify();
+    }
+
+    fn read(&self, kind: &str, name: &str) -> Response<Bytes> {
+        let state = self.state.borrow();
+        match state.objects.get(&(kind.to_owned(), name.to_owned())) {
+            Some(object) => answer::json(&object.document(name)),
+            None => answer::failure(StatusCode::NOT_FOUND, "no such object"),
+        }
+    }
+
+    fn list(&self, kind: &str, after: Option<&str>) -> Response<Bytes> {
+        const PAGE_OBJECTS: usize = 2;
+        let state = self.state.borrow();
+        let mut items: Vec<Value> = state
+            .objects
+            .iter()
+            .filter(|((of, name), _)| of == kind && after.is_none_or(|after| name.as_str() > after))
+            .map(|((_, name), object)| object.document(name))
+            .collect();
+        let has_more = items.len() > PAGE_OBJECTS;
+        items.truncate(PAGE_OBJECTS);
+        answer::json(&json!({"items": items, "hasMore": has_more, "asOf": state.revision}))
+    }
+
+    async fn watch(&self, kind: &str, revision: u64, wait_ms: u64) -> Result<Response<Bytes>, Cut> {
+        let limit = Duration::from_millis(wait_ms);
+        let is_quiet = || {
+            let events = self.events(kind, revision);
+            events.is_some_and(|events| events.is_empty()) && !self.is_away()
+        };
+        let _ = monoio::time::timeout(limit, async {
+            while is_quiet() {
+                let seen = self.changed.generation();
+                self.changed.changed(seen).await;
+            }
+        })
+        .await;
+        if self.is_away() {
+            return Err(Cut);
+        }
+        let as_of = self.state.borrow().revision;
+        Ok(match self.events(kind, revision) {
+            Some(events) => answer::json(&json!({"events": events, "asOf": as_of})),
+            None => answer::failure(StatusCode::GONE, "the history is gone"),
+        })
+    }
+
+    /// Returns whether the store cuts the watches that wait.
+    fn is_away(&self) -> bool {
+        matches!(self.mode.get(), Mode::Busy | Mode::Reset)
+    }
+
+    /// Returns the changes of a kind after a revision, `None` if they are no longer kept.
+    fn events(&self, kind: &str, revision: u64) -> Option<Vec<Value>> {
+        let state = self.state.borrow();
+        let oldest = state
+            .history
+            .first()
+            .map_or(state.revision + 1, |c| c.revision);
+        if revision + 1 < oldest {
+            return None;
+        }
+        let after = |change: &&Change| change.kind == kind && change.revision > revision;
+        let changes = state.history.iter().filter(after);
+        Some(changes.map(|change| change.event.clone()).collect())
+    }
+
+    fn write(&self, kind: &str, name: Option<&str>, document: &Value) -> Response<Bytes> {
+        let named = document["metadata"]["name"].as_str().unwrap_or_default();
+        let key = (kind.to_owned(), name.unwrap_or(named).to_owned());
+        let known = self.state.borrow().objects.get(&key).cloned();
+        let wanted = document["metadata"]["revision"].as_u64();
+        let refusal = match (name, &known) {
+            (None, Some(object)) => Some((StatusCode::CONFLICT, object.document(&key.1))),
+            (Some(_), None) => Some((StatusCode::NOT_FOUND, Value::Null)),
+            (Some(_), Some(object)) if wanted.is_some_and(|wanted| wanted != object.revision) => {
+                Some((StatusCode::CONFLICT, object.document(&key.1)))
+            }
+            _ => None,
+        };
+        match refusal {
+            Some((status, body)) => answer::json_with(Response::builder().status(status), &body),
+            None => answer::json(&self.put(kind, &key.1, document["spec"].clone())),
+        }
+    }
+}
+
+impl Application for Store {
+    type Control = Mode;
+    type Counters = Counters;
+
+    fn control(&self, mode: Mode) {
+        self.mode.set(mode);
+        self.changed.notify();
+    }
+
+    fn counters(&self) -> Counters {
+        self.counters.get()
+    }
+
+    async fn answer(self: Rc<Self>, arrival: Arrival<'_>) -> Result<(), Cut> {
+        let counters = self.counters.get();
+        self.counters.set(Counters {
+            calls: counters.calls + 1,
+            ..counters
+        });
+        let mode = self.mode.get();
+        match mode {
+            Mode::Reset => return Err(Cut),
+            Mode::Busy => {
+                let response = answer::failure(StatusCode::SERVICE_UNAVAILABLE, "busy");
+                return Ok(arrival.connection.respond(response).await?);
+            }
+            Mode::Serve | Mode::LoseWrites => {}
+        }
+        let uri = arrival.request.head.uri.clone();
+        let mut parts = uri.path().trim_start_matches("/objects/").splitn(2, '/');
+        let kind = parts.next().unwrap_or_default().to_owned();
+        let name = parts.next();
+        let query: BTreeMap<&str, &str> = uri
+            .query()
+            .unwrap_or_default()
+            .split('&')
+            .filter_map(|field| field.split_once('='))
+            .collect();
+        let number = |field: &str| query.get(field).and_then(|text| text.parse::<u64>().ok());
+        let body = || serde_json::from_slice(&arrival.request.body).unwrap_or(Value::Null);
+        let method = arrival.request.head.method.clone();
+        let response = match (&method, name, number("watch")) {
+            (&Method::GET, None, Some(revision)) => {
+                let wait_ms = number("waitMs").unwrap_or_default();
+                self.watch(&kind, revision, wait_ms).await?
+            }
+            (&Method::GET, None, None) => self.list(&kind, query.get("sinceRev").copied()),
+            (&Method::GET, Some(name), _) => self.read(&kind, name),
+            (&Method::POST, None, _) => self.write(&kind, None, &body()),
+            (&Method::PUT, Some(name), _) => self.write(&kind, Some(name), &body()),
+            (&Method::DELETE, Some(name), _) => {
+                self.remove(&kind, name);
+                answer::empty(StatusCode::OK)
+            }
+            _ => answer::failure(StatusCode::METHOD_NOT_ALLOWED, "no such call"),
+        };
+        if mode == Mode::LoseWrites && method != Method::GET {
+            return Err(Cut);
+        }
+        Ok(arrival.connection.respond(response).await?)
+    }
+}
--- a/crates/peridotrack-standin/src/lib.rs
+++ b/crates/peridotrack-standin/src/lib.rs
@@ -26,6 +26,7 @@
 mod answer;
 pub mod engine;
 pub mod harness;
+pub mod hosted;
 mod notify;
 pub mod platform;
 pub mod service;
