--- a/crates/peridotrack-budget/tests/support/mod.rs
+++ b/crates/peridotrack-budget/tests/support/mod.rs
@@ -7,8 +7,17 @@
 
 /// Options that make draws, returns and repeats happen within seconds.
 pub fn fast_options(seed: u64) -> Options {
+    // Half of the seeds size draws as a gateway does: for short outages and all-out losses.
+    let is_gateway = seed / 9 % 2 == 1;
+    let choose = |usual: f64, gateway: f64| if is_gateway { gateway } else { usual };
     Options {
         holder: options::Options {
+            rate_age_min_us: choose(300.0 * SECOND_US as f64, SECOND_US as f64) as u64,
+            ride_out_deviations: choose(0.0, 1.5),
+            share_divisor: choose(2.0, 3.0) as u64,
+            low_water_part: choose(0.5, 0.9),
+            hold_portions: choose(0.0, 2.0) as u64,
+            backoff_max_us: (choose(5.0, 0.4) * SECOND_US as f64) as u64,
             shard_count: 1 + (seed % 3) as u32,
             ride_out_us: 5 * SECOND_US,
             rate_half_life_us: 2 * SECOND_US,
