feat(kernel): a log that never blocks, bounded in bytes, that counts what it leaves out

Refusals are logged with what decided them and its age: tokens here and in the ledger, usable servers, age of the directory, version of the configuration.

--- a/crates/peridotrack-edge/src/budget.rs
+++ b/crates/peridotrack-edge/src/budget.rs
@@ -209,6 +209,11 @@
         self.handle(Event::PeerLost { peer });
     }
 
+    /// Returns the holder's state of one budget, if it is in use.
+    pub fn report(&self, budget: &name::Budget) -> Option<Report> {
+        self.holder.borrow().report(budget)
+    }
+
     /// Returns the holder's state, budget by budget.
     pub fn snapshot(&self) -> Vec<Report> {
         self.holder.borrow().snapshot()
--- a/crates/peridotrack-edge/src/gateway/directory.rs
+++ b/crates/peridotrack-edge/src/gateway/directory.rs
@@ -32,6 +32,8 @@
 pub(super) struct Directory {
     entries: RefCell<BTreeMap<name::BackendServer, Entry>>,
     is_listed: Cell<bool>,
+    /// When the store last told its state, in monotonic microseconds.
+    heard_us: Cell<u64>,
 }
 
 impl Directory {
@@ -40,6 +42,11 @@
         self.is_listed.get()
     }
 
+    /// Returns how long ago the store last told its state.
+    pub(super) fn age_us(&self, now_us: u64) -> u64 {
+        now_us.saturating_sub(self.heard_us.get())
+    }
+
     /// Hands the usable backend servers to the router machine.
     pub(super) fn apply(&self, shared: &Shared) {
         let Some(current) = shared.site.get() else {
@@ -154,6 +161,7 @@
         directory.put(shared, &object.name, &object.content);
     }
     directory.is_listed.set(true);
+    directory.heard_us.set(now_us);
     settle(shared);
     let mut revision = listing.revision;
     loop {
@@ -165,6 +173,7 @@
             Ok(watch) => {
                 revision = watch.revision;
                 let now_us = shared.kernel.now_us();
+                directory.heard_us.set(now_us);
                 for change in &watch.changes {
                     if change.is_removed {
                         directory.miss(now_us, &change.object.name);
--- a/crates/peridotrack-edge/src/gateway/exchange.rs
+++ b/crates/peridotrack-edge/src/gateway/exchange.rs
@@ -442,22 +442,47 @@
         .with("detail", problem.detail.as_str())
         .with("retry_after_ms", problem.retry_after_ms.unwrap_or_default());
     match call {
-        Some(call) => {
-            let account = call
-                .account
-                .as_ref()
-                .map_or("", name::ClientAccount::as_str);
-            let event = event
-                .with("client_request", client_request(call))
-                .with("client_account", account);
-            call.note(shared, event);
-        }
+        Some(call) => call.note(shared, with_inputs(shared, call, problem, event)),
         None => drop(shared.kernel.note(event)),
     }
     shared.metrics.refused(problem.ran).increment(1);
     respond(shared, connection, answer::problem(problem)).await
 }
 
+/// Adds what a refusal was decided from, with its age or version.
+fn with_inputs(
+    shared: &Shared,
+    call: &Call,
+    problem: &problem::Problem,
+    event: event::Event,
+) -> event::Event {
+    let now_us = shared.kernel.now_us();
+    let account = call.account.as_ref();
+    let account = account.map_or("", name::ClientAccount::as_str);
+    let event = event
+        .with("client_request", client_request(call))
+        .with("client_account", account)
+        .with("route", &*call.route().name)
+        .with("config_version", call.current.site.version)
+        .with("elapsed_us", now_us - call.arrived_us)
+        .with("is_store_reachable", shared.platform.is_reachable());
+    let budget = name::Budget::from(account);
+    match shared.budget.report(&budget) {
+        Some(report) if problem.is_of_budget() => event
+            .with("available_tokens", report.available_tokens)
+            .with("reserved_tokens", report.reserved_tokens)
+            .with("left_tokens", report.left_tokens)
+            .with("purchased_tokens", report.purchased_tokens),
+        _ => {
+            let (usable, in_flight) = shared.route.load_of(&call.service);
+            event
+                .with("usable_backend_servers", usable)
+                .with("in_flight_requests", in_flight)
+                .with("directory_age_us", shared.directory.age_us(now_us))
+        }
+    }
+}
+
 async fn respond(
     shared: &Shared,
     connection: &mut server::Connection,
--- a/crates/peridotrack-edge/src/route.rs
+++ b/crates/peridotrack-edge/src/route.rs
@@ -9,7 +9,7 @@
 use local_sync::mpsc::unbounded as queue;
 use peridotrack_kernel::{Kernel, clock, event, timer};
 use peridotrack_route::{
-    event::{Action, Event, Note, Offer, Outcome},
+    event::{Action, Event, Note, Offer, Outcome, Target},
     options,
     router::Router,
 };
@@ -229,6 +229,16 @@
         self.run(actions);
     }
 
+    /// Returns the usable backend servers of a service, and the own requests in flight there.
+    pub fn load_of(&self, service: &name::Service) -> (u64, u64) {
+        let targets = [
+            Target::Model(service.as_str().into()),
+            Target::Service(service.clone()),
+        ];
+        let now_us = self.kernel.now_us();
+        self.router.borrow().load_of(now_us, &targets)
+    }
+
     /// Returns the state of every backend server as JSON.
     pub fn report(&self) -> serde_json::Value {
         serde_json::to_value(self.router.borrow().status(self.kernel.now_us())).unwrap_or_default()
--- a/crates/peridotrack-kernel/src/event.rs
+++ b/crates/peridotrack-kernel/src/event.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 /// How much attention an event needs.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Severity {
     /// Detail of normal work.
@@ -65,6 +65,8 @@
     103 Error RouterCut,
     /// The settings were read again.
     104 Info SettingsRead,
+    /// Log lines were left out: the reader was slow or the bound on bytes was reached.
+    105 Warn LogLinesDropped,
     /// A configuration came into force.
     110 Info ConfigApplied,
     /// A configuration was refused because it is invalid or older than the one in force.
@@ -145,7 +147,8 @@
 # Events
 
 Every event of a router has a number, which is never reused. The log writes one
-JSON object a line to standard error for each event above `debug`; `peridotrack
+JSON object a line for each event above `debug`: a router to standard error, a gateway to
+standard output, where a slow reader and a burst cost lines and are counted; `peridotrack
 timeline` merges the events of all routers, `debug` included. Each has `process`, `sequence` (from 1 within the process),
 `wall_us`, `number`, `name` and `severity`; an event of a request has
 `request_id`; `cause` is the sequence number of the event of the same process
--- a/crates/peridotrack-kernel/src/kernel.rs
+++ b/crates/peridotrack-kernel/src/kernel.rs
@@ -122,10 +122,19 @@
 impl Kernel {
     /// Records an event in the time line and the log and returns its sequence number.
     pub fn note(&self, event: event::Event) -> u64 {
+        let dropped_lines = self.log.take_dropped();
+        if dropped_lines > 0 {
+            let dropped = event::Event::new(event::Kind::LogLinesDropped);
+            self.record(dropped.with("lines", dropped_lines));
+        }
+        self.record(event)
+    }
+
+    fn record(&self, event: event::Event) -> u64 {
         let sequence = self.sequence.get() + 1;
         self.sequence.set(sequence);
         let recorded = event.record(Rc::clone(&self.process), sequence, self.clock.wall_us());
-        self.log.write(&recorded);
+        self.log.write(self.clock.now_us(), &recorded);
         self.timeline.push(recorded);
         sequence
     }
--- a/crates/peridotrack-kernel/src/log.rs
+++ b/crates/peridotrack-kernel/src/log.rs
@@ -1,6 +1,8 @@
 //! Structured logs: one JSON object a line.
 
-use std::{io::Write, sync::Arc};
+pub mod bounded;
+
+use std::{cell::RefCell, fs::File, io::Write, os::fd::AsFd, sync::Arc};
 
 use spdlog::{Level, LevelFilter, Logger, formatter, sink, sink::Sink};
 
@@ -14,22 +16,32 @@
     Off,
     /// Standard error.
     Stderr,
-    /// Standard output.
+    /// Standard output, bounded and without ever waiting for its reader.
     Stdout,
 }
 
 /// A logger for numbered events.
 pub struct Log {
     logger: Option<Logger>,
+    allowance: Option<RefCell<bounded::Allowance>>,
+    dropped: bounded::Dropped,
 }
 
 impl Log {
     /// Opens a log on `output`.
     pub fn open(output: Output) -> Result<Self, spdlog::Error> {
         match output {
-            Output::Off => Ok(Self { logger: None }),
+            Output::Off => Ok(Self {
+                logger: None,
+                allowance: None,
+                dropped: bounded::Dropped::default(),
+            }),
             Output::Stderr => Self::open_target(std::io::stderr()),
-            Output::Stdout => Self::open_target(std::io::stdout()),
+            Output::Stdout => match std::io::stdout().as_fd().try_clone_to_owned() {
+                // A copy of the descriptor goes round the line buffer of the library.
+                Ok(descriptor) => Self::open_bounded(File::from(descriptor)),
+                Err(_) => Self::open_target(std::io::stdout()),
+            },
         }
     }
 
@@ -47,24 +59,48 @@
             .build()?;
         Ok(Self {
             logger: Some(logger),
+            allowance: None,
+            dropped: bounded::Dropped::default(),
         })
     }
 
-    /// Writes one event, unless it is a detail of normal work.
-    pub(crate) fn write(&self, recorded: &event::Recorded) {
+    /// Opens a log that writes lines to `target` as far as it takes them at once, within
+    /// [`bounded::BYTES_PER_S`].
+    pub fn open_bounded<W: Write + AsFd + Send + 'static>(
+        target: W,
+    ) -> Result<Self, spdlog::Error> {
+        let dropped = bounded::Dropped::default();
+        let log = Self::open_target(bounded::Ready::new(target, dropped.clone()))?;
+        Ok(Self {
+            allowance: Some(RefCell::new(bounded::Allowance::new(0))),
+            dropped,
+            ..log
+        })
+    }
+
+    /// Returns the lines that were left out since the last call.
+    pub(crate) fn take_dropped(&self) -> u64 {
+        self.dropped.take()
+    }
+
+    /// Writes one event at a monotonic time, unless it is a detail of normal work.
+    pub(crate) fn write(&self, now_us: u64, recorded: &event::Recorded) {
         let Some(logger) = &self.logger else { return };
-        if recorded.severity == event::Severity::Debug {
-            return;
-        }
-        let Ok(line) = serde_json::to_string(recorded) else {
-            return;
-        };
         let level = match recorded.severity {
-            event::Severity::Debug => Level::Debug,
+            event::Severity::Debug => return,
             event::Severity::Info => Level::Info,
             event::Severity::Warn => Level::Warn,
             event::Severity::Error => Level::Error,
         };
+        let Ok(line) = serde_json::to_string(recorded) else {
+            return self.dropped.add();
+        };
+        let is_urgent = recorded.severity > event::Severity::Info;
+        if let Some(allowance) = &self.allowance
+            && !allowance.borrow_mut().take(now_us, line.len(), is_urgent)
+        {
+            return self.dropped.add();
+        }
         spdlog::log!(logger: logger, level, "{line}");
     }
 }
--- /dev/null
+++ b/crates/peridotrack-kernel/tests/log_bounds.rs
@@ -0,0 +1,48 @@
+//! A log that never blocks and counts what it leaves out.
+
+use std::{
+    fs::File,
+    io::{self, Read},
+    os::fd::OwnedFd,
+};
+
+use peridotrack_kernel::{Kernel, Options, event, log};
+
+fn completed(number: u64) -> event::Event {
+    event::Event::new(event::Kind::RequestCompleted).with("number", number)
+}
+
+#[test]
+fn a_pipe_that_nobody_reads_costs_lines_and_no_time() {
+    let (mut reader, writer) = io::pipe().unwrap();
+    let target = File::from(OwnedFd::from(writer));
+    let log = log::Log::open_bounded(target).unwrap();
+    let kernel = Kernel::open_with_log(Options::default(), log);
+    for number in 0..20_000 {
+        kernel.note(completed(number));
+    }
+    let mut bytes = vec![0; 1024 * 1024];
+    let read = reader.read(&mut bytes).unwrap();
+    let text = String::from_utf8(bytes[..read].to_vec()).unwrap();
+    assert!(text.ends_with('\n'), "only whole lines are written");
+    for line in text.lines() {
+        serde_json::from_str::<event::Recorded>(line).unwrap();
+    }
+    let dropped = kernel.timeline().after(0);
+    let dropped = dropped
+        .iter()
+        .filter(|event| &*event.name == "LogLinesDropped");
+    assert!(dropped.count() > 0, "the left out lines are counted");
+}
+
+#[test]
+fn a_burst_of_successes_leaves_room_for_failures() {
+    let mut allowance = log::bounded::Allowance::new(0);
+    let line_bytes = 1_024;
+    let successes = (0..1_000).filter(|_| allowance.take(0, line_bytes, false));
+    assert_eq!(successes.count(), 128);
+    let failures = (0..1_000).filter(|_| allowance.take(0, line_bytes, true));
+    assert_eq!(failures.count(), 128);
+    assert!(!allowance.take(0, line_bytes, true));
+    assert!(allowance.take(1_000_000, line_bytes, true));
+}
--- a/crates/peridotrack-route/src/router.rs
+++ b/crates/peridotrack-route/src/router.rs
@@ -61,6 +61,19 @@
         self.requests.len()
     }
 
+    /// Returns the usable backend servers of some targets, and the requests in flight there.
+    pub fn load_of(&self, now_us: u64, targets: &[Target]) -> (u64, u64) {
+        let pools = targets
+            .iter()
+            .filter_map(|target| self.by_target.get(target));
+        let members = pools.flat_map(|pool| self.pools[*pool].members());
+        let backends = members.map(|member| &self.backends[member.index]);
+        backends.fold((0, 0), |(usable, in_flight), backend| {
+            let is_usable = u64::from(backend.is_usable(now_us));
+            (usable + is_usable, in_flight + u64::from(backend.in_flight))
+        })
+    }
+
     /// Returns what operators see.
     pub fn status(&self, now_us: u64) -> status::Report {
         let mut indices: Vec<_> = self.by_name.values().copied().collect();
--- a/crates/peridotrack-types/src/problem.rs
+++ b/crates/peridotrack-types/src/problem.rs
@@ -157,6 +157,13 @@
         }
     }
 
+    /// Returns whether tokens were lacking.
+    pub fn is_of_budget(&self) -> bool {
+        [Kind::BudgetExhausted, Kind::BudgetUnavailable]
+            .iter()
+            .any(|kind| self.type_urn.ends_with(kind.slug()))
+    }
+
     /// Adds when to try again.
     #[must_use]
     pub fn retry_after_ms(mut self, retry_after_ms: u64) -> Self {
