perf(gateway): routers of a failure domain draw through one and pass tokens on

Idle tokens of other routers could not be used near the end of an account.

The gateway now runs the product's membership over the address that nobody outside calls, and the holders' transfers over it; the store lists no routers.

--- a/crates/peridotrack-budget/src/holder/account.rs
+++ b/crates/peridotrack-budget/src/holder/account.rs
@@ -122,7 +122,9 @@
 
     /// Returns the tokens to take from the drawer at the present rate.
     pub(super) fn float_tokens(&self, now_us: u64, options: &Options) -> u64 {
-        self.rate.over(now_us, options, options.float_us)
+        let deviations = options.ride_out_deviations;
+        self.rate
+            .bound_over(now_us, options, options.float_us, deviations)
     }
 
     /// Returns the tokens to draw, before the limit near exhaustion.
--- a/crates/peridotrack-budget/src/holder/rate.rs
+++ b/crates/peridotrack-budget/src/holder/rate.rs
@@ -36,11 +36,6 @@
         self.at_us = self.at_us.max(now_us);
     }
 
-    /// Returns the spend expected over a period, in tokens.
-    pub(super) fn over(&self, now_us: u64, options: &Options, period_us: u64) -> u64 {
-        self.mean_over(now_us, options, period_us) as u64
-    }
-
     /// Returns the mean spend over a period and `deviations` standard deviations on top, in
     /// tokens: arrivals are taken as independent, of the sizes seen.
     pub(super) fn bound_over(
--- a/crates/peridotrack-budget/src/holder/transfer.rs
+++ b/crates/peridotrack-budget/src/holder/transfer.rs
@@ -207,7 +207,8 @@
         if answer != Answer::Pending {
             let float_tokens = active.float_tokens(now_us, &self.options);
             if active.status == Status::Unlisted {
-                active.low_water_tokens = float_tokens / 2;
+                active.low_water_tokens =
+                    (float_tokens as f64 * self.options.low_water_part) as u64;
                 active.has_asked_ahead = false;
             }
         }
--- a/crates/peridotrack-edge/src/gateway.rs
+++ b/crates/peridotrack-edge/src/gateway.rs
@@ -17,14 +17,17 @@
 
 use peridotrack_budget::options as budget_options;
 use peridotrack_http::client;
-use peridotrack_kernel::{Kernel, clock, event, log};
+use peridotrack_kernel::{Kernel, clock, event, log, registry};
+use peridotrack_member::message::State;
 use peridotrack_route::options as route_options;
 use peridotrack_types::{gateway::Settings, id};
 
-use crate::{budget, metric, platform, route};
+use crate::{budget, member, metric, peer, platform, route};
 
 /// Time that closing the budget may take at the end, in microseconds.
 const CLOSE_US: u64 = 400 * clock::US_PER_MS;
+/// Time that the last messages to peers get before the process ends, in microseconds.
+const FAREWELL_US: u64 = 20 * clock::US_PER_MS;
 /// Time for which a stopping gateway leaves idle connections open, in microseconds: the
 /// balancer asks for readiness each second and takes a VM out after two misses.
 const LEAVE_ROTATION_US: u64 = 2_600 * clock::US_PER_MS;
@@ -45,6 +48,11 @@
 const LOW_WATER_PART: f64 = 0.9;
 /// Period in which each account's grant is inspected, in microseconds.
 const INSPECT_US: u64 = clock::US_PER_S;
+/// Longest wait for a peer that is asked for tokens, in microseconds: several round trips
+/// between failure domains of a region.
+const ASK_TIMEOUT_US: u64 = 20 * clock::US_PER_MS;
+/// Time for which a peer that did not answer is passed over, in microseconds.
+const SUSPECT_US: u64 = 2 * clock::US_PER_S;
 /// Longest pause between two probes of a store that cannot be reached, in microseconds.
 const STORE_BACKOFF_US: u64 = 400 * clock::US_PER_MS;
 /// When to come back after a refusal because the store cannot be reached, in milliseconds;
@@ -71,15 +79,18 @@
     /// The kernel cannot be opened.
     #[error("open the kernel: {0}")]
     Kernel(#[from] peridotrack_kernel::Error),
+    /// A service is missing.
+    #[error("start the services: {0}")]
+    Registry(#[from] registry::Error),
     /// An address cannot be listened on.
-    #[error("listen for {step} on {address}: {source}")]
+    #[error("listen for {step} on {address}: {detail}")]
     Listen {
         /// Who is listened for.
         step: &'static str,
         /// The address.
         address: SocketAddr,
         /// Why.
-        source: std::io::Error,
+        detail: String,
     },
 }
 
@@ -99,6 +110,8 @@
     incarnation: id::Incarnation,
     platform: Rc<platform::Platform>,
     budget: Rc<budget::Budget>,
+    member: Rc<member::Member>,
+    link: Rc<peer::Link>,
     route: Rc<route::Route>,
     pool: client::Pool,
     metrics: metric::Requests,
@@ -137,6 +150,18 @@
         );
         let budget =
             budget::Budget::spawn(&kernel, &platform, incarnation, ledger_options(&settings));
+        let link = peer::Link::bind(
+            Rc::clone(&kernel),
+            incarnation,
+            settings.peer_address,
+            &settings.peer_key,
+        )
+        .map_err(|error| listen("peers", settings.peer_address, &error))?;
+        let member = spawn_member(&kernel, &link, &platform, &settings, incarnation);
+        let registry = kernel.registry();
+        registry.register(budget::SERVICE, Rc::clone(&budget))?;
+        registry.register(member::SERVICE, Rc::clone(&member))?;
+        subscribe(&link, &member, &budget);
         let route = route::Route::spawn(
             &kernel,
             route_options(&settings),
@@ -147,6 +172,8 @@
             incarnation,
             platform,
             budget,
+            member,
+            link,
             route,
             pool: client::Pool::new(backend_options(), IDLE_CONNECTIONS),
             metrics: metric::Requests::open(kernel.meter()),
@@ -158,9 +185,9 @@
             kernel,
         });
         let clients = server::Server::bind(&shared)
-            .map_err(|source| listen("clients", shared.settings.client_address, source))?;
+            .map_err(|error| listen("clients", shared.settings.client_address, &error))?;
         let probes = probe::Probe::bind(&shared)
-            .map_err(|source| listen("probes", shared.settings.readiness_address, source))?;
+            .map_err(|error| listen("probes", shared.settings.readiness_address, &error))?;
         monoio::spawn(site::follow(Rc::clone(&shared)));
         monoio::spawn(directory::follow(Rc::clone(&shared)));
         let event = event::Event::new(event::Kind::RouterStarted)
@@ -200,6 +227,7 @@
     /// Turns readiness off while requests are still served.
     pub fn begin_stop(&self) {
         self.shared.is_stopping.set(true);
+        self.shared.member.set_state(State::Stopping);
         let event = event::Event::new(event::Kind::RouterStopping)
             .with("open_requests", self.clients.open_requests() as u64);
         self.shared.kernel.note(event);
@@ -245,6 +273,9 @@
             is_budget_closed: self.shared.budget.close(close_us).await,
         };
         self.probes.stop();
+        self.shared.member.stop();
+        kernel.timer().sleep_us(FAREWELL_US).await;
+        self.shared.link.stop();
         let kind = match outcome.cut_requests {
             0 => event::Kind::RouterStopped,
             _ => event::Kind::RouterCut,
@@ -257,12 +288,48 @@
     }
 }
 
+fn spawn_member(
+    kernel: &Rc<Kernel>,
+    link: &Rc<peer::Link>,
+    platform: &Rc<platform::Platform>,
+    settings: &Settings,
+    incarnation: id::Incarnation,
+) -> Rc<member::Member> {
+    let local = member::Local {
+        vm: settings.vm.clone(),
+        incarnation,
+        started_wall_ms: kernel.clock().wall_us() / clock::US_PER_MS,
+        failure_domain: settings.failure_domain.clone(),
+        peer_address: link.address(),
+        caller_address: settings.client_address,
+    };
+    let seeds = settings.seed_addresses.clone();
+    let member = member::Member::spawn(kernel, link, platform, local, seeds, fastrand::u64(..));
+    member.set_state(State::Serving);
+    member
+}
+
+/// Hands each frame of a peer to the service that it is for.
+fn subscribe(link: &Rc<peer::Link>, member: &Rc<member::Member>, budget: &Rc<budget::Budget>) {
+    let (members, budget) = (Rc::clone(member), Rc::clone(budget));
+    let on_frame = move |sender: peer::Sender, frame: peer::Frame| match frame {
+        peer::Frame::Member(message) => members.receive(sender.address, message),
+        peer::Frame::Budget(message) => budget.receive(sender.incarnation, message),
+        _ => {}
+    };
+    let members = Rc::clone(member);
+    link.subscribe(on_frame, move |address| {
+        members.handle(peridotrack_member::action::Event::SendFailed { address });
+    });
+}
+
 /// Options of the budget holder. All routers of a deployment come to the same shard count.
 fn ledger_options(settings: &Settings) -> budget_options::Options {
     let shard_count = settings.store_writes_per_s / WRITES_PER_SHARD;
     budget_options::Options {
         shard_count: u32::try_from(shard_count.max(1)).unwrap_or(u32::MAX),
         ride_out_us: DRAW_SPAN_US,
+        float_us: DRAW_SPAN_US,
         rate_half_life_us: RATE_HALF_LIFE_US,
         rate_age_min_us: RATE_AGE_MIN_US,
         ride_out_deviations: DRAW_DEVIATIONS,
@@ -270,6 +337,8 @@
         low_water_part: LOW_WATER_PART,
         hold_portions: HOLD_PORTIONS,
         sweep_us: INSPECT_US,
+        ask_timeout_us: ASK_TIMEOUT_US,
+        suspect_us: SUSPECT_US,
         backoff_max_us: STORE_BACKOFF_US,
         unavailable_retry_ms: UNAVAILABLE_RETRY_MS,
         return_after_us: RETURN_AFTER_US,
@@ -296,10 +365,10 @@
     }
 }
 
-fn listen(step: &'static str, address: SocketAddr, source: std::io::Error) -> Error {
+fn listen(step: &'static str, address: SocketAddr, error: &dyn std::error::Error) -> Error {
     Error::Listen {
         step,
         address,
-        source,
+        detail: error.to_string(),
     }
 }
--- a/crates/peridotrack-edge/src/member.rs
+++ b/crates/peridotrack-edge/src/member.rs
@@ -71,8 +71,11 @@
         let weak = Rc::downgrade(&service);
         let listing = kernel.timer().subscribe(LIST_US, move |now_us| {
             // A few routers of a failure domain read the list and tell the others.
-            let reads =
-                |service: &Rc<Self>| service.is_watcher() && now_us >= service.next_list_us.get();
+            let reads = |service: &Rc<Self>| {
+                service.platform.dialect() == platform::Dialect::Native
+                    && service.is_watcher()
+                    && now_us >= service.next_list_us.get()
+            };
             if let Some(service) = weak.upgrade().filter(reads) {
                 monoio::spawn(service.list_vms());
             }
@@ -127,15 +130,16 @@
 
 /// Sends a frame to the router of an incarnation, if its address is known.
 ///
-/// Returns whether the process has links to peers at all.
+/// Returns whether the address is known; without one the peer cannot answer.
 pub fn send(kernel: &Kernel, to: id::Incarnation, frame: &peer::Frame) -> bool {
     let Ok(members) = kernel.registry().find::<Member>(SERVICE) else {
         return false;
     };
-    if let Some(address) = members.address_of(to) {
+    let address = members.address_of(to);
+    if let Some(address) = address {
         members.link.send(address, frame);
     }
-    true
+    address.is_some()
 }
 
 /// Sending.
--- a/crates/peridotrack-edge/src/platform.rs
+++ b/crates/peridotrack-edge/src/platform.rs
@@ -212,6 +212,11 @@
         self.reachable.get()
     }
 
+    /// Returns the protocol that the store speaks.
+    pub fn dialect(&self) -> Dialect {
+        self.dialect
+    }
+
     /// Returns when a call last failed to reach the platform or was refused by it, in monotonic
     /// microseconds; 0 if none did.
     pub fn lost_us(&self) -> u64 {
--- a/crates/peridotrack-kernel/src/log.rs
+++ b/crates/peridotrack-kernel/src/log.rs
@@ -2,7 +2,7 @@
 
 pub mod bounded;
 
-use std::{cell::RefCell, fs::File, io::Write, os::fd::AsFd, sync::Arc};
+use std::{cell::RefCell, io::Write, os::fd::AsFd, sync::Arc};
 
 use spdlog::{Level, LevelFilter, Logger, formatter, sink, sink::Sink};
 
@@ -37,11 +37,7 @@
                 dropped: bounded::Dropped::default(),
             }),
             Output::Stderr => Self::open_target(std::io::stderr()),
-            Output::Stdout => match std::io::stdout().as_fd().try_clone_to_owned() {
-                // A copy of the descriptor goes round the line buffer of the library.
-                Ok(descriptor) => Self::open_bounded(File::from(descriptor)),
-                Err(_) => Self::open_target(std::io::stdout()),
-            },
+            Output::Stdout => Self::open_bounded(std::io::stdout()),
         }
     }
 
@@ -66,9 +62,7 @@
 
     /// Opens a log that writes lines to `target` as far as it takes them at once, within
     /// [`bounded::BYTES_PER_S`].
-    pub fn open_bounded<W: Write + AsFd + Send + 'static>(
-        target: W,
-    ) -> Result<Self, spdlog::Error> {
+    pub fn open_bounded<W: AsFd + Send + 'static>(target: W) -> Result<Self, spdlog::Error> {
         let dropped = bounded::Dropped::default();
         let log = Self::open_target(bounded::Ready::new(target, dropped.clone()))?;
         Ok(Self {
--- a/crates/peridotrack-kernel/src/log/bounded.rs
+++ b/crates/peridotrack-kernel/src/log/bounded.rs
@@ -82,7 +82,7 @@
     dropped: Dropped,
 }
 
-impl<W: Write + AsFd> Ready<W> {
+impl<W: AsFd> Ready<W> {
     /// Wraps a target.
     pub fn new(target: W, dropped: Dropped) -> Self {
         Self { target, dropped }
@@ -97,18 +97,18 @@
     }
 }
 
-impl<W: Write + AsFd> Write for Ready<W> {
+impl<W: AsFd> Write for Ready<W> {
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
-        if line.len() > LINE_BYTES || !self.is_ready() || self.target.write_all(line).is_err() {
+        let is_written = line.len() <= LINE_BYTES
+            && self.is_ready()
+            && rustix::io::write(&self.target, line).is_ok_and(|count| count == line.len());
+        if !is_written {
             self.dropped.add();
         }
         Ok(line.len())
     }
 
     fn flush(&mut self) -> io::Result<()> {
-        match self.is_ready() {
-            true => self.target.flush(),
-            false => Ok(()),
-        }
+        Ok(())
     }
 }
--- a/crates/peridotrack-types/src/gateway.rs
+++ b/crates/peridotrack-types/src/gateway.rs
@@ -20,6 +20,12 @@
     pub client_address: SocketAddr,
     /// Where readiness is asked for.
     pub readiness_address: SocketAddr,
+    /// Where other routers connect.
+    pub peer_address: SocketAddr,
+    /// Peer addresses to contact first; they may be stale.
+    pub seed_addresses: Vec<SocketAddr>,
+    /// Text that routers of one deployment share, to tell them from those of another.
+    pub peer_key: String,
     /// Where metrics are served, if they are.
     pub metrics_address: Option<SocketAddr>,
     /// Address of the store.
