feat(tool): explain and timeline read the logs of processes

explain names a request by its client's identifier, shows the events that bear on it and tells the cause of its end.

--- a/crates/peridotrack/src/arguments.rs
+++ b/crates/peridotrack/src/arguments.rs
@@ -52,8 +52,22 @@
         /// Most events to print.
         last: Option<usize>,
     },
+    /// Merge the events of logs.
+    TimelineLogs {
+        /// The logs.
+        logs: Vec<PathBuf>,
+        /// Most events to print.
+        last: Option<usize>,
+    },
     /// Run a fleet with stand-ins in this process.
     Demo,
+    /// Tell from logs what happened to one request.
+    ExplainLogs {
+        /// The request, as its client or a router named it.
+        request: String,
+        /// The logs.
+        logs: Vec<PathBuf>,
+    },
     /// Tell what happened to one request.
     Explain {
         /// The request.
@@ -130,7 +144,11 @@
         let message = "a command is needed (see peridotrack --help)";
         return Err(Failure::new(Exit::Usage, message));
     }
-    let command = command(&words, arguments)
+    let command = match arguments.contains("--logs") {
+        true => logs_command(&words, arguments),
+        false => command(&words, arguments),
+    };
+    let command = command
         .wrap_err_with(|| format!("{words} (see peridotrack {words} --help)"))
         .or_exit(Exit::Usage)?;
     Ok(Invocation { command, json })
@@ -193,6 +211,29 @@
     Ok(command)
 }
 
+/// Parses a command that reads logs: all that is left on the line are files.
+fn logs_command(words: &str, mut arguments: Arguments) -> eyre::Result<Command> {
+    let last = match words {
+        "timeline" => arguments.opt_value_from_str("--last")?,
+        _ => None,
+    };
+    let request = match words {
+        "explain" => Some(arguments.free_from_str().wrap_err("REQUEST-ID")?),
+        "timeline" => None,
+        _ => eyre::bail!("--logs is for explain and timeline"),
+    };
+    let logs: Vec<PathBuf> = arguments.finish().into_iter().map(Into::into).collect();
+    eyre::ensure!(!logs.is_empty(), "--logs needs a file");
+    let option = logs
+        .iter()
+        .find(|path| path.to_string_lossy().starts_with('-'));
+    eyre::ensure!(option.is_none(), "unexpected argument {option:?}");
+    Ok(match request {
+        Some(request) => Command::ExplainLogs { request, logs },
+        None => Command::TimelineLogs { logs, last },
+    })
+}
+
 fn inputs(arguments: &mut Arguments) -> eyre::Result<Inputs> {
     Ok(Inputs {
         register: value(arguments, "--register")?,
--- a/crates/peridotrack/src/explain.rs
+++ b/crates/peridotrack/src/explain.rs
@@ -1,12 +1,14 @@
 //! `explain`: tells what happened to one request.
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, path::PathBuf};
 
 use peridotrack_types::id;
 
 use crate::{
     arguments::Routers,
-    report::{Exit, Failure, Report},
+    logs,
+    report::{Exit, Failure, OrExit, Report},
+    story,
     timeline::{self, Merged},
 };
 
@@ -43,6 +45,43 @@
     Ok(Report::done(text, json).exit(exit))
 }
 
+/// Tells from logs what happened to one request, and why.
+///
+/// # Errors
+///
+/// Returns a failure if a log cannot be read.
+pub fn explain_from_logs(request: &str, paths: &[PathBuf]) -> Result<Report, Failure> {
+    let logs = logs::read(paths).or_exit(Exit::Usage)?;
+    let story = story::tell(&logs.events, request);
+    let mut text = String::new();
+    for event in &story.context {
+        text.push_str("          ");
+        text.push_str(&timeline::line(event));
+    }
+    for event in &story.events {
+        text.push_str("request   ");
+        text.push_str(&timeline::line(event));
+    }
+    for cause in &story.causes {
+        text.push_str(&format!("cause     {cause}\n"));
+    }
+    let mut exit = Exit::Done;
+    if story.events.is_empty() {
+        exit = Exit::Refused;
+        text = format!(
+            "no event of request {request}: it reached no router whose log was given, or its \
+             lines were left out (see LogLinesDropped)\n"
+        );
+    }
+    let json = serde_json::json!({
+        "request": request,
+        "events": story.events,
+        "context": story.context,
+        "causes": story.causes,
+    });
+    Ok(Report::done(text, json).exit(exit))
+}
+
 /// Returns the events of a request, what caused them, and what they caused.
 pub fn select(events: &[Merged], request: id::Request) -> Vec<Merged> {
     let place = |merged: &Merged| (merged.event.process.clone(), merged.event.sequence);
--- a/crates/peridotrack/src/help.rs
+++ b/crates/peridotrack/src/help.rs
@@ -97,19 +97,23 @@
         summary: "merge the events of routers into one time line",
         text: "\
 usage: peridotrack timeline --router ADDRESS... --operator-key-file FILE [--last N]
+       peridotrack timeline [--last N] --logs FILE...
 
 Times are those of this machine: the offset of each router's clock is estimated
 from the midpoints of requests, and printed with its bound.
 
-  --last N  print only the last N events",
+  --last N        print only the last N events
+  --logs FILE...  read the logs of processes instead",
     },
     Entry {
         words: "explain",
         summary: "tell what happened to one request",
         text: "\
 usage: peridotrack explain REQUEST-ID --router ADDRESS... --operator-key-file FILE
+       peridotrack explain REQUEST-ID --logs FILE...
 
-Prints the events of the request at all routers given, with their causes.",
+Prints the events of the request at all routers given, with their causes. With
+--logs, REQUEST-ID may be the client's, and the cause of the end is named.",
     },
     Entry {
         words: "demo",
--- /dev/null
+++ b/crates/peridotrack/src/logs.rs
@@ -0,0 +1,67 @@
+//! Reads the logs of processes.
+
+use std::{collections::BTreeMap, fs, path::PathBuf, rc::Rc};
+
+use peridotrack_kernel::event;
+
+use crate::timeline::{Merged, Offset, Source, merge};
+
+/// A log that cannot be read.
+#[derive(Debug, thiserror::Error)]
+#[error("read the log {}: {source}", path.display())]
+pub struct Error {
+    /// The file.
+    pub path: PathBuf,
+    /// Why.
+    pub source: std::io::Error,
+}
+
+/// Events of several logs in one order.
+#[derive(Debug, Clone, Default)]
+pub struct Logs {
+    /// Events by time; those of one process keep their order, whatever its clock did.
+    pub events: Vec<Merged>,
+    /// Lines that hold no event.
+    pub other_lines: usize,
+}
+
+/// Reads logs; a line may carry a prefix before its event, as collectors of logs add one.
+///
+/// # Errors
+///
+/// Returns the first file that cannot be read.
+pub fn read(paths: &[PathBuf]) -> Result<Logs, Error> {
+    let mut processes: BTreeMap<Rc<str>, Vec<event::Recorded>> = BTreeMap::new();
+    let mut other_lines = 0;
+    for path in paths {
+        let text = fs::read(path).map_err(|source| Error {
+            path: path.clone(),
+            source,
+        })?;
+        for line in String::from_utf8_lossy(&text).lines() {
+            match parse(line) {
+                Some(event) => {
+                    let process = Rc::clone(&event.process);
+                    processes.entry(process).or_default().push(event);
+                }
+                None => other_lines += 1,
+            }
+        }
+    }
+    let offset = Offset {
+        ahead_us: 0,
+        bound_us: 0,
+    };
+    let sources = processes
+        .into_values()
+        .map(|events| Source { offset, events });
+    Ok(Logs {
+        events: merge(sources.collect()),
+        other_lines,
+    })
+}
+
+fn parse(line: &str) -> Option<event::Recorded> {
+    let begin = line.find("{\"process\"")?;
+    serde_json::from_str(&line[begin..]).ok()
+}
--- a/crates/peridotrack/src/timeline.rs
+++ b/crates/peridotrack/src/timeline.rs
@@ -3,14 +3,15 @@
 mod merge;
 mod wall;
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, path::PathBuf};
 
 use peridotrack_kernel::{event, timeline::Page};
 
 use crate::{
     arguments::Routers,
     fleet::{self, Answer, Error, Fleet},
-    report::{Exit, Failure, Report},
+    logs,
+    report::{Exit, Failure, OrExit, Report},
 };
 
 pub use merge::{Merged, Offset, Source, merge};
@@ -49,6 +50,21 @@
     Ok(Report::done(text, json).exit(collected.exit()))
 }
 
+/// Merges the events of logs.
+///
+/// # Errors
+///
+/// Returns a failure if a log cannot be read.
+pub fn timeline_of_logs(paths: &[PathBuf], last: Option<usize>) -> Result<Report, Failure> {
+    let mut logs = logs::read(paths).or_exit(Exit::Usage)?;
+    let surplus = last.map_or(0, |last| logs.events.len().saturating_sub(last));
+    logs.events.drain(..surplus);
+    let mut text: String = logs.events.iter().map(line).collect();
+    text.push_str(&format!("({} lines hold no event)\n", logs.other_lines));
+    let json = serde_json::json!({ "events": logs.events, "other_lines": logs.other_lines });
+    Ok(Report::done(text, json))
+}
+
 /// Reads the events of routers and estimates the offsets of their clocks.
 ///
 /// # Errors
--- a/crates/peridotrack/tests/arguments.rs
+++ b/crates/peridotrack/tests/arguments.rs
@@ -28,6 +28,8 @@
     "explain nonsense --router 127.0.0.1:1 --operator-key-file k",
     "REQUEST-ID"
 )]
+#[case::no_log("explain 9c41 --logs", "needs a file")]
+#[case::other_command("status --logs a", "--logs is for")]
 #[case::unconfirmed(
     "budget release --platform 127.0.0.1:1 --budget b --holder 00000000000000aa --spent 1",
     "--confirm-destroyed"
@@ -60,6 +62,8 @@
      --holder 00000000000000aa --spent 1"
 )]
 #[case("timeline --router 127.0.0.1:1 --operator-key-file k --last 5")]
+#[case("timeline --last 5 --logs a b")]
+#[case("explain 9c41d07be2a35f68 --logs a b")]
 #[case("explain 00000000000000aa-7 --router 127.0.0.1:1 --operator-key-file k")]
 #[case("explain --router 127.0.0.1:1 --operator-key-file k 00000000000000aa-7")]
 fn right_usage_is_accepted(#[case] line: &str) {
--- /dev/null
+++ b/crates/peridotrack/tests/story.rs
@@ -0,0 +1,146 @@
+//! The cause of a request's end, from logs.
+
+use std::{fs, path::PathBuf};
+
+use peridotrack::{logs, story};
+use rstest::rstest;
+
+struct Lines {
+    text: String,
+    sequence: u64,
+    wall_us: u64,
+}
+
+impl Lines {
+    fn new() -> Self {
+        Self {
+            text: "a line of something else\n".to_owned(),
+            sequence: 0,
+            wall_us: 1_000_000_000,
+        }
+    }
+
+    fn add(mut self, name: &str, request: Option<&str>, fields: &str) -> Self {
+        self.sequence += 1;
+        self.wall_us += 10_000;
+        let request = request.map_or(String::new(), |id| format!(r#""request_id":"{id}","#));
+        self.text.push_str(&format!(
+            r#"12.5 vm-1 {{"process":"vm-1","sequence":{},"wall_us":{},"number":1,"name":"{name}","severity":"info",{request}"fields":{{{fields}}}}}"#,
+            self.sequence, self.wall_us
+        ));
+        self.text.push('\n');
+        self
+    }
+
+    fn tell(&self, name: &str, id: &str) -> story::Story {
+        let path: PathBuf = std::env::temp_dir().join(format!(
+            "peridotrack-story-{name}-{}.log",
+            std::process::id()
+        ));
+        fs::write(&path, &self.text).unwrap();
+        let logs = logs::read(std::slice::from_ref(&path)).unwrap();
+        fs::remove_file(&path).unwrap();
+        assert_eq!(logs.other_lines, 1);
+        story::tell(&logs.events, id)
+    }
+}
+
+const REQUEST: &str = "00000000000000aa-7";
+
+fn refused(problem: &str, fields: &str) -> String {
+    format!(
+        r#""client_request":"9c41","client_account":"t-1","problem":"urn:peridotrack:problem:{problem}","detail":"why","retry_after_ms":1,{fields}"#
+    )
+}
+
+#[rstest]
+#[case::exhausted(
+    "budget-exhausted",
+    r#""available_tokens":4,"left_tokens":0,"purchased_tokens":900"#,
+    "account t-1 is at its end"
+)]
+#[case::store_lost(
+    "budget-unavailable",
+    r#""is_store_reachable":false,"available_tokens":4"#,
+    "the store is lost since 30 ms (reset)"
+)]
+#[case::store_slow(
+    "budget-unavailable",
+    r#""is_store_reachable":true,"available_tokens":4"#,
+    "the store did not answer in time"
+)]
+#[case::no_server(
+    "no-backend-server",
+    r#""usable_backend_servers":0"#,
+    "the attempt at i-1 failed: connection refused; not tried again: 0 usable"
+)]
+#[case::unknown(
+    "outcome-unknown",
+    r#""usable_backend_servers":3"#,
+    "the attempt at i-1 failed: connection refused"
+)]
+#[case::key("unauthorized", r#""config_version":3"#, "why")]
+fn the_cause_of_a_refusal_is_named(
+    #[case] problem: &str,
+    #[case] fields: &str,
+    #[case] expected: &str,
+) {
+    let story = Lines::new()
+        .add("PlatformLost", None, r#""error":"reset""#)
+        .add("BudgetNote", None, r#""note":"dry t-2""#)
+        .add(
+            "AttemptFailed",
+            Some(REQUEST),
+            r#""backend_server":"i-1","detail":"connection refused""#,
+        )
+        .add("RequestRefused", Some(REQUEST), &refused(problem, fields))
+        .tell(problem, "9c41");
+    assert_eq!(story.events.len(), 2, "{story:?}");
+    let [cause] = &story.causes[..] else {
+        panic!("one cause: {story:?}")
+    };
+    assert!(cause.contains(expected), "{cause}");
+    let context: Vec<&str> = story.context.iter().map(|m| &*m.event.name).collect();
+    assert_eq!(context, ["PlatformLost"], "other accounts are left out");
+}
+
+#[rstest]
+#[case(
+    "RequestCut",
+    r#""client_request":"9c41","detail":"cut""#,
+    "the attempt at i-1 failed: reset"
+)]
+#[case("RequestCancelled", r#""client_request":"9c41""#, "the client left")]
+#[case("RequestCompleted", r#""client_request":"9c41","is_late":true,"first_part_us":900000,"longest_gap_us":5000,"elapsed_us":1,"backend_server":"i-1""#, "first part after 900 ms")]
+#[case(
+    "RequestCompleted",
+    r#""client_request":"9c41","is_late":false"#,
+    "answered in time"
+)]
+fn the_cause_of_another_end_is_named(
+    #[case] name: &str,
+    #[case] fields: &str,
+    #[case] expected: &str,
+) {
+    let story = Lines::new()
+        .add(
+            "AttemptFailed",
+            Some(REQUEST),
+            r#""backend_server":"i-1","detail":"reset""#,
+        )
+        .add(name, Some(REQUEST), fields)
+        .tell(&format!("{name}-{}", expected.len()), REQUEST);
+    assert!(story.causes[0].contains(expected), "{story:?}");
+}
+
+#[test]
+fn a_request_that_no_log_holds_has_no_story() {
+    let story = Lines::new()
+        .add(
+            "RequestCompleted",
+            Some(REQUEST),
+            r#""client_request":"9c41""#,
+        )
+        .tell("none", "9c42");
+    assert!(story.events.is_empty() && story.causes.is_empty());
+}
