--- a/crates/peridotrack-edge/src/gateway.rs
+++ b/crates/peridotrack-edge/src/gateway.rs
@@ -43,7 +43,7 @@
 /// Time over which the first spend of an account is averaged at least, in microseconds.
 const RATE_AGE_MIN_US: u64 = 2 * clock::US_PER_S;
 /// Portions of what is left that a router keeps at most.
-const HOLD_PORTIONS: u64 = 2;
+const HOLD_PORTIONS: u64 = 1;
 /// Part of a full grant below which the next draw is due: the rest must last an outage.
 const LOW_WATER_PART: f64 = 0.9;
 /// Period in which each account's grant is inspected, in microseconds.
