--- a/crates/peridotrack-edge/src/gateway/exchange.rs
+++ b/crates/peridotrack-edge/src/gateway/exchange.rs
@@ -22,7 +22,10 @@
 use crate::{budget, route};
 
 /// Part of the objective that drawing tokens may take.
-const DRAW_PART: u64 = 4;
+const DRAW_PART: u64 = 2;
+/// When to come back after tokens could not be drawn in time, in milliseconds: the ledger is
+/// contended for about as long after many routers started at once.
+const DRAW_RETRY_MS: u64 = 1_000;
 /// Shortest time that drawing tokens may take, in microseconds: one call of a slow store.
 const DRAW_MIN_US: u64 = 100 * clock::US_PER_MS;
 /// When a client may come back while the gateway has no configuration, in milliseconds.
@@ -257,17 +260,20 @@
             Ok(payment)
         }
         Err(refusal) => {
-            let kind = match refusal.kind {
-                refusal::Kind::Exhausted => problem::Kind::BudgetExhausted,
-                refusal::Kind::Waiting | refusal::Kind::Unavailable => {
-                    problem::Kind::BudgetUnavailable
+            let (kind, retry_after_ms) = match refusal.kind {
+                refusal::Kind::Exhausted => {
+                    (problem::Kind::BudgetExhausted, refusal.retry_after_ms)
                 }
+                refusal::Kind::Waiting | refusal::Kind::Unavailable => (
+                    problem::Kind::BudgetUnavailable,
+                    refusal.retry_after_ms.max(DRAW_RETRY_MS),
+                ),
             };
             let detail = format!(
                 "{bound_tokens} tokens cannot be reserved: {:?}",
                 refusal.kind
             );
-            Err(problem::Problem::new(kind, detail).retry_after_ms(refusal.retry_after_ms))
+            Err(problem::Problem::new(kind, detail).retry_after_ms(retry_after_ms))
         }
     }
 }
