fix(gateway): a run is paid although the next attempt did not run

Cause: a proof that the newest attempt did not run cancelled the whole reservation, also when an earlier attempt of the same request had run.

--- a/crates/peridotrack-edge/src/gateway/attempt.rs
+++ b/crates/peridotrack-edge/src/gateway/attempt.rs
@@ -103,7 +103,7 @@
             backend: self.target.backend_server.clone(),
         });
         self.ticket.sent();
-        self.payment.may_have_run.set(true);
+        self.payment.begin_attempt();
         let request = self.forwarded(progress);
         let head = connection.send(request).await?;
         let facts = answer_wire::Facts::decode(&head, self.call.facts.request_id.as_ref());
@@ -157,7 +157,7 @@
             });
         }
         if facts.is_not_run {
-            self.payment.may_have_run.set(false);
+            self.payment.did_not_run();
             if facts.is_misdirected {
                 self.ticket.leaving();
             }
@@ -220,11 +220,11 @@
     }
 
     pub(super) fn failed(&self, error: &client::Error, progress: &Progress) -> Attempt {
+        if !error.bytes_written && error.step != client::Step::Connect {
+            self.payment.did_not_run();
+        }
         let outcome = match (error.bytes_written, &error.kind) {
-            (false, _) => {
-                self.payment.may_have_run.set(progress.has_begun());
-                Outcome::ConnectFailed
-            }
+            (false, _) => Outcome::ConnectFailed,
             (true, client::Kind::TimedOut) => Outcome::Timeout { sent: true },
             (true, _) => Outcome::Broken {
                 sent: true,
@@ -241,7 +241,7 @@
     fn timed_out(&self) -> Attempt {
         Attempt::Failed {
             outcome: Outcome::Timeout {
-                sent: self.payment.may_have_run.get(),
+                sent: self.payment.may_have_run(),
             },
             detail: "the time for the request ran out".to_owned(),
             answer: None,
--- a/crates/peridotrack-edge/src/gateway/exchange.rs
+++ b/crates/peridotrack-edge/src/gateway/exchange.rs
@@ -214,8 +214,29 @@
     prompt_tokens: u64,
     /// Tokens of the answer that went to the client.
     pub(super) delivered_tokens: Cell<u64>,
-    /// Whether a backend server may have run the request.
-    pub(super) may_have_run: Cell<bool>,
+    /// Whether an earlier attempt may have run.
+    has_run: Cell<bool>,
+    /// Whether the newest attempt may have run.
+    is_in_doubt: Cell<bool>,
+}
+
+impl Payment {
+    /// Takes note that an attempt is about to be sent.
+    pub(super) fn begin_attempt(&self) {
+        if self.is_in_doubt.replace(true) {
+            self.has_run.set(true);
+        }
+    }
+
+    /// Takes note of a proof that the newest attempt did not run; earlier ones may have.
+    pub(super) fn did_not_run(&self) {
+        self.is_in_doubt.set(false);
+    }
+
+    /// Returns whether any attempt may have run.
+    pub(super) fn may_have_run(&self) -> bool {
+        self.has_run.get() || self.is_in_doubt.get()
+    }
 }
 
 impl Drop for Payment {
@@ -223,7 +244,7 @@
         let Some(reservation) = &self.reservation else {
             return;
         };
-        if !self.may_have_run.get() {
+        if !self.may_have_run() {
             return self.shared.budget.cancel(reservation);
         }
         let spent_tokens = self.prompt_tokens + self.delivered_tokens.get();
@@ -241,7 +262,8 @@
         reservation: None,
         prompt_tokens: call.facts.prompt_tokens,
         delivered_tokens: Cell::new(0),
-        may_have_run: Cell::new(false),
+        has_run: Cell::new(false),
+        is_in_doubt: Cell::new(false),
     };
     let account = match &call.account {
         Some(account) if call.has_budget && bound_tokens > 0 => account,
--- a/crates/peridotrack-edge/tests/gateway/budget.rs
+++ b/crates/peridotrack-edge/tests/gateway/budget.rs
@@ -8,7 +8,7 @@
 };
 use rstest::rstest;
 
-use crate::rig::{LIMIT, Rig, config, request};
+use crate::rig::{LIMIT, Rig, config, entry, request};
 
 /// Tokens of a request's prompt.
 const PROMPT: u64 = 90;
@@ -69,6 +69,56 @@
     });
 }
 
+#[rstest]
+#[case::cut_then_refused("/stream/resumable/x", Mode::CutStream, Mode::Refuse)]
+#[case::reset_then_refused("/safe/x", Mode::Reset, Mode::Refuse)]
+#[case::reset_then_unreachable("/safe/x", Mode::Reset, Mode::Serve)]
+#[case::reset_then_misdirected("/safe/x", Mode::Reset, Mode::Misdirect)]
+fn a_run_is_paid_although_the_next_attempt_did_not_run(
+    #[case] path: &str,
+    #[case] first: Mode,
+    #[case] second: Mode,
+) {
+    block_on(async {
+        let rig = Rig::spawn_before_config(2);
+        rig.store.put("config", "main", config(4, 1_000));
+        rig.ready().await;
+        rig.engines[0].set_mode(first);
+        rig.engines[1].set_mode(second);
+        if second == Mode::Serve {
+            let mut nowhere = entry(&rig.engines[1]);
+            nowhere["address"] = "127.0.0.1:1".into();
+            rig.store.put("servers", "i-1", nowhere);
+            let applied = async || {
+                let before = rig.engines[1].arrivals();
+                for _ in 0..8 {
+                    rig.get("/public/x").await;
+                }
+                (rig.engines[1].arrivals() == before).then_some(())
+            };
+            wait::some(LIMIT, "the address in force", applied)
+                .await
+                .unwrap();
+        }
+        let runs = rig.runs();
+        let size = format!("{PROMPT},{OUTPUT}");
+        let sent = || request(path, &[("peridotrack-token-usage", &size)]);
+        let ran = async || {
+            rig.send(sent()).await;
+            (rig.runs() == runs + 1).then_some(())
+        };
+        wait::some(LIMIT, "one run", ran).await.unwrap();
+        rig.set_modes(Mode::Serve);
+        let served = async || (ask(&rig).await == 200).then_some(());
+        wait::some(LIMIT, "a served request", served).await.unwrap();
+        let mut served = 1;
+        while ask(&rig).await == 200 {
+            served += 1;
+        }
+        assert_eq!(served, (1_000 - PROMPT) / (PROMPT + OUTPUT));
+    });
+}
+
 #[rstest]
 #[case(store::Mode::Busy)]
 #[case(store::Mode::Reset)]
