--- a/crates/peridotrack-budget/src/holder/rate.rs
+++ b/crates/peridotrack-budget/src/holder/rate.rs
@@ -25,6 +25,16 @@
         }
     }
 
+    /// Adds tokens given to another holder; their size tells nothing of requests.
+    pub(super) fn add_given(&mut self, now_us: u64, half_life_us: u64, tokens: f64) {
+        let kept = self.kept(now_us, half_life_us);
+        // The size of a typical reservation stays what it was.
+        let typical = self.squares / self.level_tokens.max(1.0);
+        self.level_tokens = self.level_tokens * kept + tokens;
+        self.squares = self.squares * kept + typical * tokens;
+        self.at_us = self.at_us.max(now_us);
+    }
+
     /// Adds spend, or takes back spend that was added but did not happen.
     pub(super) fn add(&mut self, now_us: u64, half_life_us: u64, tokens: f64) {
         let kept = self.kept(now_us, half_life_us);
--- a/crates/peridotrack-budget/src/holder/transfer.rs
+++ b/crates/peridotrack-budget/src/holder/transfer.rs
@@ -106,6 +106,7 @@
 
     /// Gives what there is, as far as it was asked for.
     fn give_at_hand(&mut self, now_us: u64, index: u32, to: id::Incarnation, asked: &Asked) {
+        let sharers = self.peers.len() as u64 + 1;
         let Some(active) = self.accounts[index as usize].active.as_mut() else {
             return;
         };
@@ -116,7 +117,7 @@
         let available_tokens = active.available_tokens();
         let shared_tokens = match active.search.is_running() {
             true => 0,
-            false => (asked.need_tokens + asked.wish_tokens).min(available_tokens / 2),
+            false => (asked.need_tokens + asked.wish_tokens).min(available_tokens / sharers.max(2)),
         };
         let tokens = asked.need_tokens.max(shared_tokens).min(available_tokens);
         let unmet_tokens = asked.need_tokens.saturating_sub(tokens);
@@ -296,7 +297,7 @@
             transfer.repeat_at_us = now_us + repeat_us;
             active.sent_tokens += tokens;
             active.last_use_us = now_us;
-            active.rate.add(now_us, half_life_us, tokens as f64);
+            active.rate.add_given(now_us, half_life_us, tokens as f64);
             self.unacknowledged.insert(index);
             self.out
                 .push(Action::Note(Note::Sent { budget, to, tokens }));
