--- a/crates/peridotrack-budget/src/holder/account.rs
+++ b/crates/peridotrack-budget/src/holder/account.rs
@@ -85,6 +85,8 @@
     /// Times that the memory of fruitless searches was doubled.
     pub(super) dry_doublings: u32,
     pub(super) left_tokens: u64,
+    /// Whether little is left, see [`Options::scarce_part`].
+    pub(super) is_scarce: bool,
     /// Other holders with an open row, the most idle first, when the ledger was last seen.
     pub(super) rows: Vec<id::Incarnation>,
     /// The ledger exposes more than was purchased, since the budget was lowered.
@@ -104,6 +106,9 @@
 
     /// Returns the tokens to hold at the present rate.
     pub(super) fn target_tokens(&self, now_us: u64, options: &Options) -> u64 {
+        if self.is_scarce {
+            return 0;
+        }
         let deviations = options.ride_out_deviations;
         self.rate
             .bound_over(now_us, options, options.ride_out_us, deviations)
@@ -122,6 +127,9 @@
 
     /// Returns the tokens to take from the drawer at the present rate.
     pub(super) fn float_tokens(&self, now_us: u64, options: &Options) -> u64 {
+        if self.is_scarce {
+            return 0;
+        }
         let deviations = options.ride_out_deviations;
         self.rate
             .bound_over(now_us, options, options.float_us, deviations)
@@ -129,11 +137,31 @@
 
     /// Returns the tokens to draw, before the limit near exhaustion.
     pub(super) fn want_tokens(&self, now_us: u64, options: &Options) -> u64 {
-        let target = self.target_tokens(now_us, options);
-        (target.max(options.draw_floor_tokens) + self.demand_tokens + self.called_tokens())
+        let ahead_tokens = self.full_tokens(now_us, options);
+        (ahead_tokens + self.demand_tokens + self.called_tokens())
             .saturating_sub(self.available_tokens())
     }
 
+    /// Returns the tokens that a full grant has free.
+    pub(super) fn full_tokens(&self, now_us: u64, options: &Options) -> u64 {
+        match self.is_scarce {
+            true => 0,
+            false => self
+                .target_tokens(now_us, options)
+                .max(options.draw_floor_tokens),
+        }
+    }
+
+    /// Takes in what is left of a budget in the ledger.
+    pub(super) fn note_left(&mut self, left_tokens: u64, purchased_tokens: u64, options: &Options) {
+        self.left_tokens = left_tokens;
+        let part = match self.is_scarce {
+            true => options.plenty_part,
+            false => options.scarce_part,
+        };
+        self.is_scarce = (left_tokens as f64) < part * purchased_tokens as f64;
+    }
+
     /// Deducts tokens that go back to the ledger with the next write.
     pub(super) fn give_back(&mut self, tokens: u64) {
         self.returned_tokens += tokens.min(self.available_tokens());
--- a/crates/peridotrack-budget/src/holder/plan.rs
+++ b/crates/peridotrack-budget/src/holder/plan.rs
@@ -373,10 +373,9 @@
 impl Active {
     /// Sets the level at which the next draw is due.
     pub(super) fn set_low_water(&mut self, now_us: u64, options: &Options) {
-        let target = self.target_tokens(now_us, options);
         let holders = self.rows.len() as u64 + 1;
         let share = self.left_tokens / (options.share_divisor * holders).max(1);
-        let full = target.max(options.draw_floor_tokens).min(share);
+        let full = self.full_tokens(now_us, options).min(share);
         self.low_water_tokens = (full as f64 * options.low_water_part) as u64;
     }
 
--- a/crates/peridotrack-budget/src/holder/plan/complete.rs
+++ b/crates/peridotrack-budget/src/holder/plan/complete.rs
@@ -49,8 +49,10 @@
 
     fn complete_own(&mut self, now_us: u64, own: OwnRow) {
         self.credit(own.index, own.granted_tokens, own.returned_tokens);
-        if let Some(active) = self.accounts[own.index as usize].active.as_mut() {
-            active.left_tokens = own.left_tokens;
+        let account = &mut self.accounts[own.index as usize];
+        let purchased_tokens = account.purchased_tokens;
+        if let Some(active) = account.active.as_mut() {
+            active.note_left(own.left_tokens, purchased_tokens, &self.options);
             active.rows.clone_from(&own.rows);
             active.set_low_water(now_us, &self.options);
         }
--- a/crates/peridotrack-budget/src/holder/sweep.rs
+++ b/crates/peridotrack-budget/src/holder/sweep.rs
@@ -128,6 +128,9 @@
         if self.search.is_running() || self.need_tokens() > 0 {
             return 0;
         }
+        if self.is_scarce {
+            return self.available_tokens();
+        }
         let (target, floor) = match self.is_drawer {
             true => (
                 self.target_tokens(now_us, options),
--- a/crates/peridotrack-budget/src/holder/transfer.rs
+++ b/crates/peridotrack-budget/src/holder/transfer.rs
@@ -54,7 +54,11 @@
                 budget,
                 sent_tokens,
                 answer,
-            } => self.on_give(now_us, from, &budget, sent_tokens, answer),
+                is_scarce,
+            } => {
+                self.note_scarce(&budget, is_scarce);
+                self.on_give(now_us, from, &budget, sent_tokens, answer);
+            }
             Message::Receipt {
                 budget,
                 received_tokens,
@@ -115,7 +119,7 @@
             active.low_water_tokens = 0;
         }
         let available_tokens = active.available_tokens();
-        let shared_tokens = match active.search.is_running() {
+        let shared_tokens = match active.search.is_running() || active.is_scarce {
             true => 0,
             false => (asked.need_tokens + asked.wish_tokens).min(available_tokens / sharers.max(2)),
         };
@@ -183,6 +187,18 @@
         self.answer(index, from, Answer::Pending);
     }
 
+    /// Takes over what a holder that reads the ledger says; one that reads it itself knows.
+    fn note_scarce(&mut self, budget: &name::Budget, is_scarce: bool) {
+        let Some(&index) = self.index.get(budget) else {
+            return;
+        };
+        if let Some(active) = self.accounts[index as usize].active.as_mut()
+            && active.status == Status::Unlisted
+        {
+            active.is_scarce = is_scarce;
+        }
+    }
+
     fn on_give(
         &mut self,
         now_us: u64,
@@ -325,10 +341,13 @@
         sent_tokens: u64,
         answer: Answer,
     ) {
+        let index = self.index.get(budget);
+        let active = index.and_then(|index| self.accounts[*index as usize].active.as_deref());
         let message = Message::Give {
             budget: budget.clone(),
             sent_tokens,
             answer,
+            is_scarce: active.is_some_and(|active| active.is_scarce),
         };
         self.out.push(Action::Send { to, message });
     }
--- a/crates/peridotrack-budget/src/message.rs
+++ b/crates/peridotrack-budget/src/message.rs
@@ -35,6 +35,8 @@
         sent_tokens: u64,
         /// What the receiver may expect beyond them.
         answer: Answer,
+        /// Whether the sender takes the budget for scarce.
+        is_scarce: bool,
     },
     /// Acknowledges a transfer.
     Receipt {
--- /dev/null
+++ b/crates/peridotrack-budget/tests/scarce.rs
@@ -0,0 +1,149 @@
+//! Near the end of a budget nothing is drawn ahead and idle tokens go back.
+
+use peridotrack_budget::{
+    action::Action, event::Event, holder::Holder, ledger::Shard, options::Options, reservation,
+};
+use peridotrack_types::{id, name};
+use rstest::rstest;
+
+const SECOND_US: u64 = 1_000_000;
+const PURCHASED: u64 = 100_000;
+/// Size of each request.
+const SIZE: u64 = 1_000;
+
+/// One holder and the store's only shard, which never fails.
+struct Rig {
+    holder: Holder,
+    shard: Option<(u64, Shard)>,
+    budget: name::Budget,
+    now_us: u64,
+}
+
+impl Rig {
+    fn new() -> Self {
+        let options = Options {
+            shard_count: 1,
+            ride_out_us: 12 * SECOND_US,
+            rate_half_life_us: 8 * SECOND_US,
+            rate_age_min_us: SECOND_US,
+            ride_out_deviations: 1.5,
+            share_divisor: 3,
+            low_water_part: 0.9,
+            hold_portions: 1,
+            scarce_part: 0.12,
+            plenty_part: 0.35,
+            sweep_us: SECOND_US,
+            ..Options::default()
+        };
+        let mut rig = Self {
+            holder: Holder::new(id::Incarnation(1), options, 0),
+            shard: None,
+            budget: name::Budget::from("t-1"),
+            now_us: SECOND_US,
+        };
+        rig.configure(1, PURCHASED);
+        rig
+    }
+
+    fn configure(&mut self, version: u64, purchased: u64) {
+        let budget = (self.budget.clone(), purchased);
+        let actions = self.holder.configure(self.now_us, version, [budget]);
+        self.run(actions);
+    }
+
+    fn run(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            let event = match action {
+                Action::Read { shard } => match &self.shard {
+                    None => Event::ShardAbsent { shard },
+                    Some((version, body)) => Event::ShardRead {
+                        shard,
+                        version: *version,
+                        body: body.clone(),
+                    },
+                },
+                Action::Write { shard, body, .. } => {
+                    let version = self.shard.as_ref().map_or(1, |(version, _)| version + 1);
+                    self.shard = Some((version, body));
+                    Event::Written { shard, version }
+                }
+                _ => continue,
+            };
+            let actions = self.holder.on_event(self.now_us, event);
+            self.run(actions);
+        }
+    }
+
+    fn pass(&mut self, span_us: u64) {
+        let end_us = self.now_us + span_us;
+        while self.now_us < end_us {
+            self.now_us += 20_000;
+            let actions = self.holder.on_event(self.now_us, Event::Tick);
+            self.run(actions);
+        }
+    }
+
+    /// Reserves one request within a second.
+    fn reserve(&mut self) -> Option<reservation::Id> {
+        for _ in 0..50 {
+            let reserved = self.holder.reserve(self.now_us, &self.budget, SIZE);
+            let actions = self.holder.poll(self.now_us);
+            self.run(actions);
+            if let Ok(id) = reserved {
+                return Some(id);
+            }
+            self.pass(20_000);
+        }
+        None
+    }
+
+    fn spend(&mut self, requests: u64) {
+        for _ in 0..requests {
+            let id = self.reserve().expect("tokens are left");
+            self.holder.settle(self.now_us, id, SIZE);
+            self.pass(100_000);
+        }
+    }
+
+    fn idle(&self) -> u64 {
+        let report = self.holder.report(&self.budget).expect("in use");
+        report.available_tokens
+    }
+}
+
+#[test]
+fn far_from_the_end_grants_outlast_an_outage() {
+    let mut rig = Rig::new();
+    rig.spend(30);
+    assert!(rig.idle() >= 8 * SIZE, "{} tokens free", rig.idle());
+}
+
+#[test]
+fn near_the_end_a_loss_strands_nothing_that_is_idle() {
+    let mut rig = Rig::new();
+    rig.spend(92);
+    rig.pass(3 * SECOND_US);
+    assert_eq!(rig.idle(), 0);
+    let (_, shard) = rig.shard.as_ref().expect("drawn on");
+    let totals = shard.totals(&rig.budget).expect("drawn on");
+    assert_eq!(totals.left_tokens, PURCHASED - 92 * SIZE);
+}
+
+#[test]
+fn near_the_end_each_request_is_still_served() {
+    let mut rig = Rig::new();
+    rig.spend(100);
+    assert!(rig.reserve().is_none(), "no token is left");
+}
+
+#[rstest]
+#[case::a_little(100_500, true)]
+#[case::plenty(300_000, false)]
+fn a_top_up_ends_scarcity_only_if_it_brings_plenty(#[case] purchased: u64, #[case] scarce: bool) {
+    let mut rig = Rig::new();
+    rig.spend(95);
+    rig.configure(2, purchased);
+    rig.spend(3);
+    rig.pass(2 * SECOND_US);
+    assert_eq!(rig.idle() == 0, scarce, "{} tokens free", rig.idle());
+}
--- a/crates/peridotrack-edge/src/gateway.rs
+++ b/crates/peridotrack-edge/src/gateway.rs
@@ -42,6 +42,10 @@
 const RATE_HALF_LIFE_US: u64 = 8 * clock::US_PER_S;
 /// Time over which the first spend of an account is averaged at least, in microseconds.
 const RATE_AGE_MIN_US: u64 = 2 * clock::US_PER_S;
+/// Part of an account's tokens below which, left in the ledger, nothing is drawn ahead.
+const SCARCE_PART: f64 = 0.12;
+/// Part from which on tokens are drawn ahead again: more than idle grants bring back.
+const PLENTY_PART: f64 = 0.35;
 /// Portions of what is left that a router keeps at most.
 const HOLD_PORTIONS: u64 = 1;
 /// Part of a full grant below which the next draw is due: the rest must last an outage.
@@ -335,6 +339,8 @@
         ride_out_deviations: DRAW_DEVIATIONS,
         share_divisor: SHARE_DIVISOR,
         low_water_part: LOW_WATER_PART,
+        scarce_part: SCARCE_PART,
+        plenty_part: PLENTY_PART,
         hold_portions: HOLD_PORTIONS,
         sweep_us: INSPECT_US,
         ask_timeout_us: ASK_TIMEOUT_US,
