--- a/crates/peridotrack-edge/src/gateway.rs
+++ b/crates/peridotrack-edge/src/gateway.rs
@@ -24,8 +24,11 @@
 
 use crate::{budget, member, metric, peer, platform, route};
 
-/// Time that closing the budget may take at the end, in microseconds.
-const CLOSE_US: u64 = 400 * clock::US_PER_MS;
+/// Time that is kept for closing the budget, in microseconds; it may take longer if open
+/// requests end sooner.
+const CLOSE_US: u64 = 800 * clock::US_PER_MS;
+/// Time before the end of the grace at which the process ends, in microseconds.
+const MARGIN_US: u64 = 200 * clock::US_PER_MS;
 /// Time that the last messages to peers get before the process ends, in microseconds.
 const FAREWELL_US: u64 = 20 * clock::US_PER_MS;
 /// Time for which a stopping gateway leaves idle connections open, in microseconds: the
@@ -43,9 +46,9 @@
 /// Time over which the first spend of an account is averaged at least, in microseconds.
 const RATE_AGE_MIN_US: u64 = 2 * clock::US_PER_S;
 /// Part of an account's tokens below which, left in the ledger, nothing is drawn ahead.
-const SCARCE_PART: f64 = 0.12;
+const SCARCE_PART: f64 = 0.2;
 /// Part from which on tokens are drawn ahead again: more than idle grants bring back.
-const PLENTY_PART: f64 = 0.35;
+const PLENTY_PART: f64 = 0.45;
 /// Portions of what is left that a router keeps at most.
 const HOLD_PORTIONS: u64 = 1;
 /// Part of a full grant below which the next draw is due: the rest must last an outage.
@@ -266,12 +269,13 @@
     pub async fn stop(&self) -> Outcome {
         let kernel = &self.shared.kernel;
         let end_us = kernel.now_us() + self.shared.settings.bounds.grace_ms * clock::US_PER_MS;
-        let deadline_us = end_us.saturating_sub(2 * CLOSE_US);
+        let deadline_us = end_us.saturating_sub(CLOSE_US);
         let leave_us = LEAVE_ROTATION_US.min(deadline_us.saturating_sub(kernel.now_us()));
         kernel.timer().sleep_us(leave_us).await;
         let cut_requests = self.clients.drain(deadline_us).await;
         self.clients.stop();
-        let close_us = kernel.now_us() + CLOSE_US;
+        // Grants that do not go back are lost for good, so all the time that is left is theirs.
+        let close_us = end_us.saturating_sub(MARGIN_US);
         let outcome = Outcome {
             cut_requests,
             is_budget_closed: self.shared.budget.close(close_us).await,
