fix(route): another server after a proof that the first did not run

Cause: work that must not be repeated was never sent again once a byte was sent, also where the platform's servers prove that they did not run it; and a connection that failed used up the only attempt of a route. The gateway's request, payment and exchange are modules of their own.

--- a/crates/peridotrack-edge/src/gateway.rs
+++ b/crates/peridotrack-edge/src/gateway.rs
@@ -6,8 +6,10 @@
 
 mod answer;
 mod attempt;
+mod call;
 mod directory;
 mod exchange;
+mod payment;
 mod probe;
 mod server;
 mod site;
@@ -241,7 +243,7 @@
     }
 
     /// Takes settings that were read again. Addresses and bounds hold until the next start.
-    pub fn reload(&self, settings: Result<Settings, String>) {
+    pub fn reload(&self, settings: &Result<Settings, String>) {
         let is_changed = settings.as_ref().map(|new| *new != self.shared.settings);
         let event = event::Event::new(event::Kind::SettingsRead);
         self.shared.kernel.note(match is_changed {
@@ -361,6 +363,7 @@
     route_options::Options {
         retry_share: settings.bounds.retry_ratio * RETRY_PART,
         retry_floor: RETRY_FLOOR,
+        refusals_are_trusted: true,
         refusals_are_charged: true,
         ..route_options::Options::default()
     }
--- a/crates/peridotrack-edge/src/gateway/attempt.rs
+++ b/crates/peridotrack-edge/src/gateway/attempt.rs
@@ -12,7 +12,8 @@
 
 use super::{
     Shared, answer, backend_options,
-    exchange::{Call, Payment},
+    call::Call,
+    payment::Payment,
     stream::{self, Progress},
 };
 use crate::route;
--- /dev/null
+++ b/crates/peridotrack-edge/src/gateway/call.rs
@@ -0,0 +1,201 @@
+//! One request on its way: its route, its client account, its place among the others.
+
+use std::{cell::Cell, rc::Rc};
+
+use peridotrack_http::server;
+use peridotrack_kernel::{clock, event};
+use peridotrack_platform::request as wire;
+use peridotrack_route::{
+    event::{Continuation, Offer, Target},
+    prefill,
+};
+use peridotrack_types::{id, name, problem, rules, site};
+
+use super::{Shared, site::InForce};
+
+/// When a client may come back while the gateway has no configuration, in milliseconds.
+const STARTING_RETRY_MS: u64 = 500;
+/// Ranks from this one on are of low priority.
+const LOW_RANK: u32 = 2;
+
+/// One request on its way.
+pub(super) struct Call {
+    pub(super) request_id: id::Request,
+    pub(super) current: Rc<InForce>,
+    pub(super) route: usize,
+    pub(super) account: Option<name::ClientAccount>,
+    pub(super) facts: wire::Facts,
+    pub(super) request: server::Request,
+    pub(super) arrived_us: u64,
+    pub(super) deadline_us: u64,
+    pub(super) service: name::Service,
+    pub(super) has_budget: bool,
+    priority: rules::Priority,
+    cause: Cell<u64>,
+}
+
+impl Call {
+    pub(super) fn route(&self) -> &site::Route {
+        &self.current.site.routes[self.route]
+    }
+
+    /// Returns what the request's engines are like, `None` for a plain service.
+    pub(super) fn engine(&self) -> Option<site::Engine> {
+        let mut services = self.current.site.services.iter();
+        services
+            .find(|service| service.name == self.service)?
+            .engine
+    }
+
+    pub(super) fn left_us(&self, shared: &Shared) -> u64 {
+        self.deadline_us.saturating_sub(shared.kernel.now_us())
+    }
+
+    /// Records an event of this request, caused by the one before it.
+    pub(super) fn note(&self, shared: &Shared, event: event::Event) {
+        let event = event.request(self.request_id).cause(self.cause.get());
+        self.cause.set(shared.kernel.note(event));
+    }
+
+    /// Returns the identifier that the client gave the request.
+    pub(super) fn client_request(&self) -> &str {
+        self.facts
+            .request_id
+            .as_ref()
+            .and_then(|id| id.to_str().ok())
+            .unwrap_or_default()
+    }
+}
+
+/// Finds the route and the client account of a request.
+pub(super) fn accept(
+    shared: &Rc<Shared>,
+    request: server::Request,
+) -> Result<Call, problem::Problem> {
+    let arrived_us = shared.kernel.now_us();
+    let Some(current) = shared.site.get() else {
+        let kind = problem::Kind::NoBackendServer;
+        return Err(problem::Problem::new(kind, "no configuration is known yet")
+            .retry_after_ms(STARTING_RETRY_MS));
+    };
+    let headers = &request.head.headers;
+    let host = headers
+        .get(http::header::HOST)
+        .and_then(|host| host.to_str().ok())
+        .unwrap_or_default();
+    let path = request.head.uri.path();
+    let route = current.index.route(host, path).ok_or_else(|| {
+        let detail = format!("no route for host {host:?} and path {path:?}");
+        problem::Problem::new(problem::Kind::NotFound, detail)
+    })?;
+    let position = wire::key(headers).and_then(|key| current.index.account(key));
+    let found = &current.site.routes[route];
+    let needs_key = !current.site.client_accounts.is_empty() && !found.is_public;
+    if needs_key && position.is_none() {
+        let kind = problem::Kind::Unauthorized;
+        return Err(problem::Problem::new(kind, "the key is missing or unknown"));
+    }
+    let account = position.map(|position| &current.site.client_accounts[position]);
+    let facts = wire::Facts::decode(headers);
+    let limit_ms = facts
+        .patience_ms
+        .map_or(found.timeout_ms, |ms| ms.min(found.timeout_ms));
+    let rank = account
+        .and_then(|account| account.rank)
+        .unwrap_or(found.rank);
+    let Some(service) = choose_service(found) else {
+        let detail = format!("route {:?} leads to no service", found.name);
+        return Err(problem::Problem::new(
+            problem::Kind::NoBackendServer,
+            detail,
+        ));
+    };
+    shared.sequence.set(shared.sequence.get() + 1);
+    let call = Call {
+        request_id: id::Request {
+            incarnation: shared.incarnation,
+            sequence: shared.sequence.get(),
+        },
+        route,
+        account: account.map(|account| account.name.clone()),
+        facts,
+        arrived_us,
+        deadline_us: arrived_us + limit_ms * clock::US_PER_MS,
+        service,
+        has_budget: account.is_some_and(|account| account.prepaid_tokens.is_some()),
+        priority: priority(rank),
+        cause: Cell::new(0),
+        current: Rc::clone(&current),
+        request,
+    };
+    shared.metrics.accepted.increment(1);
+    let event = event::Event::new(event::Kind::RequestAccepted)
+        .with("client_request", call.client_request())
+        .with("route", &*call.route().name)
+        .with("config_version", current.site.version);
+    call.note(shared, event);
+    Ok(call)
+}
+
+/// Draws one of a route's services by their weights.
+fn choose_service(route: &site::Route) -> Option<name::Service> {
+    let total: u32 = route.shares.iter().map(|share| share.weight).sum();
+    let mut point = match total {
+        0 => 0,
+        _ => fastrand::u32(..total),
+    };
+    for share in &route.shares {
+        if point < share.weight {
+            return Some(share.service.clone());
+        }
+        point -= share.weight;
+    }
+    route.shares.first().map(|share| share.service.clone())
+}
+
+fn priority(rank: u32) -> rules::Priority {
+    match rank {
+        0 => rules::Priority::High,
+        1..LOW_RANK => rules::Priority::Normal,
+        _ => rules::Priority::Low,
+    }
+}
+
+pub(super) fn offer(call: &Call) -> Offer {
+    let route = call.route();
+    let target = match call.engine() {
+        Some(_) => Target::Model(call.service.as_str().into()),
+        None => Target::Service(call.service.clone()),
+    };
+    let is_resumable = route.repetition == site::Repetition::ResumableStream;
+    let account = call.account.clone();
+    let prompt = prompt(&call.facts);
+    Offer {
+        request_id: call.request_id,
+        target,
+        account: account.unwrap_or_else(|| "".into()),
+        priority: call.priority,
+        prefix_hash: prompt.as_ref().and_then(prefill::Prompt::shared_id),
+        prompt,
+        size_tokens: (call.facts.prompt_tokens + call.facts.max_output_tokens).max(1),
+        deadline_us: call.deadline_us,
+        idempotent: is_resumable || route.repetition == site::Repetition::Idempotent,
+        continuation: match is_resumable {
+            true => Continuation::AnyServer,
+            false => Continuation::SameServer,
+        },
+        max_dispatches: Some(route.max_attempts),
+    }
+}
+
+/// Returns the prompt of a request that states its parts.
+fn prompt(facts: &wire::Facts) -> Option<prefill::Prompt> {
+    let part = |part: &wire::PromptPart| prefill::Part {
+        id: part.id,
+        tokens: part.tokens,
+    };
+    (!facts.prompt_parts.is_empty()).then(|| prefill::Prompt {
+        parts: facts.prompt_parts.iter().map(part).collect(),
+        tokens: facts.prompt_tokens,
+    })
+}
--- /dev/null
+++ b/crates/peridotrack-edge/src/gateway/payment.rs
@@ -0,0 +1,111 @@
+//! Tokens of prepaid accounts: set aside before a request is sent, settled after it.
+
+use std::{cell::Cell, rc::Rc};
+
+use peridotrack_budget::refusal;
+use peridotrack_kernel::clock;
+use peridotrack_types::{name, problem};
+
+use super::{Shared, call::Call};
+use crate::budget;
+
+/// Part of the objective that drawing tokens may take.
+const DRAW_PART: u64 = 2;
+/// When to come back after tokens could not be drawn in time, in milliseconds: the ledger is
+/// contended for about as long after many routers started at once.
+const DRAW_RETRY_MS: u64 = 1_000;
+/// Shortest time that drawing tokens may take, in microseconds: one call of a slow store.
+const DRAW_MIN_US: u64 = 100 * clock::US_PER_MS;
+
+/// Tokens that are set aside for a request, settled when this is dropped.
+pub(super) struct Payment {
+    shared: Rc<Shared>,
+    reservation: Option<budget::Reservation>,
+    prompt_tokens: u64,
+    /// Tokens of the answer that went to the client.
+    pub(super) delivered_tokens: Cell<u64>,
+    /// Whether an earlier attempt may have run.
+    has_run: Cell<bool>,
+    /// Whether the newest attempt may have run.
+    is_in_doubt: Cell<bool>,
+}
+
+impl Payment {
+    /// Takes note that an attempt is about to be sent.
+    pub(super) fn begin_attempt(&self) {
+        if self.is_in_doubt.replace(true) {
+            self.has_run.set(true);
+        }
+    }
+
+    /// Takes note of a proof that the newest attempt did not run; earlier ones may have.
+    pub(super) fn did_not_run(&self) {
+        self.is_in_doubt.set(false);
+    }
+
+    /// Returns whether any attempt may have run.
+    pub(super) fn may_have_run(&self) -> bool {
+        self.has_run.get() || self.is_in_doubt.get()
+    }
+}
+
+impl Drop for Payment {
+    fn drop(&mut self) {
+        let Some(reservation) = &self.reservation else {
+            return;
+        };
+        if !self.may_have_run() {
+            return self.shared.budget.cancel(reservation);
+        }
+        let spent_tokens = self.prompt_tokens + self.delivered_tokens.get();
+        let spent_tokens = spent_tokens.min(reservation.bound_tokens);
+        self.shared.budget.settle(reservation, spent_tokens);
+        self.shared.metrics.settled_tokens.increment(spent_tokens);
+    }
+}
+
+/// Reserves what the request can consume at most.
+pub(super) async fn pay(shared: &Rc<Shared>, call: &Call) -> Result<Payment, problem::Problem> {
+    let bound_tokens = call.facts.prompt_tokens + call.facts.max_output_tokens;
+    let mut payment = Payment {
+        shared: Rc::clone(shared),
+        reservation: None,
+        prompt_tokens: call.facts.prompt_tokens,
+        delivered_tokens: Cell::new(0),
+        has_run: Cell::new(false),
+        is_in_doubt: Cell::new(false),
+    };
+    let account = match &call.account {
+        Some(account) if call.has_budget && bound_tokens > 0 => account,
+        _ => return Ok(payment),
+    };
+    let budgets = [name::Budget::from(account.as_str())];
+    let part_us = call.route().objective_ms * clock::US_PER_MS / DRAW_PART;
+    let deadline_us = call.arrived_us + part_us.max(DRAW_MIN_US);
+    let reserved = shared
+        .budget
+        .reserve(&budgets, bound_tokens, deadline_us.min(call.deadline_us))
+        .await;
+    match reserved {
+        Ok(reservation) => {
+            payment.reservation = Some(reservation);
+            Ok(payment)
+        }
+        Err(refusal) => {
+            let (kind, retry_after_ms) = match refusal.kind {
+                refusal::Kind::Exhausted => {
+                    (problem::Kind::BudgetExhausted, refusal.retry_after_ms)
+                }
+                refusal::Kind::Waiting | refusal::Kind::Unavailable => (
+                    problem::Kind::BudgetUnavailable,
+                    refusal.retry_after_ms.max(DRAW_RETRY_MS),
+                ),
+            };
+            let detail = format!(
+                "{bound_tokens} tokens cannot be reserved: {:?}",
+                refusal.kind
+            );
+            Err(problem::Problem::new(kind, detail).retry_after_ms(retry_after_ms))
+        }
+    }
+}
--- a/crates/peridotrack-edge/src/gateway/stream.rs
+++ b/crates/peridotrack-edge/src/gateway/stream.rs
@@ -7,7 +7,7 @@
 use super::{
     answer,
     attempt::{Attempt, Head, Run},
-    exchange::Call,
+    call::Call,
 };
 use crate::sse;
 
--- a/crates/peridotrack-edge/tests/gateway/requests.rs
+++ b/crates/peridotrack-edge/tests/gateway/requests.rs
@@ -9,7 +9,7 @@
 };
 use rstest::rstest;
 
-use crate::rig::{self, LIMIT, Rig, request};
+use crate::rig::{self, LIMIT, Rig, config, entry, request};
 
 #[test]
 fn a_request_reaches_a_server_unchanged_and_without_its_key() {
@@ -66,19 +66,34 @@
 }
 
 #[rstest]
-#[case::refused(Mode::Refuse)]
-#[case::misdirected(Mode::Misdirect)]
-fn a_request_that_surely_did_not_run_is_tried_elsewhere(#[case] mode: Mode) {
+fn a_request_that_surely_did_not_run_is_tried_elsewhere(
+    #[values(Mode::Refuse, Mode::Misdirect)] mode: Mode,
+    #[values("/safe/x", "/unsafe/x", "/stream/x")] path: &str,
+) {
     block_on(async {
         let rig = Rig::spawn(2).await;
-        for path in ["/safe/x", "/unsafe/x"] {
-            rig.engines[0].set_mode(mode);
-            for _ in 0..4 {
-                assert_eq!(rig.get(path).await.unwrap().status(), 200);
-            }
-            rig.set_modes(Mode::Serve);
+        rig.set_modes(mode);
+        assert!(rig.get(path).await.unwrap().status().as_u16() >= 429);
+        let arrivals: Vec<u64> = rig.engines.iter().map(|engine| engine.arrivals()).collect();
+        assert_eq!(arrivals, [1, 1], "both were tried, each once");
+        assert_eq!(rig.runs(), 0);
+    });
+}
+
+#[rstest]
+#[case("/once/x")]
+#[case("/unsafe/x")]
+fn an_address_that_nobody_listens_on_costs_no_attempt(#[case] path: &str) {
+    block_on(async {
+        let rig = Rig::spawn_before_config(2);
+        let mut nowhere = entry(&rig.engines[1]);
+        nowhere["address"] = "127.0.0.1:1".into();
+        rig.store.put("servers", "i-1", nowhere);
+        rig.store.put("config", "main", config(4, 1_000_000));
+        rig.ready().await;
+        for _ in 0..4 {
+            assert_eq!(rig.get(path).await.unwrap().status(), 200);
         }
-        assert!(rig.engines[0].runs().is_empty());
     });
 }
 
--- a/crates/peridotrack-edge/tests/gateway/rig.rs
+++ b/crates/peridotrack-edge/tests/gateway/rig.rs
@@ -71,6 +71,7 @@
         "routes": [
             route("safe", "/safe/", "safe", 3),
             route("unsafe", "/unsafe/", "unsafe", 3),
+            route("once", "/once/", "unsafe", 1),
             route("stream", "/stream/", "streaming", 3),
             resumable,
             public,
--- a/crates/peridotrack-route/src/finish.rs
+++ b/crates/peridotrack-route/src/finish.rs
@@ -80,7 +80,9 @@
         let not_run = self.not_run_kind(now_us, &request);
         let retry_after_us = self.after_failure_us(now_us, &request, not_run);
         let resumes = self.can_resume(&request, attempt);
-        let retries = can_retry(&request, attempt, self.options.dispatches);
+        request.unsent += u32::from(outcome == Outcome::ConnectFailed);
+        let is_proved = outcome == Outcome::RefusedNotRun && self.options.refusals_are_trusted;
+        let retries = can_retry(&request, attempt, is_proved, self.options.dispatches);
         if request.deadline_us <= now_us || !(resumes || retries) {
             return refuse(actions, request_id, &request, not_run, retry_after_us);
         }
@@ -258,11 +260,19 @@
 
 /// Returns whether a request may be sent from its beginning again.
 ///
-/// Once a byte of a non-idempotent request was sent, it never is, whatever the server claims.
-/// Once a part of the answer reached the caller, another run could not continue it.
-fn can_retry(request: &Request, attempt: &Attempt, dispatches: u32) -> bool {
+/// Once a byte of a non-idempotent request was sent, it never is, unless the server's proof
+/// that it did not run is trusted. Once a part of the answer reached the caller, another run could not continue it.
+fn can_retry(request: &Request, attempt: &Attempt, is_proved: bool, dispatches: u32) -> bool {
     let goes_on = request.continuation == event::Continuation::AnyServer;
-    request.dispatches < request.max_dispatches.unwrap_or(dispatches)
+    // A bound of the request's own is on the servers that it was sent to.
+    let is_within = match request.max_dispatches {
+        Some(sends) => {
+            request.dispatches - request.unsent < sends
+                && request.dispatches < sends.max(dispatches)
+        }
+        None => request.dispatches < dispatches,
+    };
+    is_within
         && (request.events_seen == 0 || goes_on)
-        && (request.idempotent || !attempt.sent)
+        && (request.idempotent || !attempt.sent || is_proved)
 }
--- a/crates/peridotrack-route/src/options.rs
+++ b/crates/peridotrack-route/src/options.rs
@@ -7,6 +7,9 @@
     pub retry_share: f64,
     /// Retries allowed in the window, however little traffic there is.
     pub retry_floor: f64,
+    /// Whether work that must not be repeated is tried elsewhere after a server proved that it
+    /// did not run it.
+    pub refusals_are_trusted: bool,
     /// Whether a retry after a refusal counts as one, too.
     pub refusals_are_charged: bool,
     /// Most dispatches of one request.
@@ -69,6 +72,7 @@
         Self {
             retry_share: 0.1,
             retry_floor: 1.0,
+            refusals_are_trusted: false,
             refusals_are_charged: false,
             dispatches: 3,
             resumes: 3,
--- a/crates/peridotrack-route/src/request.rs
+++ b/crates/peridotrack-route/src/request.rs
@@ -66,6 +66,8 @@
     pub phase: Phase,
     /// Dispatches so far.
     pub dispatches: u32,
+    /// Dispatches of which no byte was sent.
+    pub unsent: u32,
     /// Resumes so far.
     pub resumes: u32,
     /// Stream events that reached the router.
@@ -92,6 +94,7 @@
             max_dispatches: offer.max_dispatches,
             phase: Phase::Queued,
             dispatches: 0,
+            unsent: 0,
             resumes: 0,
             events_seen: 0,
             may_have_run: false,
--- a/crates/peridotrackd/src/gateway.rs
+++ b/crates/peridotrackd/src/gateway.rs
@@ -40,7 +40,7 @@
         let gateway = gateway::Gateway::spawn(settings, log::Output::Stdout)?;
         while signals.count() == 0 {
             if signals.take_reload() {
-                gateway.reload(read_settings().map_err(|error| format!("{error:#}")));
+                gateway.reload(&read_settings().map_err(|error| format!("{error:#}")));
             }
             monoio::time::sleep(SIGNAL_PERIOD).await;
         }
--- /dev/null
+++ b/crates/peridotrackd/tests/gateway.rs
@@ -0,0 +1,218 @@
+//! The gateway as a process: its settings file, its signals, its log.
+
+use std::{
+    io::{BufRead, BufReader},
+    net::{SocketAddr, TcpListener},
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    sync::mpsc,
+    thread,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use peridotrack_standin::{
+    harness::{
+        http::{block_on, fetch},
+        wait,
+    },
+    hosted::{engine, store},
+};
+use serde_json::{Value, json};
+
+const LIMIT: Duration = Duration::from_secs(10);
+
+struct Gateway {
+    child: Child,
+    lines: mpsc::Receiver<String>,
+    client: SocketAddr,
+    ready: SocketAddr,
+    settings: PathBuf,
+}
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+fn settings(store: SocketAddr, addresses: &[SocketAddr; 4]) -> String {
+    let [client, ready, control, internal] = addresses;
+    format!(
+        r#"
+nodeName = "front-a-1"
+zone = "a"
+ip = "127.0.0.1"
+seeds = ["{control}"]
+internalPorts = [{port}, {port}]
+[zones]
+a = "r"
+[listen]
+front = "{client}"
+ready = "{ready}"
+control = "{control}"
+[limits]
+maxFds = 1024
+[bounds]
+contactMs = 3000
+drainMs = 2000
+graceS = 4
+configApplyMs = 2000
+retryBudgetRatio = 0.2
+budgetWindowS = 10
+retryBudgetSlack = 58
+[platform]
+address = "{store}"
+writesPerS = 400
+"#,
+        port = internal.port()
+    )
+}
+
+impl Gateway {
+    fn spawn(store: SocketAddr, name: &str) -> Self {
+        let addresses = [(); 4].map(|()| free_address());
+        let path = std::env::temp_dir().join(format!(
+            "peridotrackd-gateway-{name}-{}.toml",
+            std::process::id()
+        ));
+        std::fs::write(&path, settings(store, &addresses)).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_peridotrackd"))
+            .arg("gateway")
+            .env("PERIDOTRACK_SETTINGS", &path)
+            .stdout(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let stdout = BufReader::new(child.stdout.take().unwrap());
+        let (sender, lines) = mpsc::channel();
+        thread::spawn(move || {
+            for line in stdout.lines().map_while(Result::ok) {
+                let _ = sender.send(line);
+            }
+        });
+        Self {
+            child,
+            lines,
+            client: addresses[0],
+            ready: addresses[1],
+            settings: path,
+        }
+    }
+
+    fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        let status = Command::new("kill").args([name, &pid]).status().unwrap();
+        assert!(status.success());
+    }
+
+    async fn is_ready(&self) -> bool {
+        let request = http::Request::get("/readiness").body(Bytes::new()).unwrap();
+        let answer = fetch(self.ready, request).await;
+        answer.is_ok_and(|answer| answer.status() == 200)
+    }
+
+    async fn until_ready(&self) {
+        let ready = async || self.is_ready().await.then_some(());
+        wait::some(LIMIT, "readiness", ready).await.unwrap();
+    }
+
+    async fn until_event(&self, name: &str) -> Value {
+        let event = async || {
+            self.lines.try_iter().find_map(|line| {
+                let event: Value = serde_json::from_str(&line).unwrap();
+                (event["name"] == name).then_some(event)
+            })
+        };
+        wait::some(LIMIT, name, event).await.unwrap()
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.settings);
+    }
+}
+
+fn request() -> http::Request<Bytes> {
+    http::Request::post("/x/1")
+        .header("host", "a.example")
+        .header("peridotrack-request-id", "9c41")
+        .header("peridotrack-deadline-ms", "3000")
+        .body(Bytes::new())
+        .unwrap()
+}
+
+fn rig(mode: engine::Mode) -> (store::Handle, engine::Handle) {
+    let (store, engine) = (store::spawn().unwrap(), engine::spawn().unwrap());
+    engine.set_mode(mode);
+    store.put(
+        "config",
+        "main",
+        json!({
+            "version": 1,
+            "routes": [{"name": "r", "host": "a.example", "pathPrefix": "/x/",
+                "routeType": "unsafe", "timeoutMs": 1_500, "service": "s"}],
+            "services": [{"name": "s", "maxConnections": 10}],
+        }),
+    );
+    let entry = json!({
+        "service": "s", "address": engine.address().to_string(), "zone": "a",
+        "version": "v1", "slots": 8, "state": "ready", "coldRemainingMs": 0, "sequence": 1,
+    });
+    store.put("servers", "i-0", entry);
+    (store, engine)
+}
+
+#[test]
+fn a_stop_finishes_what_is_open_and_logs_each_step() {
+    block_on(async {
+        let (store, engine) = rig(engine::Mode::Mute);
+        let mut gateway = Gateway::spawn(store.address(), "stop");
+        gateway.until_event("RouterStarted").await;
+        gateway.until_ready().await;
+        let client = gateway.client;
+        let open = monoio::spawn(async move { fetch(client, request()).await });
+        let runs = || engine.runs().len() == 1;
+        wait::until(LIMIT, "the open request", runs).await.unwrap();
+        gateway.signal("-TERM");
+        gateway.until_event("RouterStopping").await;
+        assert!(!gateway.is_ready().await);
+        let answer = open.await.unwrap();
+        assert_eq!(answer.status(), 504, "the final answer at the time limit");
+        let stopped = gateway.until_event("RouterStopped").await;
+        assert_eq!(stopped["fields"]["cut_requests"], 0);
+        let ended = async || gateway.child.try_wait().unwrap();
+        let status = wait::some(LIMIT, "the end", ended).await.unwrap();
+        assert!(status.success());
+    });
+}
+
+#[test]
+fn settings_are_read_again_at_a_hangup_and_requests_go_on() {
+    block_on(async {
+        let (store, _engine) = rig(engine::Mode::Serve);
+        let gateway = Gateway::spawn(store.address(), "hangup");
+        gateway.until_ready().await;
+        gateway.signal("-HUP");
+        let read = gateway.until_event("SettingsRead").await;
+        assert_eq!(read["fields"]["is_changed"], false);
+        let answer = fetch(gateway.client, request()).await.unwrap();
+        assert_eq!(answer.status(), 200);
+    });
+}
+
+#[test]
+fn without_usable_settings_the_process_says_why() {
+    let path = std::env::temp_dir().join(format!("peridotrackd-bad-{}.toml", std::process::id()));
+    std::fs::write(&path, "zone = 7").unwrap();
+    let output = Command::new(env!("CARGO_BIN_EXE_peridotrackd"))
+        .arg("gateway")
+        .env("PERIDOTRACK_SETTINGS", &path)
+        .output()
+        .unwrap();
+    std::fs::remove_file(&path).unwrap();
+    assert_eq!(output.status.code(), Some(2));
+    let text = String::from_utf8(output.stderr).unwrap();
+    assert!(text.contains("decode the settings"), "{text}");
+}
