--- a/crates/peridotrack-edge/src/gateway.rs
+++ b/crates/peridotrack-edge/src/gateway.rs
@@ -9,6 +9,7 @@
 mod call;
 mod directory;
 mod exchange;
+mod follow;
 mod payment;
 mod probe;
 mod server;
@@ -21,6 +22,7 @@
 use peridotrack_http::client;
 use peridotrack_kernel::{Kernel, clock, event, log, registry};
 use peridotrack_member::message::State;
+use peridotrack_platform::{directory as directory_wire, site as site_wire};
 use peridotrack_route::options as route_options;
 use peridotrack_types::{gateway::Settings, id};
 
@@ -197,8 +199,19 @@
             .map_err(|error| listen("clients", shared.settings.client_address, &error))?;
         let probes = probe::Probe::bind(&shared)
             .map_err(|error| listen("probes", shared.settings.readiness_address, &error))?;
-        monoio::spawn(site::follow(Rc::clone(&shared)));
-        monoio::spawn(directory::follow(Rc::clone(&shared)));
+        let collect_us = directory::collect_us(&shared);
+        monoio::spawn(follow::follow(
+            Rc::clone(&shared),
+            site_wire::KIND,
+            0,
+            site::take_news,
+        ));
+        monoio::spawn(follow::follow(
+            Rc::clone(&shared),
+            directory_wire::KIND,
+            collect_us,
+            directory::take_news,
+        ));
         let event = event::Event::new(event::Kind::RouterStarted)
             .with("incarnation", incarnation.to_string())
             .with("failure_domain", shared.settings.failure_domain.as_str())
--- a/crates/peridotrack-edge/src/gateway/directory.rs
+++ b/crates/peridotrack-edge/src/gateway/directory.rs
@@ -1,4 +1,4 @@
-//! Follows the entries of backend servers in the store.
+//! The entries of backend servers, as the store tells them.
 
 use std::{
     cell::{Cell, RefCell},
@@ -12,9 +12,8 @@
 
 use super::{
     Shared,
-    site::{WATCH_MS, pause},
+    follow::{News, pause},
 };
-use crate::platform;
 
 /// Time after an outage of the store in which entries that lapsed come back, in microseconds.
 const LAPSE_US: u64 = 2_200 * clock::US_PER_MS;
@@ -133,69 +132,42 @@
     }
 }
 
-/// Follows the entries until the process ends.
-pub(super) async fn follow(shared: Rc<Shared>) {
-    loop {
-        match follow_from_list(&shared).await {
-            platform::Error::HistoryLost { .. } => {}
-            _ => pause(&shared).await,
-        }
-    }
-}
-
-/// Lists the entries and watches them; returns once the list has to be read again.
-async fn follow_from_list(shared: &Rc<Shared>) -> platform::Error {
-    let listing = match shared.platform.list(wire::KIND).await {
-        Ok(listing) => listing,
-        Err(error) => return error,
-    };
+/// Takes what the store tells of the entries.
+pub(super) fn take_news(shared: &Rc<Shared>, news: News<'_>) {
     let directory = &shared.directory;
     let now_us = shared.kernel.now_us();
-    let known: Vec<_> = directory.entries.borrow().keys().cloned().collect();
-    for name in known {
-        if !listing
-            .objects
-            .iter()
-            .any(|object| object.name == name.as_str())
-        {
-            directory.miss(now_us, name.as_str());
-        }
-    }
-    for object in &listing.objects {
-        directory.put(shared, &object.name, &object.content);
-    }
-    directory.is_listed.set(true);
     directory.heard_us.set(now_us);
-    settle(shared);
-    let mut revision = listing.revision;
-    loop {
-        let watch = shared
-            .platform
-            .watch_kind(wire::KIND, revision, WATCH_MS)
-            .await;
-        match watch {
-            Ok(watch) => {
-                revision = watch.revision;
-                let now_us = shared.kernel.now_us();
-                directory.heard_us.set(now_us);
-                for change in &watch.changes {
-                    if change.is_removed {
-                        directory.miss(now_us, &change.object.name);
-                    } else {
-                        directory.put(shared, &change.object.name, &change.object.content);
-                    }
-                }
-                if !watch.changes.is_empty() {
-                    settle(shared);
-                    // Changes come in bursts; one call then brings several.
-                    let drain_us = shared.settings.bounds.drain_ms * clock::US_PER_MS;
-                    shared.kernel.timer().sleep_us(drain_us / COLLECT_PART).await;
+    match news {
+        News::Listing(objects) => {
+            let known: Vec<_> = directory.entries.borrow().keys().cloned().collect();
+            let is_listed = |name: &name::BackendServer| {
+                objects.iter().any(|object| object.name == name.as_str())
+            };
+            for name in known.iter().filter(|name| !is_listed(name)) {
+                directory.miss(now_us, name.as_str());
+            }
+            for object in objects {
+                directory.put(shared, &object.name, &object.content);
+            }
+            directory.is_listed.set(true);
+        }
+        News::Changes([]) => return,
+        News::Changes(changes) => {
+            for change in changes {
+                if change.is_removed {
+                    directory.miss(now_us, &change.object.name);
+                } else {
+                    directory.put(shared, &change.object.name, &change.object.content);
                 }
             }
-            Err(error @ platform::Error::HistoryLost { .. }) => return error,
-            Err(_) => pause(shared).await,
         }
     }
+    settle(shared);
+}
+
+/// Returns the time for which changes are collected into one call, in microseconds.
+pub(super) fn collect_us(shared: &Shared) -> u64 {
+    shared.settings.bounds.drain_ms * clock::US_PER_MS / COLLECT_PART
 }
 
 /// Applies the entries, and again once the missing ones are given up.
--- a/crates/peridotrack-edge/src/gateway/site.rs
+++ b/crates/peridotrack-edge/src/gateway/site.rs
@@ -1,18 +1,12 @@
-//! Follows the operators' configuration in the store.
+//! The operators' configuration, as the store tells it.
 
 use std::{cell::RefCell, rc::Rc};
 
-use peridotrack_kernel::{clock, event};
+use peridotrack_kernel::event;
 use peridotrack_platform::site as wire;
 use peridotrack_types::site;
 
-use super::Shared;
-use crate::platform;
-
-/// Longest wait of one watch, in milliseconds; keep-alive probes notice a silent connection.
-pub(super) const WATCH_MS: u64 = 12_000;
-/// Shortest delay after a call that failed, in microseconds; the longest is twice that.
-const RETRY_US: u64 = 100 * clock::US_PER_MS;
+use super::{Shared, follow::News};
 
 /// The configuration in force.
 #[derive(Debug, Default)]
@@ -31,46 +25,18 @@
     }
 }
 
-/// Follows the configuration until the process ends.
-pub(super) async fn follow(shared: Rc<Shared>) {
-    loop {
-        match follow_from_list(&shared).await {
-            platform::Error::HistoryLost { .. } => {}
-            _ => pause(&shared).await,
+/// Takes what the store tells of configurations.
+pub(super) fn take_news(shared: &Rc<Shared>, news: News<'_>) {
+    match news {
+        News::Listing(objects) => {
+            for object in objects {
+                take(shared, &object.name, &object.content);
+            }
         }
-    }
-}
-
-/// Waits before a call is tried again, for a time that differs between routers.
-pub(super) async fn pause(shared: &Shared) {
-    let delay_us = RETRY_US + fastrand::u64(..RETRY_US);
-    shared.kernel.timer().sleep_us(delay_us).await;
-}
-
-/// Lists the configuration and watches it; returns once the list has to be read again.
-async fn follow_from_list(shared: &Rc<Shared>) -> platform::Error {
-    let listing = match shared.platform.list(wire::KIND).await {
-        Ok(listing) => listing,
-        Err(error) => return error,
-    };
-    for object in &listing.objects {
-        take(shared, &object.name, &object.content);
-    }
-    let mut revision = listing.revision;
-    loop {
-        let watch = shared
-            .platform
-            .watch_kind(wire::KIND, revision, WATCH_MS)
-            .await;
-        match watch {
-            Ok(watch) => {
-                revision = watch.revision;
-                for change in watch.changes.iter().filter(|change| !change.is_removed) {
-                    take(shared, &change.object.name, &change.object.content);
-                }
+        News::Changes(changes) => {
+            for change in changes.iter().filter(|change| !change.is_removed) {
+                take(shared, &change.object.name, &change.object.content);
             }
-            Err(error @ platform::Error::HistoryLost { .. }) => return error,
-            Err(_) => pause(shared).await,
         }
     }
 }
--- a/crates/peridotrack-http/tests/client.rs
+++ b/crates/peridotrack-http/tests/client.rs
@@ -327,3 +327,27 @@
         assert!(connection.next_chunk().await.unwrap().is_none());
     });
 }
+
+#[rstest]
+#[case::closed(Then::Close, true)]
+#[case::silent(Then::Hold, false)]
+fn answer_without_a_length_is_taken_if_asked_for(#[case] then: Then, #[case] is_whole: bool) {
+    let options = Options {
+        takes_unframed: true,
+        chunk_timeout_ms: 50,
+        ..options()
+    };
+    common::run(async {
+        let parts = vec![b"HTTP/1.1 200 OK\r\n\r\nhel".to_vec(), b"lo".to_vec()];
+        let mut connection = connection_to(parts, then, options).await;
+        let answer = exchange(&mut connection, get()).await;
+        match answer {
+            Ok(body) => {
+                assert!(is_whole);
+                assert_eq!(&body[..], b"hello");
+            }
+            Err(_) => assert!(!is_whole),
+        }
+        assert!(!connection.is_reusable());
+    });
+}
--- a/crates/peridotrackd/src/gateway.rs
+++ b/crates/peridotrackd/src/gateway.rs
@@ -8,7 +8,7 @@
 use peridotrack_platform::settings as wire;
 use peridotrack_types::gateway::Settings;
 
-use crate::{EXIT_CUT, EXIT_USAGE, SIGNAL_PERIOD, fail, signals, wait_for};
+use crate::{EXIT_CUT, EXIT_USAGE, SIGNAL_PERIOD, fail, runtime, signals, wait_for};
 
 /// Runs a gateway until it is told to stop.
 pub fn main() -> ExitCode {
@@ -32,10 +32,7 @@
 
 fn run(settings: Settings) -> eyre::Result<gateway::Outcome> {
     let signals = signals::Signals::open().wrap_err("listen for signals")?;
-    let mut runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
-        .enable_timer()
-        .build()
-        .wrap_err("build the event loop")?;
+    let mut runtime = runtime()?;
     runtime.block_on(async {
         let gateway = gateway::Gateway::spawn(settings, log::Output::Stdout)?;
         while signals.count() == 0 {
--- a/crates/peridotrackd/src/main.rs
+++ b/crates/peridotrackd/src/main.rs
@@ -64,10 +64,7 @@
 /// Runs the router on this thread until it is told to stop.
 fn run(settings: settings::Settings) -> eyre::Result<daemon::Outcome> {
     let signals = signals::Signals::open().wrap_err("listen for signals")?;
-    let mut runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
-        .enable_timer()
-        .build()
-        .wrap_err("build the event loop")?;
+    let mut runtime = runtime()?;
     runtime.block_on(async {
         let daemon = daemon::Daemon::spawn(settings, log::Output::Stderr)?;
         println!(
@@ -89,6 +86,14 @@
     })
 }
 
+/// Builds the event loop of this thread, on epoll.
+fn runtime() -> eyre::Result<monoio::Runtime<monoio::time::TimeDriver<monoio::LegacyDriver>>> {
+    monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
+        .enable_timer()
+        .build()
+        .wrap_err("build the event loop")
+}
+
 async fn serve(daemon: &daemon::Daemon, signals: &signals::Signals) {
     daemon.ready().await;
     println!("ready");
