fix(peer): a message is for one incarnation, not for whoever has its address

Cause: a transfer that was repeated for a router that had stopped reached the next incarnation at the same address, which took the whole total of its predecessor as new: 259,711 tokens of an account were made from nothing. The product's own interface had it, too.

fix(gateway): a request that came with the stop is finished before the process ends

--- a/crates/peridotrack-edge/src/budget.rs
+++ b/crates/peridotrack-edge/src/budget.rs
@@ -291,7 +291,7 @@
     }
 
     fn send(self: &Rc<Self>, to: id::Incarnation, message: message::Message) {
-        if !member::send(&self.kernel, to, &peer::Frame::Budget(message)) {
+        if !member::send(&self.kernel, to, &peer::Frame::Budget { to, message }) {
             self.handle(Event::PeerLost { peer: to });
         }
     }
--- a/crates/peridotrack-edge/src/daemon.rs
+++ b/crates/peridotrack-edge/src/daemon.rs
@@ -333,7 +333,7 @@
         registry.register(member::SERVICE, Rc::clone(&member))?;
         registry.register(config::SERVICE, Rc::clone(&config))?;
         registry.register(load::SERVICE, Rc::clone(&load))?;
-        subscribe(link, &member, &budget, &usage, &config, &route);
+        subscribe(incarnation, link, &member, &budget, &usage, &config, &route);
         Ok(Self {
             budget,
             claims,
@@ -347,6 +347,7 @@
 
 /// Hands each frame of a peer to the service that it is for.
 fn subscribe(
+    incarnation: id::Incarnation,
     link: &Rc<peer::Link>,
     member: &Rc<member::Member>,
     budget: &Rc<budget::Budget>,
@@ -359,8 +360,14 @@
     let on_frame = move |sender: peer::Sender, frame: peer::Frame| match frame {
         peer::Frame::Hello(_) => {}
         peer::Frame::Member(message) => members.receive(sender.address, message),
-        peer::Frame::Budget(message) => budget.receive(sender.incarnation, message),
-        peer::Frame::Usage(message) => usage.receive(sender.incarnation, message),
+        // What was meant for an earlier incarnation at this address is not for this one.
+        peer::Frame::Budget { to, message } if to == incarnation => {
+            budget.receive(sender.incarnation, message);
+        }
+        peer::Frame::Usage { to, message } if to == incarnation => {
+            usage.receive(sender.incarnation, message);
+        }
+        peer::Frame::Budget { .. } | peer::Frame::Usage { .. } => {}
         peer::Frame::Leaving { backend_server } => route.leaving_by_peer(backend_server),
         peer::Frame::ConfigRequest { above_version } => {
             config.answer(sender.address, above_version);
--- a/crates/peridotrack-edge/src/gateway.rs
+++ b/crates/peridotrack-edge/src/gateway.rs
@@ -172,7 +172,7 @@
         let registry = kernel.registry();
         registry.register(budget::SERVICE, Rc::clone(&budget))?;
         registry.register(member::SERVICE, Rc::clone(&member))?;
-        subscribe(&link, &member, &budget);
+        subscribe(incarnation, &link, &member, &budget);
         let route = route::Route::spawn(
             &kernel,
             route_options(&settings),
@@ -238,6 +238,21 @@
         self.probes.address()
     }
 
+    /// Returns where other routers connect.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.shared.link.address()
+    }
+
+    /// Returns the incarnation of this gateway.
+    pub fn incarnation(&self) -> id::Incarnation {
+        self.shared.incarnation
+    }
+
+    /// Returns the budget service.
+    pub fn budget(&self) -> &Rc<budget::Budget> {
+        &self.shared.budget
+    }
+
     /// Returns the kernel.
     pub fn kernel(&self) -> &Rc<Kernel> {
         &self.shared.kernel
@@ -287,13 +302,15 @@
         let deadline_us = end_us.saturating_sub(CLOSE_US);
         let leave_us = LEAVE_ROTATION_US.min(deadline_us.saturating_sub(kernel.now_us()));
         kernel.timer().sleep_us(leave_us).await;
-        let cut_requests = self.clients.drain(deadline_us).await;
+        self.clients.drain(deadline_us).await;
         self.clients.stop();
         // Grants that do not go back are lost for good, so all the time that is left is theirs.
         let close_us = end_us.saturating_sub(MARGIN_US);
+        let is_budget_closed = self.shared.budget.close(close_us).await;
+        // A connection that was accepted just before the stop may have brought a request.
         let outcome = Outcome {
-            cut_requests,
-            is_budget_closed: self.shared.budget.close(close_us).await,
+            cut_requests: self.clients.drain(close_us).await,
+            is_budget_closed,
         };
         self.probes.stop();
         self.shared.member.stop();
@@ -333,11 +350,19 @@
 }
 
 /// Hands each frame of a peer to the service that it is for.
-fn subscribe(link: &Rc<peer::Link>, member: &Rc<member::Member>, budget: &Rc<budget::Budget>) {
+fn subscribe(
+    incarnation: id::Incarnation,
+    link: &Rc<peer::Link>,
+    member: &Rc<member::Member>,
+    budget: &Rc<budget::Budget>,
+) {
     let (members, budget) = (Rc::clone(member), Rc::clone(budget));
     let on_frame = move |sender: peer::Sender, frame: peer::Frame| match frame {
         peer::Frame::Member(message) => members.receive(sender.address, message),
-        peer::Frame::Budget(message) => budget.receive(sender.incarnation, message),
+        // What was meant for an earlier incarnation at this address is not for this one.
+        peer::Frame::Budget { to, message } if to == incarnation => {
+            budget.receive(sender.incarnation, message);
+        }
         _ => {}
     };
     let members = Rc::clone(member);
--- a/crates/peridotrack-edge/src/peer/frame.rs
+++ b/crates/peridotrack-edge/src/peer/frame.rs
@@ -30,9 +30,19 @@
     /// Liveness and configuration versions.
     Member(member_message::Message),
     /// Draws and transfers of tokens.
-    Budget(budget_message::Message),
+    Budget {
+        /// Incarnation that is meant: a restarted one has the same address.
+        to: id::Incarnation,
+        /// The message.
+        message: budget_message::Message,
+    },
     /// Copies of usage records.
-    Usage(usage::Message),
+    Usage {
+        /// Incarnation that is meant: a restarted one has the same address.
+        to: id::Incarnation,
+        /// The message.
+        message: usage::Message,
+    },
     /// A backend server is leaving, by a sign that the sending router saw itself.
     Leaving {
         /// The backend server.
--- a/crates/peridotrack-edge/src/usage.rs
+++ b/crates/peridotrack-edge/src/usage.rs
@@ -128,7 +128,7 @@
     }
 
     fn send(&self, to: id::Incarnation, message: usage::Message) {
-        member::send(&self.kernel, to, &peer::Frame::Usage(message));
+        member::send(&self.kernel, to, &peer::Frame::Usage { to, message });
     }
 
     async fn write(self: Rc<Self>, object: String, batch: usage::Batch) {
--- a/crates/peridotrack-edge/tests/gateway/budget.rs
+++ b/crates/peridotrack-edge/tests/gateway/budget.rs
@@ -15,7 +15,7 @@
 /// Most tokens of its answer.
 const OUTPUT: u64 = 10;
 
-async fn ask(rig: &Rig) -> u16 {
+pub async fn ask(rig: &Rig) -> u16 {
     let size = format!("{PROMPT},{OUTPUT}");
     let sent = request("/unsafe/x", &[("peridotrack-token-usage", &size)]);
     rig.send(sent)
--- a/crates/peridotrack-edge/tests/gateway/main.rs
+++ b/crates/peridotrack-edge/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod budget;
 mod directory;
+mod peers;
 mod requests;
 mod rig;
 mod streams;
