--- a/crates/peridotrack-edge/src/gateway/follow.rs
+++ b/crates/peridotrack-edge/src/gateway/follow.rs
@@ -8,8 +8,8 @@
 use super::Shared;
 use crate::platform;
 
-/// Longest wait of one watch, in milliseconds; keep-alive probes notice a silent connection.
-const WATCH_MS: u64 = 12_000;
+/// Longest wait of one watch, in milliseconds; a silent connection is noticed after it.
+const WATCH_MS: u64 = 4_000;
 /// Shortest delay after a call that failed, in microseconds; the longest is twice that.
 const RETRY_US: u64 = 100 * clock::US_PER_MS;
 
--- a/crates/peridotrack-edge/src/platform.rs
+++ b/crates/peridotrack-edge/src/platform.rs
@@ -18,7 +18,7 @@
 use peridotrack_types::name;
 use serde::Deserialize;
 
-use crate::metric;
+use crate::{metric, notify};
 pub use hosted::{Listing, Watch};
 use native::{etag, object, object_path, refused, request, unknown};
 
@@ -178,6 +178,8 @@
     reachable: Cell<bool>,
     lost_us: Cell<u64>,
     watches: RefCell<Vec<client::Connection>>,
+    /// Tells the waiting watches that another call failed.
+    failed: notify::Notify,
 }
 
 /// Construction.
@@ -198,6 +200,7 @@
             address,
             lost_us: Cell::new(0),
             watches: RefCell::default(),
+            failed: notify::Notify::default(),
             pool: client::Pool::new(options, IDLE_CONNECTIONS),
             watch_options: options,
             reachable: Cell::new(true),
@@ -355,6 +358,9 @@
             self.lost_us.set(self.kernel.now_us());
             // Connections that were opened before a cut may stay silent after it has healed.
             self.pool.clear(self.address);
+            if step != "watch" {
+                self.failed.notify_all();
+            }
         }
         if self.reachable.replace(result.is_ok()) != result.is_ok() {
             let kind = match result {
--- a/crates/peridotrack-edge/src/platform/hosted.rs
+++ b/crates/peridotrack-edge/src/platform/hosted.rs
@@ -77,9 +77,18 @@
             Some(connection) => connection,
             None => client::Connection::connect(self.address, options).await?,
         };
-        let head = connection
-            .send(request("GET", path, &[], Bytes::new()))
-            .await?;
+        let call = request("GET", path, &[], Bytes::new());
+        // A watch that waits on a connection which has gone silent would miss what comes after
+        // an outage; another call that fails is the sign to begin it again.
+        let head = monoio::select! {
+            head = connection.send(call) => head?,
+            () = self.failed.notified() => return Err(client::Error {
+                step: client::Step::Head,
+                peer: self.address,
+                bytes_written: true,
+                kind: client::Kind::Closed,
+            }),
+        };
         let body = connection.read_body().await?;
         if connection.is_reusable() {
             self.watches.borrow_mut().push(connection);
--- a/crates/peridotrackd/tests/gateway.rs
+++ b/crates/peridotrackd/tests/gateway.rs
@@ -21,6 +21,8 @@
 use serde_json::{Value, json};
 
 const LIMIT: Duration = Duration::from_secs(10);
+/// Starts with new addresses before a test gives up.
+const ADDRESS_TRIES: usize = 5;
 
 struct Gateway {
     child: Child,
@@ -69,7 +71,28 @@
 }
 
 impl Gateway {
-    fn spawn(store: SocketAddr, name: &str) -> Self {
+    /// Starts a gateway; a port that was free may be taken by the time it listens.
+    async fn spawn(store: SocketAddr, name: &str) -> Self {
+        for _ in 0..ADDRESS_TRIES {
+            let mut gateway = Self::spawn_once(store, name);
+            let started = async || {
+                let is_up = gateway.has_started();
+                let has_ended = gateway.child.try_wait().unwrap().is_some();
+                (is_up || has_ended).then_some(is_up)
+            };
+            if wait::some(LIMIT, "the start", started).await.unwrap() {
+                return gateway;
+            }
+        }
+        panic!("no free addresses in {ADDRESS_TRIES} tries");
+    }
+
+    fn has_started(&self) -> bool {
+        let mut lines = self.lines.try_iter();
+        lines.any(|line| line.contains("RouterStarted"))
+    }
+
+    fn spawn_once(store: SocketAddr, name: &str) -> Self {
         let addresses = [(); 4].map(|()| free_address());
         let path = std::env::temp_dir().join(format!(
             "peridotrackd-gateway-{name}-{}.toml",
@@ -168,8 +191,7 @@
 fn a_stop_finishes_what_is_open_and_logs_each_step() {
     block_on(async {
         let (store, engine) = rig(engine::Mode::Mute);
-        let mut gateway = Gateway::spawn(store.address(), "stop");
-        gateway.until_event("RouterStarted").await;
+        let mut gateway = Gateway::spawn(store.address(), "stop").await;
         gateway.until_ready().await;
         let client = gateway.client;
         let open = monoio::spawn(async move { fetch(client, request()).await });
@@ -192,7 +214,7 @@
 fn settings_are_read_again_at_a_hangup_and_requests_go_on() {
     block_on(async {
         let (store, _engine) = rig(engine::Mode::Serve);
-        let gateway = Gateway::spawn(store.address(), "hangup");
+        let gateway = Gateway::spawn(store.address(), "hangup").await;
         gateway.until_ready().await;
         gateway.signal("-HUP");
         let read = gateway.until_event("SettingsRead").await;
