--- a/crates/peridotrack/tests/story.rs
+++ b/crates/peridotrack/tests/story.rs
@@ -1,6 +1,10 @@
 //! The cause of a request's end, from logs.
 
-use std::{fs, path::PathBuf};
+use std::{
+    fs,
+    path::PathBuf,
+    sync::atomic::{AtomicUsize, Ordering},
+};
 
 use peridotrack::{logs, story};
 use rstest::rstest;
@@ -32,9 +36,12 @@
         self
     }
 
-    fn tell(&self, name: &str, id: &str) -> story::Story {
+    fn tell(&self, id: &str) -> story::Story {
+        // Cases run side by side; each has a file of its own.
+        static FILES: AtomicUsize = AtomicUsize::new(0);
+        let number = FILES.fetch_add(1, Ordering::Relaxed);
         let path: PathBuf = std::env::temp_dir().join(format!(
-            "peridotrack-story-{name}-{}.log",
+            "peridotrack-story-{number}-{}.log",
             std::process::id()
         ));
         fs::write(&path, &self.text).unwrap();
@@ -94,7 +101,7 @@
             r#""backend_server":"i-1","detail":"connection refused""#,
         )
         .add("RequestRefused", Some(REQUEST), &refused(problem, fields))
-        .tell(problem, "9c41");
+        .tell("9c41");
     assert_eq!(story.events.len(), 2, "{story:?}");
     let [cause] = &story.causes[..] else {
         panic!("one cause: {story:?}")
@@ -129,7 +136,7 @@
             r#""backend_server":"i-1","detail":"reset""#,
         )
         .add(name, Some(REQUEST), fields)
-        .tell(&format!("{name}-{}", expected.len()), REQUEST);
+        .tell(REQUEST);
     assert!(story.causes[0].contains(expected), "{story:?}");
 }
 
@@ -141,6 +148,6 @@
             Some(REQUEST),
             r#""client_request":"9c41""#,
         )
-        .tell("none", "9c42");
+        .tell("9c42");
     assert!(story.events.is_empty() && story.causes.is_empty());
 }
