refactor: one copy of checks, steps and portions that stood twice

Cause: reading the change as a newcomer. The check that a message is for this incarnation stood in the daemon and in the gateway; two paths merged the router's steps Dispatch and Resume into the same pair; the daemon repeated the list of its services; one attempt's failure was built by hand three times, in an async function that awaits nothing; a portion of what is left was worked out in two places and the size of a typical reservation in three; urgency was encoded but never set; gateway.rs held twenty constants of other services.

Change: the link drops frames for another incarnation before anyone sees them; Step::into_destination; Daemon holds its Services; attempt::spoilt; Active::portion_tokens and Rate::typical; urgency is withheld and no longer set; gateway/options.rs.

Ruled out: removing settings, header facts and paths that are decoded but not used yet; tests hold them, and no check goes in this commit.

--- a/crates/peridotrack-budget/src/holder/plan.rs
+++ b/crates/peridotrack-budget/src/holder/plan.rs
@@ -373,12 +373,17 @@
 impl Active {
     /// Sets the level at which the next draw is due.
     pub(super) fn set_low_water(&mut self, now_us: u64, options: &Options) {
-        let holders = self.rows.len() as u64 + 1;
-        let share = self.left_tokens / (options.share_divisor * holders).max(1);
-        let full = self.full_tokens(now_us, options).min(share);
+        let full = self.full_tokens(now_us, options);
+        let full = full.min(self.portion_tokens(options));
         self.low_water_tokens = (full as f64 * options.low_water_part) as u64;
     }
 
+    /// Returns one portion of what is left in the ledger, in tokens.
+    pub(super) fn portion_tokens(&self, options: &Options) -> u64 {
+        let holders = self.rows.len() as u64 + 1;
+        self.left_tokens / (options.share_divisor * holders).max(1)
+    }
+
     fn has_transfers(&self) -> bool {
         self.transfers
             .values()
--- a/crates/peridotrack-budget/src/holder/rate.rs
+++ b/crates/peridotrack-budget/src/holder/rate.rs
@@ -29,7 +29,7 @@
     pub(super) fn add_given(&mut self, now_us: u64, half_life_us: u64, tokens: f64) {
         let kept = self.kept(now_us, half_life_us);
         // The size of a typical reservation stays what it was.
-        let typical = self.squares / self.level_tokens.max(1.0);
+        let typical = self.typical();
         self.level_tokens = self.level_tokens * kept + tokens;
         self.squares = self.squares * kept + typical * tokens;
         self.at_us = self.at_us.max(now_us);
@@ -56,13 +56,16 @@
         deviations: f64,
     ) -> u64 {
         let mean = self.mean_over(now_us, options, period_us);
-        let size = self.squares / self.level_tokens.max(1.0);
-        (mean + deviations * (mean * size).sqrt()) as u64
+        (mean + deviations * (mean * self.typical()).sqrt()) as u64
     }
 
     /// Returns the size of the reservation that a token of the spend typically belongs to.
     pub(super) fn typical_tokens(&self) -> u64 {
-        (self.squares / self.level_tokens.max(1.0)) as u64
+        self.typical() as u64
+    }
+
+    fn typical(&self) -> f64 {
+        self.squares / self.level_tokens.max(1.0)
     }
 
     fn mean_over(&self, now_us: u64, options: &Options, period_us: u64) -> f64 {
--- a/crates/peridotrack-budget/src/holder/sweep.rs
+++ b/crates/peridotrack-budget/src/holder/sweep.rs
@@ -109,9 +109,8 @@
         if options.hold_portions == 0 {
             return 0;
         }
-        let portion =
-            self.left_tokens / (options.share_divisor * (self.rows.len() as u64 + 1)).max(1);
-        let cap = (portion * options.hold_portions).max(self.rate.typical_tokens());
+        let cap = self.portion_tokens(options) * options.hold_portions;
+        let cap = cap.max(self.rate.typical_tokens());
         let available_tokens = self.available_tokens();
         match available_tokens > cap + cap / 2 {
             true => available_tokens - cap,
--- a/crates/peridotrack-edge/src/caller/service_call.rs
+++ b/crates/peridotrack-edge/src/caller/service_call.rs
@@ -185,29 +185,14 @@
     async fn dispatch(&self) -> Result<http::Response<Bytes>, problem::Problem> {
         let mut ticket = self.services.route.offer(self.offer());
         loop {
-            let (address, backend_server) = match ticket.next().await {
-                route::Step::Dispatch {
-                    backend_server,
-                    address,
-                    ..
-                }
-                | route::Step::Resume {
-                    backend_server,
-                    address,
-                    ..
-                } => (address, backend_server),
-                route::Step::Refuse {
-                    kind,
-                    retry_after_ms,
-                } => {
-                    let detail = "no backend server answered in time";
-                    return Err(problem::Problem::new(kind, detail).retry_after_ms(retry_after_ms));
-                }
-            };
+            let target = ticket.next().await.into_destination().map_err(|refusal| {
+                problem::Problem::new(refusal.kind, "no backend server answered in time")
+                    .retry_after_ms(refusal.retry_after_ms)
+            })?;
             let event = event::Event::new(event::Kind::RequestDispatched)
-                .with("backend_server", backend_server.as_str());
+                .with("backend_server", target.backend_server.as_str());
             self.call.note(&self.services.kernel, event);
-            match self.attempt(&ticket, address).await {
+            match self.attempt(&ticket, target.address).await {
                 Attempt::Whole(response) => {
                     ticket.finished(Outcome::Done);
                     return Ok(response);
@@ -220,7 +205,7 @@
                 }
                 Attempt::Failed { outcome, detail } => {
                     let event = event::Event::new(event::Kind::AttemptFailed)
-                        .with("backend_server", backend_server.as_str())
+                        .with("backend_server", target.backend_server.as_str())
                         .with("detail", detail);
                     self.call.note(&self.services.kernel, event);
                     self.services.metrics.failed_attempts.increment(1);
--- a/crates/peridotrack-edge/src/daemon.rs
+++ b/crates/peridotrack-edge/src/daemon.rs
@@ -66,14 +66,9 @@
     settings: settings::Settings,
     incarnation: id::Incarnation,
     link: Rc<peer::Link>,
-    budget: Rc<budget::Budget>,
     callers: Rc<caller::Server>,
-    claims: Rc<claims::Service>,
-    load: Rc<load::Load>,
-    member: Rc<member::Member>,
     operator: Rc<operator::Operator>,
-    route: Rc<route::Route>,
-    usage: Rc<usage::Usage>,
+    services: Services,
 }
 
 /// Construction.
@@ -127,14 +122,9 @@
             settings,
             incarnation,
             link,
-            budget: services.budget,
             callers,
-            claims: services.claims,
-            load: services.load,
-            member: services.member,
             operator,
-            route: services.route,
-            usage: services.usage,
+            services,
         })
     }
 }
@@ -163,7 +153,7 @@
 
     /// Returns the budget service.
     pub fn budget(&self) -> &Rc<budget::Budget> {
-        &self.budget
+        &self.services.budget
     }
 
     /// Returns the kernel.
@@ -211,11 +201,11 @@
         let close_us = self.kernel.now_us() + CLOSE_US;
         let outcome = Outcome {
             cut_requests,
-            are_claims_settled: self.claims.settle(close_us).await,
-            is_usage_flushed: self.usage.flush(close_us).await,
-            is_budget_closed: self.budget.close(close_us).await,
+            are_claims_settled: self.services.claims.settle(close_us).await,
+            is_usage_flushed: self.services.usage.flush(close_us).await,
+            is_budget_closed: self.services.budget.close(close_us).await,
         };
-        self.member.stop();
+        self.services.member.stop();
         self.kernel.timer().sleep_us(FAREWELL_US).await;
         self.end(outcome);
         outcome
@@ -225,7 +215,7 @@
     pub fn cut(&self) -> Outcome {
         let cut_requests = self.callers.open_requests();
         self.callers.kill();
-        self.member.stop();
+        self.services.member.stop();
         let outcome = Outcome {
             cut_requests,
             ..Outcome::default()
@@ -257,18 +247,18 @@
 
     fn halt(&self) {
         self.operator.stop();
-        self.load.stop();
-        self.budget.stop();
-        self.usage.stop();
-        self.claims.stop();
-        self.route.stop();
+        self.services.load.stop();
+        self.services.budget.stop();
+        self.services.usage.stop();
+        self.services.claims.stop();
+        self.services.route.stop();
         self.link.stop();
         self.kernel.stop();
     }
 
     fn set_state(&self, state: State) {
         self.operator.set_state(state);
-        self.member.set_state(state);
+        self.services.member.set_state(state);
     }
 }
 
@@ -333,7 +323,7 @@
         registry.register(member::SERVICE, Rc::clone(&member))?;
         registry.register(config::SERVICE, Rc::clone(&config))?;
         registry.register(load::SERVICE, Rc::clone(&load))?;
-        subscribe(incarnation, link, &member, &budget, &usage, &config, &route);
+        subscribe(link, &member, &budget, &usage, &config, &route);
         Ok(Self {
             budget,
             claims,
@@ -347,7 +337,6 @@
 
 /// Hands each frame of a peer to the service that it is for.
 fn subscribe(
-    incarnation: id::Incarnation,
     link: &Rc<peer::Link>,
     member: &Rc<member::Member>,
     budget: &Rc<budget::Budget>,
@@ -360,14 +349,8 @@
     let on_frame = move |sender: peer::Sender, frame: peer::Frame| match frame {
         peer::Frame::Hello(_) => {}
         peer::Frame::Member(message) => members.receive(sender.address, message),
-        // What was meant for an earlier incarnation at this address is not for this one.
-        peer::Frame::Budget { to, message } if to == incarnation => {
-            budget.receive(sender.incarnation, message);
-        }
-        peer::Frame::Usage { to, message } if to == incarnation => {
-            usage.receive(sender.incarnation, message);
-        }
-        peer::Frame::Budget { .. } | peer::Frame::Usage { .. } => {}
+        peer::Frame::Budget { message, .. } => budget.receive(sender.incarnation, message),
+        peer::Frame::Usage { message, .. } => usage.receive(sender.incarnation, message),
         peer::Frame::Leaving { backend_server } => route.leaving_by_peer(backend_server),
         peer::Frame::ConfigRequest { above_version } => {
             config.answer(sender.address, above_version);
--- a/crates/peridotrack-edge/src/gateway/attempt.rs
+++ b/crates/peridotrack-edge/src/gateway/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt of a request at one backend server.
 
-use std::{future::Future, net::SocketAddr, rc::Rc, time::Duration};
+use std::{future::Future, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http::StatusCode;
@@ -8,28 +8,23 @@
 use peridotrack_kernel::clock;
 use peridotrack_platform::{answer as answer_wire, request as request_wire};
 use peridotrack_route::event::{Event, Outcome};
-use peridotrack_types::{name, site};
+use peridotrack_types::site;
 
 use super::{
-    Shared, answer, backend_options,
+    Shared, answer,
     call::Call,
+    options,
     payment::Payment,
     stream::{self, Progress},
 };
 use crate::route;
 
-/// Where an attempt goes.
-pub(super) struct Target {
-    pub(super) backend_server: name::BackendServer,
-    pub(super) address: SocketAddr,
-}
-
 /// One attempt and what it needs.
 pub(super) struct Run<'a> {
     pub(super) shared: &'a Rc<Shared>,
     pub(super) call: &'a Call,
     pub(super) payment: &'a Payment,
-    pub(super) target: &'a Target,
+    pub(super) target: &'a route::Destination,
     pub(super) ticket: &'a route::Ticket,
 }
 
@@ -76,7 +71,7 @@
             None => return self.timed_out(),
         };
         self.note_load(&head.facts);
-        if let Some(attempt) = self.check(&mut head).await {
+        if let Some(attempt) = self.check(&head) {
             return attempt;
         }
         if self.call.route().repetition.is_stream() && stream::is_events(&head.head) {
@@ -121,7 +116,7 @@
         let address = self.target.address;
         match self.call.route().repetition {
             site::Repetition::AtMostOnce => {
-                client::Connection::connect(address, backend_options()).await
+                client::Connection::connect(address, options::backend()).await
             }
             _ => self.shared.pool.take(address).await,
         }
@@ -134,7 +129,6 @@
             account: self.call.account.as_ref(),
             left_ms: self.call.left_us(self.shared) / clock::US_PER_MS,
             last_event: progress.last_event(),
-            urgency: None,
         };
         let mut forward = http::Request::new(request.body.clone());
         *forward.method_mut() = request.head.method.clone();
@@ -144,18 +138,10 @@
     }
 
     /// Returns how the attempt ended if the answer is none that can be passed on as a success.
-    async fn check(&self, head: &mut Head) -> Option<Attempt> {
-        let facts = head.facts;
+    fn check(&self, head: &Head) -> Option<Attempt> {
+        let facts = &head.facts;
         if !facts.is_own {
-            let events_seen = 0;
-            return Some(Attempt::Failed {
-                outcome: Outcome::Broken {
-                    sent: true,
-                    events_seen,
-                },
-                detail: "the answer names another request".to_owned(),
-                answer: None,
-            });
+            return Some(spoilt("the answer names another request".to_owned(), None));
         }
         if facts.is_not_run {
             self.payment.did_not_run();
@@ -169,14 +155,7 @@
             });
         }
         if head.head.status.is_success() && !facts.is_signed {
-            return Some(Attempt::Failed {
-                outcome: Outcome::Broken {
-                    sent: true,
-                    events_seen: 0,
-                },
-                detail: "the answer is not signed".to_owned(),
-                answer: None,
-            });
+            return Some(spoilt("the answer is not signed".to_owned(), None));
         }
         None
     }
@@ -193,14 +172,8 @@
         if !status.is_server_error() && !promises_not_run(status) {
             return Attempt::Answered(response);
         }
-        Attempt::Failed {
-            outcome: Outcome::Broken {
-                sent: true,
-                events_seen: 0,
-            },
-            detail: format!("failed with status {status}"),
-            answer: (!promises_not_run(status)).then_some(response),
-        }
+        let answer = (!promises_not_run(status)).then_some(response);
+        spoilt(format!("failed with status {status}"), answer)
     }
 
     fn note_load(&self, facts: &answer_wire::Facts) {
@@ -250,6 +223,18 @@
     }
 }
 
+/// Returns how an attempt ended whose answer came, but is no success; the request may have run.
+fn spoilt(detail: String, answer: Option<http::Response<Bytes>>) -> Attempt {
+    Attempt::Failed {
+        outcome: Outcome::Broken {
+            sent: true,
+            events_seen: 0,
+        },
+        detail,
+        answer,
+    }
+}
+
 /// Returns whether clients take the status as a promise that the request did not run, which a
 /// backend server gives only together with its proof.
 fn promises_not_run(status: StatusCode) -> bool {
--- a/crates/peridotrack-edge/src/gateway/exchange.rs
+++ b/crates/peridotrack-edge/src/gateway/exchange.rs
@@ -67,21 +67,12 @@
             step = ticket.next() => step,
             () = connection.closed() => return cancelled(shared, call),
         };
-        let (backend_server, address) = match step {
-            route::Step::Dispatch {
-                backend_server,
-                address,
-                ..
-            }
-            | route::Step::Resume {
-                backend_server,
-                address,
-                ..
-            } => (backend_server, address),
-            route::Step::Refuse {
+        let target = match step.into_destination() {
+            Ok(target) => target,
+            Err(route::Refusal {
                 kind,
                 retry_after_ms,
-            } => {
+            }) => {
                 if progress.has_begun() {
                     return cut(shared, call, "no backend server continues the stream");
                 }
@@ -98,12 +89,8 @@
             }
         };
         let event = event::Event::new(event::Kind::RequestDispatched)
-            .with("backend_server", backend_server.as_str());
+            .with("backend_server", target.backend_server.as_str());
         call.note(shared, event);
-        let target = attempt::Target {
-            backend_server,
-            address,
-        };
         let attempt = attempt::Run {
             shared,
             call,
@@ -148,7 +135,7 @@
 fn note_completed(
     shared: &Shared,
     call: &Call,
-    target: &attempt::Target,
+    target: &route::Destination,
     progress: &stream::Progress,
 ) {
     let elapsed_us = shared.kernel.now_us() - call.arrived_us;
--- /dev/null
+++ b/crates/peridotrack-edge/src/gateway/options.rs
@@ -0,0 +1,100 @@
+//! How a gateway runs the product's services, from its settings.
+
+use peridotrack_budget::options as budget_options;
+use peridotrack_http::client;
+use peridotrack_kernel::clock;
+use peridotrack_route::options as route_options;
+use peridotrack_types::gateway::Settings;
+
+/// Tokens of a grant are drawn for this span of the observed spend, in microseconds: longer
+/// than the outages of the store that are to be ridden out.
+const DRAW_SPAN_US: u64 = 12 * clock::US_PER_S;
+/// Standard deviations of the spend over that span that are drawn on top.
+const DRAW_DEVIATIONS: f64 = 1.5;
+/// What is left of an account is divided among the routers this many times over.
+const SHARE_DIVISOR: u64 = 3;
+/// Half-life of the observed spend, in microseconds.
+const RATE_HALF_LIFE_US: u64 = 8 * clock::US_PER_S;
+/// Time over which the first spend of an account is averaged at least, in microseconds.
+const RATE_AGE_MIN_US: u64 = 2 * clock::US_PER_S;
+/// Part of an account's tokens below which, left in the ledger, nothing is drawn ahead.
+const SCARCE_PART: f64 = 0.2;
+/// Part from which on tokens are drawn ahead again: more than idle grants bring back.
+const PLENTY_PART: f64 = 0.45;
+/// Portions of what is left that a router keeps at most.
+const HOLD_PORTIONS: u64 = 1;
+/// Part of a full grant below which the next draw is due: the rest must last an outage.
+const LOW_WATER_PART: f64 = 0.9;
+/// Period in which each account's grant is inspected, in microseconds.
+const INSPECT_US: u64 = clock::US_PER_S;
+/// Longest wait for a peer that is asked for tokens, in microseconds: several round trips
+/// between failure domains of a region.
+const ASK_TIMEOUT_US: u64 = 20 * clock::US_PER_MS;
+/// Time for which a peer that did not answer is passed over, in microseconds.
+const SUSPECT_US: u64 = 2 * clock::US_PER_S;
+/// Longest pause between two probes of a store that cannot be reached, in microseconds.
+const STORE_BACKOFF_US: u64 = 400 * clock::US_PER_MS;
+/// When to come back after a refusal because the store cannot be reached, in milliseconds;
+/// clients cap it at a third of the time they have.
+const UNAVAILABLE_RETRY_MS: u64 = 5_000;
+/// Time without use after which a grant goes back, in microseconds.
+const RETURN_AFTER_US: u64 = 8 * clock::US_PER_S;
+/// Write calls a second for which one shard of the ledger is made.
+const WRITES_PER_SHARD: u64 = 100;
+/// Part of the operators' retry ratio that one router uses, for the skew between routers.
+const RETRY_PART: f64 = 0.5;
+/// Retries that a router may make in the window, however little traffic it has.
+const RETRY_FLOOR: f64 = 2.0;
+/// Idle connections that are kept to each backend server.
+pub(super) const IDLE_CONNECTIONS: usize = 16;
+/// Longest wait for a connection to a backend server, in milliseconds.
+const CONNECT_TIMEOUT_MS: u64 = 250;
+/// Longest answer that is read whole, in bytes.
+const ANSWER_BYTES: usize = 8 * 1024 * 1024;
+
+/// Options of the budget holder. All routers of a deployment come to the same shard count.
+pub(super) fn ledger(settings: &Settings) -> budget_options::Options {
+    let shard_count = settings.store_writes_per_s / WRITES_PER_SHARD;
+    budget_options::Options {
+        shard_count: u32::try_from(shard_count.max(1)).unwrap_or(u32::MAX),
+        ride_out_us: DRAW_SPAN_US,
+        float_us: DRAW_SPAN_US,
+        rate_half_life_us: RATE_HALF_LIFE_US,
+        rate_age_min_us: RATE_AGE_MIN_US,
+        ride_out_deviations: DRAW_DEVIATIONS,
+        share_divisor: SHARE_DIVISOR,
+        low_water_part: LOW_WATER_PART,
+        scarce_part: SCARCE_PART,
+        plenty_part: PLENTY_PART,
+        hold_portions: HOLD_PORTIONS,
+        sweep_us: INSPECT_US,
+        ask_timeout_us: ASK_TIMEOUT_US,
+        suspect_us: SUSPECT_US,
+        backoff_max_us: STORE_BACKOFF_US,
+        unavailable_retry_ms: UNAVAILABLE_RETRY_MS,
+        return_after_us: RETURN_AFTER_US,
+        seed: fastrand::u64(..),
+        ..budget_options::Options::default()
+    }
+}
+
+/// Options of the router machine.
+pub(super) fn route(settings: &Settings) -> route_options::Options {
+    route_options::Options {
+        retry_share: settings.bounds.retry_ratio * RETRY_PART,
+        retry_floor: RETRY_FLOOR,
+        refusals_are_trusted: true,
+        refusals_are_charged: true,
+        ..route_options::Options::default()
+    }
+}
+
+/// Options of connections to backend servers.
+pub(super) fn backend() -> client::Options {
+    client::Options {
+        connect_timeout_ms: CONNECT_TIMEOUT_MS,
+        body_bytes: ANSWER_BYTES,
+        takes_unframed: true,
+        ..client::Options::default()
+    }
+}
--- a/crates/peridotrack-edge/src/peer/frame.rs
+++ b/crates/peridotrack-edge/src/peer/frame.rs
@@ -72,6 +72,22 @@
     },
 }
 
+impl Frame {
+    /// Returns the incarnation that the frame is meant for, if it is for one alone.
+    pub fn addressee(&self) -> Option<id::Incarnation> {
+        match self {
+            Self::Budget { to, .. } | Self::Usage { to, .. } => Some(*to),
+            Self::Hello(_)
+            | Self::Member(_)
+            | Self::Leaving { .. }
+            | Self::ConfigRequest { .. }
+            | Self::Config { .. }
+            | Self::ConfigPartRequest { .. }
+            | Self::ConfigPart { .. } => None,
+        }
+    }
+}
+
 /// Says who dialled a link and proves it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Hello {
--- a/crates/peridotrack-edge/src/peer/link.rs
+++ b/crates/peridotrack-edge/src/peer/link.rs
@@ -127,7 +127,8 @@
         Ok(link)
     }
 
-    /// Sets what is called with each frame and with each address that cannot be reached.
+    /// Sets what is called with each frame for this incarnation, and with each address that
+    /// cannot be reached.
     pub fn subscribe(
         &self,
         on_frame: impl Fn(Sender, Frame) + 'static,
@@ -264,6 +265,10 @@
         let sender = within("authenticate", peer, HANDSHAKE_TIMEOUT_MS, authenticate).await?;
         while !self.is_stopped() {
             let frame = read_frame(&mut stream, peer).await?;
+            // What was meant for an earlier incarnation at this address is not for this one.
+            if frame.addressee().is_some_and(|to| to != self.incarnation) {
+                continue;
+            }
             let on_frame = self.on_frame.borrow().clone();
             if let Some(on_frame) = on_frame {
                 on_frame(sender, frame);
--- a/crates/peridotrack-edge/src/platform.rs
+++ b/crates/peridotrack-edge/src/platform.rs
@@ -19,7 +19,7 @@
 use serde::Deserialize;
 
 use crate::{metric, notify};
-pub use hosted::{Listing, Watch};
+pub use hosted::Listing;
 use native::{etag, object, object_path, refused, request, unknown};
 
 /// Name of this service in the registry.
--- a/crates/peridotrack-edge/src/platform/hosted.rs
+++ b/crates/peridotrack-edge/src/platform/hosted.rs
@@ -15,9 +15,6 @@
     pub revision: u64,
 }
 
-/// What a watch of one kind brought.
-pub type Watch = store::Changes;
-
 /// Kinds of objects.
 impl Platform {
     /// Returns all objects of a kind.
@@ -46,7 +43,7 @@
         kind: &str,
         revision: u64,
         wait_ms: u64,
-    ) -> Result<Watch, Error> {
+    ) -> Result<store::Changes, Error> {
         let path = store::watch_path(kind, revision, wait_ms);
         self.count("watch");
         let result = self.exchange_watch(&path, wait_ms).await;
--- a/crates/peridotrack-edge/src/route.rs
+++ b/crates/peridotrack-edge/src/route.rs
@@ -53,6 +53,56 @@
     },
 }
 
+/// Where a request is to be sent.
+#[derive(Debug, Clone)]
+pub struct Destination {
+    /// The backend server.
+    pub backend_server: name::BackendServer,
+    /// Its address.
+    pub address: SocketAddr,
+}
+
+/// Why a request is not sent any more.
+#[derive(Debug, Clone, Copy)]
+pub struct Refusal {
+    /// Why.
+    pub kind: problem::Kind,
+    /// When to try again, in milliseconds.
+    pub retry_after_ms: u64,
+}
+
+impl Step {
+    /// Returns where to send the request, for callers to whom going on is sending again.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it is refused instead.
+    pub fn into_destination(self) -> Result<Destination, Refusal> {
+        match self {
+            Self::Dispatch {
+                backend_server,
+                address,
+                ..
+            }
+            | Self::Resume {
+                backend_server,
+                address,
+                ..
+            } => Ok(Destination {
+                backend_server,
+                address,
+            }),
+            Self::Refuse {
+                kind,
+                retry_after_ms,
+            } => Err(Refusal {
+                kind,
+                retry_after_ms,
+            }),
+        }
+    }
+}
+
 type Waiting = collections::HashMap<id::Request, queue::Tx<Step>>;
 
 /// Runs the router machine of this process.
--- a/crates/peridotrack-route/src/finish.rs
+++ b/crates/peridotrack-route/src/finish.rs
@@ -261,7 +261,8 @@
 /// Returns whether a request may be sent from its beginning again.
 ///
 /// Once a byte of a non-idempotent request was sent, it never is, unless the server's proof
-/// that it did not run is trusted. Once a part of the answer reached the caller, another run could not continue it.
+/// that it did not run is trusted. Once a part of the answer reached the caller, another run
+/// could not continue it.
 fn can_retry(request: &Request, attempt: &Attempt, is_proved: bool, dispatches: u32) -> bool {
     let goes_on = request.continuation == event::Continuation::AnyServer;
     // A bound of the request's own is on the servers that it was sent to.
