fix(edge, platform): what the store refuses or holds unreadable is logged

Cause: errors went without a line: an entry that names no server, objects and changes that cannot be read, calls that the store refuses (429, 503) and their retries.

Change: events 112 ObjectIgnored (once for each name, or with a count) and 122 PlatformRefused (first of a row); Page and Changes count what is unreadable; explain names the wait and the two sources that gave nothing.

Ruled out: a line for each refused call, which a brown store would turn into ten a second of each router.

--- a/crates/peridotrack-edge/src/gateway/directory.rs
+++ b/crates/peridotrack-edge/src/gateway/directory.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     rc::Rc,
 };
 
@@ -34,6 +34,8 @@
 #[derive(Default)]
 pub(super) struct Directory {
     entries: RefCell<BTreeMap<name::BackendServer, Entry>>,
+    /// Names of entries that cannot be read, each of which is logged once.
+    ignored: RefCell<BTreeSet<String>>,
     is_listed: Cell<bool>,
     /// When the store last told its state, in monotonic microseconds.
     heard_us: Cell<u64>,
@@ -90,6 +92,7 @@
                 if server.is_draining {
                     note_leaving(shared, &server.name, "draining");
                 }
+                self.ignored.borrow_mut().remove(name);
                 let name = server.name.clone();
                 let entry = Entry {
                     server,
@@ -98,11 +101,21 @@
                 self.entries.borrow_mut().insert(name, entry);
             }
             // Another writer's entry names no server that could be used.
-            Err(_) => drop(self.entries.borrow_mut().remove(name)),
+            Err(error) => {
+                self.entries.borrow_mut().remove(name);
+                if self.ignored.borrow_mut().insert(name.to_owned()) {
+                    let event = event::Event::new(event::Kind::ObjectIgnored)
+                        .with("kind", wire::KIND)
+                        .with("object", name)
+                        .with("error", error.to_string());
+                    shared.kernel.note(event);
+                }
+            }
         }
     }
 
     fn miss(&self, now_us: u64, name: &str) {
+        self.ignored.borrow_mut().remove(name);
         if let Some(entry) = self.entries.borrow_mut().get_mut(name) {
             entry.missing_us.get_or_insert(now_us);
         }
--- a/crates/peridotrack-edge/src/platform.rs
+++ b/crates/peridotrack-edge/src/platform.rs
@@ -176,6 +176,8 @@
     pool: client::Pool,
     watch_options: client::Options,
     reachable: Cell<bool>,
+    /// Whether the newest answered call was refused.
+    is_refusing: Cell<bool>,
     lost_us: Cell<u64>,
     watches: RefCell<Vec<client::Connection>>,
     /// Tells the waiting watches that another call failed.
@@ -204,6 +206,7 @@
             pool: client::Pool::new(options, IDLE_CONNECTIONS),
             watch_options: options,
             reachable: Cell::new(true),
+            is_refusing: Cell::new(false),
         })
     }
 }
@@ -347,6 +350,23 @@
             .increment(1);
     }
 
+    /// Notes a call that was refused, unless the one before was, too.
+    fn note_refusal(&self, step: &'static str, key: &str, status: http::StatusCode) {
+        let is_refused = matches!(
+            status,
+            http::StatusCode::UNAUTHORIZED
+                | http::StatusCode::FORBIDDEN
+                | http::StatusCode::TOO_MANY_REQUESTS
+        ) || status.is_server_error();
+        if !self.is_refusing.replace(is_refused) && is_refused {
+            let event = event::Event::new(event::Kind::PlatformRefused)
+                .with("step", step)
+                .with("key", key)
+                .with("status", u64::from(status.as_u16()));
+            self.kernel.note(event);
+        }
+    }
+
     /// Notes whether the platform can be reached and names the step of an error.
     fn noted(
         &self,
@@ -373,6 +393,9 @@
                 Err(error) => event.with("error", error.to_string()),
             });
         }
+        if let Ok(response) = &result {
+            self.note_refusal(step, key, response.status());
+        }
         result.map_err(|source| {
             if source.bytes_written {
                 unknown(step, key, source.to_string())
--- a/crates/peridotrack-edge/src/platform/hosted.rs
+++ b/crates/peridotrack-edge/src/platform/hosted.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use peridotrack_http::client;
+use peridotrack_kernel::event;
 use peridotrack_platform::store;
 
 use super::{DEFAULT_RETRY_MS, Error, Object, Platform, request, unknown};
@@ -27,6 +28,7 @@
             let page = self.get("list", kind, &path).await?;
             let page =
                 store::page(&page).map_err(|error| unknown("list", kind, error.to_string()))?;
+            self.note_unreadable(kind, page.unreadable);
             objects.extend(page.objects);
             // Changes between two pages are repeated by the watch from the first page on.
             let revision = *first_revision.get_or_insert(page.revision);
@@ -49,8 +51,12 @@
         let result = self.exchange_watch(&path, wait_ms).await;
         let response = self.noted("watch", kind, result)?;
         match response.status().as_u16() {
-            200 => store::changes(response.body())
-                .map_err(|error| unknown("watch", kind, error.to_string())),
+            200 => {
+                let changes = store::changes(response.body())
+                    .map_err(|error| unknown("watch", kind, error.to_string()))?;
+                self.note_unreadable(kind, changes.unreadable);
+                Ok(changes)
+            }
             410 => Err(Error::HistoryLost {
                 step: "watch",
                 key: kind.to_owned(),
@@ -59,6 +65,14 @@
         }
     }
 
+    fn note_unreadable(&self, kind: &str, objects: usize) {
+        if objects > 0 {
+            let event = event::Event::new(event::Kind::ObjectIgnored);
+            let event = event.with("kind", kind).with("objects", objects as u64);
+            self.kernel.note(event);
+        }
+    }
+
     /// Sends a watch on a connection that an earlier watch left, or on a new one.
     async fn exchange_watch(
         &self,
--- a/crates/peridotrack-edge/tests/gateway/directory.rs
+++ b/crates/peridotrack-edge/tests/gateway/directory.rs
@@ -61,6 +61,31 @@
     });
 }
 
+#[test]
+fn what_cannot_be_read_and_what_is_refused_is_logged_once() {
+    block_on(async {
+        let rig = Rig::spawn(1).await;
+        let count = |name: &str| {
+            let events = rig.gateway.kernel().timeline().after(0);
+            events.iter().filter(|event| &*event.name == name).count()
+        };
+        rig.store.put("servers", "i-7", json!("no server"));
+        rig.store.put("servers", "i-7", json!("no server yet"));
+        rig.store.put("servers", "i-8", json!("no server"));
+        let named = || count("ObjectIgnored") > 1;
+        wait::until(LIMIT, "an event for each entry", named)
+            .await
+            .unwrap();
+        assert_eq!(count("ObjectIgnored"), 2);
+        rig.store.set_mode(store::Mode::Busy);
+        let calls = rig.store.counters().calls;
+        let refused = || rig.store.counters().calls > calls + 8;
+        wait::until(LIMIT, "refused calls", refused).await.unwrap();
+        // The other watch may have ended in between with an answer from before.
+        assert!((1..=2).contains(&count("PlatformRefused")));
+    });
+}
+
 #[test]
 fn a_new_server_is_found_after_the_history_is_gone() {
     block_on(async {
--- a/crates/peridotrack-kernel/src/event.rs
+++ b/crates/peridotrack-kernel/src/event.rs
@@ -71,10 +71,14 @@
     110 Info ConfigApplied,
     /// A configuration was refused because it is invalid or older than the one in force.
     111 Warn ConfigRefused,
+    /// Objects of the store could not be read and were left out.
+    112 Warn ObjectIgnored,
     /// The platform cannot be reached.
     120 Warn PlatformLost,
     /// The platform can be reached again.
     121 Info PlatformReached,
+    /// The platform refused a call, the first one since it last did what was asked.
+    122 Warn PlatformRefused,
     /// A peer is live.
     130 Info PeerJoined,
     /// A peer is no longer live.
--- a/crates/peridotrack/src/story.rs
+++ b/crates/peridotrack/src/story.rs
@@ -149,7 +149,11 @@
             merged.at_wall_us.saturating_sub(lost.at_wall_us) / 1_000,
             text(&lost.event, "error").unwrap_or_default()
         ),
-        _ => "the store did not answer in time".to_owned(),
+        _ => format!(
+            "neither the ledger nor another router gave any within the {} ms that it waited, though \
+             the store answers",
+            number(event, "elapsed_us").unwrap_or_default() / 1_000
+        ),
     };
     format!(
         "no tokens of account {} could be drawn: {store}; free here {} tokens, left in the \
