fix(edge): a watch after a failed one is short, so a silent one is noticed in time

The logs: a router's watch of the directory timed out in an outage of the store, its watch of the configuration was begun again then, on a connection that the store took but never served, and was given up 5 s later, at 16.76 s. The outage ended at 12.4, the router counted as connected from 15.4, and a version acked at 13.87 had to be in force by 15.87.

Change: after a failed watch the next one waits a sixth of contact_ms, 500 ms here, until one is answered. A kept connection takes the time limit of each watch rather than of the first; without that a long watch on a connection of a short one timed out, which the test of lapsed entries showed at once.

The new test waits 3 s for the version and failed before.

--- a/crates/peridotrack-edge/src/gateway/follow.rs
+++ b/crates/peridotrack-edge/src/gateway/follow.rs
@@ -10,6 +10,10 @@
 
 /// Longest wait of one watch, in milliseconds; a silent connection is noticed after it.
 const WATCH_MS: u64 = 4_000;
+/// Part of the time after an outage by which a gateway counts as connected that a watch after a
+/// failed one waits: an outage may have silenced it, and with the time for its answer and a
+/// pause it must be noticed and begun again within that time.
+const CONTACT_PART: u64 = 6;
 /// Shortest delay after a call that failed, in microseconds; the longest is twice that.
 const RETRY_US: u64 = 100 * clock::US_PER_MS;
 
@@ -58,10 +62,13 @@
     };
     take(shared, News::Listing(&listing.objects));
     let mut revision = listing.revision;
+    let after_failure_ms = WATCH_MS.min(shared.settings.bounds.contact_ms / CONTACT_PART);
+    let mut wait_ms = WATCH_MS;
     loop {
-        let watch = shared.platform.watch_kind(kind, revision, WATCH_MS).await;
+        let watch = shared.platform.watch_kind(kind, revision, wait_ms).await;
         match watch {
             Ok(watch) => {
+                wait_ms = WATCH_MS;
                 revision = watch.revision;
                 take(shared, News::Changes(&watch.changes));
                 if !watch.changes.is_empty() && collect_us > 0 {
@@ -69,7 +76,10 @@
                 }
             }
             Err(error @ platform::Error::HistoryLost { .. }) => return error,
-            Err(_) => pause(shared).await,
+            Err(_) => {
+                wait_ms = after_failure_ms;
+                pause(shared).await;
+            }
         }
     }
 }
--- a/crates/peridotrack-edge/src/platform/hosted.rs
+++ b/crates/peridotrack-edge/src/platform/hosted.rs
@@ -79,15 +79,12 @@
         path: &str,
         wait_ms: u64,
     ) -> Result<http::Response<Bytes>, client::Error> {
-        let options = client::Options {
-            response_timeout_ms: wait_ms + super::RESPONSE_TIMEOUT_MS,
-            ..self.watch_options
-        };
         let kept = self.watches.borrow_mut().pop();
         let mut connection = match kept.filter(client::Connection::is_quiet) {
             Some(connection) => connection,
-            None => client::Connection::connect(self.address, options).await?,
+            None => client::Connection::connect(self.address, self.watch_options).await?,
         };
+        connection.set_response_timeout(wait_ms + super::RESPONSE_TIMEOUT_MS);
         let call = request("GET", path, &[], Bytes::new());
         // A watch that waits on a connection which has gone silent would miss what comes after
         // an outage; another call that fails is the sign to begin it again.
--- a/crates/peridotrack-edge/tests/gateway/directory.rs
+++ b/crates/peridotrack-edge/tests/gateway/directory.rs
@@ -13,6 +13,9 @@
 /// Time after which a change in the store is in force.
 const APPLY: Duration = Duration::from_secs(2);
 
+/// Time after an outage of the store after which a gateway counts as connected.
+const CONTACT: Duration = Duration::from_secs(3);
+
 async fn until_only(rig: &Rig, index: usize) {
     let only = async || {
         let before = rig.engines[1 - index].arrivals();
@@ -131,6 +134,33 @@
     });
 }
 
+#[test]
+fn a_watch_that_an_outage_silenced_is_begun_again_in_time() {
+    block_on(async {
+        let rig = Rig::spawn(1).await;
+        let calls = async |count: u64| {
+            let before = rig.store.counters().calls;
+            let made = || rig.store.counters().calls >= before + count;
+            wait::until(LIMIT, "calls", made).await.unwrap();
+        };
+        rig.store.set_mode(store::Mode::Reset);
+        calls(2).await;
+        rig.store.set_mode(store::Mode::Mute);
+        calls(2).await;
+        rig.store.set_mode(store::Mode::Serve);
+        let mut newer = config(9, 1_000_000);
+        newer["routes"].as_array_mut().unwrap().remove(0);
+        rig.store.put("config", "main", newer);
+        let applied = async || {
+            let answer = rig.get("/safe/x").await?;
+            (answer.status() == 404).then_some(())
+        };
+        wait::some(CONTACT, "the new version", applied)
+            .await
+            .unwrap();
+    });
+}
+
 #[test]
 fn a_configuration_is_applied_and_never_goes_back() {
     block_on(async {
--- a/crates/peridotrack-http/src/client/connection.rs
+++ b/crates/peridotrack-http/src/client/connection.rs
@@ -79,6 +79,11 @@
         matches!(self.phase, Phase::Ready) && self.wire.buffer.is_empty()
     }
 
+    /// Sets the longest wait for the head of the next answers, in milliseconds.
+    pub fn set_response_timeout(&mut self, limit_ms: u64) {
+        self.options.response_timeout_ms = limit_ms;
+    }
+
     /// Whether an idle connection has not been closed or written to by the server, as far
     /// as the event loop has seen.
     pub fn is_quiet(&self) -> bool {
--- a/crates/peridotrack-standin/src/hosted/store.rs
+++ b/crates/peridotrack-standin/src/hosted/store.rs
@@ -31,6 +31,8 @@
     Busy,
     /// It closes every connection without an answer and does nothing.
     Reset,
+    /// It takes calls and never answers them, not even once it serves again.
+    Mute,
     /// It does what writes ask and closes their connections without an answer.
     LoseWrites,
 }
@@ -299,6 +301,10 @@
                 let response = answer::failure(StatusCode::SERVICE_UNAVAILABLE, "busy");
                 return Ok(arrival.connection.respond(response).await?);
             }
+            Mode::Mute => {
+                arrival.connection.closed().await;
+                return Err(Cut);
+            }
             Mode::Serve | Mode::LoseWrites => {}
         }
         let uri = arrival.request.head.uri.clone();
