test(peridotrackd): a gateway whose addresses are taken ends; the hangup test is traced

Cause: settings_are_read_again_at_a_hangup_and_requests_go_on once waited 10 s for SettingsRead. Free ports are found and let go before the process listens, so a test beside it can take them; the gateway then ends, readiness is answered by the other test's gateway, and the signal goes to the ended process.

Ruled out: a lost log line (the pipe holds 64 KiB, a start writes a few lines) and a signal that came before its handler (handlers are set before anything listens). Shown by a run: two gateways at the same addresses, then the test's old steps, give the same error after the same 10 s.

Change: a test that the second process ends with a failure and the first goes on serving; spawn_at in the harness.

--- a/crates/peridotrackd/tests/gateway.rs
+++ b/crates/peridotrackd/tests/gateway.rs
@@ -93,7 +93,10 @@
     }
 
     fn spawn_once(store: SocketAddr, name: &str) -> Self {
-        let addresses = [(); 4].map(|()| free_address());
+        Self::spawn_at(store, name, [(); 4].map(|()| free_address()))
+    }
+
+    fn spawn_at(store: SocketAddr, name: &str, addresses: [SocketAddr; 4]) -> Self {
         let path = std::env::temp_dir().join(format!(
             "peridotrackd-gateway-{name}-{}.toml",
             std::process::id()
@@ -238,3 +241,19 @@
     let text = String::from_utf8(output.stderr).unwrap();
     assert!(text.contains("decode the settings"), "{text}");
 }
+
+#[test]
+fn a_process_whose_addresses_are_taken_ends() {
+    block_on(async {
+        let (store, _engine) = rig(engine::Mode::Serve);
+        let addresses = [(); 4].map(|()| free_address());
+        let first = Gateway::spawn_at(store.address(), "first", addresses);
+        first.until_ready().await;
+        let mut second = Gateway::spawn_at(store.address(), "second", addresses);
+        let ended = async || second.child.try_wait().unwrap();
+        let status = wait::some(LIMIT, "the end", ended).await.unwrap();
+        assert!(!status.success(), "{status}");
+        assert!(!second.has_started());
+        assert!(first.is_ready().await);
+    });
+}
