feat(budget,edge): events state what a request was charged and what a ledger counts

Logs could not separate the causes of late refusals: the end of a request did not state its charge, a return to the ledger had no event, and a failed search did not state what the ledger counts.

RequestCompleted, RequestCut, RequestCancelled and RequestRefused after an attempt state the account, the reserved bound and the charge. BudgetGrant reports returns once the ledger shows them. The note of a search without success holds the totals of the ledger at its last read. With these, what each incarnation holds follows from the logs of all VMs.

--- a/crates/peridotrack-budget/src/action.rs
+++ b/crates/peridotrack-budget/src/action.rs
@@ -49,11 +49,11 @@
         /// Tokens added to the grant since it was last known.
         tokens: u64,
     },
-    /// Idle tokens are returned to the ledger.
+    /// A return took effect: the ledger shows tokens of this holder as returned.
     Returned {
         /// Budget that the tokens are returned to.
         budget: name::Budget,
-        /// Number of tokens returned.
+        /// Tokens returned since this was last known.
         tokens: u64,
     },
     /// Tokens were sent to another holder.
@@ -86,6 +86,10 @@
         budget: name::Budget,
         /// Whether the store was unreachable during the search.
         store_unreachable: bool,
+        /// Totals of the budget when this holder last read the ledger; zero if it never did. What is
+        /// exposed beyond the settled and reserved tokens is idle or spent since the last report,
+        /// by a live holder or by one that was lost.
+        ledger: ledger::Totals,
     },
     /// The coordinator of a budget is skipped: it did not reply in time, is leaving or was lost.
     DrawerPassedOver {
--- a/crates/peridotrack-budget/src/holder/account.rs
+++ b/crates/peridotrack-budget/src/holder/account.rs
@@ -92,6 +92,8 @@
     pub(super) exhausted_doublings: u32,
     /// Tokens left to draw when the ledger was last read.
     pub(super) left_tokens: u64,
+    /// Totals of the budget when the ledger was last read.
+    pub(super) ledger_totals: ledger::Totals,
     /// Whether few tokens are left, see [`Options::scarce_part`].
     pub(super) is_scarce: bool,
     /// Other holders with an open row when the ledger was last read, those with the most idle
--- a/crates/peridotrack-budget/src/holder/plan.rs
+++ b/crates/peridotrack-budget/src/holder/plan.rs
@@ -38,7 +38,8 @@
     index: u32,
     granted_tokens: u64,
     returned_tokens: u64,
-    left_tokens: u64,
+    /// Totals of the budget after the update.
+    totals: ledger::Totals,
     was_draw_wanted: bool,
     /// Holders to request tokens from if some are still lacking: first `rows`, which have an open
     /// row, the most idle first; then `others`, to which holders with closed rows sent tokens.
@@ -193,7 +194,14 @@
             return;
         };
         active.status = Status::Listed;
-        active.returned_written_tokens = active.returned_written_tokens.max(returned_tokens);
+        let written_tokens = returned_tokens.saturating_sub(active.returned_written_tokens);
+        if written_tokens > 0 {
+            active.returned_written_tokens = returned_tokens;
+            self.actions.push(Action::Note(Note::Returned {
+                budget: account.budget.clone(),
+                tokens: written_tokens,
+            }));
+        }
         let tokens = granted_tokens.saturating_sub(active.granted_tokens);
         if tokens == 0 {
             return;
@@ -348,7 +356,7 @@
             return;
         };
         self.returned_tokens = active.returned_tokens;
-        self.left_tokens = entry.left_tokens();
+        self.totals = entry.totals();
         active.is_over_exposed = entry.excess_tokens() > 0;
         let mut idle: Vec<(u64, id::Incarnation)> = Vec::new();
         for (id, row) in entry.rows.iter().filter(|(id, _)| **id != holder) {
--- a/crates/peridotrack-budget/src/holder/search.rs
+++ b/crates/peridotrack-budget/src/holder/search.rs
@@ -299,10 +299,10 @@
                 until_us,
                 store_unreachable,
             };
-            let budget = account.budget.clone();
             self.actions.push(Action::Note(Note::Dry {
-                budget,
+                budget: account.budget.clone(),
                 store_unreachable,
+                ledger: active.ledger_totals.clone(),
             }));
         }
         self.wake = true;
--- a/crates/peridotrack-edge/src/gateway/exchange.rs
+++ b/crates/peridotrack-edge/src/gateway/exchange.rs
@@ -49,15 +49,15 @@
 ) -> Result<(), Error> {
     let request = match request::accept(shared, received) {
         Ok(request) => request,
-        Err(problem) => return refuse(shared, connection, None, &problem).await,
+        Err(problem) => return refuse(shared, connection, None, None, &problem).await,
     };
     let reserved = monoio::select! {
         reserved = reservation::reserve(shared, &request) => reserved,
-        () = connection.closed() => return cancelled(shared, &request),
+        () = connection.closed() => return cancelled(shared, &request, None),
     };
     match reserved {
         Ok(reservation) => forward(shared, connection, &request, &reservation).await,
-        Err(problem) => refuse(shared, connection, Some(&request), &problem).await,
+        Err(problem) => refuse(shared, connection, Some(&request), None, &problem).await,
     }
 }
 
@@ -74,7 +74,7 @@
     loop {
         let step = monoio::select! {
             step = ticket.next() => step,
-            () = connection.closed() => return cancelled(shared, request),
+            () = connection.closed() => return cancelled(shared, request, Some(reservation)),
         };
         let target = match step.into_destination() {
             Ok(target) => target,
@@ -83,7 +83,12 @@
                 retry_after_ms,
             }) => {
                 if progress.has_started() {
-                    return abort(shared, request, "no backend server continues the stream");
+                    return abort(
+                        shared,
+                        request,
+                        reservation,
+                        "no backend server continues the stream",
+                    );
                 }
                 if let Some(response) = last_response {
                     return respond(shared, connection, response).await;
@@ -96,7 +101,14 @@
                     }
                     problem::Ran::Unknown => problem::Problem::new(kind, "the attempt failed"),
                 };
-                return refuse(shared, connection, Some(request), &problem).await;
+                return refuse(
+                    shared,
+                    connection,
+                    Some(request),
+                    Some(reservation),
+                    &problem,
+                )
+                .await;
             }
         };
         let event = event::Event::new(event::Kind::RequestDispatched)
@@ -112,17 +124,17 @@
         match attempt.run(connection, &mut progress).await {
             AttemptResult::Responded(response) => {
                 ticket.finished(Outcome::Done);
-                note_completed(shared, request, &target, &progress);
+                note_completed(shared, request, reservation, &target, &progress);
                 return respond(shared, connection, response).await;
             }
             AttemptResult::Streamed => {
                 ticket.finished(Outcome::Done);
-                note_completed(shared, request, &target, &progress);
+                note_completed(shared, request, reservation, &target, &progress);
                 return Ok(());
             }
             AttemptResult::ClientDisconnected => {
                 ticket.finished(Outcome::Cancelled);
-                return cancelled(shared, request);
+                return cancelled(shared, request, Some(reservation));
             }
             AttemptResult::Failed {
                 outcome,
@@ -147,6 +159,7 @@
 fn note_completed(
     shared: &Shared,
     request: &RoutedRequest,
+    reservation: &ReservationGuard,
     target: &route::Destination,
     progress: &stream::Progress,
 ) {
@@ -166,7 +179,8 @@
     let route = request.route();
     let is_late = first_part_us > route.objective_ms * clock::US_PER_MS
         || progress.longest_gap_us() > route.event_gap_ms * clock::US_PER_MS;
-    request.note(shared, event.with("is_late", is_late));
+    let event = reservation.describe(event.with("is_late", is_late));
+    request.note(shared, event);
     shared.metrics.completed.increment(1);
 }
 
@@ -176,12 +190,17 @@
     shared: &Rc<Shared>,
     connection: &mut server::Connection,
     request: Option<&RoutedRequest>,
+    reservation: Option<&ReservationGuard>,
     problem: &problem::Problem,
 ) -> Result<(), Error> {
     let event = event::Event::new(event::Kind::RequestRefused)
         .with("problem", problem.type_urn.as_str())
         .with("detail", problem.detail.as_str())
         .with("retry_after_ms", problem.retry_after_ms.unwrap_or_default());
+    let event = match reservation {
+        Some(reservation) => reservation.describe(event),
+        None => event,
+    };
     match request {
         Some(request) => request.note(
             shared,
@@ -246,19 +265,32 @@
 }
 
 /// Records that the client disconnected before the response was complete.
-fn cancelled(shared: &Shared, request: &RoutedRequest) -> Result<(), Error> {
+fn cancelled(
+    shared: &Shared,
+    request: &RoutedRequest,
+    reservation: Option<&ReservationGuard>,
+) -> Result<(), Error> {
     let event = event::Event::new(event::Kind::RequestCancelled)
         .with("client_request", request.client_request());
+    let event = match reservation {
+        Some(reservation) => reservation.describe(event),
+        None => event,
+    };
     request.note(shared, event);
     Err(Error::Aborted)
 }
 
 /// Aborts a response of which the client has received the beginning. The connection is closed
 /// without the last chunk, so the client sees a truncated response.
-fn abort(shared: &Shared, request: &RoutedRequest, detail: &str) -> Result<(), Error> {
+fn abort(
+    shared: &Shared,
+    request: &RoutedRequest,
+    reservation: &ReservationGuard,
+    detail: &str,
+) -> Result<(), Error> {
     let event = event::Event::new(event::Kind::RequestCut)
         .with("client_request", request.client_request())
         .with("detail", detail);
-    request.note(shared, event);
+    request.note(shared, reservation.describe(event));
     Err(Error::Aborted)
 }
--- a/crates/peridotrack-edge/src/gateway/reservation.rs
+++ b/crates/peridotrack-edge/src/gateway/reservation.rs
@@ -8,7 +8,7 @@
 use std::{cell::Cell, rc::Rc};
 
 use peridotrack_budget::refusal;
-use peridotrack_kernel::clock;
+use peridotrack_kernel::{clock, event};
 use peridotrack_types::{name, problem};
 
 use super::{Shared, request::RoutedRequest};
@@ -52,6 +52,29 @@
     pub(super) fn may_have_run(&self) -> bool {
         self.earlier_attempt_may_have_run.get() || self.latest_attempt_may_have_run.get()
     }
+
+    /// Returns the tokens that the reservation is charged if the request ends now: the prompt and
+    /// the delivered output of a request that may have run.
+    pub(super) fn charged_tokens(&self) -> u64 {
+        match &self.reservation {
+            Some(reservation) if self.may_have_run() => {
+                let spent_tokens = self.prompt_tokens + self.delivered_tokens.get();
+                spent_tokens.min(reservation.bound_tokens)
+            }
+            Some(_) | None => 0,
+        }
+    }
+
+    /// Adds the account, the reserved bound and the charge to the final event of the request.
+    pub(super) fn describe(&self, event: event::Event) -> event::Event {
+        match &self.reservation {
+            Some(reservation) => event
+                .with("client_account", reservation.budget.as_str())
+                .with("bound_tokens", reservation.bound_tokens)
+                .with("charged_tokens", self.charged_tokens()),
+            None => event,
+        }
+    }
 }
 
 impl Drop for ReservationGuard {
@@ -62,8 +85,7 @@
         if !self.may_have_run() {
             return self.shared.budget.cancel(reservation);
         }
-        let spent_tokens = self.prompt_tokens + self.delivered_tokens.get();
-        let spent_tokens = spent_tokens.min(reservation.bound_tokens);
+        let spent_tokens = self.charged_tokens();
         self.shared.budget.settle(reservation, spent_tokens);
         self.shared.metrics.settled_tokens.increment(spent_tokens);
     }
