fix(http): interim responses without end no longer hold up the router

What callers saw: while a backend server in trouble sent interim responses (1xx) without end, the router answered nobody: no request, no readiness probe, no deadline.

Cause: the client read interim heads in a loop, each within the limit of a head. With bytes always at hand the loop never returned to the event loop, so that no timeout was checked either.

Evidence: endless_interim_responses (http) and the case interim_responses of bytes_without_end_are_cut_off_and_other_requests_are_served (edge gateway) failed before. The eleven other kinds of endless bytes that the edge test sends, in the head, the body and a stream, were cut off in time before as well.

--- a/crates/peridotrack-edge/tests/gateway/main.rs
+++ b/crates/peridotrack-edge/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 
 mod budget;
 mod directory;
+mod endless;
 mod fixture;
 mod peers;
 mod requests;
--- a/crates/peridotrack-http/src/client/connection.rs
+++ b/crates/peridotrack-http/src/client/connection.rs
@@ -229,7 +229,9 @@
     }
 
     async fn read_head(&mut self) -> Result<http::response::Parts, Error> {
-        let limit_bytes = self.options.head_bytes;
+        // Interim responses count towards the limit: a server may send them without end, faster
+        // than they are read, and then no timeout would be checked.
+        let mut limit_bytes = self.options.head_bytes;
         loop {
             let split = self.scanner.split(&mut self.stream.buffer, limit_bytes);
             let text = split.map_err(|error| self.head_error(Step::Head, error))?;
@@ -237,6 +239,7 @@
                 self.read_more_of_head().await?;
                 continue;
             };
+            limit_bytes = limit_bytes.saturating_sub(text.len());
             let head =
                 head::decode_response(text).map_err(|error| self.head_error(Step::Head, error))?;
             if !head.status.is_informational() {
--- a/crates/peridotrack-http/tests/client.rs
+++ b/crates/peridotrack-http/tests/client.rs
@@ -179,6 +179,7 @@
     "Head head too large"
 )]
 #[case::endless_head(&"b".repeat(4096), "Head head too large")]
+#[case::endless_interim_responses(&"HTTP/1.1 102 Processing\r\n\r\n".repeat(200), "Head head too large")]
 fn invalid_or_truncated_response_is_an_error(#[case] response: &str, #[case] expected: &str) {
     run(async {
         let mut connection =
