fix(budget): nothing is sent to a requester that no longer waits

What callers saw: 402 and 503 after routers were lost or cut off, although their account had tokens.

Cause: a holder that could not satisfy a token request kept it for 3.5 s while it searched, and for 60 s after that, and sent what became free in the meantime. In a cut or after a loss the requester was gone, and the tokens were deducted at the sender, received by nobody, and lost with the next loss. The times were constants of a fleet with a pending timeout of 3 s; gateways shortened that timeout to 150 ms, but not what follows from it.

A deferred request now ends with the options that it follows from: the pending timeout and the wait for the store. How long an unsatisfied one is remembered is an option, 1 s at gateways.

--- a/crates/peridotrack-budget/src/holder/pending_requests.rs
+++ b/crates/peridotrack-budget/src/holder/pending_requests.rs
@@ -1,10 +1,10 @@
 //! Token requests of other holders that could not be satisfied at once.
 
 use super::{Holder, account::PendingRequest};
-use crate::message::{Reach, Reply};
-
-/// Time for which an unsatisfied request is remembered, in microseconds.
-const PENDING_REQUEST_US: u64 = 60_000_000;
+use crate::{
+    message::{Reach, Reply},
+    options::Options,
+};
 
 impl Holder {
     /// Serves pending requests, and searches for what fleet-wide requests still lack.
@@ -82,11 +82,11 @@
 
 impl PendingRequest {
     /// Creates the record of an unmet request whose requester does not wait for another reply.
-    pub(super) fn unmet(now_us: u64, need_tokens: u64, reach: Reach) -> Self {
+    pub(super) fn unmet(now_us: u64, need_tokens: u64, reach: Reach, options: &Options) -> Self {
         Self {
             need_tokens,
             reach,
-            until_us: now_us + PENDING_REQUEST_US,
+            until_us: now_us + options.unmet_request_us,
             is_deferred: false,
             is_joining: false,
         }
--- a/crates/peridotrack-budget/src/holder/transfer.rs
+++ b/crates/peridotrack-budget/src/holder/transfer.rs
@@ -14,8 +14,6 @@
     message::{Message, Reach, Reply},
 };
 
-/// Time after which the requester of a deferred request no longer waits, in microseconds.
-const DEFERRED_REQUEST_US: u64 = 3_500_000;
 const REPEAT_DELAY_MAX_US: u64 = 60_000_000;
 
 /// Token request of another holder, as received.
@@ -144,7 +142,7 @@
         if unmet_tokens > 0 && request.reach != Reach::Now {
             active.pending_requests.insert(
                 to,
-                PendingRequest::unmet(now_us, unmet_tokens, request.reach),
+                PendingRequest::unmet(now_us, unmet_tokens, request.reach, &self.options),
             );
         }
         self.transfer_tokens(now_us, index, to, tokens, Reply::Final);
@@ -192,7 +190,8 @@
             return self.transfer_available(now_us, index, to, request);
         }
         if let Some(reply) = active.search.exhausted_reply(now_us) {
-            let pending = PendingRequest::unmet(now_us, request.need_tokens, request.reach);
+            let pending =
+                PendingRequest::unmet(now_us, request.need_tokens, request.reach, &self.options);
             active.pending_requests.insert(to, pending);
             return self.send_reply(index, to, reply);
         }
@@ -211,10 +210,10 @@
     ) {
         if let Some(active) = self.accounts[index as usize].active.as_mut() {
             let pending = PendingRequest {
-                until_us: now_us + DEFERRED_REQUEST_US,
+                until_us: now_us + self.options.pending_timeout_us + self.options.store_wait_us,
                 is_deferred: true,
                 is_joining,
-                ..PendingRequest::unmet(now_us, request.need_tokens, request.reach)
+                ..PendingRequest::unmet(now_us, request.need_tokens, request.reach, &self.options)
             };
             active.pending_requests.insert(from, pending);
         }
--- a/crates/peridotrack-budget/src/options.rs
+++ b/crates/peridotrack-budget/src/options.rs
@@ -67,6 +67,10 @@
     pub ask_timeout_us: u64,
     /// Timeout for a holder that replied that it is searching, in microseconds.
     pub pending_timeout_us: u64,
+    /// Time for which a request that was not satisfied in full is remembered, in microseconds.
+    /// Tokens that become available meanwhile are sent to the requester, and are stranded if it
+    /// was lost.
+    pub unmet_request_us: u64,
     /// Time for which a failed search is remembered, in microseconds. It doubles with each
     /// further search that found no token at all.
     #[serde(rename = "dry_us")]
@@ -120,6 +124,7 @@
             store_wait_us: 500 * MILLISECOND_US,
             ask_timeout_us: 100 * MILLISECOND_US,
             pending_timeout_us: 3 * SECOND_US,
+            unmet_request_us: 60 * SECOND_US,
             exhausted_us: 20 * MILLISECOND_US,
             backoff_min_us: 50 * MILLISECOND_US,
             backoff_max_us: 5 * SECOND_US,
--- a/crates/peridotrack-budget/tests/stranded.rs
+++ b/crates/peridotrack-budget/tests/stranded.rs
@@ -1,18 +1,46 @@
 //! What the loss of all holders at once strands.
 
-mod support;
-
 use peridotrack_bench::fleet::{Fleet, Options, Request, State};
-use peridotrack_budget::ledger;
+use peridotrack_budget::{ledger, message, options};
 use rstest::rstest;
-use support::{SECOND_US, gateway_options};
 
+const SECOND_US: u64 = 1_000_000;
 const DOMAINS: usize = 4;
 /// Sizes of the requests in tokens, from the mix of a model service: long, short and middle prompts.
 const SIZES: [u64; 3] = [13_000, 1_200, 2_500];
 /// Time for which the budget lasts when everything is spent.
 const LASTS_S: u64 = 40;
 const REQUESTS_PER_S: u64 = 60;
+const SHARE_OF_REMAINDER: u64 = 5;
+
+/// Returns the options of a gateway's holder.
+fn gateway_options() -> options::Options {
+    options::Options {
+        shard_count: 1,
+        grant_span_us: 12 * SECOND_US,
+        give_span_us: 5 * SECOND_US,
+        buffer_span_us: 12 * SECOND_US,
+        rate_half_life_us: 8 * SECOND_US,
+        rate_age_min_us: 2 * SECOND_US,
+        grant_deviations: 1.5,
+        share_divisor: 5,
+        low_water_part: 0.9,
+        scarce_part: 0.2,
+        plenty_part: 0.45,
+        hold_portions: 1,
+        sweep_us: SECOND_US,
+        ask_timeout_us: 20_000,
+        pending_timeout_us: 150_000,
+
+        unmet_request_us: SECOND_US,
+        suspect_us: 2 * SECOND_US,
+        backoff_max_us: 400_000,
+        return_after_us: 8 * SECOND_US,
+        keep_us: 5 * SECOND_US,
+        scarce_span_us: SECOND_US / 2,
+        ..options::Options::default()
+    }
+}
 
 /// A fleet whose budget covers [`LASTS_S`] seconds of its requests.
 struct Load {
@@ -29,7 +57,9 @@
         let mean = SIZES.iter().sum::<u64>() / SIZES.len() as u64;
         let mut fleet = Fleet::new(options, &[LASTS_S * REQUESTS_PER_S * mean]);
         for domain in 0..DOMAINS {
-            (0..holders_per_domain).for_each(|_| drop(fleet.spawn(domain)));
+            for _ in 0..holders_per_domain {
+                fleet.spawn(domain);
+            }
         }
         fleet.update_peers();
         Self {
@@ -80,7 +110,7 @@
     for second in 0..LASTS_S * 3 / 4 {
         load.run_for_a_second();
         let idle = load.idle_tokens();
-        let most = (idle + load.left_tokens()) / gateway_options().share_divisor;
+        let most = (idle + load.left_tokens()) / SHARE_OF_REMAINDER;
         assert!(
             idle <= most,
             "after {second} s {idle} tokens are idle, {most} at most should be"
@@ -88,3 +118,45 @@
     }
     assert_eq!(load.fleet.counts.refused, 0);
 }
+
+/// A holder that dies while another one searches on its behalf cannot receive what is found later.
+#[rstest]
+#[case::store_unreachable(true)]
+#[case::ledger_exhausted(false)]
+fn tokens_that_become_free_are_not_sent_to_a_requester_that_is_lost(#[case] is_store_down: bool) {
+    const PURCHASED: u64 = 10_000;
+    const NEED: u64 = 1_000;
+    let options = Options {
+        holder: gateway_options(),
+        ..Options::default()
+    };
+    let mut fleet = Fleet::new(options, &[PURCHASED]);
+    let nodes: Vec<usize> = (0..2).map(|_| fleet.spawn(0)).collect();
+    fleet.update_peers();
+    let ids = nodes.iter().map(|node| fleet.nodes[*node].holder.id());
+    let shard = ledger::shard_of(&fleet.budgets[0], gateway_options().shard_count);
+    let coordinator_id = message::coordinator(shard, ids);
+    let is_coordinator = |node: &&usize| Some(fleet.nodes[**node].holder.id()) == coordinator_id;
+    let coordinator = *nodes.iter().find(is_coordinator).expect("one of them");
+    let requester = nodes[0] + nodes[1] - coordinator;
+    // Makes the requester a member, so that it may receive tokens.
+    fleet.request(requester, Request::new(0, NEED, NEED, SECOND_US / 10));
+    fleet.run_until(SECOND_US / 2);
+    let sent_tokens = |fleet: &Fleet| {
+        let report = fleet.nodes[coordinator].holder.report(&fleet.budgets[0]);
+        report.map_or(0, |report| report.sent_tokens)
+    };
+    let sent_before = sent_tokens(&fleet);
+    let rest = Request::new(0, PURCHASED - NEED, NEED, 2 * SECOND_US);
+    fleet.request(coordinator, rest);
+    fleet.run_until(SECOND_US);
+    assert_eq!(fleet.counts.dispatched, 2);
+    fleet.faults.is_store_down = is_store_down;
+    fleet.request(requester, Request::new(0, NEED, NEED, SECOND_US));
+    fleet.run_until(fleet.now_us + SECOND_US / 10);
+    fleet.kill(requester);
+    fleet.run_until(4 * SECOND_US);
+    assert_eq!(fleet.free_anywhere_tokens(0), PURCHASED - 2 * NEED);
+    let stranded = sent_tokens(&fleet) - sent_before;
+    assert_eq!(stranded, 0, "sent to a holder that is lost");
+}
--- a/crates/peridotrack-budget/tests/support/mod.rs
+++ b/crates/peridotrack-budget/tests/support/mod.rs
@@ -43,33 +43,6 @@
     }
 }
 
-/// Returns the options of a gateway's holder.
-pub fn gateway_options() -> options::Options {
-    options::Options {
-        shard_count: 1,
-        grant_span_us: 12 * SECOND_US,
-        give_span_us: 5 * SECOND_US,
-        buffer_span_us: 12 * SECOND_US,
-        rate_half_life_us: 8 * SECOND_US,
-        rate_age_min_us: 2 * SECOND_US,
-        grant_deviations: 1.5,
-        share_divisor: 5,
-        low_water_part: 0.9,
-        scarce_part: 0.2,
-        plenty_part: 0.45,
-        hold_portions: 1,
-        sweep_us: SECOND_US,
-        ask_timeout_us: 20_000,
-        pending_timeout_us: 150_000,
-        suspect_us: 2 * SECOND_US,
-        backoff_max_us: 400_000,
-        return_after_us: 8 * SECOND_US,
-        keep_us: 5 * SECOND_US,
-        scarce_span_us: SECOND_US / 2,
-        ..options::Options::default()
-    }
-}
-
 /// Fails if the provider counted more tokens than were ever purchased, or if an update broke the
 /// ledger's invariant.
 pub fn check_safety(fleet: &Fleet) -> Result<(), String> {
