fix(budget): the holders of a failure domain share one limit

Cause: what lost routers held stays counted as spent, and they held more than the fifth of the remainder that the design states. The limit applied to one draw of a coordinator. What it had passed on to its peers was not counted, so that it drew its portion anew; the peers, without a row, took what was left to be 0 and returned all but one typical request each second, only to request it again.

Change: a token request states what its sender has available. A coordinator keeps, together with its peers, what the limit allows: draws, returns and what peers receive ahead of need follow it. A request still gets what it lacks. The share is a quarter of what the ledger has left, which is a fifth of the remainder, less a sixteenth for what others draw before the ledger is read again. Requests of earlier releases can be read. Safety rests, as before, on the conditional update and the local check.

--- a/crates/peridotrack-budget/src/holder.rs
+++ b/crates/peridotrack-budget/src/holder.rs
@@ -19,6 +19,7 @@
 
 mod account;
 mod coordinator;
+mod limit;
 mod pending_requests;
 mod plan;
 mod rate;
@@ -170,6 +171,11 @@
         self.peers = peers.iter().copied().filter(|id| *id != self.id).collect();
         self.peers.sort_unstable();
         self.peers.dedup();
+        for index in &self.active {
+            if let Some(active) = self.accounts[*index as usize].active.as_mut() {
+                active.count_peer_tokens(&self.peers);
+            }
+        }
         self.poll(now_us)
     }
 
--- a/crates/peridotrack-budget/src/holder/account.rs
+++ b/crates/peridotrack-budget/src/holder/account.rs
@@ -39,6 +39,9 @@
     pub(super) sent_tokens: u64,
     pub(super) acknowledged_tokens: u64,
     pub(super) received_tokens: u64,
+    /// Tokens available at the counterparty: what it stated in its last request, with the
+    /// transfers since.
+    pub(super) counterparty_tokens: u64,
     pub(super) repeat_at_us: u64,
     pub(super) repeat_delay_us: u64,
 }
@@ -92,6 +95,8 @@
     pub(super) exhausted_doublings: u32,
     /// Tokens left to draw when the ledger was last read.
     pub(super) left_tokens: u64,
+    /// When `left_tokens` was read, in microseconds.
+    pub(super) left_read_us: u64,
     /// Totals of the budget when the ledger was last read.
     pub(super) ledger_totals: ledger::Totals,
     /// Whether few tokens are left, see [`Options::scarce_part`].
@@ -99,6 +104,8 @@
     /// Other holders with an open row when the ledger was last read, those with the most idle
     /// tokens first.
     pub(super) rows: Vec<id::Incarnation>,
+    /// Tokens available at the live peers, as far as they were exchanged with this holder.
+    pub(super) peer_tokens: u64,
     /// The ledger exposes more than was purchased, because the budget was lowered.
     pub(super) is_over_exposed: bool,
 }
@@ -121,6 +128,18 @@
             (true, true) => options.scarce_span_us,
             (false, _) => options.grant_span_us,
         };
+        self.tokens_over(now_us, options, span_us)
+    }
+
+    /// Returns the mean tokens that this holder spends and transfers in a span.
+    pub(super) fn mean_tokens_over(&self, now_us: u64, options: &Options, span_us: u64) -> u64 {
+        let local = self.rate.mean_over(now_us, options, span_us);
+        (local + self.transfer_rate.mean_over(now_us, options, span_us)) as u64
+    }
+
+    /// Returns the tokens that this holder spends and transfers in a span at the current rates, with
+    /// the deviations of [`Options::grant_deviations`].
+    pub(super) fn tokens_over(&self, now_us: u64, options: &Options, span_us: u64) -> u64 {
         if span_us == 0 {
             return 0;
         }
@@ -144,7 +163,8 @@
         deferred.map(|pending| pending.need_tokens).sum()
     }
 
-    /// Returns the tokens to request from the coordinator at the current rate of spend.
+    /// Returns the tokens to hold of those that the coordinator provides, at the current rate of
+    /// spend.
     pub(super) fn buffer_tokens(&self, now_us: u64, options: &Options) -> u64 {
         if self.is_scarce {
             return 0;
@@ -154,32 +174,40 @@
             .bound_over(now_us, options, options.buffer_span_us, deviations)
     }
 
-    /// Returns the tokens to draw, before the limit that applies near exhaustion.
-    pub(super) fn want_tokens(&self, now_us: u64, options: &Options) -> u64 {
-        let ahead_tokens = self.full_tokens(now_us, options);
+    /// Returns the tokens to draw with a given portion of those left, see
+    /// [`Options::share_divisor`], before the limit that applies near exhaustion.
+    pub(super) fn want_tokens(&self, now_us: u64, options: &Options, portion_tokens: u64) -> u64 {
+        let ahead_tokens = self.full_tokens(now_us, options, portion_tokens);
         (ahead_tokens + self.demand_tokens + self.requested_tokens())
             .saturating_sub(self.available_tokens())
     }
 
     /// Returns the available tokens that a draw aims for: the target, but at least
-    /// [`Options::draw_floor_tokens`] while the budget is not scarce.
-    pub(super) fn full_tokens(&self, now_us: u64, options: &Options) -> u64 {
-        match self.is_scarce {
-            true => self.target_tokens(now_us, options),
-            false => self
-                .target_tokens(now_us, options)
-                .max(options.draw_floor_tokens),
+    /// [`Options::draw_floor_tokens`] while the budget is not scarce, and at most what
+    /// [`Options::hold_portions`] allows.
+    pub(super) fn full_tokens(&self, now_us: u64, options: &Options, portion_tokens: u64) -> u64 {
+        if self.is_scarce {
+            return self.target_tokens(now_us, options);
+        }
+        let full_tokens = self
+            .target_tokens(now_us, options)
+            .max(options.draw_floor_tokens);
+        match self.limit_tokens(now_us, options, portion_tokens) {
+            Some(limit_tokens) => full_tokens.min(limit_tokens),
+            None => full_tokens,
         }
     }
 
     /// Records the tokens left in the ledger and updates whether the budget is scarce.
     pub(super) fn record_left(
         &mut self,
+        now_us: u64,
         left_tokens: u64,
         purchased_tokens: u64,
         options: &Options,
     ) {
         self.left_tokens = left_tokens;
+        self.left_read_us = now_us;
         let part = match self.is_scarce {
             true => options.plenty_part,
             false => options.scarce_part,
--- a/crates/peridotrack-budget/src/holder/plan.rs
+++ b/crates/peridotrack-budget/src/holder/plan.rs
@@ -11,6 +11,7 @@
 use super::{
     Holder, Status,
     account::{Account, Active},
+    limit,
 };
 use crate::{
     action::{Action, Note},
@@ -47,13 +48,6 @@
     others: BTreeSet<id::Incarnation>,
 }
 
-/// Returns how much of a wanted draw is granted: at most one portion, or what is needed at once
-/// if that is more.
-fn allowance(want_tokens: u64, need_tokens: u64, left_tokens: u64, portions: u64) -> u64 {
-    let share = left_tokens / portions.max(1);
-    want_tokens.min(share.max(need_tokens)).min(left_tokens)
-}
-
 /// Application of the ledger's contents.
 impl Holder {
     /// Applies the contents of a shard and edits them to what this holder and its peers want.
@@ -387,14 +381,16 @@
     };
     let before = entry.rows.get(&holder).cloned();
     let granted_before = before.as_ref().map_or(0, Row::granted_tokens);
+    entry.rows.insert(holder, active.open_row(granted_before));
+    let left_tokens = entry.left_tokens();
+    let portion_tokens = limit::portion(left_tokens, u64::from(entry.holders()), options);
     let want_tokens = match local.was_draw_wanted {
-        true => active.want_tokens(now_us, options),
+        true => active.want_tokens(now_us, options, portion_tokens),
         false => 0,
     };
-    entry.rows.insert(holder, active.open_row(granted_before));
-    let (left_tokens, holders) = (entry.left_tokens(), entry.holders());
-    let portions = options.share_divisor * u64::from(holders);
-    let limit = allowance(want_tokens, active.need_tokens(), left_tokens, portions);
+    let limit = want_tokens
+        .min(portion_tokens.max(active.need_tokens()))
+        .min(left_tokens);
     local.granted_tokens = entry
         .apply_draw(holder, granted_before + want_tokens, limit)
         .unwrap_or(granted_before);
@@ -407,17 +403,12 @@
 impl Active {
     /// Sets the number of available tokens below which the next draw is due.
     pub(super) fn set_low_water(&mut self, now_us: u64, options: &Options) {
-        let full = self.full_tokens(now_us, options);
-        let full = full.min(self.portion_tokens(options));
+        let portion_tokens = self.portion_tokens(options);
+        let full = self.full_tokens(now_us, options, portion_tokens);
+        let full = full.min(portion_tokens);
         self.low_water_tokens = (full as f64 * options.low_water_part) as u64;
     }
 
-    /// Returns one portion of the tokens left in the ledger, see [`Options::share_divisor`].
-    pub(super) fn portion_tokens(&self, options: &Options) -> u64 {
-        let holders = self.rows.len() as u64 + 1;
-        self.left_tokens / (options.share_divisor * holders).max(1)
-    }
-
     fn has_transfers(&self) -> bool {
         self.transfers
             .values()
--- a/crates/peridotrack-budget/src/holder/plan/complete.rs
+++ b/crates/peridotrack-budget/src/holder/plan/complete.rs
@@ -53,7 +53,12 @@
         let account = &mut self.accounts[local.index as usize];
         let purchased_tokens = account.purchased_tokens;
         if let Some(active) = account.active.as_mut() {
-            active.record_left(local.totals.left_tokens, purchased_tokens, &self.options);
+            active.record_left(
+                now_us,
+                local.totals.left_tokens,
+                purchased_tokens,
+                &self.options,
+            );
             active.ledger_totals = local.totals;
             active.rows.clone_from(&local.rows);
             active.set_low_water(now_us, &self.options);
--- a/crates/peridotrack-budget/src/holder/search/waves.rs
+++ b/crates/peridotrack-budget/src/holder/search/waves.rs
@@ -161,6 +161,7 @@
                 false => 0,
             },
             received_tokens,
+            available_tokens: active.available_tokens(),
         };
         self.actions.push(Action::Send { to, message });
     }
--- a/crates/peridotrack-budget/src/holder/sweep.rs
+++ b/crates/peridotrack-budget/src/holder/sweep.rs
@@ -114,22 +114,6 @@
 }
 
 impl Active {
-    /// Returns the available tokens above the cap of [`Options::hold_portions`], which keeps
-    /// tokens drawable for others near exhaustion; 0 unless they exceed the cap by more than
-    /// half.
-    fn over_cap_tokens(&self, options: &Options) -> u64 {
-        if options.hold_portions == 0 {
-            return 0;
-        }
-        let cap = self.portion_tokens(options) * options.hold_portions;
-        let cap = cap.max(self.rate.typical_tokens());
-        let available_tokens = self.available_tokens();
-        match available_tokens > cap + cap / 2 {
-            true => available_tokens - cap,
-            false => 0,
-        }
-    }
-
     /// Returns whether the budget was not used for [`Options::return_after_us`].
     fn is_idle(&self, now_us: u64, options: &Options) -> bool {
         now_us.saturating_sub(self.last_use_us) > options.return_after_us
@@ -152,7 +136,7 @@
             false => (self.buffer_tokens(now_us, options), 0),
         };
         let surplus_tokens = self.available_tokens().saturating_sub(2 * target);
-        let over_tokens = self.over_cap_tokens(options);
+        let over_tokens = self.over_limit_tokens(now_us, options);
         if over_tokens > 0 {
             return over_tokens.max(surplus_tokens);
         }
--- a/crates/peridotrack-budget/src/holder/transfer.rs
+++ b/crates/peridotrack-budget/src/holder/transfer.rs
@@ -23,6 +23,7 @@
     reach: Reach,
     member_version: u64,
     received_tokens: u64,
+    available_tokens: u64,
 }
 
 /// Received messages.
@@ -40,6 +41,7 @@
                 reach,
                 member_version,
                 received_tokens,
+                available_tokens,
             } => {
                 let request = TokenRequest {
                     need_tokens,
@@ -47,6 +49,7 @@
                     reach,
                     member_version,
                     received_tokens,
+                    available_tokens,
                 };
                 self.on_receipt(&budget, from, received_tokens);
                 self.on_token_request(now_us, from, &budget, &request);
@@ -83,6 +86,7 @@
             return self.send_transfer(from, budget, 0, Reply::Exhausted);
         };
         self.activate(now_us, index);
+        self.record_counterparty(index, from, request);
         if !self.may_transfer(index, from) {
             return self.send_reply(index, from, Reply::Leaving);
         }
@@ -115,6 +119,17 @@
         }
     }
 
+    /// Records the tokens that a requester holds, those in transit to it included.
+    fn record_counterparty(&mut self, index: u32, from: id::Incarnation, request: &TokenRequest) {
+        let Some(active) = self.accounts[index as usize].active.as_mut() else {
+            return;
+        };
+        let transfer = active.transfers.entry(from).or_default();
+        let in_transit_tokens = transfer.sent_tokens.saturating_sub(request.received_tokens);
+        transfer.counterparty_tokens = request.available_tokens + in_transit_tokens;
+        active.count_peer_tokens(&self.peers);
+    }
+
     /// Transfers the available tokens, as far as they were requested.
     fn transfer_available(
         &mut self,
@@ -134,8 +149,15 @@
         let available_tokens = active.available_tokens();
         let shared_tokens = match active.search.is_running() || active.is_scarce {
             true => 0,
-            false => (request.need_tokens + request.desired_tokens)
-                .min(available_tokens / holders.max(2)),
+            false => {
+                let ahead_tokens = active.ahead_tokens(
+                    now_us,
+                    &self.options,
+                    request.desired_tokens,
+                    request.available_tokens,
+                );
+                (request.need_tokens + ahead_tokens).min(available_tokens / holders.max(2))
+            }
         };
         let tokens = request.need_tokens.max(shared_tokens).min(available_tokens);
         let unmet_tokens = request.need_tokens.saturating_sub(tokens);
@@ -287,8 +309,10 @@
         let transfer = active.transfers.entry(from).or_default();
         let tokens = sent_tokens.saturating_sub(transfer.received_tokens);
         transfer.received_tokens += tokens;
-        active.received_tokens += tokens;
+        transfer.counterparty_tokens = transfer.counterparty_tokens.saturating_sub(tokens);
         let received_tokens = transfer.received_tokens;
+        active.received_tokens += tokens;
+        active.count_peer_tokens(&self.peers);
         if tokens > 0 {
             self.actions.push(Action::Note(Note::Received {
                 budget: budget.clone(),
@@ -350,9 +374,11 @@
         if tokens > 0 {
             let transfer = active.transfers.entry(to).or_default();
             transfer.sent_tokens += tokens;
+            transfer.counterparty_tokens += tokens;
             transfer.repeat_delay_us = repeat_us;
             transfer.repeat_at_us = now_us + repeat_us;
             active.sent_tokens += tokens;
+            active.count_peer_tokens(&self.peers);
             active.last_use_us = now_us;
             active
                 .transfer_rate
--- a/crates/peridotrack-budget/src/message.rs
+++ b/crates/peridotrack-budget/src/message.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeSet;
 
 use peridotrack_types::{id, name};
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 
 /// A message from one holder to another.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -28,6 +28,10 @@
         member_version: u64,
         /// Total that the sender has received from the receiver.
         received_tokens: u64,
+        /// Tokens that the sender holds and could reserve now. The last field, because releases
+        /// before it was added end the message without it; it then counts as 0.
+        #[serde(default, deserialize_with = "zero_if_absent")]
+        available_tokens: u64,
     },
     /// Transfers tokens, replies to a token request, or both.
     #[serde(rename = "give")]
@@ -61,6 +65,11 @@
     },
 }
 
+/// Decodes a number that ends the message, or 0 if the message has ended before it.
+fn zero_if_absent<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u64, D::Error> {
+    Ok(u64::deserialize(deserializer).unwrap_or_default())
+}
+
 /// How far a holder searches on behalf of another.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/peridotrack-budget/src/options.rs
+++ b/crates/peridotrack-budget/src/options.rs
@@ -29,7 +29,8 @@
     /// draw takes at most one portion, or what waiting requests lack, so that draws shrink near
     /// exhaustion.
     pub share_divisor: u64,
-    /// Maximum number of portions that a holder keeps; 0 sets no limit.
+    /// Maximum number of portions that a holder with a row keeps ahead of need, together with the
+    /// peers that it provides with tokens; 0 sets no limit.
     pub hold_portions: u64,
     /// Fraction of the purchased tokens: a budget with less than this left in the ledger is
     /// scarce. Then little is drawn ahead and idle tokens are returned, so that the loss of a
--- a/crates/peridotrack-budget/tests/stranded.rs
+++ b/crates/peridotrack-budget/tests/stranded.rs
@@ -23,7 +23,7 @@
         rate_half_life_us: 8 * SECOND_US,
         rate_age_min_us: 2 * SECOND_US,
         grant_deviations: 1.5,
-        share_divisor: 5,
+        share_divisor: 4,
         low_water_part: 0.9,
         scarce_part: 0.2,
         plenty_part: 0.45,
--- a/crates/peridotrack-edge/src/gateway/options.rs
+++ b/crates/peridotrack-edge/src/gateway/options.rs
@@ -21,9 +21,10 @@
 const TRANSFER_SPAN_US: u64 = 5 * clock::US_PER_S;
 /// Standard deviations of the spend over [`DRAW_SPAN_US`] that a grant covers on top of the mean.
 const DRAW_DEVIATIONS: f64 = 1.5;
-/// Divisor of a router's share of an account's remaining tokens, which bounds one draw: the loss of
-/// all routers strands about a fifth of the remainder, and the tokens in transit.
-const SHARE_DIVISOR: u64 = 5;
+/// Divisor that gives, from the tokens that the ledger has left of an account, what all routers
+/// together keep ahead of need: a quarter of these, so that the loss of all routers strands a fifth
+/// of the remainder, and the tokens in transit.
+const SHARE_DIVISOR: u64 = 4;
 /// Half-life of the observed spend rate, in microseconds.
 const RATE_HALF_LIFE_US: u64 = 8 * clock::US_PER_S;
 /// Minimum time over which the first spend of an account is averaged, in microseconds.
@@ -35,8 +36,8 @@
 /// It exceeds [`SCARCE_PART`] by more than returned idle grants add, so that these alone do not end
 /// scarcity.
 const PLENTY_PART: f64 = 0.45;
-/// Maximum number of portions of the remaining tokens that a router holds; a portion is the maximum
-/// of one draw.
+/// Maximum number of portions of the remaining tokens that the routers of a failure domain keep ahead
+/// of need; a portion is the maximum of one draw.
 const MAX_HELD_PORTIONS: u64 = 1;
 /// Fraction of a full grant below which the next draw is due: the rest must last through a store
 /// outage.
