fix(gateway): peers are asked while a request still waits for the store

What callers saw: 503 during an outage of the store, although a peer in their failure domain had the tokens.

Cause: a router waits 500 ms for a store that does not respond before it asks its peers. At a gateway a request waits 0.2 s to 0.4 s, so that the peers were asked when it had been refused.

The wait is 100 ms at gateways.

Evidence: a_peer_is_asked_while_a_request_still_waits_for_a_silent_store fails with 500 ms.

--- a/crates/peridotrack-budget/tests/stranded.rs
+++ b/crates/peridotrack-budget/tests/stranded.rs
@@ -1,4 +1,4 @@
-//! What the loss of all holders at once strands.
+//! What losses and outages strand: tokens held idle, in transit, or at a peer that is asked too late.
 
 use peridotrack_bench::fleet::{Fleet, Options, Request, State};
 use peridotrack_budget::{ledger, message, options};
@@ -32,6 +32,7 @@
         ask_timeout_us: 20_000,
         pending_timeout_us: 150_000,
 
+        store_wait_us: 100_000,
         unmet_request_us: SECOND_US,
         suspect_us: 2 * SECOND_US,
         backoff_max_us: 400_000,
@@ -119,6 +120,16 @@
     assert_eq!(load.fleet.counts.refused, 0);
 }
 
+/// Returns the coordinator of the only budget's shard and its peer, in a fleet of two.
+fn coordinator_and_peer(fleet: &Fleet) -> (usize, usize) {
+    let ids = fleet.nodes.iter().map(|node| node.holder.id());
+    let shard = ledger::shard_of(&fleet.budgets[0], gateway_options().shard_count);
+    match message::coordinator(shard, ids) == Some(fleet.nodes[0].holder.id()) {
+        true => (0, 1),
+        false => (1, 0),
+    }
+}
+
 /// A holder that dies while another one searches on its behalf cannot receive what is found later.
 #[rstest]
 #[case::store_unreachable(true)]
@@ -131,14 +142,10 @@
         ..Options::default()
     };
     let mut fleet = Fleet::new(options, &[PURCHASED]);
-    let nodes: Vec<usize> = (0..2).map(|_| fleet.spawn(0)).collect();
+    fleet.spawn(0);
+    fleet.spawn(0);
     fleet.update_peers();
-    let ids = nodes.iter().map(|node| fleet.nodes[*node].holder.id());
-    let shard = ledger::shard_of(&fleet.budgets[0], gateway_options().shard_count);
-    let coordinator_id = message::coordinator(shard, ids);
-    let is_coordinator = |node: &&usize| Some(fleet.nodes[**node].holder.id()) == coordinator_id;
-    let coordinator = *nodes.iter().find(is_coordinator).expect("one of them");
-    let requester = nodes[0] + nodes[1] - coordinator;
+    let (coordinator, requester) = coordinator_and_peer(&fleet);
     // Makes the requester a member, so that it may receive tokens.
     fleet.request(requester, Request::new(0, NEED, NEED, SECOND_US / 10));
     fleet.run_until(SECOND_US / 2);
@@ -160,3 +167,33 @@
     let stranded = sent_tokens(&fleet) - sent_before;
     assert_eq!(stranded, 0, "sent to a holder that is lost");
 }
+
+/// The store neither responds nor fails, and the peer has what the request lacks.
+#[test]
+fn a_peer_is_asked_while_a_request_still_waits_for_a_silent_store() {
+    const PURCHASED: u64 = 10_000;
+    const SIZE: u64 = 1_000;
+    let options = Options {
+        holder: gateway_options(),
+        max_wait_us: SECOND_US * 2 / 5,
+        store_timeout_us: 5 * SECOND_US,
+        ..Options::default()
+    };
+    let mut fleet = Fleet::new(options, &[PURCHASED]);
+    fleet.spawn(0);
+    fleet.spawn(0);
+    fleet.update_peers();
+    let (coordinator, peer) = coordinator_and_peer(&fleet);
+    for (node, bound) in [(peer, 2 * SIZE), (coordinator, SIZE)] {
+        fleet.request(node, Request::new(0, bound, 0, 1_000));
+        fleet.run_until(fleet.now_us + SECOND_US / 2);
+    }
+    fleet.faults.is_store_down = true;
+    let report = fleet.nodes[coordinator].holder.report(&fleet.budgets[0]);
+    let available = report.expect("in use").available_tokens;
+    let dispatched = fleet.counts.dispatched;
+    let request = Request::new(0, available + SIZE, 0, 1_000);
+    fleet.request(coordinator, request);
+    fleet.run_until(fleet.now_us + SECOND_US);
+    assert_eq!(fleet.counts.dispatched, dispatched + 1);
+}
--- a/crates/peridotrack-edge/src/gateway/options.rs
+++ b/crates/peridotrack-edge/src/gateway/options.rs
@@ -51,6 +51,9 @@
 /// It is shorter than the time allowed for drawing tokens on routes with a latency objective above
 /// 300 ms.
 const PENDING_TIMEOUT_US: u64 = 150 * clock::US_PER_MS;
+/// Time to wait for the store before peers are asked as well, in microseconds: several calls, and
+/// short enough for the peers to reply while the request still waits.
+const STORE_WAIT_US: u64 = 100 * clock::US_PER_MS;
 /// Time for which a token request of a peer that was not satisfied is remembered, in microseconds:
 /// long enough for a request that retries, short compared with an outage.
 const UNMET_REQUEST_US: u64 = clock::US_PER_S;
@@ -140,6 +143,7 @@
         sweep_us: INSPECT_US,
         ask_timeout_us: TOKEN_REQUEST_TIMEOUT_US,
         pending_timeout_us: PENDING_TIMEOUT_US,
+        store_wait_us: STORE_WAIT_US,
         unmet_request_us: UNMET_REQUEST_US,
         suspect_us: SUSPECT_US,
         backoff_max_us: STORE_BACKOFF_MAX_US,
