fix(budget): a peer's statement of its tokens cannot overflow a sum

The available tokens in a token request come from another router, and were added to counts without bounds. A value near the maximum would end a router in a build with overflow checks and wrap to a small one otherwise. The sums saturate: a peer that states too much gets nothing ahead of need.

--- a/crates/peridotrack-budget/src/holder/limit.rs
+++ b/crates/peridotrack-budget/src/holder/limit.rs
@@ -36,7 +36,8 @@
     fn expected_portion_tokens(&self, now_us: u64, options: &Options) -> u64 {
         let holders = self.rows.len() as u64 + 1;
         let age_us = now_us.saturating_sub(self.left_read_us);
-        let drawn_tokens = holders * self.mean_tokens_over(now_us, options, age_us);
+        let passed_tokens = self.mean_tokens_over(now_us, options, age_us);
+        let drawn_tokens = holders.saturating_mul(passed_tokens);
         let left_tokens = self.left_tokens.saturating_sub(drawn_tokens);
         portion(left_tokens, holders, options)
     }
@@ -68,7 +69,8 @@
         }
         let most_tokens = most_tokens(self.expected_portion_tokens(now_us, options), options);
         let local_tokens = self.least_tokens(now_us, options);
-        let spare_tokens = most_tokens.saturating_sub(self.peer_tokens + local_tokens);
+        let taken_tokens = self.peer_tokens.saturating_add(local_tokens);
+        let spare_tokens = most_tokens.saturating_sub(taken_tokens);
         desired_tokens
             .saturating_sub(available_tokens)
             .min(spare_tokens)
@@ -95,7 +97,8 @@
         self.tokens_over(now_us, options, options.scarce_span_us)
     }
 
-    /// Counts the tokens available at the peers, which are sorted.
+    /// Counts the tokens available at the peers, which are sorted. The counterparties state them, so
+    /// that the sum may be any number.
     pub(super) fn count_peer_tokens(&mut self, peers: &[id::Incarnation]) {
         let is_peer = |id: &id::Incarnation| peers.binary_search(id).is_ok();
         self.peer_tokens = self
@@ -103,6 +106,6 @@
             .iter()
             .filter(|(id, _)| is_peer(id))
             .map(|(_, transfer)| transfer.counterparty_tokens)
-            .sum();
+            .fold(0, u64::saturating_add);
     }
 }
--- a/crates/peridotrack-budget/src/holder/transfer.rs
+++ b/crates/peridotrack-budget/src/holder/transfer.rs
@@ -126,7 +126,7 @@
         };
         let transfer = active.transfers.entry(from).or_default();
         let in_transit_tokens = transfer.sent_tokens.saturating_sub(request.received_tokens);
-        transfer.counterparty_tokens = request.available_tokens + in_transit_tokens;
+        transfer.counterparty_tokens = request.available_tokens.saturating_add(in_transit_tokens);
         active.count_peer_tokens(&self.peers);
     }
 
@@ -374,7 +374,7 @@
         if tokens > 0 {
             let transfer = active.transfers.entry(to).or_default();
             transfer.sent_tokens += tokens;
-            transfer.counterparty_tokens += tokens;
+            transfer.counterparty_tokens = transfer.counterparty_tokens.saturating_add(tokens);
             transfer.repeat_delay_us = repeat_us;
             transfer.repeat_at_us = now_us + repeat_us;
             active.sent_tokens += tokens;
