--- a/crates/peridotrack-budget/src/holder/transfer.rs
+++ b/crates/peridotrack-budget/src/holder/transfer.rs
@@ -232,6 +232,7 @@
     ) {
         if let Some(active) = self.accounts[index as usize].active.as_mut() {
             let pending = PendingRequest {
+                // The requester no longer waits then, and may not receive what is sent to it.
                 until_us: now_us + self.options.pending_timeout_us + self.options.store_wait_us,
                 is_deferred: true,
                 is_joining,
--- a/crates/peridotrack-budget/tests/stranded.rs
+++ b/crates/peridotrack-budget/tests/stranded.rs
@@ -11,6 +11,7 @@
 /// Time for which the budget lasts when everything is spent.
 const LASTS_S: u64 = 40;
 const REQUESTS_PER_S: u64 = 60;
+/// Divisor of the remainder, which is idle or left in the ledger: the most that may be idle.
 const SHARE_OF_REMAINDER: u64 = 5;
 
 /// Returns the options of a gateway's holder.
@@ -31,7 +32,6 @@
         sweep_us: SECOND_US,
         ask_timeout_us: 20_000,
         pending_timeout_us: 150_000,
-
         store_wait_us: 100_000,
         unmet_request_us: SECOND_US,
         suspect_us: 2 * SECOND_US,
@@ -100,7 +100,7 @@
     }
 }
 
-/// Holders together keep one portion of the remainder, however many of them share it.
+/// The limit holds for all holders together, however many there are.
 #[rstest]
 #[case::small_fleet(2)]
 #[case::large_fleet(18)]
