feat(edge): events of a failed attempt name the shared prompt parts and the stage of the response

Callers saw requests fail while servers crashed one after the other; the logs could not tell which requests had a prompt part in common, whether a response had begun, or which attempt it was, so the hypotheses of the incident looked alike. RequestDispatched now states the number of the dispatch, and AttemptFailed the stage of the response (waiting, begun, streaming) and the parts that other requests may share, at most 16.

Result: of the requests that a crashed server cuts off, those with a response that had begun are selected with one grep.

--- a/crates/peridotrack-edge/src/gateway/attempt.rs
+++ b/crates/peridotrack-edge/src/gateway/attempt.rs
@@ -74,6 +74,7 @@
             Some(Err(error)) => return self.failed(&error, progress),
             None => return self.timed_out(),
         };
+        progress.record_head();
         self.report_load(&head.metadata);
         if let Some(result) = self.check_head(&head) {
             return result;
--- a/crates/peridotrack-edge/src/gateway/exchange.rs
+++ b/crates/peridotrack-edge/src/gateway/exchange.rs
@@ -112,8 +112,10 @@
             }
         };
         let event = event::Event::new(event::Kind::RequestDispatched)
-            .with("backend_server", target.backend_server.as_str());
+            .with("backend_server", target.backend_server.as_str())
+            .with("attempt", u64::from(target.attempt));
         request.note(shared, event);
+        progress.begin_attempt();
         let attempt = attempt::Attempt {
             shared,
             request,
@@ -144,6 +146,8 @@
                 let event = event::Event::new(event::Kind::AttemptFailed)
                     .with("backend_server", target.backend_server.as_str())
                     .with("outcome", format!("{outcome:?}"))
+                    .with("response", progress.stage().name())
+                    .with("shared_parts", request.shared_parts_text())
                     .with("detail", detail);
                 request.note(shared, event);
                 shared.metrics.failed_attempts.increment(1);
--- a/crates/peridotrack-edge/src/gateway/request.rs
+++ b/crates/peridotrack-edge/src/gateway/request.rs
@@ -21,6 +21,9 @@
 /// Lowest rank that counts as low priority; rank 0 is the most urgent.
 const LOW_PRIORITY_RANK: u32 = 2;
 
+/// Maximum number of prompt parts in one event.
+const MAX_LOGGED_PARTS: usize = 16;
+
 /// A client request with its route and client account, looked up in the configuration that was in
 /// force when it arrived.
 pub(super) struct RoutedRequest {
@@ -73,6 +76,17 @@
         self.cause.set(shared.kernel.note(event));
     }
 
+    /// Returns the identifiers of the first prompt parts that other requests may share, for the log.
+    pub(super) fn shared_parts_text(&self) -> String {
+        let shared = self.metadata.prompt_parts.split_last();
+        let ids = shared.iter().flat_map(|(_, shared)| shared.iter());
+        let texts: Vec<_> = ids
+            .take(MAX_LOGGED_PARTS)
+            .map(|part| format!("{:x}", part.id))
+            .collect();
+        texts.join(",")
+    }
+
     /// Returns the identifier that the client gave the request, empty if there is none.
     pub(super) fn client_request(&self) -> &str {
         self.metadata
--- a/crates/peridotrack-edge/src/gateway/stream.rs
+++ b/crates/peridotrack-edge/src/gateway/stream.rs
@@ -14,10 +14,36 @@
 };
 use crate::sse;
 
+/// How far the response of one attempt got.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Stage {
+    /// Nothing was received.
+    Waiting,
+    /// The head was received, but no complete event.
+    Begun,
+    /// At least one complete event was received.
+    Streaming,
+}
+
+impl Stage {
+    /// Returns the name of the stage in events.
+    pub(super) fn name(self) -> &'static str {
+        match self {
+            Self::Waiting => "waiting",
+            Self::Begun => "begun",
+            Self::Streaming => "streaming",
+        }
+    }
+}
+
 /// Progress of a streamed response, over all attempts.
 pub(super) struct Progress {
     has_started: bool,
     events_seen: u64,
+    /// Events read before the current attempt.
+    earlier_events: u64,
+    /// Whether the head of the current attempt's response was received.
+    has_head: bool,
     last_event: Option<u64>,
     event_tokens: u64,
     first_part_us: u64,
@@ -31,6 +57,8 @@
         Self {
             has_started: false,
             events_seen: 0,
+            earlier_events: 0,
+            has_head: false,
             last_event: request.metadata.last_event,
             event_tokens: request.engine().map_or(1, |engine| engine.event_tokens),
             first_part_us: 0,
@@ -49,6 +77,26 @@
         self.events_seen
     }
 
+    /// Begins an attempt, from which nothing was received yet.
+    pub(super) fn begin_attempt(&mut self) {
+        self.earlier_events = self.events_seen;
+        self.has_head = false;
+    }
+
+    /// Records that the head of the current attempt's response was received.
+    pub(super) fn record_head(&mut self) {
+        self.has_head = true;
+    }
+
+    /// Returns how far the response of the current attempt got.
+    pub(super) fn stage(&self) -> Stage {
+        match (self.has_head, self.events_seen - self.earlier_events) {
+            (false, _) => Stage::Waiting,
+            (true, 0) => Stage::Begun,
+            (true, _) => Stage::Streaming,
+        }
+    }
+
     /// Returns when the first part was sent to the client, in monotonic microseconds.
     pub(super) fn first_part_us(&self) -> u64 {
         self.first_part_us
--- a/crates/peridotrack-edge/src/route.rs
+++ b/crates/peridotrack-edge/src/route.rs
@@ -64,6 +64,8 @@
     pub backend_server: name::BackendServer,
     /// Address that it listens on.
     pub address: SocketAddr,
+    /// Number of dispatches of the request including this one, from 1; 0 for a resume.
+    pub attempt: u32,
 }
 
 /// Final refusal of a request by the routing service.
@@ -86,15 +88,20 @@
             Self::Dispatch {
                 backend_server,
                 address,
-                ..
-            }
-            | Self::Resume {
+                attempt,
+            } => Ok(Destination {
+                backend_server,
+                address,
+                attempt,
+            }),
+            Self::Resume {
                 backend_server,
                 address,
                 ..
             } => Ok(Destination {
                 backend_server,
                 address,
+                attempt: 0,
             }),
             Self::Refuse {
                 kind,
