--- a/crates/peridotrack-edge/tests/gateway/main.rs
+++ b/crates/peridotrack-edge/tests/gateway/main.rs
@@ -6,5 +6,6 @@
 mod endless;
 mod fixture;
 mod peers;
+mod prompt_parts;
 mod requests;
 mod streams;
--- a/crates/peridotrack-soak/src/run.rs
+++ b/crates/peridotrack-soak/src/run.rs
@@ -359,6 +359,7 @@
             kind,
             account,
             prompt_tokens,
+            prompt_parts: Vec::new(),
             version: self.version.get(),
         }
     }
--- a/crates/peridotrack-standin/src/hosted/backend.rs
+++ b/crates/peridotrack-standin/src/hosted/backend.rs
@@ -25,6 +25,9 @@
 /// Time between two events of a stream; the mode `Slow` multiplies it.
 const EVENT_INTERVAL: Duration = Duration::from_millis(5);
 
+/// Time from the arrival of a request with the fatal part to the crash.
+const CRASH_DELAY: Duration = Duration::from_millis(60);
+
 /// How the server responds to requests.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -101,6 +104,17 @@
         self.header("peridotrack-tenant-id")
     }
 
+    /// Returns whether a part of the prompt other than the last has the identifier `part`.
+    pub fn shares_part(&self, part: u64) -> bool {
+        let mut parts: Vec<u64> = self
+            .header("peridotrack-prompt-prefix")
+            .split(',')
+            .filter_map(|entry| u64::from_str_radix(entry.split(':').next()?, 16).ok())
+            .collect();
+        parts.pop();
+        parts.contains(&part)
+    }
+
     /// Returns whether the client's key was forwarded to the server, which must not happen.
     pub fn has_credential(&self) -> bool {
         self.headers.contains_key("peridotrack-credential")
@@ -118,6 +132,8 @@
     runs: RefCell<Vec<Run>>,
     arrivals: Cell<u64>,
     cancelled: Cell<u64>,
+    fatal_part: Cell<Option<u64>>,
+    has_crashed: Cell<bool>,
 }
 
 /// A running server; dropping it closes its listener and connections.
@@ -140,6 +156,16 @@
         self.0.application.mode.set(mode);
     }
 
+    /// Sets the prompt part under which the server crashes when it begins to write a response.
+    pub fn set_fatal_part(&self, part: Option<u64>) {
+        self.0.application.fatal_part.set(part);
+    }
+
+    /// Returns whether the server has crashed; its process ends when the handle is dropped.
+    pub fn has_crashed(&self) -> bool {
+        self.0.application.has_crashed.get()
+    }
+
     /// Returns the requests that the server ran, in order of arrival.
     pub fn runs(&self) -> Vec<Run> {
         self.0.application.runs.borrow().clone()
@@ -162,6 +188,19 @@
 }
 
 impl Server {
+    /// Sends the head of a response, and then nothing until the handle is dropped.
+    async fn crash(&self, incoming: Incoming<'_>) -> Result<(), Disconnect> {
+        let head =
+            signed(&incoming.request.head.headers).header("content-type", "text/event-stream");
+        monoio::time::sleep(CRASH_DELAY).await;
+        incoming
+            .connection
+            .start(response::finish(head, ()))
+            .await?;
+        self.has_crashed.set(true);
+        std::future::pending().await
+    }
+
     async fn stream(&self, incoming: Incoming<'_>, mode: Mode) -> Result<(), Disconnect> {
         let headers = &incoming.request.head.headers;
         let first = headers
@@ -243,12 +282,20 @@
             }
             _ => {}
         }
-        self.runs.borrow_mut().push(Run {
+        let run = Run {
             target: request.head.uri.to_string(),
             headers: headers.clone(),
             body: request.body.clone(),
             at: Instant::now(),
-        });
+        };
+        let is_fatal = self
+            .fatal_part
+            .get()
+            .is_some_and(|part| run.shares_part(part));
+        self.runs.borrow_mut().push(run);
+        if is_fatal || self.has_crashed.get() {
+            return self.crash(incoming).await;
+        }
         let complete = |status: StatusCode| {
             response::finish(signed(headers).status(status), Bytes::from("the answer"))
         };
--- a/crates/peridotrack-standin/src/hosted/client.rs
+++ b/crates/peridotrack-standin/src/hosted/client.rs
@@ -27,6 +27,8 @@
     pub account: usize,
     /// Prompt tokens that the client declares.
     pub prompt_tokens: u64,
+    /// Identifiers of the prompt's parts in order; the last one belongs to the request alone.
+    pub prompt_parts: Vec<u64>,
     /// Configuration version whose route a probe requests; unused by other kinds.
     pub version: u64,
 }
@@ -115,8 +117,14 @@
         true => backend::STREAM_EVENTS,
         false => 0,
     };
-    http::Request::post(path)
-        .header("host", "a.example")
+    let mut head = http::Request::post(path);
+    if !request.prompt_parts.is_empty() {
+        let tokens = request.prompt_tokens / request.prompt_parts.len() as u64;
+        let parts = request.prompt_parts.iter();
+        let parts: Vec<String> = parts.map(|part| format!("{part:x}:{tokens}")).collect();
+        head = head.header("peridotrack-prompt-prefix", parts.join(","));
+    }
+    head.header("host", "a.example")
         .header("peridotrack-request-id", &request.id)
         .header("peridotrack-deadline-ms", DEADLINE_MS.to_string())
         .header("peridotrack-credential", key)
