feat(follow): a follower may be led by another one of the same router

A kind that changes rarely does not need a watch every second, but a router that relies on a silent relay must still notice within the time for contact. A led follower takes its relay from the leading one, which follows a kind with frequent confirmations, and watches the store itself as soon as the leading one does. Its own waits can then be long.

--- a/crates/peridotrack-follow/src/event.rs
+++ b/crates/peridotrack-follow/src/event.rs
@@ -38,6 +38,10 @@
     /// The live routers of the local failure domain have changed. The list replaces the previous
     /// one, has no order and may include this router.
     Peers(Vec<id::Incarnation>),
+    /// The relay that the leading follower of this router relies on; `None` if it watches the store
+    /// itself. Only for followers with [`is_led`](crate::follower::Options::is_led), for which it
+    /// takes the place of `Tick`.
+    Relay(Option<id::Incarnation>),
     /// A message of a peer arrived.
     Peer {
         /// Incarnation of the sender.
--- a/crates/peridotrack-follow/src/follower.rs
+++ b/crates/peridotrack-follow/src/follower.rs
@@ -53,6 +53,10 @@
     /// Maximum content of one update, in bytes. Of larger changes only the revision is sent, so
     /// that the subscribers read them from the store.
     pub max_update_bytes: usize,
+    /// Whether another follower of this router, the leading one, chooses the relay and detects its
+    /// silence. Long waits then suffice for this one, which saves calls for a kind that changes
+    /// rarely.
+    pub is_led: bool,
     /// Seed of the jitter; the incarnation is mixed in.
     pub seed: u64,
 }
@@ -72,6 +76,7 @@
             subscription_us: 2_000_000,
             suspect_us: 4_000_000,
             max_update_bytes: 16 * 1024,
+            is_led: false,
             seed: 0,
         }
     }
@@ -156,6 +161,12 @@
         self.relayed_us
             .is_some_and(|at_us| now_us < at_us + self.options.silence_us)
     }
+
+    /// Returns the relay whose updates keep the view current; `None` if no relay does.
+    pub fn relay(&self, now_us: u64) -> Option<id::Incarnation> {
+        let (relay, _) = self.relay?;
+        self.is_relayed(now_us).then_some(relay)
+    }
 }
 
 /// Handling of events.
@@ -194,6 +205,7 @@
                 self.peers = peers;
                 self.peers.retain(|peer| *peer != self.id);
             }
+            Event::Relay(relay) => self.set_relay(now_us, relay),
             Event::Peer { from, message } => self.on_message(now_us, from, message, &mut actions),
         }
         self.subscribe(now_us, &mut actions);
@@ -344,11 +356,23 @@
 
 /// Choice between the relay and the store.
 impl Follower {
-    /// Chooses the relay and renews the subscription to it.
+    /// Renews the subscription to the relay, after choosing it unless this follower is led.
     ///
-    /// The relay is the live peer with the lowest incarnation, below this router's own, that
+    /// The chosen relay is the live peer with the lowest incarnation, below this router's own, that
     /// has not fallen silent recently.
     fn subscribe(&mut self, now_us: u64, actions: &mut Vec<Action>) {
+        if !self.options.is_led {
+            self.choose_relay(now_us);
+        }
+        let Some((to, _)) = self.relay else { return };
+        if now_us >= self.subscribe_at_us {
+            self.subscribe_at_us = now_us + self.options.subscribe_us;
+            let message = Message::Subscribe;
+            actions.push(Action::Send { to, message });
+        }
+    }
+
+    fn choose_relay(&mut self, now_us: u64) {
         if let Some((relay, updated_us)) = self.relay
             && now_us >= updated_us + self.options.silence_us
         {
@@ -363,11 +387,15 @@
             self.relay = chosen.map(|relay| (relay, now_us));
             self.subscribe_at_us = now_us;
         }
-        let Some((to, _)) = self.relay else { return };
-        if now_us >= self.subscribe_at_us {
-            self.subscribe_at_us = now_us + self.options.subscribe_us;
-            let message = Message::Subscribe;
-            actions.push(Action::Send { to, message });
+    }
+
+    /// Adopts the relay of the leading follower. A new relay keeps the view current only from its
+    /// first update on.
+    fn set_relay(&mut self, now_us: u64, relay: Option<id::Incarnation>) {
+        if relay != self.relay.map(|(relay, _)| relay) {
+            self.relay = relay.map(|relay| (relay, now_us));
+            self.relayed_us = None;
+            self.subscribe_at_us = now_us;
         }
     }
 
--- a/crates/peridotrack-follow/tests/follower.rs
+++ b/crates/peridotrack-follow/tests/follower.rs
@@ -188,3 +188,47 @@
     assert_eq!(actions.contains(&Action::List), is_listed);
     assert_eq!(watch_wait_ms(&actions).is_some(), !is_listed);
 }
+
+fn led() -> Options {
+    Options {
+        is_led: true,
+        silence_us: 20_000 * MS,
+        ..Options::default()
+    }
+}
+
+/// Guards against a view that stays stale for the length of a long wait: the leading follower
+/// detects a silent relay.
+#[test]
+fn a_led_follower_watches_the_store_as_soon_as_the_leader_lost_its_relay() {
+    let mut follower = Follower::new(SELF, led(), 0);
+    let _ = follower.on_event(0, Event::Relay(Some(RELAY)));
+    let _ = follower.on_event(10 * MS, Event::Listed { revision: 10 });
+    let _ = follower.on_event(15 * MS, update(10, 10, &[]));
+    let actions = follower.on_event(20 * MS, watched(10, &[]));
+    assert_eq!(watch_wait_ms(&actions), None);
+    assert_eq!(follower.relay(20 * MS), Some(RELAY));
+    let actions = follower.on_event(15_000 * MS, Event::Relay(Some(RELAY)));
+    assert_eq!(watch_wait_ms(&actions), None);
+    let actions = follower.on_event(15_100 * MS, Event::Relay(None));
+    assert!(watch_wait_ms(&actions).is_some());
+}
+
+#[test]
+fn a_led_follower_relies_on_a_new_relay_only_after_its_first_update() {
+    let mut follower = Follower::new(SELF, led(), 0);
+    let _ = follower.on_event(0, Event::Relay(Some(HIGHER)));
+    let _ = follower.on_event(10 * MS, Event::Listed { revision: 10 });
+    let _ = follower.on_event(20 * MS, watched(10, &[]));
+    let actions = follower.on_event(30 * MS, Event::Relay(Some(RELAY)));
+    assert!(actions.contains(&Action::Send {
+        to: RELAY,
+        message: Message::Subscribe,
+    }));
+    assert_eq!(follower.relay(30 * MS), None);
+    // Changes up to revision 12 are missing.
+    let _ = follower.on_event(40 * MS, update(12, 12, &[]));
+    assert_eq!(follower.relay(40 * MS), None);
+    let _ = follower.on_event(50 * MS, update(10, 12, &[change(b"x")]));
+    assert_eq!(follower.relay(50 * MS), Some(RELAY));
+}
