fix(gateway): requests with a prompt part under which servers crash are refused

Cause: nothing was remembered about the parts of a prompt. A crash counted against the server and against the request, and the next request with the part was sent to the next server that ran, by any router. The class of fault: a failure that belongs to the input is charged to the place where it showed.

Evidence: in the logs of the incident exactly one request at each crashed server had received the head of its response and no event.

Change: a router that loses a connection in this state checks whether the server still accepts any. If not, it records a crash under each shared part of the request. Routers exchange these statements directly and through the store, which also tells those that start later. A completed request clears its parts. The crashes that remain are explained by as few parts as possible, and a request with a part that has three crashes in sequence is refused at once with 503, before tokens are reserved. Each crash counts only if its request was sent when the one before was known, so that servers which end together, as in a loss of power, block nothing.

--- a/crates/peridotrack-edge/src/follow.rs
+++ b/crates/peridotrack-edge/src/follow.rs
@@ -56,6 +56,8 @@
     name: &'static str,
     follower: RefCell<Follower>,
     on_update: OnUpdate,
+    /// Kind whose follower leads that of this kind, if it is led.
+    leader: Option<Rc<Kind>>,
     /// Whether a peer kept the view current at the last event.
     was_relayed: Cell<bool>,
     subscription: RefCell<Option<timer::Subscription>>,
@@ -63,7 +65,8 @@
 
 /// Starts to follow kinds.
 impl Follow {
-    /// Starts to follow a kind; `on_update` is called with each update of it.
+    /// Starts to follow a kind; `on_update` is called with each update of it. A follower that is led
+    /// is led by that of the first kind.
     pub fn add(
         &self,
         kernel: &Rc<Kernel>,
@@ -72,7 +75,9 @@
         (name, options): (&'static str, Options),
         on_update: impl Fn(Update<'_>) + 'static,
     ) {
+        let leader = self.kinds.borrow().first().cloned();
         let kind = Rc::new(Kind {
+            leader: leader.filter(|_| options.is_led),
             kernel: Rc::clone(kernel),
             platform: Rc::clone(platform),
             name,
@@ -84,7 +89,7 @@
         let weak = Rc::downgrade(&kind);
         let subscription = kernel.timer().subscribe(TICK_US, move |_| {
             if let Some(kind) = weak.upgrade() {
-                kind.handle(Event::Tick);
+                kind.tick();
             }
         });
         *kind.subscription.borrow_mut() = Some(subscription);
@@ -131,6 +136,14 @@
 }
 
 impl Kind {
+    fn tick(self: &Rc<Self>) {
+        let now_us = self.kernel.now_us();
+        self.handle(match &self.leader {
+            Some(leader) => Event::Relay(leader.follower.borrow().relay(now_us)),
+            None => Event::Tick,
+        });
+    }
+
     fn handle(self: &Rc<Self>, event: Event) {
         let now_us = self.kernel.now_us();
         let actions = self.follower.borrow_mut().on_event(now_us, event);
--- a/crates/peridotrack-edge/src/gateway.rs
+++ b/crates/peridotrack-edge/src/gateway.rs
@@ -22,9 +22,12 @@
 use peridotrack_kernel::{Kernel, clock, event, log, registry};
 use peridotrack_member::message::State;
 use peridotrack_platform::{directory as directory_wire, site as site_wire};
+use peridotrack_quarantine::{
+    event::Event as QuarantineEvent, options as quarantine_options, statement,
+};
 use peridotrack_types::{gateway::Settings, id};
 
-use crate::{budget, follow, member, metric, peer, platform, route};
+use crate::{budget, follow, member, metric, peer, platform, quarantine, route};
 
 /// Time at the end of the grace period that is reserved for closing the budget, in microseconds;
 /// closing may take longer if open requests end earlier.
@@ -80,6 +83,7 @@
     link: Rc<peer::Link>,
     route: Rc<route::Route>,
     follow: Rc<follow::Follow>,
+    quarantine: Rc<quarantine::Quarantine>,
     pool: client::Pool,
     metrics: metric::Requests,
     site: site::Current,
@@ -130,7 +134,13 @@
         registry.register(member::SERVICE, Rc::clone(&member))?;
         let follow = Rc::new(follow::Follow::default());
         registry.register(follow::SERVICE, Rc::clone(&follow))?;
-        subscribe(&link, &member, &budget, &follow);
+        let quarantine = quarantine::Quarantine::spawn(
+            &kernel,
+            &platform,
+            settings.vm.clone(),
+            quarantine_options::Options::default(),
+        );
+        subscribe(&link, &member, &budget, &follow, &quarantine);
         let route = route::Route::spawn(
             &kernel,
             options::route(&settings),
@@ -145,6 +155,7 @@
             link,
             route,
             follow,
+            quarantine,
             pool: client::Pool::new(options::backend(), options::MAX_IDLE_CONNECTIONS),
             metrics: metric::Requests::register(kernel.meter()),
             site: site::Current::default(),
@@ -307,7 +318,8 @@
     member
 }
 
-/// Follows the configuration and the directory of backend servers in the store.
+/// Follows the configuration, the directory of backend servers and the statements about prompt parts
+/// in the store.
 fn follow_store(shared: &Rc<Shared>) {
     let Shared {
         kernel,
@@ -329,6 +341,14 @@
     follow.add(kernel, platform, *incarnation, kind, move |update| {
         directory::apply_update(&directory, update);
     });
+    let quarantine = Rc::clone(&shared.quarantine);
+    let kind = (
+        statement::KIND,
+        options::follow_quarantine(&shared.settings.bounds),
+    );
+    follow.add(kernel, platform, *incarnation, kind, move |update| {
+        quarantine.apply_update(update);
+    });
 }
 
 /// Passes each frame of a peer to the service that handles it, and send failures to the membership.
@@ -337,14 +357,19 @@
     member: &Rc<member::Member>,
     budget: &Rc<budget::Budget>,
     follow: &Rc<follow::Follow>,
+    quarantine: &Rc<quarantine::Quarantine>,
 ) {
     let (members, budget, follow) = (Rc::clone(member), Rc::clone(budget), Rc::clone(follow));
+    let quarantine = Rc::clone(quarantine);
     let on_frame = move |sender: peer::Sender, frame: peer::Frame| match frame {
         peer::Frame::Member(message) => members.receive(sender.address, message),
         peer::Frame::Budget { message, .. } => budget.receive(sender.incarnation, message),
         peer::Frame::Follow { kind, message, .. } => {
             follow.receive(sender.incarnation, &kind, message);
         }
+        peer::Frame::Quarantine { author, statement } => {
+            quarantine.handle(QuarantineEvent::Stated { author, statement });
+        }
         _ => {}
     };
     let members = Rc::clone(member);
--- a/crates/peridotrack-edge/src/gateway/attempt.rs
+++ b/crates/peridotrack-edge/src/gateway/attempt.rs
@@ -4,13 +4,14 @@
 //! From its result, which states whether the request may have run, the routing service decides
 //! whether the request may be sent again.
 
-use std::{future::Future, rc::Rc, time::Duration};
+use std::{future::Future, io, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http::StatusCode;
 use peridotrack_http::{client, server};
 use peridotrack_kernel::clock;
 use peridotrack_platform::{request as request_wire, response as response_wire};
+use peridotrack_quarantine::event as quarantine_event;
 use peridotrack_route::event::{Event, Outcome};
 use peridotrack_types::site;
 
@@ -44,6 +45,8 @@
     Failed {
         /// How it failed, for the routing service.
         outcome: Outcome,
+        /// Whether the connection broke, as it does when the backend server ends.
+        is_disconnected: bool,
         /// Reason why the attempt failed, for the log.
         detail: String,
         /// Error response of the backend server, sent to the client if no other attempt follows.
@@ -158,10 +161,12 @@
         if metadata.is_not_run {
             self.reservation.mark_not_run();
             if metadata.is_misdirected {
+                self.server_ended();
                 self.ticket.backend_server_leaving();
             }
             return Some(AttemptResult::Failed {
                 outcome: Outcome::RefusedNotRun,
+                is_disconnected: false,
                 detail: format!("refused with status {}", head.parts.status),
                 response: None,
             });
@@ -224,19 +229,52 @@
                 events_seen: progress.events_seen(),
             },
         };
+        if error.step == client::Step::Connect && is_refused(&error.kind) {
+            self.server_ended();
+        }
         AttemptResult::Failed {
             outcome,
+            is_disconnected: is_disconnected(error),
             detail: error.to_string(),
             response: None,
         }
     }
 
+    /// Reports an attempt whose connection broke when the response had just begun, and whether the
+    /// server still accepts connections.
+    pub(super) async fn report_break(&self, trial: quarantine_event::Trial) {
+        let backend_server = self.target.backend_server.clone();
+        let event = quarantine_event::Event::Broken {
+            trial,
+            backend_server: backend_server.clone(),
+        };
+        self.shared.quarantine.handle(event);
+        match client::Connection::connect(self.target.address, options::liveness()).await {
+            Ok(connection) => {
+                self.shared.pool.put(connection);
+                let event = quarantine_event::Event::ServerAlive { backend_server };
+                self.shared.quarantine.handle(event);
+            }
+            Err(error) if is_refused(&error.kind) => self.server_ended(),
+            // The server may be cut off; the directory shows later whether it has ended.
+            Err(_) => {}
+        }
+    }
+
+    fn server_ended(&self) {
+        let event = quarantine_event::Event::ServerEnded {
+            backend_server: self.target.backend_server.clone(),
+        };
+        self.shared.quarantine.handle(event);
+    }
+
     /// Returns the result of an attempt that the deadline of the request ended.
     fn timed_out(&self) -> AttemptResult {
         AttemptResult::Failed {
             outcome: Outcome::Timeout {
                 sent: self.reservation.may_have_run(),
             },
+            is_disconnected: false,
             detail: "the deadline of the request passed".to_owned(),
             response: None,
         }
@@ -250,11 +288,23 @@
             sent: true,
             events_seen: 0,
         },
+        is_disconnected: false,
         detail,
         response,
     }
 }
 
+/// Returns whether the server closed or reset the connection during the exchange.
+fn is_disconnected(error: &client::Error) -> bool {
+    let is_broken = matches!(error.kind, client::Kind::Closed | client::Kind::Io(_));
+    error.step != client::Step::Connect && is_broken
+}
+
+/// Returns whether nothing listens at the address any more.
+fn is_refused(kind: &client::Kind) -> bool {
+    matches!(kind, client::Kind::Io(error) if error.kind() == io::ErrorKind::ConnectionRefused)
+}
+
 /// Returns whether clients read the status as a statement that the request did not run.
 ///
 /// A backend server that did not run the request proves it with a header. Its response with such a
--- a/crates/peridotrack-edge/src/gateway/directory.rs
+++ b/crates/peridotrack-edge/src/gateway/directory.rs
@@ -12,6 +12,7 @@
 
 use peridotrack_kernel::{clock, event};
 use peridotrack_platform::directory as wire;
+use peridotrack_quarantine::event as quarantine_event;
 use peridotrack_types::{name, register, rules, site};
 
 use super::Shared;
@@ -139,12 +140,20 @@
                 .values()
                 .any(|entry| entry.missing_since_us.is_some());
         }
+        let mut ended = Vec::new();
         self.entries.borrow_mut().retain(|name, entry| {
             if entry.missing_since_us.is_some() {
                 note_leaving(shared, name, "removed");
+                if !entry.server.is_draining {
+                    ended.push(name.clone());
+                }
             }
             entry.missing_since_us.is_none()
         });
+        for backend_server in ended {
+            let event = quarantine_event::Event::ServerEnded { backend_server };
+            shared.quarantine.handle(event);
+        }
         false
     }
 }
--- a/crates/peridotrack-edge/src/gateway/exchange.rs
+++ b/crates/peridotrack-edge/src/gateway/exchange.rs
@@ -10,17 +10,19 @@
 use peridotrack_http::server;
 use peridotrack_kernel::{clock, event};
 use peridotrack_platform::directory as directory_wire;
+use peridotrack_quarantine::{event as quarantine_event, statement::Part, verdict};
 use peridotrack_route::event::Outcome;
 use peridotrack_types::{name, problem};
 
 use super::{
     Shared,
     attempt::{self, AttemptResult},
+    options,
     request::{self, RoutedRequest},
     reservation::{self, ReservationGuard},
     response, stream,
 };
-use crate::route;
+use crate::{quarantine, route};
 
 /// Reason why a connection must be closed after an exchange.
 #[derive(Debug)]
@@ -51,6 +53,9 @@
         Ok(request) => request,
         Err(problem) => return refuse(shared, connection, None, None, &problem).await,
     };
+    if let Err(block) = shared.quarantine.check(&request.shared_parts) {
+        return refuse_blocked(shared, connection, &request, &block).await;
+    }
     let reserved = monoio::select! {
         reserved = reservation::reserve(shared, &request) => reserved,
         () = connection.closed() => return cancelled(shared, &request, None),
@@ -71,6 +76,7 @@
     let mut ticket = shared.route.offer(request::offer(request));
     let mut progress = stream::Progress::new(request);
     let mut last_response = None;
+    let mut may_retry = true;
     loop {
         let step = monoio::select! {
             step = ticket.next() => step,
@@ -111,6 +117,23 @@
                 .await;
             }
         };
+        let trial = match shared.quarantine.check(&request.shared_parts) {
+            Ok(trial) if may_retry => trial,
+            Err(block) if !reservation.may_have_run() => {
+                return refuse_blocked(shared, connection, request, &block).await;
+            }
+            Ok(_) | Err(_) if progress.has_started() => {
+                let detail = "backend servers end under a part of the prompt";
+                return abort(shared, request, reservation, detail);
+            }
+            Ok(_) | Err(_) => {
+                let kind = problem::Kind::BackendFailed;
+                let detail = "the backend server ended, and others did under the same prompt part";
+                let problem = problem::Problem::new(kind, detail);
+                let (request, reservation) = (Some(request), Some(reservation));
+                return refuse(shared, connection, request, reservation, &problem).await;
+            }
+        };
         let event = event::Event::new(event::Kind::RequestDispatched)
             .with("backend_server", target.backend_server.as_str())
             .with("attempt", u64::from(target.attempt));
@@ -126,11 +149,17 @@
         match attempt.run(connection, &mut progress).await {
             AttemptResult::Responded(response) => {
                 ticket.finished(Outcome::Done);
+                if response.status().is_success() {
+                    clear_parts(shared, request);
+                }
                 note_completed(shared, request, reservation, &target, &progress);
                 return respond(shared, connection, response).await;
             }
             AttemptResult::Streamed => {
                 ticket.finished(Outcome::Done);
+                if progress.events_seen() > 0 {
+                    clear_parts(shared, request);
+                }
                 note_completed(shared, request, reservation, &target, &progress);
                 return Ok(());
             }
@@ -140,6 +169,7 @@
             }
             AttemptResult::Failed {
                 outcome,
+                is_disconnected,
                 detail,
                 response,
             } => {
@@ -152,12 +182,48 @@
                 request.note(shared, event);
                 shared.metrics.failed_attempts.increment(1);
                 last_response = response;
+                if is_disconnected && progress.stage() == stream::Stage::Begun {
+                    attempt.report_break(trial).await;
+                    may_retry = shared.quarantine.may_retry(&request.shared_parts);
+                }
                 ticket.finished(outcome);
             }
         }
     }
 }
 
+/// Records that the backend servers do not end under the parts of a completed request.
+fn clear_parts(shared: &Shared, request: &RoutedRequest) {
+    let parts = request.shared_parts.clone();
+    let event = quarantine_event::Event::Completed { parts };
+    shared.quarantine.handle(event);
+}
+
+/// Refuses a request that was not sent, because backend servers end under a part of its prompt.
+async fn refuse_blocked(
+    shared: &Rc<Shared>,
+    connection: &mut server::Connection,
+    request: &RoutedRequest,
+    block: &verdict::Block,
+) -> Result<(), Error> {
+    let parts: Vec<_> = block.parts.iter().map(Part::to_string).collect();
+    let detail = format!(
+        "{} backend servers ended when they began to answer requests with the prompt parts {}",
+        block.crashes.len(),
+        parts.join(",")
+    );
+    let problem = problem::Problem::new(problem::Kind::PromptPartBlocked, detail)
+        .retry_after_ms(options::BLOCKED_RETRY_MS);
+    let event = event::Event::new(event::Kind::RequestRefused)
+        .with("client_request", request.client_request())
+        .with("route", &*request.route().name)
+        .with("problem", problem.type_urn.as_str())
+        .with("detail", problem.detail.as_str());
+    request.note(shared, quarantine::describe_block(event, block));
+    shared.metrics.refused(problem.ran).increment(1);
+    respond(shared, connection, response::problem(&problem)).await
+}
+
 /// Records the completion of a request, with its latencies and whether they met the objectives of
 /// its route.
 fn note_completed(
--- a/crates/peridotrack-edge/src/gateway/options.rs
+++ b/crates/peridotrack-edge/src/gateway/options.rs
@@ -86,6 +86,8 @@
 /// Longest backoff between failing calls of a follower, in microseconds: well within the 2 s in
 /// which entries are renewed after an outage.
 const FOLLOW_BACKOFF_MAX_US: u64 = 800 * clock::US_PER_MS;
+/// Maximum wait of a watch of the statements about prompt parts, in microseconds.
+const QUARANTINE_WAIT_US: u64 = 10 * clock::US_PER_S;
 /// Divisor of the time after an outage in which a gateway must be connected again; gives the wait
 /// of a watch. A watch that gets no response because of an outage must be detected within that
 /// time, which includes the time for a response.
@@ -118,6 +120,12 @@
 pub(super) const MAX_IDLE_CONNECTIONS: usize = 16;
 /// Timeout for connecting to a backend server, in milliseconds.
 const CONNECT_TIMEOUT_MS: u64 = 250;
+/// Timeout for connecting to a backend server whose connection broke, in milliseconds: several
+/// round trips within a region, since a retry waits for the result.
+const LIVENESS_TIMEOUT_MS: u64 = 50;
+/// Retry delay stated in a refusal because of a prompt part, in milliseconds: until operators have
+/// had time to act.
+pub(super) const BLOCKED_RETRY_MS: u64 = 600_000;
 /// Maximum size of a response body that is not streamed, in bytes.
 const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 
@@ -196,6 +204,29 @@
     }
 }
 
+/// Returns the options for following the statements about prompt parts, which change rarely. The
+/// follower of the configuration detects a relay or a store that cannot be reached.
+pub(super) fn follow_quarantine(bounds: &Bounds) -> follower::Options {
+    follower::Options {
+        wait_us: QUARANTINE_WAIT_US,
+        relay_wait_us: QUARANTINE_WAIT_US,
+        silence_us: 2 * QUARANTINE_WAIT_US,
+        subscribe_us: QUARANTINE_WAIT_US / 8,
+        subscription_us: QUARANTINE_WAIT_US / 2,
+        relist_after_us: u64::MAX,
+        is_led: true,
+        ..follow(bounds)
+    }
+}
+
+/// Returns the options of a connection that shows whether a backend server still accepts any.
+pub(super) fn liveness() -> client::Options {
+    client::Options {
+        connect_timeout_ms: LIVENESS_TIMEOUT_MS,
+        ..backend()
+    }
+}
+
 /// Returns the options of the routing service.
 pub(super) fn route(settings: &Settings) -> route_options::Options {
     route_options::Options {
--- a/crates/peridotrack-edge/src/gateway/probe.rs
+++ b/crates/peridotrack-edge/src/gateway/probe.rs
@@ -1,7 +1,7 @@
 //! The listeners for probes: readiness for the load balancer, and metrics.
 //!
-//! A gateway is ready once it has a configuration and has listed the backend servers, until it
-//! begins to stop.
+//! A gateway is ready once it has a configuration and has listed the backend servers and the
+//! statements about prompt parts, until it begins to stop.
 
 use std::{net::SocketAddr, rc::Rc};
 
@@ -78,5 +78,8 @@
 }
 
 fn is_ready(shared: &Shared) -> bool {
-    !shared.is_stopping.get() && shared.site.get().is_some() && shared.directory.is_listed()
+    !shared.is_stopping.get()
+        && shared.site.get().is_some()
+        && shared.directory.is_listed()
+        && shared.quarantine.is_listed()
 }
--- a/crates/peridotrack-edge/src/gateway/request.rs
+++ b/crates/peridotrack-edge/src/gateway/request.rs
@@ -8,6 +8,7 @@
 use peridotrack_http::server;
 use peridotrack_kernel::{clock, event};
 use peridotrack_platform::request as wire;
+use peridotrack_quarantine::statement::Part;
 use peridotrack_route::{
     event::{Continuation, Offer, Target},
     prefill,
@@ -46,6 +47,8 @@
     pub(super) service: name::Service,
     /// Whether the client account is prepaid, so that tokens must be reserved.
     pub(super) has_budget: bool,
+    /// Parts of the prompt that other requests may share: all but the last.
+    pub(super) shared_parts: Vec<Part>,
     priority: rules::Priority,
     /// Sequence number of the last event of this request.
     cause: Cell<u64>,
@@ -78,12 +81,8 @@
 
     /// Returns the identifiers of the first prompt parts that other requests may share, for the log.
     pub(super) fn shared_parts_text(&self) -> String {
-        let shared = self.metadata.prompt_parts.split_last();
-        let ids = shared.iter().flat_map(|(_, shared)| shared.iter());
-        let texts: Vec<_> = ids
-            .take(MAX_LOGGED_PARTS)
-            .map(|part| format!("{:x}", part.id))
-            .collect();
+        let parts = self.shared_parts.iter().take(MAX_LOGGED_PARTS);
+        let texts: Vec<_> = parts.map(Part::to_string).collect();
         texts.join(",")
     }
 
@@ -145,6 +144,12 @@
             detail,
         ));
     };
+    let shared_parts = shared_parts(&metadata);
+    if !shared_parts.is_empty() && !shared.quarantine.is_listed() {
+        let detail = "it is not known yet which prompt parts are blocked";
+        let kind = problem::Kind::NoBackendServer;
+        return Err(problem::Problem::new(kind, detail).retry_after_ms(STARTING_RETRY_MS));
+    }
     shared.sequence.set(shared.sequence.get() + 1);
     let request = RoutedRequest {
         request_id: id::Request {
@@ -158,6 +163,7 @@
         deadline_us: arrived_us + timeout_ms * clock::US_PER_MS,
         service,
         has_budget: account.is_some_and(|account| account.prepaid_tokens.is_some()),
+        shared_parts,
         priority: priority(rank),
         cause: Cell::new(0),
         config: Rc::clone(&config),
@@ -225,6 +231,12 @@
     }
 }
 
+fn shared_parts(metadata: &wire::Metadata) -> Vec<Part> {
+    let shared = metadata.prompt_parts.split_last();
+    let shared = shared.map_or(&[][..], |(_, shared)| shared);
+    shared.iter().map(|part| Part(part.id)).collect()
+}
+
 /// Returns the prompt of a request, `None` if its headers do not list the prompt parts.
 fn prompt(metadata: &wire::Metadata) -> Option<prefill::Prompt> {
     let part = |part: &wire::PromptPart| prefill::Part {
--- a/crates/peridotrack-edge/src/gateway/stream.rs
+++ b/crates/peridotrack-edge/src/gateway/stream.rs
@@ -148,7 +148,7 @@
         let chunk = match chunk {
             Ok(Some(chunk)) => chunk,
             Ok(None) if parser.finish().is_err() => {
-                return broken(progress, "the stream ends within an event".to_owned());
+                return broken(progress, true, "the stream ends within an event".to_owned());
             }
             Ok(None) => return finish_response(attempt, head, client, progress).await,
             Err(error) => return attempt.failed(&error, progress),
@@ -156,7 +156,7 @@
         parser.push(&chunk);
         let events = match read_events(&mut parser, &mut head.connection, progress) {
             Ok(events) => events,
-            Err(detail) => return broken(progress, detail),
+            Err(detail) => return broken(progress, false, detail),
         };
         let tokens = progress.events_seen * progress.event_tokens;
         attempt.reservation.delivered_tokens.set(tokens);
@@ -245,12 +245,13 @@
 }
 
 /// Returns the result of an attempt whose stream is malformed or ended early.
-fn broken(progress: &Progress, detail: String) -> AttemptResult {
+fn broken(progress: &Progress, is_disconnected: bool, detail: String) -> AttemptResult {
     AttemptResult::Failed {
         outcome: Outcome::Broken {
             sent: true,
             events_seen: progress.events_seen,
         },
+        is_disconnected,
         detail,
         response: None,
     }
--- a/crates/peridotrack-edge/src/lib.rs
+++ b/crates/peridotrack-edge/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod operator;
 pub mod peer;
 pub mod platform;
+pub mod quarantine;
 pub mod route;
 pub mod sse;
 pub mod usage;
--- a/crates/peridotrack-edge/src/peer/frame.rs
+++ b/crates/peridotrack-edge/src/peer/frame.rs
@@ -10,6 +10,7 @@
 use peridotrack_follow::message as follow_message;
 use peridotrack_member::message as member_message;
 use peridotrack_once::usage;
+use peridotrack_quarantine::statement;
 use peridotrack_types::{id, name};
 use serde::{Deserialize, Serialize};
 use sha2::Sha256;
@@ -86,6 +87,13 @@
         /// Message to the recipient's follower of the kind.
         message: follow_message::Message,
     },
+    /// What a router states about prompt parts under which backend servers crash.
+    Quarantine {
+        /// VM of the router.
+        author: name::Vm,
+        /// The whole statement, which replaces earlier ones.
+        statement: statement::Statement,
+    },
 }
 
 impl Frame {
@@ -99,7 +107,8 @@
             | Self::ConfigRequest { .. }
             | Self::Config { .. }
             | Self::ConfigPartRequest { .. }
-            | Self::ConfigPart { .. } => None,
+            | Self::ConfigPart { .. }
+            | Self::Quarantine { .. } => None,
         }
     }
 }
--- a/crates/peridotrack-edge/src/platform.rs
+++ b/crates/peridotrack-edge/src/platform.rs
@@ -23,6 +23,7 @@
 use crate::{metric, notify};
 pub use hosted::Listing;
 use native::{etag, object, object_path, refused, request, unknown};
+pub use pack::unpack;
 
 /// Name of this service in the registry.
 pub const SERVICE: &str = "platform";
@@ -390,11 +391,12 @@
         key: &str,
         result: Result<http::Response<Bytes>, client::Error>,
     ) -> Result<http::Response<Bytes>, Error> {
-        if result.is_err() {
+        if let Err(error) = &result {
             self.last_failure_us.set(self.kernel.now_us());
             // Connections that were opened before a network partition may be unusable after it.
             self.pool.close_idle(self.address);
-            if step != "watch" {
+            // A watch that was ended here must not end others in turn.
+            if step != "watch" || matches!(error.kind, client::Kind::TimedOut) {
                 self.call_failed.notify_all();
             }
         }
--- a/crates/peridotrack-edge/src/platform/pack.rs
+++ b/crates/peridotrack-edge/src/platform/pack.rs
@@ -15,11 +15,14 @@
 
 /// Content that cannot be unpacked.
 #[derive(Debug, thiserror::Error)]
-pub(super) enum Error {
+pub enum Error {
+    /// The content begins like a JSON string, but is none.
     #[error("not a JSON string: {0}")]
     Json(#[from] serde_json::Error),
+    /// The string is not base64.
     #[error("not base64: {0}")]
     Base64(#[from] base64::DecodeError),
+    /// The decoded bytes are not a deflate stream, or expand to too much.
     #[error("not a deflate stream: {0}")]
     Deflate(String),
 }
@@ -31,8 +34,13 @@
     format!("\"{}\"", STANDARD.encode(deflated)).into()
 }
 
-/// Reverses [`pack`]; content that is not a JSON string is returned unchanged.
-pub(super) fn unpack(content: &Bytes) -> Result<Bytes, Error> {
+/// Returns the content as its writer passed it to [`Platform::write`](super::Platform::write);
+/// content that is not a JSON string is returned unchanged.
+///
+/// # Errors
+///
+/// Fails if the content is a JSON string that was not packed.
+pub fn unpack(content: &Bytes) -> Result<Bytes, Error> {
     if content.first() != Some(&b'"') {
         return Ok(content.clone());
     }
--- /dev/null
+++ b/crates/peridotrack-edge/src/quarantine.rs
@@ -0,0 +1,229 @@
+//! Quarantine service: runs the state machine of `peridotrack-quarantine`.
+//!
+//! It exchanges statements with the other routers, directly and through the store, and answers
+//! whether a request may be sent.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+};
+
+use bytes::Bytes;
+use peridotrack_kernel::{Kernel, clock, event, timer};
+use peridotrack_quarantine::{
+    event::{Action, Event, Note, Now, Trial},
+    options, quarantine,
+    statement::{KIND, Part, Statement},
+    verdict::Block,
+};
+use peridotrack_types::name;
+
+use crate::{follow::Update, member, peer, platform};
+
+/// Period of the state machine's ticks, in microseconds.
+const TICK_US: u64 = 20 * clock::US_PER_MS;
+
+/// Quarantine of this router.
+pub struct Quarantine {
+    kernel: Rc<Kernel>,
+    platform: Rc<platform::Platform>,
+    vm: name::Vm,
+    state: RefCell<quarantine::Quarantine>,
+    /// Revision of this router's object in the store; `None` if there is none.
+    revision: Cell<Option<u64>>,
+    is_listed: Cell<bool>,
+    subscription: RefCell<Option<timer::Subscription>>,
+}
+
+/// Starts the service.
+impl Quarantine {
+    /// Starts the quarantine of the router on `vm`.
+    pub fn spawn(
+        kernel: &Rc<Kernel>,
+        platform: &Rc<platform::Platform>,
+        vm: name::Vm,
+        options: options::Options,
+    ) -> Rc<Self> {
+        let service = Rc::new(Self {
+            kernel: Rc::clone(kernel),
+            platform: Rc::clone(platform),
+            state: RefCell::new(quarantine::Quarantine::new(vm.clone(), options)),
+            vm,
+            revision: Cell::new(None),
+            is_listed: Cell::new(false),
+            subscription: RefCell::default(),
+        });
+        let weak = Rc::downgrade(&service);
+        let subscription = kernel.timer().subscribe(TICK_US, move |_| {
+            if let Some(service) = weak.upgrade() {
+                service.handle(Event::Tick);
+            }
+        });
+        *service.subscription.borrow_mut() = Some(subscription);
+        service
+    }
+}
+
+/// Answers whether requests may be sent.
+impl Quarantine {
+    /// Returns whether the statements in the store were read since the start.
+    pub fn is_listed(&self) -> bool {
+        self.is_listed.get()
+    }
+
+    /// Returns the trial of a request with these shared parts that is about to be sent.
+    ///
+    /// # Errors
+    ///
+    /// Returns the block by which the request is to be refused.
+    pub fn check(&self, parts: &[Part]) -> Result<Trial, Block> {
+        self.state.borrow().check(parts).map_err(Block::clone)
+    }
+
+    /// Returns whether a request with these shared parts may be sent again after its server ended.
+    pub fn may_retry(&self, parts: &[Part]) -> bool {
+        self.state.borrow().may_retry(parts)
+    }
+}
+
+/// Passes events to the state machine.
+impl Quarantine {
+    /// Passes an event to the state machine and carries out the actions that it returns.
+    pub fn handle(self: &Rc<Self>, event: Event) {
+        let now = Now {
+            monotonic_us: self.kernel.now_us(),
+            wall_ms: self.kernel.clock().wall_us() / clock::US_PER_MS,
+        };
+        let actions = self.state.borrow_mut().on_event(now, event);
+        for action in actions {
+            match action {
+                Action::Send(statement) => self.send(statement),
+                Action::Write(statement) => drop(monoio::spawn(Rc::clone(self).write(statement))),
+                Action::Note(note) => self.record_note(&note),
+            }
+        }
+    }
+
+    /// Applies a listing or changes of the statements in the store.
+    pub fn apply_update(self: &Rc<Self>, update: Update<'_>) {
+        match update {
+            Update::Listing(objects) => {
+                for object in objects {
+                    if object.name == self.vm.as_str() {
+                        self.revision.set(Some(object.revision));
+                    }
+                    self.receive_stored(&object.name, &object.content);
+                }
+                self.is_listed.set(true);
+            }
+            Update::Changes { changes, .. } => {
+                for change in changes.iter().filter(|change| !change.is_removed) {
+                    self.receive_stored(&change.name, &Bytes::copy_from_slice(&change.content));
+                }
+            }
+        }
+    }
+
+    fn receive_stored(self: &Rc<Self>, author: &str, content: &Bytes) {
+        match decode(content) {
+            Ok(statement) => self.handle(Event::Stated {
+                author: author.into(),
+                statement,
+            }),
+            Err(error) => {
+                let event = event::Event::new(event::Kind::ObjectIgnored)
+                    .with("kind", KIND)
+                    .with("object", author)
+                    .with("error", error);
+                self.kernel.note(event);
+            }
+        }
+    }
+}
+
+/// Carries out the actions of the state machine.
+impl Quarantine {
+    fn send(&self, statement: Statement) {
+        let registry = self.kernel.registry();
+        if let Ok(members) = registry.find::<member::Member>(member::SERVICE) {
+            members.send_to_live(&peer::Frame::Quarantine {
+                author: self.vm.clone(),
+                statement,
+            });
+        }
+    }
+
+    async fn write(self: Rc<Self>, statement: Statement) {
+        let key = format!("{KIND}/{}", self.vm);
+        let content = serde_json::to_vec(&statement).expect("a statement has only text keys");
+        let written = self
+            .platform
+            .write(&key, self.revision.get(), content.into())
+            .await;
+        let event = match written {
+            Ok(revision) => {
+                self.revision.set(Some(revision));
+                Event::Written
+            }
+            Err(platform::Error::Conflict { current, .. }) => {
+                self.adopt(current);
+                Event::WriteFailed
+            }
+            Err(_) => Event::WriteFailed,
+        };
+        self.handle(event);
+    }
+
+    /// Takes over the revision and the content of this router's object: an earlier incarnation may
+    /// have written it, or a write of this one whose response was lost.
+    fn adopt(self: &Rc<Self>, current: Option<platform::Object>) {
+        self.revision
+            .set(current.as_ref().map(|object| object.version));
+        if let Some(object) = current {
+            self.receive_stored(self.vm.as_str(), &object.body);
+        }
+    }
+
+    fn record_note(&self, note: &Note) {
+        let event = match note {
+            Note::Crashed {
+                backend_server,
+                parts,
+                depth,
+            } => event::Event::new(event::Kind::PromptPartSuspected)
+                .with("backend_server", backend_server.as_str())
+                .with("shared_parts", join(parts))
+                .with("depth", u64::from(*depth)),
+            Note::Blocked(block) => {
+                describe_block(event::Event::new(event::Kind::PromptPartBlocked), block)
+            }
+            Note::Released { parts } => {
+                event::Event::new(event::Kind::PromptPartReleased).with("prompt_parts", join(parts))
+            }
+        };
+        self.kernel.note(event);
+    }
+}
+
+/// Adds to an event the parts of a block, the servers that ended under them, which routers noticed
+/// it and since when.
+pub fn describe_block(event: event::Event, block: &Block) -> event::Event {
+    let authors = block.crashes.values().flat_map(|crash| &crash.authors);
+    let authors: std::collections::BTreeSet<_> = authors.collect();
+    let since_ms = block.crashes.values().map(|crash| crash.at_wall_ms).min();
+    event
+        .with("prompt_parts", join(&block.parts))
+        .with("ended_servers", join(block.crashes.keys()))
+        .with("reported_by", join(authors))
+        .with("since_wall_ms", since_ms.unwrap_or_default())
+}
+
+fn join<T: std::fmt::Display>(items: impl IntoIterator<Item = T>) -> String {
+    let texts: Vec<_> = items.into_iter().map(|item| item.to_string()).collect();
+    texts.join(",")
+}
+
+fn decode(content: &Bytes) -> Result<Statement, String> {
+    let content = platform::unpack(content).map_err(|error| error.to_string())?;
+    serde_json::from_slice(&content).map_err(|error| error.to_string())
+}
--- a/crates/peridotrack-kernel/src/event.rs
+++ b/crates/peridotrack-kernel/src/event.rs
@@ -133,6 +133,12 @@
     500 Info RouteNote,
     /// A backend server is leaving and gets no new requests.
     501 Info BackendServerLeaving,
+    /// A backend server ended when it had just begun to answer a request with these prompt parts.
+    510 Warn PromptPartSuspected,
+    /// Requests with these prompt parts are refused, because backend servers crash under them.
+    511 Error PromptPartBlocked,
+    /// Requests with these prompt parts are no longer refused.
+    512 Info PromptPartReleased,
     /// An operator, or a demonstration in the operator's role, acted on the fleet.
     600 Info OperatorAction,
 }
--- /dev/null
+++ b/crates/peridotrack-quarantine/src/options.rs
@@ -0,0 +1,51 @@
+//! Options of the quarantine.
+//!
+//! Names ending in `_us` are in microseconds, those ending in `_ms` in milliseconds.
+
+/// Tunable parameters of the quarantine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Options {
+    /// Depth of a crash that proves a part, together with as many ended servers.
+    pub proof_depth: u32,
+    /// Number of ended servers that prove a part with a crash of depth 2.
+    pub proof_servers: usize,
+    /// Number of ended servers from which on a failed request with the part is not sent again.
+    pub retry_servers: usize,
+    /// Time for which a broken attempt waits for the news that its server has ended.
+    pub pending_us: u64,
+    /// Delay that batches changes into one statement to the peers.
+    pub send_delay_us: u64,
+    /// Delay of a write to the store, in which parts of sound requests are usually cleared.
+    pub write_delay_us: u64,
+    /// Delay of the next write after one that failed.
+    pub write_retry_us: u64,
+    /// Age from which on a crash is ignored, by the clocks of the VMs.
+    pub crash_age_ms: u64,
+    /// Period at which aged crashes are removed.
+    pub expiry_us: u64,
+    /// Limit on the parts considered of one request.
+    pub max_parts: usize,
+    /// Limit on the broken attempts that wait for news.
+    pub max_pending: usize,
+    /// Limit on the crashes in one statement, and on the clearances.
+    pub max_entries: usize,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            proof_depth: 3,
+            proof_servers: 5,
+            retry_servers: 2,
+            pending_us: 5_000_000,
+            send_delay_us: 20_000,
+            write_delay_us: 200_000,
+            write_retry_us: 500_000,
+            crash_age_ms: 24 * 3_600 * 1_000,
+            expiry_us: 60_000_000,
+            max_parts: 64,
+            max_pending: 256,
+            max_entries: 256,
+        }
+    }
+}
--- a/crates/peridotrack-types/src/problem.rs
+++ b/crates/peridotrack-types/src/problem.rs
@@ -43,6 +43,8 @@
     OutcomeUnknown,
     /// The backend server failed before it completed the request.
     BackendFailed,
+    /// Backend servers crash under a part of the prompt.
+    PromptPartBlocked,
 }
 
 /// Whether a failed request ran on a backend server.
@@ -80,7 +82,7 @@
 
 impl Kind {
     /// All kinds, each once.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 16] = [
         Self::Malformed,
         Self::Unauthorized,
         Self::Forbidden,
@@ -96,6 +98,7 @@
         Self::Stopping,
         Self::OutcomeUnknown,
         Self::BackendFailed,
+        Self::PromptPartBlocked,
     ];
 
     /// Returns the HTTP status code of this kind.
@@ -114,6 +117,7 @@
             Self::BudgetUnavailable
             | Self::NoBackendServer
             | Self::ClaimUnavailable
+            | Self::PromptPartBlocked
             | Self::Stopping => 503,
         }
     }
@@ -136,6 +140,7 @@
             Self::Stopping => "stopping",
             Self::OutcomeUnknown => "outcome-unknown",
             Self::BackendFailed => "backend-failed",
+            Self::PromptPartBlocked => "prompt-part-blocked",
         }
     }
 
