fix(gateway): a stream without an event that ends with its connection is broken

What callers would see: a server that ends just after the head of a response with neither a length nor chunks closes its connection, and the gateway sends an empty, complete stream.

Cause: for such a response the end of the connection is the end of the body, and no event was missing.

Change: without an event, and unless the client resumes after its last one, such a stream counts as broken. A response that is reset, or ends within an event, was already told from a whole one; it gains tests.

--- a/crates/peridotrack-edge/src/gateway/attempt.rs
+++ b/crates/peridotrack-edge/src/gateway/attempt.rs
@@ -61,6 +61,15 @@
     metadata: response_wire::Metadata,
 }
 
+impl ResponseHead {
+    /// Returns whether the end of the connection marks the end of the body.
+    pub(super) fn is_close_delimited(&self) -> bool {
+        let headers = &self.parts.headers;
+        !headers.contains_key(http::header::CONTENT_LENGTH)
+            && !headers.contains_key(http::header::TRANSFER_ENCODING)
+    }
+}
+
 impl Attempt<'_> {
     /// Sends the request and, for a streaming route, forwards the events to the client.
     pub(super) async fn run(
--- a/crates/peridotrack-edge/src/gateway/stream.rs
+++ b/crates/peridotrack-edge/src/gateway/stream.rs
@@ -150,6 +150,10 @@
             Ok(None) if parser.finish().is_err() => {
                 return broken(progress, true, "the stream ends within an event".to_owned());
             }
+            // A server that ends may close the connection after the head, which ends the response.
+            Ok(None) if head.is_close_delimited() && progress.last_event.is_none() => {
+                return broken(progress, true, "the stream has no event".to_owned());
+            }
             Ok(None) => return finish_response(attempt, head, client, progress).await,
             Err(error) => return attempt.failed(&error, progress),
         };
--- a/crates/peridotrack-edge/tests/gateway/main.rs
+++ b/crates/peridotrack-edge/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 //! platform.
 
 mod budget;
+mod close_delimited;
 mod directory;
 mod endless;
 mod fixture;
