--- a/crates/peridotrack/src/arguments.rs
+++ b/crates/peridotrack/src/arguments.rs
@@ -3,6 +3,7 @@
 use std::{ffi::OsString, net::SocketAddr, path::PathBuf, str::FromStr, time::Duration};
 
 use eyre::WrapErr;
+use peridotrack_quarantine::statement::Part;
 use peridotrack_types::{id, name};
 use pico_args::Arguments;
 
@@ -45,6 +46,18 @@
     },
     /// Release the tokens of a budget that a destroyed router held.
     BudgetRelease(Release),
+    /// Show the prompt parts that gateways refuse.
+    PartShow {
+        /// IP address and port of the metadata store of the users' platform.
+        store: SocketAddr,
+    },
+    /// Have requests with a prompt part sent again.
+    PartLift {
+        /// IP address and port of the metadata store of the users' platform.
+        store: SocketAddr,
+        /// The prompt part.
+        part: Part,
+    },
     /// Show the merged events of routers.
     Timeline {
         /// Routers whose events are read.
@@ -196,6 +209,13 @@
                 .map(Into::into),
         },
         "budget release" => Command::BudgetRelease(release(args)?),
+        "part show" => Command::PartShow {
+            store: value(args, "--store")?,
+        },
+        "part lift" => Command::PartLift {
+            store: value(args, "--store")?,
+            part: value(args, "--part")?,
+        },
         "timeline" => Command::Timeline {
             routers: routers(args)?,
             last: args.opt_value_from_str("--last")?,
--- a/crates/peridotrack/src/help.rs
+++ b/crates/peridotrack/src/help.rs
@@ -94,6 +94,29 @@
   --router ADDRESS      operator address of a router; the release is refused if
                         the holder runs there or is a live peer of it",
     },
+    Entry {
+        words: "part show",
+        summary: "show the prompt parts that gateways refuse",
+        text: "\
+usage: peridotrack part show --store ADDRESS
+
+Prints each prompt part under which backend servers crashed, the servers, and
+which gateways reported them.
+
+  --store ADDRESS  address of the metadata store of the users' platform, IP:PORT",
+    },
+    Entry {
+        words: "part lift",
+        summary: "have requests with a prompt part sent again",
+        text: "\
+usage: peridotrack part lift --store ADDRESS --part ID
+
+Withdraws the crashes that were reported under the part. If servers crash under
+it again, it is blocked again.
+
+  --store ADDRESS  address of the metadata store of the users' platform, IP:PORT
+  --part ID        hexadecimal identifier, as `part show` prints it",
+    },
     Entry {
         words: "timeline",
         summary: "merge the events of routers into one timeline",
--- a/crates/peridotrack/src/lib.rs
+++ b/crates/peridotrack/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod fleet;
 pub mod help;
 pub mod logs;
+pub mod part;
 pub mod platform;
 pub mod report;
 pub mod run;
