test(soak): clients send prompt parts, some of which crash backend servers

Half of the seeds now have a span in which clients send requests with such a part and servers that crash return after 3 s; the check is that of the incident, for routers with no recent disruption. The span is drawn apart from the other faults, so that the schedules of earlier seeds stay the same.

--- a/crates/peridotrack-soak/src/check.rs
+++ b/crates/peridotrack-soak/src/check.rs
@@ -18,6 +18,11 @@
 /// a rollback, because earlier ones may overlap the switch.
 const ROLLBACK_SLACK_MS: u64 = 250;
 
+/// Crashes under a prompt part after which routers must stop to send it.
+const COUNTED_CRASHES: usize = 5;
+/// Requests with the part that may still be sent then.
+const MAX_LATE_EXECUTIONS: usize = 3;
+
 /// A request that a client sent, and its outcome.
 #[derive(Debug, Clone)]
 pub struct SentRequest {
@@ -37,6 +42,8 @@
     pub end_ms: u64,
     /// Prompt tokens that it declared.
     pub prompt_tokens: u64,
+    /// Identifiers of the prompt's parts; empty if it declared none.
+    pub prompt_parts: Vec<u64>,
     /// Stream events that the client received; each counts as one output token.
     pub events: u64,
     /// Newest configuration version when it was sent, whose route a probe requests.
@@ -73,6 +80,8 @@
     pub versions: Vec<(u64, u64)>,
     /// Names of drained backend servers, each with the time when the store marked it draining.
     pub draining: Vec<(String, u64)>,
+    /// Crashes of backend servers, each with the prompt part that caused it and its time.
+    pub crashes: Vec<(u64, u64)>,
     /// Times when the prepaid total was written, each with the total in tokens of every account.
     pub prepaid: Vec<(u64, u64)>,
     /// Names of the client accounts, indexed by [`SentRequest::account`].
@@ -112,6 +121,7 @@
             requests_by_id.get(&*execution.id).copied(),
         ));
     }
+    breaches.extend(check_fatal_parts(record, &requests_by_id));
     breaches.extend(check_spending(record, &execution_counts));
     breaches.extend(check_config_rollback(record));
     breaches.extend(check_recovery(record));
@@ -195,6 +205,40 @@
     (!is_excused).then(|| format!("{} was lost at router {}", sent.id, sent.router))
 }
 
+/// Checks that at most [`MAX_LATE_EXECUTIONS`] requests with a part under which [`COUNTED_CRASHES`]
+/// backend servers have crashed are sent later than [`bounds::CONTACT_MS`] after the last of these,
+/// by routers with no recent disruption.
+fn check_fatal_parts(
+    record: &Record,
+    requests_by_id: &BTreeMap<&str, &SentRequest>,
+) -> Vec<String> {
+    let parts: BTreeSet<u64> = record.crashes.iter().map(|(part, _)| *part).collect();
+    let mut breaches = Vec::new();
+    for part in parts {
+        let crashes = record.crashes.iter().filter(|(other, _)| *other == part);
+        let Some((_, counted_ms)) = crashes.clone().nth(COUNTED_CRASHES - 1) else {
+            continue;
+        };
+        let from_ms = counted_ms + bounds::CONTACT_MS + SLACK_MS;
+        let late = record.executions.iter().filter(|execution| {
+            let sent = requests_by_id.get(&*execution.id);
+            execution.at_ms > from_ms
+                && sent.is_some_and(|sent| {
+                    sent.prompt_parts.contains(&part)
+                        && is_undisrupted(record, sent.router, execution.at_ms, execution.at_ms)
+                })
+        });
+        let late = late.count();
+        if late > MAX_LATE_EXECUTIONS {
+            breaches.push(format!(
+                "{late} requests with prompt part {part:x} ran after {} crashes under it",
+                crashes.count()
+            ));
+        }
+    }
+    breaches
+}
+
 /// Checks that a router with no recent disruption applies a version within
 /// [`bounds::CONFIG_APPLY_MS`].
 fn check_config_applied(record: &Record, sent: &SentRequest) -> Option<String> {
--- a/crates/peridotrack-soak/src/fleet.rs
+++ b/crates/peridotrack-soak/src/fleet.rs
@@ -58,6 +58,8 @@
     pub link: Relay,
     /// Name of its current registry entry, unique per incarnation.
     pub name: String,
+    /// Whether it has crashed and was not registered again.
+    pub is_down: bool,
     zone: &'static str,
     incarnation: u64,
 }
@@ -101,6 +103,7 @@
                 handle,
                 link,
                 name: String::new(),
+                is_down: false,
                 zone: ZONES[number % ZONES.len()],
                 incarnation: 0,
             });
@@ -122,12 +125,27 @@
     pub fn register(&mut self, backend: usize) {
         let number = backend;
         let backend = &mut self.backends[backend];
+        backend.is_down = false;
         backend.incarnation += 1;
         backend.name = format!("i-{number}-{}", backend.incarnation);
         let entry = deployment::entry(backend.link.address(), backend.zone, "ready");
         self.store.put("servers", &backend.name, entry);
     }
 
+    /// Ends a backend server that has crashed: its address refuses connections from now on. Its
+    /// successor, at another address, receives requests once it is registered.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the successor cannot start.
+    pub fn end_backend(&mut self, backend: usize) -> eyre::Result<()> {
+        let backend = &mut self.backends[backend];
+        backend.handle = backend::spawn().wrap_err("start a backend server")?;
+        backend.link = relay::spawn(backend.handle.address()).wrap_err("start a relay")?;
+        backend.is_down = true;
+        Ok(())
+    }
+
     /// Marks the registry entry of a backend server as draining.
     pub fn drain(&self, backend: usize) {
         let backend = &self.backends[backend];
@@ -248,6 +266,7 @@
     for backend in &fleet.backends {
         backend.link.set(Link::Open);
         backend.handle.set_mode(backend::Mode::Serve);
+        backend.handle.set_fatal_part(None);
     }
     for router in &fleet.routers {
         router.link.set(Link::Open);
--- a/crates/peridotrack-soak/src/run.rs
+++ b/crates/peridotrack-soak/src/run.rs
@@ -44,6 +44,16 @@
 const RESTART_DELAY_MS: std::ops::Range<u64> = 100..1_200;
 /// Time between the start of a backend server's drain and the removal of its registry entry.
 const REMOVAL_DELAY: Duration = Duration::from_millis(bounds::DRAIN_MS + 700);
+/// Time after which a backend server that has crashed is registered again.
+const RETURN_DELAY: Duration = Duration::from_secs(3);
+/// Interval between checks whether a backend server has crashed.
+const CRASH_POLL_INTERVAL: Duration = Duration::from_millis(2);
+/// First part of all prompts.
+const FIRST_PART: u64 = 1;
+/// Number of second parts, which several requests have in common.
+const SECOND_PARTS: u64 = 8;
+/// One in this many requests has the fatal part while there is one.
+const REQUESTS_PER_FATAL: u32 = 8;
 /// Time in which clients keep sending after the last fault, in milliseconds; the part after
 /// [`bounds::RECOVER_MS`] is checked for recovery.
 const RECOVERY_PHASE_MS: u64 = bounds::RECOVER_MS + 2_000;
@@ -89,6 +99,8 @@
     /// Tokens of each account in that version.
     prepaid_tokens: Cell<u64>,
     next_id: Cell<u64>,
+    /// Prompt part under which backend servers crash at this time.
+    fatal_part: Cell<Option<u64>>,
     /// Whether the clients and the prober end after their current request.
     is_ending: Cell<bool>,
 }
@@ -117,6 +129,7 @@
         version: Cell::new(1),
         prepaid_tokens: Cell::new(prepaid_tokens),
         next_id: Cell::new(0),
+        fatal_part: Cell::new(None),
         is_ending: Cell::new(false),
         options,
     });
@@ -207,6 +220,7 @@
         }
         Fault::Configure => run.write_config(0),
         Fault::TopUp => run.write_config(TOP_UP_TOKENS),
+        Fault::FatalPart(part) => crash_backends(&run, part, duration).await?,
     }
     let duration_ms = run.now_ms() - at_ms;
     run.record.borrow_mut().steps[index].duration_ms = duration_ms;
@@ -217,6 +231,9 @@
 /// if a drain is in progress.
 async fn replace(run: &Rc<Run>, backend: usize) {
     let name = run.fleet.borrow().backends[backend].name.clone();
+    if run.fleet.borrow().backends[backend].is_down {
+        return;
+    }
     if run
         .record
         .borrow()
@@ -232,7 +249,51 @@
     monoio::time::sleep(REMOVAL_DELAY).await;
     let mut fleet = run.fleet.borrow_mut();
     fleet.store.remove("servers", &name);
-    fleet.register(backend);
+    if !fleet.backends[backend].is_down {
+        fleet.register(backend);
+    }
+}
+
+/// Has clients send requests with a part under which backend servers crash, and registers each that
+/// has crashed again. Waits until all are registered.
+async fn crash_backends(run: &Rc<Run>, part: u64, duration: Duration) -> eyre::Result<()> {
+    let set = |part| {
+        run.fatal_part.set(part);
+        for backend in &run.fleet.borrow().backends {
+            backend.handle.set_fatal_part(part);
+        }
+    };
+    set(Some(part));
+    let end = Instant::now() + duration;
+    let mut returns: Vec<(Instant, usize)> = Vec::new();
+    while Instant::now() < end || !returns.is_empty() {
+        if Instant::now() >= end && run.fatal_part.get().is_some() {
+            set(None);
+        }
+        let backends = run.options.shape.backends;
+        let has_crashed =
+            |number: &usize| run.fleet.borrow().backends[*number].handle.has_crashed();
+        for number in (0..backends).filter(has_crashed).collect::<Vec<_>>() {
+            run.collect_executions(number);
+            let mut fleet = run.fleet.borrow_mut();
+            fleet.end_backend(number)?;
+            fleet.backends[number]
+                .handle
+                .set_fatal_part(run.fatal_part.get());
+            run.record.borrow_mut().crashes.push((part, run.now_ms()));
+            returns.push((Instant::now() + RETURN_DELAY, number));
+        }
+        let is_due = |(at, _): &mut (Instant, usize)| Instant::now() >= *at;
+        for (_, number) in returns.extract_if(.., is_due) {
+            let mut fleet = run.fleet.borrow_mut();
+            let name = fleet.backends[number].name.clone();
+            fleet.store.remove("servers", &name);
+            fleet.register(number);
+        }
+        monoio::time::sleep(CRASH_POLL_INTERVAL).await;
+    }
+    set(None);
+    Ok(())
 }
 
 /// Suspends a router for `duration`.
@@ -346,6 +407,7 @@
             end_ms: self.now_ms(),
             prompt_tokens: request.prompt_tokens,
             events: exchange.events,
+            prompt_parts: request.prompt_parts,
             version: request.version,
             outcome: exchange.outcome,
         });
@@ -363,6 +425,31 @@
             version: self.version.get(),
         }
     }
+
+    /// Returns the prompt of a stream, in some cases with the fatal part.
+    fn prompt_parts(&self, rng: &mut fastrand::Rng) -> Vec<u64> {
+        let mut parts = vec![FIRST_PART, 100 + rng.u64(..SECOND_PARTS)];
+        if rng.u32(..REQUESTS_PER_FATAL) == 0 {
+            parts.extend(self.fatal_part.get());
+        }
+        parts.push(rng.u64(..));
+        parts
+    }
+
+    /// Moves the executions of a backend server to the record.
+    fn collect_executions(&self, backend: usize) {
+        let runs = self.fleet.borrow().backends[backend].handle.take_runs();
+        for run in runs {
+            let at_ms = run.at.saturating_duration_since(self.started).as_millis();
+            self.record.borrow_mut().executions.push(check::Execution {
+                id: run.request_id().to_owned(),
+                expected_server: run.expected_server().to_owned(),
+                account: run.client_account().to_owned(),
+                has_credential: run.has_credential(),
+                at_ms: u64::try_from(at_ms).unwrap_or(u64::MAX),
+            });
+        }
+    }
 }
 
 /// Sends requests of random kinds to random routers, reusing connections, until the run ends.
@@ -373,7 +460,10 @@
     while !run.is_ending.get() {
         let kind = [Kind::Safe, Kind::Unsafe, Kind::Stream, Kind::Resumable][rng.usize(..4)];
         let account = rng.usize(..deployment::ACCOUNTS.len());
-        let request = run.new_request(kind, account, rng.u64(1..MAX_PROMPT_TOKENS));
+        let mut request = run.new_request(kind, account, rng.u64(1..MAX_PROMPT_TOKENS));
+        if kind.is_stream() {
+            request.prompt_parts = run.prompt_parts(&mut rng);
+        }
         let router = rng.usize(..routers);
         run.request(router, &mut idle_connections[router], request)
             .await;
@@ -395,23 +485,11 @@
 /// Collects the executions of the backend servers, checks the record and, after a breach, writes the
 /// timeline and the logs.
 fn evaluate(run: &Run) -> eyre::Result<Outcome> {
-    let mut record = run.record.take();
-    let mut fleet = run.fleet.borrow_mut();
-    for backend in &fleet.backends {
-        for execution in backend.handle.take_runs() {
-            let at_ms = execution
-                .at
-                .saturating_duration_since(run.started)
-                .as_millis();
-            record.executions.push(check::Execution {
-                id: execution.request_id().to_owned(),
-                expected_server: execution.expected_server().to_owned(),
-                account: execution.client_account().to_owned(),
-                has_credential: execution.has_credential(),
-                at_ms: u64::try_from(at_ms).unwrap_or(u64::MAX),
-            });
-        }
+    for backend in 0..run.options.shape.backends {
+        run.collect_executions(backend);
     }
+    let record = run.record.take();
+    let mut fleet = run.fleet.borrow_mut();
     let breaches = check::check(&record);
     if !breaches.is_empty() {
         std::fs::create_dir_all(&run.options.logs)?;
--- a/crates/peridotrack-soak/src/schedule.rs
+++ b/crates/peridotrack-soak/src/schedule.rs
@@ -14,6 +14,9 @@
 const MAX_GAPS_MS: [u64; 3] = [300, 700, 4_000];
 /// Durations of faults, in milliseconds.
 const FAULT_DURATION_MS: std::ops::Range<u64> = 100..6_000;
+/// Durations of the troubles of backend servers, in milliseconds: longer than the time in which
+/// routers must have reacted.
+const TROUBLE_DURATION_MS: std::ops::Range<u64> = 6_000..12_000;
 /// Number of slots that [`random_fault`] maps to faults; frequent faults have several.
 const FAULT_SLOTS: u32 = 20;
 /// Most occurrences of one fault in a row.
@@ -59,6 +62,8 @@
     Configure,
     /// A new configuration version with more prepaid tokens is written.
     TopUp,
+    /// Clients send requests with a prompt part under which backend servers crash.
+    FatalPart(u64),
 }
 
 /// A fault or planned change of a schedule, with its timing.
@@ -98,7 +103,24 @@
             at_ms += rng.u64(1..max_gap_ms);
         }
     }
+    steps.extend(server_trouble(seed, shape));
     steps.retain(|step| step.at_ms < shape.duration_ms);
+    steps.sort_by_key(|step| step.at_ms);
+    steps
+}
+
+/// Returns the troubles of backend servers that last for a while. They are drawn by themselves, so
+/// that the other faults of a seed stay the same.
+fn server_trouble(seed: u64, shape: &Shape) -> Vec<Step> {
+    let mut rng = fastrand::Rng::with_seed(!seed);
+    let mut steps = Vec::new();
+    if rng.bool() {
+        steps.push(Step {
+            at_ms: rng.u64(..shape.duration_ms),
+            duration_ms: rng.u64(TROUBLE_DURATION_MS),
+            fault: Fault::FatalPart(rng.u64(..)),
+        });
+    }
     steps
 }
 
@@ -150,7 +172,8 @@
             | Self::Replace(_)
             | Self::Reload(_)
             | Self::Configure
-            | Self::TopUp => false,
+            | Self::TopUp
+            | Self::FatalPart(_) => false,
         }
     }
 
--- a/crates/peridotrack-soak/tests/check.rs
+++ b/crates/peridotrack-soak/tests/check.rs
@@ -25,6 +25,7 @@
         at_ms: AT_MS,
         end_ms: AT_MS + 50,
         prompt_tokens: 100,
+        prompt_parts: Vec::new(),
         events: 0,
         version: 2,
         outcome,
@@ -203,3 +204,45 @@
     record.steps = vec![step(at_ms, Fault::Store(store::Mode::Mute))];
     assert_eq!(check(&record).len(), breaches);
 }
+
+/// Returns a record with five crashes under a part, and `count` requests with it that ran at a time.
+fn crashed(count: usize, at_ms: u64) -> Record {
+    let request = |number| SentRequest {
+        id: format!("r-{number}"),
+        prompt_parts: vec![1, 7, number as u64 + 100],
+        ..sent(Kind::Stream, Outcome::Status(502))
+    };
+    let execution = |number| Execution {
+        id: format!("r-{number}"),
+        at_ms,
+        ..execution()
+    };
+    let (requests, executions) = (0..count)
+        .map(|number| (request(number), execution(number)))
+        .unzip();
+    Record {
+        crashes: (0..5).map(|number| (7, AT_MS - 9_000 + number)).collect(),
+        ..record(requests, executions)
+    }
+}
+
+#[rstest]
+#[case::three(3, AT_MS, false)]
+#[case::four(4, AT_MS, true)]
+#[case::soon_after_the_fifth_crash(4, AT_MS - 7_000, false)]
+fn more_than_three_late_requests_with_a_fatal_part_are_a_breach(
+    #[case] count: usize,
+    #[case] at_ms: u64,
+    #[case] is_breach: bool,
+) {
+    assert_eq!(!check(&crashed(count, at_ms)).is_empty(), is_breach);
+}
+
+#[test]
+fn a_disrupted_router_may_send_a_fatal_part_late() {
+    let disrupted = Record {
+        steps: vec![step(AT_MS - 1_000, Fault::Pause(0))],
+        ..crashed(4, AT_MS)
+    };
+    assert!(check(&disrupted).is_empty());
+}
