feat(edge): events state the limit that a backend server named

The logs could not tell routers that do not read a server's stated limit from routers that each keep to it while their sum does not. The stand-in of a backend server can state one.

--- a/crates/peridotrack-edge/src/gateway/attempt.rs
+++ b/crates/peridotrack-edge/src/gateway/attempt.rs
@@ -86,7 +86,7 @@
             Some(Err(error)) => return self.failed(&error, progress),
             None => return self.timed_out(),
         };
-        progress.record_head();
+        progress.record_head(head.metadata.limit_per_s);
         self.report_load(&head.metadata);
         if let Some(result) = self.check_head(&head) {
             return result;
--- a/crates/peridotrack-edge/src/gateway/exchange.rs
+++ b/crates/peridotrack-edge/src/gateway/exchange.rs
@@ -179,7 +179,7 @@
                     .with("response", progress.stage().name())
                     .with("shared_parts", request.shared_parts_text())
                     .with("detail", detail);
-                request.note(shared, event);
+                request.note(shared, progress.describe_limit(event));
                 shared.metrics.failed_attempts.increment(1);
                 last_response = response;
                 if is_disconnected && progress.stage() == stream::Stage::Begun {
@@ -249,7 +249,7 @@
     let route = request.route();
     let is_late = first_part_us > route.objective_ms * clock::US_PER_MS
         || progress.longest_gap_us() > route.event_gap_ms * clock::US_PER_MS;
-    let event = reservation.describe(event.with("is_late", is_late));
+    let event = progress.describe_limit(reservation.describe(event.with("is_late", is_late)));
     request.note(shared, event);
     shared.metrics.completed.increment(1);
 }
--- a/crates/peridotrack-edge/src/gateway/stream.rs
+++ b/crates/peridotrack-edge/src/gateway/stream.rs
@@ -5,6 +5,7 @@
 
 use bytes::{Bytes, BytesMut};
 use peridotrack_http::{client, server};
+use peridotrack_kernel::event;
 use peridotrack_route::event::Outcome;
 
 use super::{
@@ -44,6 +45,8 @@
     earlier_events: u64,
     /// Whether the head of the current attempt's response was received.
     has_head: bool,
+    /// Requests per second that the server of the current attempt takes, if it stated a limit.
+    limit_per_s: Option<f64>,
     last_event: Option<u64>,
     event_tokens: u64,
     first_part_us: u64,
@@ -59,6 +62,7 @@
             events_seen: 0,
             earlier_events: 0,
             has_head: false,
+            limit_per_s: None,
             last_event: request.metadata.last_event,
             event_tokens: request.engine().map_or(1, |engine| engine.event_tokens),
             first_part_us: 0,
@@ -81,11 +85,22 @@
     pub(super) fn begin_attempt(&mut self) {
         self.earlier_events = self.events_seen;
         self.has_head = false;
+        self.limit_per_s = None;
     }
 
-    /// Records that the head of the current attempt's response was received.
-    pub(super) fn record_head(&mut self) {
+    /// Records that the head of the current attempt's response was received, with the limit that it
+    /// states.
+    pub(super) fn record_head(&mut self, limit_per_s: Option<f64>) {
         self.has_head = true;
+        self.limit_per_s = limit_per_s;
+    }
+
+    /// Adds the limit that the server of the current attempt stated, if any.
+    pub(super) fn describe_limit(&self, event: event::Event) -> event::Event {
+        match self.limit_per_s {
+            Some(limit_per_s) => event.with("limit_per_s", limit_per_s.to_string()),
+            None => event,
+        }
     }
 
     /// Returns how far the response of the current attempt got.
--- a/crates/peridotrack-standin/src/hosted/backend.rs
+++ b/crates/peridotrack-standin/src/hosted/backend.rs
@@ -132,6 +132,7 @@
     runs: RefCell<Vec<Run>>,
     arrivals: Cell<u64>,
     cancelled: Cell<u64>,
+    limit_per_s: Cell<Option<f64>>,
     fatal_part: Cell<Option<u64>>,
     has_crashed: Cell<bool>,
 }
@@ -156,6 +157,11 @@
         self.0.application.mode.set(mode);
     }
 
+    /// Sets the limit that responses state, in requests per second of all routers together.
+    pub fn set_limit(&self, limit_per_s: Option<f64>) {
+        self.0.application.limit_per_s.set(limit_per_s);
+    }
+
     /// Sets the prompt part under which the server crashes when it begins to write a response.
     pub fn set_fatal_part(&self, part: Option<u64>) {
         self.0.application.fatal_part.set(part);
@@ -188,10 +194,24 @@
 }
 
 impl Server {
+    /// Starts a response with the headers of a genuine server: request id, seal, load and, if it
+    /// states one, the limit.
+    fn signed(&self, request: &HeaderMap) -> http::response::Builder {
+        let head = Response::builder()
+            .header("peridotrack-request-id", &request["peridotrack-request-id"])
+            .header("peridotrack-response-seal", "3e1b")
+            .header("peridotrack-server-load", "1,0,8");
+        match self.limit_per_s.get() {
+            Some(limit_per_s) => head.header("server-limit", limit_per_s.to_string()),
+            None => head,
+        }
+    }
+
     /// Sends the head of a response, and then nothing until the handle is dropped.
     async fn crash(&self, incoming: Incoming<'_>) -> Result<(), Disconnect> {
-        let head =
-            signed(&incoming.request.head.headers).header("content-type", "text/event-stream");
+        let head = self
+            .signed(&incoming.request.head.headers)
+            .header("content-type", "text/event-stream");
         monoio::time::sleep(CRASH_DELAY).await;
         incoming
             .connection
@@ -207,7 +227,9 @@
             .get("last-event-id")
             .and_then(|value| value.to_str().ok()?.parse::<u64>().ok())
             .map_or(0, |last| last + 1);
-        let head = signed(headers).header("content-type", "text/event-stream");
+        let head = self
+            .signed(headers)
+            .header("content-type", "text/event-stream");
         let connection = incoming.connection;
         connection.start(response::finish(head, ())).await?;
         for number in first..STREAM_EVENTS {
@@ -263,7 +285,7 @@
             return Ok(incoming.connection.respond(response).await?);
         }
         let refusal = |status| {
-            signed(headers)
+            self.signed(headers)
                 .status(status)
                 .header("peridotrack-not-executed", "1")
         };
@@ -297,7 +319,10 @@
             return self.crash(incoming).await;
         }
         let complete = |status: StatusCode| {
-            response::finish(signed(headers).status(status), Bytes::from("the answer"))
+            response::finish(
+                self.signed(headers).status(status),
+                Bytes::from("the answer"),
+            )
         };
         let response = match mode {
             Mode::Reset => return Err(Disconnect),
@@ -329,11 +354,3 @@
         Ok(incoming.connection.respond(response).await?)
     }
 }
-
-/// Starts a response with the headers of a genuine server: request id, seal and load.
-fn signed(request: &HeaderMap) -> http::response::Builder {
-    Response::builder()
-        .header("peridotrack-request-id", &request["peridotrack-request-id"])
-        .header("peridotrack-response-seal", "3e1b")
-        .header("peridotrack-server-load", "1,0,8")
-}
