fix(gateway): routers keep to the limit that a server states together

The router's limit on concurrent requests follows latency; it is no rate, and no router knows what the others send. The class of fault: a bound on the fleet that each router would have to keep alone.

Change: routers tell each other which server states what. All dispatches count: first attempts, retries, probes and resumes. A response without the limit to a request sent since ends it for all, and a slow start follows. Where a service has no other server, requests are refused at once, with the time of the next.

--- a/crates/peridotrack-edge/src/daemon.rs
+++ b/crates/peridotrack-edge/src/daemon.rs
@@ -358,8 +358,12 @@
     let (members, budget) = (Rc::clone(member), Rc::clone(budget));
     let (usage, config, route) = (Rc::clone(usage), Rc::clone(config), Rc::clone(route));
     let on_frame = move |sender: peer::Sender, frame: peer::Frame| match frame {
-        // Only gateways relay changes of store objects to each other, and know the parts of prompts.
-        peer::Frame::Hello(_) | peer::Frame::Follow { .. } | peer::Frame::Quarantine { .. } => {}
+        // Only gateways send the others: they relay changes of store objects, know the parts of
+        // prompts and read the limits that servers state.
+        peer::Frame::Hello(_)
+        | peer::Frame::Follow { .. }
+        | peer::Frame::Quarantine { .. }
+        | peer::Frame::RateLimit { .. } => {}
         peer::Frame::Member(message) => members.receive(sender.address, message),
         peer::Frame::Budget { message, .. } => budget.receive(sender.incarnation, message),
         peer::Frame::Usage { message, .. } => usage.receive(sender.incarnation, message),
--- a/crates/peridotrack-edge/src/gateway.rs
+++ b/crates/peridotrack-edge/src/gateway.rs
@@ -27,7 +27,7 @@
 };
 use peridotrack_types::{gateway::Settings, id};
 
-use crate::{budget, follow, member, metric, peer, platform, quarantine, route};
+use crate::{budget, follow, member, metric, peer, platform, quarantine, route, throttle};
 
 /// Time at the end of the grace period that is reserved for closing the budget, in microseconds;
 /// closing may take longer if open requests end earlier.
@@ -84,6 +84,7 @@
     route: Rc<route::Route>,
     follow: Rc<follow::Follow>,
     quarantine: Rc<quarantine::Quarantine>,
+    throttle: Rc<throttle::Throttle>,
     pool: client::Pool,
     metrics: metric::Requests,
     site: site::Current,
@@ -140,13 +141,20 @@
             settings.vm.clone(),
             quarantine_options::Options::default(),
         );
-        subscribe(&link, &member, &budget, &follow, &quarantine);
         let route = route::Route::spawn(
             &kernel,
             options::route(&settings),
             settings.failure_domain.clone(),
             fastrand::u64(..),
         );
+        let throttle = throttle::Throttle::spawn(
+            &kernel,
+            &member,
+            &route,
+            settings.vm.clone(),
+            settings.failure_domain.clone(),
+            options::throttle(&settings.bounds),
+        );
         let shared = Rc::new(Shared {
             incarnation,
             platform,
@@ -156,6 +164,7 @@
             route,
             follow,
             quarantine,
+            throttle,
             pool: client::Pool::new(options::backend(), options::MAX_IDLE_CONNECTIONS),
             metrics: metric::Requests::register(kernel.meter()),
             site: site::Current::default(),
@@ -165,6 +174,7 @@
             settings,
             kernel,
         });
+        subscribe(&shared);
         let clients = server::Server::bind(&shared)
             .map_err(|error| listen_error("clients", shared.settings.client_address, &error))?;
         let probes = probe::Probe::bind(&shared)
@@ -352,15 +362,17 @@
 }
 
 /// Passes each frame of a peer to the service that handles it, and send failures to the membership.
-fn subscribe(
-    link: &Rc<peer::Link>,
-    member: &Rc<member::Member>,
-    budget: &Rc<budget::Budget>,
-    follow: &Rc<follow::Follow>,
-    quarantine: &Rc<quarantine::Quarantine>,
-) {
+fn subscribe(shared: &Rc<Shared>) {
+    let Shared {
+        member,
+        budget,
+        follow,
+        quarantine,
+        throttle,
+        ..
+    } = &**shared;
     let (members, budget, follow) = (Rc::clone(member), Rc::clone(budget), Rc::clone(follow));
-    let quarantine = Rc::clone(quarantine);
+    let (quarantine, throttle) = (Rc::clone(quarantine), Rc::clone(throttle));
     let on_frame = move |sender: peer::Sender, frame: peer::Frame| match frame {
         peer::Frame::Member(message) => members.receive(sender.address, message),
         peer::Frame::Budget { message, .. } => budget.receive(sender.incarnation, message),
@@ -370,10 +382,14 @@
         peer::Frame::Quarantine { author, statement } => {
             quarantine.handle(QuarantineEvent::Stated { author, statement });
         }
+        peer::Frame::RateLimit {
+            failure_domain,
+            news,
+        } => throttle.receive(&failure_domain, news),
         _ => {}
     };
     let members = Rc::clone(member);
-    link.subscribe(on_frame, move |address| {
+    shared.link.subscribe(on_frame, move |address| {
         members.handle(peridotrack_member::action::Event::SendFailed { address });
     });
 }
--- a/crates/peridotrack-edge/src/gateway/attempt.rs
+++ b/crates/peridotrack-edge/src/gateway/attempt.rs
@@ -77,6 +77,7 @@
         client: &mut server::Connection,
         progress: &mut Progress,
     ) -> AttemptResult {
+        let sent_us = self.shared.kernel.now_us();
         let head = monoio::select! {
             head = self.within_deadline(self.send(progress)) => head,
             () = client.closed() => return AttemptResult::ClientDisconnected,
@@ -87,6 +88,11 @@
             None => return self.timed_out(),
         };
         progress.record_head(head.metadata.limit_per_s);
+        if !head.metadata.is_misdirected {
+            let server = &self.target.backend_server;
+            let limit_per_s = head.metadata.limit_per_s;
+            self.shared.throttle.answered(server, limit_per_s, sent_us);
+        }
         self.report_load(&head.metadata);
         if let Some(result) = self.check_head(&head) {
             return result;
--- a/crates/peridotrack-edge/src/gateway/directory.rs
+++ b/crates/peridotrack-edge/src/gateway/directory.rs
@@ -82,6 +82,11 @@
                 None => {}
             }
         }
+        let servers = entries.values().map(|entry| {
+            let server = &entry.server;
+            (server.name.clone(), server.failure_domain.clone())
+        });
+        shared.throttle.set_servers(servers.collect());
         drop(entries);
         shared.route.configure(&register, &rules::Rules::default());
     }
--- a/crates/peridotrack-edge/src/gateway/options.rs
+++ b/crates/peridotrack-edge/src/gateway/options.rs
@@ -7,7 +7,7 @@
 use peridotrack_follow::follower;
 use peridotrack_http::client;
 use peridotrack_kernel::clock;
-use peridotrack_route::options as route_options;
+use peridotrack_route::{options as route_options, throttle};
 use peridotrack_types::gateway::{Bounds, Settings};
 
 use crate::member;
@@ -227,6 +227,15 @@
     }
 }
 
+/// Returns the options of the distribution of stated rates: a router that has just started does not
+/// know the others until it has had time for contact.
+pub(super) fn throttle(bounds: &Bounds) -> throttle::Options {
+    throttle::Options {
+        startup_us: bounds.contact_ms * clock::US_PER_MS,
+        ..throttle::Options::default()
+    }
+}
+
 /// Returns the options of the routing service.
 pub(super) fn route(settings: &Settings) -> route_options::Options {
     route_options::Options {
--- a/crates/peridotrack-edge/src/lib.rs
+++ b/crates/peridotrack-edge/src/lib.rs
@@ -36,4 +36,5 @@
 pub mod quarantine;
 pub mod route;
 pub mod sse;
+pub mod throttle;
 pub mod usage;
--- a/crates/peridotrack-edge/src/member.rs
+++ b/crates/peridotrack-edge/src/member.rs
@@ -18,6 +18,7 @@
     message::{Message, State},
     peer as member_peer,
 };
+use peridotrack_route::throttle;
 use peridotrack_types::id;
 
 use crate::{budget, config, follow, peer, platform, usage};
@@ -118,6 +119,16 @@
         self.members.borrow().is_watcher(self.kernel.now_us())
     }
 
+    /// Returns the VMs of the routers that serve callers, by failure domain.
+    pub fn serving(&self) -> throttle::Routers {
+        let mut routers = throttle::Routers::new();
+        for record in self.members.borrow().serving(self.kernel.now_us()) {
+            let domain = routers.entry(record.failure_domain.clone()).or_default();
+            domain.insert(record.vm.clone());
+        }
+        routers
+    }
+
     /// Returns the known peers as a JSON array, for the operator API.
     pub fn report(&self) -> serde_json::Value {
         let peer_report = |peer: &member_peer::Peer| {
@@ -151,6 +162,15 @@
 
 /// Sends frames to peers.
 impl Member {
+    /// Sends a frame to every live peer of the local failure domain.
+    pub fn send_to_domain(&self, frame: &peer::Frame) {
+        let members = self.members.borrow();
+        let live = members.live_in(self.kernel.now_us(), &members.local().failure_domain);
+        for peer in live {
+            self.link.send(peer.record.peer_address, frame);
+        }
+    }
+
     /// Sends a frame to every live peer, of all failure domains.
     pub fn send_to_live(&self, frame: &peer::Frame) {
         let members = self.members.borrow();
--- a/crates/peridotrack-edge/src/peer/frame.rs
+++ b/crates/peridotrack-edge/src/peer/frame.rs
@@ -11,6 +11,7 @@
 use peridotrack_member::message as member_message;
 use peridotrack_once::usage;
 use peridotrack_quarantine::statement;
+use peridotrack_route::throttle;
 use peridotrack_types::{id, name};
 use serde::{Deserialize, Serialize};
 use sha2::Sha256;
@@ -94,6 +95,13 @@
         /// The whole statement, which replaces earlier ones.
         statement: statement::Statement,
     },
+    /// News about the rate that a backend server states.
+    RateLimit {
+        /// Failure domain of the sender.
+        failure_domain: name::FailureDomain,
+        /// The news.
+        news: throttle::News,
+    },
 }
 
 impl Frame {
@@ -108,7 +116,8 @@
             | Self::Config { .. }
             | Self::ConfigPartRequest { .. }
             | Self::ConfigPart { .. }
-            | Self::Quarantine { .. } => None,
+            | Self::Quarantine { .. }
+            | Self::RateLimit { .. } => None,
         }
     }
 }
--- a/crates/peridotrack-kernel/src/event.rs
+++ b/crates/peridotrack-kernel/src/event.rs
@@ -133,6 +133,8 @@
     500 Info RouteNote,
     /// A backend server is leaving and gets no new requests.
     501 Info BackendServerLeaving,
+    /// A backend server states a limit of requests per second for all routers, or ended it.
+    502 Info RateLimitChanged,
     /// A backend server ended when it had just begun to answer a request with these prompt parts.
     510 Warn PromptPartSuspected,
     /// Requests with these prompt parts are refused, because backend servers crash under them.
--- a/crates/peridotrack-member/src/member.rs
+++ b/crates/peridotrack-member/src/member.rs
@@ -206,6 +206,20 @@
             .filter(move |peer| &peer.record.failure_domain == domain)
     }
 
+    /// Returns the records of the routers that serve callers, this one included if it does.
+    ///
+    /// A peer whose heartbeats stopped counts until it is silent, whether or not messages reach it,
+    /// so that the routers which lose sight of each other for a short time have the same list.
+    pub fn serving(&self, now_us: u64) -> impl Iterator<Item = &Record> {
+        let is_heard = move |peer: &&Peer| {
+            let reason = peer.leave_reason(now_us, self.bounds(peer));
+            !matches!(reason, Some(Reason::Silent | Reason::Stopped))
+        };
+        let peers = self.table.iter().filter(is_heard).map(|peer| &peer.record);
+        let all = std::iter::once(&self.local).chain(peers);
+        all.filter(|record| record.state == State::Serving)
+    }
+
     /// Returns whether this router is one of those that watch the platform's configuration.
     ///
     /// The routers of a failure domain with the lowest incarnations watch; the others receive new
--- a/crates/peridotrack-route/src/backend.rs
+++ b/crates/peridotrack-route/src/backend.rs
@@ -5,7 +5,7 @@
 
 use peridotrack_types::name;
 
-use crate::{breaker, drain, limit, load_estimate, options::Options, prefill, prefix};
+use crate::{breaker, drain, limit, load_estimate, options::Options, pace, prefill, prefix};
 
 /// State of one backend server, as this router sees it.
 #[derive(Debug, Clone)]
@@ -37,6 +37,8 @@
     pub slow_start_us: Option<u64>,
     /// Time before which it receives no work, set after each refusal.
     pub backoff_until_us: u64,
+    /// Spacing of this router's requests while the server states a rate.
+    pub pace: Option<pace::Pace>,
     /// Indices of the pools that it is a member of; empty after removal from the register.
     pub pools: Vec<usize>,
 }
@@ -63,6 +65,7 @@
             prefill: prefill::Prefill::default(),
             slow_start_us: None,
             backoff_until_us: 0,
+            pace: None,
             pools: Vec::new(),
         }
     }
@@ -86,15 +89,24 @@
     pub fn is_available(&self, now_us: u64, options: &Options) -> bool {
         self.drain.is_serving()
             && now_us >= self.backoff_until_us
+            && self.is_within_rate(now_us)
             && f64::from(self.in_flight) < self.limit_requests(now_us, options).max(1.0)
             && self.breaker.allows(now_us)
     }
 
-    /// Returns whether the server is not drained and its breaker is not open.
+    /// Returns whether the rate that the server states, if any, allows this router a request now.
+    #[inline]
+    pub fn is_within_rate(&self, now_us: u64) -> bool {
+        self.pace.is_none_or(|pace| pace.allows(now_us))
+    }
+
+    /// Returns whether the server is not drained, its breaker is not open and its stated rate allows
+    /// a request.
     ///
     /// In contrast to [`Self::is_available`], it may be at its limit or in backoff.
     pub fn is_usable(&self, now_us: u64) -> bool {
         self.drain.is_serving()
+            && self.is_within_rate(now_us)
             && !matches!(self.breaker.state(now_us), breaker::State::Open { .. })
     }
 
@@ -120,6 +132,9 @@
     pub fn on_dispatch(&mut self, now_us: u64) -> bool {
         self.in_flight += 1;
         self.load_estimate.on_local_change(now_us, self.in_flight);
+        if let Some(pace) = &mut self.pace {
+            pace.on_dispatch(now_us);
+        }
         self.breaker.on_dispatch(now_us)
     }
 
--- a/crates/peridotrack-route/src/dispatch.rs
+++ b/crates/peridotrack-route/src/dispatch.rs
@@ -135,8 +135,9 @@
             .any(|member| self.backends[member.index].is_usable(now_us))
     }
 
-    /// Returns the time until the first open breaker of the pool lets a probe pass, or the default
-    /// Retry-After if no serving member has an open breaker.
+    /// Returns the time until the first member of the pool that is not usable now may become so: when
+    /// its open breaker lets a probe pass, or its stated rate a request. It is the default
+    /// Retry-After if there is no such member.
     pub(crate) fn time_to_probe_us(&self, now_us: u64, pool: usize) -> u64 {
         self.pools[pool]
             .members()
@@ -144,7 +145,7 @@
             .filter(|backend| backend.drain.is_serving())
             .filter_map(|backend| match backend.breaker.state(now_us) {
                 breaker::State::Open { until_us } => Some(until_us.saturating_sub(now_us)),
-                _ => None,
+                _ => backend.pace?.wait_us(now_us),
             })
             .min()
             .unwrap_or(self.options.default_retry_after_us)
--- a/crates/peridotrack-route/src/event.rs
+++ b/crates/peridotrack-route/src/event.rs
@@ -84,7 +84,7 @@
 }
 
 /// An occurrence that the driver reports to the router.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum Event {
     /// Time passed; expected several times per second. Drives expiry and queue dispatch.
     Tick,
@@ -125,6 +125,14 @@
         /// Name in the asset register of the server that is leaving.
         backend: name::BackendServer,
     },
+    /// The rate of this router's requests to a backend server changed, because the server states a
+    /// limit or ended it.
+    Rate {
+        /// Name in the asset register of the server.
+        backend: name::BackendServer,
+        /// Requests per second that this router may send, 0 for none; `None` without a limit.
+        per_s: Option<f64>,
+    },
     /// A connection to the backend server was established.
     Connected {
         /// Name in the asset register of the server that accepted the connection.
--- a/crates/peridotrack-route/src/router.rs
+++ b/crates/peridotrack-route/src/router.rs
@@ -9,6 +9,7 @@
     backend::Backend,
     event::{Action, Event, Note, Offer, Outcome, Target},
     options::Options,
+    pace,
     pool::Pool,
     request::{Phase, Request},
     status,
@@ -183,6 +184,7 @@
             } => self.on_finished(now_us, request_id, outcome, &mut actions),
             Event::LoadReport { .. } => self.on_report(now_us, &event, &mut actions),
             Event::Leaving { backend } => self.on_leaving(now_us, &backend, &mut actions),
+            Event::Rate { backend, per_s } => self.on_rate(now_us, &backend, per_s, &mut actions),
             Event::Connected { backend } => {
                 if let Some(&index) = self.by_name.get(&backend) {
                     self.backends[index].breaker.on_connected();
@@ -244,6 +246,31 @@
         self.dispatch_queued_to(now_us, index, actions);
     }
 
+    /// Sets the rate of this router's requests to a server. After the end of a limit they increase
+    /// slowly, because the server may still be in need.
+    fn on_rate(
+        &mut self,
+        now_us: u64,
+        name: &name::BackendServer,
+        per_s: Option<f64>,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(&index) = self.by_name.get(name) else {
+            return;
+        };
+        let pace = &mut self.backends[index].pace;
+        match (per_s, pace.as_mut()) {
+            (Some(per_s), Some(pace)) => pace.set(now_us, per_s),
+            (Some(per_s), None) => *pace = Some(pace::Pace::new(now_us, per_s)),
+            (None, Some(_)) => {
+                *pace = None;
+                self.begin_slow_start(now_us, index);
+            }
+            (None, None) => {}
+        }
+        self.refuse_unserved_pools(now_us, index, actions);
+    }
+
     fn on_leaving(&mut self, now_us: u64, name: &name::BackendServer, actions: &mut Vec<Action>) {
         let Some(&index) = self.by_name.get(name) else {
             return;
--- a/crates/peridotrack-route/tests/router.rs
+++ b/crates/peridotrack-route/tests/router.rs
@@ -324,3 +324,55 @@
     assert_eq!(running, 2);
     assert!(now_us <= 5 * SECOND_US, "waited {now_us} us");
 }
+
+fn rate(router: &mut Router, now_us: u64, engine: usize, per_s: Option<f64>) {
+    let backend = format!("engine-{engine}").as_str().into();
+    router.on_event(now_us, Event::Rate { backend, per_s });
+}
+
+/// Guards against requests that wait for a server which states a rate, or are refused without a
+/// time to come back.
+#[test]
+fn requests_beyond_a_stated_rate_are_refused_until_the_next_is_due() {
+    let mut router = router(1, 8, 100);
+    rate(&mut router, 0, 0, Some(2.0));
+    let refused = |actions: &[Action]| match actions {
+        [
+            Action::Refuse {
+                kind,
+                retry_after_ms,
+                ..
+            },
+        ] => Some((*kind, *retry_after_ms)),
+        _ => None,
+    };
+    let actions = router.offer(0, offer(1));
+    assert_eq!(refused(&actions), Some((Kind::NoBackendServer, 500)));
+    let actions = router.offer(500 * MS_US, offer(2));
+    assert!(
+        matches!(actions[..], [Action::Dispatch { .. }]),
+        "{actions:?}"
+    );
+    let actions = router.offer(600 * MS_US, offer(3));
+    assert_eq!(refused(&actions), Some((Kind::NoBackendServer, 400)));
+}
+
+#[test]
+fn a_server_that_states_a_rate_is_replaced_by_others_and_returns_slowly() {
+    let mut router = router(2, 8, 100);
+    rate(&mut router, 0, 0, Some(0.0));
+    let mut sequence = 0;
+    let mut sent_to = |router: &mut Router, now_us: u64, engine: &str| {
+        let mut count = 0;
+        for _ in 0..6 {
+            sequence += 1;
+            let actions = router.offer(now_us, offer(sequence));
+            let is_to = |action: &Action| matches!(action, Action::Dispatch { backend, .. } if backend.as_str() == engine);
+            count += actions.iter().filter(|action| is_to(action)).count();
+        }
+        count
+    };
+    assert_eq!(sent_to(&mut router, 0, "engine-1"), 6);
+    rate(&mut router, SECOND_US, 0, None);
+    assert_eq!(sent_to(&mut router, SECOND_US, "engine-0"), 1);
+}
