fix(gateway): a server that accepts one more connection as it ends counts as ended

Cause: a router took an accepted connection for proof that the server runs. The listener of a process that ends may outlive the other sockets for a moment, and so may one in between.

Change: an accepted connection proves nothing. The server is connected to once more after 0.1 s; what withdraws the suspicion is a response to a request sent after the break.

Result: a_server_that_still_accepts_connections_as_it_ends_counts_as_ended fails on the commit before (no block within 10 s) and passes three times.

--- a/crates/peridotrack-edge/src/gateway/attempt.rs
+++ b/crates/peridotrack-edge/src/gateway/attempt.rs
@@ -92,6 +92,7 @@
             let server = &self.target.backend_server;
             let limit_per_s = head.metadata.limit_per_s;
             self.shared.throttle.answered(server, limit_per_s, sent_us);
+            self.shared.quarantine.answered(server, sent_us);
         }
         self.report_load(&head.metadata);
         if let Some(result) = self.check_head(&head) {
@@ -256,31 +257,28 @@
     }
 
     /// Reports an attempt whose connection broke when the response had just begun, and whether the
-    /// server still accepts connections.
+    /// server refuses connections since.
     pub(super) async fn report_break(&self, trial: quarantine_event::Trial) {
-        let backend_server = self.target.backend_server.clone();
         let event = quarantine_event::Event::Broken {
             trial,
-            backend_server: backend_server.clone(),
+            backend_server: self.target.backend_server.clone(),
         };
         self.shared.quarantine.handle(event);
-        match client::Connection::connect(self.target.address, options::liveness()).await {
-            Ok(connection) => {
-                self.shared.pool.put(connection);
-                let event = quarantine_event::Event::ServerAlive { backend_server };
-                self.shared.quarantine.handle(event);
-            }
-            Err(error) if is_refused(&error.kind) => self.server_ended(),
-            // The server may be cut off; the directory shows later whether it has ended.
-            Err(_) => {}
+        if has_ended(self.shared, self.target).await {
+            return;
         }
+        // The listener of a server that ends may accept one more connection. If the server is cut
+        // off, the directory shows later whether it has ended.
+        let (shared, target) = (Rc::clone(self.shared), self.target.clone());
+        monoio::spawn(async move {
+            let timer = shared.kernel.timer();
+            timer.sleep_us(options::LIVENESS_RECHECK_US).await;
+            has_ended(&shared, &target).await;
+        });
     }
 
     fn server_ended(&self) {
-        let event = quarantine_event::Event::ServerEnded {
-            backend_server: self.target.backend_server.clone(),
-        };
-        self.shared.quarantine.handle(event);
+        server_ended(self.shared, self.target);
     }
 
     /// Returns the result of an attempt that the deadline of the request ended.
@@ -296,6 +294,28 @@
     }
 }
 
+/// Connects to a server, and reports its end if it refuses the connection; returns whether it does.
+async fn has_ended(shared: &Shared, target: &route::Destination) -> bool {
+    match client::Connection::connect(target.address, options::liveness()).await {
+        Ok(connection) => {
+            shared.pool.put(connection);
+            false
+        }
+        Err(error) if is_refused(&error.kind) => {
+            server_ended(shared, target);
+            true
+        }
+        Err(_) => false,
+    }
+}
+
+fn server_ended(shared: &Shared, target: &route::Destination) {
+    let event = quarantine_event::Event::ServerEnded {
+        backend_server: target.backend_server.clone(),
+    };
+    shared.quarantine.handle(event);
+}
+
 /// Returns the result of an attempt whose response is not a success; the request may have run.
 fn failed_response(detail: String, response: Option<http::Response<Bytes>>) -> AttemptResult {
     AttemptResult::Failed {
--- a/crates/peridotrack-edge/src/gateway/options.rs
+++ b/crates/peridotrack-edge/src/gateway/options.rs
@@ -123,6 +123,9 @@
 /// Timeout for connecting to a backend server whose connection broke, in milliseconds: several
 /// round trips within a region, since a retry waits for the result.
 const LIVENESS_TIMEOUT_MS: u64 = 50;
+/// Time after which such a server is connected to once more if it accepted the connection, in
+/// microseconds: the sockets of a process that ends are closed one after the other.
+pub(super) const LIVENESS_RECHECK_US: u64 = 100 * clock::US_PER_MS;
 /// Retry delay stated in a refusal because of a prompt part, in milliseconds: until operators have
 /// had time to act.
 pub(super) const BLOCKED_RETRY_MS: u64 = 600_000;
--- a/crates/peridotrack-edge/src/quarantine.rs
+++ b/crates/peridotrack-edge/src/quarantine.rs
@@ -88,6 +88,17 @@
 
 /// Passes events to the state machine.
 impl Quarantine {
+    /// Reports that a server responded to a request that was sent at `sent_us`.
+    pub fn answered(self: &Rc<Self>, backend_server: &name::BackendServer, sent_us: u64) {
+        let is_waiting = self.state.borrow().is_waiting();
+        if is_waiting {
+            self.handle(Event::ServerAlive {
+                backend_server: backend_server.clone(),
+                sent_us,
+            });
+        }
+    }
+
     /// Passes an event to the state machine and carries out the actions that it returns.
     pub fn handle(self: &Rc<Self>, event: Event) {
         let now = Now {
--- a/crates/peridotrack-edge/tests/gateway/prompt_parts.rs
+++ b/crates/peridotrack-edge/tests/gateway/prompt_parts.rs
@@ -1,10 +1,22 @@
 //! Backend servers that crash under one prompt part: a fleet of gateways must stop sending it.
 
-use std::{rc::Rc, time::Duration};
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener},
+    rc::Rc,
+    thread,
+    time::Duration,
+};
 
-use peridotrack_standin::harness::http::block_on;
+use peridotrack_standin::{
+    harness::{http::block_on, wait},
+    hosted::deployment,
+};
 
-use crate::fleet::{COUNTED_CRASHES, FATAL_PART, Fleet};
+use crate::{
+    fixture::{Fixture, LIMIT, request},
+    fleet::{COUNTED_CRASHES, FATAL_PART, Fleet},
+};
 
 /// Part that all prompts begin with.
 const FIRST_PART: u64 = 0xf1;
@@ -43,3 +55,47 @@
         assert!(served > 0.9, "{served}");
     });
 }
+
+/// Starts a server that closes the connection of its first request after the head of the response,
+/// and its listener some time later.
+fn spawn_ending_server() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let _ = stream.read(&mut [0; 4_096]).unwrap();
+        let head = "HTTP/1.1 200 OK\r\nperidotrack-request-id: 9c41\r\n\
+                    peridotrack-response-seal: 3e1b\r\ncontent-type: text/event-stream\r\n\
+                    transfer-encoding: chunked\r\n\r\n";
+        stream.write_all(head.as_bytes()).unwrap();
+        drop(stream);
+        thread::sleep(Duration::from_millis(60));
+    });
+    address
+}
+
+/// Guards against a crash that goes unnoticed because the listener outlives the connections for a
+/// moment, or a relay in between accepts one more.
+#[test]
+fn a_server_that_still_accepts_connections_as_it_ends_counts_as_ended() {
+    block_on(async {
+        let fixture = Fixture::spawn(0).await;
+        let prompt = [("peridotrack-prompt-prefix", "f1:10,bad:10,1:10")];
+        for number in 0..3 {
+            let entry = deployment::entry(spawn_ending_server(), "a", "ready");
+            fixture.store.put("servers", &format!("i-{number}"), entry);
+            let is_sent = async || {
+                let response = fixture.send(request("/stream/x", &prompt)).await?;
+                (response.status() == 502).then_some(())
+            };
+            wait::poll(LIMIT, "the crash", is_sent).await.unwrap();
+            monoio::time::sleep(Duration::from_millis(200)).await;
+        }
+        let is_blocked = async || {
+            let response = fixture.send(request("/stream/x", &prompt)).await?;
+            let body = std::str::from_utf8(response.body()).unwrap();
+            body.contains("prompt-part-blocked").then_some(())
+        };
+        wait::poll(LIMIT, "the block", is_blocked).await.unwrap();
+    });
+}
--- a/crates/peridotrack-quarantine/src/event.rs
+++ b/crates/peridotrack-quarantine/src/event.rs
@@ -43,10 +43,12 @@
         /// Name of the server.
         backend_server: name::BackendServer,
     },
-    /// A server accepts connections.
+    /// A server responded. That it accepts a connection shows nothing: it may be about to end.
     ServerAlive {
         /// Name of the server.
         backend_server: name::BackendServer,
+        /// When the request was sent, on the monotonic clock.
+        sent_us: u64,
     },
     /// A response was received whole and is a success.
     Completed {
--- a/crates/peridotrack-quarantine/src/quarantine.rs
+++ b/crates/peridotrack-quarantine/src/quarantine.rs
@@ -93,6 +93,11 @@
         self.check(parts).is_ok() && counts.all(|count| count < self.options.retry_servers)
     }
 
+    /// Returns whether news about servers matters: attempts broke that may be crashes.
+    pub fn is_waiting(&self) -> bool {
+        !self.pending.is_empty()
+    }
+
     /// Returns the blocks in force, the one with the most crashes first.
     pub fn blocks(&self) -> &[Block] {
         &self.verdict.blocks
@@ -113,10 +118,12 @@
             Event::ServerEnded { backend_server } => {
                 self.on_server_ended(now, &backend_server, &mut actions);
             }
-            Event::ServerAlive { backend_server } => {
-                self.pending
-                    .retain(|pending| pending.backend_server != backend_server);
-            }
+            Event::ServerAlive {
+                backend_server,
+                sent_us,
+            } => self.pending.retain(|pending| {
+                pending.backend_server != backend_server || pending.broken_us >= sent_us
+            }),
             Event::Completed { parts } => self.on_completed(now, &parts, &mut actions),
             Event::Stated { author, statement } => {
                 self.on_stated(now, author, statement, &mut actions);
--- a/crates/peridotrack-quarantine/tests/quarantine.rs
+++ b/crates/peridotrack-quarantine/tests/quarantine.rs
@@ -137,7 +137,7 @@
 /// A broken connection alone is no crash: a caller must not be able to have a part blocked.
 #[rstest]
 #[case::unknown(None)]
-#[case::alive(Some(Event::ServerAlive { backend_server: "s-1".into() }))]
+#[case::alive(Some(Event::ServerAlive { backend_server: "s-1".into(), sent_us: 1 }))]
 #[case::late(Some(Event::Tick))]
 fn a_broken_connection_to_a_server_that_has_not_ended_is_no_crash(#[case] news: Option<Event>) {
     let mut quarantine = quarantine();
@@ -157,6 +157,26 @@
     assert_eq!(quarantine.check(&[FATAL]).unwrap().parts, [(FATAL, 1)]);
 }
 
+/// A response that was on its way when the connection broke does not show that the server runs.
+#[test]
+fn a_response_to_an_earlier_request_does_not_exclude_a_crash() {
+    let mut quarantine = quarantine();
+    let trial = quarantine.check(&[FATAL]).unwrap();
+    let broken = Event::Broken {
+        trial,
+        backend_server: "s-1".into(),
+    };
+    quarantine.on_event(at(10), broken);
+    let alive = Event::ServerAlive {
+        backend_server: "s-1".into(),
+        sent_us: 5,
+    };
+    quarantine.on_event(at(20), alive);
+    let backend_server = "s-1".into();
+    quarantine.on_event(at(30), Event::ServerEnded { backend_server });
+    assert_eq!(quarantine.check(&[FATAL]).unwrap().parts, [(FATAL, 2)]);
+}
+
 #[test]
 fn crashes_that_peers_state_count() {
     let mut routers = [quarantine(), quarantine(), quarantine()];
