test(soak): a backend server states a limit, and one that crashes delivers what it had written

The soak had no server that states a limit of requests per second. And the relay of a server that crashed closed its connections before it had forwarded the head of the last response, which no process that ends does; it now refuses connections and lets the open ones end.

--- a/crates/peridotrack-soak/src/check.rs
+++ b/crates/peridotrack-soak/src/check.rs
@@ -23,6 +23,13 @@
 /// Requests with the part that may still be sent then.
 const MAX_LATE_EXECUTIONS: usize = 3;
 
+/// Span in which requests to a server with a limit are counted, in milliseconds.
+const LIMIT_WINDOW_MS: u64 = 4_000;
+/// Requests that such a server may receive beyond its limit in that span.
+const LIMIT_SLACK: f64 = 5.0;
+/// Time after which a router that was told of a limit must keep to it, in milliseconds.
+const TOLD_MS: u64 = 500;
+
 /// A request that a client sent, and its outcome.
 #[derive(Debug, Clone)]
 pub struct SentRequest {
@@ -67,6 +74,20 @@
     pub at_ms: u64,
 }
 
+/// A span in which a backend server stated a limit. Times are in milliseconds since the start of the
+/// run.
+#[derive(Debug, Clone)]
+pub struct StatedLimit {
+    /// Name of the server.
+    pub server: String,
+    /// Requests per second that it took from all routers together.
+    pub limit_per_s: f64,
+    /// When it first stated the limit.
+    pub from_ms: u64,
+    /// When it stated it for the last time.
+    pub to_ms: u64,
+}
+
 /// Everything that was observed in a run. Times are in milliseconds since its start.
 #[derive(Debug, Clone, Default)]
 pub struct Record {
@@ -82,6 +103,8 @@
     pub draining: Vec<(String, u64)>,
     /// Crashes of backend servers, each with the prompt part that caused it and its time.
     pub crashes: Vec<(u64, u64)>,
+    /// Limits that backend servers stated.
+    pub limits: Vec<StatedLimit>,
     /// Times when the prepaid total was written, each with the total in tokens of every account.
     pub prepaid: Vec<(u64, u64)>,
     /// Names of the client accounts, indexed by [`SentRequest::account`].
@@ -122,6 +145,9 @@
         ));
     }
     breaches.extend(check_fatal_parts(record, &requests_by_id));
+    for limit in &record.limits {
+        breaches.extend(check_stated_limit(record, limit, &requests_by_id));
+    }
     breaches.extend(check_spending(record, &execution_counts));
     breaches.extend(check_config_rollback(record));
     breaches.extend(check_recovery(record));
@@ -239,6 +265,54 @@
     breaches
 }
 
+/// Checks that a server which states a limit receives at most one and a half times what it allows in
+/// [`LIMIT_WINDOW_MS`], plus [`LIMIT_SLACK`], from routers that it had told and that no fault
+/// disrupted recently.
+fn check_stated_limit(
+    record: &Record,
+    limit: &StatedLimit,
+    requests_by_id: &BTreeMap<&str, &SentRequest>,
+) -> Option<String> {
+    let span_ms = limit.from_ms..=limit.to_ms;
+    let at_server = record.executions.iter().filter(|execution| {
+        execution.expected_server == limit.server && span_ms.contains(&execution.at_ms)
+    });
+    let sent = at_server.filter_map(|execution| {
+        let sent = requests_by_id.get(&*execution.id)?;
+        Some((execution.at_ms, *sent))
+    });
+    let mut told_ms: BTreeMap<(usize, u64), u64> = BTreeMap::new();
+    for (_, sent) in sent.clone() {
+        let told_ms = told_ms.entry((sent.router, sent.incarnation));
+        let told_ms = told_ms.or_insert(sent.end_ms);
+        *told_ms = (*told_ms).min(sent.end_ms);
+    }
+    let counted = sent.filter(|(at_ms, sent)| {
+        let told_ms = told_ms[&(sent.router, sent.incarnation)];
+        *at_ms >= told_ms + TOLD_MS
+            && *at_ms >= limit.from_ms + bounds::CONTACT_MS
+            && is_undisrupted(record, sent.router, *at_ms, *at_ms)
+    });
+    let counted_ms: Vec<u64> = counted.map(|(at_ms, _)| at_ms).collect();
+    let windows = counted_ms.iter().map(|from_ms| {
+        let window = *from_ms..from_ms + LIMIT_WINDOW_MS;
+        counted_ms
+            .iter()
+            .filter(|at_ms| window.contains(at_ms))
+            .count()
+    });
+    let most = windows.max().unwrap_or(0);
+    let allowed = 1.5 * limit.limit_per_s * LIMIT_WINDOW_MS as f64 / 1_000.0 + LIMIT_SLACK;
+    (most as f64 > allowed).then(|| {
+        let StatedLimit {
+            server,
+            limit_per_s,
+            ..
+        } = limit;
+        format!("{server} stated a limit of {limit_per_s}/s and received {most} requests in 4 s")
+    })
+}
+
 /// Checks that a router with no recent disruption applies a version within
 /// [`bounds::CONFIG_APPLY_MS`].
 fn check_config_applied(record: &Record, sent: &SentRequest) -> Option<String> {
--- a/crates/peridotrack-soak/src/fleet.rs
+++ b/crates/peridotrack-soak/src/fleet.rs
@@ -72,6 +72,8 @@
     pub store: store::Handle,
     /// Backend servers, by index.
     pub backends: Vec<BackendServer>,
+    /// Relays of backend servers that have crashed, which forward what these had sent.
+    ended_links: Vec<Relay>,
 }
 
 impl Fleet {
@@ -94,6 +96,7 @@
         let mut fleet = Self {
             store,
             backends: Vec::new(),
+            ended_links: Vec::new(),
             routers: Vec::new(),
         };
         for number in 0..backends {
@@ -140,9 +143,13 @@
     /// Returns an error if the successor cannot start.
     pub fn end_backend(&mut self, backend: usize) -> eyre::Result<()> {
         let backend = &mut self.backends[backend];
-        backend.handle = backend::spawn().wrap_err("start a backend server")?;
-        backend.link = relay::spawn(backend.handle.address()).wrap_err("start a relay")?;
+        let handle = backend::spawn().wrap_err("start a backend server")?;
+        let link = relay::spawn(handle.address()).wrap_err("start a relay")?;
+        let ended = std::mem::replace(&mut backend.link, link);
+        ended.refuse_connections();
+        backend.handle = handle;
         backend.is_down = true;
+        self.ended_links.push(ended);
         Ok(())
     }
 
@@ -267,6 +274,7 @@
         backend.link.set(Link::Open);
         backend.handle.set_mode(backend::Mode::Serve);
         backend.handle.set_fatal_part(None);
+        backend.handle.set_limit(None);
     }
     for router in &fleet.routers {
         router.link.set(Link::Open);
--- a/crates/peridotrack-soak/src/run.rs
+++ b/crates/peridotrack-soak/src/run.rs
@@ -220,6 +220,19 @@
         }
         Fault::Configure => run.write_config(0),
         Fault::TopUp => run.write_config(TOP_UP_TOKENS),
+        Fault::StatedRate(backend, per_10_s) => {
+            let limit_per_s = f64::from(per_10_s) / 10.0;
+            let server = state_rate(&run, backend, Some(limit_per_s));
+            let from_ms = run.now_ms();
+            monoio::time::sleep(duration).await;
+            state_rate(&run, backend, None);
+            run.record.borrow_mut().limits.push(check::StatedLimit {
+                server,
+                limit_per_s,
+                from_ms,
+                to_ms: run.now_ms(),
+            });
+        }
         Fault::FatalPart(part) => crash_backends(&run, part, duration).await?,
     }
     let duration_ms = run.now_ms() - at_ms;
@@ -254,6 +267,13 @@
     }
 }
 
+/// Sets the limit that a backend server states; returns the server's name.
+fn state_rate(run: &Run, backend: usize, limit_per_s: Option<f64>) -> String {
+    let backend = &run.fleet.borrow().backends[backend];
+    backend.handle.set_limit(limit_per_s);
+    backend.name.clone()
+}
+
 /// Has clients send requests with a part under which backend servers crash, and registers each that
 /// has crashed again. Waits until all are registered.
 async fn crash_backends(run: &Rc<Run>, part: u64, duration: Duration) -> eyre::Result<()> {
--- a/crates/peridotrack-soak/src/schedule.rs
+++ b/crates/peridotrack-soak/src/schedule.rs
@@ -17,6 +17,8 @@
 /// Durations of the troubles of backend servers, in milliseconds: longer than the time in which
 /// routers must have reacted.
 const TROUBLE_DURATION_MS: std::ops::Range<u64> = 6_000..12_000;
+/// Stated limits, in requests in 10 s.
+const STATED_REQUESTS: std::ops::Range<u32> = 10..60;
 /// Number of slots that [`random_fault`] maps to faults; frequent faults have several.
 const FAULT_SLOTS: u32 = 20;
 /// Most occurrences of one fault in a row.
@@ -64,6 +66,8 @@
     TopUp,
     /// Clients send requests with a prompt part under which backend servers crash.
     FatalPart(u64),
+    /// A backend server states a limit of so many requests in 10 s, of all routers together.
+    StatedRate(usize, u32),
 }
 
 /// A fault or planned change of a schedule, with its timing.
@@ -121,6 +125,14 @@
             fault: Fault::FatalPart(rng.u64(..)),
         });
     }
+    if rng.bool() {
+        let backend = rng.usize(..shape.backends);
+        steps.push(Step {
+            at_ms: rng.u64(..shape.duration_ms),
+            duration_ms: rng.u64(TROUBLE_DURATION_MS),
+            fault: Fault::StatedRate(backend, rng.u32(STATED_REQUESTS)),
+        });
+    }
     steps
 }
 
@@ -173,7 +185,8 @@
             | Self::Reload(_)
             | Self::Configure
             | Self::TopUp
-            | Self::FatalPart(_) => false,
+            | Self::FatalPart(_)
+            | Self::StatedRate(..) => false,
         }
     }
 
--- a/crates/peridotrack-soak/tests/check.rs
+++ b/crates/peridotrack-soak/tests/check.rs
@@ -2,7 +2,7 @@
 //! promises allow.
 
 use peridotrack_soak::{
-    check::{Execution, Record, SentRequest, check},
+    check::{Execution, Record, SentRequest, StatedLimit, check},
     schedule::{Fault, Step},
 };
 use peridotrack_standin::hosted::{
@@ -246,3 +246,56 @@
     };
     assert!(check(&disrupted).is_empty());
 }
+
+/// Returns a record with a server that states a limit of 1 a second, allowed to receive 11 requests in
+/// 4 s, and `count` requests there, 100 ms apart, from 4 s after it first stated it.
+fn limited(count: u64) -> Record {
+    let at_ms = |number: u64| match number {
+        0 => AT_MS - 4_000,
+        _ => AT_MS + 100 * number,
+    };
+    let request = |number| SentRequest {
+        id: format!("r-{number}"),
+        at_ms: at_ms(number),
+        end_ms: at_ms(number) + 50,
+        prompt_tokens: 1,
+        ..sent(Kind::Safe, Outcome::Status(200))
+    };
+    let execution = |number| Execution {
+        id: format!("r-{number}"),
+        at_ms: at_ms(number),
+        ..execution()
+    };
+    let numbers = 0..=count;
+    let (requests, executions) = numbers
+        .map(|number| (request(number), execution(number)))
+        .unzip();
+    Record {
+        limits: vec![StatedLimit {
+            server: "i-1".to_owned(),
+            limit_per_s: 1.0,
+            from_ms: AT_MS - 4_000,
+            to_ms: AT_MS + 10_000,
+        }],
+        ..record(requests, executions)
+    }
+}
+
+#[rstest]
+#[case::allowed(11, false)]
+#[case::one_more(12, true)]
+fn more_requests_than_a_stated_limit_allows_are_a_breach(
+    #[case] count: u64,
+    #[case] is_breach: bool,
+) {
+    assert_eq!(!check(&limited(count)).is_empty(), is_breach);
+}
+
+#[test]
+fn a_disrupted_router_may_exceed_a_stated_limit() {
+    let disrupted = Record {
+        steps: vec![step(AT_MS - 500, Fault::Pause(0))],
+        ..limited(12)
+    };
+    assert!(check(&disrupted).is_empty());
+}
--- a/crates/peridotrack-standin/src/harness/relay.rs
+++ b/crates/peridotrack-standin/src/harness/relay.rs
@@ -45,6 +45,7 @@
     link: Cell<Link>,
     changed: Notify,
     forwarded_bytes: Cell<u64>,
+    is_refusing: Notify,
     stop: Notify,
 }
 
@@ -64,6 +65,7 @@
         link: Cell::new(Link::Open),
         changed: Notify::default(),
         forwarded_bytes: Cell::new(0),
+        is_refusing: Notify::default(),
         stop: Notify::default(),
     });
     monoio::spawn(accept(listener, shared.clone()));
@@ -87,6 +89,12 @@
         self.shared.target.set(target);
     }
 
+    /// Closes the listener, so that connections are refused from now on. Open ones end with the
+    /// target's, after what it sent was forwarded.
+    pub fn refuse_connections(&self) {
+        self.shared.is_refusing.notify();
+    }
+
     /// Returns the number of bytes forwarded, in both directions together.
     pub fn forwarded_bytes(&self) -> u64 {
         self.shared.forwarded_bytes.get()
@@ -134,6 +142,7 @@
     loop {
         let accepted = monoio::select! {
             accepted = listener.accept() => accepted,
+            () = shared.is_refusing.changed(0) => return,
             () = shared.stop.changed(0) => return,
         };
         if let Ok((stream, _)) = accepted {
