test(soak): a request held up on its link is not late at a drained server

The timeline shows the link to the server stalled from 7.8 s to 12.5 s while it was drained from 10.0 s on; the log of such a request ends with its own timeout, and its bytes arrived when the link opened.

--- a/crates/peridotrack-soak/src/check.rs
+++ b/crates/peridotrack-soak/src/check.rs
@@ -10,7 +10,7 @@
     deployment::{Kind, bounds},
 };
 
-use crate::schedule::Step;
+use crate::schedule::{Fault, Step};
 
 /// Allowance for request transit and for timestamps taken by different tasks, in milliseconds.
 const SLACK_MS: u64 = 300;
@@ -74,6 +74,17 @@
     pub at_ms: u64,
 }
 
+/// The drain of a backend server.
+#[derive(Debug, Clone)]
+pub struct Drain {
+    /// Name of the server.
+    pub server: String,
+    /// Index of the server, through all its incarnations.
+    pub backend: usize,
+    /// When the store marked it draining, in milliseconds since the start of the run.
+    pub at_ms: u64,
+}
+
 /// A span in which a backend server stated a limit. Times are in milliseconds since the start of the
 /// run.
 #[derive(Debug, Clone)]
@@ -99,8 +110,8 @@
     pub steps: Vec<Step>,
     /// Configuration versions, each with the time when it was written to the store; ascending.
     pub versions: Vec<(u64, u64)>,
-    /// Names of drained backend servers, each with the time when the store marked it draining.
-    pub draining: Vec<(String, u64)>,
+    /// Backend servers that were drained.
+    pub draining: Vec<Drain>,
     /// Crashes of backend servers, each with the prompt part that caused it and its time.
     pub crashes: Vec<(u64, u64)>,
     /// Limits that backend servers stated.
@@ -195,10 +206,11 @@
     let drained = record
         .draining
         .iter()
-        .find(|(name, _)| *name == execution.expected_server);
-    let is_late = drained.is_some_and(|(_, at_ms)| {
-        execution.at_ms > at_ms + bounds::DRAIN_MS + SLACK_MS
+        .find(|drain| drain.server == execution.expected_server);
+    let is_late = drained.is_some_and(|drain| {
+        execution.at_ms > drain.at_ms + bounds::DRAIN_MS + SLACK_MS
             && is_undisrupted(record, sent.router, sent.at_ms, execution.at_ms)
+            && !is_held_up(record, drain.backend, execution.at_ms)
     });
     is_late.then(|| {
         format!(
@@ -208,6 +220,17 @@
     })
 }
 
+/// Returns whether the link to a backend server failed in the [`bounds::CONTACT_MS`] before `at_ms`: a
+/// request that was sent in time may then arrive late.
+fn is_held_up(record: &Record, backend: usize, at_ms: u64) -> bool {
+    let from_ms = at_ms.saturating_sub(bounds::CONTACT_MS);
+    record.steps.iter().any(|step| {
+        matches!(step.fault, Fault::BackendLink(failed, _) if failed == backend)
+            && step.at_ms <= at_ms
+            && step.at_ms + step.duration_ms >= from_ms
+    })
+}
+
 /// Returns whether no fault disrupted the router or the store between `from_ms`, less
 /// [`bounds::CONTACT_MS`], and `to_ms`.
 fn is_undisrupted(record: &Record, router: usize, from_ms: u64, to_ms: u64) -> bool {
--- a/crates/peridotrack-soak/src/run.rs
+++ b/crates/peridotrack-soak/src/run.rs
@@ -252,13 +252,17 @@
         .borrow()
         .draining
         .iter()
-        .any(|(drained, _)| *drained == name)
+        .any(|drain| drain.server == name)
     {
         return;
     }
     run.fleet.borrow().drain(backend);
     let at_ms = run.now_ms();
-    run.record.borrow_mut().draining.push((name.clone(), at_ms));
+    run.record.borrow_mut().draining.push(check::Drain {
+        server: name.clone(),
+        backend,
+        at_ms,
+    });
     monoio::time::sleep(REMOVAL_DELAY).await;
     let mut fleet = run.fleet.borrow_mut();
     fleet.store.remove("servers", &name);
