fix(quarantine): a request cut off by a loss of power keeps its retry

What callers would see: many servers end at once, and a request whose response had just begun is not sent again if two of them ended under one of its parts, which holds for every popular part.

Cause: a retry was denied by the number of crashes under a part. Servers that end together say nothing about a part; crashes in sequence do.

Change: a retry is denied from depth 2 on, as the block counts.

Result: servers_that_end_together_block_no_part also asks for the retry; that fails with the rule before (20 crashes of depth 1).

--- a/crates/peridotrack-quarantine/src/options.rs
+++ b/crates/peridotrack-quarantine/src/options.rs
@@ -9,8 +9,8 @@
     pub proof_depth: u32,
     /// Number of ended servers that prove a part with a crash of depth 2.
     pub proof_servers: usize,
-    /// Number of ended servers from which on a failed request with the part is not sent again.
-    pub retry_servers: usize,
+    /// Depth of a crash from which on a failed request with the part is not sent again.
+    pub no_retry_depth: u32,
     /// Time for which a broken attempt waits for the news that its server has ended.
     pub pending_us: u64,
     /// Delay that batches changes into one statement to the peers.
@@ -36,7 +36,7 @@
         Self {
             proof_depth: 3,
             proof_servers: 5,
-            retry_servers: 2,
+            no_retry_depth: 2,
             pending_us: 5_000_000,
             send_delay_us: 20_000,
             write_delay_us: 200_000,
--- a/crates/peridotrack-quarantine/src/quarantine.rs
+++ b/crates/peridotrack-quarantine/src/quarantine.rs
@@ -89,8 +89,8 @@
     /// Returns whether a request with these shared parts may be sent again after its server ended.
     pub fn may_retry(&self, parts: &[Part]) -> bool {
         let unexplained = |part| self.verdict.unexplained.get(part).copied();
-        let mut counts = parts.iter().filter_map(unexplained);
-        self.check(parts).is_ok() && counts.all(|count| count < self.options.retry_servers)
+        let mut depths = parts.iter().filter_map(unexplained);
+        self.check(parts).is_ok() && depths.all(|depth| depth < self.options.no_retry_depth)
     }
 
     /// Returns whether news about servers matters: attempts broke that may be crashes.
--- a/crates/peridotrack-quarantine/src/verdict.rs
+++ b/crates/peridotrack-quarantine/src/verdict.rs
@@ -40,8 +40,8 @@
 pub struct Verdict {
     /// Blocks, the one with the most crashes first.
     pub blocks: Vec<Block>,
-    /// Number of crashes that no block explains, by part.
-    pub unexplained: HashMap<Part, usize>,
+    /// Greatest depth of the crashes that no block explains, by part.
+    pub unexplained: HashMap<Part, u32>,
 }
 
 /// Explains the crashes by as few parts as possible.
@@ -77,7 +77,7 @@
         blocks,
         unexplained: remaining
             .into_iter()
-            .map(|(part, crashes)| (part, crashes.len()))
+            .map(|(part, crashes)| (part, max_depth(&crashes)))
             .collect(),
     }
 }
--- a/crates/peridotrack-quarantine/tests/quarantine.rs
+++ b/crates/peridotrack-quarantine/tests/quarantine.rs
@@ -93,6 +93,7 @@
         quarantine.on_event(at(0), Event::ServerEnded { backend_server });
     }
     assert!(quarantine.check(&[FIRST]).is_ok());
+    assert!(quarantine.may_retry(&[FIRST]));
 }
 
 /// Guards against the block of parts that a sound request shares with those that crash servers.
