refactor(gateway): reports of crashes in a module of their own

The loop over the attempts of a request had grown by the outcomes of a block. Reports to the quarantine and the refusal of blocked requests move to `gateway/crash`, the final answers to functions of their own.

--- a/crates/peridotrack-edge/src/gateway.rs
+++ b/crates/peridotrack-edge/src/gateway.rs
@@ -5,6 +5,7 @@
 //! names are those of the users' platform; `peridotrack-platform` encodes and decodes them.
 
 mod attempt;
+mod crash;
 mod directory;
 mod exchange;
 mod options;
@@ -22,9 +23,7 @@
 use peridotrack_kernel::{Kernel, clock, event, log, registry};
 use peridotrack_member::message::State;
 use peridotrack_platform::{directory as directory_wire, site as site_wire};
-use peridotrack_quarantine::{
-    event::Event as QuarantineEvent, options as quarantine_options, statement,
-};
+use peridotrack_quarantine::{event as quarantine_event, options as quarantine_options, statement};
 use peridotrack_types::{gateway::Settings, id};
 
 use crate::{budget, follow, member, metric, peer, platform, quarantine, route, throttle};
@@ -380,7 +379,7 @@
             follow.receive(sender.incarnation, &kind, message);
         }
         peer::Frame::Quarantine { author, statement } => {
-            quarantine.handle(QuarantineEvent::Stated { author, statement });
+            quarantine.handle(quarantine_event::Event::Stated { author, statement });
         }
         peer::Frame::RateLimit {
             failure_domain,
--- a/crates/peridotrack-edge/src/gateway/attempt.rs
+++ b/crates/peridotrack-edge/src/gateway/attempt.rs
@@ -4,19 +4,18 @@
 //! From its result, which states whether the request may have run, the routing service decides
 //! whether the request may be sent again.
 
-use std::{future::Future, io, rc::Rc, time::Duration};
+use std::{future::Future, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http::StatusCode;
 use peridotrack_http::{client, server};
 use peridotrack_kernel::clock;
 use peridotrack_platform::{request as request_wire, response as response_wire};
-use peridotrack_quarantine::event as quarantine_event;
 use peridotrack_route::event::{Event, Outcome};
 use peridotrack_types::site;
 
 use super::{
-    Shared, options,
+    Shared, crash, options,
     request::RoutedRequest,
     reservation::ReservationGuard,
     response,
@@ -177,7 +176,7 @@
         if metadata.is_not_run {
             self.reservation.mark_not_run();
             if metadata.is_misdirected {
-                self.server_ended();
+                crash::report_end(self.shared, self.target);
                 self.ticket.backend_server_leaving();
             }
             return Some(AttemptResult::Failed {
@@ -245,8 +244,8 @@
                 events_seen: progress.events_seen(),
             },
         };
-        if error.step == client::Step::Connect && is_refused(&error.kind) {
-            self.server_ended();
+        if error.step == client::Step::Connect && crash::is_refused(error) {
+            crash::report_end(self.shared, self.target);
         }
         AttemptResult::Failed {
             outcome,
@@ -256,31 +255,6 @@
         }
     }
 
-    /// Reports an attempt whose connection broke when the response had just begun, and whether the
-    /// server refuses connections since.
-    pub(super) async fn report_break(&self, trial: quarantine_event::Trial) {
-        let event = quarantine_event::Event::Broken {
-            trial,
-            backend_server: self.target.backend_server.clone(),
-        };
-        self.shared.quarantine.handle(event);
-        if has_ended(self.shared, self.target).await {
-            return;
-        }
-        // The listener of a server that ends may accept one more connection. If the server is cut
-        // off, the directory shows later whether it has ended.
-        let (shared, target) = (Rc::clone(self.shared), self.target.clone());
-        monoio::spawn(async move {
-            let timer = shared.kernel.timer();
-            timer.sleep_us(options::LIVENESS_RECHECK_US).await;
-            has_ended(&shared, &target).await;
-        });
-    }
-
-    fn server_ended(&self) {
-        server_ended(self.shared, self.target);
-    }
-
     /// Returns the result of an attempt that the deadline of the request ended.
     fn timed_out(&self) -> AttemptResult {
         AttemptResult::Failed {
@@ -294,28 +268,6 @@
     }
 }
 
-/// Connects to a server, and reports its end if it refuses the connection; returns whether it does.
-async fn has_ended(shared: &Shared, target: &route::Destination) -> bool {
-    match client::Connection::connect(target.address, options::liveness()).await {
-        Ok(connection) => {
-            shared.pool.put(connection);
-            false
-        }
-        Err(error) if is_refused(&error.kind) => {
-            server_ended(shared, target);
-            true
-        }
-        Err(_) => false,
-    }
-}
-
-fn server_ended(shared: &Shared, target: &route::Destination) {
-    let event = quarantine_event::Event::ServerEnded {
-        backend_server: target.backend_server.clone(),
-    };
-    shared.quarantine.handle(event);
-}
-
 /// Returns the result of an attempt whose response is not a success; the request may have run.
 fn failed_response(detail: String, response: Option<http::Response<Bytes>>) -> AttemptResult {
     AttemptResult::Failed {
@@ -335,11 +287,6 @@
     error.step != client::Step::Connect && is_broken
 }
 
-/// Returns whether nothing listens at the address any more.
-fn is_refused(kind: &client::Kind) -> bool {
-    matches!(kind, client::Kind::Io(error) if error.kind() == io::ErrorKind::ConnectionRefused)
-}
-
 /// Returns whether clients read the status as a statement that the request did not run.
 ///
 /// A backend server that did not run the request proves it with a header. Its response with such a
--- a/crates/peridotrack-edge/src/gateway/exchange.rs
+++ b/crates/peridotrack-edge/src/gateway/exchange.rs
@@ -10,19 +10,19 @@
 use peridotrack_http::server;
 use peridotrack_kernel::{clock, event};
 use peridotrack_platform::directory as directory_wire;
-use peridotrack_quarantine::{event as quarantine_event, statement::Part, verdict};
+use peridotrack_quarantine::verdict;
 use peridotrack_route::event::Outcome;
 use peridotrack_types::{name, problem};
 
 use super::{
     Shared,
     attempt::{self, AttemptResult},
-    options,
+    crash,
     request::{self, RoutedRequest},
     reservation::{self, ReservationGuard},
     response, stream,
 };
-use crate::{quarantine, route};
+use crate::route;
 
 /// Reason why a connection must be closed after an exchange.
 #[derive(Debug)]
@@ -84,38 +84,17 @@
         };
         let target = match step.into_destination() {
             Ok(target) => target,
-            Err(route::Refusal {
-                kind,
-                retry_after_ms,
-            }) => {
-                if progress.has_started() {
-                    return abort(
-                        shared,
-                        request,
-                        reservation,
-                        "no backend server continues the stream",
-                    );
-                }
-                if let Some(response) = last_response {
-                    return respond(shared, connection, response).await;
-                }
-                let problem = match kind.ran() {
-                    problem::Ran::No => problem::Problem::new(kind, "no backend server took it")
-                        .retry_after_ms(retry_after_ms),
-                    problem::Ran::Unknown if request.remaining_us(shared) == 0 => {
-                        response::timed_out()
-                    }
-                    problem::Ran::Unknown => problem::Problem::new(kind, "the attempt failed"),
-                };
-                return refuse(
-                    shared,
-                    connection,
-                    Some(request),
-                    Some(reservation),
-                    &problem,
-                )
-                .await;
+            Err(_) if progress.has_started() => {
+                let detail = "no backend server continues the stream";
+                return abort(shared, request, reservation, detail);
             }
+            Err(refusal) => match last_response {
+                Some(response) => return respond(shared, connection, response).await,
+                None => {
+                    return refuse_unplaced(shared, connection, request, reservation, refusal)
+                        .await;
+                }
+            },
         };
         let trial = match shared.quarantine.check(&request.shared_parts) {
             Ok(trial) if may_retry => trial,
@@ -126,13 +105,7 @@
                 let detail = "backend servers end under a part of the prompt";
                 return abort(shared, request, reservation, detail);
             }
-            Ok(_) | Err(_) => {
-                let kind = problem::Kind::BackendFailed;
-                let detail = "the backend server ended, and others did under the same prompt part";
-                let problem = problem::Problem::new(kind, detail);
-                let (request, reservation) = (Some(request), Some(reservation));
-                return refuse(shared, connection, request, reservation, &problem).await;
-            }
+            Ok(_) | Err(_) => return refuse_retry(shared, connection, request, reservation).await,
         };
         let event = event::Event::new(event::Kind::RequestDispatched)
             .with("backend_server", target.backend_server.as_str())
@@ -150,7 +123,7 @@
             AttemptResult::Responded(response) => {
                 ticket.finished(Outcome::Done);
                 if response.status().is_success() {
-                    clear_parts(shared, request);
+                    crash::report_completion(shared, request);
                 }
                 note_completed(shared, request, reservation, &target, &progress);
                 return respond(shared, connection, response).await;
@@ -158,7 +131,7 @@
             AttemptResult::Streamed => {
                 ticket.finished(Outcome::Done);
                 if progress.events_seen() > 0 {
-                    clear_parts(shared, request);
+                    crash::report_completion(shared, request);
                 }
                 note_completed(shared, request, reservation, &target, &progress);
                 return Ok(());
@@ -183,7 +156,7 @@
                 shared.metrics.failed_attempts.increment(1);
                 last_response = response;
                 if is_disconnected && progress.stage() == stream::Stage::Begun {
-                    attempt.report_break(trial).await;
+                    crash::report_break(shared, &target, trial).await;
                     may_retry = shared.quarantine.may_retry(&request.shared_parts);
                 }
                 ticket.finished(outcome);
@@ -192,11 +165,41 @@
     }
 }
 
-/// Records that the backend servers do not end under the parts of a completed request.
-fn clear_parts(shared: &Shared, request: &RoutedRequest) {
-    let parts = request.shared_parts.clone();
-    let event = quarantine_event::Event::Completed { parts };
-    shared.quarantine.handle(event);
+/// Ends a request that the routing service does not place, again or at all.
+async fn refuse_unplaced(
+    shared: &Rc<Shared>,
+    connection: &mut server::Connection,
+    request: &RoutedRequest,
+    reservation: &ReservationGuard,
+    refusal: route::Refusal,
+) -> Result<(), Error> {
+    let route::Refusal {
+        kind,
+        retry_after_ms,
+    } = refusal;
+    let problem = match kind.ran() {
+        problem::Ran::No => {
+            problem::Problem::new(kind, "no backend server took it").retry_after_ms(retry_after_ms)
+        }
+        problem::Ran::Unknown if request.remaining_us(shared) == 0 => response::timed_out(),
+        problem::Ran::Unknown => problem::Problem::new(kind, "the attempt failed"),
+    };
+    let (request, reservation) = (Some(request), Some(reservation));
+    refuse(shared, connection, request, reservation, &problem).await
+}
+
+/// Ends a request that was sent and is not sent again, because backend servers end under a part of
+/// its prompt.
+async fn refuse_retry(
+    shared: &Rc<Shared>,
+    connection: &mut server::Connection,
+    request: &RoutedRequest,
+    reservation: &ReservationGuard,
+) -> Result<(), Error> {
+    let detail = "the backend server ended, and others did under the same prompt part";
+    let problem = problem::Problem::new(problem::Kind::BackendFailed, detail);
+    let (request, reservation) = (Some(request), Some(reservation));
+    refuse(shared, connection, request, reservation, &problem).await
 }
 
 /// Refuses a request that was not sent, because backend servers end under a part of its prompt.
@@ -206,20 +209,8 @@
     request: &RoutedRequest,
     block: &verdict::Block,
 ) -> Result<(), Error> {
-    let parts: Vec<_> = block.parts.iter().map(Part::to_string).collect();
-    let detail = format!(
-        "{} backend servers ended when they began to answer requests with the prompt parts {}",
-        block.crashes.len(),
-        parts.join(",")
-    );
-    let problem = problem::Problem::new(problem::Kind::PromptPartBlocked, detail)
-        .retry_after_ms(options::BLOCKED_RETRY_MS);
-    let event = event::Event::new(event::Kind::RequestRefused)
-        .with("client_request", request.client_request())
-        .with("route", &*request.route().name)
-        .with("problem", problem.type_urn.as_str())
-        .with("detail", problem.detail.as_str());
-    request.note(shared, quarantine::describe_block(event, block));
+    let (problem, event) = crash::refusal(request, block);
+    request.note(shared, event);
     shared.metrics.refused(problem.ran).increment(1);
     respond(shared, connection, response::problem(&problem)).await
 }
