--- a/crates/peridotrack-soak/src/lib.rs
+++ b/crates/peridotrack-soak/src/lib.rs
@@ -11,6 +11,7 @@
 //! assert_eq!(plan(7, &shape), plan(7, &shape));
 //! ```
 
+mod apply;
 pub mod check;
 pub mod fleet;
 pub mod run;
