fix(quarantine): a refused creation of the statement is not repeated forever

What would be seen: a router that writes its statement twice a second from the first crash on, and whose crashes reach no router that peers do not reach.

Cause: a router creates its object if the list had none. If a delayed write of an earlier incarnation created it since, the store refuses with 409; only the refusal of a wrong revision contains the object, so that the router went on without a revision.

Change: without the object in the refusal the router reads it, as the ledger does.

--- a/crates/peridotrack-edge/src/quarantine.rs
+++ b/crates/peridotrack-edge/src/quarantine.rs
@@ -177,7 +177,14 @@
                 Event::Written
             }
             Err(platform::Error::Conflict { current, .. }) => {
-                self.adopt(current);
+                let current = match current {
+                    Some(object) => Ok(Some(object)),
+                    None => self.platform.read(&key).await,
+                };
+                // After a failed read the next write conflicts again.
+                if let Ok(current) = current {
+                    self.adopt(current);
+                }
                 Event::WriteFailed
             }
             Err(_) => Event::WriteFailed,
--- a/crates/peridotrack-edge/tests/gateway/prompt_parts.rs
+++ b/crates/peridotrack-edge/tests/gateway/prompt_parts.rs
@@ -13,6 +13,8 @@
     hosted::deployment,
 };
 
+use serde_json::json;
+
 use crate::{
     fixture::{Fixture, LIMIT, request},
     fleet::{COUNTED_CRASHES, FATAL_PART, Fleet},
@@ -99,3 +101,26 @@
         wait::poll(LIMIT, "the block", is_blocked).await.unwrap();
     });
 }
+
+/// Guards against a write that is repeated forever: the object was created by a delayed write of an
+/// earlier incarnation, and the refusal of the new one does not contain it.
+#[test]
+fn a_statement_is_written_although_the_object_appeared_after_the_list() {
+    block_on(async {
+        let fixture = Fixture::spawn(0).await;
+        let stored = json!({"sequence": 1, "crashes": [], "clearances": []});
+        fixture.store.put("quarantine", "vm-1", stored.clone());
+        let entry = deployment::entry(spawn_ending_server(), "a", "ready");
+        fixture.store.put("servers", "i-0", entry);
+        let prompt = [("peridotrack-prompt-prefix", "f1:10,bad:10,1:10")];
+        let is_sent = async || {
+            let response = fixture.send(request("/stream/x", &prompt)).await?;
+            (response.status() == 502).then_some(())
+        };
+        wait::poll(LIMIT, "the crash", is_sent).await.unwrap();
+        let is_written = || fixture.store.get("quarantine", "vm-1") != Some(stored.clone());
+        wait::until(LIMIT, "the written statement", is_written)
+            .await
+            .unwrap();
+    });
+}
--- a/crates/peridotrack-standin/src/hosted/store.rs
+++ b/crates/peridotrack-standin/src/hosted/store.rs
@@ -287,7 +287,8 @@
         let existing = self.state.borrow().objects.get(&key).cloned();
         let expected = document["metadata"]["revision"].as_u64();
         let refusal = match (name, &existing) {
-            (None, Some(object)) => Some((StatusCode::CONFLICT, object.document(&key.1))),
+            // Only the refusal of a wrong revision contains the object.
+            (None, Some(_)) => Some((StatusCode::CONFLICT, Value::Null)),
             (Some(_), None) => Some((StatusCode::NOT_FOUND, Value::Null)),
             (Some(_), Some(object))
                 if expected.is_some_and(|expected| expected != object.revision) =>
