feat(gateway): events state how a request arrived at a stopping router

The log could not say on what connection a stopping router received a request, nor how long the request took to arrive: RequestAccepted is a debug event, and an idle connection, a body in several pieces and a request sent ahead behind a stream look alike in it.

RequestAtStop (211, info) states the time since the stop began, the time from the first byte of the request to its last, and whether its connection has carried another request. The wait for the first bytes is a step of its own, idle::wait_for_request, so that this time can be taken. Nothing else changes.

--- a/crates/peridotrack-edge/src/caller/server.rs
+++ b/crates/peridotrack-edge/src/caller/server.rs
@@ -226,7 +226,10 @@
 
     async fn serve_requests(&self, connection: &mut server::Connection) {
         loop {
-            let request = match idle::next_request(connection, &self.closing).await {
+            if !idle::wait_for_request(connection, &self.closing).await {
+                return;
+            }
+            let request = match connection.next().await {
                 Ok(Some(request)) => request,
                 Ok(None) => return,
                 Err(error) => {
--- a/crates/peridotrack-edge/src/gateway.rs
+++ b/crates/peridotrack-edge/src/gateway.rs
@@ -88,7 +88,8 @@
     metrics: metric::Requests,
     site: site::Current,
     directory: directory::Directory,
-    is_stopping: Cell<bool>,
+    /// When the gateway began to stop, in monotonic microseconds.
+    stopping_since_us: Cell<Option<u64>>,
     sequence: Cell<u64>,
 }
 
@@ -168,7 +169,7 @@
             metrics: metric::Requests::register(kernel.meter()),
             site: site::Current::default(),
             directory: directory::Directory::default(),
-            is_stopping: Cell::new(false),
+            stopping_since_us: Cell::new(None),
             sequence: Cell::new(0),
             settings,
             kernel,
@@ -236,7 +237,8 @@
 impl Gateway {
     /// Reports the gateway as not ready, while requests are still served.
     pub fn begin_stop(&self) {
-        self.shared.is_stopping.set(true);
+        let now_us = self.shared.kernel.now_us();
+        self.shared.stopping_since_us.set(Some(now_us));
         self.shared.member.set_state(State::Stopping);
         let event = event::Event::new(event::Kind::RouterStopping)
             .with("open_requests", self.clients.open_requests() as u64);
--- a/crates/peridotrack-edge/src/gateway/exchange.rs
+++ b/crates/peridotrack-edge/src/gateway/exchange.rs
@@ -20,7 +20,9 @@
     crash,
     request::{self, RoutedRequest},
     reservation::{self, ReservationGuard},
-    response, stream,
+    response,
+    server::Arrival,
+    stream,
 };
 use crate::route;
 
@@ -48,11 +50,13 @@
     shared: &Rc<Shared>,
     connection: &mut server::Connection,
     received: server::Request,
+    arrival: Arrival,
 ) -> Result<(), Error> {
     let request = match request::accept(shared, received) {
         Ok(request) => request,
         Err(problem) => return refuse(shared, connection, None, None, &problem).await,
     };
+    note_arrival_at_stop(shared, &request, arrival);
     if let Err(block) = shared.quarantine.check(&request.shared_parts) {
         return refuse_blocked(shared, connection, &request, &block).await;
     }
@@ -66,6 +70,20 @@
     }
 }
 
+/// Records how a request arrived at a gateway that is stopping.
+fn note_arrival_at_stop(shared: &Shared, request: &RoutedRequest, arrival: Arrival) {
+    let Some(begun_us) = shared.stopping_since_us.get() else {
+        return;
+    };
+    let event = event::Event::new(event::Kind::RequestAtStop)
+        .with("client_request", request.client_request())
+        .with("route", &*request.route().name)
+        .with("since_stop_us", request.arrived_us - begun_us)
+        .with("receive_us", request.arrived_us - arrival.began_us)
+        .with("is_kept_connection", arrival.is_kept);
+    request.note(shared, event);
+}
+
 /// Sends the request to backend servers until one responds or the routing service refuses it.
 async fn forward(
     shared: &Rc<Shared>,
@@ -315,7 +333,7 @@
     connection: &mut server::Connection,
     mut response: http::Response<Bytes>,
 ) -> Result<(), Error> {
-    if shared.is_stopping.get() {
+    if shared.stopping_since_us.get().is_some() {
         let close = http::HeaderValue::from_static("close");
         response
             .headers_mut()
--- a/crates/peridotrack-edge/src/gateway/server.rs
+++ b/crates/peridotrack-edge/src/gateway/server.rs
@@ -21,6 +21,15 @@
 /// Maximum wait for a client to accept 64 KiB of a response, in milliseconds.
 const WRITE_TIMEOUT_MS: u64 = 10_000;
 
+/// How a request arrived.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Arrival {
+    /// When its first bytes were received, in monotonic microseconds.
+    pub(super) began_us: u64,
+    /// Whether its connection has carried another request before.
+    pub(super) is_kept: bool,
+}
+
 /// The running listener for clients.
 pub(super) struct Server {
     shared: Rc<Shared>,
@@ -103,8 +112,16 @@
             ..server::Options::default()
         };
         let mut connection = server::Connection::new(stream, options);
+        let mut is_kept = false;
         loop {
-            let request = match idle::next_request(&mut connection, &self.closing).await {
+            if !idle::wait_for_request(&connection, &self.closing).await {
+                return;
+            }
+            let arrival = Arrival {
+                began_us: self.shared.kernel.now_us(),
+                is_kept,
+            };
+            let request = match connection.next().await {
                 Ok(Some(request)) => request,
                 Ok(None) => return,
                 Err(error) => {
@@ -115,11 +132,12 @@
                 }
             };
             self.open_requests.set(self.open_requests.get() + 1);
-            let result = exchange::serve(&self.shared, &mut connection, request).await;
+            let result = exchange::serve(&self.shared, &mut connection, request, arrival).await;
             self.open_requests.set(self.open_requests.get() - 1);
             if result.is_err() || !connection.keep_alive() {
                 return;
             }
+            is_kept = true;
         }
     }
 }
--- a/crates/peridotrack-edge/src/idle.rs
+++ b/crates/peridotrack-edge/src/idle.rs
@@ -1,7 +1,7 @@
-//! Reads the next request of a connection, and closes idle connections at shutdown.
+//! Waits for the next request of a connection, and closes idle connections at shutdown.
 //!
-//! A server has one [`Closing`] for all its connections and calls [`next_request`] for each
-//! request.
+//! A server has one [`Closing`] for all its connections and calls [`wait_for_request`] before it
+//! reads each request.
 
 use std::cell::Cell;
 
@@ -29,27 +29,19 @@
     }
 }
 
-/// Reads the next request; `None` if the connection ends, or if it is idle after `closing` began.
+/// Waits for the first bytes of the next request. Returns `false` if the connection is idle and
+/// `closing` has begun, so that it is to be closed.
 ///
-/// # Errors
-///
-/// Returns an error if the request cannot be read; [`crate::caller::response::for_read_error`]
-/// returns the response to it.
-pub async fn next_request(
-    connection: &mut server::Connection,
-    closing: &Closing,
-) -> Result<Option<server::Request>, server::Error> {
-    if connection.is_idle() {
-        if closing.has_begun() {
-            return Ok(None);
-        }
-        let is_closing = monoio::select! {
-            () = connection.readable() => false,
-            () = closing.begun.notified() => true,
-        };
-        if is_closing {
-            return Ok(None);
-        }
+/// Also returns when the connection ends or its idle timeout expires, which the next read reports.
+pub async fn wait_for_request(connection: &server::Connection, closing: &Closing) -> bool {
+    if !connection.is_idle() {
+        return true;
+    }
+    if closing.has_begun() {
+        return false;
+    }
+    monoio::select! {
+        () = connection.readable() => true,
+        () = closing.begun.notified() => false,
     }
-    connection.next().await
 }
--- a/crates/peridotrack-kernel/src/event.rs
+++ b/crates/peridotrack-kernel/src/event.rs
@@ -117,6 +117,8 @@
     209 Info StreamResumed,
     /// Tokens were settled for a request.
     210 Debug RequestSettled,
+    /// A request was received while the router was stopping.
+    211 Info RequestAtStop,
     /// A budget's grant changed: tokens were drawn, returned or transferred.
     300 Info BudgetGrant,
     /// A write to a budget's ledger failed: conflict, lost reply or outage of the store.
