test(gateway): requests that a stopping router loses

Callers saw requests that a router took after SIGTERM and cut, and connections that were accepted late in its stop and closed without a response.

The stand-in of a backend server gains a delay of its responses and an interval of its events.

--- a/crates/peridotrack-edge/tests/gateway/main.rs
+++ b/crates/peridotrack-edge/tests/gateway/main.rs
@@ -9,6 +9,8 @@
 mod fleet;
 mod peers;
 mod prompt_parts;
+mod raw;
 mod requests;
 mod stated_limit;
+mod stopping;
 mod streams;
--- a/crates/peridotrack-standin/src/hosted/backend.rs
+++ b/crates/peridotrack-standin/src/hosted/backend.rs
@@ -13,6 +13,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Response, StatusCode};
+use peridotrack_http::server::Connection;
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -22,9 +23,10 @@
 
 /// Number of events of a complete stream.
 pub const STREAM_EVENTS: u64 = 6;
-/// Time between two events of a stream; the mode `Slow` multiplies it.
+/// Time between two events of a stream unless [`Handle::set_event_interval`] changes it.
 const EVENT_INTERVAL: Duration = Duration::from_millis(5);
-
+/// Time between two events of a stream in the mode `Slow`.
+const SLOW_EVENT_INTERVAL: Duration = Duration::from_secs(2);
 /// Time from the arrival of a request with the fatal part to the crash.
 const CRASH_DELAY: Duration = Duration::from_millis(60);
 
@@ -126,9 +128,10 @@
     }
 }
 
-#[derive(Default)]
 struct Server {
     mode: Cell<Mode>,
+    response_delay: Cell<Duration>,
+    event_interval: Cell<Duration>,
     runs: RefCell<Vec<Run>>,
     arrivals: Cell<u64>,
     cancelled: Cell<u64>,
@@ -137,6 +140,22 @@
     has_crashed: Cell<bool>,
 }
 
+impl Default for Server {
+    fn default() -> Self {
+        Self {
+            mode: Cell::default(),
+            response_delay: Cell::default(),
+            event_interval: Cell::new(EVENT_INTERVAL),
+            runs: RefCell::default(),
+            arrivals: Cell::default(),
+            cancelled: Cell::default(),
+            limit_per_s: Cell::default(),
+            fatal_part: Cell::default(),
+            has_crashed: Cell::default(),
+        }
+    }
+}
+
 /// A running server; dropping it closes its listener and connections.
 pub struct Handle(endpoint::Handle<Server>);
 
@@ -157,6 +176,17 @@
         self.0.application.mode.set(mode);
     }
 
+    /// Sets the time from the arrival of a request that the server runs to the beginning of its
+    /// response, for requests received from now on.
+    pub fn set_response_delay(&self, delay: Duration) {
+        self.0.application.response_delay.set(delay);
+    }
+
+    /// Sets the time between two events of a stream, for streams that begin from now on.
+    pub fn set_event_interval(&self, interval: Duration) {
+        self.0.application.event_interval.set(interval);
+    }
+
     /// Sets the limit that responses state, in requests per second of all routers together.
     pub fn set_limit(&self, limit_per_s: Option<f64>) {
         self.0.application.limit_per_s.set(limit_per_s);
@@ -221,6 +251,23 @@
         std::future::pending().await
     }
 
+    /// Waits until the response is to begin. Fails if the router closes the connection before.
+    async fn delay_response(&self, connection: &mut Connection) -> Result<(), Disconnect> {
+        let delay = self.response_delay.get();
+        if delay.is_zero() {
+            return Ok(());
+        }
+        let is_closed = monoio::select! {
+            () = connection.closed() => true,
+            () = monoio::time::sleep(delay) => false,
+        };
+        if is_closed {
+            self.cancelled.set(self.cancelled.get() + 1);
+            return Err(Disconnect);
+        }
+        Ok(())
+    }
+
     async fn stream(&self, incoming: Incoming<'_>, mode: Mode) -> Result<(), Disconnect> {
         let headers = &incoming.request.head.headers;
         let first = headers
@@ -231,6 +278,10 @@
             .signed(headers)
             .header("content-type", "text/event-stream");
         let connection = incoming.connection;
+        let interval = match mode {
+            Mode::Slow => SLOW_EVENT_INTERVAL,
+            _ => self.event_interval.get(),
+        };
         connection.start(response::finish(head, ())).await?;
         for number in first..STREAM_EVENTS {
             if mode == Mode::CutStream && number == 2 && first == 0 {
@@ -242,10 +293,6 @@
                 self.cancelled.set(self.cancelled.get() + 1);
                 return Err(Disconnect);
             }
-            let interval = match mode {
-                Mode::Slow => 400 * EVENT_INTERVAL,
-                _ => EVENT_INTERVAL,
-            };
             let is_closed = monoio::select! {
                 () = connection.closed() => true,
                 () = monoio::time::sleep(interval) => false,
@@ -318,6 +365,7 @@
         if is_fatal || self.has_crashed.get() {
             return self.crash(incoming).await;
         }
+        self.delay_response(incoming.connection).await?;
         let complete = |status: StatusCode| {
             response::finish(
                 self.signed(headers).status(status),
--- a/crates/peridotrackd/tests/gateway.rs
+++ b/crates/peridotrackd/tests/gateway.rs
@@ -174,6 +174,63 @@
     (store, backend)
 }
 
+/// Sends a request and waits until the backend server, which is mute, has received it.
+async fn open_request(
+    gateway: &Gateway,
+    backend: &backend::Handle,
+) -> monoio::task::JoinHandle<Option<http::Response<Bytes>>> {
+    let client = gateway.client;
+    let open = monoio::spawn(async move { fetch(client, request()).await.ok() });
+    let runs = || backend.runs().len() == 1;
+    wait::until(TIMEOUT, "the open request", runs)
+        .await
+        .unwrap();
+    open
+}
+
+/// Guards against a repeated SIGTERM that cuts requests which end within the grace period.
+#[test]
+fn a_repeated_sigterm_leaves_open_requests_their_time() {
+    block_on(async {
+        let (store, backend) = fixture(backend::Mode::Mute);
+        let mut gateway = Gateway::spawn(store.address(), "repeated").await;
+        gateway.wait_until_ready().await;
+        let open_request = open_request(&gateway, &backend).await;
+        gateway.signal("-TERM");
+        gateway.wait_for_event("RouterStopping").await;
+        gateway.signal("-TERM");
+        let response = open_request.await.expect("a response");
+        assert_eq!(
+            response.status(),
+            504,
+            "the final response at the time limit"
+        );
+        let stopped = gateway.wait_for_event("RouterStopped").await;
+        assert_eq!(stopped["fields"]["cut_requests"], 0);
+        let ended = async || gateway.child.try_wait().unwrap();
+        let status = wait::poll(TIMEOUT, "the end", ended).await.unwrap();
+        assert!(status.success());
+    });
+}
+
+/// Guards against requests that get no response when a second SIGINT ends the process at once.
+#[test]
+fn a_second_sigint_ends_the_process_and_open_requests_get_a_response() {
+    block_on(async {
+        let (store, backend) = fixture(backend::Mode::Mute);
+        let mut gateway = Gateway::spawn(store.address(), "interrupt").await;
+        gateway.wait_until_ready().await;
+        let open_request = open_request(&gateway, &backend).await;
+        gateway.signal("-INT");
+        gateway.wait_for_event("RouterStopping").await;
+        gateway.signal("-INT");
+        let response = open_request.await.expect("a response");
+        assert_eq!(response.status(), 502, "before the time limit");
+        let ended = async || gateway.child.try_wait().unwrap();
+        wait::poll(TIMEOUT, "the end", ended).await.unwrap();
+    });
+}
+
 /// Guards against a stop that cuts an open request: the backend server never responds, so the
 /// request ends with its own timeout while the gateway stops.
 #[test]
@@ -182,12 +239,7 @@
         let (store, backend) = fixture(backend::Mode::Mute);
         let mut gateway = Gateway::spawn(store.address(), "stop").await;
         gateway.wait_until_ready().await;
-        let client = gateway.client;
-        let open_request = monoio::spawn(async move { fetch(client, request()).await });
-        let runs = || backend.runs().len() == 1;
-        wait::until(TIMEOUT, "the open request", runs)
-            .await
-            .unwrap();
+        let open_request = open_request(&gateway, &backend).await;
         gateway.signal("-TERM");
         gateway.wait_for_event("RouterStopping").await;
         assert!(!gateway.is_ready().await);
