fix(gateway): a stopping router begins only requests that it can finish

What callers saw: a request that a router received long after SIGTERM was run and cut at the end of the grace period. Others got no response: their connection was accepted late in the stop and closed, or they still waited for a backend server, or for its response, when the process ended.

Cause: the stop was a property of idle connections alone. When a request was complete, nothing compared the time that it may take with the time that was left; and requests without a response were cut with their connection.

Change: `route::stop` decides when a request is complete, while it waits, and before each attempt. A request is begun if its deadline passes before the end of the stop or, while the load balancer may still send connections, if the mean duration of its route, or twice the mean age of the requests that are open there, fits into the time left. All others get 503 with Retry-After at once, or 502 if they were sent before. 300 ms before the process ends, requests without a response get one too. Kept connections are closed first; a new connection gets a response to its request until the listener is closed. Responses and heads of streams announce the close. RequestAtStop and the refusal state the time since the stop began, the expected duration and the time left.

Why it works: the decision stands where a request begins to cost a backend server's work, whatever way it came in, and every way out of the exchange writes a response.

--- a/crates/peridotrack-edge/src/caller/server.rs
+++ b/crates/peridotrack-edge/src/caller/server.rs
@@ -172,8 +172,9 @@
         self.open_requests.get()
     }
 
-    /// Stops accepting connections; open ones are still served.
+    /// Stops accepting connections and closes idle ones; open requests are still served.
     pub fn stop(&self) {
+        self.closing.finish();
         if let Some(acceptor) = self.acceptor.borrow().as_ref() {
             acceptor.stop();
         }
@@ -225,10 +226,8 @@
     }
 
     async fn serve_requests(&self, connection: &mut server::Connection) {
-        loop {
-            if !idle::wait_for_request(connection, &self.closing).await {
-                return;
-            }
+        let mut is_kept = false;
+        while idle::wait_for_request(connection, &self.closing, is_kept).await {
             let request = match connection.next().await {
                 Ok(Some(request)) => request,
                 Ok(None) => return,
@@ -245,6 +244,7 @@
             if result.is_err() || !connection.keep_alive() {
                 return;
             }
+            is_kept = true;
         }
     }
 }
--- a/crates/peridotrack-edge/src/gateway.rs
+++ b/crates/peridotrack-edge/src/gateway.rs
@@ -15,6 +15,7 @@
 mod response;
 mod server;
 mod site;
+mod stopping;
 mod stream;
 
 use std::{cell::Cell, net::SocketAddr, rc::Rc};
@@ -28,18 +29,12 @@
 
 use crate::{budget, follow, member, metric, peer, platform, quarantine, route, throttle};
 
-/// Time at the end of the grace period that is reserved for closing the budget, in microseconds;
-/// closing may take longer if open requests end earlier.
-const BUDGET_CLOSE_US: u64 = 800 * clock::US_PER_MS;
-/// Time reserved after closing the budget for the process to exit before the grace period ends, in
-/// microseconds.
-const EXIT_MARGIN_US: u64 = 200 * clock::US_PER_MS;
+/// Time in which the first request on a connection that was just accepted arrives, in microseconds.
+const FIRST_REQUEST_US: u64 = 100 * clock::US_PER_MS;
+/// Time in which requests are answered when the process ends at once, in microseconds.
+const CUT_ANSWER_US: u64 = 100 * clock::US_PER_MS;
 /// Time for sending leave notices to peers before the process ends, in microseconds.
 const LEAVE_NOTICE_US: u64 = 20 * clock::US_PER_MS;
-/// Time for which a stopping gateway keeps serving on idle connections, in microseconds: the load
-/// balancer probes readiness every second and takes a VM out of rotation after two failures.
-const LEAVE_ROTATION_US: u64 = 2_600 * clock::US_PER_MS;
-
 /// Reason why a gateway cannot start.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -88,8 +83,7 @@
     metrics: metric::Requests,
     site: site::Current,
     directory: directory::Directory,
-    /// When the gateway began to stop, in monotonic microseconds.
-    stopping_since_us: Cell<Option<u64>>,
+    stopping: Rc<stopping::Stopping>,
     sequence: Cell<u64>,
 }
 
@@ -169,7 +163,7 @@
             metrics: metric::Requests::register(kernel.meter()),
             site: site::Current::default(),
             directory: directory::Directory::default(),
-            stopping_since_us: Cell::new(None),
+            stopping: Rc::new(stopping::Stopping::new(&kernel)),
             sequence: Cell::new(0),
             settings,
             kernel,
@@ -235,14 +229,27 @@
 
 /// Compares reloaded settings and stops the gateway.
 impl Gateway {
-    /// Reports the gateway as not ready, while requests are still served.
+    /// Reports the gateway as not ready. From now on a request is begun only if it is expected to
+    /// end within the operators' grace period.
     pub fn begin_stop(&self) {
-        let now_us = self.shared.kernel.now_us();
-        self.shared.stopping_since_us.set(Some(now_us));
-        self.shared.member.set_state(State::Stopping);
-        let event = event::Event::new(event::Kind::RouterStopping)
-            .with("open_requests", self.clients.open_requests() as u64);
-        self.shared.kernel.note(event);
+        self.begin();
+    }
+
+    fn begin(&self) -> stopping::Times {
+        let Shared {
+            kernel,
+            settings,
+            stopping,
+            member,
+            ..
+        } = &*self.shared;
+        if !stopping.has_begun() {
+            member.set_state(State::Stopping);
+            let event = event::Event::new(event::Kind::RouterStopping)
+                .with("open_requests", self.clients.open_requests() as u64);
+            kernel.note(event);
+        }
+        stopping.begin(settings.bounds.grace_ms * clock::US_PER_MS)
     }
 
     /// Records whether settings that were read again differ from the active ones. They take effect
@@ -256,39 +263,39 @@
         });
     }
 
-    /// Stops accepting connections at once and reports the open requests, which are cut off when
-    /// the process ends.
-    pub fn cut(&self) -> Outcome {
+    /// Stops accepting connections at once, answers the requests that have no response yet, and
+    /// reports those that are still open, which are cut off when the process ends.
+    pub async fn cut(&self) -> Outcome {
+        let kernel = &self.shared.kernel;
+        self.shared.stopping.finish();
         self.clients.stop();
+        self.clients.close_idle();
         self.probes.stop();
-        let cut_requests = self.clients.open_requests();
-        let event = event::Event::new(event::Kind::RouterCut);
-        self.shared
-            .kernel
-            .note(event.with("cut_requests", cut_requests as u64));
-        Outcome {
-            cut_requests,
+        let outcome = Outcome {
+            cut_requests: self.clients.drain(kernel.now_us() + CUT_ANSWER_US).await,
             is_budget_closed: false,
-        }
+        };
+        let event = event::Event::new(event::Kind::RouterCut);
+        kernel.note(event.with("cut_requests", outcome.cut_requests as u64));
+        outcome
     }
 
     /// Waits for open requests and returns all grants to the ledger, within the operators' grace
     /// period.
     pub async fn stop(&self) -> Outcome {
         let kernel = &self.shared.kernel;
-        let end_us = kernel.now_us() + self.shared.settings.bounds.grace_ms * clock::US_PER_MS;
-        let deadline_us = end_us.saturating_sub(BUDGET_CLOSE_US);
-        let leave_us = LEAVE_ROTATION_US.min(deadline_us.saturating_sub(kernel.now_us()));
+        let times = self.begin();
+        let leave_us = times.stop.leave_us.saturating_sub(kernel.now_us());
         kernel.timer().sleep_us(leave_us).await;
-        self.clients.drain(deadline_us).await;
+        self.clients.drain(times.stop.finish_us).await;
         self.clients.stop();
+        kernel.timer().sleep_us(FIRST_REQUEST_US).await;
+        self.clients.close_idle();
         // Tokens of grants that are not returned cannot be spent any more, so closing the budget
         // may use all the remaining time.
-        let close_us = end_us.saturating_sub(EXIT_MARGIN_US);
-        let is_budget_closed = self.shared.budget.close(close_us).await;
-        // A connection accepted just before the stop may have received a request meanwhile.
+        let is_budget_closed = self.shared.budget.close(times.close_us).await;
         let outcome = Outcome {
-            cut_requests: self.clients.drain(close_us).await,
+            cut_requests: self.clients.drain(times.close_us).await,
             is_budget_closed,
         };
         self.probes.stop();
--- a/crates/peridotrack-edge/src/gateway/attempt.rs
+++ b/crates/peridotrack-edge/src/gateway/attempt.rs
@@ -40,6 +40,8 @@
     Streamed,
     /// The client closed its connection, or the connection failed.
     ClientDisconnected,
+    /// The gateway stops before the client received any of the response.
+    Stopped,
     /// The attempt failed; the routing service decides whether another follows.
     Failed {
         /// How it failed, for the routing service.
@@ -80,6 +82,7 @@
         let head = monoio::select! {
             head = self.within_deadline(self.send(progress)) => head,
             () = client.closed() => return AttemptResult::ClientDisconnected,
+            () = self.answer_due(progress) => return AttemptResult::Stopped,
         };
         let mut head = match head {
             Some(Ok(head)) => head,
@@ -108,6 +111,7 @@
         let body = monoio::select! {
             body = self.within_deadline(head.connection.read_body()) => body,
             () = client.closed() => return AttemptResult::ClientDisconnected,
+            () = self.answer_due(progress) => return AttemptResult::Stopped,
         };
         match body {
             Some(Ok(body)) => self.classify(head, body),
@@ -225,6 +229,14 @@
         });
     }
 
+    /// Waits until the gateway stops, unless the client has received a part of the response.
+    pub(super) async fn answer_due(&self, progress: &Progress) {
+        match progress.has_started() {
+            true => std::future::pending().await,
+            false => self.shared.stopping.answer_due().await,
+        }
+    }
+
     /// Awaits a future until the deadline of the request; `None` if the deadline passes first.
     async fn within_deadline<F: Future>(&self, future: F) -> Option<F::Output> {
         let limit = Duration::from_micros(self.request.remaining_us(self.shared));
--- a/crates/peridotrack-edge/src/gateway/exchange.rs
+++ b/crates/peridotrack-edge/src/gateway/exchange.rs
@@ -11,13 +11,13 @@
 use peridotrack_kernel::{clock, event};
 use peridotrack_platform::directory as directory_wire;
 use peridotrack_quarantine::verdict;
-use peridotrack_route::event::Outcome;
+use peridotrack_route::{event::Outcome, stop};
 use peridotrack_types::{name, problem};
 
 use super::{
     Shared,
     attempt::{self, AttemptResult},
-    crash,
+    crash, options,
     request::{self, RoutedRequest},
     reservation::{self, ReservationGuard},
     response,
@@ -56,13 +56,21 @@
         Ok(request) => request,
         Err(problem) => return refuse(shared, connection, None, None, &problem).await,
     };
-    note_arrival_at_stop(shared, &request, arrival);
+    if let Some(verdict) = shared.stopping.judge(&request) {
+        note_arrival_at_stop(shared, &request, arrival, &verdict);
+        if !verdict.is_admitted {
+            return refuse_at_stop(shared, connection, &request, None, &verdict).await;
+        }
+    }
     if let Err(block) = shared.quarantine.check(&request.shared_parts) {
         return refuse_blocked(shared, connection, &request, &block).await;
     }
     let reserved = monoio::select! {
         reserved = reservation::reserve(shared, &request) => reserved,
         () = connection.closed() => return cancelled(shared, &request, None),
+        verdict = shared.stopping.refused(&request) => {
+            return refuse_at_stop(shared, connection, &request, None, &verdict).await;
+        }
     };
     match reserved {
         Ok(reservation) => forward(shared, connection, &request, &reservation).await,
@@ -70,18 +78,20 @@
     }
 }
 
-/// Records how a request arrived at a gateway that is stopping.
-fn note_arrival_at_stop(shared: &Shared, request: &RoutedRequest, arrival: Arrival) {
-    let Some(begun_us) = shared.stopping_since_us.get() else {
-        return;
-    };
+/// Records how a request arrived at a gateway that is stopping, and whether it is begun.
+fn note_arrival_at_stop(
+    shared: &Shared,
+    request: &RoutedRequest,
+    arrival: Arrival,
+    verdict: &stop::Verdict,
+) {
     let event = event::Event::new(event::Kind::RequestAtStop)
         .with("client_request", request.client_request())
         .with("route", &*request.route().name)
-        .with("since_stop_us", request.arrived_us - begun_us)
         .with("receive_us", request.arrived_us - arrival.began_us)
-        .with("is_kept_connection", arrival.is_kept);
-    request.note(shared, event);
+        .with("is_kept_connection", arrival.is_kept)
+        .with("is_admitted", verdict.is_admitted);
+    request.note(shared, describe_verdict(event, verdict));
 }
 
 /// Sends the request to backend servers until one responds or the routing service refuses it.
@@ -95,8 +105,17 @@
     let mut progress = stream::Progress::new(request);
     let mut last_response = None;
     let mut may_retry = true;
+    let _tracked = shared.stopping.track(request);
     loop {
         let step = monoio::select! {
+            biased;
+            verdict = shared.stopping.refused(request), if !progress.has_started() => {
+                if let Some(response) = last_response {
+                    return respond(shared, connection, response).await;
+                }
+                let reservation = Some(reservation);
+                return refuse_at_stop(shared, connection, request, reservation, &verdict).await;
+            }
             step = ticket.next() => step,
             () = connection.closed() => return cancelled(shared, request, Some(reservation)),
         };
@@ -158,6 +177,13 @@
                 ticket.finished(Outcome::Cancelled);
                 return cancelled(shared, request, Some(reservation));
             }
+            AttemptResult::Stopped => {
+                ticket.finished(Outcome::Cancelled);
+                let detail = "the router stopped before the backend server answered";
+                let problem = problem::Problem::new(problem::Kind::OutcomeUnknown, detail);
+                let (request, reservation) = (Some(request), Some(reservation));
+                return refuse(shared, connection, request, reservation, &problem).await;
+            }
             AttemptResult::Failed {
                 outcome,
                 is_disconnected,
@@ -183,6 +209,40 @@
     }
 }
 
+/// Ends a request that is not begun, or not sent again, because the gateway is stopping.
+async fn refuse_at_stop(
+    shared: &Rc<Shared>,
+    connection: &mut server::Connection,
+    request: &RoutedRequest,
+    reservation: Option<&ReservationGuard>,
+    verdict: &stop::Verdict,
+) -> Result<(), Error> {
+    let may_have_run = reservation.is_some_and(ReservationGuard::may_have_run);
+    let problem = match may_have_run {
+        true => problem::Problem::new(
+            problem::Kind::OutcomeUnknown,
+            "the attempt failed and the router is stopping",
+        ),
+        false => problem::Problem::new(
+            problem::Kind::Stopping,
+            "the router is stopping and would not finish the request",
+        )
+        .retry_after_ms(options::STOPPING_RETRY_MS),
+    };
+    let event = event::Event::new(event::Kind::RequestRefused);
+    let event = describe_verdict(event, verdict);
+    let request = Some(request);
+    refuse_with(shared, connection, request, reservation, &problem, event).await
+}
+
+/// Adds the inputs of a decision about a request at a stopping gateway.
+fn describe_verdict(event: event::Event, verdict: &stop::Verdict) -> event::Event {
+    event
+        .with("since_stop_us", verdict.since_stop_us)
+        .with("expected_us", verdict.expected_us.unwrap_or(u64::MAX))
+        .with("grace_left_us", verdict.left_us)
+}
+
 /// Ends a request that the routing service does not place, again or at all.
 async fn refuse_unplaced(
     shared: &Rc<Shared>,
@@ -272,7 +332,20 @@
     reservation: Option<&ReservationGuard>,
     problem: &problem::Problem,
 ) -> Result<(), Error> {
-    let event = event::Event::new(event::Kind::RequestRefused)
+    let event = event::Event::new(event::Kind::RequestRefused);
+    refuse_with(shared, connection, request, reservation, problem, event).await
+}
+
+/// Does the same as [`refuse`], with an event that has the inputs of the decision.
+async fn refuse_with(
+    shared: &Rc<Shared>,
+    connection: &mut server::Connection,
+    request: Option<&RoutedRequest>,
+    reservation: Option<&ReservationGuard>,
+    problem: &problem::Problem,
+    event: event::Event,
+) -> Result<(), Error> {
+    let event = event
         .with("problem", problem.type_urn.as_str())
         .with("detail", problem.detail.as_str())
         .with("retry_after_ms", problem.retry_after_ms.unwrap_or_default());
@@ -333,11 +406,8 @@
     connection: &mut server::Connection,
     mut response: http::Response<Bytes>,
 ) -> Result<(), Error> {
-    if shared.stopping_since_us.get().is_some() {
-        let close = http::HeaderValue::from_static("close");
-        response
-            .headers_mut()
-            .insert(http::header::CONNECTION, close);
+    if shared.stopping.has_begun() {
+        response::announce_close(response.headers_mut());
     }
     connection.respond(response).await?;
     Ok(())
--- a/crates/peridotrack-edge/src/gateway/options.rs
+++ b/crates/peridotrack-edge/src/gateway/options.rs
@@ -12,6 +12,9 @@
 
 use crate::member;
 
+/// Retry delay stated to clients of a stopping gateway, in milliseconds: other routers serve a new
+/// connection at once.
+pub(super) const STOPPING_RETRY_MS: u64 = 100;
 /// Span of the observed spend that a grant from the ledger, or a buffer from a coordinator, covers,
 /// in microseconds: longer than the store outages that must be tolerated.
 const DRAW_SPAN_US: u64 = 12 * clock::US_PER_S;
--- a/crates/peridotrack-edge/src/gateway/probe.rs
+++ b/crates/peridotrack-edge/src/gateway/probe.rs
@@ -78,7 +78,7 @@
 }
 
 fn is_ready(shared: &Shared) -> bool {
-    shared.stopping_since_us.get().is_none()
+    !shared.stopping.has_begun()
         && shared.site.get().is_some()
         && shared.directory.is_listed()
         && shared.quarantine.is_listed()
--- a/crates/peridotrack-edge/src/gateway/server.rs
+++ b/crates/peridotrack-edge/src/gateway/server.rs
@@ -35,7 +35,10 @@
     shared: Rc<Shared>,
     address: SocketAddr,
     closing: idle::Closing,
-    open_requests: Cell<usize>,
+    /// Number of requests that are being received.
+    receiving_requests: Rc<Cell<usize>>,
+    /// Number of requests that are being served.
+    open_requests: Rc<Cell<usize>>,
     acceptor: RefCell<Option<Rc<acceptor::Acceptor>>>,
 }
 
@@ -48,7 +51,8 @@
             shared: Rc::clone(shared),
             address: listener.local_addr()?,
             closing: idle::Closing::default(),
-            open_requests: Cell::new(0),
+            receiving_requests: Rc::default(),
+            open_requests: Rc::default(),
             acceptor: RefCell::default(),
         });
         let weak = Rc::downgrade(&server);
@@ -71,19 +75,25 @@
         self.open_requests.get()
     }
 
-    /// Closes idle connections and waits until no request is open, at most until `deadline_us`
-    /// (monotonic microseconds).
+    /// Closes idle connections that have carried a request, and waits until no request is received
+    /// or served, at most until `deadline_us` (monotonic microseconds).
     ///
     /// Returns the number of requests that are still open.
     pub(super) async fn drain(&self, deadline_us: u64) -> usize {
         self.closing.begin();
         let kernel = &self.shared.kernel;
-        while self.open_requests.get() > 0 && kernel.now_us() < deadline_us {
+        let is_busy = || self.receiving_requests.get() + self.open_requests.get() > 0;
+        while is_busy() && kernel.now_us() < deadline_us {
             kernel.timer().sleep_us(DRAIN_POLL_US).await;
         }
         self.open_requests.get()
     }
 
+    /// Closes all idle connections.
+    pub(super) fn close_idle(&self) {
+        self.closing.finish();
+    }
+
     /// Stops accepting connections.
     pub(super) fn stop(&self) {
         if let Some(acceptor) = self.acceptor.borrow().as_ref() {
@@ -113,14 +123,12 @@
         };
         let mut connection = server::Connection::new(stream, options);
         let mut is_kept = false;
-        loop {
-            if !idle::wait_for_request(&connection, &self.closing).await {
-                return;
-            }
+        while idle::wait_for_request(&connection, &self.closing, is_kept).await {
             let arrival = Arrival {
                 began_us: self.shared.kernel.now_us(),
                 is_kept,
             };
+            let receiving = Counted::new(&self.receiving_requests);
             let request = match connection.next().await {
                 Ok(Some(request)) => request,
                 Ok(None) => return,
@@ -131,9 +139,10 @@
                     return;
                 }
             };
-            self.open_requests.set(self.open_requests.get() + 1);
+            drop(receiving);
+            let open = Counted::new(&self.open_requests);
             let result = exchange::serve(&self.shared, &mut connection, request, arrival).await;
-            self.open_requests.set(self.open_requests.get() - 1);
+            drop(open);
             if result.is_err() || !connection.keep_alive() {
                 return;
             }
@@ -141,3 +150,19 @@
         }
     }
 }
+
+/// Increments a counter until it is dropped.
+struct Counted(Rc<Cell<usize>>);
+
+impl Counted {
+    fn new(count: &Rc<Cell<usize>>) -> Self {
+        count.set(count.get() + 1);
+        Self(Rc::clone(count))
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
--- a/crates/peridotrack-edge/src/gateway/stream.rs
+++ b/crates/peridotrack-edge/src/gateway/stream.rs
@@ -159,6 +159,7 @@
         let chunk = monoio::select! {
             chunk = head.connection.next_chunk() => chunk,
             () = client.closed() => return AttemptResult::ClientDisconnected,
+            () = attempt.answer_due(progress) => return AttemptResult::Stopped,
         };
         let chunk = match chunk {
             Ok(Some(chunk)) => chunk,
@@ -239,7 +240,11 @@
         .metrics
         .first_token
         .record(elapsed_us as f64 / 1e6);
-    client.start_with(response::stream_head(head), events).await
+    let mut head = response::stream_head(head);
+    if attempt.shared.stopping.has_begun() {
+        response::announce_close(head.headers_mut());
+    }
+    client.start_with(head, events).await
 }
 
 /// Ends the response to the client after the stream of the backend server has ended.
--- a/crates/peridotrack-kernel/src/event.rs
+++ b/crates/peridotrack-kernel/src/event.rs
@@ -117,7 +117,7 @@
     209 Info StreamResumed,
     /// Tokens were settled for a request.
     210 Debug RequestSettled,
-    /// A request was received while the router was stopping.
+    /// A request was received while the router was stopping; the event says whether it is begun.
     211 Info RequestAtStop,
     /// A budget's grant changed: tokens were drawn, returned or transferred.
     300 Info BudgetGrant,
--- a/crates/peridotrack-route/src/lib.rs
+++ b/crates/peridotrack-route/src/lib.rs
@@ -72,4 +72,5 @@
 pub mod retry;
 pub mod router;
 pub mod status;
+pub mod stop;
 pub mod throttle;
--- a/crates/peridotrackd/src/gateway.rs
+++ b/crates/peridotrackd/src/gateway.rs
@@ -62,7 +62,7 @@
         gateway.begin_stop();
         monoio::select! {
             outcome = gateway.stop() => Ok(outcome),
-            () = wait_for_stop_signals(&signals, 2) => Ok(gateway.cut()),
+            () = wait_for_stop_signals(&signals, 2) => Ok(gateway.cut().await),
         }
     })
 }
