refactor(edge): the stop of a server is a module of its own

The caller server of the daemon has to decide about requests during a stop as the gateway does. The state of the stop moves from the gateway to `edge::stopping`. What differs is passed in: the key by which requests are expected to take equally long, the latest end of a request, and the times of the stop.

Behaviour is unchanged: the gateway's times are computed from the same constants, now in `gateway::options`.

--- a/crates/peridotrack-edge/src/gateway.rs
+++ b/crates/peridotrack-edge/src/gateway.rs
@@ -15,10 +15,9 @@
 mod response;
 mod server;
 mod site;
-mod stopping;
 mod stream;
 
-use std::{cell::Cell, net::SocketAddr, rc::Rc};
+use std::{cell::Cell, net::SocketAddr, rc::Rc, sync::Arc};
 
 use peridotrack_http::client;
 use peridotrack_kernel::{Kernel, clock, event, log, registry};
@@ -27,7 +26,9 @@
 use peridotrack_quarantine::{event as quarantine_event, options as quarantine_options, statement};
 use peridotrack_types::{gateway::Settings, id};
 
-use crate::{budget, follow, member, metric, peer, platform, quarantine, route, throttle};
+use crate::{
+    budget, follow, member, metric, peer, platform, quarantine, route, stopping, throttle,
+};
 
 /// Time in which the first request on a connection that was just accepted arrives, in microseconds.
 const FIRST_REQUEST_US: u64 = 100 * clock::US_PER_MS;
@@ -83,7 +84,7 @@
     metrics: metric::Requests,
     site: site::Current,
     directory: directory::Directory,
-    stopping: Rc<stopping::Stopping>,
+    stopping: Rc<stopping::Stopping<Arc<str>>>,
     sequence: Cell<u64>,
 }
 
@@ -249,7 +250,7 @@
                 .with("open_requests", self.clients.open_requests() as u64);
             kernel.note(event);
         }
-        stopping.begin(settings.bounds.grace_ms * clock::US_PER_MS)
+        stopping.begin(|begun_us| options::stop_times(begun_us, &settings.bounds))
     }
 
     /// Records whether settings that were read again differ from the active ones. They take effect
@@ -285,6 +286,7 @@
     pub async fn stop(&self) -> Outcome {
         let kernel = &self.shared.kernel;
         let times = self.begin();
+        let close_us = options::close_us(times.stop.begun_us, &self.shared.settings.bounds);
         let leave_us = times.stop.leave_us.saturating_sub(kernel.now_us());
         kernel.timer().sleep_us(leave_us).await;
         self.clients.drain(times.stop.finish_us).await;
@@ -293,9 +295,9 @@
         self.clients.close_idle();
         // Tokens of grants that are not returned cannot be spent any more, so closing the budget
         // may use all the remaining time.
-        let is_budget_closed = self.shared.budget.close(times.close_us).await;
+        let is_budget_closed = self.shared.budget.close(close_us).await;
         let outcome = Outcome {
-            cut_requests: self.clients.drain(times.close_us).await,
+            cut_requests: self.clients.drain(close_us).await,
             is_budget_closed,
         };
         self.probes.stop();
--- a/crates/peridotrack-edge/src/gateway/exchange.rs
+++ b/crates/peridotrack-edge/src/gateway/exchange.rs
@@ -56,7 +56,7 @@
         Ok(request) => request,
         Err(problem) => return refuse(shared, connection, None, None, &problem).await,
     };
-    if let Some(verdict) = shared.stopping.judge(&request) {
+    if let Some(verdict) = judge_at_stop(shared, &request) {
         note_arrival_at_stop(shared, &request, arrival, &verdict);
         if !verdict.is_admitted {
             return refuse_at_stop(shared, connection, &request, None, &verdict).await;
@@ -68,7 +68,7 @@
     let reserved = monoio::select! {
         reserved = reservation::reserve(shared, &request) => reserved,
         () = connection.closed() => return cancelled(shared, &request, None),
-        verdict = shared.stopping.refused(&request) => {
+        verdict = refused_at_stop(shared, &request) => {
             return refuse_at_stop(shared, connection, &request, None, &verdict).await;
         }
     };
@@ -78,6 +78,18 @@
     }
 }
 
+/// Decides whether a request is begun at a gateway that is stopping.
+fn judge_at_stop(shared: &Shared, request: &RoutedRequest) -> Option<stop::Verdict> {
+    let route = &request.route().name;
+    shared.stopping.judge(route, request.deadline_us)
+}
+
+/// Waits until the gateway is stopping and the request is not to be begun any more.
+async fn refused_at_stop(shared: &Shared, request: &RoutedRequest) -> stop::Verdict {
+    let route = &request.route().name;
+    shared.stopping.refused(route, request.deadline_us).await
+}
+
 /// Records how a request arrived at a gateway that is stopping, and whether it is begun.
 fn note_arrival_at_stop(
     shared: &Shared,
@@ -105,11 +117,13 @@
     let mut progress = stream::Progress::new(request);
     let mut last_response = None;
     let mut may_retry = true;
-    let _tracked = shared.stopping.track(request);
+    let _tracked = shared
+        .stopping
+        .track(&request.route().name, request.arrived_us);
     loop {
         let step = monoio::select! {
             biased;
-            verdict = shared.stopping.refused(request), if !progress.has_started() => {
+            verdict = refused_at_stop(shared, request), if !progress.has_started() => {
                 if let Some(response) = last_response {
                     return respond(shared, connection, response).await;
                 }
--- a/crates/peridotrack-edge/src/gateway/options.rs
+++ b/crates/peridotrack-edge/src/gateway/options.rs
@@ -7,14 +7,26 @@
 use peridotrack_follow::follower;
 use peridotrack_http::client;
 use peridotrack_kernel::clock;
-use peridotrack_route::{options as route_options, throttle};
+use peridotrack_route::{options as route_options, stop, throttle};
 use peridotrack_types::gateway::{Bounds, Settings};
 
-use crate::member;
+use crate::{member, stopping};
 
 /// Retry delay stated to clients of a stopping gateway, in milliseconds: other routers serve a new
 /// connection at once.
 pub(super) const STOPPING_RETRY_MS: u64 = 100;
+/// Time at the end of the grace period that is reserved for closing the budget, in microseconds;
+/// closing may take longer if open requests end earlier.
+const BUDGET_CLOSE_US: u64 = 800 * clock::US_PER_MS;
+/// Time reserved after closing the budget for the process to exit before the grace period ends, in
+/// microseconds.
+const EXIT_MARGIN_US: u64 = 200 * clock::US_PER_MS;
+/// Time before the end of the stop at which requests without a response are answered, in
+/// microseconds.
+const ANSWER_MARGIN_US: u64 = 100 * clock::US_PER_MS;
+/// Time for which a stopping gateway serves on idle connections, in microseconds: the load balancer
+/// probes readiness every second and takes a VM out of rotation after two failures.
+const LEAVE_ROTATION_US: u64 = 2_600 * clock::US_PER_MS;
 /// Span of the observed spend that a grant from the ledger, or a buffer from a coordinator, covers,
 /// in microseconds: longer than the store outages that must be tolerated.
 const DRAW_SPAN_US: u64 = 12 * clock::US_PER_S;
@@ -262,3 +274,25 @@
         ..client::Options::default()
     }
 }
+
+/// Returns the times of a stop that begins at `begun_us` (monotonic microseconds) and ends with the
+/// operators' grace period.
+pub(super) fn stop_times(begun_us: u64, bounds: &Bounds) -> stopping::Times {
+    let end_us = begun_us + bounds.grace_ms * clock::US_PER_MS;
+    let finish_us = end_us.saturating_sub(BUDGET_CLOSE_US).max(begun_us);
+    stopping::Times {
+        stop: stop::Stop {
+            begun_us,
+            leave_us: finish_us.min(begun_us + LEAVE_ROTATION_US),
+            finish_us,
+        },
+        answer_us: close_us(begun_us, bounds).saturating_sub(ANSWER_MARGIN_US),
+    }
+}
+
+/// Returns when the budget must be closed and the process ends, for a stop that begins at
+/// `begun_us` (monotonic microseconds).
+pub(super) fn close_us(begun_us: u64, bounds: &Bounds) -> u64 {
+    let end_us = begun_us + bounds.grace_ms * clock::US_PER_MS;
+    end_us.saturating_sub(EXIT_MARGIN_US).max(begun_us)
+}
--- a/crates/peridotrack-edge/src/lib.rs
+++ b/crates/peridotrack-edge/src/lib.rs
@@ -36,5 +36,6 @@
 pub mod quarantine;
 pub mod route;
 pub mod sse;
+pub mod stopping;
 pub mod throttle;
 pub mod usage;
--- /dev/null
+++ b/crates/peridotrack-edge/src/stopping.rs
@@ -0,0 +1,151 @@
+//! The stop of a server: which requests are begun while it lasts, and when the others are answered.
+//!
+//! [`peridotrack_route::stop`] decides; [`Stopping`] knows the times of the stop and the durations
+//! of recent requests, and wakes the requests that wait. Requests with the same key, such as the
+//! name of their route, are expected to take equally long.
+
+use std::{
+    cell::{Cell, RefCell},
+    hash::Hash,
+    rc::Rc,
+};
+
+use peridotrack_kernel::{Kernel, clock};
+use peridotrack_route::stop::{Durations, Stop, Verdict};
+use peridotrack_types::collections;
+
+use crate::notify;
+
+/// Period at which a waiting request is judged again, in microseconds.
+const RECHECK_US: u64 = 50 * clock::US_PER_MS;
+
+/// Times of a stop, in monotonic microseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Times {
+    /// Until when requests are begun.
+    pub stop: Stop,
+    /// When requests that have no response yet are answered.
+    pub answer_us: u64,
+}
+
+/// State of the stop, and the durations of recent requests by key.
+pub struct Stopping<K> {
+    kernel: Rc<Kernel>,
+    times: Cell<Option<Times>>,
+    changed: notify::Notify,
+    durations: RefCell<collections::HashMap<K, Durations>>,
+}
+
+/// Begins and shortens the stop.
+impl<K: Clone + Eq + Hash> Stopping<K> {
+    /// Returns the state of a server that is not stopping.
+    pub fn new(kernel: &Rc<Kernel>) -> Self {
+        Self {
+            kernel: Rc::clone(kernel),
+            times: Cell::new(None),
+            changed: notify::Notify::default(),
+            durations: RefCell::default(),
+        }
+    }
+
+    /// Begins the stop with the times that `times_from` returns for its begin, and returns them. A
+    /// stop that has begun goes on with its own.
+    pub fn begin(&self, times_from: impl FnOnce(u64) -> Times) -> Times {
+        if let Some(times) = self.times.get() {
+            return times;
+        }
+        let times = times_from(self.kernel.now_us());
+        self.times.set(Some(times));
+        self.changed.notify_all();
+        times
+    }
+
+    /// Ends the stop now: no request is begun any more, and those without a response are answered.
+    pub fn finish(&self) {
+        let now_us = self.kernel.now_us();
+        let begun_us = self.times.get().map_or(now_us, |times| times.stop.begun_us);
+        self.times.set(Some(Times {
+            stop: Stop {
+                begun_us,
+                leave_us: now_us,
+                finish_us: now_us,
+            },
+            answer_us: now_us,
+        }));
+        self.changed.notify_all();
+    }
+
+    /// Returns whether the stop has begun.
+    pub fn has_begun(&self) -> bool {
+        self.times.get().is_some()
+    }
+}
+
+/// Decides about requests.
+impl<K: Clone + Eq + Hash> Stopping<K> {
+    /// Decides whether a request is begun now that ends at `deadline_us` (monotonic microseconds)
+    /// at the latest; `None` if the server is not stopping.
+    pub fn judge(&self, key: &K, deadline_us: u64) -> Option<Verdict> {
+        let times = self.times.get()?;
+        let now_us = self.kernel.now_us();
+        let durations = self.durations.borrow();
+        let expected_us = durations
+            .get(key)
+            .and_then(|durations| durations.expected_us(now_us));
+        Some(times.stop.judge(now_us, deadline_us, expected_us))
+    }
+
+    /// Waits until the server is stopping and the request is not to be begun any more.
+    pub async fn refused(&self, key: &K, deadline_us: u64) -> Verdict {
+        loop {
+            match self.judge(key, deadline_us) {
+                Some(verdict) if !verdict.is_admitted => return verdict,
+                Some(_) => self.kernel.timer().sleep_us(RECHECK_US).await,
+                None => self.changed.notified().await,
+            }
+        }
+    }
+
+    /// Waits until requests that have no response yet are answered, because the process ends.
+    pub async fn answer_due(&self) {
+        loop {
+            match self.times.get() {
+                Some(times) => {
+                    let left_us = times.answer_us.saturating_sub(self.kernel.now_us());
+                    if left_us == 0 || !self.changed.wait(left_us).await {
+                        return;
+                    }
+                }
+                None => self.changed.notified().await,
+            }
+        }
+    }
+
+    /// Records a request that arrived at `begun_us` and is begun, until the guard is dropped.
+    pub fn track(self: &Rc<Self>, key: &K, begun_us: u64) -> Tracked<K> {
+        let mut durations = self.durations.borrow_mut();
+        durations.entry(key.clone()).or_default().begin(begun_us);
+        Tracked {
+            stopping: Rc::clone(self),
+            key: key.clone(),
+            begun_us,
+        }
+    }
+}
+
+/// An open request whose duration is recorded on drop.
+pub struct Tracked<K: Eq + Hash> {
+    stopping: Rc<Stopping<K>>,
+    key: K,
+    begun_us: u64,
+}
+
+impl<K: Eq + Hash> Drop for Tracked<K> {
+    fn drop(&mut self) {
+        let now_us = self.stopping.kernel.now_us();
+        let mut durations = self.stopping.durations.borrow_mut();
+        if let Some(durations) = durations.get_mut(&self.key) {
+            durations.end(self.begun_us, now_us);
+        }
+    }
+}
