fix(caller): a stopping router begins only requests that it can finish

Callers of the completion API and of plain services saw requests that a router took late in its stop and cut at its end, connections that were closed without a response, and kept connections that were closed under the next request.

Cause: the stop of the daemon only turned readiness off, closed idle connections after the grace time and waited. A request that became complete was begun at any time of the stop, waits for tokens, for a claim or for a backend server went on into its end, and requests without a response when the shutdown timeout came were dropped with their connection. No response announced that the connection closes.

The caller server now decides as the gateway does, with the same `edge::stopping`: when a request is complete, and while it waits for tokens, its claim, a backend server or a retry. The deadline of a caller's request bounds only when it is sent, so that nothing is begun after the grace time, and before only what is expected to end in time. A call with an idempotency key is refused before its claim or while it waits for it, and a granted claim is used while time is left, so that the key stays free for another router. One second before the end, requests of which nothing was forwarded are cancelled at their engine, billed and answered: 502, or 503 if they were not sent. All responses and heads of streams carry `Connection: close` meanwhile.

--- a/crates/peridotrack-edge/src/caller/completion.rs
+++ b/crates/peridotrack-edge/src/caller/completion.rs
@@ -20,7 +20,7 @@
     response,
     server::{Call, Services},
 };
-use crate::{engine, route};
+use crate::{engine, route, stopping};
 
 /// One chat completion that is being served.
 struct Completion<'a> {
@@ -60,7 +60,8 @@
     let completion = match Completion::new(services, call, &request) {
         Ok(completion) => completion,
         Err(problem) => {
-            return connection.respond(call.refuse(services, problem)).await;
+            let response = call.refuse(services, problem);
+            return services.respond(connection, response).await;
         }
     };
     completion.run(connection).await
@@ -120,13 +121,26 @@
 
     /// Makes the attempts that the routing service requests until one ends the request.
     async fn run(mut self, connection: &mut server::Connection) -> Result<(), server::Error> {
-        if let Err(problem) = self.reserve().await {
+        let (services, target) = (self.services, self.target());
+        if !self.call.is_begun(services, &target) {
+            return self.refuse(connection, stopping::refusal(false)).await;
+        }
+        if let Err(problem) = self.reserve_before_stop().await {
             return self.refuse(connection, problem).await;
         }
+        let _tracked = services.stopping.track(&target, self.call.arrived_us);
         let mut ticket = self.services.route.offer(self.offer());
         let mut stream = engine::Stream::new(self.call.request_id);
         loop {
             let step = monoio::select! {
+                biased;
+                () = self.call.refused_at_stop(services, &target),
+                    if self.forwarded == Forwarded::Nothing =>
+                {
+                    ticket.finished(Outcome::Cancelled);
+                    let problem = stopping::refusal(self.may_have_run());
+                    return self.refuse(connection, problem).await;
+                }
                 step = ticket.next() => step,
                 () = connection.closed() => {
                     ticket.finished(Outcome::Cancelled);
@@ -160,7 +174,7 @@
                 }
             };
             if self.reservation.is_none()
-                && let Err(problem) = self.reserve().await
+                && let Err(problem) = self.reserve_before_stop().await
             {
                 ticket.finished(Outcome::Cancelled);
                 return self.refuse(connection, problem).await;
@@ -178,7 +192,11 @@
                     ticket.finished(Outcome::Done);
                     self.mark_reservation_unused();
                     self.cancel_or_settle();
-                    return connection.respond(response).await;
+                    return services.respond(connection, response).await;
+                }
+                Attempt::Stopped { usage } => {
+                    ticket.finished(Outcome::Cancelled);
+                    return self.unanswered(connection, usage).await;
                 }
                 Attempt::CallerDisconnected { usage } => {
                     ticket.finished(Outcome::Cancelled);
@@ -191,6 +209,11 @@
         }
     }
 
+    /// Returns what the request is addressed to.
+    fn target(&self) -> Target {
+        Target::Model(self.chat.model.clone())
+    }
+
     /// Returns the offer from which the routing service chooses an engine.
     fn offer(&self) -> Offer {
         let config = self.services.config.current();
@@ -201,7 +224,7 @@
             priority: config
                 .rules
                 .priority(&self.call.account, Some(&model), None),
-            target: Target::Model(model),
+            target: self.target(),
             prefix_hash: Some(self.chat.prefix_hash),
             size_tokens: self.chat.bound_tokens(),
             deadline_us: self.call.deadline_us,
@@ -241,7 +264,7 @@
         }
         let response = self.call.refuse(self.services, problem);
         match self.forwarded {
-            Forwarded::Nothing => connection.respond(response).await,
+            Forwarded::Nothing => self.services.respond(connection, response).await,
             // Without the last chunk the caller sees that the stream is truncated.
             Forwarded::Part => {
                 let event = event::Event::new(event::Kind::RequestCut);
@@ -272,13 +295,11 @@
                         .headers_mut()
                         .insert(engine::REQUEST_ID_HEADER, value);
                 }
-                connection.respond(response).await
+                self.services.respond(connection, response).await
             }
             Withheld::Tail(tail) => {
                 if self.forwarded == Forwarded::Nothing {
-                    connection
-                        .start(response::stream_head(self.call.request_id))
-                        .await?;
+                    connection.start(self.stream_head()).await?;
                 }
                 connection.finish_with(tail.into()).await
             }
@@ -293,6 +314,28 @@
         result
     }
 
+    /// Returns the head of a stream, with `Connection: close` if the router is stopping.
+    fn stream_head(&self) -> http::Response<()> {
+        let head = response::stream_head(self.call.request_id);
+        self.services.stopping.announce(head)
+    }
+
+    /// Ends a request of which nothing was forwarded when the stop ended.
+    async fn unanswered(
+        mut self,
+        connection: &mut server::Connection,
+        usage: Option<engine::Usage>,
+    ) -> Result<(), server::Error> {
+        let problem = stopping::unanswered(self.may_have_run());
+        if usage.is_some()
+            && let Some(settled) = self.settle(usage)
+        {
+            self.bill(settled, usage, false).await;
+            self.may_have_run = true;
+        }
+        self.refuse(connection, problem).await
+    }
+
     /// Settles and bills a request whose caller closed the connection.
     async fn caller_disconnected(
         mut self,
--- a/crates/peridotrack-edge/src/caller/completion/attempt.rs
+++ b/crates/peridotrack-edge/src/caller/completion/attempt.rs
@@ -27,6 +27,9 @@
     Failed { outcome: Outcome, detail: String },
     /// The engine responded with a client error (4xx), which is forwarded to the caller.
     Rejected { response: http::Response<Bytes> },
+    /// The stop ended before anything was forwarded; the engine was sent a cancellation if it may
+    /// have run the request.
+    Stopped { usage: Option<engine::Usage> },
     /// The caller closed its connection; the engine was sent a cancellation.
     CallerDisconnected { usage: Option<engine::Usage> },
 }
@@ -50,7 +53,11 @@
         address: SocketAddr,
         resume_offset: Option<u64>,
     ) -> Attempt {
-        let mut backend = match self.services.pool.take(address).await {
+        let taken = monoio::select! {
+            taken = self.services.pool.take(address) => taken,
+            () = self.answer_due() => return Attempt::Stopped { usage: None },
+        };
+        let mut backend = match taken {
             Ok(backend) => backend,
             Err(error) => return failed(Outcome::ConnectFailed, error.to_string()),
         };
@@ -63,6 +70,7 @@
         let sent = monoio::select! {
             sent = backend.send(request) => sent,
             () = connection.closed() => return self.cancel(address).await,
+            () = self.answer_due() => return self.stop(address).await,
         };
         let events_seen = stream.events_seen();
         let head = match sent {
@@ -138,6 +146,7 @@
         let read = monoio::select! {
             read = backend.read_body() => read,
             () = connection.closed() => return self.cancel(address).await,
+            () = self.answer_due() => return self.stop(address).await,
         };
         ticket.first_token();
         let body = match read {
@@ -173,6 +182,7 @@
             let chunk = monoio::select! {
                 chunk = backend.next_chunk() => chunk,
                 () = connection.closed() => return self.cancel(address).await,
+                () = self.answer_due() => return self.stop(address).await,
             };
             let events_seen = stream.events_seen();
             let has_ended = match chunk {
@@ -220,7 +230,7 @@
         events: Vec<u8>,
     ) -> Result<(), server::Error> {
         if self.forwarded == Forwarded::Nothing {
-            let head = response::stream_head(self.call.request_id);
+            let head = self.stream_head();
             connection.start_with(head, events.into()).await?;
             self.forwarded = Forwarded::Part;
             ticket.first_token();
@@ -237,20 +247,39 @@
         connection.write(events.into()).await
     }
 
-    /// Cancels the request at the engine and ends the attempt with the usage that it reports.
+    /// Waits until the stop ends, unless a part of the response was forwarded.
+    async fn answer_due(&self) {
+        match self.forwarded {
+            Forwarded::Nothing => self.services.stopping.answer_due().await,
+            Forwarded::Part => std::future::pending().await,
+        }
+    }
+
+    /// Cancels the request at the engine because the stop ends.
+    async fn stop(&self, address: SocketAddr) -> Attempt {
+        let usage = self.cancelled_usage(address).await;
+        Attempt::Stopped { usage }
+    }
+
+    /// Cancels the request at the engine because its caller disconnected.
     pub(super) async fn cancel(&self, address: SocketAddr) -> Attempt {
+        let usage = self.cancelled_usage(address).await;
+        Attempt::CallerDisconnected { usage }
+    }
+
+    /// Cancels the request at the engine and returns the usage that it reports.
+    async fn cancelled_usage(&self, address: SocketAddr) -> Option<engine::Usage> {
         let request = engine::cancel_request(address, self.call.request_id);
         let timeout = Duration::from_millis(CANCEL_TIMEOUT_MS);
         let fetch = self.services.pool.fetch(address, request);
-        let usage = match monoio::time::timeout(timeout, fetch).await {
+        match monoio::time::timeout(timeout, fetch).await {
             Ok(Ok(response)) if response.status().is_success() => {
                 engine::check_body(response.body(), self.call.request_id)
                     .ok()
                     .flatten()
             }
             _ => None,
-        };
-        Attempt::CallerDisconnected { usage }
+        }
     }
 }
 
--- a/crates/peridotrack-edge/src/caller/completion/tokens.rs
+++ b/crates/peridotrack-edge/src/caller/completion/tokens.rs
@@ -9,7 +9,7 @@
 use peridotrack_types::{name, problem};
 
 use super::Completion;
-use crate::{budget, engine};
+use crate::{budget, engine, stopping};
 
 /// Maximum wait for tokens that are being drawn, in microseconds.
 const RESERVE_TIMEOUT_US: u64 = 2 * clock::US_PER_S;
@@ -55,6 +55,26 @@
         Ok(())
     }
 
+    /// Does the same as [`Completion::reserve`], unless the router stops before tokens are there.
+    pub(super) async fn reserve_before_stop(&mut self) -> Result<(), problem::Problem> {
+        let (services, call, target) = (self.services, self.call, self.target());
+        let reserved = monoio::select! {
+            biased;
+            reserved = self.reserve() => Some(reserved),
+            () = call.refused_at_stop(services, &target) => None,
+        };
+        reserved.unwrap_or_else(|| Err(stopping::refusal(self.may_have_run())))
+    }
+
+    /// Returns whether this attempt or an earlier one may have run.
+    pub(super) fn may_have_run(&self) -> bool {
+        let is_exposed = self
+            .reservation
+            .as_ref()
+            .is_some_and(|held| held.is_exposed);
+        self.may_have_run || is_exposed
+    }
+
     /// Records that a byte may have reached an engine.
     pub(super) fn mark_reservation_exposed(&mut self) {
         if let Some(held) = &mut self.reservation {
--- a/crates/peridotrack-edge/src/caller/server.rs
+++ b/crates/peridotrack-edge/src/caller/server.rs
@@ -9,20 +9,32 @@
     rc::Rc,
 };
 
+use bytes::Bytes;
 use monoio::net::TcpStream;
 use peridotrack_http::{client, listen, server};
 use peridotrack_kernel::{Kernel, clock, event};
+use peridotrack_route::{
+    event::Target,
+    stop::{Stop, Verdict},
+};
 use peridotrack_types::{id, name, problem, settings};
 
 use super::{completion, response, service_call};
-use crate::{acceptor, auth, budget, claims, config, engine, idle, metric, notify, route, usage};
+use crate::{
+    acceptor, auth, budget, claims, config, engine, idle, metric, notify, route, stopping, usage,
+};
 
 /// Period at which a drain polls whether requests are still open, in microseconds.
 const DRAIN_POLL_US: u64 = 20 * clock::US_PER_MS;
+/// Time before the end of a stop at which requests without a response are answered, in
+/// microseconds: they are cancelled at their engine and billed first.
+const ANSWER_MARGIN_US: u64 = clock::US_PER_S;
 /// Maximum wait for the next part of a backend server's response, in milliseconds.
 const BACKEND_TIMEOUT_MS: u64 = 30_000;
 /// Maximum number of idle connections kept open to each backend server.
 const MAX_IDLE_CONNECTIONS: usize = 64;
+/// Latest end of a request, in monotonic microseconds: its deadline bounds only when it is sent.
+const END_UNKNOWN_US: u64 = u64::MAX;
 /// Path of the chat completions endpoint; only `POST` is served.
 const COMPLETIONS_PATH: &str = "/v1/chat/completions";
 /// Path prefix of calls to plain services; the service's name follows.
@@ -38,10 +50,22 @@
     pub(super) config: Rc<config::Configuration>,
     pub(super) route: Rc<route::Route>,
     pub(super) usage: Rc<usage::Usage>,
+    pub(super) stopping: Rc<stopping::Stopping<Target>>,
     pub(super) pool: client::Pool,
     pub(super) metrics: metric::Requests,
 }
 
+impl Services {
+    /// Sends a complete response, with `Connection: close` if the router is stopping.
+    pub(super) async fn respond(
+        &self,
+        connection: &mut server::Connection,
+        response: http::Response<Bytes>,
+    ) -> Result<(), server::Error> {
+        connection.respond(self.stopping.announce(response)).await
+    }
+}
+
 /// HTTP server for callers.
 pub struct Server {
     services: Rc<Services>,
@@ -77,6 +101,32 @@
         self.cause.set(kernel.note(event));
     }
 
+    /// Decides whether a request for `target` is begun, and records the decision; always, unless the
+    /// router is stopping.
+    pub(super) fn is_begun(&self, services: &Services, target: &Target) -> bool {
+        match services.stopping.judge(target, END_UNKNOWN_US) {
+            Some(verdict) => {
+                self.note_at_stop(services, &verdict);
+                verdict.is_admitted
+            }
+            None => true,
+        }
+    }
+
+    /// Waits until a request for `target` is not to be begun any more, because the router is
+    /// stopping.
+    pub(super) async fn refused_at_stop(&self, services: &Services, target: &Target) {
+        let verdict = services.stopping.refused(target, END_UNKNOWN_US).await;
+        self.note_at_stop(services, &verdict);
+    }
+
+    fn note_at_stop(&self, services: &Services, verdict: &Verdict) {
+        let event = event::Event::new(event::Kind::RequestAtStop)
+            .with("client_account", self.account.as_str())
+            .with("is_admitted", verdict.is_admitted);
+        self.note(&services.kernel, stopping::describe(event, verdict));
+    }
+
     /// Records that the request ended with a complete response.
     pub(super) fn complete(&self, services: &Services) {
         let elapsed_us = services.kernel.now_us() - self.arrived_us;
@@ -92,7 +142,7 @@
         &self,
         services: &Services,
         problem: problem::Problem,
-    ) -> http::Response<bytes::Bytes> {
+    ) -> http::Response<Bytes> {
         let ran = match problem.ran {
             problem::Ran::No => "no",
             problem::Ran::Unknown => "unknown",
@@ -131,6 +181,7 @@
             config: registry.find(config::SERVICE)?,
             route: registry.find(route::SERVICE)?,
             usage: registry.find(usage::SERVICE)?,
+            stopping: Rc::new(stopping::Stopping::new(kernel)),
             pool: client::Pool::new(
                 engine::client_options(BACKEND_TIMEOUT_MS),
                 MAX_IDLE_CONNECTIONS,
@@ -160,9 +211,36 @@
         Ok(server)
     }
 
+    /// Begins a stop: from now on a request is begun only if it is expected to end in time. A stop
+    /// that has begun goes on.
+    pub fn begin_stop(&self) -> stopping::Times {
+        let limits = &self.limits;
+        self.services.stopping.begin(|begun_us| {
+            let finish_us = begun_us + limits.shutdown_timeout_ms * clock::US_PER_MS;
+            let stop = Stop {
+                begun_us,
+                leave_us: begun_us + limits.shutdown_grace_ms * clock::US_PER_MS,
+                finish_us,
+            };
+            stopping::Times {
+                stop,
+                answer_us: finish_us.saturating_sub(ANSWER_MARGIN_US).max(begun_us),
+            }
+        })
+    }
+
+    /// Ends a stop at once: stops accepting connections, answers the requests that have no response
+    /// yet, and returns the number of those that are still open.
+    pub async fn cut(&self) -> usize {
+        self.services.stopping.finish();
+        self.stop();
+        self.drain(self.services.kernel.now_us() + ANSWER_MARGIN_US)
+            .await
+    }
+
     /// Closes idle connections and waits until no request is open, at most until `deadline_us`.
     ///
-    /// Requests that still arrive are served. Returns the number of requests still open.
+    /// Returns the number of requests still open.
     pub async fn drain(&self, deadline_us: u64) -> usize {
         self.closing.begin();
         let kernel = &self.services.kernel;
@@ -262,7 +340,8 @@
                 problem::Kind::Unauthorized,
                 "the bearer key is missing or unknown",
             );
-            return connection.respond(response::problem(&problem)).await;
+            let response = response::problem(&problem);
+            return self.services.respond(connection, response).await;
         };
         let call = self.accept_call(account, &path, &request);
         if path == COMPLETIONS_PATH && request.head.method == http::Method::POST {
@@ -272,9 +351,8 @@
         } else {
             let detail = format!("no route for {} {path}", request.head.method);
             let problem = problem::Problem::new(problem::Kind::NotFound, detail);
-            connection
-                .respond(call.refuse(&self.services, problem))
-                .await
+            let response = call.refuse(&self.services, problem);
+            self.services.respond(connection, response).await
         }
     }
 
--- a/crates/peridotrack-edge/src/caller/service_call.rs
+++ b/crates/peridotrack-edge/src/caller/service_call.rs
@@ -4,7 +4,7 @@
 //! most once. An idempotency key extends this to all requests of the account with the same key,
 //! through a claim that is stored before the call is sent.
 
-use std::net::SocketAddr;
+use std::{cell::Cell, net::SocketAddr};
 
 use bytes::Bytes;
 use peridotrack_http::{client, server};
@@ -20,7 +20,7 @@
     response,
     server::{Call, Services},
 };
-use crate::{engine, route};
+use crate::{engine, route, stopping};
 
 /// Headers that are forwarded neither to the service nor back to the caller.
 const UNFORWARDED_HEADERS: [&str; 8] = [
@@ -48,6 +48,8 @@
     path: String,
     request: server::Request,
     mode: Mode,
+    /// Whether an attempt may have run.
+    may_have_run: Cell<bool>,
 }
 
 /// How often a call may run on backend servers.
@@ -70,6 +72,8 @@
     /// The call may not be sent: its deadline has passed, or it was sent before. This attempt
     /// sent no byte.
     NotPermitted,
+    /// The stop ended first.
+    Stopped,
 }
 
 /// Serves a call and sends its response; `rest` is the service's name and the path below it.
@@ -91,7 +95,7 @@
         }
         Err(problem) => call.refuse(services, problem),
     };
-    connection.respond(response).await
+    services.respond(connection, response).await
 }
 
 impl<'a> ServiceCall<'a> {
@@ -129,14 +133,21 @@
             path,
             request,
             mode,
+            may_have_run: Cell::new(false),
         })
     }
 
     /// Claims the call if it needs a claim, dispatches it and records its outcome.
     async fn run(self) -> Result<http::Response<Bytes>, problem::Problem> {
+        let target = self.target();
+        if !self.call.is_begun(self.services, &target) {
+            return Err(stopping::refusal(false));
+        }
+        let stopping = &self.services.stopping;
         if let Some(response) = self.claim().await? {
             return Ok(response);
         }
+        let _tracked = stopping.track(&target, self.call.arrived_us);
         let result = self.dispatch().await;
         if self.mode != Mode::Idempotent {
             self.services
@@ -173,7 +184,17 @@
             .0,
             deadline_us,
         };
-        match self.services.claims.begin(request).await {
+        let target = self.target();
+        let decision = monoio::select! {
+            biased;
+            decision = self.services.claims.begin(request) => decision,
+            () = self.call.refused_at_stop(self.services, &target) => {
+                let claims = &self.services.claims;
+                claims.finish(request_id, claim::Outcome::NotRun);
+                return Err(stopping::refusal(false));
+            }
+        };
+        match decision {
             Decision::Granted => Ok(None),
             Decision::Replay {
                 status,
@@ -196,18 +217,31 @@
     async fn dispatch(&self) -> Result<http::Response<Bytes>, problem::Problem> {
         let mut ticket = self.services.route.offer(self.offer());
         loop {
-            let target = ticket.next().await.into_destination().map_err(|refusal| {
+            let step = monoio::select! {
+                biased;
+                problem = self.refused_at_stop() => return Err(problem),
+                step = ticket.next() => step,
+            };
+            let target = step.into_destination().map_err(|refusal| {
                 problem::Problem::new(refusal.kind, "no backend server answered in time")
                     .retry_after_ms(refusal.retry_after_ms)
             })?;
             let event = event::Event::new(event::Kind::RequestDispatched)
                 .with("backend_server", target.backend_server.as_str());
             self.call.note(&self.services.kernel, event);
-            match self.attempt(&ticket, target.address).await {
+            let attempt = monoio::select! {
+                attempt = self.attempt(&ticket, target.address) => attempt,
+                () = self.services.stopping.answer_due() => Attempt::Stopped,
+            };
+            match attempt {
                 Attempt::Complete(response) => {
                     ticket.finished(Outcome::Done);
                     return Ok(response);
                 }
+                Attempt::Stopped => {
+                    ticket.finished(Outcome::Cancelled);
+                    return Err(stopping::unanswered(self.may_have_run.get()));
+                }
                 Attempt::NotPermitted => {
                     ticket.finished(Outcome::Cancelled);
                     let detail = "the time to send the request has passed";
@@ -226,6 +260,23 @@
         }
     }
 
+    /// Waits until the call is not to be sent, or not again, because the router is stopping, and
+    /// returns the problem to refuse it with. A claim that was made is used while time is left.
+    async fn refused_at_stop(&self) -> problem::Problem {
+        if self.mode == Mode::Claimed {
+            self.services.stopping.answer_due().await;
+            return stopping::unanswered(self.may_have_run.get());
+        }
+        let target = self.target();
+        self.call.refused_at_stop(self.services, &target).await;
+        stopping::refusal(self.may_have_run.get())
+    }
+
+    /// Returns what the call is addressed to.
+    fn target(&self) -> Target {
+        Target::Service(self.service.clone())
+    }
+
     /// Returns the offer from which the routing service chooses a backend server.
     fn offer(&self) -> Offer {
         let config = self.services.config.current();
@@ -235,7 +286,7 @@
             priority: config
                 .rules
                 .priority(&self.call.account, None, Some(&self.service)),
-            target: Target::Service(self.service.clone()),
+            target: self.target(),
             prefix_hash: None,
             size_tokens: 1,
             deadline_us: self.call.deadline_us,
@@ -259,9 +310,15 @@
             return Attempt::NotPermitted;
         }
         ticket.sent();
+        let earlier_may_have_run = self.may_have_run.replace(true);
         let head = match backend.send(self.forwarded_request(address)).await {
             Ok(head) => head,
-            Err(error) => return failed(outcome_of(&error), error.to_string()),
+            Err(error) => {
+                if !error.bytes_written {
+                    self.may_have_run.set(earlier_may_have_run);
+                }
+                return failed(outcome_of(&error), error.to_string());
+            }
         };
         let body = match backend.read_body().await {
             Ok(body) => body,
@@ -271,6 +328,7 @@
             ticket.backend_server_leaving();
         }
         if engine::is_not_run(&head) {
+            self.may_have_run.set(earlier_may_have_run);
             return failed(
                 Outcome::RefusedNotRun,
                 "the backend server refused the call without running it".to_owned(),
--- a/crates/peridotrack-edge/src/claims.rs
+++ b/crates/peridotrack-edge/src/claims.rs
@@ -104,8 +104,9 @@
             .may_send(self.kernel.now_us(), request_id)
     }
 
-    /// Starts to record the outcome of a granted request.
+    /// Starts to record the outcome of a granted request, or abandons one that waits for its claim.
     pub fn finish(self: &Rc<Self>, request_id: id::Request, outcome: claim::Outcome) {
+        self.waiting.borrow_mut().remove(&request_id);
         let now_us = self.kernel.now_us();
         let actions = self.claims.borrow_mut().finish(now_us, request_id, outcome);
         self.run(actions);
--- a/crates/peridotrack-edge/src/daemon.rs
+++ b/crates/peridotrack-edge/src/daemon.rs
@@ -70,7 +70,6 @@
 /// A running router.
 pub struct Daemon {
     kernel: Rc<Kernel>,
-    settings: settings::Settings,
     incarnation: id::Incarnation,
     link: Rc<peer::Link>,
     callers: Rc<caller::Server>,
@@ -102,31 +101,28 @@
             platform::Dialect::Native,
         );
         let services = Services::spawn(&kernel, &platform, &link, &settings, incarnation)?;
-        let operator = operator::Operator::bind(&kernel, incarnation, settings.clone())
-            .map_err(|error| listen("operators", settings.operator_address, &error))?;
+        let (caller_address, limits) = (settings.caller_address, settings.limits.clone());
+        let failure_domain = settings.failure_domain.clone();
+        let operator_address = settings.operator_address;
+        let operator = operator::Operator::bind(&kernel, incarnation, settings)
+            .map_err(|error| listen("operators", operator_address, &error))?;
         kernel
             .registry()
             .register(operator::SERVICE, Rc::clone(&operator))?;
-        let callers = caller::Server::bind(
-            &kernel,
-            incarnation,
-            settings.caller_address,
-            settings.limits.clone(),
-        )
-        .map_err(|error| listen("callers", settings.caller_address, &*error))?;
+        let callers = caller::Server::bind(&kernel, incarnation, caller_address, limits)
+            .map_err(|error| listen("callers", caller_address, &*error))?;
         kernel
             .registry()
             .register(caller::SERVICE, Rc::clone(&callers))?;
         let event = event::Event::new(event::Kind::RouterStarted)
             .with("incarnation", incarnation.to_string())
-            .with("failure_domain", settings.failure_domain.as_str())
+            .with("failure_domain", failure_domain.as_str())
             .with("caller_address", callers.address().to_string())
             .with("operator_address", operator.address().to_string())
             .with("peer_address", link.address().to_string());
         kernel.note(event);
         Ok(Self {
             kernel,
-            settings,
             incarnation,
             link,
             callers,
@@ -186,8 +182,10 @@
         self.set_state(State::Serving);
     }
 
-    /// Turns readiness off; requests are still served.
+    /// Turns readiness off. From now on a request is begun only if it is expected to end within the
+    /// shutdown timeout.
     pub fn begin_stop(&self) {
+        self.callers.begin_stop();
         self.set_state(State::Stopping);
         let event = event::Event::new(event::Kind::RouterStopping)
             .with("open_requests", self.callers.open_requests() as u64);
@@ -198,14 +196,10 @@
     /// and sends leave notices. Each step is bounded in time; requests open at the shutdown timeout
     /// are cut.
     pub async fn stop(&self) -> Outcome {
-        let limits = &self.settings.limits;
-        let begin_us = self.kernel.now_us();
-        self.kernel
-            .timer()
-            .sleep_us(limits.shutdown_grace_ms * clock::US_PER_MS)
-            .await;
-        let deadline_us = begin_us + limits.shutdown_timeout_ms * clock::US_PER_MS;
-        let cut_requests = self.callers.drain(deadline_us).await;
+        let stop = self.callers.begin_stop().stop;
+        let leave_us = stop.leave_us.saturating_sub(self.kernel.now_us());
+        self.kernel.timer().sleep_us(leave_us).await;
+        let cut_requests = self.callers.drain(stop.finish_us).await;
         self.callers.stop();
         let close_us = self.kernel.now_us() + CLOSE_US;
         let outcome = Outcome {
@@ -220,10 +214,11 @@
         outcome
     }
 
-    /// Stops at once and returns how many requests were cut. Sends leave notices, but does not
-    /// record outcomes of claims, flush usage records or return grants.
-    pub fn cut(&self) -> Outcome {
-        let cut_requests = self.callers.open_requests();
+    /// Stops at once: answers the requests that have no response yet, and returns how many others
+    /// were cut. Sends leave notices, but does not record outcomes of claims, flush usage records or
+    /// return grants.
+    pub async fn cut(&self) -> Outcome {
+        let cut_requests = self.callers.cut().await;
         self.callers.kill();
         self.services.member.stop();
         let outcome = Outcome {
--- a/crates/peridotrack-edge/src/gateway/exchange.rs
+++ b/crates/peridotrack-edge/src/gateway/exchange.rs
@@ -17,14 +17,14 @@
 use super::{
     Shared,
     attempt::{self, AttemptResult},
-    crash, options,
+    crash,
     request::{self, RoutedRequest},
     reservation::{self, ReservationGuard},
     response,
     server::Arrival,
     stream,
 };
-use crate::route;
+use crate::{route, stopping};
 
 /// Reason why a connection must be closed after an exchange.
 #[derive(Debug)]
@@ -103,7 +103,7 @@
         .with("receive_us", request.arrived_us - arrival.began_us)
         .with("is_kept_connection", arrival.is_kept)
         .with("is_admitted", verdict.is_admitted);
-    request.note(shared, describe_verdict(event, verdict));
+    request.note(shared, stopping::describe(event, verdict));
 }
 
 /// Sends the request to backend servers until one responds or the routing service refuses it.
@@ -193,8 +193,7 @@
             }
             AttemptResult::Stopped => {
                 ticket.finished(Outcome::Cancelled);
-                let detail = "the router stopped before the backend server answered";
-                let problem = problem::Problem::new(problem::Kind::OutcomeUnknown, detail);
+                let problem = stopping::unanswered(reservation.may_have_run());
                 let (request, reservation) = (Some(request), Some(reservation));
                 return refuse(shared, connection, request, reservation, &problem).await;
             }
@@ -232,31 +231,13 @@
     verdict: &stop::Verdict,
 ) -> Result<(), Error> {
     let may_have_run = reservation.is_some_and(ReservationGuard::may_have_run);
-    let problem = match may_have_run {
-        true => problem::Problem::new(
-            problem::Kind::OutcomeUnknown,
-            "the attempt failed and the router is stopping",
-        ),
-        false => problem::Problem::new(
-            problem::Kind::Stopping,
-            "the router is stopping and would not finish the request",
-        )
-        .retry_after_ms(options::STOPPING_RETRY_MS),
-    };
+    let problem = stopping::refusal(may_have_run);
     let event = event::Event::new(event::Kind::RequestRefused);
-    let event = describe_verdict(event, verdict);
+    let event = stopping::describe(event, verdict);
     let request = Some(request);
     refuse_with(shared, connection, request, reservation, &problem, event).await
 }
 
-/// Adds the inputs of a decision about a request at a stopping gateway.
-fn describe_verdict(event: event::Event, verdict: &stop::Verdict) -> event::Event {
-    event
-        .with("since_stop_us", verdict.since_stop_us)
-        .with("expected_us", verdict.expected_us.unwrap_or(u64::MAX))
-        .with("grace_left_us", verdict.left_us)
-}
-
 /// Ends a request that the routing service does not place, again or at all.
 async fn refuse_unplaced(
     shared: &Rc<Shared>,
@@ -418,11 +399,9 @@
 async fn respond(
     shared: &Shared,
     connection: &mut server::Connection,
-    mut response: http::Response<Bytes>,
+    response: http::Response<Bytes>,
 ) -> Result<(), Error> {
-    if shared.stopping.has_begun() {
-        response::announce_close(response.headers_mut());
-    }
+    let response = shared.stopping.announce(response);
     connection.respond(response).await?;
     Ok(())
 }
--- a/crates/peridotrack-edge/src/gateway/options.rs
+++ b/crates/peridotrack-edge/src/gateway/options.rs
@@ -12,9 +12,6 @@
 
 use crate::{member, stopping};
 
-/// Retry delay stated to clients of a stopping gateway, in milliseconds: other routers serve a new
-/// connection at once.
-pub(super) const STOPPING_RETRY_MS: u64 = 100;
 /// Time at the end of the grace period that is reserved for closing the budget, in microseconds;
 /// closing may take longer if open requests end earlier.
 const BUDGET_CLOSE_US: u64 = 800 * clock::US_PER_MS;
--- a/crates/peridotrack-edge/src/gateway/response.rs
+++ b/crates/peridotrack-edge/src/gateway/response.rs
@@ -33,12 +33,6 @@
     problem
 }
 
-/// Announces that the connection closes after the response.
-pub(super) fn announce_close(headers: &mut http::HeaderMap) {
-    let close = http::HeaderValue::from_static("close");
-    headers.insert(http::header::CONNECTION, close);
-}
-
 /// Returns the complete response of a backend server as the client receives it.
 pub(super) fn forwarded(head: &http::response::Parts, body: Bytes) -> http::Response<Bytes> {
     let mut response = http::Response::new(body);
--- a/crates/peridotrack-edge/src/gateway/stream.rs
+++ b/crates/peridotrack-edge/src/gateway/stream.rs
@@ -240,10 +240,10 @@
         .metrics
         .first_token
         .record(elapsed_us as f64 / 1e6);
-    let mut head = response::stream_head(head);
-    if attempt.shared.stopping.has_begun() {
-        response::announce_close(head.headers_mut());
-    }
+    let head = attempt
+        .shared
+        .stopping
+        .announce(response::stream_head(head));
     client.start_with(head, events).await
 }
 
--- a/crates/peridotrack-edge/src/stopping.rs
+++ b/crates/peridotrack-edge/src/stopping.rs
@@ -10,12 +10,15 @@
     rc::Rc,
 };
 
-use peridotrack_kernel::{Kernel, clock};
+use peridotrack_kernel::{Kernel, clock, event};
 use peridotrack_route::stop::{Durations, Stop, Verdict};
-use peridotrack_types::collections;
+use peridotrack_types::{collections, problem};
 
 use crate::notify;
 
+/// Retry delay stated to clients of a stopping router, in milliseconds: other routers serve a new
+/// connection at once.
+const RETRY_MS: u64 = 100;
 /// Period at which a waiting request is judged again, in microseconds.
 const RECHECK_US: u64 = 50 * clock::US_PER_MS;
 
@@ -79,6 +82,44 @@
     pub fn has_begun(&self) -> bool {
         self.times.get().is_some()
     }
+
+    /// Announces in the head of a response that the connection closes, if the server is stopping.
+    pub fn announce<T>(&self, mut response: http::Response<T>) -> http::Response<T> {
+        if self.has_begun() {
+            let close = http::HeaderValue::from_static("close");
+            let headers = response.headers_mut();
+            headers.insert(http::header::CONNECTION, close);
+        }
+        response
+    }
+}
+
+/// Returns the problem of a request that is not begun, or not sent again, because the router is
+/// stopping.
+pub fn refusal(may_have_run: bool) -> problem::Problem {
+    if may_have_run {
+        let detail = "the attempt failed and the router is stopping";
+        return problem::Problem::new(problem::Kind::OutcomeUnknown, detail);
+    }
+    let detail = "the router is stopping and would not finish the request";
+    problem::Problem::new(problem::Kind::Stopping, detail).retry_after_ms(RETRY_MS)
+}
+
+/// Returns the problem of a request that has no response when the stop ends.
+pub fn unanswered(may_have_run: bool) -> problem::Problem {
+    if may_have_run {
+        let detail = "the router stopped before the backend server answered";
+        return problem::Problem::new(problem::Kind::OutcomeUnknown, detail);
+    }
+    refusal(false)
+}
+
+/// Adds the inputs of a decision about a request.
+pub fn describe(event: event::Event, verdict: &Verdict) -> event::Event {
+    event
+        .with("since_stop_us", verdict.since_stop_us)
+        .with("expected_us", verdict.expected_us.unwrap_or(u64::MAX))
+        .with("grace_left_us", verdict.left_us)
 }
 
 /// Decides about requests.
--- a/crates/peridotrackd/src/main.rs
+++ b/crates/peridotrackd/src/main.rs
@@ -85,7 +85,7 @@
         daemon.begin_stop();
         let outcome = monoio::select! {
             outcome = daemon.stop() => outcome,
-            () = wait_for_stop_signals(&signals, 2) => daemon.cut(),
+            () = wait_for_stop_signals(&signals, 2) => daemon.cut().await,
         };
         Ok(outcome)
     })
--- /dev/null
+++ b/crates/peridotrackd/tests/stopping.rs
@@ -0,0 +1,197 @@
+//! Requests that arrive at, or are open on, a router that is stopping.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use peridotrack_standin::{
+    engine,
+    harness::{
+        fleet::{self, Fleet},
+        http::{block_on, fetch},
+        router::{self, Router},
+        wait,
+    },
+    platform, service,
+};
+use peridotrack_types::problem::{self, Problem, Ran};
+use rstest::rstest;
+
+const TIMEOUT: Duration = Duration::from_secs(20);
+const PROGRAM: &str = env!("CARGO_BIN_EXE_peridotrackd");
+
+/// A fleet, and a further router with its own times of a stop.
+struct Fixture {
+    fleet: Fleet,
+    stopping: Router,
+}
+
+impl Fixture {
+    async fn spawn(shutdown_grace_ms: u64, shutdown_timeout_ms: u64) -> Self {
+        let options = fleet::Options {
+            program: PROGRAM.into(),
+            failure_domains: 1,
+            routers: 1,
+            engines: 1,
+            services: 1,
+            purchased_tokens: 100_000,
+        };
+        let fleet = fleet::spawn(&options).await.unwrap();
+        let seeds = [fleet.routers[0].peer_address];
+        let platform = fleet.platform.address();
+        let mut settings = router::settings("vm-stopping", "domain-0", platform, &seeds);
+        settings.limits.shutdown_grace_ms = shutdown_grace_ms;
+        settings.limits.shutdown_timeout_ms = shutdown_timeout_ms;
+        let stopping = router::spawn(PROGRAM, &settings).await.unwrap();
+        stopping.ready().await.unwrap();
+        Self { fleet, stopping }
+    }
+
+    /// Sends a request to the router that stops.
+    async fn send(&self, request: Request<Bytes>) -> Response<Bytes> {
+        fetch(self.stopping.caller_address, request).await.unwrap()
+    }
+
+    /// Sets the latency of the service's responses.
+    fn set_service_delay(&self, delay_ms: u64) {
+        self.fleet.services[0].control(service::Control {
+            delay_ms: Some(delay_ms),
+            ..service::Control::default()
+        });
+    }
+
+    /// Sets the latency of the platform's responses.
+    fn set_platform_delay(&self, delay_ms: u64) {
+        self.fleet.platform.control(platform::Control {
+            delay_ms: Some(delay_ms),
+            ..platform::Control::default()
+        });
+    }
+
+    fn runs(&self) -> u64 {
+        let engines = self.fleet.engines.iter();
+        let engine_runs: u64 = engines.map(|engine| engine.counters().runs).sum();
+        self.fleet.service_runs() + engine_runs
+    }
+
+    async fn wait_for_runs(&self, runs: u64) {
+        let have_begun = || self.runs() == runs;
+        wait::until(TIMEOUT, "runs", have_begun).await.unwrap();
+    }
+}
+
+fn problem_of(response: &Response<Bytes>) -> Problem {
+    serde_json::from_slice(response.body()).unwrap()
+}
+
+fn assert_is_stopping(response: &Response<Bytes>) {
+    assert_eq!(response.status(), StatusCode::SERVICE_UNAVAILABLE);
+    let problem = problem_of(response);
+    let stopping = Problem::new(problem::Kind::Stopping, "");
+    assert_eq!(problem.type_urn, stopping.type_urn, "{problem:?}");
+    assert_eq!(problem.ran, Ran::No);
+    assert!(response.headers().contains_key("retry-after"));
+    assert_eq!(response.headers()["connection"], "close");
+}
+
+fn chat(is_stream: bool) -> Request<Bytes> {
+    fleet::chat("hello", 4, is_stream)
+}
+
+/// Guards against requests that are begun late in a stop and cut at its end.
+#[rstest]
+#[case::chat(|| chat(false))]
+#[case::stream(|| chat(true))]
+#[case::idempotent(|| fleet::call("/lookup/1", None))]
+#[case::keyed(|| fleet::call("/isbn", Some("late")))]
+#[case::without_key(|| fleet::call("/isbn", None))]
+fn a_request_that_arrives_after_the_grace_period_is_refused_as_not_run(
+    #[case] request: fn() -> Request<Bytes>,
+) {
+    block_on(async {
+        let mut fixture = Fixture::spawn(200, 10_000).await;
+        assert_eq!(fixture.send(request()).await.status(), StatusCode::OK);
+        fixture.set_service_delay(1_500);
+        let address = fixture.stopping.caller_address;
+        let open_call = monoio::spawn(fetch(address, fleet::call("/isbn", None)));
+        fixture.wait_for_runs(2).await;
+        fixture.stopping.process.terminate().unwrap();
+        monoio::time::sleep(Duration::from_millis(600)).await;
+        let refused = fixture.send(request()).await;
+        assert_is_stopping(&refused);
+        assert_eq!(fixture.runs(), 2);
+        assert_eq!(open_call.await.unwrap().status(), StatusCode::OK);
+        let status = fixture.stopping.process.wait_for_exit().await.unwrap();
+        assert_eq!(status.code(), Some(0));
+    });
+}
+
+/// Guards against a claim that is made and given up: the key is free for another router.
+#[test]
+fn a_call_that_still_waits_for_its_claim_after_the_grace_period_is_refused_as_not_run() {
+    block_on(async {
+        let mut fixture = Fixture::spawn(200, 10_000).await;
+        let call = || fleet::call("/isbn", Some("key"));
+        fixture.set_platform_delay(800);
+        let address = fixture.stopping.caller_address;
+        let waiting_call = monoio::spawn(fetch(address, call()));
+        monoio::time::sleep(Duration::from_millis(100)).await;
+        fixture.stopping.process.terminate().unwrap();
+        assert_is_stopping(&waiting_call.await.unwrap());
+        fixture.set_platform_delay(0);
+        fixture.stopping.process.wait_for_exit().await.unwrap();
+        let other = fixture.fleet.routers[0].caller_address;
+        assert_eq!(fetch(other, call()).await.unwrap().status(), StatusCode::OK);
+        assert_eq!(fixture.runs(), 1);
+    });
+}
+
+/// Guards against a next request on a connection that the router is about to close.
+#[rstest]
+#[case::chat(|| chat(false))]
+#[case::stream(|| chat(true))]
+#[case::call(|| fleet::call("/isbn", None))]
+fn a_response_of_a_stopping_router_announces_that_the_connection_closes(
+    #[case] request: fn() -> Request<Bytes>,
+) {
+    block_on(async {
+        let mut fixture = Fixture::spawn(2_000, 10_000).await;
+        let response = fixture.send(request()).await;
+        assert_eq!(response.status(), StatusCode::OK);
+        assert!(!response.headers().contains_key("connection"));
+        fixture.stopping.process.terminate().unwrap();
+        monoio::time::sleep(Duration::from_millis(300)).await;
+        let response = fixture.send(request()).await;
+        assert_eq!(response.status(), StatusCode::OK);
+        assert_eq!(response.headers()["connection"], "close");
+    });
+}
+
+/// Guards against a connection that is closed under a request that has reached a server.
+#[rstest]
+#[case::chat(|| chat(false))]
+#[case::stream(|| chat(true))]
+#[case::idempotent(|| fleet::call("/lookup/1", None))]
+#[case::keyed(|| fleet::call("/isbn", Some("open")))]
+#[case::without_key(|| fleet::call("/isbn", None))]
+fn a_request_without_a_response_at_the_end_of_the_stop_gets_502(
+    #[case] request: fn() -> Request<Bytes>,
+) {
+    block_on(async {
+        let mut fixture = Fixture::spawn(0, 1_700).await;
+        fixture.set_service_delay(60_000);
+        fixture.fleet.engines[0].control(engine::Control {
+            first_token_ms: Some(60_000),
+            ..engine::Control::default()
+        });
+        let address = fixture.stopping.caller_address;
+        let open_request = monoio::spawn(fetch(address, request()));
+        fixture.wait_for_runs(1).await;
+        fixture.stopping.process.terminate().unwrap();
+        let response = open_request.await.unwrap();
+        assert_eq!(response.status(), StatusCode::BAD_GATEWAY);
+        assert_eq!(problem_of(&response).ran, Ran::Unknown);
+        assert_eq!(response.headers()["connection"], "close");
+        fixture.stopping.process.wait_for_exit().await.unwrap();
+    });
+}
