fix(peridotrackd): a repeated SIGTERM does not shorten the stop

Clients saw requests cut that would have ended in the stop: a supervisor that sends SIGTERM again to a process that is stopping ended it at once.

Cause: SIGTERM and SIGINT were counted together, and the second signal of either kind cut the open requests.

Now SIGTERM only requests the stop, however often it comes. A second SIGINT, as from a terminal, ends the stop at once: requests without a response are answered first, and the exit code is 1 because grants were not returned. The gateway returned 0 then.

No existing test asserted that a second SIGTERM cuts.

--- a/crates/peridotrack-kernel/src/event.rs
+++ b/crates/peridotrack-kernel/src/event.rs
@@ -67,7 +67,7 @@
     101 Info RouterStopping,
     /// The router stopped cleanly, without cutting any request.
     102 Info RouterStopped,
-    /// The router stopped at the shutdown limit or on a second signal and cut open requests.
+    /// The router stopped at the shutdown limit or on a second SIGINT and cut open requests.
     103 Error RouterCut,
     /// The settings were read again; if that failed, a field holds the error.
     104 Info SettingsRead,
--- a/crates/peridotrack-standin/src/harness/process.rs
+++ b/crates/peridotrack-standin/src/harness/process.rs
@@ -272,6 +272,11 @@
         self.signal("TERM")
     }
 
+    /// Sends SIGINT, which asks the process to exit; the second one asks it to exit at once.
+    pub fn interrupt(&mut self) -> Result<(), Error> {
+        self.signal("INT")
+    }
+
     /// Sends SIGHUP, which asks a daemon to reload its settings.
     pub fn reload(&mut self) -> Result<(), Error> {
         self.signal("HUP")
--- a/crates/peridotrackd/src/arguments.rs
+++ b/crates/peridotrackd/src/arguments.rs
@@ -23,8 +23,8 @@
 
 Exit codes: 0 stopped cleanly, 1 could not start, or cut requests or left
 grants, usage records or claims open, 2 wrong arguments or settings. SIGTERM
-and SIGINT stop gracefully; a second one cuts the requests that are still open.
-SIGHUP makes a gateway read its settings again.";
+and SIGINT stop gracefully. A second SIGINT ends the stop at once; a repeated
+SIGTERM does not shorten it. SIGHUP makes a gateway read its settings again.";
 
 /// Action selected by the command line.
 pub enum Command {
--- a/crates/peridotrackd/src/gateway.rs
+++ b/crates/peridotrackd/src/gateway.rs
@@ -1,7 +1,7 @@
 //! The `gateway` subcommand: runs a gateway on the users' platform.
 //!
-//! SIGHUP reloads the settings file, the first SIGTERM or SIGINT stops gracefully, and a second one
-//! cuts the requests that are still open.
+//! SIGHUP reloads the settings file, SIGTERM or SIGINT stops gracefully, and a second SIGINT ends the
+//! stop at once.
 
 use std::process::ExitCode;
 
@@ -12,8 +12,7 @@
 use peridotrack_types::gateway::Settings;
 
 use crate::{
-    EXIT_FAILURE, EXIT_USAGE, SIGNAL_POLL_INTERVAL, build_runtime, fail, signals,
-    wait_for_stop_signals,
+    EXIT_FAILURE, EXIT_USAGE, SIGNAL_POLL_INTERVAL, build_runtime, fail, signals, wait_until,
 };
 
 /// Environment variable with the secret that authenticates gateways to each other. If it is unset,
@@ -27,8 +26,8 @@
         Err(error) => return fail(EXIT_USAGE, &error),
     };
     match run(settings) {
-        Ok(outcome) if outcome.cut_requests == 0 => ExitCode::SUCCESS,
-        Ok(_) => ExitCode::from(EXIT_FAILURE),
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(EXIT_FAILURE),
         Err(error) => fail(EXIT_FAILURE, &error),
     }
 }
@@ -48,12 +47,13 @@
     Ok(settings)
 }
 
-fn run(settings: Settings) -> eyre::Result<gateway::Outcome> {
+/// Runs the gateway and returns whether it stopped gracefully, without cutting a request.
+fn run(settings: Settings) -> eyre::Result<bool> {
     let signals = signals::Signals::open().wrap_err("cannot register signal handlers")?;
     let mut runtime = build_runtime()?;
     runtime.block_on(async {
         let gateway = gateway::Gateway::spawn(settings, log::Output::Stdout)?;
-        while signals.stop_count() == 0 {
+        while !signals.is_stop_requested() {
             if signals.take_reload() {
                 gateway.reload(&read_settings().map_err(|error| format!("{error:#}")));
             }
@@ -61,8 +61,11 @@
         }
         gateway.begin_stop();
         monoio::select! {
-            outcome = gateway.stop() => Ok(outcome),
-            () = wait_for_stop_signals(&signals, 2) => Ok(gateway.cut().await),
+            outcome = gateway.stop() => Ok(outcome.cut_requests == 0),
+            () = wait_until(|| signals.is_cut_requested()) => {
+                gateway.cut().await;
+                Ok(false)
+            }
         }
     })
 }
--- a/crates/peridotrackd/src/main.rs
+++ b/crates/peridotrackd/src/main.rs
@@ -66,7 +66,7 @@
     })
 }
 
-/// Runs the router on this thread until a stop signal arrives; a second one cuts open requests.
+/// Runs the router on this thread until a stop signal arrives; a second SIGINT ends the stop at once.
 fn run(settings: settings::Settings) -> eyre::Result<daemon::Outcome> {
     let signals = signals::Signals::open().wrap_err("cannot register signal handlers")?;
     let mut runtime = build_runtime()?;
@@ -80,12 +80,12 @@
         );
         monoio::select! {
             () = serve_until_signal(&daemon, &signals) => {}
-            () = wait_for_stop_signals(&signals, 1) => {}
+            () = wait_until(|| signals.is_stop_requested()) => {}
         }
         daemon.begin_stop();
         let outcome = monoio::select! {
             outcome = daemon.stop() => outcome,
-            () = wait_for_stop_signals(&signals, 2) => daemon.cut().await,
+            () = wait_until(|| signals.is_cut_requested()) => daemon.cut().await,
         };
         Ok(outcome)
     })
@@ -104,12 +104,12 @@
 async fn serve_until_signal(daemon: &daemon::Daemon, signals: &signals::Signals) {
     daemon.ready().await;
     println!("ready");
-    wait_for_stop_signals(signals, 1).await;
+    wait_until(|| signals.is_stop_requested()).await;
 }
 
-/// Waits until `count` stop signals have been received since the start.
-async fn wait_for_stop_signals(signals: &signals::Signals, count: usize) {
-    while signals.stop_count() < count {
+/// Waits until the signals that were received fulfil a condition.
+async fn wait_until(is_fulfilled: impl Fn() -> bool) {
+    while !is_fulfilled() {
         monoio::time::sleep(SIGNAL_POLL_INTERVAL).await;
     }
 }
--- a/crates/peridotrackd/src/signals.rs
+++ b/crates/peridotrackd/src/signals.rs
@@ -15,26 +15,32 @@
     flag,
 };
 
-/// Counts SIGTERM and SIGINT and records SIGHUP, without an extra thread.
+/// Number of SIGINTs that end a stop at once.
+const CUT_INTERRUPTS: usize = 2;
+
+/// Records SIGTERM, SIGINT and SIGHUP, without an extra thread.
 pub struct Signals {
-    stop_flags: [Arc<AtomicBool>; 2],
+    terminate: Arc<AtomicBool>,
+    interrupt: Arc<AtomicBool>,
     reload: Arc<AtomicBool>,
-    stop_count: Cell<usize>,
+    is_stop_requested: Cell<bool>,
+    interrupts: Cell<usize>,
 }
 
 impl Signals {
     /// Registers the signal handlers.
     pub fn open() -> std::io::Result<Self> {
-        let stop_flags = [Arc::<AtomicBool>::default(), Arc::default()];
-        flag::register(SIGTERM, Arc::clone(&stop_flags[0]))?;
-        flag::register(SIGINT, Arc::clone(&stop_flags[1]))?;
-        let reload = Arc::default();
-        flag::register(SIGHUP, Arc::clone(&reload))?;
-        Ok(Self {
-            stop_flags,
-            reload,
-            stop_count: Cell::new(0),
-        })
+        let signals = Self {
+            terminate: Arc::default(),
+            interrupt: Arc::default(),
+            reload: Arc::default(),
+            is_stop_requested: Cell::new(false),
+            interrupts: Cell::new(0),
+        };
+        flag::register(SIGTERM, Arc::clone(&signals.terminate))?;
+        flag::register(SIGINT, Arc::clone(&signals.interrupt))?;
+        flag::register(SIGHUP, Arc::clone(&signals.reload))?;
+        Ok(signals)
     }
 
     /// Returns whether SIGHUP was received since the last call.
@@ -42,14 +48,27 @@
         self.reload.swap(false, Ordering::Relaxed)
     }
 
-    /// Returns the number of stop signals received. Repeated signals of one kind between two calls
-    /// count as one.
-    pub fn stop_count(&self) -> usize {
-        for flag in &self.stop_flags {
-            if flag.swap(false, Ordering::Relaxed) {
-                self.stop_count.set(self.stop_count.get() + 1);
-            }
+    /// Returns whether SIGTERM or SIGINT was received.
+    pub fn is_stop_requested(&self) -> bool {
+        self.poll();
+        self.is_stop_requested.get()
+    }
+
+    /// Returns whether SIGINT was received a second time. A repeated SIGTERM does not count:
+    /// supervisors send it again to a process that is stopping.
+    pub fn is_cut_requested(&self) -> bool {
+        self.poll();
+        self.interrupts.get() >= CUT_INTERRUPTS
+    }
+
+    /// Reads the flags. Repeated signals of one kind between two calls count as one.
+    fn poll(&self) {
+        if self.terminate.swap(false, Ordering::Relaxed) {
+            self.is_stop_requested.set(true);
+        }
+        if self.interrupt.swap(false, Ordering::Relaxed) {
+            self.is_stop_requested.set(true);
+            self.interrupts.set(self.interrupts.get() + 1);
         }
-        self.stop_count.get()
     }
 }
--- a/crates/peridotrackd/tests/gateway.rs
+++ b/crates/peridotrackd/tests/gateway.rs
@@ -188,18 +188,19 @@
     open
 }
 
-/// Guards against a repeated SIGTERM that cuts requests which end within the grace period.
+/// Guards against a stop that cuts an open request: the backend server never responds, so the
+/// request ends with its own timeout while the gateway stops.
 #[test]
-fn a_repeated_sigterm_leaves_open_requests_their_time() {
+fn a_stop_finishes_open_requests_and_logs_each_step() {
     block_on(async {
         let (store, backend) = fixture(backend::Mode::Mute);
-        let mut gateway = Gateway::spawn(store.address(), "repeated").await;
+        let mut gateway = Gateway::spawn(store.address(), "stop").await;
         gateway.wait_until_ready().await;
         let open_request = open_request(&gateway, &backend).await;
         gateway.signal("-TERM");
         gateway.wait_for_event("RouterStopping").await;
-        gateway.signal("-TERM");
-        let response = open_request.await.expect("a response");
+        assert!(!gateway.is_ready().await);
+        let response = open_request.await.unwrap();
         assert_eq!(
             response.status(),
             504,
@@ -213,47 +214,50 @@
     });
 }
 
-/// Guards against requests that get no response when a second SIGINT ends the process at once.
+/// Time between two signals, longer than the gateway takes to notice one.
+const SIGNAL_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Guards against a supervisor that repeats its signal and so cuts requests that would end.
 #[test]
-fn a_second_sigint_ends_the_process_and_open_requests_get_a_response() {
+fn a_repeated_sigterm_does_not_shorten_the_stop() {
     block_on(async {
         let (store, backend) = fixture(backend::Mode::Mute);
-        let mut gateway = Gateway::spawn(store.address(), "interrupt").await;
+        let mut gateway = Gateway::spawn(store.address(), "repeated").await;
         gateway.wait_until_ready().await;
         let open_request = open_request(&gateway, &backend).await;
-        gateway.signal("-INT");
-        gateway.wait_for_event("RouterStopping").await;
-        gateway.signal("-INT");
-        let response = open_request.await.expect("a response");
-        assert_eq!(response.status(), 502, "before the time limit");
+        for _ in 0..3 {
+            gateway.signal("-TERM");
+            monoio::time::sleep(SIGNAL_INTERVAL).await;
+        }
+        let response = open_request.await.unwrap();
+        assert_eq!(response.status(), 504, "the time limit of the route");
+        let stopped = gateway.wait_for_event("RouterStopped").await;
+        assert_eq!(stopped["fields"]["cut_requests"], 0);
         let ended = async || gateway.child.try_wait().unwrap();
-        wait::poll(TIMEOUT, "the end", ended).await.unwrap();
+        let status = wait::poll(TIMEOUT, "the end", ended).await.unwrap();
+        assert!(status.success());
     });
 }
 
-/// Guards against a stop that cuts an open request: the backend server never responds, so the
-/// request ends with its own timeout while the gateway stops.
+/// Guards against connections that are closed without a response, and against a stop at a terminal
+/// that cannot be ended.
 #[test]
-fn a_stop_finishes_open_requests_and_logs_each_step() {
+fn a_second_sigint_ends_the_stop_after_open_requests_are_answered() {
     block_on(async {
         let (store, backend) = fixture(backend::Mode::Mute);
-        let mut gateway = Gateway::spawn(store.address(), "stop").await;
+        let mut gateway = Gateway::spawn(store.address(), "interrupted").await;
         gateway.wait_until_ready().await;
         let open_request = open_request(&gateway, &backend).await;
-        gateway.signal("-TERM");
+        gateway.signal("-INT");
         gateway.wait_for_event("RouterStopping").await;
-        assert!(!gateway.is_ready().await);
+        gateway.signal("-INT");
         let response = open_request.await.unwrap();
-        assert_eq!(
-            response.status(),
-            504,
-            "the final response at the time limit"
-        );
-        let stopped = gateway.wait_for_event("RouterStopped").await;
-        assert_eq!(stopped["fields"]["cut_requests"], 0);
+        assert_eq!(response.status(), 502);
+        let cut = gateway.wait_for_event("RouterCut").await;
+        assert_eq!(cut["fields"]["cut_requests"], 0);
         let ended = async || gateway.child.try_wait().unwrap();
         let status = wait::poll(TIMEOUT, "the end", ended).await.unwrap();
-        assert!(status.success());
+        assert_eq!(status.code(), Some(1), "grants were not returned");
     });
 }
 
--- a/crates/peridotrackd/tests/stopping.rs
+++ b/crates/peridotrackd/tests/stopping.rs
@@ -195,3 +195,47 @@
         fixture.stopping.process.wait_for_exit().await.unwrap();
     });
 }
+
+/// Time between two signals, longer than the daemon takes to notice one.
+const SIGNAL_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Guards against a supervisor that repeats its signal and so cuts requests that would end.
+#[test]
+fn a_repeated_sigterm_does_not_shorten_the_stop() {
+    block_on(async {
+        let mut fixture = Fixture::spawn(0, 60_000).await;
+        fixture.set_service_delay(1_500);
+        let address = fixture.stopping.caller_address;
+        let open_call = monoio::spawn(fetch(address, fleet::call("/isbn", None)));
+        fixture.wait_for_runs(1).await;
+        for _ in 0..3 {
+            fixture.stopping.process.terminate().unwrap();
+            monoio::time::sleep(SIGNAL_INTERVAL).await;
+        }
+        assert_eq!(open_call.await.unwrap().status(), StatusCode::OK);
+        let status = fixture.stopping.process.wait_for_exit().await.unwrap();
+        assert_eq!(status.code(), Some(0));
+    });
+}
+
+/// Guards against connections that are closed without a response, and against a stop at a terminal
+/// that cannot be ended.
+#[test]
+fn a_second_sigint_ends_the_stop_after_open_requests_are_answered() {
+    block_on(async {
+        let mut fixture = Fixture::spawn(0, 60_000).await;
+        fixture.set_service_delay(60_000);
+        let address = fixture.stopping.caller_address;
+        let open_call = monoio::spawn(fetch(address, fleet::call("/isbn", None)));
+        fixture.wait_for_runs(1).await;
+        fixture.stopping.process.interrupt().unwrap();
+        monoio::time::sleep(SIGNAL_INTERVAL).await;
+        assert!(fixture.stopping.process.is_running());
+        fixture.stopping.process.interrupt().unwrap();
+        let response = open_call.await.unwrap();
+        assert_eq!(response.status(), StatusCode::BAD_GATEWAY);
+        assert_eq!(problem_of(&response).ran, Ran::Unknown);
+        let status = fixture.stopping.process.wait_for_exit().await.unwrap();
+        assert_eq!(status.code(), Some(1), "grants were not returned");
+    });
+}
