fix(edge): a stop closes connections that were idle for longer than their limit

A stopping router kept open, and waited for, connections on which nothing was sent, and read requests from them that came late in the stop.

Cause: the wait for the next request ended after the idle limit and passed the connection on to the read of a request, which waits for the same limit again. In that second time the connection counted as receiving a request: the stop did not close it, and a drain waited for it. Its time was also recorded as time in which the request arrived (`receive_us` of `RequestAtStop`).

The wait now covers the whole time, twice the limit as before, and ends when the stop closes idle connections; a request counts as being received from its first byte on.

--- a/crates/peridotrack-edge/src/caller/server.rs
+++ b/crates/peridotrack-edge/src/caller/server.rs
@@ -305,7 +305,8 @@
 
     async fn serve_requests(&self, connection: &mut server::Connection) {
         let mut is_kept = false;
-        while idle::wait_for_request(connection, &self.closing, is_kept).await {
+        let idle_ms = server::Options::default().idle_timeout_ms;
+        while idle::wait_for_request(connection, &self.closing, is_kept, idle_ms).await {
             let request = match connection.next().await {
                 Ok(Some(request)) => request,
                 Ok(None) => return,
--- a/crates/peridotrack-edge/src/gateway/server.rs
+++ b/crates/peridotrack-edge/src/gateway/server.rs
@@ -123,7 +123,8 @@
         };
         let mut connection = server::Connection::new(stream, options);
         let mut is_kept = false;
-        while idle::wait_for_request(&connection, &self.closing, is_kept).await {
+        let idle_ms = limits.idle_timeout_ms;
+        while idle::wait_for_request(&connection, &self.closing, is_kept, idle_ms).await {
             let arrival = Arrival {
                 began_us: self.shared.kernel.now_us(),
                 is_kept,
--- a/crates/peridotrack-edge/src/idle.rs
+++ b/crates/peridotrack-edge/src/idle.rs
@@ -3,12 +3,17 @@
 //! A server has one [`Closing`] for all its connections and calls [`wait_for_request`] before it
 //! reads each request.
 
-use std::cell::Cell;
+use std::{cell::Cell, time::Duration};
 
+use monoio::time;
 use peridotrack_http::server;
 
 use crate::notify;
 
+/// Time for which an idle connection is kept, in limits of its idle time: a request that a client
+/// sends within the limit may arrive later.
+const IDLE_LIMITS: u64 = 2;
+
 /// Which connections are closed while they wait for a request.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 enum Phase {
@@ -54,21 +59,28 @@
 }
 
 /// Waits for the first bytes of the next request; `is_kept` states whether the connection has
-/// carried one. Returns `false` if it is idle and to be closed.
+/// carried one. Returns `false` if it is to be closed: because of `closing`, or because it has been
+/// idle for [`IDLE_LIMITS`] times `idle_limit_ms`.
 ///
-/// Also returns when the connection ends or its idle timeout expires, which the next read reports.
+/// Also returns when the connection ends, which the next read reports.
 pub async fn wait_for_request(
     connection: &server::Connection,
     closing: &Closing,
     is_kept: bool,
+    idle_limit_ms: u64,
 ) -> bool {
+    let begin = time::Instant::now();
+    let timeout = Duration::from_millis(IDLE_LIMITS * idle_limit_ms);
     while connection.is_idle() {
-        if closing.closes(is_kept) {
+        let left = timeout.saturating_sub(begin.elapsed());
+        if closing.closes(is_kept) || left.is_zero() {
             return false;
         }
         let is_readable = monoio::select! {
+            biased;
             () = connection.readable() => true,
             () = closing.changed.notified() => false,
+            () = time::sleep(left) => false,
         };
         if is_readable {
             break;
--- a/crates/peridotrack-edge/tests/gateway/main.rs
+++ b/crates/peridotrack-edge/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 
 mod budget;
 mod close_delimited;
+mod connections;
 mod directory;
 mod endless;
 mod fixture;
--- a/crates/peridotrack-http/src/server/connection.rs
+++ b/crates/peridotrack-http/src/server/connection.rs
@@ -137,10 +137,10 @@
     }
 
     /// Waits until a read would return bytes of the next request, the end of the connection or an
-    /// error, or until the idle timeout expires. Safe to cancel and repeat.
+    /// error. Safe to cancel and repeat.
     pub async fn readable(&self) {
         if self.stream.buffer.is_empty() {
-            tcp::with_timeout(self.options.idle_timeout_ms, self.stream.readable()).await;
+            let _ = self.stream.readable().await;
         }
     }
 
