fix(gateway): limits of the active configuration apply to open connections

After a configuration that raises the limits on clients, requests within them were refused with 413, or lost because their idle connection had been closed, as long as the client reused a connection from before.

Cause: a connection kept the limits of the configuration that was active when it was accepted. Routes, keys and time limits are looked up for each request.

The limits are now those of the configuration that is active when the first byte of a request arrives, and an idle connection is kept for the larger of the idle limits at the begin and at the end of the wait, so that neither an older nor a newer configuration closes it early.

`raised_limits_apply_to_open_connections` failed before: the connection ended without a response. It passes now, with the other tests of `connections`.

--- a/crates/peridotrack-edge/src/caller/server.rs
+++ b/crates/peridotrack-edge/src/caller/server.rs
@@ -305,7 +305,7 @@
 
     async fn serve_requests(&self, connection: &mut server::Connection) {
         let mut is_kept = false;
-        let idle_ms = server::Options::default().idle_timeout_ms;
+        let idle_ms = || server::Options::default().idle_timeout_ms;
         while idle::wait_for_request(connection, &self.closing, is_kept, idle_ms).await {
             let request = match connection.next().await {
                 Ok(Some(request)) => request,
--- a/crates/peridotrack-edge/src/gateway/server.rs
+++ b/crates/peridotrack-edge/src/gateway/server.rs
@@ -104,27 +104,14 @@
 
 /// Serves connections: one task each, one request at a time.
 impl Server {
-    /// Serves the requests of one connection, with the limits of the configuration that was active
-    /// when it was accepted.
+    /// Serves the requests of one connection, each with the limits of the configuration that is
+    /// active when its first byte arrives.
     async fn serve(self: Rc<Self>, stream: TcpStream) {
-        let limits = self
-            .shared
-            .site
-            .get()
-            .map(|current| current.site.limits)
-            .unwrap_or_default();
-        let options = server::Options {
-            head_bytes: limits.head_bytes,
-            body_bytes: limits.body_bytes,
-            idle_timeout_ms: limits.idle_timeout_ms,
-            head_timeout_ms: limits.head_timeout_ms,
-            write_timeout_ms: WRITE_TIMEOUT_MS,
-            ..server::Options::default()
-        };
-        let mut connection = server::Connection::new(stream, options);
+        let mut connection = server::Connection::new(stream, self.options());
         let mut is_kept = false;
-        let idle_ms = limits.idle_timeout_ms;
+        let idle_ms = || self.options().idle_timeout_ms;
         while idle::wait_for_request(&connection, &self.closing, is_kept, idle_ms).await {
+            connection.set_options(self.options());
             let arrival = Arrival {
                 began_us: self.shared.kernel.now_us(),
                 is_kept,
@@ -152,6 +139,22 @@
     }
 }
 
+/// Returns the limits of connections.
+impl Server {
+    fn options(&self) -> server::Options {
+        let config = self.shared.site.get();
+        let limits = config.map(|config| config.site.limits).unwrap_or_default();
+        server::Options {
+            head_bytes: limits.head_bytes,
+            body_bytes: limits.body_bytes,
+            idle_timeout_ms: limits.idle_timeout_ms,
+            head_timeout_ms: limits.head_timeout_ms,
+            write_timeout_ms: WRITE_TIMEOUT_MS,
+            ..server::Options::default()
+        }
+    }
+}
+
 /// Increments a counter until it is dropped.
 struct Counted(Rc<Cell<usize>>);
 
--- a/crates/peridotrack-edge/src/idle.rs
+++ b/crates/peridotrack-edge/src/idle.rs
@@ -60,19 +60,21 @@
 
 /// Waits for the first bytes of the next request; `is_kept` states whether the connection has
 /// carried one. Returns `false` if it is to be closed: because of `closing`, or because it has been
-/// idle for [`IDLE_LIMITS`] times `idle_limit_ms`.
+/// idle for [`IDLE_LIMITS`] times the limit in milliseconds, the larger one of those that
+/// `idle_limit_ms` returns at the begin and when it expires.
 ///
 /// Also returns when the connection ends, which the next read reports.
 pub async fn wait_for_request(
     connection: &server::Connection,
     closing: &Closing,
     is_kept: bool,
-    idle_limit_ms: u64,
+    idle_limit_ms: impl Fn() -> u64,
 ) -> bool {
     let begin = time::Instant::now();
-    let timeout = Duration::from_millis(IDLE_LIMITS * idle_limit_ms);
+    let limit_ms = idle_limit_ms();
     while connection.is_idle() {
-        let left = timeout.saturating_sub(begin.elapsed());
+        let timeout_ms = IDLE_LIMITS * limit_ms.max(idle_limit_ms());
+        let left = Duration::from_millis(timeout_ms).saturating_sub(begin.elapsed());
         if closing.closes(is_kept) || left.is_zero() {
             return false;
         }
--- a/crates/peridotrack-edge/tests/gateway/connections.rs
+++ b/crates/peridotrack-edge/tests/gateway/connections.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::Response;
+use http::{Response, StatusCode};
 use monoio::time::{Instant, sleep};
 use peridotrack_edge::gateway::Gateway;
 use peridotrack_http::client::{self, Connection};
@@ -78,6 +78,25 @@
     config
 }
 
+/// Guards against limits that a connection keeps from the configuration at its begin.
+#[test]
+fn raised_limits_apply_to_open_connections() {
+    block_on(async {
+        let fixture = spawn(8_000).await;
+        let mut connection = connect(&fixture).await;
+        let response = exchange(&mut connection, 1).await.unwrap();
+        assert_eq!(response.status(), StatusCode::OK);
+        let raised = limited_config(5, 10 * IDLE_MS, 10 * BODY_BYTES);
+        fixture
+            .store
+            .put("config", "main", with_version_route(raised, 5));
+        until_applied(&fixture, 5).await;
+        sleep(Duration::from_millis(5 * IDLE_MS)).await;
+        let response = exchange(&mut connection, 9 * BODY_BYTES as usize).await;
+        assert_eq!(response.unwrap().status(), StatusCode::OK);
+    });
+}
+
 /// Guards against a stop that waits for a connection which has been idle for longer than its
 /// timeout.
 #[test]
--- a/crates/peridotrack-http/src/server/connection.rs
+++ b/crates/peridotrack-http/src/server/connection.rs
@@ -83,6 +83,11 @@
         self.stream.peer()
     }
 
+    /// Sets the limits and timeouts that apply from the next request on.
+    pub fn set_options(&mut self, options: Options) {
+        self.options = options;
+    }
+
     /// Returns whether another request can follow. Before the response begins, this is what the
     /// request asked for; a `Connection: close` header in the response can still change it.
     pub fn keep_alive(&self) -> bool {
