fix(gateway): connections that are established when a stop closes its listener are served

Clients whose connection was established and not yet accepted when a stopping gateway closed its listener got a reset under their request.

Cause: closing a listening socket resets the connections in its backlog, and a connection that was accepted in the iteration of the event loop in which the stop came was dropped.

A connection that is established between the last accept and the close is still reset.

--- a/crates/peridotrack-edge/src/gateway/server.rs
+++ b/crates/peridotrack-edge/src/gateway/server.rs
@@ -94,10 +94,10 @@
         self.closing.finish();
     }
 
-    /// Stops accepting connections.
+    /// Stops accepting connections, after those that are established already.
     pub(super) fn stop(&self) {
         if let Some(acceptor) = self.acceptor.borrow().as_ref() {
-            acceptor.stop();
+            acceptor.finish();
         }
     }
 }
--- a/crates/peridotrack-edge/tests/acceptor.rs
+++ b/crates/peridotrack-edge/tests/acceptor.rs
@@ -1,5 +1,5 @@
-//! A stopped acceptor must serve no further connection, even if its task is already waiting for one
-//! when it is stopped.
+//! The end of an acceptor: a stopped one serves no further connection, even if its task is already
+//! waiting for one, and one that finishes serves those that are established.
 
 use std::{cell::Cell, rc::Rc, time::Duration};
 
@@ -32,3 +32,27 @@
         assert_eq!(served.get(), 1);
     });
 }
+
+/// Guards against connections that are reset because they are established and not yet accepted.
+#[test]
+fn pending_connections_are_served_before_the_listener_closes() {
+    let mut runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
+        .enable_timer()
+        .build()
+        .expect("runtime");
+    runtime.block_on(async {
+        let listener = listen::bind("127.0.0.1:0".parse().expect("address")).expect("a free port");
+        let address = listener.local_addr().expect("address");
+        let served = Rc::new(Cell::new(0));
+        let count = Rc::clone(&served);
+        let acceptor = Acceptor::spawn(listener, move |_, _| count.set(count.get() + 1));
+        // The accepting task does not run before this one waits.
+        let pending: Vec<_> = (0..20)
+            .map(|_| std::net::TcpStream::connect(address).expect("a connection"))
+            .collect();
+        acceptor.finish();
+        monoio::time::sleep(Duration::from_millis(200)).await;
+        assert_eq!(served.get(), pending.len());
+        assert!(TcpStream::connect(address).await.is_err());
+    });
+}
