fix(edge): a rare route is not refused from the begin of a stop on

A route without a recent request had no expected duration, so that its requests were refused with the whole grace period left unless their deadline was short. The durations of all routes are taken for it now, and nothing is begun only if the router has served nothing at all.

A duration counts from the first attempt on: requests that the routing service refuses at once made the mean of an overloaded route short.

--- a/crates/peridotrack-edge/src/stopping.rs
+++ b/crates/peridotrack-edge/src/stopping.rs
@@ -37,6 +37,8 @@
     times: Cell<Option<Times>>,
     changed: notify::Notify,
     durations: RefCell<collections::HashMap<K, Durations>>,
+    /// Durations of the requests of all keys, for a key that had none.
+    all_durations: Cell<Durations>,
 }
 
 /// Begins and shortens the stop.
@@ -48,6 +50,7 @@
             times: Cell::new(None),
             changed: notify::Notify::default(),
             durations: RefCell::default(),
+            all_durations: Cell::default(),
         }
     }
 
@@ -132,7 +135,8 @@
         let durations = self.durations.borrow();
         let expected_us = durations
             .get(key)
-            .and_then(|durations| durations.expected_us(now_us));
+            .and_then(|durations| durations.expected_us(now_us))
+            .or_else(|| self.all_durations.get().expected_us(now_us));
         Some(times.stop.judge(now_us, deadline_us, expected_us))
     }
 
@@ -166,6 +170,9 @@
     pub fn track(self: &Rc<Self>, key: &K, begun_us: u64) -> Tracked<K> {
         let mut durations = self.durations.borrow_mut();
         durations.entry(key.clone()).or_default().begin(begun_us);
+        let mut all_durations = self.all_durations.get();
+        all_durations.begin(begun_us);
+        self.all_durations.set(all_durations);
         Tracked {
             stopping: Rc::clone(self),
             key: key.clone(),
@@ -188,5 +195,8 @@
         if let Some(durations) = durations.get_mut(&self.key) {
             durations.end(self.begun_us, now_us);
         }
+        let mut all_durations = self.stopping.all_durations.get();
+        all_durations.end(self.begun_us, now_us);
+        self.stopping.all_durations.set(all_durations);
     }
 }
