fix(edge): a request that is received slowly is refused before a stop ends

A client that sent its request slowly to a stopping router found the connection closed without a response, and held up the stop of a gateway until its end.

Cause: the gateway waited for requests that were being received as long as for those that were served, and the caller server of the daemon did not wait for them at all. Neither answered them.

A request that is not complete two seconds after the router has left the rotation, or after its first bytes if these come later, is refused with 503 `stopping`, `Retry-After` and `Connection: close`; at the end of the time for open requests, every one. A complete request is never lost to the refusal: what has arrived is read first. Both servers wait for requests that are received.

--- a/crates/peridotrack-edge/src/caller/response.rs
+++ b/crates/peridotrack-edge/src/caller/response.rs
@@ -6,7 +6,7 @@
 use peridotrack_http::server;
 use peridotrack_types::{id, problem};
 
-use crate::engine;
+use crate::{engine, stopping};
 
 /// Milliseconds in a second, for `Retry-After`, which counts whole seconds.
 const MS_PER_S: u64 = 1_000;
@@ -59,6 +59,9 @@
 ///
 /// Returns `None` after an error of the connection or of writing, when no response can be sent.
 pub fn for_read_error(error: &server::Error) -> Option<http::Response<Bytes>> {
+    if matches!(error, server::Error::Ended { .. }) {
+        return Some(problem(&stopping::refusal(false)));
+    }
     let kind = match error {
         server::Error::Malformed { .. } => problem::Kind::Malformed,
         server::Error::HeadTooLarge { .. } | server::Error::BodyTooLarge { .. } => {
@@ -70,6 +73,7 @@
         } => return None,
         server::Error::TimedOut { .. } => problem::Kind::Malformed,
         server::Error::Io { .. }
+        | server::Error::Ended { .. }
         | server::Error::StreamUnsupported { .. }
         | server::Error::OutOfOrder { .. } => return None,
     };
--- a/crates/peridotrack-edge/src/caller/server.rs
+++ b/crates/peridotrack-edge/src/caller/server.rs
@@ -21,7 +21,8 @@
 
 use super::{completion, response, service_call};
 use crate::{
-    acceptor, auth, budget, claims, config, engine, idle, metric, notify, route, stopping, usage,
+    acceptor, auth, budget, claims, config, counted::Counted, engine, idle, metric, notify, route,
+    stopping, usage,
 };
 
 /// Period at which a drain polls whether requests are still open, in microseconds.
@@ -77,7 +78,10 @@
     /// Sequence number of the newest request.
     sequence: Cell<u64>,
     open_connections: Cell<usize>,
-    open_requests: Cell<usize>,
+    /// Number of requests that are being received.
+    receiving_requests: Rc<Cell<usize>>,
+    /// Number of requests that are being served.
+    open_requests: Rc<Cell<usize>>,
     closing: idle::Closing,
     acceptor: RefCell<Option<Rc<acceptor::Acceptor>>>,
     /// Wakes every connection's task to end it at once.
@@ -196,7 +200,8 @@
             keys: RefCell::default(),
             sequence: Cell::new(0),
             open_connections: Cell::new(0),
-            open_requests: Cell::new(0),
+            receiving_requests: Rc::default(),
+            open_requests: Rc::default(),
             closing: idle::Closing::default(),
             acceptor: RefCell::default(),
             killed: notify::Notify::default(),
@@ -238,13 +243,15 @@
             .await
     }
 
-    /// Closes idle connections and waits until no request is open, at most until `deadline_us`.
+    /// Closes idle connections and waits until no request is received or served, at most until
+    /// `deadline_us`.
     ///
     /// Returns the number of requests still open.
     pub async fn drain(&self, deadline_us: u64) -> usize {
         self.closing.begin();
         let kernel = &self.services.kernel;
-        while self.open_requests.get() > 0 && kernel.now_us() < deadline_us {
+        let is_busy = || self.receiving_requests.get() + self.open_requests.get() > 0;
+        while is_busy() && kernel.now_us() < deadline_us {
             kernel.timer().sleep_us(DRAIN_POLL_US).await;
         }
         self.open_requests.get()
@@ -307,7 +314,11 @@
         let mut is_kept = false;
         let idle_ms = || server::Options::default().idle_timeout_ms;
         while idle::wait_for_request(connection, &self.closing, is_kept, idle_ms).await {
-            let request = match connection.next().await {
+            let receiving = Counted::new(&self.receiving_requests);
+            let request = match connection
+                .next_until(self.services.stopping.receive_due())
+                .await
+            {
                 Ok(Some(request)) => request,
                 Ok(None) => return,
                 Err(error) => {
@@ -317,9 +328,10 @@
                     return;
                 }
             };
-            self.open_requests.set(self.open_requests.get() + 1);
+            drop(receiving);
+            let open = Counted::new(&self.open_requests);
             let result = self.serve_request(connection, request).await;
-            self.open_requests.set(self.open_requests.get() - 1);
+            drop(open);
             if result.is_err() || !connection.keep_alive() {
                 return;
             }
--- a/crates/peridotrack-edge/src/gateway/server.rs
+++ b/crates/peridotrack-edge/src/gateway/server.rs
@@ -14,7 +14,7 @@
 use peridotrack_kernel::clock;
 
 use super::{Shared, exchange};
-use crate::{acceptor, caller, idle};
+use crate::{acceptor, caller, counted::Counted, idle};
 
 /// Period at which a drain polls whether requests are still open, in microseconds.
 const DRAIN_POLL_US: u64 = 20 * clock::US_PER_MS;
@@ -117,7 +117,10 @@
                 is_kept,
             };
             let receiving = Counted::new(&self.receiving_requests);
-            let request = match connection.next().await {
+            let request = match connection
+                .next_until(self.shared.stopping.receive_due())
+                .await
+            {
                 Ok(Some(request)) => request,
                 Ok(None) => return,
                 Err(error) => {
@@ -154,19 +157,3 @@
         }
     }
 }
-
-/// Increments a counter until it is dropped.
-struct Counted(Rc<Cell<usize>>);
-
-impl Counted {
-    fn new(count: &Rc<Cell<usize>>) -> Self {
-        count.set(count.get() + 1);
-        Self(Rc::clone(count))
-    }
-}
-
-impl Drop for Counted {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
--- a/crates/peridotrack-edge/src/lib.rs
+++ b/crates/peridotrack-edge/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod caller;
 pub mod claims;
 pub mod config;
+pub mod counted;
 pub mod daemon;
 pub mod engine;
 pub mod follow;
--- a/crates/peridotrack-edge/src/stopping.rs
+++ b/crates/peridotrack-edge/src/stopping.rs
@@ -19,6 +19,9 @@
 /// Retry delay stated to clients of a stopping router, in milliseconds: other routers serve a new
 /// connection at once.
 const RETRY_MS: u64 = 100;
+/// Maximum time in which a request is received once the router has left the rotation, in
+/// microseconds.
+const RECEIVE_US: u64 = 2 * clock::US_PER_S;
 /// Period at which a waiting request is judged again, in microseconds.
 const RECHECK_US: u64 = 50 * clock::US_PER_MS;
 
@@ -151,12 +154,32 @@
         }
     }
 
+    /// Waits until a request of which the first bytes have just arrived is refused unless it is
+    /// complete.
+    pub async fn receive_due(&self) {
+        let began_us = self.kernel.now_us();
+        let due_us = |times: Times| {
+            let Stop {
+                leave_us,
+                finish_us,
+                ..
+            } = times.stop;
+            finish_us.min(began_us.max(leave_us) + RECEIVE_US)
+        };
+        self.due(due_us).await;
+    }
+
     /// Waits until requests that have no response yet are answered, because the process ends.
     pub async fn answer_due(&self) {
+        self.due(|times| times.answer_us).await;
+    }
+
+    /// Waits until the time of the stop that `due_us` returns.
+    async fn due(&self, due_us: impl Fn(Times) -> u64) {
         loop {
             match self.times.get() {
                 Some(times) => {
-                    let left_us = times.answer_us.saturating_sub(self.kernel.now_us());
+                    let left_us = due_us(times).saturating_sub(self.kernel.now_us());
                     if left_us == 0 || !self.changed.wait(left_us).await {
                         return;
                     }
--- a/crates/peridotrack-edge/tests/gateway/connections.rs
+++ b/crates/peridotrack-edge/tests/gateway/connections.rs
@@ -1,10 +1,14 @@
 //! Connections of clients: their limits when the configuration changes, and their end in a stop.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use http::{Response, StatusCode};
-use monoio::time::{Instant, sleep};
+use monoio::{
+    io::{AsyncReadRent, AsyncWriteRentExt},
+    net::TcpStream,
+    time::{Instant, sleep, timeout},
+};
 use peridotrack_edge::gateway::Gateway;
 use peridotrack_http::client::{self, Connection};
 use peridotrack_kernel::log;
@@ -118,3 +122,36 @@
         assert!(elapsed < Duration::from_millis(3_000), "{elapsed:?}");
     });
 }
+
+/// Sends the head of a request with a part of its body.
+async fn send_part(address: SocketAddr) -> TcpStream {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let text = "POST /safe/x HTTP/1.1\r\nhost: a.example\r\nperidotrack-credential: key-1\r\n\
+                content-length: 10\r\n\r\nabc";
+    let (result, _) = stream.write_all(text.as_bytes().to_vec()).await;
+    result.unwrap();
+    stream
+}
+
+/// Guards against a stop that lasts as long as a slow client, and closes its connection without a
+/// response.
+#[test]
+fn a_request_that_is_received_slowly_is_refused_before_the_stop_ends() {
+    block_on(async {
+        let fixture = spawn(8_000).await;
+        let mut stream = send_part(fixture.gateway.client_address()).await;
+        sleep(Duration::from_millis(100)).await;
+        let begin = Instant::now();
+        fixture.gateway.begin_stop();
+        let stopping = monoio::spawn(async move { fixture.gateway.stop().await });
+        let reading = timeout(LIMIT, stream.read(vec![0; 4_096]));
+        let (result, text) = reading.await.unwrap();
+        let text = String::from_utf8_lossy(&text[..result.unwrap()]).into_owned();
+        assert!(text.starts_with("HTTP/1.1 503"), "{text}");
+        assert!(text.contains("retry-after"), "{text}");
+        assert!(text.contains("connection: close"), "{text}");
+        assert_eq!(stopping.await.cut_requests, 0);
+        let elapsed = begin.elapsed();
+        assert!(elapsed < Duration::from_millis(6_000), "{elapsed:?}");
+    });
+}
--- a/crates/peridotrack-http/src/server/connection.rs
+++ b/crates/peridotrack-http/src/server/connection.rs
@@ -2,7 +2,7 @@
 //!
 //! Responses are written in the sibling module `response`.
 
-use std::{io, net::SocketAddr};
+use std::{future::Future, io, net::SocketAddr};
 
 use bytes::{Bytes, BytesMut};
 use http::{Method, Version, header};
@@ -141,6 +141,30 @@
         }
     }
 
+    /// Reads the next request as [`Connection::next`] does, unless `end` completes while a part of
+    /// it has been read.
+    ///
+    /// # Errors
+    ///
+    /// As [`Connection::next`], and [`Error::Ended`] if `end` completed. One response may be written
+    /// after it.
+    pub async fn next_until(
+        &mut self,
+        end: impl Future<Output = ()>,
+    ) -> Result<Option<Request>, Error> {
+        monoio::select! {
+            biased;
+            request = self.next() => return request,
+            () = end => {}
+        }
+        if self.is_idle() {
+            return self.next().await;
+        }
+        self.phase = Phase::Refused;
+        self.exchange = Exchange::REFUSED;
+        Err(Error::Ended { peer: self.peer() })
+    }
+
     /// Waits until a read would return bytes of the next request, the end of the connection or an
     /// error. Safe to cancel and repeat.
     pub async fn readable(&self) {
--- a/crates/peridotrack-http/src/server/mod.rs
+++ b/crates/peridotrack-http/src/server/mod.rs
@@ -98,6 +98,12 @@
         /// Error of the operating system; an unexpected end of file for a close.
         source: io::Error,
     },
+    /// The server ended the read of a request; respond with 503.
+    #[error("the read of a request from {peer} was ended")]
+    Ended {
+        /// Address of the caller.
+        peer: SocketAddr,
+    },
     /// HTTP/1.0 does not support chunked responses; [`Connection::respond`] is still possible.
     #[error("{peer} uses HTTP/1.0, which does not support chunked responses")]
     StreamUnsupported {
--- a/crates/peridotrack-http/tests/server_requests.rs
+++ b/crates/peridotrack-http/tests/server_requests.rs
@@ -287,6 +287,40 @@
     }
 }
 
+/// Guards against a read that goes on although the server has ended it, or whose end loses a complete
+/// request.
+#[rstest]
+#[case::part_of_head("POST / HTTP/1.1\r\nHost", "ended")]
+#[case::part_of_body("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nab", "ended")]
+#[case::complete("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nab", "request")]
+fn an_ended_read_gets_a_response_unless_the_request_is_complete(
+    #[case] text: &str,
+    #[case] expected: &str,
+) {
+    run(async {
+        let (mut caller, accepted) = common::connected_pair().await;
+        let mut connection = Connection::new(accepted, options());
+        let part = vec![text.as_bytes().to_vec()];
+        common::send_parts(&mut caller, part, AfterSend::KeepOpen).await;
+        connection.readable().await;
+        let outcome = connection.next_until(std::future::ready(())).await;
+        let kind = match &outcome {
+            Err(Error::Ended { .. }) => "ended",
+            _ => kind(&outcome),
+        };
+        assert_eq!(kind, expected);
+        let response = http::Response::builder().status(503).body(Bytes::new());
+        let sender = monoio::spawn(async move {
+            let mut text = String::new();
+            common::read_until(&mut caller, &mut text, "\r\n\r\n").await;
+            text
+        });
+        connection.respond(response.unwrap()).await.unwrap();
+        assert!(sender.await.starts_with("HTTP/1.1 503"));
+        assert_eq!(connection.keep_alive(), expected == "request");
+    });
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 300,
--- a/crates/peridotrackd/tests/stopping.rs
+++ b/crates/peridotrackd/tests/stopping.rs
@@ -4,6 +4,10 @@
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
+use monoio::{
+    io::{AsyncReadRent, AsyncWriteRentExt},
+    net::TcpStream,
+};
 use peridotrack_standin::{
     engine,
     harness::{
@@ -196,6 +200,30 @@
     });
 }
 
+/// Guards against a request whose connection is closed while it is sent.
+#[test]
+fn a_request_that_is_received_slowly_is_refused_before_the_stop_ends() {
+    block_on(async {
+        let mut fixture = Fixture::spawn(500, 60_000).await;
+        let mut stream = TcpStream::connect(fixture.stopping.caller_address)
+            .await
+            .unwrap();
+        let head =
+            "POST /v1/services/desk/isbn HTTP/1.1\r\nhost: x\r\ncontent-length: 9\r\n\r\nabc";
+        stream.write_all(head).await.0.unwrap();
+        monoio::time::sleep(Duration::from_millis(100)).await;
+        fixture.stopping.process.terminate().unwrap();
+        let reading = monoio::time::timeout(TIMEOUT, stream.read(vec![0; 4_096]));
+        let (result, text) = reading.await.unwrap();
+        let text = String::from_utf8_lossy(&text[..result.unwrap()]).into_owned();
+        assert!(text.starts_with("HTTP/1.1 503"), "{text}");
+        assert!(text.contains("retry-after"), "{text}");
+        assert!(text.contains("connection: close"), "{text}");
+        let status = fixture.stopping.process.wait_for_exit().await.unwrap();
+        assert_eq!(status.code(), Some(0));
+    });
+}
+
 /// Time between two signals, longer than the daemon takes to notice one.
 const SIGNAL_INTERVAL: Duration = Duration::from_millis(200);
 
