fix(caller): the daemon serves the connections that were opened before its listener closed

Callers that open a connection for each request lost requests at the end of a stop of the daemon: the connection was established, the request was sent, and the connection was reset or closed without a response.

Cause: the listener closed with connections that waited to be accepted, and the daemon closed those that had just been accepted before their first request came.

The caller server now closes its listener with Acceptor::finish, and idle connections 100 ms later.

--- a/crates/peridotrack-edge/src/caller/server.rs
+++ b/crates/peridotrack-edge/src/caller/server.rs
@@ -257,17 +257,24 @@
         self.open_requests.get()
     }
 
-    /// Stops accepting connections and closes idle ones; open requests are still served.
-    pub fn stop(&self) {
+    /// Closes all idle connections.
+    pub fn close_idle(&self) {
         self.closing.finish();
+    }
+
+    /// Stops accepting connections; those that were accepted are still served.
+    pub fn stop(&self) {
         if let Some(acceptor) = self.acceptor.borrow().as_ref() {
-            acceptor.stop();
+            acceptor.finish();
         }
     }
 
     /// Stops accepting, and drops every connection together with the request it is serving.
     pub fn kill(&self) {
-        self.stop();
+        self.closing.finish();
+        if let Some(acceptor) = self.acceptor.borrow().as_ref() {
+            acceptor.stop();
+        }
         self.killed.notify_all();
     }
 }
--- a/crates/peridotrack-edge/src/daemon.rs
+++ b/crates/peridotrack-edge/src/daemon.rs
@@ -18,6 +18,8 @@
 /// Time for the leave notices to reach peers before the process ends, and polling period of
 /// [`Daemon::ready`], in microseconds.
 const LEAVE_NOTICE_US: u64 = 50 * clock::US_PER_MS;
+/// Time in which the first request on a connection that was just accepted arrives, in microseconds.
+const FIRST_REQUEST_US: u64 = 100 * clock::US_PER_MS;
 /// Maximum time for recording the outcomes of claims, flushing usage records and closing the budget
 /// together, in microseconds.
 const CLOSE_US: u64 = 10 * clock::US_PER_S;
@@ -201,6 +203,7 @@
         self.kernel.timer().sleep_us(leave_us).await;
         let cut_requests = self.callers.drain(stop.finish_us).await;
         self.callers.stop();
+        let first_request_us = self.kernel.now_us() + FIRST_REQUEST_US;
         let close_us = self.kernel.now_us() + CLOSE_US;
         let outcome = Outcome {
             cut_requests,
@@ -208,6 +211,9 @@
             is_usage_flushed: self.services.usage.flush(close_us).await,
             is_budget_closed: self.services.budget.close(close_us).await,
         };
+        let wait_us = first_request_us.saturating_sub(self.kernel.now_us());
+        self.kernel.timer().sleep_us(wait_us).await;
+        self.callers.close_idle();
         self.services.member.stop();
         self.kernel.timer().sleep_us(LEAVE_NOTICE_US).await;
         self.end(outcome);
--- a/crates/peridotrackd/tests/stopping.rs
+++ b/crates/peridotrackd/tests/stopping.rs
@@ -1,6 +1,6 @@
 //! Requests that arrive at, or are open on, a router that is stopping.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
@@ -8,6 +8,7 @@
     io::{AsyncReadRent, AsyncWriteRentExt},
     net::TcpStream,
 };
+use peridotrack_http::client::{self, Connection};
 use peridotrack_standin::{
     engine,
     harness::{
@@ -224,6 +225,53 @@
     });
 }
 
+/// Number of clients that open a connection for each request.
+const CLIENTS: u64 = 32;
+/// Time from a connection's establishment to the arrival of its first request.
+const ROUND_TRIP: Duration = Duration::from_millis(2);
+
+/// Opens a connection for each request until the listener refuses one; returns the error of a
+/// request that ends without a response.
+async fn send_until_refused(address: SocketAddr) -> Option<client::Error> {
+    loop {
+        let mut connection = match Connection::connect(address, client::Options::default()).await {
+            Ok(connection) => connection,
+            Err(_) => return None,
+        };
+        monoio::time::sleep(ROUND_TRIP).await;
+        match connection.send(fleet::call("/lookup/1", None)).await {
+            Ok(_) => {}
+            // The listener closed before it accepted the connection.
+            Err(error) if !error.bytes_written => return None,
+            Err(error) => return Some(error),
+        }
+        if let Err(error) = connection.read_body().await {
+            return Some(error);
+        }
+    }
+}
+
+/// Guards against a listener that closes under whole requests on connections that it has accepted.
+#[test]
+fn a_request_on_a_new_connection_at_the_end_of_the_stop_gets_a_response() {
+    block_on(async {
+        let mut fixture = Fixture::spawn(200, 60_000).await;
+        let address = fixture.stopping.caller_address;
+        fixture.stopping.process.terminate().unwrap();
+        let mut clients = Vec::new();
+        for _ in 0..CLIENTS {
+            clients.push(monoio::spawn(send_until_refused(address)));
+            monoio::time::sleep(ROUND_TRIP / 2).await;
+        }
+        let mut errors = Vec::new();
+        for client in clients {
+            errors.extend(client.await);
+        }
+        assert!(errors.is_empty(), "{errors:?}");
+        fixture.stopping.process.wait_for_exit().await.unwrap();
+    });
+}
+
 /// Time between two signals, longer than the daemon takes to notice one.
 const SIGNAL_INTERVAL: Duration = Duration::from_millis(200);
 
