fix(edge): refused requests do not shorten the expected duration

A router that stops while its servers are slow would expect requests to be short, because those that it refuses end at once, and begin requests that are cut at the end.

Cause: the duration of every request counted, also of those that were refused without being sent to a backend server.

Only requests that were sent count now. The age of open ones counts as before.

`a_request_that_is_not_sent_is_no_short_request` failed before: a refusal after 6 us gave an expected duration of 6 us in place of none. Found by reading; no run shows that a request was cut for this reason.

--- a/crates/peridotrack-edge/src/caller/completion.rs
+++ b/crates/peridotrack-edge/src/caller/completion.rs
@@ -128,7 +128,7 @@
         if let Err(problem) = self.reserve_before_stop().await {
             return self.refuse(connection, problem).await;
         }
-        let _tracked = services.stopping.track(&target, self.call.arrived_us);
+        let tracked = services.stopping.track(&target, self.call.arrived_us);
         let mut ticket = self.services.route.offer(self.offer());
         let mut stream = engine::Stream::new(self.call.request_id);
         loop {
@@ -180,6 +180,7 @@
                 return self.refuse(connection, problem).await;
             }
             self.note_dispatch(&backend_server, resume_offset);
+            tracked.sent();
             let attempt = self
                 .attempt(connection, &mut ticket, &mut stream, address, resume_offset)
                 .await;
--- a/crates/peridotrack-edge/src/caller/service_call.rs
+++ b/crates/peridotrack-edge/src/caller/service_call.rs
@@ -147,8 +147,8 @@
         if let Some(response) = self.claim().await? {
             return Ok(response);
         }
-        let _tracked = stopping.track(&target, self.call.arrived_us);
-        let result = self.dispatch().await;
+        let tracked = stopping.track(&target, self.call.arrived_us);
+        let result = self.dispatch(&tracked).await;
         if self.mode != Mode::Idempotent {
             self.services
                 .claims
@@ -214,7 +214,10 @@
 
     /// Makes the attempts that the routing service requests until one succeeds or the call is
     /// refused.
-    async fn dispatch(&self) -> Result<http::Response<Bytes>, problem::Problem> {
+    async fn dispatch(
+        &self,
+        tracked: &stopping::Tracked<Target>,
+    ) -> Result<http::Response<Bytes>, problem::Problem> {
         let mut ticket = self.services.route.offer(self.offer());
         loop {
             let step = monoio::select! {
@@ -229,6 +232,7 @@
             let event = event::Event::new(event::Kind::RequestDispatched)
                 .with("backend_server", target.backend_server.as_str());
             self.call.note(&self.services.kernel, event);
+            tracked.sent();
             let attempt = monoio::select! {
                 attempt = self.attempt(&ticket, target.address) => attempt,
                 () = self.services.stopping.answer_due() => Attempt::Stopped,
--- a/crates/peridotrack-edge/src/gateway/exchange.rs
+++ b/crates/peridotrack-edge/src/gateway/exchange.rs
@@ -117,7 +117,9 @@
     let mut progress = stream::Progress::new(request);
     let mut last_response = None;
     let mut may_retry = true;
-    let mut tracked = None;
+    let tracked = shared
+        .stopping
+        .track(&request.route().name, request.arrived_us);
     loop {
         let step = monoio::select! {
             biased;
@@ -160,10 +162,7 @@
             .with("backend_server", target.backend_server.as_str())
             .with("attempt", u64::from(target.attempt));
         request.note(shared, event);
-        tracked.get_or_insert_with(|| {
-            let stopping = &shared.stopping;
-            stopping.track(&request.route().name, request.arrived_us)
-        });
+        tracked.sent();
         progress.begin_attempt();
         let attempt = attempt::Attempt {
             shared,
--- a/crates/peridotrack-edge/src/stopping.rs
+++ b/crates/peridotrack-edge/src/stopping.rs
@@ -200,26 +200,44 @@
             stopping: Rc::clone(self),
             key: key.clone(),
             begun_us,
+            is_sent: Cell::new(false),
         }
     }
 }
 
-/// An open request whose duration is recorded on drop.
+/// An open request whose duration is recorded on drop if it was sent to a backend server.
 pub struct Tracked<K: Eq + Hash> {
     stopping: Rc<Stopping<K>>,
     key: K,
     begun_us: u64,
+    is_sent: Cell<bool>,
+}
+
+impl<K: Eq + Hash> Tracked<K> {
+    /// Records that the request is sent to a backend server.
+    pub fn sent(&self) {
+        self.is_sent.set(true);
+    }
+}
+
+impl<K: Eq + Hash> Tracked<K> {
+    fn record_end(&self, durations: &mut Durations) {
+        match self.is_sent.get() {
+            true => durations.end(self.begun_us, self.stopping.kernel.now_us()),
+            // A refusal is quick when servers are slow.
+            false => durations.cancel(self.begun_us),
+        }
+    }
 }
 
 impl<K: Eq + Hash> Drop for Tracked<K> {
     fn drop(&mut self) {
-        let now_us = self.stopping.kernel.now_us();
         let mut durations = self.stopping.durations.borrow_mut();
         if let Some(durations) = durations.get_mut(&self.key) {
-            durations.end(self.begun_us, now_us);
+            self.record_end(durations);
         }
         let mut all_durations = self.stopping.all_durations.get();
-        all_durations.end(self.begun_us, now_us);
+        self.record_end(&mut all_durations);
         self.stopping.all_durations.set(all_durations);
     }
 }
--- a/crates/peridotrack-edge/tests/stopping.rs
+++ b/crates/peridotrack-edge/tests/stopping.rs
@@ -1,43 +1,72 @@
-//! What a stopping server expects of a request whose key has no recent requests.
+//! Which requests a stopping server expects to finish.
 
 use std::rc::Rc;
 
 use peridotrack_edge::stopping::{Stopping, Times};
-use peridotrack_kernel::{Kernel, Options, clock, log};
+use peridotrack_kernel::Kernel;
 use peridotrack_route::stop::Stop;
-use peridotrack_standin::harness::http::block_on;
-
-/// Deadline of a request that may outlast the stop, after the begin of the stop.
-const DEADLINE_US: u64 = 60 * clock::US_PER_S;
-
-fn times(begun_us: u64) -> Times {
-    Times {
-        stop: Stop {
-            begun_us,
-            leave_us: begun_us + 2 * clock::US_PER_S,
-            finish_us: begun_us + 7 * clock::US_PER_S,
-        },
-        answer_us: begun_us + 7 * clock::US_PER_S,
-    }
+
+const SECOND_US: u64 = 1_000_000;
+const KEY: &str = "route";
+
+fn begin(stopping: &Stopping<&'static str>) {
+    stopping.begin(|begun_us| {
+        let finish_us = begun_us + 10 * SECOND_US;
+        Times {
+            stop: Stop {
+                begun_us,
+                leave_us: finish_us,
+                finish_us,
+            },
+            answer_us: finish_us,
+        }
+    });
+}
+
+fn stopping() -> (Rc<Kernel>, Rc<Stopping<&'static str>>) {
+    let kernel = Kernel::open(peridotrack_kernel::Options::default()).expect("a kernel");
+    let stopping = Rc::new(Stopping::new(&kernel));
+    (kernel, stopping)
+}
+
+/// Guards against an expected duration that refusals shorten, while servers are slow.
+#[test]
+fn a_request_that_is_not_sent_is_no_short_request() {
+    let (kernel, stopping) = stopping();
+    drop(stopping.track(&KEY, kernel.now_us()));
+    begin(&stopping);
+    let verdict = stopping.judge(&KEY, u64::MAX).expect("it is stopping");
+    assert_eq!(verdict.expected_us, None);
+    assert!(!verdict.is_admitted);
+}
+
+#[test]
+fn a_request_that_is_sent_shows_the_duration_of_the_next() {
+    let (kernel, stopping) = stopping();
+    let tracked = stopping.track(&KEY, kernel.now_us());
+    tracked.sent();
+    drop(tracked);
+    begin(&stopping);
+    let verdict = stopping.judge(&KEY, u64::MAX).expect("it is stopping");
+    assert!(
+        verdict
+            .expected_us
+            .is_some_and(|expected_us| expected_us < SECOND_US)
+    );
+    assert!(verdict.is_admitted);
 }
 
 /// Guards against the refusal of all requests of a rare route from the begin of the stop on.
 #[test]
 fn a_key_without_requests_is_expected_to_take_as_long_as_all_others() {
-    block_on(async {
-        let options = Options {
-            log: log::Output::Off,
-            ..Options::default()
-        };
-        let kernel = Kernel::open(options).unwrap();
-        let stopping = Rc::new(Stopping::new(&kernel));
-        let now_us = kernel.now_us();
-        stopping.begin(times);
-        let rare = || stopping.judge(&"rare", now_us + DEADLINE_US).unwrap();
-        assert_eq!(rare().expected_us, None);
-        assert!(!rare().is_admitted, "nothing is known");
-        drop(stopping.track(&"usual", now_us));
-        assert!(rare().expected_us.is_some());
-        assert!(rare().is_admitted);
-    });
+    let (kernel, stopping) = stopping();
+    begin(&stopping);
+    let rare = || stopping.judge(&"rare", u64::MAX).expect("it is stopping");
+    assert_eq!(rare().expected_us, None);
+    assert!(!rare().is_admitted, "nothing is known");
+    let tracked = stopping.track(&KEY, kernel.now_us());
+    tracked.sent();
+    drop(tracked);
+    assert!(rare().expected_us.is_some());
+    assert!(rare().is_admitted);
 }
--- a/crates/peridotrack-route/src/stop.rs
+++ b/crates/peridotrack-route/src/stop.rs
@@ -84,14 +84,19 @@
 
     /// Records the end of a request that began at `begun_us`, however it ended.
     pub fn end(&mut self, begun_us: u64, now_us: u64) {
-        self.open_requests = self.open_requests.saturating_sub(1);
-        self.open_begun_us = self.open_begun_us.saturating_sub(u128::from(begun_us));
+        self.cancel(begun_us);
         let newest_us = now_us.saturating_sub(begun_us);
         let mean_us = self.mean_us.unwrap_or(newest_us);
         let sum_us = mean_us * (SMOOTHING_DIVISOR - 1) + newest_us;
         self.mean_us = Some(sum_us / SMOOTHING_DIVISOR);
     }
 
+    /// Records that a request that began at `begun_us` ended without being sent to a backend server.
+    pub fn cancel(&mut self, begun_us: u64) {
+        self.open_requests = self.open_requests.saturating_sub(1);
+        self.open_begun_us = self.open_begun_us.saturating_sub(u128::from(begun_us));
+    }
+
     /// Returns how long a request that begins now is expected to take, in microseconds; `None` if
     /// the route had no request.
     pub fn expected_us(&self, now_us: u64) -> Option<u64> {
--- a/crates/peridotrack-route/tests/stop.rs
+++ b/crates/peridotrack-route/tests/stop.rs
@@ -86,6 +86,15 @@
     }
 }
 
+#[test]
+fn a_cancelled_request_leaves_the_expected_duration_as_it_was() {
+    let (mut durations, now_us) = durations_of(20, SECOND_US);
+    let expected_us = durations.expected_us(now_us);
+    durations.begin(now_us);
+    durations.cancel(now_us);
+    assert_eq!(durations.expected_us(now_us + 10 * SECOND_US), expected_us);
+}
+
 #[test]
 fn open_requests_alone_give_an_expected_duration() {
     let mut durations = Durations::default();
