test(gateway): a request on a connection that is idle for longer than its limit

The wait for the next request ended after the idle limit of the connection and went on, for as long again, in the read of the request, which does not watch for the close of idle connections. `receive_us` counted that time. Requests that came then were read whole at once and begun, up to 6.8 s after SIGTERM.

--- a/crates/peridotrack-edge/tests/gateway/connections.rs
+++ b/crates/peridotrack-edge/tests/gateway/connections.rs
@@ -155,3 +155,45 @@
         assert!(elapsed < Duration::from_millis(6_000), "{elapsed:?}");
     });
 }
+
+/// Deadline of a request that outlasts the grace period, in milliseconds.
+const LONG_DEADLINE_MS: u64 = 15_000;
+
+/// Guards against a request that is begun late in a stop, and cut, because its connection was idle for
+/// longer than the limit and so is not closed with the other idle ones.
+#[test]
+fn a_connection_idle_for_longer_than_its_limit_is_closed_by_a_stop() {
+    block_on(async {
+        let fixture = spawn(8_000).await;
+        let mut raised = limited_config(5, 4_000, BODY_BYTES);
+        for route in raised["routes"].as_array_mut().unwrap() {
+            route["timeoutMs"] = json!(LONG_DEADLINE_MS);
+        }
+        fixture
+            .store
+            .put("config", "main", with_version_route(raised, 5));
+        until_applied(&fixture, 5).await;
+        let mut connection = connect(&fixture).await;
+        assert!(exchange(&mut connection, 1).await.is_some());
+        sleep(Duration::from_millis(4_200)).await;
+        let stream = || {
+            let mut stream = request("/stream/x", &[]);
+            let headers = stream.headers_mut();
+            headers.insert("peridotrack-deadline-ms", LONG_DEADLINE_MS.into());
+            stream
+        };
+        fixture.backends[0].set_event_interval(Duration::from_secs(1));
+        let mut open = connect(&fixture).await;
+        open.send(stream()).await.unwrap();
+        fixture.backends[0].set_event_interval(Duration::from_secs(2));
+        let runs = fixture.runs();
+        fixture.gateway.begin_stop();
+        let late = async {
+            sleep(Duration::from_millis(3_400)).await;
+            connection.send(stream()).await.is_ok()
+        };
+        let (outcome, is_answered) = monoio::join!(fixture.gateway.stop(), late);
+        assert_eq!((outcome.cut_requests, fixture.runs() - runs), (0, 0));
+        assert!(!is_answered, "an idle connection is closed");
+    });
+}
