fix(edge): a request that has just begun is not taken for a short one

A stopping router could begin a request that does not fit: the first open request of a route counted with twice its age, which is microseconds, in place of the durations of all routes.

The age of open requests stands alone only where requests of the route have ended; otherwise the durations of all routes count as well, and the longer expectation decides.

--- a/crates/peridotrack-edge/src/stopping.rs
+++ b/crates/peridotrack-edge/src/stopping.rs
@@ -136,10 +136,12 @@
         let times = self.times.get()?;
         let now_us = self.kernel.now_us();
         let durations = self.durations.borrow();
-        let expected_us = durations
-            .get(key)
-            .and_then(|durations| durations.expected_us(now_us))
-            .or_else(|| self.all_durations.get().expected_us(now_us));
+        let expected_of_all_us = || self.all_durations.get().expected_us(now_us);
+        let expected_us = match durations.get(key) {
+            Some(durations) if durations.has_ended() => durations.expected_us(now_us),
+            Some(durations) => durations.expected_us(now_us).max(expected_of_all_us()),
+            None => expected_of_all_us(),
+        };
         Some(times.stop.judge(now_us, deadline_us, expected_us))
     }
 
--- a/crates/peridotrack-route/src/stop.rs
+++ b/crates/peridotrack-route/src/stop.rs
@@ -97,6 +97,11 @@
         self.open_begun_us = self.open_begun_us.saturating_sub(u128::from(begun_us));
     }
 
+    /// Returns whether a request has ended, so that more than the age of open ones is known.
+    pub fn has_ended(&self) -> bool {
+        self.mean_us.is_some()
+    }
+
     /// Returns how long a request that begins now is expected to take, in microseconds; `None` if
     /// the route had no request.
     pub fn expected_us(&self, now_us: u64) -> Option<u64> {
