fix(edge): a request that is received ahead of the announced close gets a response

A request that a client had sent ahead on its connection, and that the router had read, was dropped without a response: the response to the request before announced the close, and what is in the buffer after such a response is discarded.

The announcement is now left to the response to the request whose bytes are there, which is refused or served by the decision of the stop.

Found by a reviewer. a_request_that_is_read_before_the_close_is_announced_gets_a_response failed before, as no head of a second response came within 5 s.

--- a/crates/peridotrack-edge/src/caller/completion.rs
+++ b/crates/peridotrack-edge/src/caller/completion.rs
@@ -300,7 +300,8 @@
             }
             Withheld::Tail(tail) => {
                 if self.forwarded == Forwarded::Nothing {
-                    connection.start(self.stream_head()).await?;
+                    let head = self.stream_head(connection);
+                    connection.start(head).await?;
                 }
                 connection.finish_with(tail.into()).await
             }
@@ -316,9 +317,9 @@
     }
 
     /// Returns the head of a stream, with `Connection: close` if the router is stopping.
-    fn stream_head(&self) -> http::Response<()> {
+    fn stream_head(&self, connection: &server::Connection) -> http::Response<()> {
         let head = response::stream_head(self.call.request_id);
-        self.services.stopping.announce(head)
+        self.services.stopping.announce(connection, head)
     }
 
     /// Ends a request of which nothing was forwarded when the stop ended.
--- a/crates/peridotrack-edge/src/caller/completion/attempt.rs
+++ b/crates/peridotrack-edge/src/caller/completion/attempt.rs
@@ -230,7 +230,7 @@
         events: Vec<u8>,
     ) -> Result<(), server::Error> {
         if self.forwarded == Forwarded::Nothing {
-            let head = self.stream_head();
+            let head = self.stream_head(connection);
             connection.start_with(head, events.into()).await?;
             self.forwarded = Forwarded::Part;
             ticket.first_token();
--- a/crates/peridotrack-edge/src/caller/server.rs
+++ b/crates/peridotrack-edge/src/caller/server.rs
@@ -63,7 +63,8 @@
         connection: &mut server::Connection,
         response: http::Response<Bytes>,
     ) -> Result<(), server::Error> {
-        connection.respond(self.stopping.announce(response)).await
+        let response = self.stopping.announce(connection, response);
+        connection.respond(response).await
     }
 }
 
--- a/crates/peridotrack-edge/src/gateway/exchange.rs
+++ b/crates/peridotrack-edge/src/gateway/exchange.rs
@@ -402,7 +402,7 @@
     connection: &mut server::Connection,
     response: http::Response<Bytes>,
 ) -> Result<(), Error> {
-    let response = shared.stopping.announce(response);
+    let response = shared.stopping.announce(connection, response);
     connection.respond(response).await?;
     Ok(())
 }
--- a/crates/peridotrack-edge/src/gateway/stream.rs
+++ b/crates/peridotrack-edge/src/gateway/stream.rs
@@ -243,7 +243,7 @@
     let head = attempt
         .shared
         .stopping
-        .announce(response::stream_head(head));
+        .announce(client, response::stream_head(head));
     client.start_with(head, events).await
 }
 
--- a/crates/peridotrack-edge/src/stopping.rs
+++ b/crates/peridotrack-edge/src/stopping.rs
@@ -10,6 +10,7 @@
     rc::Rc,
 };
 
+use peridotrack_http::server;
 use peridotrack_kernel::{Kernel, clock, event};
 use peridotrack_route::stop::{Durations, Stop, Verdict};
 use peridotrack_types::{collections, problem};
@@ -90,8 +91,15 @@
     }
 
     /// Announces in the head of a response that the connection closes, if the server is stopping.
-    pub fn announce<T>(&self, mut response: http::Response<T>) -> http::Response<T> {
-        if self.has_begun() {
+    ///
+    /// The announcement is left to the response to the next request if bytes of that one have been
+    /// received already.
+    pub fn announce<T>(
+        &self,
+        connection: &server::Connection,
+        mut response: http::Response<T>,
+    ) -> http::Response<T> {
+        if self.has_begun() && !connection.has_received_ahead() {
             let close = http::HeaderValue::from_static("close");
             let headers = response.headers_mut();
             headers.insert(http::header::CONNECTION, close);
--- a/crates/peridotrack-edge/tests/gateway/main.rs
+++ b/crates/peridotrack-edge/tests/gateway/main.rs
@@ -15,3 +15,4 @@
 mod stated_limit;
 mod stopping;
 mod streams;
+mod unanswered;
--- a/crates/peridotrack-http/src/server/connection.rs
+++ b/crates/peridotrack-http/src/server/connection.rs
@@ -98,6 +98,11 @@
         }
     }
 
+    /// Returns whether bytes of the request after the current one have been received.
+    pub fn has_received_ahead(&self) -> bool {
+        !self.stream.buffer.is_empty()
+    }
+
     /// Returns whether no request is in progress and no byte of the next one has been read.
     pub fn is_idle(&self) -> bool {
         self.phase == Phase::Ready && self.stream.buffer.is_empty()
