test(gateway): one request crashes every backend server that runs it

Callers saw 502, and 429 or 503 for other requests of the service: clients repeat one request with the same method, path, body and client account at any router; each backend server that runs it ends before it sends a byte, and is back within seconds. The quarantine counts only prompt parts, and only crashes after the head of a response, so nothing stops the repetitions.

The stand-in backend server gains a fatal request, which is matched as a whole, a name that it checks against the expected one (421 otherwise), a start at the address of an ended server, `born` in its entry, and a time that requests run. The fleet of the gateway tests returns crashed servers after 1 to 3 s at their address, under a new name or the same one; the entry of the old name disappears 3 s after the crash. What the fleet did for fatal prompt parts stays, except that requests are now counted where they arrive, and that their servers state `born` and check the expected name.

Six gateways, four fatal requests a second for 11 s. At most three may reach servers later than contact_ms after the third crash.

--- a/crates/peridotrack-edge/tests/gateway/main.rs
+++ b/crates/peridotrack-edge/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod prompt_parts;
 mod raw;
 mod requests;
+mod requests_that_crash;
 mod stated_limit;
 mod stopping;
 mod streams;
--- a/crates/peridotrack-edge/tests/gateway/prompt_parts.rs
+++ b/crates/peridotrack-edge/tests/gateway/prompt_parts.rs
@@ -17,11 +17,13 @@
 
 use crate::{
     fixture::{Fixture, LIMIT, request},
-    fleet::{COUNTED_CRASHES, FATAL_PART, Fleet},
+    fleet::{FATAL_PART, Fleet},
 };
 
 /// Part that all prompts begin with.
 const FIRST_PART: u64 = 0xf1;
+/// Number of crashes after which the time to stop is counted.
+const COUNTED_CRASHES: usize = 5;
 /// Requests with the part that may reach servers late.
 const MAX_LATE_REQUESTS: usize = 3;
 
@@ -50,7 +52,10 @@
             .send_for(Duration::from_secs(11), interval, &parts)
             .await;
         let (_, served) = sound.await;
-        let (late, crashes) = (fleet.late_arrivals(), fleet.crashes.borrow().len());
+        let (late, crashes) = (
+            fleet.late_arrivals(COUNTED_CRASHES),
+            fleet.crashes.borrow().len(),
+        );
         println!("{crashes} crashes, {late} late requests, {served:.2} of the others served");
         assert!(crashes >= COUNTED_CRASHES - 2, "{crashes}");
         assert!(late <= MAX_LATE_REQUESTS, "{late} of {crashes} crashes");
--- a/crates/peridotrack-standin/src/hosted/backend.rs
+++ b/crates/peridotrack-standin/src/hosted/backend.rs
@@ -12,7 +12,7 @@
 };
 
 use bytes::Bytes;
-use http::{HeaderMap, Response, StatusCode};
+use http::{HeaderMap, Method, Response, StatusCode};
 use peridotrack_http::server::Connection;
 use serde::{Deserialize, Serialize};
 
@@ -27,7 +27,7 @@
 const EVENT_INTERVAL: Duration = Duration::from_millis(5);
 /// Time between two events of a stream in the mode `Slow`.
 const SLOW_EVENT_INTERVAL: Duration = Duration::from_secs(2);
-/// Time from the arrival of a request with the fatal part to the crash.
+/// Time from the arrival of a fatal request to the crash.
 const CRASH_DELAY: Duration = Duration::from_millis(60);
 
 /// How the server responds to requests.
@@ -76,9 +76,24 @@
     ];
 }
 
+/// What identifies a request as a whole: each repetition of it has the same values.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Content {
+    /// Method of the request.
+    pub method: Method,
+    /// Path and query of the request.
+    pub target: String,
+    /// Body of the request.
+    pub body: Bytes,
+    /// Client account that sends the request.
+    pub account: String,
+}
+
 /// Record of one request that the server ran.
 #[derive(Debug, Clone)]
 pub struct Run {
+    /// Method of the request.
+    pub method: Method,
     /// Path and query of the request.
     pub target: String,
     /// Headers of the request as received.
@@ -117,6 +132,14 @@
         parts.contains(&part)
     }
 
+    /// Returns whether the request is a repetition of the given one.
+    pub fn repeats(&self, content: &Content) -> bool {
+        self.method == content.method
+            && self.target == content.target
+            && self.body == content.body
+            && self.client_account() == content.account
+    }
+
     /// Returns whether the client's key was forwarded to the server, which must not happen.
     pub fn has_credential(&self) -> bool {
         self.headers.contains_key("peridotrack-credential")
@@ -136,7 +159,10 @@
     arrivals: Cell<u64>,
     cancelled: Cell<u64>,
     limit_per_s: Cell<Option<f64>>,
+    name: RefCell<Option<String>>,
     fatal_part: Cell<Option<u64>>,
+    fatal_request: RefCell<Option<Content>>,
+    fatal_arrivals: RefCell<Vec<Instant>>,
     has_crashed: Cell<bool>,
 }
 
@@ -150,7 +176,10 @@
             arrivals: Cell::default(),
             cancelled: Cell::default(),
             limit_per_s: Cell::default(),
+            name: RefCell::default(),
             fatal_part: Cell::default(),
+            fatal_request: RefCell::default(),
+            fatal_arrivals: RefCell::default(),
             has_crashed: Cell::default(),
         }
     }
@@ -161,7 +190,12 @@
 
 /// Starts a server on a free loopback port. Fails if none can be bound.
 pub fn spawn() -> io::Result<Handle> {
-    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    spawn_at(SocketAddr::from(([127, 0, 0, 1], 0)))
+}
+
+/// Starts a server at an address, which may be that of one that has ended. Fails if the address
+/// cannot be bound.
+pub fn spawn_at(address: SocketAddr) -> io::Result<Handle> {
     endpoint::spawn(&[address], Rc::new(Server::default())).map(Handle)
 }
 
@@ -192,11 +226,27 @@
         self.0.application.limit_per_s.set(limit_per_s);
     }
 
+    /// Sets the name under which the server is registered; requests for another one get 421.
+    pub fn set_name(&self, name: &str) {
+        self.0.application.name.replace(Some(name.to_owned()));
+    }
+
     /// Sets the prompt part under which the server crashes when it begins to write a response.
     pub fn set_fatal_part(&self, part: Option<u64>) {
         self.0.application.fatal_part.set(part);
     }
 
+    /// Sets the request under which the server crashes before it sends a byte of a response.
+    pub fn set_fatal_request(&self, content: Option<Content>) {
+        self.0.application.fatal_request.replace(content);
+    }
+
+    /// Returns when requests under which the server crashes arrived since the last call, refused
+    /// ones included.
+    pub fn take_fatal_arrivals(&self) -> Vec<Instant> {
+        self.0.application.fatal_arrivals.take()
+    }
+
     /// Returns whether the server has crashed; its process ends when the handle is dropped.
     pub fn has_crashed(&self) -> bool {
         self.0.application.has_crashed.get()
@@ -237,16 +287,19 @@
         }
     }
 
-    /// Sends the head of a response, and then nothing until the handle is dropped.
-    async fn crash(&self, incoming: Incoming<'_>) -> Result<(), Disconnect> {
+    /// Crashes, after the head of a response or without any of it; sends nothing more until the
+    /// handle is dropped.
+    async fn crash(&self, incoming: Incoming<'_>, sends_head: bool) -> Result<(), Disconnect> {
         let head = self
             .signed(&incoming.request.head.headers)
             .header("content-type", "text/event-stream");
         monoio::time::sleep(CRASH_DELAY).await;
-        incoming
-            .connection
-            .start(response::finish(head, ()))
-            .await?;
+        if sends_head {
+            incoming
+                .connection
+                .start(response::finish(head, ()))
+                .await?;
+        }
         self.has_crashed.set(true);
         std::future::pending().await
     }
@@ -268,6 +321,13 @@
         Ok(())
     }
 
+    /// Returns whether the request is meant for a server with another name.
+    fn is_misdirected(&self, run: &Run) -> bool {
+        let (name, expected) = (self.name.borrow(), run.expected_server());
+        let is_other = |name: &String| !expected.is_empty() && expected != name;
+        name.as_ref().is_some_and(is_other)
+    }
+
     async fn stream(&self, incoming: Incoming<'_>, mode: Mode) -> Result<(), Disconnect> {
         let headers = &incoming.request.head.headers;
         let first = headers
@@ -331,6 +391,29 @@
             let response = response::finish(head, Bytes::new());
             return Ok(incoming.connection.respond(response).await?);
         }
+        let run = Run {
+            method: request.head.method.clone(),
+            target: request.head.uri.to_string(),
+            headers: headers.clone(),
+            body: request.body.clone(),
+            at: Instant::now(),
+        };
+        let has_fatal_part = self
+            .fatal_part
+            .get()
+            .is_some_and(|part| run.shares_part(part));
+        let is_fatal_request = self
+            .fatal_request
+            .borrow()
+            .as_ref()
+            .is_some_and(|content| run.repeats(content));
+        if has_fatal_part || is_fatal_request {
+            self.fatal_arrivals.borrow_mut().push(run.at);
+        }
+        let mode = match self.is_misdirected(&run) {
+            true => Mode::Misdirect,
+            false => mode,
+        };
         let refusal = |status| {
             self.signed(headers)
                 .status(status)
@@ -351,19 +434,9 @@
             }
             _ => {}
         }
-        let run = Run {
-            target: request.head.uri.to_string(),
-            headers: headers.clone(),
-            body: request.body.clone(),
-            at: Instant::now(),
-        };
-        let is_fatal = self
-            .fatal_part
-            .get()
-            .is_some_and(|part| run.shares_part(part));
         self.runs.borrow_mut().push(run);
-        if is_fatal || self.has_crashed.get() {
-            return self.crash(incoming).await;
+        if has_fatal_part || is_fatal_request || self.has_crashed.get() {
+            return self.crash(incoming, has_fatal_part).await;
         }
         self.delay_response(incoming.connection).await?;
         let complete = |status: StatusCode| {
--- a/crates/peridotrack-standin/src/hosted/deployment.rs
+++ b/crates/peridotrack-standin/src/hosted/deployment.rs
@@ -1,7 +1,7 @@
 //! Documents of a test deployment: configurations and entries of backend servers in the store,
 //! and the settings file of a router.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::SystemTime};
 
 use serde_json::{Value, json};
 
@@ -94,6 +94,21 @@
     })
 }
 
+/// Returns the store entry of a backend server that states when it started, in Unix milliseconds: a
+/// server that starts again under its name is told apart by that.
+pub fn entry_since(address: SocketAddr, zone: &str, state: &str, born_ms: u64) -> Value {
+    let mut entry = entry(address, zone, state);
+    entry["born"] = json!(born_ms);
+    entry
+}
+
+/// Returns the current time in Unix milliseconds.
+pub fn wall_ms() -> u64 {
+    let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    let now = now.expect("the clock is past 1970");
+    u64::try_from(now.as_millis()).expect("the time fits")
+}
+
 /// Addresses of one router, and that of its store.
 #[derive(Debug, Clone, Copy)]
 pub struct Addresses {
