feat(platform): the start of a backend server's process is read from its entry

A server may start again under the name that it had. Its entry states the start of the process (`born`), which was ignored, so that two lifetimes could not be told apart. The field is optional; one that is not a whole number comes from another writer, as with the other fields.

--- a/crates/peridotrack-types/src/site.rs
+++ b/crates/peridotrack-types/src/site.rs
@@ -165,6 +165,10 @@
     pub slots: u32,
     /// Whether the server is about to stop and accepts no new requests.
     pub is_draining: bool,
+    /// When the server's process started, in milliseconds since the Unix epoch, if it says so; the
+    /// process may start again under the same name.
+    #[serde(default)]
+    pub born_ms: Option<u64>,
 }
 
 /// Index of a site that finds the route of a request and the client account of a key.
