--- a/crates/peridotrack-edge/src/gateway.rs
+++ b/crates/peridotrack-edge/src/gateway.rs
@@ -8,6 +8,7 @@
 mod crash;
 mod directory;
 mod exchange;
+mod liveness;
 mod options;
 mod probe;
 mod request;
@@ -84,6 +85,7 @@
     metrics: metric::Requests,
     site: site::Current,
     directory: directory::Directory,
+    checks: liveness::Checks,
     stopping: Rc<stopping::Stopping<Arc<str>>>,
     sequence: Cell<u64>,
 }
@@ -164,6 +166,7 @@
             metrics: metric::Requests::register(kernel.meter()),
             site: site::Current::default(),
             directory: directory::Directory::default(),
+            checks: liveness::Checks::default(),
             stopping: Rc::new(stopping::Stopping::new(&kernel)),
             sequence: Cell::new(0),
             settings,
@@ -338,8 +341,8 @@
     member
 }
 
-/// Follows the configuration, the directory of backend servers and the statements about prompt parts
-/// in the store.
+/// Follows the configuration, the directory of backend servers and the statements about crashes in the
+/// store.
 fn follow_store(shared: &Rc<Shared>) {
     let Shared {
         kernel,
--- a/crates/peridotrack-edge/src/gateway/attempt.rs
+++ b/crates/peridotrack-edge/src/gateway/attempt.rs
@@ -11,11 +11,12 @@
 use peridotrack_http::{client, server};
 use peridotrack_kernel::clock;
 use peridotrack_platform::{request as request_wire, response as response_wire};
+use peridotrack_quarantine::{event::Trial, run::Run};
 use peridotrack_route::event::{Event, Outcome};
 use peridotrack_types::site;
 
 use super::{
-    Shared, crash, options,
+    Shared, liveness, options,
     request::RoutedRequest,
     reservation::ReservationGuard,
     response,
@@ -30,6 +31,9 @@
     pub(super) reservation: &'a ReservationGuard,
     pub(super) target: &'a route::Destination,
     pub(super) ticket: &'a route::Ticket,
+    /// Run of the server, as the directory had it when the attempt began.
+    pub(super) server: &'a Run,
+    pub(super) trial: &'a Trial,
 }
 
 /// How an attempt ended.
@@ -141,9 +145,13 @@
 
     /// Connects to the backend server. A request that may run only once gets a new connection: the
     /// server may close a pooled one just as the request is sent, and its outcome would be unknown.
+    /// So does one under which servers ended: a pooled connection may be that of another server that
+    /// ended at the same time, which would count as a crash in sequence.
     async fn connect(&self) -> Result<client::Connection, client::Error> {
         let address = self.target.address;
+        let is_in_sequence = self.trial.depth() > 1;
         match self.request.route().retry_policy {
+            _ if is_in_sequence => client::Connection::connect(address, options::backend()).await,
             site::RetryPolicy::AtMostOnce => {
                 client::Connection::connect(address, options::backend()).await
             }
@@ -180,7 +188,7 @@
         if metadata.is_not_run {
             self.reservation.mark_not_run();
             if metadata.is_misdirected {
-                crash::report_end(self.shared, self.target);
+                liveness::report_end(self.shared, self.server);
                 self.ticket.backend_server_leaving();
             }
             return Some(AttemptResult::Failed {
@@ -256,8 +264,8 @@
                 events_seen: progress.events_seen(),
             },
         };
-        if error.step == client::Step::Connect && crash::is_refused(error) {
-            crash::report_end(self.shared, self.target);
+        if error.step == client::Step::Connect && liveness::is_refused(error) {
+            liveness::report_end(self.shared, self.server);
         }
         AttemptResult::Failed {
             outcome,
--- a/crates/peridotrack-edge/src/gateway/directory.rs
+++ b/crates/peridotrack-edge/src/gateway/directory.rs
@@ -12,10 +12,10 @@
 
 use peridotrack_kernel::{clock, event};
 use peridotrack_platform::directory as wire;
-use peridotrack_quarantine::event as quarantine_event;
+use peridotrack_quarantine::run::Run;
 use peridotrack_types::{name, register, rules, site};
 
-use super::Shared;
+use super::{Shared, liveness};
 use crate::follow::Update;
 
 /// Time after an outage of the store in which backend servers renew entries that expired, in
@@ -50,6 +50,13 @@
         self.is_listed.get()
     }
 
+    /// Returns the run of the server that its entry describes.
+    pub(super) fn run(&self, name: &name::BackendServer) -> Run {
+        let entries = self.entries.borrow();
+        let entry = entries.get(name);
+        entry.map_or_else(|| name.clone().into(), |entry| run(&entry.server))
+    }
+
     /// Passes the backend servers of known services that are not draining to the routing service.
     ///
     /// Does nothing until a configuration is known.
@@ -99,12 +106,18 @@
                     note_leaving(shared, &server.name, "draining");
                 }
                 self.ignored.borrow_mut().remove(name);
-                let name = server.name.clone();
+                let (name, born_ms) = (server.name.clone(), server.born_ms);
                 let entry = Entry {
                     server,
                     missing_since_us: None,
                 };
-                self.entries.borrow_mut().insert(name, entry);
+                let former = self.entries.borrow_mut().insert(name, entry);
+                let has_restarted =
+                    |former: &Run| former.born_ms.is_some() && former.born_ms < born_ms;
+                let former = former.map(|entry| run(&entry.server));
+                if let Some(former) = former.filter(has_restarted) {
+                    liveness::report_end(shared, &former);
+                }
             }
             // Other writers store entries too, which describe no usable backend server.
             Err(error) => {
@@ -150,14 +163,13 @@
             if entry.missing_since_us.is_some() {
                 note_leaving(shared, name, "removed");
                 if !entry.server.is_draining {
-                    ended.push(name.clone());
+                    ended.push(run(&entry.server));
                 }
             }
             entry.missing_since_us.is_none()
         });
-        for backend_server in ended {
-            let event = quarantine_event::Event::ServerEnded { backend_server };
-            shared.quarantine.handle(event);
+        for server in ended {
+            liveness::report_end(shared, &server);
         }
         false
     }
@@ -218,6 +230,13 @@
     }
 }
 
+fn run(server: &site::BackendServer) -> Run {
+    Run {
+        backend_server: server.name.clone(),
+        born_ms: server.born_ms,
+    }
+}
+
 /// Describes a model engine to the routing service, which selects it by the name of its service.
 fn engine(server: &site::BackendServer) -> register::Engine {
     register::Engine {
--- a/crates/peridotrack-edge/src/gateway/exchange.rs
+++ b/crates/peridotrack-edge/src/gateway/exchange.rs
@@ -10,7 +10,7 @@
 use peridotrack_http::server;
 use peridotrack_kernel::{clock, event};
 use peridotrack_platform::directory as directory_wire;
-use peridotrack_quarantine::verdict;
+use peridotrack_quarantine::event::Refusal;
 use peridotrack_route::{event::Outcome, stop};
 use peridotrack_types::{name, problem};
 
@@ -62,8 +62,8 @@
             return refuse_at_stop(shared, connection, &request, None, &verdict).await;
         }
     }
-    if let Err(block) = shared.quarantine.check(&request.shared_parts) {
-        return refuse_blocked(shared, connection, &request, &block).await;
+    if let Err(refusal) = shared.quarantine.check(&request.signatures) {
+        return refuse_blocked(shared, connection, &request, &refusal).await;
     }
     let reserved = monoio::select! {
         reserved = reservation::reserve(shared, &request) => reserved,
@@ -147,17 +147,22 @@
                 }
             },
         };
-        let trial = match shared.quarantine.check(&request.shared_parts) {
-            Ok(trial) if may_retry => trial,
-            Err(block) if !reservation.may_have_run() => {
-                return refuse_blocked(shared, connection, request, &block).await;
+        let begun = match may_retry {
+            true => shared.quarantine.begin(&request.signatures).map_err(Some),
+            false => Err(None),
+        };
+        let trial = match begun {
+            Ok(trial) => trial,
+            Err(Some(refusal)) if !reservation.may_have_run() => {
+                return refuse_blocked(shared, connection, request, &refusal).await;
             }
-            Ok(_) | Err(_) if progress.has_started() => {
-                let detail = "backend servers end under a part of the prompt";
+            Err(_) if progress.has_started() => {
+                let detail = "backend servers end under the request";
                 return abort(shared, request, reservation, detail);
             }
-            Ok(_) | Err(_) => return refuse_retry(shared, connection, request, reservation).await,
+            Err(_) => return refuse_retry(shared, connection, request, reservation).await,
         };
+        let server = shared.directory.run(&target.backend_server);
         let event = event::Event::new(event::Kind::RequestDispatched)
             .with("backend_server", target.backend_server.as_str())
             .with("attempt", u64::from(target.attempt));
@@ -170,13 +175,13 @@
             reservation,
             target: &target,
             ticket: &ticket,
+            server: &server,
+            trial: &trial,
         };
         match attempt.run(connection, &mut progress).await {
             AttemptResult::Responded(response) => {
                 ticket.finished(Outcome::Done);
-                if response.status().is_success() {
-                    crash::report_completion(shared, request);
-                }
+                crash::report_completion(shared, request);
                 note_completed(shared, request, reservation, &target, &progress);
                 return respond(shared, connection, response).await;
             }
@@ -208,14 +213,16 @@
                     .with("backend_server", target.backend_server.as_str())
                     .with("outcome", format!("{outcome:?}"))
                     .with("response", progress.stage().name())
-                    .with("shared_parts", request.shared_parts_text())
+                    .with("signatures", request.signatures_text())
                     .with("detail", detail);
                 request.note(shared, progress.describe_limit(event));
                 shared.metrics.failed_attempts.increment(1);
                 last_response = response;
-                if is_disconnected && progress.stage() == stream::Stage::Begun {
-                    crash::report_break(shared, &target, trial).await;
-                    may_retry = shared.quarantine.may_retry(&request.shared_parts);
+                if outcome == Outcome::ConnectFailed {
+                    shared.quarantine.withdraw(&trial);
+                } else if is_disconnected && progress.stage() != stream::Stage::Streaming {
+                    crash::report_break(shared, &server, target.address, trial).await;
+                    may_retry = shared.quarantine.may_retry(&request.signatures);
                 }
                 ticket.finished(outcome);
             }
@@ -262,28 +269,27 @@
     refuse(shared, connection, request, reservation, &problem).await
 }
 
-/// Ends a request that was sent and is not sent again, because backend servers end under a part of
-/// its prompt.
+/// Ends a request that was sent and is not sent again, because backend servers end under it.
 async fn refuse_retry(
     shared: &Rc<Shared>,
     connection: &mut server::Connection,
     request: &RoutedRequest,
     reservation: &ReservationGuard,
 ) -> Result<(), Error> {
-    let detail = "the backend server ended, and others did under the same prompt part";
+    let detail = "the backend server ended, and others did under the same request or prompt part";
     let problem = problem::Problem::new(problem::Kind::BackendFailed, detail);
     let (request, reservation) = (Some(request), Some(reservation));
     refuse(shared, connection, request, reservation, &problem).await
 }
 
-/// Refuses a request that was not sent, because backend servers end under a part of its prompt.
+/// Refuses a request that was not sent, because backend servers end under it.
 async fn refuse_blocked(
     shared: &Rc<Shared>,
     connection: &mut server::Connection,
     request: &RoutedRequest,
-    block: &verdict::Block,
+    refusal: &Refusal,
 ) -> Result<(), Error> {
-    let (problem, event) = crash::refusal(request, block);
+    let (problem, event) = crash::refusal(request, refusal);
     request.note(shared, event);
     shared.metrics.refused(problem.ran).increment(1);
     respond(shared, connection, response::problem(&problem)).await
--- /dev/null
+++ b/crates/peridotrack-edge/src/gateway/liveness.rs
@@ -0,0 +1,79 @@
+//! Checks whether backend servers have ended, after connections to them broke.
+
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    rc::Rc,
+};
+
+use peridotrack_http::client;
+use peridotrack_quarantine::{event::Event, run::Run};
+
+use super::{Shared, options};
+use crate::notify::Notify;
+
+/// The checks in progress: many connections break at once when a server ends or is overloaded.
+#[derive(Default)]
+pub(super) struct Checks {
+    running: RefCell<BTreeMap<Run, Rc<Notify>>>,
+    /// Servers that are checked once more later.
+    repeated: RefCell<BTreeSet<Run>>,
+}
+
+/// Connects to a server, and reports its end if it refuses the connection. Returns when this is
+/// known, or after a time-out.
+pub(super) async fn check(shared: &Rc<Shared>, server: &Run, address: SocketAddr) {
+    let running = shared.checks.running.borrow().get(server).cloned();
+    let done = running.unwrap_or_else(|| {
+        let done = Rc::new(Notify::default());
+        let mut running = shared.checks.running.borrow_mut();
+        running.insert(server.clone(), Rc::clone(&done));
+        monoio::spawn(run(Rc::clone(shared), server.clone(), address));
+        done
+    });
+    done.notified().await;
+}
+
+async fn run(shared: Rc<Shared>, server: Run, address: SocketAddr) {
+    let has_ended = has_ended(&shared, &server, address).await;
+    let done = shared.checks.running.borrow_mut().remove(&server);
+    if let Some(done) = done {
+        done.notify_all();
+    }
+    // The listener of a server that ends may accept one more connection. If the server is cut off,
+    // the directory shows later whether it has ended.
+    let is_first = || shared.checks.repeated.borrow_mut().insert(server.clone());
+    if !has_ended && is_first() {
+        let timer = shared.kernel.timer();
+        timer.sleep_us(options::LIVENESS_RECHECK_US).await;
+        shared.checks.repeated.borrow_mut().remove(&server);
+        self::has_ended(&shared, &server, address).await;
+    }
+}
+
+async fn has_ended(shared: &Shared, server: &Run, address: SocketAddr) -> bool {
+    match client::Connection::connect(address, options::liveness()).await {
+        Ok(connection) => {
+            shared.pool.put(connection);
+            false
+        }
+        Err(error) if is_refused(&error) => {
+            report_end(shared, server);
+            true
+        }
+        Err(_) => false,
+    }
+}
+
+/// Reports that a backend server has ended.
+pub(super) fn report_end(shared: &Shared, server: &Run) {
+    shared.quarantine.handle(Event::ServerEnded {
+        backend_server: server.clone(),
+    });
+}
+
+/// Returns whether an error of the connection shows that nothing listens at the address any more.
+pub(super) fn is_refused(error: &client::Error) -> bool {
+    matches!(&error.kind, client::Kind::Io(error) if error.kind() == std::io::ErrorKind::ConnectionRefused)
+}
--- a/crates/peridotrack-edge/src/gateway/options.rs
+++ b/crates/peridotrack-edge/src/gateway/options.rs
@@ -98,7 +98,7 @@
 /// Longest backoff between failing calls of a follower, in microseconds: well within the 2 s in
 /// which entries are renewed after an outage.
 const FOLLOW_BACKOFF_MAX_US: u64 = 800 * clock::US_PER_MS;
-/// Maximum wait of a watch of the statements about prompt parts, in microseconds.
+/// Maximum wait of a watch of the statements about crashes, in microseconds.
 const QUARANTINE_WAIT_US: u64 = 10 * clock::US_PER_S;
 /// Divisor of the time after an outage in which a gateway must be connected again; gives the wait
 /// of a watch. A watch that gets no response because of an outage must be detected within that
@@ -138,9 +138,12 @@
 /// Time after which such a server is connected to once more if it accepted the connection, in
 /// microseconds: the sockets of a process that ends are closed one after the other.
 pub(super) const LIVENESS_RECHECK_US: u64 = 100 * clock::US_PER_MS;
-/// Retry delay stated in a refusal because of a prompt part, in milliseconds: until operators have
-/// had time to act.
+/// Retry delay stated in a refusal because of crashes, in milliseconds: until operators have had time
+/// to act.
 pub(super) const BLOCKED_RETRY_MS: u64 = 600_000;
+/// Retry delay stated in a refusal of a request that another router may be sending to learn whether
+/// it causes crashes, in milliseconds.
+pub(super) const UNDECIDED_RETRY_MS: u64 = 1_000;
 /// Maximum size of a response body that is not streamed, in bytes.
 const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 
@@ -219,7 +222,7 @@
     }
 }
 
-/// Returns the options for following the statements about prompt parts, which change rarely. The
+/// Returns the options for following the statements about crashes, which change rarely. The
 /// follower of the configuration detects a relay or a store that cannot be reached.
 pub(super) fn follow_quarantine(bounds: &Bounds) -> follower::Options {
     follower::Options {
--- a/crates/peridotrack-edge/src/gateway/probe.rs
+++ b/crates/peridotrack-edge/src/gateway/probe.rs
@@ -1,7 +1,7 @@
 //! The listeners for probes: readiness for the load balancer, and metrics.
 //!
 //! A gateway is ready once it has a configuration and has listed the backend servers and the
-//! statements about prompt parts, until it begins to stop.
+//! statements about crashes, until it begins to stop.
 
 use std::{net::SocketAddr, rc::Rc};
 
--- a/crates/peridotrack-edge/src/gateway/request.rs
+++ b/crates/peridotrack-edge/src/gateway/request.rs
@@ -8,7 +8,7 @@
 use peridotrack_http::server;
 use peridotrack_kernel::{clock, event};
 use peridotrack_platform::request as wire;
-use peridotrack_quarantine::statement::Part;
+use peridotrack_quarantine::signature::{self, Signature};
 use peridotrack_route::{
     event::{Continuation, Offer, Target},
     prefill,
@@ -22,8 +22,8 @@
 /// Lowest rank that counts as low priority; rank 0 is the most urgent.
 const LOW_PRIORITY_RANK: u32 = 2;
 
-/// Maximum number of prompt parts in one event.
-const MAX_LOGGED_PARTS: usize = 16;
+/// Maximum number of signatures in one event.
+const MAX_LOGGED_SIGNATURES: usize = 16;
 
 /// A client request with its route and client account, looked up in the configuration that was in
 /// force when it arrived.
@@ -47,8 +47,9 @@
     pub(super) service: name::Service,
     /// Whether the client account is prepaid, so that tokens must be reserved.
     pub(super) has_budget: bool,
-    /// Parts of the prompt that other requests may share: all but the last.
-    pub(super) shared_parts: Vec<Part>,
+    /// What crashes of backend servers are counted by: the whole request, and the parts of its
+    /// prompt that other requests may share.
+    pub(super) signatures: Vec<Signature>,
     priority: rules::Priority,
     /// Sequence number of the last event of this request.
     cause: Cell<u64>,
@@ -79,10 +80,10 @@
         self.cause.set(shared.kernel.note(event));
     }
 
-    /// Returns the identifiers of the first prompt parts that other requests may share, for the log.
-    pub(super) fn shared_parts_text(&self) -> String {
-        let parts = self.shared_parts.iter().take(MAX_LOGGED_PARTS);
-        let texts: Vec<_> = parts.map(Part::to_string).collect();
+    /// Returns the first signatures, for the log.
+    pub(super) fn signatures_text(&self) -> String {
+        let signatures = self.signatures.iter().take(MAX_LOGGED_SIGNATURES);
+        let texts: Vec<_> = signatures.map(Signature::to_string).collect();
         texts.join(",")
     }
 
@@ -137,6 +138,7 @@
     let rank = account
         .and_then(|account| account.rank)
         .unwrap_or(route.rank);
+    let has_budget = account.is_some_and(|account| account.prepaid_tokens.is_some());
     let Some(service) = choose_service(route) else {
         let detail = format!("route {:?} leads to no service", route.name);
         return Err(problem::Problem::new(
@@ -144,12 +146,13 @@
             detail,
         ));
     };
-    let shared_parts = shared_parts(&metadata);
-    if !shared_parts.is_empty() && !shared.quarantine.is_listed() {
-        let detail = "it is not known yet which prompt parts are blocked";
+    if !shared.quarantine.is_listed() {
+        let detail = "it is not known yet which requests are blocked";
         let kind = problem::Kind::NoBackendServer;
         return Err(problem::Problem::new(kind, detail).retry_after_ms(STARTING_RETRY_MS));
     }
+    let account = account.map(|account| &account.name);
+    let signatures = signatures(shared, route, account, &received, &metadata);
     shared.sequence.set(shared.sequence.get() + 1);
     let request = RoutedRequest {
         request_id: id::Request {
@@ -157,13 +160,13 @@
             sequence: shared.sequence.get(),
         },
         route_index,
-        account: account.map(|account| account.name.clone()),
+        account: account.cloned(),
         metadata,
         arrived_us,
         deadline_us: arrived_us + timeout_ms * clock::US_PER_MS,
         service,
-        has_budget: account.is_some_and(|account| account.prepaid_tokens.is_some()),
-        shared_parts,
+        has_budget,
+        signatures,
         priority: priority(rank),
         cause: Cell::new(0),
         config: Rc::clone(&config),
@@ -231,10 +234,26 @@
     }
 }
 
-fn shared_parts(metadata: &wire::Metadata) -> Vec<Part> {
-    let shared = metadata.prompt_parts.split_last();
-    let shared = shared.map_or(&[][..], |(_, shared)| shared);
-    shared.iter().map(|part| Part(part.id)).collect()
+fn signatures(
+    shared: &Shared,
+    route: &site::Route,
+    account: Option<&name::ClientAccount>,
+    received: &server::Request,
+    metadata: &wire::Metadata,
+) -> Vec<Signature> {
+    let uri = &received.head.uri;
+    let request = signature::Request {
+        account: account.map_or("", name::ClientAccount::as_str),
+        method: received.head.method.as_str(),
+        host: &route.host,
+        target: uri.path_and_query().map_or("", |target| target.as_str()),
+        body: &received.body,
+    };
+    let request = signature::of_request(shared.settings.peer_key.as_bytes(), &request);
+    let parts = metadata.prompt_parts.split_last();
+    let parts = parts.map_or(&[][..], |(_, parts)| parts);
+    let parts = parts.iter().map(|part| Signature::Part(part.id));
+    std::iter::once(request).chain(parts).collect()
 }
 
 /// Returns the prompt of a request, `None` if its headers do not list the prompt parts.
--- a/crates/peridotrack-edge/src/quarantine.rs
+++ b/crates/peridotrack-edge/src/quarantine.rs
@@ -11,9 +11,10 @@
 use bytes::Bytes;
 use peridotrack_kernel::{Kernel, clock, event, timer};
 use peridotrack_quarantine::{
-    event::{Action, Event, Note, Now, Trial},
+    event::{Action, Event, Note, Now, Refusal, Trial},
     options, quarantine,
-    statement::{KIND, Part, Statement},
+    signature::Signature,
+    statement::{KIND, Statement},
     verdict::Block,
 };
 use peridotrack_types::name;
@@ -71,18 +72,39 @@
         self.is_listed.get()
     }
 
-    /// Returns the trial of a request with these shared parts that is about to be sent.
+    /// Returns whether a request with these signatures may be sent now.
     ///
     /// # Errors
     ///
-    /// Returns the block by which the request is to be refused.
-    pub fn check(&self, parts: &[Part]) -> Result<Trial, Block> {
-        self.state.borrow().check(parts).map_err(Block::clone)
+    /// Returns the reason why it is not sent.
+    pub fn check(&self, signatures: &[Signature]) -> Result<(), Refusal> {
+        self.state.borrow().check(self.now(), signatures)
     }
 
-    /// Returns whether a request with these shared parts may be sent again after its server ended.
-    pub fn may_retry(&self, parts: &[Part]) -> bool {
-        self.state.borrow().may_retry(parts)
+    /// Returns the trial of a request with these signatures that is sent now.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason why it is not sent.
+    pub fn begin(&self, signatures: &[Signature]) -> Result<Trial, Refusal> {
+        self.state.borrow_mut().begin(self.now(), signatures)
+    }
+
+    /// Takes a trial back whose request did not reach its server.
+    pub fn withdraw(&self, trial: &Trial) {
+        self.state.borrow_mut().withdraw(trial);
+    }
+
+    /// Returns whether a request with these signatures may be sent again after its server ended.
+    pub fn may_retry(&self, signatures: &[Signature]) -> bool {
+        self.state.borrow().may_retry(signatures)
+    }
+
+    fn now(&self) -> Now {
+        Now {
+            monotonic_us: self.kernel.now_us(),
+            wall_ms: self.kernel.clock().wall_us() / clock::US_PER_MS,
+        }
     }
 }
 
@@ -101,11 +123,7 @@
 
     /// Passes an event to the state machine and carries out the actions that it returns.
     pub fn handle(self: &Rc<Self>, event: Event) {
-        let now = Now {
-            monotonic_us: self.kernel.now_us(),
-            wall_ms: self.kernel.clock().wall_us() / clock::US_PER_MS,
-        };
-        let actions = self.state.borrow_mut().on_event(now, event);
+        let actions = self.state.borrow_mut().on_event(self.now(), event);
         for action in actions {
             match action {
                 Action::Send(statement) => self.send(statement),
@@ -206,31 +224,30 @@
         let event = match note {
             Note::Crashed {
                 backend_server,
-                parts,
+                signatures,
                 depth,
-            } => event::Event::new(event::Kind::PromptPartSuspected)
-                .with("backend_server", backend_server.as_str())
-                .with("shared_parts", join(parts))
+            } => event::Event::new(event::Kind::SignatureSuspected)
+                .with("backend_server", backend_server.to_string())
+                .with("signatures", join(signatures))
                 .with("depth", u64::from(*depth)),
             Note::Blocked(block) => {
-                describe_block(event::Event::new(event::Kind::PromptPartBlocked), block)
-            }
-            Note::Released { parts } => {
-                event::Event::new(event::Kind::PromptPartReleased).with("prompt_parts", join(parts))
+                describe_block(event::Event::new(event::Kind::SignatureBlocked), block)
             }
+            Note::Released { signatures } => event::Event::new(event::Kind::SignatureReleased)
+                .with("signatures", join(signatures)),
         };
         self.kernel.note(event);
     }
 }
 
-/// Adds to an event the parts of a block, the servers that ended under them, which routers noticed
+/// Adds to an event the signatures of a block, the servers that ended under them, which routers noticed
 /// it and since when.
 pub fn describe_block(event: event::Event, block: &Block) -> event::Event {
     let authors = block.crashes.values().flat_map(|crash| &crash.authors);
     let authors: std::collections::BTreeSet<_> = authors.collect();
     let since_ms = block.crashes.values().map(|crash| crash.at_wall_ms).min();
     event
-        .with("prompt_parts", join(&block.parts))
+        .with("signatures", join(&block.signatures))
         .with("ended_servers", join(block.crashes.keys()))
         .with("reported_by", join(authors))
         .with("since_wall_ms", since_ms.unwrap_or_default())
--- a/crates/peridotrack-kernel/src/event.rs
+++ b/crates/peridotrack-kernel/src/event.rs
@@ -137,12 +137,12 @@
     501 Info BackendServerLeaving,
     /// A backend server states a limit of requests per second for all routers, or ended it.
     502 Info RateLimitChanged,
-    /// A backend server ended when it had just begun to answer a request with these prompt parts.
-    510 Warn PromptPartSuspected,
-    /// Requests with these prompt parts are refused, because backend servers crash under them.
-    511 Error PromptPartBlocked,
-    /// Requests with these prompt parts are no longer refused.
-    512 Info PromptPartReleased,
+    /// A backend server ended with a request of these signatures in flight.
+    510 Warn SignatureSuspected,
+    /// Requests with all of these signatures are refused, because backend servers crash under them.
+    511 Error SignatureBlocked,
+    /// Requests with these signatures are no longer refused.
+    512 Info SignatureReleased,
     /// An operator, or a demonstration in the operator's role, acted on the fleet.
     600 Info OperatorAction,
 }
--- a/crates/peridotrack-quarantine/src/event.rs
+++ b/crates/peridotrack-quarantine/src/event.rs
@@ -2,10 +2,7 @@
 
 use peridotrack_types::name;
 
-use crate::{
-    statement::{Part, Statement},
-    verdict::Block,
-};
+use crate::{run::Run, signature::Signature, statement::Statement, verdict::Block};
 
 /// Current time on both clocks.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -16,12 +13,30 @@
     pub wall_ms: u64,
 }
 
-/// A request that is sent to a backend server, as [`crate::quarantine::Quarantine::check`] returned
+/// A request that is sent to a backend server, as [`crate::quarantine::Quarantine::begin`] returned
 /// it.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Trial {
-    /// The shared parts, each with the depth of a crash under it.
-    pub parts: Vec<(Part, u32)>,
+    /// The signatures, each with the depth of a crash under it.
+    pub signatures: Vec<(Signature, u32)>,
+}
+
+impl Trial {
+    /// Returns the depth of a crash under the request.
+    pub fn depth(&self) -> u32 {
+        let depths = self.signatures.iter().map(|(_, depth)| *depth);
+        depths.max().unwrap_or(0)
+    }
+}
+
+/// Why a request is not sent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Refusal {
+    /// Signatures of the request, and the crashes under them.
+    pub block: Block,
+    /// Whether the crashes prove the signatures. Otherwise few routers at a time send such a
+    /// request, and its outcome decides.
+    pub is_proven: bool,
 }
 
 /// An occurrence that the driver reports to the quarantine.
@@ -29,19 +44,19 @@
 pub enum Event {
     /// Time passed; expected several times per second.
     Tick,
-    /// The connection to the server broke when the response had begun and contained no complete
-    /// event.
+    /// The connection to the server broke after the request was sent and before a complete event
+    /// or a complete response was received.
     Broken {
         /// The request.
         trial: Trial,
-        /// Server that it was sent to.
-        backend_server: name::BackendServer,
+        /// Run of the server that it was sent to.
+        backend_server: Run,
     },
-    /// A server has ended: it accepts no connections, or the directory no longer has it although it
-    /// did not drain.
+    /// A server has ended: it accepts no connections, the directory no longer has it although it did
+    /// not drain, or it has started again under the same name.
     ServerEnded {
-        /// Name of the server.
-        backend_server: name::BackendServer,
+        /// Run of the server.
+        backend_server: Run,
     },
     /// A server responded. That it accepts a connection shows nothing: it may be about to end.
     ServerAlive {
@@ -50,10 +65,10 @@
         /// When the request was sent, on the monotonic clock.
         sent_us: u64,
     },
-    /// A response was received whole and is a success.
+    /// A response was received whole, from a server that ran the request.
     Completed {
-        /// Shared parts of the request.
-        parts: Vec<Part>,
+        /// Signatures of the request.
+        signatures: Vec<Signature>,
     },
     /// The statement of a peer, of operators, or of an earlier incarnation on this VM.
     Stated {
@@ -82,20 +97,20 @@
 /// An occurrence reported on the timeline.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Note {
-    /// A server ended when it had just begun to answer a request with the parts.
+    /// A server ended with a request of these signatures in flight.
     Crashed {
-        /// Name of the server.
-        backend_server: name::BackendServer,
-        /// Shared parts of the request.
-        parts: Vec<Part>,
+        /// Run of the server.
+        backend_server: Run,
+        /// Signatures of the request.
+        signatures: Vec<Signature>,
         /// Depth of the crash.
         depth: u32,
     },
-    /// Requests with all of the block's parts are refused from now on.
+    /// Requests with all of the block's signatures are refused from now on.
     Blocked(Block),
-    /// Requests with the parts are no longer refused.
+    /// Requests with the signatures are no longer refused.
     Released {
-        /// Parts of the former block.
-        parts: Vec<Part>,
+        /// Signatures of the former block.
+        signatures: Vec<Signature>,
     },
 }
--- a/crates/peridotrack-quarantine/src/quarantine.rs
+++ b/crates/peridotrack-quarantine/src/quarantine.rs
@@ -5,20 +5,16 @@
 use peridotrack_types::{collections::HashMap, name};
 
 use crate::{
-    event::{Action, Event, Note, Now, Trial},
+    event::{Action, Event, Note, Now, Refusal, Trial},
     options::Options,
-    statement::{Clearance, Crash, Part, Statement},
+    pending::{Attempt, Pending},
+    probe::Probes,
+    run::Run,
+    signature::Signature,
+    statement::{Clearance, Crash, Statement},
     verdict::{self, Block, Crashes, Report, Verdict},
 };
 
-/// An attempt that broke when its response had just begun.
-#[derive(Debug, Clone)]
-struct Pending {
-    trial: Trial,
-    backend_server: name::BackendServer,
-    broken_us: u64,
-}
-
 /// Collects what routers state about crashes, and decides which requests are refused.
 #[derive(Debug)]
 pub struct Quarantine {
@@ -30,10 +26,11 @@
     /// Statements of the others, by author.
     others: BTreeMap<name::Vm, Statement>,
     /// Broken attempts whose server may have ended.
-    pending: Vec<Pending>,
-    /// Crashes that count, by part; derived from the statements.
-    crashes: BTreeMap<Part, Crashes>,
+    pending: Pending,
+    /// Crashes that count, by signature; derived from the statements.
+    crashes: BTreeMap<Signature, Crashes>,
     verdict: Verdict,
+    probes: Probes,
     /// When the statement is due to be sent to the peers.
     send_us: Option<u64>,
     /// When the statement is due to be written.
@@ -55,9 +52,10 @@
             vm,
             own: Statement::default(),
             others: BTreeMap::new(),
-            pending: Vec::new(),
+            pending: Pending::default(),
             crashes: BTreeMap::new(),
             verdict: Verdict::default(),
+            probes: Probes::default(),
             send_us: None,
             write_us: None,
             written: Some(Statement::default()),
@@ -69,28 +67,90 @@
 
 /// Decisions about requests.
 impl Quarantine {
-    /// Returns the trial of a request with these shared parts that is about to be sent.
+    /// Returns whether a request with these signatures may be sent now.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason why it is not sent.
+    pub fn check(&self, now: Now, signatures: &[Signature]) -> Result<(), Refusal> {
+        if let Some(block) = self.block(signatures) {
+            return Err(Refusal {
+                block: block.clone(),
+                is_proven: true,
+            });
+        }
+        for (signature, crashes) in self.undecided(signatures) {
+            if !self
+                .probes
+                .may_send(now, &self.vm, signature, &self.options)
+            {
+                return Err(Refusal {
+                    block: Block {
+                        signatures: vec![signature],
+                        crashes: crashes.clone(),
+                    },
+                    is_proven: false,
+                });
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the trial of a request with these signatures that is sent now.
     ///
     /// # Errors
     ///
-    /// Returns the block if the request has all of its parts.
-    pub fn check(&self, parts: &[Part]) -> Result<Trial, &Block> {
-        let is_refused = |block: &&Block| block.parts.iter().all(|part| parts.contains(part));
-        if let Some(block) = self.verdict.blocks.iter().find(is_refused) {
-            return Err(block);
+    /// Returns the reason why it is not sent.
+    pub fn begin(&mut self, now: Now, signatures: &[Signature]) -> Result<Trial, Refusal> {
+        self.check(now, signatures)?;
+        for signature in signatures {
+            if self.verdict.undecided.contains_key(signature) {
+                self.probes.begin(now, *signature);
+            }
         }
-        let depth = |part: &Part| self.crashes.get(part).map_or(0, verdict::max_depth);
-        let parts = parts.iter().take(self.options.max_parts);
+        let depth = |signature| self.crashes.get(signature).map_or(0, verdict::max_depth);
+        let signatures = signatures.iter().take(self.options.max_signatures);
         Ok(Trial {
-            parts: parts.map(|part| (*part, depth(part) + 1)).collect(),
+            signatures: signatures
+                .map(|signature| (*signature, depth(signature) + 1))
+                .collect(),
         })
     }
 
-    /// Returns whether a request with these shared parts may be sent again after its server ended.
-    pub fn may_retry(&self, parts: &[Part]) -> bool {
-        let unexplained = |part| self.verdict.unexplained.get(part).copied();
-        let mut depths = parts.iter().filter_map(unexplained);
-        self.check(parts).is_ok() && depths.all(|depth| depth < self.options.no_retry_depth)
+    /// Takes a trial back whose request did not reach its server.
+    pub fn withdraw(&mut self, trial: &Trial) {
+        for (signature, _) in &trial.signatures {
+            self.probes.withdraw(*signature);
+        }
+    }
+
+    /// Returns whether a request with these signatures may be sent again after its server ended.
+    pub fn may_retry(&self, signatures: &[Signature]) -> bool {
+        let is_allowed = |signature: &Signature| {
+            let crashes = self.verdict.unexplained.get(signature);
+            crashes.is_none_or(|crashes| match signature {
+                Signature::Part(_) => crashes.depth < self.options.part_no_retry_depth,
+                Signature::Request(_) => crashes.servers < self.options.request_no_retry_servers,
+            })
+        };
+        let is_undecided = self.undecided(signatures).next().is_some();
+        self.block(signatures).is_none() && !is_undecided && signatures.iter().all(is_allowed)
+    }
+
+    fn block(&self, signatures: &[Signature]) -> Option<&Block> {
+        let is_refused = |block: &&Block| {
+            let mut blocked = block.signatures.iter();
+            blocked.all(|signature| signatures.contains(signature))
+        };
+        self.verdict.blocks.iter().find(is_refused)
+    }
+
+    /// Returns those of the signatures that are sent only to learn whether they cause crashes.
+    fn undecided(&self, signatures: &[Signature]) -> impl Iterator<Item = (Signature, &Crashes)> {
+        signatures.iter().filter_map(|signature| {
+            let crashes = self.verdict.undecided.get(signature)?;
+            Some((*signature, crashes))
+        })
     }
 
     /// Returns whether news about servers matters: attempts broke that may be crashes.
@@ -121,10 +181,8 @@
             Event::ServerAlive {
                 backend_server,
                 sent_us,
-            } => self.pending.retain(|pending| {
-                pending.backend_server != backend_server || pending.broken_us >= sent_us
-            }),
-            Event::Completed { parts } => self.on_completed(now, &parts, &mut actions),
+            } => self.pending.clear(&backend_server, sent_us),
+            Event::Completed { signatures } => self.on_completed(now, &signatures, &mut actions),
             Event::Stated { author, statement } => {
                 self.on_stated(now, author, statement, &mut actions);
             }
@@ -140,8 +198,7 @@
 
     fn on_tick(&mut self, now: Now, actions: &mut Vec<Action>) {
         let oldest_us = now.monotonic_us.saturating_sub(self.options.pending_us);
-        self.pending
-            .retain(|pending| pending.broken_us >= oldest_us);
+        self.pending.expire(oldest_us);
         if now.monotonic_us >= self.expire_us {
             self.expire_us = now.monotonic_us + self.options.expiry_us;
             if !self.crashes.is_empty() {
@@ -165,39 +222,34 @@
         }
     }
 
-    fn on_broken(&mut self, now: Now, trial: Trial, backend_server: name::BackendServer) {
-        if !trial.parts.is_empty() && self.pending.len() < self.options.max_pending {
-            self.pending.push(Pending {
+    fn on_broken(&mut self, now: Now, trial: Trial, backend_server: Run) {
+        if !trial.signatures.is_empty() {
+            let attempt = Attempt {
                 trial,
                 backend_server,
                 broken_us: now.monotonic_us,
-            });
+            };
+            self.pending.push(attempt, self.options.max_pending);
         }
     }
 
-    fn on_server_ended(
-        &mut self,
-        now: Now,
-        backend_server: &name::BackendServer,
-        actions: &mut Vec<Action>,
-    ) {
-        let is_of_server = |pending: &mut Pending| pending.backend_server == *backend_server;
-        let ended: Vec<Pending> = self.pending.extract_if(.., is_of_server).collect();
+    fn on_server_ended(&mut self, now: Now, backend_server: &Run, actions: &mut Vec<Action>) {
+        let ended = self.pending.take(backend_server);
         if ended.is_empty() {
             return;
         }
-        for pending in ended {
-            let depths = pending.trial.parts.iter().map(|(_, depth)| *depth);
+        for attempt in ended {
+            let Trial { signatures } = &attempt.trial;
             actions.push(Action::Note(Note::Crashed {
-                backend_server: backend_server.clone(),
-                depth: depths.max().unwrap_or(0),
-                parts: pending.trial.parts.iter().map(|(part, _)| *part).collect(),
+                backend_server: attempt.backend_server.clone(),
+                depth: attempt.trial.depth(),
+                signatures: signatures.iter().map(|(signature, _)| *signature).collect(),
             }));
-            for (part, depth) in pending.trial.parts {
+            for (signature, depth) in signatures {
                 self.add_crash(Crash {
-                    part,
-                    backend_server: backend_server.clone(),
-                    depth,
+                    signature: *signature,
+                    backend_server: attempt.backend_server.clone(),
+                    depth: *depth,
                     at_wall_ms: now.wall_ms,
                 });
             }
@@ -205,14 +257,17 @@
         self.change(now, actions);
     }
 
-    fn on_completed(&mut self, now: Now, parts: &[Part], actions: &mut Vec<Action>) {
+    fn on_completed(&mut self, now: Now, signatures: &[Signature], actions: &mut Vec<Action>) {
         let mut is_changed = false;
-        for part in parts.iter().filter(|part| self.crashes.contains_key(part)) {
+        let suspected = |signature: &&Signature| self.crashes.contains_key(signature);
+        for signature in signatures.iter().filter(suspected) {
             is_changed = true;
-            self.own.crashes.retain(|crash| crash.part != *part);
+            self.own
+                .crashes
+                .retain(|crash| crash.signature != *signature);
             let others = self.others.values().flat_map(|other| &other.crashes);
             let cleared: BTreeSet<Clearance> = others
-                .filter(|crash| crash.part == *part)
+                .filter(|crash| crash.signature == *signature)
                 .map(clearance)
                 .collect();
             for clearance in cleared {
@@ -279,23 +334,40 @@
 impl Quarantine {
     fn add_crash(&mut self, crash: Crash) {
         let is_same = |known: &&mut Crash| {
-            known.part == crash.part && known.backend_server == crash.backend_server
+            known.signature == crash.signature && known.backend_server == crash.backend_server
         };
         match self.own.crashes.iter_mut().find(is_same) {
             Some(known) => known.depth = known.depth.max(crash.depth),
-            None => self.own.crashes.push(crash),
-        }
-        if self.own.crashes.len() > self.options.max_entries {
-            self.remove_least_conclusive_crash();
+            None => {
+                if self.own.crashes.len() >= self.options.max_entries {
+                    self.remove_least_conclusive_crash();
+                }
+                self.own.crashes.push(crash);
+            }
         }
     }
 
+    /// Removes an own crash to make room: of the signature with the least evidence, the oldest.
     fn remove_least_conclusive_crash(&mut self) {
         let blocks = &self.verdict.blocks;
-        let is_proof = |part| blocks.iter().any(|block| block.parts.contains(part));
+        let is_proof = |signature| {
+            blocks
+                .iter()
+                .any(|block| block.signatures.contains(signature))
+        };
+        let mut counts: BTreeMap<Signature, usize> = BTreeMap::new();
+        for crash in &self.own.crashes {
+            *counts.entry(crash.signature).or_default() += 1;
+        }
+        let count = |signature| {
+            let stated = self.crashes.get(signature).map_or(0, Crashes::len);
+            stated.max(counts.get(signature).copied().unwrap_or_default())
+        };
         let least = (0..self.own.crashes.len()).min_by_key(|&index| {
             let crash = &self.own.crashes[index];
-            (is_proof(&crash.part), crash.depth, crash.at_wall_ms)
+            let signature = &crash.signature;
+            let evidence = (is_proof(signature), count(signature), crash.depth);
+            (evidence, crash.at_wall_ms)
         });
         if let Some(least) = least {
             self.own.crashes.swap_remove(least);
@@ -361,14 +433,14 @@
             .iter()
             .flat_map(|(_, statement)| &statement.clearances)
             .collect();
-        let mut crashes: BTreeMap<Part, Crashes> = BTreeMap::new();
+        let mut crashes: BTreeMap<Signature, Crashes> = BTreeMap::new();
         for (author, statement) in &statements {
             for crash in statement.crashes.iter().filter(|crash| is_current(crash)) {
                 if cleared.contains(&clearance(crash)) {
                     continue;
                 }
                 let report = crashes
-                    .entry(crash.part)
+                    .entry(crash.signature)
                     .or_default()
                     .entry(crash.backend_server.clone())
                     .or_insert_with(|| Report {
@@ -385,33 +457,34 @@
         let verdict = verdict::judge(&self.crashes, &self.options);
         note_changes(&self.verdict, &verdict, actions);
         self.verdict = verdict;
+        self.probes.retain(&self.verdict.undecided);
     }
 }
 
 fn clearance(crash: &Crash) -> Clearance {
     Clearance {
-        part: crash.part,
+        signature: crash.signature,
         backend_server: crash.backend_server.clone(),
     }
 }
 
 /// Notes which blocks began and ended.
 fn note_changes(before: &Verdict, after: &Verdict, actions: &mut Vec<Action>) {
-    let parts = |verdict: &Verdict| -> HashMap<Vec<Part>, Block> {
+    let by_signatures = |verdict: &Verdict| -> HashMap<Vec<Signature>, Block> {
         let blocks = verdict.blocks.iter();
         blocks
-            .map(|block| (block.parts.clone(), block.clone()))
+            .map(|block| (block.signatures.clone(), block.clone()))
             .collect()
     };
-    let (before, after) = (parts(before), parts(after));
-    for (parts, block) in &after {
-        if !before.contains_key(parts) {
+    let (before, after) = (by_signatures(before), by_signatures(after));
+    for (signatures, block) in &after {
+        if !before.contains_key(signatures) {
             actions.push(Action::Note(Note::Blocked(block.clone())));
         }
     }
-    for parts in before.keys().filter(|parts| !after.contains_key(*parts)) {
+    for signatures in before.keys().filter(|known| !after.contains_key(*known)) {
         actions.push(Action::Note(Note::Released {
-            parts: parts.clone(),
+            signatures: signatures.clone(),
         }));
     }
 }
--- a/crates/peridotrack-quarantine/tests/quarantine.rs
+++ b/crates/peridotrack-quarantine/tests/quarantine.rs
@@ -4,13 +4,14 @@
     event::{Action, Event, Now},
     options::Options,
     quarantine::Quarantine,
-    statement::{Clearance, Crash, OPERATOR, Part, Statement},
+    signature::Signature,
+    statement::{Clearance, Crash, OPERATOR, Statement},
 };
 use rstest::rstest;
 
-const FIRST: Part = Part(1);
-const FATAL: Part = Part(2);
-const OTHER: Part = Part(3);
+const FIRST: Signature = Signature::Part(1);
+const FATAL: Signature = Signature::Part(2);
+const OTHER: Signature = Signature::Part(3);
 
 fn at(monotonic_us: u64) -> Now {
     Now {
@@ -23,9 +24,10 @@
     Quarantine::new("vm-1".into(), Options::default())
 }
 
-/// Sends a request with the parts to a server, which ends when it begins to answer.
-fn crash(quarantine: &mut Quarantine, parts: &[Part], server: &str) -> Vec<Action> {
-    let trial = quarantine.check(parts).expect("the request is not refused");
+/// Sends a request with the signatures to a server, which ends under it.
+fn crash(quarantine: &mut Quarantine, signatures: &[Signature], server: &str) -> Vec<Action> {
+    let trial = quarantine.begin(at(0), signatures);
+    let trial = trial.expect("the request is not refused");
     let backend_server = server.into();
     quarantine.on_event(
         at(0),
@@ -38,9 +40,21 @@
     quarantine.on_event(at(0), Event::ServerEnded { backend_server })
 }
 
-fn complete(quarantine: &mut Quarantine, parts: &[Part]) {
-    let parts = parts.to_vec();
-    quarantine.on_event(at(0), Event::Completed { parts });
+/// Returns the signatures because of which a request is refused.
+fn refused(quarantine: &Quarantine, signatures: &[Signature]) -> Vec<Signature> {
+    let refusal = quarantine.check(at(0), signatures).unwrap_err();
+    refusal.block.signatures
+}
+
+/// Returns the signatures of a request that is sent, with the depths of a crash under them.
+fn depths(quarantine: &mut Quarantine, signatures: &[Signature]) -> Vec<(Signature, u32)> {
+    let trial = quarantine.begin(at(0), signatures).unwrap();
+    trial.signatures
+}
+
+fn complete(quarantine: &mut Quarantine, signatures: &[Signature]) {
+    let signatures = signatures.to_vec();
+    quarantine.on_event(at(0), Event::Completed { signatures });
 }
 
 /// Returns the statement that the quarantine sends to its peers.
@@ -65,10 +79,7 @@
     crash(&mut quarantine, &[FATAL], "s-2");
     assert!(!quarantine.may_retry(&[FATAL]));
     crash(&mut quarantine, &[FATAL], "s-3");
-    assert_eq!(
-        quarantine.check(&[FIRST, FATAL]).unwrap_err().parts,
-        [FATAL]
-    );
+    assert_eq!(refused(&quarantine, &[FIRST, FATAL]), [FATAL]);
 }
 
 /// Guards against the block of a popular part after a loss of power: all servers end under requests
@@ -76,7 +87,7 @@
 #[test]
 fn servers_that_end_together_block_no_part() {
     let mut quarantine = quarantine();
-    let trial = quarantine.check(&[FIRST]).unwrap();
+    let trial = quarantine.begin(at(0), &[FIRST]).unwrap();
     for number in 0..20 {
         let backend_server = format!("s-{number}").as_str().into();
         let trial = trial.clone();
@@ -92,7 +103,7 @@
         let backend_server = format!("s-{number}").as_str().into();
         quarantine.on_event(at(0), Event::ServerEnded { backend_server });
     }
-    assert!(quarantine.check(&[FIRST]).is_ok());
+    assert!(quarantine.check(at(0), &[FIRST]).is_ok());
     assert!(quarantine.may_retry(&[FIRST]));
 }
 
@@ -101,14 +112,14 @@
 fn parts_of_completed_requests_are_not_blocked() {
     let mut quarantine = quarantine();
     for server in ["s-1", "s-2", "s-3", "s-4"] {
-        if quarantine.check(&[FIRST, OTHER, FATAL]).is_ok() {
+        if quarantine.check(at(0), &[FIRST, OTHER, FATAL]).is_ok() {
             crash(&mut quarantine, &[FIRST, OTHER, FATAL], server);
         }
         complete(&mut quarantine, &[FIRST, OTHER]);
     }
     assert_eq!(quarantine.blocks().len(), 1);
-    assert_eq!(quarantine.blocks()[0].parts, [FATAL]);
-    assert!(quarantine.check(&[FIRST, OTHER]).is_ok());
+    assert_eq!(quarantine.blocks()[0].signatures, [FATAL]);
+    assert!(quarantine.check(at(0), &[FIRST, OTHER]).is_ok());
 }
 
 /// Parts that always occur together are told apart by requests that have only some of them.
@@ -116,23 +127,23 @@
 #[case::sound(OTHER, false)]
 #[case::fatal(FATAL, true)]
 fn a_request_with_one_of_two_blocked_parts_tells_them_apart(
-    #[case] single: Part,
+    #[case] single: Signature,
     #[case] crashes: bool,
 ) {
     let mut quarantine = quarantine();
     for server in ["s-1", "s-2", "s-3"] {
         crash(&mut quarantine, &[OTHER, FATAL], server);
     }
-    assert_eq!(quarantine.blocks()[0].parts, [FATAL, OTHER]);
-    assert!(quarantine.check(&[single]).is_ok());
+    assert_eq!(quarantine.blocks()[0].signatures, [FATAL, OTHER]);
+    assert!(quarantine.check(at(0), &[single]).is_ok());
     if crashes {
         crash(&mut quarantine, &[single], "s-4");
     } else {
         complete(&mut quarantine, &[single]);
     }
-    assert_eq!(quarantine.blocks()[0].parts, [FATAL]);
-    assert!(quarantine.check(&[OTHER]).is_ok());
-    assert!(quarantine.check(&[FATAL]).is_err());
+    assert_eq!(quarantine.blocks()[0].signatures, [FATAL]);
+    assert!(quarantine.check(at(0), &[OTHER]).is_ok());
+    assert!(quarantine.check(at(0), &[FATAL]).is_err());
 }
 
 /// A broken connection alone is no crash: a caller must not be able to have a part blocked.
@@ -142,7 +153,7 @@
 #[case::late(Some(Event::Tick))]
 fn a_broken_connection_to_a_server_that_has_not_ended_is_no_crash(#[case] news: Option<Event>) {
     let mut quarantine = quarantine();
-    let trial = quarantine.check(&[FATAL]).unwrap();
+    let trial = quarantine.begin(at(0), &[FATAL]).unwrap();
     let backend_server = "s-1".into();
     let broken = Event::Broken {
         trial,
@@ -155,14 +166,14 @@
     }
     let backend_server = if is_known { "s-1" } else { "s-2" }.into();
     quarantine.on_event(at(6_000_000), Event::ServerEnded { backend_server });
-    assert_eq!(quarantine.check(&[FATAL]).unwrap().parts, [(FATAL, 1)]);
+    assert_eq!(depths(&mut quarantine, &[FATAL]), [(FATAL, 1)]);
 }
 
 /// A response that was on its way when the connection broke does not show that the server runs.
 #[test]
 fn a_response_to_an_earlier_request_does_not_exclude_a_crash() {
     let mut quarantine = quarantine();
-    let trial = quarantine.check(&[FATAL]).unwrap();
+    let trial = quarantine.begin(at(0), &[FATAL]).unwrap();
     let broken = Event::Broken {
         trial,
         backend_server: "s-1".into(),
@@ -175,7 +186,7 @@
     quarantine.on_event(at(20), alive);
     let backend_server = "s-1".into();
     quarantine.on_event(at(30), Event::ServerEnded { backend_server });
-    assert_eq!(quarantine.check(&[FATAL]).unwrap().parts, [(FATAL, 2)]);
+    assert_eq!(depths(&mut quarantine, &[FATAL]), [(FATAL, 2)]);
 }
 
 #[test]
@@ -192,8 +203,8 @@
         }
     }
     for router in &routers {
-        let block = router.check(&[FATAL]).unwrap_err();
-        assert_eq!(block.crashes.len(), 3);
+        let refusal = router.check(at(0), &[FATAL]).unwrap_err();
+        assert_eq!(refusal.block.crashes.len(), 3);
     }
 }
 
@@ -202,12 +213,12 @@
     let (mut here, mut there) = (quarantine(), quarantine());
     crash(&mut here, &[FIRST], "s-1");
     stated(&mut there, "vm-2", sent(&mut here).unwrap());
-    assert_eq!(there.check(&[FIRST]).unwrap().parts, [(FIRST, 2)]);
+    assert_eq!(depths(&mut there, &[FIRST]), [(FIRST, 2)]);
     complete(&mut there, &[FIRST]);
     let cleared = sent(&mut there).unwrap();
     assert_eq!(cleared.clearances.len(), 1);
     stated(&mut here, "vm-3", cleared);
-    assert_eq!(here.check(&[FIRST]).unwrap().parts, [(FIRST, 1)]);
+    assert_eq!(depths(&mut here, &[FIRST]), [(FIRST, 1)]);
     // Neither states anything any more.
     let withdrawn = sent(&mut here).unwrap();
     assert!(withdrawn.is_empty());
@@ -224,7 +235,7 @@
     let statement = sent(&mut earlier).unwrap();
     let mut restarted = quarantine();
     stated(&mut restarted, "vm-1", statement.clone());
-    assert!(restarted.check(&[FATAL]).is_err());
+    assert!(restarted.check(at(0), &[FATAL]).is_err());
     let next = sent(&mut restarted).unwrap();
     assert!(next.sequence > statement.sequence);
     assert_eq!(next.crashes, statement.crashes);
@@ -270,7 +281,7 @@
     }
     let servers = ["s-1", "s-2", "s-3"];
     let clearances = servers.map(|server| Clearance {
-        part: FATAL,
+        signature: FATAL,
         backend_server: server.into(),
     });
     let statement = Statement {
@@ -279,7 +290,7 @@
         clearances: clearances.to_vec(),
     };
     stated(&mut quarantine, OPERATOR, statement);
-    assert_eq!(quarantine.check(&[FATAL]).unwrap().parts, [(FATAL, 1)]);
+    assert_eq!(depths(&mut quarantine, &[FATAL]), [(FATAL, 1)]);
 }
 
 #[test]
@@ -290,9 +301,9 @@
     }
     let day_us = Options::default().crash_age_ms * 1_000;
     quarantine.on_event(at(day_us - 1), Event::Tick);
-    assert!(quarantine.check(&[FATAL]).is_err());
+    assert!(quarantine.check(at(0), &[FATAL]).is_err());
     quarantine.on_event(at(2 * day_us), Event::Tick);
-    assert!(quarantine.check(&[FATAL]).is_ok());
+    assert!(quarantine.check(at(0), &[FATAL]).is_ok());
 }
 
 /// Whatever parts clients invent, the statement stays bounded, and keeps the proof.
@@ -305,22 +316,57 @@
     for number in 0..1_000 {
         crash(
             &mut quarantine,
-            &[Part(100 + number)],
+            &[Signature::Part(100 + number)],
             &format!("t-{number}"),
         );
     }
     let statement = sent(&mut quarantine).unwrap();
     assert_eq!(statement.crashes.len(), Options::default().max_entries);
-    let is_proof = |crash: &&Crash| crash.part == FATAL;
+    let is_proof = |crash: &&Crash| crash.signature == FATAL;
     assert_eq!(statement.crashes.iter().filter(is_proof).count(), 3);
-    assert!(quarantine.check(&[FATAL]).is_err());
+    assert!(quarantine.check(at(0), &[FATAL]).is_err());
 }
 
 #[test]
-fn a_statement_is_json_with_hexadecimal_parts() {
-    let text = r#"{"sequence":7,"crashes":[{"part":"1f","backend_server":"s-1","depth":2,"at_wall_ms":5}],"clearances":[]}"#;
+fn a_statement_is_json_with_hexadecimal_signatures() {
+    let text = r#"{"sequence":7,"crashes":[{"signature":"1f","backend_server":"s-1","depth":2,"at_wall_ms":5},{"signature":"request:000102030405060708090a0b0c0d0e0f","backend_server":"s-2@77","depth":1,"at_wall_ms":6}],"clearances":[]}"#;
     let statement: Statement = serde_json::from_str(text).unwrap();
-    assert_eq!(statement.crashes[0].part, Part(0x1f));
+    assert_eq!(statement.crashes[0].signature, Signature::Part(0x1f));
+    let digest = std::array::from_fn(|index| index as u8);
+    assert_eq!(statement.crashes[1].signature, Signature::Request(digest));
+    assert_eq!(statement.crashes[1].backend_server.born_ms, Some(77));
     assert_eq!(serde_json::to_string(&statement).unwrap(), text);
-    assert!("zz".parse::<Part>().is_err());
+    for text in [
+        "zz",
+        "request:00",
+        "request:zz0102030405060708090a0b0c0d0e0f",
+    ] {
+        assert!(text.parse::<Signature>().is_err(), "{text}");
+    }
+}
+
+#[test]
+fn a_statement_of_an_earlier_version_is_read() {
+    let text = r#"{"sequence":7,"crashes":[{"part":"1f","backend_server":"s-1","depth":2,"at_wall_ms":5}],"clearances":[{"part":"20","backend_server":"s-2"}]}"#;
+    let statement: Statement = serde_json::from_str(text).unwrap();
+    assert_eq!(statement.crashes[0].signature, Signature::Part(0x1f));
+    assert_eq!(statement.crashes[0].backend_server, "s-1".into());
+    assert_eq!(statement.clearances[0].signature, Signature::Part(0x20));
+}
+
+/// Routers send statements as postcard, without field names.
+#[test]
+fn a_statement_survives_the_encoding_of_peers() {
+    let mut quarantine = quarantine();
+    crash(
+        &mut quarantine,
+        &[FATAL, Signature::Request([7; 16])],
+        "s-1@5",
+    );
+    let statement = sent(&mut quarantine).unwrap();
+    let bytes = postcard::to_stdvec(&statement).unwrap();
+    assert_eq!(
+        postcard::from_bytes::<Statement>(&bytes).unwrap(),
+        statement
+    );
 }
--- a/crates/peridotrack-types/src/problem.rs
+++ b/crates/peridotrack-types/src/problem.rs
@@ -45,6 +45,8 @@
     BackendFailed,
     /// Backend servers crash under a part of the prompt.
     PromptPartBlocked,
+    /// Backend servers crash under the request.
+    RequestBlocked,
 }
 
 /// Whether a failed request ran on a backend server.
@@ -82,7 +84,7 @@
 
 impl Kind {
     /// All kinds, each once.
-    pub const ALL: [Self; 16] = [
+    pub const ALL: [Self; 17] = [
         Self::Malformed,
         Self::Unauthorized,
         Self::Forbidden,
@@ -99,6 +101,7 @@
         Self::OutcomeUnknown,
         Self::BackendFailed,
         Self::PromptPartBlocked,
+        Self::RequestBlocked,
     ];
 
     /// Returns the HTTP status code of this kind.
@@ -118,6 +121,7 @@
             | Self::NoBackendServer
             | Self::ClaimUnavailable
             | Self::PromptPartBlocked
+            | Self::RequestBlocked
             | Self::Stopping => 503,
         }
     }
@@ -141,6 +145,7 @@
             Self::OutcomeUnknown => "outcome-unknown",
             Self::BackendFailed => "backend-failed",
             Self::PromptPartBlocked => "prompt-part-blocked",
+            Self::RequestBlocked => "request-blocked",
         }
     }
 
--- a/crates/peridotrack/src/arguments.rs
+++ b/crates/peridotrack/src/arguments.rs
@@ -3,7 +3,7 @@
 use std::{ffi::OsString, net::SocketAddr, path::PathBuf, str::FromStr, time::Duration};
 
 use eyre::WrapErr;
-use peridotrack_quarantine::statement::Part;
+use peridotrack_quarantine::signature::Signature;
 use peridotrack_types::{id, name};
 use pico_args::Arguments;
 
@@ -46,17 +46,17 @@
     },
     /// Release the tokens of a budget that a destroyed router held.
     BudgetRelease(Release),
-    /// Show the prompt parts that gateways refuse.
-    PartShow {
+    /// Show the requests and prompt parts that gateways refuse.
+    QuarantineShow {
         /// IP address and port of the metadata store of the users' platform.
         store: SocketAddr,
     },
-    /// Have requests with a prompt part sent again.
-    PartLift {
+    /// Have requests with a signature sent again.
+    QuarantineLift {
         /// IP address and port of the metadata store of the users' platform.
         store: SocketAddr,
-        /// The prompt part.
-        part: Part,
+        /// The signature: of the whole request, or a prompt part.
+        signature: Signature,
     },
     /// Show the merged events of routers.
     Timeline {
@@ -136,6 +136,9 @@
     pub routers: Routers,
 }
 
+/// Former name of the commands `quarantine show` and `quarantine lift`.
+const FORMER_QUARANTINE: &str = "part";
+
 /// Parses the arguments of the process, without the program name.
 ///
 /// # Errors
@@ -180,6 +183,10 @@
     let Some(first) = arguments.subcommand()? else {
         return Ok(String::new());
     };
+    let first = match &*first {
+        FORMER_QUARANTINE => "quarantine".to_owned(),
+        _ => first,
+    };
     let prefix = format!("{first} ");
     if !help::COMMANDS
         .iter()
@@ -209,12 +216,15 @@
                 .map(Into::into),
         },
         "budget release" => Command::BudgetRelease(release(args)?),
-        "part show" => Command::PartShow {
+        "quarantine show" => Command::QuarantineShow {
             store: value(args, "--store")?,
         },
-        "part lift" => Command::PartLift {
+        "quarantine lift" => Command::QuarantineLift {
             store: value(args, "--store")?,
-            part: value(args, "--part")?,
+            signature: match args.opt_value_from_str("--part").wrap_err("--part")? {
+                Some(part) => part,
+                None => value(args, "--signature")?,
+            },
         },
         "timeline" => Command::Timeline {
             routers: routers(args)?,
--- a/crates/peridotrack/src/diagnosis.rs
+++ b/crates/peridotrack/src/diagnosis.rs
@@ -86,8 +86,8 @@
         | "RouterStopping" => true,
         "BudgetNote" | "BudgetGrant" => names(of_account),
         "BackendServerLeaving" | "RouteNote" => names(of_server),
-        "PromptPartSuspected" => names(of_server) || shares_part(event, reference),
-        "PromptPartBlocked" | "PromptPartReleased" => shares_part(event, reference),
+        "SignatureSuspected" => names(of_server) || shares_signature(event, reference),
+        "SignatureBlocked" | "SignatureReleased" => shares_signature(event, reference),
         _ => false,
     }
 }
@@ -128,7 +128,7 @@
             "budget-exhausted" => describe_exhausted(event),
             "budget-unavailable" => describe_unavailable(merged, context),
             "no-backend-server" | "overloaded" => describe_unplaced(event, last_failure),
-            "prompt-part-blocked" => describe_blocked(event),
+            "prompt-part-blocked" | "request-blocked" => describe_blocked(event),
             "unauthorized" | "not-found" | "malformed" | "too-large" => {
                 text_field(event, "detail")?.to_owned()
             }
@@ -181,33 +181,34 @@
     )
 }
 
-/// Explains a refusal because backend servers ended under a part of the prompt.
+/// Explains a refusal because backend servers ended under the request or a part of its prompt.
 fn describe_blocked(event: &Recorded) -> String {
     let since_ms = number_field(event, "since_wall_ms").unwrap_or_default();
     let since = i64::try_from(since_ms).ok();
     let since = since.and_then(chrono::DateTime::from_timestamp_millis);
+    let reason = match flag_field(event, "is_proven") {
+        true => "not dispatched",
+        false => "not dispatched before another router has sent it",
+    };
     format!(
-        "not dispatched: servers {} ended when they began to answer requests with prompt part {}, \
-         the first at {}, reported by {}",
+        "{reason}: servers {} ended under requests with the signature {}, the first at {}, \
+         reported by {}",
         text_field(event, "ended_servers").unwrap_or_default(),
-        text_field(event, "prompt_parts").unwrap_or_default(),
+        text_field(event, "signatures").unwrap_or_default(),
         since.map_or_else(String::new, |since| since.to_rfc3339()),
         text_field(event, "reported_by").unwrap_or_default(),
     )
 }
 
-/// Returns whether both events name a prompt part in common.
-fn shares_part(event: &Recorded, reference: &Recorded) -> bool {
-    let parts = |event: &Recorded| -> Vec<String> {
-        let fields = ["prompt_parts", "shared_parts"];
-        let texts = fields.iter().filter_map(|field| text_field(event, field));
-        texts
-            .flat_map(|text| text.split(','))
-            .map(str::to_owned)
-            .collect()
+/// Returns whether both events name a signature in common.
+fn shares_signature(event: &Recorded, reference: &Recorded) -> bool {
+    let signatures = |event| {
+        text_field(event, "signatures")
+            .unwrap_or_default()
+            .split(',')
     };
-    let reference = parts(reference);
-    parts(event).iter().any(|part| reference.contains(part))
+    let is_named = |signature: &str| signatures(reference).any(|named| named == signature);
+    signatures(event).any(|signature| !signature.is_empty() && is_named(signature))
 }
 
 /// Explains a refusal because no backend server accepted the request.
--- a/crates/peridotrack/src/help.rs
+++ b/crates/peridotrack/src/help.rs
@@ -95,27 +95,31 @@
                         the holder runs there or is a live peer of it",
     },
     Entry {
-        words: "part show",
-        summary: "show the prompt parts that gateways refuse",
+        words: "quarantine show",
+        summary: "show the requests and prompt parts that gateways refuse",
         text: "\
-usage: peridotrack part show --store ADDRESS
+usage: peridotrack quarantine show --store ADDRESS
 
-Prints each prompt part under which backend servers crashed, the servers, and
-which gateways reported them.
+Prints the signature of each request and each prompt part under which backend
+servers crashed, the servers, and which gateways reported them.
 
   --store ADDRESS  address of the metadata store of the users' platform, IP:PORT",
     },
     Entry {
-        words: "part lift",
-        summary: "have requests with a prompt part sent again",
+        words: "quarantine lift",
+        summary: "have requests with a signature sent again",
         text: "\
-usage: peridotrack part lift --store ADDRESS --part ID
+usage: peridotrack quarantine lift --store ADDRESS --signature SIGNATURE
+       peridotrack part lift --store ADDRESS --part ID
 
-Withdraws the crashes that were reported under the part. If servers crash under
-it again, it is blocked again.
+Withdraws the crashes that were reported under the signature. If servers crash
+under it again, it is blocked again.
 
-  --store ADDRESS  address of the metadata store of the users' platform, IP:PORT
-  --part ID        hexadecimal identifier, as `part show` prints it",
+  --store ADDRESS        address of the metadata store of the users' platform,
+                         IP:PORT
+  --signature SIGNATURE  as `quarantine show` prints it: `request:` and the digest
+                         of a request, or the hexadecimal identifier of a prompt
+                         part",
     },
     Entry {
         words: "timeline",
--- a/crates/peridotrack/src/part.rs
+++ b/crates/peridotrack/src/quarantine.rs
@@ -1,5 +1,5 @@
-//! `part show` and `part lift`: which prompt parts the gateways of a fleet refuse, from their
-//! statements in the store of the users' platform.
+//! `quarantine show` and `quarantine lift`: which requests and prompt parts the gateways of a fleet
+//! refuse, from their statements in the store of the users' platform.
 
 use std::{collections::BTreeSet, net::SocketAddr, rc::Rc};
 
@@ -9,7 +9,8 @@
     event::{Event, Now},
     options::Options,
     quarantine::Quarantine,
-    statement::{Clearance, KIND, OPERATOR, Part, Statement},
+    signature::Signature,
+    statement::{Clearance, KIND, OPERATOR, Statement},
     verdict::Block,
 };
 use peridotrack_types::name;
@@ -23,7 +24,7 @@
 /// Statements in the store, by author.
 type Statements = Vec<(name::Vm, Statement)>;
 
-/// Shows the prompt parts that gateways refuse, with the crashes that prove each.
+/// Shows the signatures of requests that gateways refuse, with the crashes that prove each.
 ///
 /// # Errors
 ///
@@ -33,26 +34,26 @@
     let quarantine = judge(&statements);
     let blocks = quarantine.blocks();
     let text: String = match blocks.is_empty() {
-        true => "no prompt part is blocked\n".to_owned(),
+        true => "no request is blocked\n".to_owned(),
         false => blocks.iter().map(block_text).collect(),
     };
     let json: Vec<Value> = blocks.iter().map(block_json).collect();
     Ok(Report::done(text, json!({ "blocks": json })))
 }
 
-/// Withdraws all crashes that were stated under a part, so that requests with it are sent again.
+/// Withdraws all crashes that were stated under a signature, so that requests with it are sent again.
 ///
 /// # Errors
 ///
-/// Returns a failure if no crash was stated under the part, the store cannot be reached, or the
+/// Returns a failure if no crash was stated under the signature, the store cannot be reached, or the
 /// write keeps conflicting with those of other operators.
-pub async fn lift(store: SocketAddr, part: Part) -> Result<Report, Failure> {
+pub async fn lift(store: SocketAddr, signature: Signature) -> Result<Report, Failure> {
     let platform = open(store)?;
     for _ in 0..MAX_ATTEMPTS {
         let (statements, revision) = read(&platform).await?;
-        let clearances = clearances(&statements, part);
+        let clearances = clearances(&statements, signature);
         if clearances.is_empty() {
-            let message = format!("no crash is stated under prompt part {part}");
+            let message = format!("no crash is stated under {}", describe(&signature));
             return Err(Failure::new(Exit::Refused, message));
         }
         let count = clearances.len();
@@ -61,8 +62,8 @@
         let key = format!("{KIND}/{OPERATOR}");
         match platform.write(&key, revision, content.into()).await {
             Ok(_) => {
-                let text = format!("withdrew {count} crashes under prompt part {part}\n");
-                let json = json!({ "part": part, "withdrawn_crashes": count });
+                let text = format!("withdrew {count} crashes under {}\n", describe(&signature));
+                let json = json!({ "signature": signature, "withdrawn_crashes": count });
                 return Ok(Report::done(text, json));
             }
             Err(platform::Error::Conflict { .. }) => {}
@@ -114,15 +115,15 @@
     quarantine
 }
 
-/// Returns clearances for all crashes that are stated under the part.
-fn clearances(statements: &Statements, part: Part) -> BTreeSet<Clearance> {
+/// Returns clearances for all crashes that are stated under the signature.
+fn clearances(statements: &Statements, signature: Signature) -> BTreeSet<Clearance> {
     let crashes = statements
         .iter()
         .flat_map(|(_, statement)| &statement.crashes);
     crashes
-        .filter(|crash| crash.part == part)
+        .filter(|crash| crash.signature == signature)
         .map(|crash| Clearance {
-            part,
+            signature,
             backend_server: crash.backend_server.clone(),
         })
         .collect()
@@ -141,7 +142,8 @@
             .iter()
             .flat_map(|(_, statement)| &statement.crashes);
         crashes.any(|crash| {
-            crash.part == clearance.part && crash.backend_server == clearance.backend_server
+            crash.signature == clearance.signature
+                && crash.backend_server == clearance.backend_server
         })
     };
     let kept = before.iter().filter(is_stated).cloned();
@@ -153,9 +155,16 @@
     }
 }
 
+fn describe(signature: &Signature) -> String {
+    match signature {
+        Signature::Part(_) => format!("prompt part {signature}"),
+        Signature::Request(_) => signature.to_string(),
+    }
+}
+
 fn block_text(block: &Block) -> String {
-    let parts: Vec<_> = block.parts.iter().map(Part::to_string).collect();
-    let mut text = format!("prompt part {} is blocked\n", parts.join(" with "));
+    let signatures: Vec<_> = block.signatures.iter().map(describe).collect();
+    let mut text = format!("{} is blocked\n", signatures.join(" with "));
     for (server, crash) in &block.crashes {
         let authors: Vec<_> = crash.authors.iter().map(name::Vm::as_str).collect();
         let at = i64::try_from(crash.at_wall_ms).ok();
@@ -178,5 +187,5 @@
             "reported_by": crash.authors,
         })
     });
-    json!({ "parts": block.parts, "crashes": crashes.collect::<Vec<_>>() })
+    json!({ "signatures": block.signatures, "crashes": crashes.collect::<Vec<_>>() })
 }
--- a/crates/peridotrack/src/run.rs
+++ b/crates/peridotrack/src/run.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     arguments::{self, Command, Invocation},
-    budget, config, demo, explain, part,
+    budget, config, demo, explain, quarantine,
     report::{Exit, Failure, OrExit, Report},
     status, timeline,
 };
@@ -56,8 +56,8 @@
         Command::Status(routers) => status::status(&routers).await,
         Command::BudgetShow { platform, budget } => budget::show(platform, budget.as_ref()).await,
         Command::BudgetRelease(release) => budget::release(&release).await,
-        Command::PartShow { store } => part::show(store).await,
-        Command::PartLift { store, part } => part::lift(store, part).await,
+        Command::QuarantineShow { store } => quarantine::show(store).await,
+        Command::QuarantineLift { store, signature } => quarantine::lift(store, signature).await,
         Command::Timeline { routers, last } => timeline::timeline(&routers, last).await,
         Command::TimelineLogs { logs, last } => timeline::timeline_from_logs(&logs, last),
         Command::ExplainLogs { request, logs } => explain::explain_from_logs(&request, &logs),
--- a/crates/peridotrack/tests/arguments.rs
+++ b/crates/peridotrack/tests/arguments.rs
@@ -34,6 +34,11 @@
     "budget release --platform 127.0.0.1:1 --budget b --holder 00000000000000aa --spent 1",
     "--confirm-destroyed"
 )]
+#[case::no_signature("quarantine lift --store 127.0.0.1:1", "--signature")]
+#[case::malformed_signature(
+    "quarantine lift --store 127.0.0.1:1 --signature request:1f",
+    "malformed signature"
+)]
 #[case::holder(
     "budget release --platform 127.0.0.1:1 --budget b --holder aa --spent 1 --confirm-destroyed",
     "--holder"
@@ -61,6 +66,14 @@
     "budget release --confirm-destroyed --platform 127.0.0.1:1 --budget b \
      --holder 00000000000000aa --spent 1"
 )]
+#[case("quarantine show --store 127.0.0.1:1")]
+#[case("quarantine lift --store 127.0.0.1:1 --signature 1f")]
+#[case(
+    "quarantine lift --store 127.0.0.1:1 \
+     --signature request:000102030405060708090a0b0c0d0e0f"
+)]
+#[case::former_name("part show --store 127.0.0.1:1")]
+#[case::former_option("part lift --store 127.0.0.1:1 --part 1f")]
 #[case("timeline --router 127.0.0.1:1 --operator-key-file k --last 5")]
 #[case("timeline --last 5 --logs a b")]
 #[case("explain 9c41d07be2a35f68 --logs a b")]
--- a/crates/peridotrack/tests/diagnosis.rs
+++ b/crates/peridotrack/tests/diagnosis.rs
@@ -156,3 +156,32 @@
         .diagnose("9c42");
     assert!(diagnosis.events.is_empty() && diagnosis.causes.is_empty());
 }
+
+/// The log explains why a request that crashes servers was not sent.
+#[rstest]
+#[case::proven("true", "not dispatched: servers s-1,s-2,s-3 ended")]
+#[case::undecided(
+    "false",
+    "before another router has sent it: servers s-1,s-2,s-3 ended"
+)]
+fn the_evidence_of_a_blocked_request_is_named(#[case] is_proven: &str, #[case] expected: &str) {
+    let signature = "request:000102030405060708090a0b0c0d0e0f";
+    let evidence =
+        format!(r#""signatures":"{signature}","ended_servers":"s-1,s-2,s-3","reported_by":"vm-1""#);
+    let refused = format!(
+        r#""client_request":"9c41","problem":"urn:peridotrack:problem:request-blocked","is_proven":{is_proven},{evidence}"#
+    );
+    let other = r#""signatures":"7c31","backend_server":"s-9""#;
+    let diagnosis = Lines::new()
+        .add("SignatureBlocked", None, &evidence)
+        .add("SignatureSuspected", None, other)
+        .add("RequestRefused", Some(REQUEST), &refused)
+        .diagnose("9c41");
+    let [cause] = &diagnosis.causes[..] else {
+        panic!("one cause: {diagnosis:?}")
+    };
+    assert!(cause.contains(expected), "{cause}");
+    assert!(cause.contains(signature), "{cause}");
+    let context: Vec<&str> = diagnosis.context.iter().map(|m| &*m.event.name).collect();
+    assert_eq!(context, ["SignatureBlocked"]);
+}
