test(soak): clients repeat a request under which backend servers crash

One in 64 requests repeats the fatal one, with the same method, path, body and client account; it declares no prompt tokens, so that an account that has run out still sends it. A server that crashes under it starts again after 1 to 3 s at its address, under a new name, or under its own with a new `born` unless that name is being drained or states a limit, whose records end with the incarnation. The entry of the old name disappears after 3 s. One task ends and restarts servers for both troubles, which may overlap; a crash within the 60 ms after a trouble ended used to go unnoticed. At most three repetitions may run later than contact_ms after the third crash, sent by undisrupted routers; the bound for prompt parts stays.

--- a/crates/peridotrack-edge/tests/gateway/fleet.rs
+++ b/crates/peridotrack-edge/tests/gateway/fleet.rs
@@ -200,7 +200,7 @@
             Return::NewAddress | Return::NewName => server.starts.replace(server.starts.get() + 1),
         };
         let name = format!("i-{number}-{starts}");
-        handle.set_name(&name);
+        handle.set_name(Some(&name));
         let born_ms = deployment::wall_ms();
         let entry = deployment::entry_since(handle.address(), "a", "ready", born_ms);
         self.store.put("servers", &name, entry);
@@ -329,6 +329,7 @@
             prompt_tokens: 40,
             prompt_parts,
             version: 1,
+            repeated: None,
         };
         let gateway = &self.gateways[fastrand::usize(..self.gateways.len())];
         let exchange = client::send(gateway.client_address(), &mut None, &request).await;
--- a/crates/peridotrack-soak/src/apply.rs
+++ b/crates/peridotrack-soak/src/apply.rs
@@ -7,23 +7,35 @@
 
 use peridotrack_standin::{
     harness::relay::Link,
-    hosted::{backend, deployment::bounds, store},
+    hosted::{
+        backend, client,
+        deployment::{self, Kind, bounds},
+        store,
+    },
 };
 
 use crate::{
     check,
-    run::Run,
+    fleet::Restart,
+    run::{FIRST_PART, Run},
     schedule::{Fault, Step},
 };
 
 /// Tokens that a top-up adds to each account during the run.
 const TOP_UP_TOKENS: u64 = 10_000;
+/// Prompt tokens of a request under which backend servers crash: it is sent also for an account that
+/// has run out.
+const FATAL_PROMPT_TOKENS: u64 = 0;
 /// Time between the kill of a router and its restart, in milliseconds.
 const RESTART_DELAY_MS: std::ops::Range<u64> = 100..1_200;
 /// Time between the start of a backend server's drain and the removal of its registry entry.
 const REMOVAL_DELAY: Duration = Duration::from_millis(bounds::DRAIN_MS + 700);
-/// Time after which a backend server that has crashed is registered again.
-const RETURN_DELAY: Duration = Duration::from_secs(3);
+/// Time after which the registry entry of a backend server that has crashed disappears.
+const ENTRY_LIFETIME: Duration = Duration::from_secs(3);
+/// Time after which a backend server that has crashed starts again at its address, in milliseconds.
+const RETURN_DELAY_MS: std::ops::Range<u64> = 1_000..3_000;
+/// Time in which a request that was sent crashes its server.
+const CRASH_TIME: Duration = Duration::from_millis(300);
 /// Interval between checks whether a backend server has crashed.
 const CRASH_POLL_INTERVAL: Duration = Duration::from_millis(2);
 /// Interval between checks whether a stopping process has exited.
@@ -96,7 +108,28 @@
                 to_ms: run.now_ms(),
             });
         }
-        Fault::FatalPart(part) => crash_backends(&run, part, duration).await?,
+        Fault::FatalPart(part) => {
+            run.fatal_part.set(Some(part));
+            set_fatal(&run);
+            monoio::time::sleep(duration).await;
+            run.fatal_part.set(None);
+            set_fatal(&run);
+            wait_for_backends(&run).await;
+        }
+        Fault::FatalRequest {
+            number,
+            kind,
+            keeps_name,
+        } => {
+            let request = fatal_request(&run, number, kind);
+            run.fatal_request.replace(Some(request));
+            run.keeps_name.set(keeps_name);
+            set_fatal(&run);
+            monoio::time::sleep(duration).await;
+            run.fatal_request.take();
+            set_fatal(&run);
+            wait_for_backends(&run).await;
+        }
     }
     let duration_ms = run.now_ms() - at_ms;
     run.record.borrow_mut().steps[index].duration_ms = duration_ms;
@@ -129,7 +162,8 @@
     monoio::time::sleep(REMOVAL_DELAY).await;
     let mut fleet = run.fleet.borrow_mut();
     fleet.store.remove("servers", &name);
-    if !fleet.backends[backend].is_down {
+    let server = &fleet.backends[backend];
+    if !server.is_down && server.name == name {
         fleet.register(backend);
     }
 }
@@ -141,48 +175,111 @@
     backend.name.clone()
 }
 
-/// Has clients send requests with a part under which backend servers crash, and registers each that
-/// has crashed again. Waits until all are registered.
-async fn crash_backends(run: &Rc<Run>, part: u64, duration: Duration) -> eyre::Result<()> {
-    let set = |part| {
-        run.fatal_part.set(part);
-        for backend in &run.fleet.borrow().backends {
-            backend.handle.set_fatal_part(part);
-        }
-    };
-    set(Some(part));
-    let end = Instant::now() + duration;
-    let mut returns: Vec<(Instant, usize)> = Vec::new();
-    while Instant::now() < end || !returns.is_empty() {
-        if Instant::now() >= end && run.fatal_part.get().is_some() {
-            set(None);
-        }
-        let backends = run.options.shape.backends;
-        let has_crashed =
-            |number: &usize| run.fleet.borrow().backends[*number].handle.has_crashed();
-        for number in (0..backends).filter(has_crashed).collect::<Vec<_>>() {
-            run.collect_executions(number);
-            let mut fleet = run.fleet.borrow_mut();
-            fleet.end_backend(number)?;
-            fleet.backends[number]
-                .handle
-                .set_fatal_part(run.fatal_part.get());
-            run.record.borrow_mut().crashes.push((part, run.now_ms()));
-            returns.push((Instant::now() + RETURN_DELAY, number));
+/// Returns the request under which backend servers crash, which clients repeat.
+fn fatal_request(run: &Run, number: u64, kind: Kind) -> client::Request {
+    let account = number as usize % deployment::ACCOUNTS.len();
+    let mut request = run.new_request(kind, account, FATAL_PROMPT_TOKENS);
+    if kind.is_stream() {
+        request.prompt_parts = vec![FIRST_PART, number];
+    }
+    client::Request {
+        repeated: Some(number),
+        ..request
+    }
+}
+
+/// Tells all backend servers what they crash under at this time.
+fn set_fatal(run: &Run) {
+    let request = run.fatal_request.borrow();
+    let content = request.as_ref().map(client::Request::content);
+    for backend in &run.fleet.borrow().backends {
+        backend.handle.set_fatal_part(run.fatal_part.get());
+        backend.handle.set_fatal_request(content.clone());
+    }
+}
+
+/// Waits until all backend servers that have crashed run again.
+async fn wait_for_backends(run: &Run) {
+    monoio::time::sleep(CRASH_TIME).await;
+    while run
+        .fleet
+        .borrow()
+        .backends
+        .iter()
+        .any(|backend| backend.is_down)
+    {
+        monoio::time::sleep(CRASH_POLL_INTERVAL).await;
+    }
+}
+
+/// A restart of a backend server that is due.
+struct DueRestart {
+    at: Instant,
+    backend: usize,
+    restart: Restart,
+}
+
+/// Ends backend servers that have crashed and starts them again, until the run ends.
+pub(crate) async fn run_backends(run: Rc<Run>) -> eyre::Result<()> {
+    let mut due: Vec<DueRestart> = Vec::new();
+    while !run.is_ending.get() {
+        for number in 0..run.options.shape.backends {
+            let cause = run.fleet.borrow().backends[number].handle.crash_cause();
+            if let Some(cause) = cause {
+                due.push(crash(&run, number, cause)?);
+            }
         }
-        let is_due = |(at, _): &mut (Instant, usize)| Instant::now() >= *at;
-        for (_, number) in returns.extract_if(.., is_due) {
-            let mut fleet = run.fleet.borrow_mut();
-            let name = fleet.backends[number].name.clone();
-            fleet.store.remove("servers", &name);
-            fleet.register(number);
+        for DueRestart {
+            backend, restart, ..
+        } in due.extract_if(.., |due| Instant::now() >= due.at)
+        {
+            run.fleet.borrow_mut().restart_backend(backend, restart)?;
         }
         monoio::time::sleep(CRASH_POLL_INTERVAL).await;
     }
-    set(None);
     Ok(())
 }
 
+/// Records the crash of a backend server and ends it; returns when and how it starts again.
+fn crash(run: &Rc<Run>, number: usize, cause: backend::Cause) -> eyre::Result<DueRestart> {
+    run.collect_executions(number);
+    let (name, is_limited) = {
+        let backend = &run.fleet.borrow().backends[number];
+        (backend.name.clone(), backend.handle.is_limited())
+    };
+    let mut record = run.record.borrow_mut();
+    let is_draining = record.draining.iter().any(|drain| drain.server == name);
+    // What is recorded of the drain or the limit of a name ends with its incarnation.
+    let keeps_name = run.keeps_name.get() && !is_draining && !is_limited;
+    let restart = match &cause {
+        backend::Cause::Part(_) => Restart::NewAddress,
+        backend::Cause::Request(_) if keeps_name => Restart::SameName,
+        backend::Cause::Request(_) => Restart::NewName,
+    };
+    let delay = match restart {
+        Restart::NewAddress => ENTRY_LIFETIME,
+        Restart::NewName | Restart::SameName => {
+            Duration::from_millis(fastrand::u64(RETURN_DELAY_MS))
+        }
+    };
+    record.crashes.push((cause, run.now_ms()));
+    drop(record);
+    run.fleet.borrow_mut().end_backend(number)?;
+    set_fatal(run);
+    if restart != Restart::SameName {
+        let run = Rc::clone(run);
+        monoio::spawn(async move {
+            monoio::time::sleep(ENTRY_LIFETIME).await;
+            run.fleet.borrow().store.remove("servers", &name);
+        });
+    }
+    Ok(DueRestart {
+        at: Instant::now() + delay,
+        backend: number,
+        restart,
+    })
+}
+
 /// Suspends a router for `duration`.
 async fn pause(run: &Rc<Run>, router: usize, duration: Duration) -> eyre::Result<()> {
     {
--- a/crates/peridotrack-soak/src/check.rs
+++ b/crates/peridotrack-soak/src/check.rs
@@ -6,6 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use peridotrack_standin::hosted::{
+    backend::{Cause, Content},
     client::Outcome,
     deployment::{Kind, bounds},
 };
@@ -19,8 +20,10 @@
 const ROLLBACK_SLACK_MS: u64 = 250;
 
 /// Crashes under a prompt part after which routers must stop to send it.
-const COUNTED_CRASHES: usize = 5;
-/// Requests with the part that may still be sent then.
+const PART_CRASHES: usize = 5;
+/// Crashes under a request after which routers must stop to send it.
+const REQUEST_CRASHES: usize = 3;
+/// Requests with the part, or repetitions of the request, that may still be sent then.
 const MAX_LATE_EXECUTIONS: usize = 3;
 
 /// Span in which requests to a server with a limit are counted, in milliseconds.
@@ -55,6 +58,8 @@
     pub events: u64,
     /// Newest configuration version when it was sent, whose route a probe requests.
     pub version: u64,
+    /// What identifies it as a whole.
+    pub content: Content,
     /// How the exchange ended for the client.
     pub outcome: Outcome,
 }
@@ -112,8 +117,8 @@
     pub versions: Vec<(u64, u64)>,
     /// Backend servers that were drained.
     pub draining: Vec<Drain>,
-    /// Crashes of backend servers, each with the prompt part that caused it and its time.
-    pub crashes: Vec<(u64, u64)>,
+    /// Crashes of backend servers, each with what caused it and its time.
+    pub crashes: Vec<(Cause, u64)>,
     /// Limits that backend servers stated.
     pub limits: Vec<StatedLimit>,
     /// Times when the prepaid total was written, each with the total in tokens of every account.
@@ -155,7 +160,7 @@
             requests_by_id.get(&*execution.id).copied(),
         ));
     }
-    breaches.extend(check_fatal_parts(record, &requests_by_id));
+    breaches.extend(check_crashes(record, &requests_by_id));
     for limit in &record.limits {
         breaches.extend(check_stated_limit(record, limit, &requests_by_id));
     }
@@ -254,38 +259,47 @@
     (!is_excused).then(|| format!("{} was lost at router {}", sent.id, sent.router))
 }
 
-/// Checks that at most [`MAX_LATE_EXECUTIONS`] requests with a part under which [`COUNTED_CRASHES`]
-/// backend servers have crashed are sent later than [`bounds::CONTACT_MS`] after the last of these,
-/// by routers with no recent disruption.
-fn check_fatal_parts(
-    record: &Record,
-    requests_by_id: &BTreeMap<&str, &SentRequest>,
-) -> Vec<String> {
-    let parts: BTreeSet<u64> = record.crashes.iter().map(|(part, _)| *part).collect();
-    let mut breaches = Vec::new();
-    for part in parts {
-        let crashes = record.crashes.iter().filter(|(other, _)| *other == part);
-        let Some((_, counted_ms)) = crashes.clone().nth(COUNTED_CRASHES - 1) else {
-            continue;
+/// Checks that at most [`MAX_LATE_EXECUTIONS`] requests with the cause of [`PART_CRASHES`] or
+/// [`REQUEST_CRASHES`] crashes are sent later than [`bounds::CONTACT_MS`] after the last of these, by
+/// routers with no recent disruption.
+fn check_crashes(record: &Record, requests_by_id: &BTreeMap<&str, &SentRequest>) -> Vec<String> {
+    let mut causes: Vec<&Cause> = Vec::new();
+    for (cause, _) in &record.crashes {
+        if !causes.contains(&cause) {
+            causes.push(cause);
+        }
+    }
+    let breaches = causes.into_iter().filter_map(|cause| {
+        let (counted, name) = match cause {
+            Cause::Part(part) => (PART_CRASHES, format!("prompt part {part:x}")),
+            Cause::Request(Content { method, target, .. }) => {
+                (REQUEST_CRASHES, format!("content {method} {target}"))
+            }
         };
+        let crashes = record.crashes.iter().filter(|(other, _)| other == cause);
+        let (_, counted_ms) = crashes.clone().nth(counted - 1)?;
         let from_ms = counted_ms + bounds::CONTACT_MS + SLACK_MS;
         let late = record.executions.iter().filter(|execution| {
             let sent = requests_by_id.get(&*execution.id);
             execution.at_ms > from_ms
                 && sent.is_some_and(|sent| {
-                    sent.prompt_parts.contains(&part)
+                    has_cause(sent, cause)
                         && is_undisrupted(record, sent.router, execution.at_ms, execution.at_ms)
                 })
         });
-        let late = late.count();
-        if late > MAX_LATE_EXECUTIONS {
-            breaches.push(format!(
-                "{late} requests with prompt part {part:x} ran after {} crashes under it",
-                crashes.count()
-            ));
-        }
+        let (late, crashes) = (late.count(), crashes.count());
+        (late > MAX_LATE_EXECUTIONS)
+            .then(|| format!("{late} requests with {name} ran after {crashes} crashes under it"))
+    });
+    breaches.collect()
+}
+
+/// Returns whether a server crashes under the request from this cause.
+fn has_cause(sent: &SentRequest, cause: &Cause) -> bool {
+    match cause {
+        Cause::Part(part) => sent.prompt_parts.contains(part),
+        Cause::Request(content) => sent.content == *content,
     }
-    breaches
 }
 
 /// Checks that a server which states a limit receives at most one and a half times what it allows in
--- a/crates/peridotrack-soak/src/fleet.rs
+++ b/crates/peridotrack-soak/src/fleet.rs
@@ -29,6 +29,8 @@
 const READY_PORT: u16 = 8220;
 const CONTROL_PORT: u16 = 8229;
 const INTERNAL_PORT: u16 = 7340;
+/// Port of the relays of backend servers, each of which has a loopback address of its own.
+const BACKEND_PORT: u16 = 8666;
 /// Key with which the routers of a run authenticate to each other.
 const PEER_KEY: &str = "routers-of-the-soak";
 /// Longest wait for a router to become ready.
@@ -58,10 +60,23 @@
     pub link: Relay,
     /// Name of its current registry entry, unique per incarnation.
     pub name: String,
-    /// Whether it has crashed and was not registered again.
+    /// Whether it has crashed and was not started again.
     pub is_down: bool,
     zone: &'static str,
     incarnation: u64,
+    /// When the incarnation started, in Unix milliseconds.
+    born_ms: u64,
+}
+
+/// How a backend server that has crashed starts again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Restart {
+    /// At another address, under a new name.
+    NewAddress,
+    /// At the same address, under a new name.
+    NewName,
+    /// At the same address, under the same name.
+    SameName,
 }
 
 /// Everything that a run starts; dropping it ends all of it.
@@ -101,14 +116,15 @@
         };
         for number in 0..backends {
             let handle = backend::spawn().wrap_err("start a backend server")?;
-            let link = relay::spawn(handle.address()).wrap_err("start a relay")?;
+            let link = relay::spawn_at(fresh_address(), handle.address());
             fleet.backends.push(BackendServer {
                 handle,
-                link,
+                link: link.wrap_err("start a relay")?,
                 name: String::new(),
                 is_down: false,
                 zone: ZONES[number % ZONES.len()],
                 incarnation: 0,
+                born_ms: 0,
             });
             fleet.register(number);
         }
@@ -128,39 +144,71 @@
     pub fn register(&mut self, backend: usize) {
         let number = backend;
         let backend = &mut self.backends[backend];
-        backend.is_down = false;
         backend.incarnation += 1;
         backend.name = format!("i-{number}-{}", backend.incarnation);
-        let entry = deployment::entry(backend.link.address(), backend.zone, "ready");
+        // Requests that are sent to the name before are to be noticed, not refused.
+        backend.handle.set_name(None);
+        backend.born_ms = deployment::wall_ms();
+        self.write_entry(number, "ready");
+    }
+
+    /// Marks the registry entry of a backend server as draining.
+    pub fn drain(&self, backend: usize) {
+        self.write_entry(backend, "draining");
+    }
+
+    fn write_entry(&self, backend: usize, state: &str) {
+        let backend = &self.backends[backend];
+        let address = backend.link.address();
+        let entry = deployment::entry_since(address, backend.zone, state, backend.born_ms);
         self.store.put("servers", &backend.name, entry);
     }
 
-    /// Ends a backend server that has crashed: its address refuses connections from now on. Its
-    /// successor, at another address, receives requests once it is registered.
+    /// Ends a backend server that has crashed: its address refuses connections from now on.
     ///
     /// # Errors
     ///
-    /// Returns an error if the successor cannot start.
+    /// Returns an error if the process that takes its place cannot start.
     pub fn end_backend(&mut self, backend: usize) -> eyre::Result<()> {
         let backend = &mut self.backends[backend];
-        let handle = backend::spawn().wrap_err("start a backend server")?;
-        let link = relay::spawn(handle.address()).wrap_err("start a relay")?;
-        let ended = std::mem::replace(&mut backend.link, link);
-        ended.refuse_connections();
-        backend.handle = handle;
+        backend.link.refuse_connections();
+        backend.handle = backend::spawn().wrap_err("start a backend server")?;
         backend.is_down = true;
-        self.ended_links.push(ended);
         Ok(())
     }
 
-    /// Marks the registry entry of a backend server as draining.
-    pub fn drain(&self, backend: usize) {
-        let backend = &self.backends[backend];
-        let entry = deployment::entry(backend.link.address(), backend.zone, "draining");
-        self.store.put("servers", &backend.name, entry);
+    /// Starts a backend server again that has ended, and registers it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if its relay cannot start.
+    pub fn restart_backend(&mut self, number: usize, restart: Restart) -> eyre::Result<()> {
+        let backend = &mut self.backends[number];
+        let address = match restart {
+            Restart::NewAddress => fresh_address(),
+            Restart::NewName | Restart::SameName => backend.link.address(),
+        };
+        let link = relay::spawn_at(address, backend.handle.address());
+        let link = link.wrap_err("start a relay")?;
+        self.ended_links
+            .push(std::mem::replace(&mut backend.link, link));
+        backend.is_down = false;
+        if restart == Restart::SameName {
+            backend.born_ms = deployment::wall_ms();
+            self.write_entry(number, "ready");
+            return Ok(());
+        }
+        self.register(number);
+        let backend = &self.backends[number];
+        backend.handle.set_name(Some(&backend.name));
+        Ok(())
     }
 }
 
+fn fresh_address() -> SocketAddr {
+    SocketAddr::new(fresh_loopback_ip(), BACKEND_PORT)
+}
+
 impl Router {
     fn spawn(
         program: &std::path::Path,
@@ -274,6 +322,7 @@
         backend.link.set(Link::Open);
         backend.handle.set_mode(backend::Mode::Serve);
         backend.handle.set_fatal_part(None);
+        backend.handle.set_fatal_request(None);
         backend.handle.set_limit(None);
     }
     for router in &fleet.routers {
--- a/crates/peridotrack-soak/src/main.rs
+++ b/crates/peridotrack-soak/src/main.rs
@@ -65,8 +65,9 @@
                 let all_promises_kept = outcome.breaches.is_empty();
                 has_failed |= !all_promises_kept;
                 println!(
-                    "seed {seed}: {} faults, {} of {} requests served, {} breaches",
+                    "seed {seed}: {} faults, {} crashes, {} of {} requests served, {} breaches",
                     outcome.faults,
+                    outcome.crashes,
                     outcome.served,
                     outcome.requests,
                     outcome.breaches.len()
--- a/crates/peridotrack-soak/src/run.rs
+++ b/crates/peridotrack-soak/src/run.rs
@@ -36,11 +36,13 @@
 /// Pause between two probes.
 const PROBE_INTERVAL: Duration = Duration::from_millis(50);
 /// First part of all prompts.
-const FIRST_PART: u64 = 1;
+pub(crate) const FIRST_PART: u64 = 1;
 /// Number of second parts, which several requests have in common.
 const SECOND_PARTS: u64 = 8;
 /// One in this many requests has the fatal part while there is one.
 const REQUESTS_PER_FATAL: u32 = 8;
+/// One in this many requests repeats the fatal one while there is one.
+const REQUESTS_PER_REPETITION: u32 = 64;
 /// Time in which clients keep sending after the last fault, in milliseconds; the part after
 /// [`bounds::RECOVER_MS`] is checked for recovery.
 const RECOVERY_PHASE_MS: u64 = bounds::RECOVER_MS + 2_000;
@@ -71,6 +73,8 @@
     pub served: usize,
     /// Number of faults and planned changes applied.
     pub faults: usize,
+    /// Number of crashes of backend servers.
+    pub crashes: usize,
 }
 
 /// State shared by the tasks of a run.
@@ -86,8 +90,12 @@
     next_id: Cell<u64>,
     /// Prompt part under which backend servers crash at this time.
     pub(crate) fatal_part: Cell<Option<u64>>,
+    /// Request under which backend servers crash at this time.
+    pub(crate) fatal_request: RefCell<Option<client::Request>>,
+    /// Whether backend servers start again under their name after that request.
+    pub(crate) keeps_name: Cell<bool>,
     /// Whether the clients and the prober end after their current request.
-    is_ending: Cell<bool>,
+    pub(crate) is_ending: Cell<bool>,
 }
 
 /// Runs one seed on the current runtime.
@@ -115,6 +123,8 @@
         prepaid_tokens: Cell::new(prepaid_tokens),
         next_id: Cell::new(0),
         fatal_part: Cell::new(None),
+        fatal_request: RefCell::new(None),
+        keeps_name: Cell::new(false),
         is_ending: Cell::new(false),
         options,
     });
@@ -123,12 +133,14 @@
         tasks.push(monoio::spawn(run_client(Rc::clone(&run), number as u64)));
     }
     tasks.push(monoio::spawn(run_prober(Rc::clone(&run))));
+    let backends = monoio::spawn(apply::run_backends(Rc::clone(&run)));
     run_schedule(&run).await?;
     monoio::time::sleep(Duration::from_millis(RECOVERY_PHASE_MS)).await;
     run.is_ending.set(true);
     for task in tasks {
         task.await;
     }
+    backends.await?;
     evaluate(&run)
 }
 
@@ -193,7 +205,7 @@
             .take()
             .filter(|(opened_to, _)| *opened_to == incarnation)
             .map(|(_, connection)| connection);
-        let at_ms = self.now_ms();
+        let (at_ms, content) = (self.now_ms(), request.content());
         let exchange = client::send(address, &mut connection, &request).await;
         *idle_connection = connection.map(|connection| (incarnation, connection));
         self.record.borrow_mut().requests.push(SentRequest {
@@ -208,11 +220,17 @@
             events: exchange.events,
             prompt_parts: request.prompt_parts,
             version: request.version,
+            content,
             outcome: exchange.outcome,
         });
     }
 
-    fn new_request(&self, kind: Kind, account: usize, prompt_tokens: u64) -> client::Request {
+    pub(crate) fn new_request(
+        &self,
+        kind: Kind,
+        account: usize,
+        prompt_tokens: u64,
+    ) -> client::Request {
         let number = self.next_id.get();
         self.next_id.set(number + 1);
         client::Request {
@@ -222,9 +240,21 @@
             prompt_tokens,
             prompt_parts: Vec::new(),
             version: self.version.get(),
+            repeated: None,
         }
     }
 
+    /// Returns a repetition of the fatal request.
+    fn repetition(&self) -> Option<client::Request> {
+        let fatal = self.fatal_request.borrow();
+        let fatal = fatal.as_ref()?;
+        let id = self.new_request(fatal.kind, fatal.account, 0).id;
+        Some(client::Request {
+            id,
+            ..fatal.clone()
+        })
+    }
+
     /// Returns the prompt of a stream, in some cases with the fatal part.
     fn prompt_parts(&self, rng: &mut fastrand::Rng) -> Vec<u64> {
         let mut parts = vec![FIRST_PART, 100 + rng.u64(..SECOND_PARTS)];
@@ -254,6 +284,8 @@
 /// Sends requests of random kinds to random routers, reusing connections, until the run ends.
 async fn run_client(run: Rc<Run>, number: u64) {
     let mut rng = fastrand::Rng::with_seed(run.options.seed ^ (number << 32));
+    // Drawn by themselves, so that the other choices of a seed stay the same.
+    let mut repeat_rng = fastrand::Rng::with_seed(!run.options.seed ^ (number << 32));
     let routers = run.options.shape.routers;
     let mut idle_connections: Vec<Option<(u64, Connection)>> = (0..routers).map(|_| None).collect();
     while !run.is_ending.get() {
@@ -263,6 +295,11 @@
         if kind.is_stream() {
             request.prompt_parts = run.prompt_parts(&mut rng);
         }
+        if repeat_rng.u32(..REQUESTS_PER_REPETITION) == 0
+            && let Some(repetition) = run.repetition()
+        {
+            request = repetition;
+        }
         let router = rng.usize(..routers);
         run.request(router, &mut idle_connections[router], request)
             .await;
@@ -311,6 +348,7 @@
         requests: record.requests.len(),
         served: served.count(),
         faults: record.steps.len(),
+        crashes: record.crashes.len(),
         breaches,
     })
 }
--- a/crates/peridotrack-soak/src/schedule.rs
+++ b/crates/peridotrack-soak/src/schedule.rs
@@ -5,7 +5,7 @@
 
 use peridotrack_standin::{
     harness::relay::Link,
-    hosted::{backend, store},
+    hosted::{backend, deployment::Kind, store},
 };
 
 /// Longest times between the starts of two faults, in milliseconds, of which each seed uses one.
@@ -17,6 +17,9 @@
 /// Durations of the troubles of backend servers, in milliseconds: longer than the time in which
 /// routers must have reacted.
 const TROUBLE_DURATION_MS: std::ops::Range<u64> = 6_000..12_000;
+/// Durations of the repetition of a request under which backend servers crash, in milliseconds: once
+/// all of them have crashed, few repetitions reach any.
+const REPETITION_DURATION_MS: std::ops::Range<u64> = 9_000..15_000;
 /// Stated limits, in requests in 10 s.
 const STATED_REQUESTS: std::ops::Range<u32> = 10..60;
 /// Number of slots that [`random_fault`] maps to faults; frequent faults have several.
@@ -66,6 +69,16 @@
     TopUp,
     /// Clients send requests with a prompt part under which backend servers crash.
     FatalPart(u64),
+    /// Clients repeat one request under which backend servers crash. These start again at their
+    /// address.
+    FatalRequest {
+        /// Number of the request.
+        number: u64,
+        /// Kind of the request.
+        kind: Kind,
+        /// Whether the servers start again under their name.
+        keeps_name: bool,
+    },
     /// A backend server states a limit of so many requests in 10 s, of all routers together.
     StatedRate(usize, u32),
 }
@@ -133,6 +146,17 @@
             fault: Fault::StatedRate(backend, rng.u32(STATED_REQUESTS)),
         });
     }
+    if rng.bool() {
+        steps.push(Step {
+            at_ms: rng.u64(..shape.duration_ms),
+            duration_ms: rng.u64(REPETITION_DURATION_MS),
+            fault: Fault::FatalRequest {
+                number: rng.u64(..),
+                kind: choose(&mut rng, &[Kind::Safe, Kind::Unsafe, Kind::Stream]),
+                keeps_name: rng.bool(),
+            },
+        });
+    }
     steps
 }
 
@@ -186,6 +210,7 @@
             | Self::Configure
             | Self::TopUp
             | Self::FatalPart(_)
+            | Self::FatalRequest { .. }
             | Self::StatedRate(..) => false,
         }
     }
--- a/crates/peridotrack-soak/tests/check.rs
+++ b/crates/peridotrack-soak/tests/check.rs
@@ -8,6 +8,7 @@
 use peridotrack_standin::{
     harness::relay::Link,
     hosted::{
+        backend::{Cause, Content},
         client::Outcome,
         deployment::{Kind, bounds},
         store,
@@ -31,10 +32,20 @@
         prompt_parts: Vec::new(),
         events: 0,
         version: 2,
+        content: content("r-1"),
         outcome,
     }
 }
 
+fn content(body: &'static str) -> Content {
+    Content {
+        method: http::Method::POST,
+        target: "/".to_owned(),
+        body: body.into(),
+        account: "t-1".to_owned(),
+    }
+}
+
 fn execution() -> Execution {
     Execution {
         id: "r-1".to_owned(),
@@ -222,11 +233,12 @@
     assert_eq!(check(&record).len(), breaches);
 }
 
-/// Returns a record with five crashes under a part, and `count` requests with it that ran at a time.
-fn crashed(count: usize, at_ms: u64) -> Record {
+/// Returns a record with crashes from a cause, and `count` requests with it that ran at a time.
+fn crashed(cause: &Cause, crashes: u64, count: usize, at_ms: u64) -> Record {
     let request = |number| SentRequest {
         id: format!("r-{number}"),
         prompt_parts: vec![1, 7, number as u64 + 100],
+        content: content("fatal"),
         ..sent(Kind::Stream, Outcome::Status(502))
     };
     let execution = |number| Execution {
@@ -238,28 +250,55 @@
         .map(|number| (request(number), execution(number)))
         .unzip();
     Record {
-        crashes: (0..5).map(|number| (7, AT_MS - 9_000 + number)).collect(),
+        crashes: (0..crashes)
+            .map(|number| (cause.clone(), AT_MS - 9_000 + number))
+            .collect(),
         ..record(requests, executions)
     }
 }
 
 #[rstest]
-#[case::three(3, AT_MS, false)]
-#[case::four(4, AT_MS, true)]
-#[case::soon_after_the_fifth_crash(4, AT_MS - 7_000, false)]
+#[case::three(5, 3, AT_MS, false)]
+#[case::four(5, 4, AT_MS, true)]
+#[case::fewer_crashes(4, 4, AT_MS, false)]
+#[case::soon_after_the_fifth_crash(5, 4, AT_MS - 7_000, false)]
 fn more_than_three_late_requests_with_a_fatal_part_are_a_breach(
+    #[case] crashes: u64,
+    #[case] count: usize,
+    #[case] at_ms: u64,
+    #[case] is_breach: bool,
+) {
+    let record = crashed(&Cause::Part(7), crashes, count, at_ms);
+    assert_eq!(!check(&record).is_empty(), is_breach);
+}
+
+#[rstest]
+#[case::three(3, 3, AT_MS, false)]
+#[case::four(3, 4, AT_MS, true)]
+#[case::fewer_crashes(2, 4, AT_MS, false)]
+#[case::soon_after_the_third_crash(3, 4, AT_MS - 7_000, false)]
+fn more_than_three_late_repetitions_of_a_fatal_request_are_a_breach(
+    #[case] crashes: u64,
     #[case] count: usize,
     #[case] at_ms: u64,
     #[case] is_breach: bool,
 ) {
-    assert_eq!(!check(&crashed(count, at_ms)).is_empty(), is_breach);
+    let cause = Cause::Request(content("fatal"));
+    let record = crashed(&cause, crashes, count, at_ms);
+    assert_eq!(!check(&record).is_empty(), is_breach);
+}
+
+#[test]
+fn a_request_with_another_body_is_not_a_repetition() {
+    let cause = Cause::Request(content("other"));
+    assert!(check(&crashed(&cause, 3, 4, AT_MS)).is_empty());
 }
 
 #[test]
 fn a_disrupted_router_may_send_a_fatal_part_late() {
     let disrupted = Record {
         steps: vec![step(AT_MS - 1_000, Fault::Pause(0))],
-        ..crashed(4, AT_MS)
+        ..crashed(&Cause::Part(7), 5, 4, AT_MS)
     };
     assert!(check(&disrupted).is_empty());
 }
--- a/crates/peridotrack-standin/src/harness/relay.rs
+++ b/crates/peridotrack-standin/src/harness/relay.rs
@@ -58,7 +58,13 @@
 /// Starts a relay to `target` on the current monoio runtime, with an open link. Fails if no
 /// loopback port can be bound.
 pub fn spawn(target: SocketAddr) -> io::Result<Relay> {
-    let listener = listen::bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+    spawn_at(SocketAddr::from(([127, 0, 0, 1], 0)), target)
+}
+
+/// Starts a relay to `target` at an address, which may be that of one that refuses connections.
+/// Fails if the address cannot be bound.
+pub fn spawn_at(address: SocketAddr, target: SocketAddr) -> io::Result<Relay> {
+    let listener = listen::bind(address)?;
     let address = listener.local_addr()?;
     let shared = Rc::new(Shared {
         target: Cell::new(target),
--- a/crates/peridotrack-standin/src/hosted/backend.rs
+++ b/crates/peridotrack-standin/src/hosted/backend.rs
@@ -89,6 +89,15 @@
     pub account: String,
 }
 
+/// What a server crashes under.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Cause {
+    /// A prompt part that requests share.
+    Part(u64),
+    /// A request as a whole.
+    Request(Content),
+}
+
 /// Record of one request that the server ran.
 #[derive(Debug, Clone)]
 pub struct Run {
@@ -163,7 +172,7 @@
     fatal_part: Cell<Option<u64>>,
     fatal_request: RefCell<Option<Content>>,
     fatal_arrivals: RefCell<Vec<Instant>>,
-    has_crashed: Cell<bool>,
+    crash_cause: RefCell<Option<Cause>>,
 }
 
 impl Default for Server {
@@ -180,7 +189,7 @@
             fatal_part: Cell::default(),
             fatal_request: RefCell::default(),
             fatal_arrivals: RefCell::default(),
-            has_crashed: Cell::default(),
+            crash_cause: RefCell::default(),
         }
     }
 }
@@ -226,9 +235,15 @@
         self.0.application.limit_per_s.set(limit_per_s);
     }
 
+    /// Returns whether responses state a limit.
+    pub fn is_limited(&self) -> bool {
+        self.0.application.limit_per_s.get().is_some()
+    }
+
     /// Sets the name under which the server is registered; requests for another one get 421.
-    pub fn set_name(&self, name: &str) {
-        self.0.application.name.replace(Some(name.to_owned()));
+    pub fn set_name(&self, name: Option<&str>) {
+        let name = name.map(str::to_owned);
+        self.0.application.name.replace(name);
     }
 
     /// Sets the prompt part under which the server crashes when it begins to write a response.
@@ -249,7 +264,12 @@
 
     /// Returns whether the server has crashed; its process ends when the handle is dropped.
     pub fn has_crashed(&self) -> bool {
-        self.0.application.has_crashed.get()
+        self.crash_cause().is_some()
+    }
+
+    /// Returns what the server has crashed under, `None` if it runs.
+    pub fn crash_cause(&self) -> Option<Cause> {
+        self.0.application.crash_cause.borrow().clone()
     }
 
     /// Returns the requests that the server ran, in order of arrival.
@@ -289,18 +309,18 @@
 
     /// Crashes, after the head of a response or without any of it; sends nothing more until the
     /// handle is dropped.
-    async fn crash(&self, incoming: Incoming<'_>, sends_head: bool) -> Result<(), Disconnect> {
+    async fn crash(&self, incoming: Incoming<'_>, cause: Cause) -> Result<(), Disconnect> {
         let head = self
             .signed(&incoming.request.head.headers)
             .header("content-type", "text/event-stream");
         monoio::time::sleep(CRASH_DELAY).await;
-        if sends_head {
+        if matches!(cause, Cause::Part(_)) {
             incoming
                 .connection
                 .start(response::finish(head, ()))
                 .await?;
         }
-        self.has_crashed.set(true);
+        self.crash_cause.borrow_mut().get_or_insert(cause);
         std::future::pending().await
     }
 
@@ -321,6 +341,15 @@
         Ok(())
     }
 
+    /// Returns what the server crashes under if it runs the request.
+    fn fatal_cause(&self, run: &Run) -> Option<Cause> {
+        let part = self.fatal_part.get().filter(|part| run.shares_part(*part));
+        let request = self.fatal_request.borrow();
+        let request = request.as_ref().filter(|content| run.repeats(content));
+        part.map(Cause::Part)
+            .or_else(|| request.cloned().map(Cause::Request))
+    }
+
     /// Returns whether the request is meant for a server with another name.
     fn is_misdirected(&self, run: &Run) -> bool {
         let (name, expected) = (self.name.borrow(), run.expected_server());
@@ -398,16 +427,8 @@
             body: request.body.clone(),
             at: Instant::now(),
         };
-        let has_fatal_part = self
-            .fatal_part
-            .get()
-            .is_some_and(|part| run.shares_part(part));
-        let is_fatal_request = self
-            .fatal_request
-            .borrow()
-            .as_ref()
-            .is_some_and(|content| run.repeats(content));
-        if has_fatal_part || is_fatal_request {
+        let fatal = self.fatal_cause(&run);
+        if fatal.is_some() {
             self.fatal_arrivals.borrow_mut().push(run.at);
         }
         let mode = match self.is_misdirected(&run) {
@@ -435,8 +456,11 @@
             _ => {}
         }
         self.runs.borrow_mut().push(run);
-        if has_fatal_part || is_fatal_request || self.has_crashed.get() {
-            return self.crash(incoming, has_fatal_part).await;
+        if let Some(cause) = fatal {
+            return self.crash(incoming, cause).await;
+        }
+        if self.crash_cause.borrow().is_some() {
+            return std::future::pending().await;
         }
         self.delay_response(incoming.connection).await?;
         let complete = |status: StatusCode| {
--- a/crates/peridotrack-standin/src/hosted/client.rs
+++ b/crates/peridotrack-standin/src/hosted/client.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
+use http::Method;
 use peridotrack_http::client::{self, Connection, Step};
 
 use super::{
@@ -19,7 +20,7 @@
 /// One request for a client to send.
 #[derive(Debug, Clone)]
 pub struct Request {
-    /// Request id, also sent as the body.
+    /// Request id, also sent as the body of a request that is sent once.
     pub id: String,
     /// Kind of the request, which determines its route.
     pub kind: Kind,
@@ -31,6 +32,37 @@
     pub prompt_parts: Vec<u64>,
     /// Configuration version whose route a probe requests; unused by other kinds.
     pub version: u64,
+    /// Number of the request that this one repeats, `None` if it is sent once. Repetitions have the
+    /// same content if they have the same kind and account.
+    pub repeated: Option<u64>,
+}
+
+impl Request {
+    /// Returns what identifies the request as a whole.
+    pub fn content(&self) -> backend::Content {
+        let path = match self.kind {
+            Kind::Safe => "/safe/".to_owned(),
+            Kind::Unsafe => "/unsafe/".to_owned(),
+            Kind::Stream => "/stream/".to_owned(),
+            Kind::Resumable => "/stream/resumable/".to_owned(),
+            Kind::Probe => probe_path(self.version),
+        };
+        let (method, target, body) = match (self.repeated, self.kind) {
+            (Some(number), Kind::Safe) => {
+                let target = format!("{path}?repeated={number}");
+                (Method::GET, target, Bytes::new())
+            }
+            (Some(number), _) => (Method::POST, path, format!("repeated {number}").into()),
+            (None, _) => (Method::POST, path, self.id.clone().into()),
+        };
+        let (account, _) = ACCOUNTS[self.account];
+        backend::Content {
+            method,
+            target,
+            body,
+            account: account.to_owned(),
+        }
+    }
 }
 
 /// Outcome of a request as seen by the client.
@@ -105,19 +137,15 @@
 }
 
 fn encode(request: &Request) -> http::Request<Bytes> {
-    let path = match request.kind {
-        Kind::Safe => "/safe/".to_owned(),
-        Kind::Unsafe => "/unsafe/".to_owned(),
-        Kind::Stream => "/stream/".to_owned(),
-        Kind::Resumable => "/stream/resumable/".to_owned(),
-        Kind::Probe => probe_path(request.version),
-    };
+    let content = request.content();
     let (_, key) = ACCOUNTS[request.account];
     let output_tokens = match request.kind.is_stream() {
         true => backend::STREAM_EVENTS,
         false => 0,
     };
-    let mut head = http::Request::post(path);
+    let mut head = http::Request::builder()
+        .method(content.method)
+        .uri(content.target);
     if !request.prompt_parts.is_empty() {
         let tokens = request.prompt_tokens / request.prompt_parts.len() as u64;
         let parts = request.prompt_parts.iter();
@@ -132,7 +160,7 @@
             "peridotrack-token-usage",
             format!("{},{output_tokens}", request.prompt_tokens),
         )
-        .body(Bytes::from(request.id.clone()))
+        .body(content.body)
         .expect("the parts of a request are valid")
 }
 
