test(soak): requests that reach a stopping router late or behind a stream

Callers lost requests that a stopping router had taken long after SIGTERM. The soak could not see this: each client sent its requests whole, and any fault of a backend server or of the store excused a request without an answer.

For each client, five tasks now send the body of a request in two pieces, 1 to 4 s apart, or the next request ahead on a connection whose stream of 1.2 s is still running.

The client tells apart what was one outcome: Incomplete (a part of the response arrived), Unanswered (no byte of it) and Dropped (no byte, and the connection was closed without a reset 0.3 s or more after the request was sent, so that the router had read it; unless an earlier response announced the close). A router answers whatever happens to the store and the backend servers. So only a fault of the router itself now excuses a request that ran and is Unanswered, or one that is Dropped, whether it ran or not; what excuses Incomplete stays. The checks are stricter than before in each case.

By the code, the last wait for open requests ends before the 20 ms in which peers are told, and a request that arrives in these is neither counted nor answered.

--- a/crates/peridotrack-edge/tests/gateway/fleet.rs
+++ b/crates/peridotrack-edge/tests/gateway/fleet.rs
@@ -329,6 +329,7 @@
             prompt_tokens: 40,
             prompt_parts,
             version: 1,
+            event_interval_ms: None,
             repeated: None,
         };
         let gateway = &self.gateways[fastrand::usize(..self.gateways.len())];
--- a/crates/peridotrack-soak/src/apply.rs
+++ b/crates/peridotrack-soak/src/apply.rs
@@ -79,6 +79,18 @@
             let mode = backend::Mode::Serve;
             run.fleet.borrow().backends[backend].handle.set_mode(mode);
         }
+        Fault::SlowBackends(delay_ms) => {
+            let set = |delay_ms| {
+                for backend in &run.fleet.borrow().backends {
+                    backend
+                        .handle
+                        .set_response_delay(Duration::from_millis(delay_ms));
+                }
+            };
+            set(delay_ms);
+            monoio::time::sleep(duration).await;
+            set(0);
+        }
         Fault::Replace(backend) => replace(&run, backend).await,
         Fault::Pause(router) => pause(&run, router, duration).await?,
         Fault::Kill(router) => kill(&run, &[router]).await?,
--- a/crates/peridotrack-soak/src/check.rs
+++ b/crates/peridotrack-soak/src/check.rs
@@ -245,18 +245,27 @@
     !steps.any(|step| step.fault.disrupts(router))
 }
 
-/// Checks that a request that ran got a response, unless a fault that is not planned maintenance
-/// overlapped it.
+/// Checks that a request that ran, or that its router had read, got a response.
+///
+/// A router responds whatever happens to the store and the backend servers, so that only a fault of
+/// the router itself excuses that no byte arrived. Any fault excuses a response that ended early,
+/// except planned maintenance.
 fn check_lost_request(record: &Record, sent: &SentRequest, has_run: bool) -> Option<String> {
-    if sent.outcome != Outcome::Incomplete || !has_run {
-        return None;
-    }
+    let is_excused: fn(&Fault, usize) -> bool = match sent.outcome {
+        Outcome::Incomplete if has_run => |fault, _| !fault.is_planned(),
+        Outcome::Unanswered if has_run => Fault::interrupts,
+        Outcome::Dropped => Fault::interrupts,
+        _ => return None,
+    };
     let from_ms = sent.at_ms.saturating_sub(bounds::CONTACT_MS);
     let overlaps =
         |step: &&Step| step.at_ms <= sent.end_ms && step.at_ms + step.duration_ms >= from_ms;
     let mut steps = record.steps.iter().filter(overlaps);
-    let is_excused = steps.any(|step| !step.fault.is_planned());
-    (!is_excused).then(|| format!("{} was lost at router {}", sent.id, sent.router))
+    let is_excused = steps.any(|step| is_excused(&step.fault, sent.router));
+    (!is_excused).then(|| {
+        let SentRequest { id, router, .. } = sent;
+        format!("{id} was lost at router {router}: {:?}", sent.outcome)
+    })
 }
 
 /// Checks that at most [`MAX_LATE_EXECUTIONS`] requests with the cause of [`PART_CRASHES`] or
--- a/crates/peridotrack-soak/src/fleet.rs
+++ b/crates/peridotrack-soak/src/fleet.rs
@@ -324,6 +324,7 @@
         backend.handle.set_fatal_part(None);
         backend.handle.set_fatal_request(None);
         backend.handle.set_limit(None);
+        backend.handle.set_response_delay(Duration::ZERO);
     }
     for router in &fleet.routers {
         router.link.set(Link::Open);
--- a/crates/peridotrack-soak/src/run.rs
+++ b/crates/peridotrack-soak/src/run.rs
@@ -14,6 +14,7 @@
 use peridotrack_standin::hosted::{
     client,
     deployment::{self, Kind, bounds},
+    paced,
 };
 
 use crate::{
@@ -39,6 +40,12 @@
 pub(crate) const FIRST_PART: u64 = 1;
 /// Number of second parts, which several requests have in common.
 const SECOND_PARTS: u64 = 8;
+/// Time between the two pieces of a request that is sent in pieces, in milliseconds.
+const PIECE_PAUSE_MS: std::ops::Range<u64> = 1_000..4_000;
+/// Number of tasks that send requests in pieces or ahead, for each client.
+const PACED_TASKS: usize = 5;
+/// Interval between the events of a stream behind which the next request is sent ahead.
+const AHEAD_INTERVAL_MS: u64 = 200;
 /// One in this many requests has the fatal part while there is one.
 const REQUESTS_PER_FATAL: u32 = 8;
 /// One in this many requests repeats the fatal one while there is one.
@@ -132,6 +139,10 @@
     for number in 0..run.options.clients {
         tasks.push(monoio::spawn(run_client(Rc::clone(&run), number as u64)));
     }
+    for number in 0..PACED_TASKS * run.options.clients {
+        let run = Rc::clone(&run);
+        tasks.push(monoio::spawn(run_paced_client(run, number as u64)));
+    }
     tasks.push(monoio::spawn(run_prober(Rc::clone(&run))));
     let backends = monoio::spawn(apply::run_backends(Rc::clone(&run)));
     run_schedule(&run).await?;
@@ -205,10 +216,50 @@
             .take()
             .filter(|(opened_to, _)| *opened_to == incarnation)
             .map(|(_, connection)| connection);
-        let (at_ms, content) = (self.now_ms(), request.content());
+        let at_ms = self.now_ms();
         let exchange = client::send(address, &mut connection, &request).await;
         *idle_connection = connection.map(|connection| (incarnation, connection));
+        self.record_request((router, incarnation), at_ms, request, exchange);
+    }
+
+    /// Sends the body of a request in two pieces, or two requests of which the second one is sent
+    /// ahead, and records the outcomes.
+    async fn paced_request(&self, router: usize, rng: &mut fastrand::Rng) {
+        let (address, incarnation) = {
+            let router = &self.fleet.borrow().routers[router];
+            (router.client_address(), router.incarnation)
+        };
+        let account = rng.usize(..deployment::ACCOUNTS.len());
+        let kind = [Kind::Safe, Kind::Unsafe, Kind::Stream][rng.usize(..3)];
+        // Without prompt tokens, requests are served also for an account that has run out.
+        let request = self.new_request(kind, account, 0);
+        let at_ms = self.now_ms();
+        if rng.bool() {
+            // The longer of two draws: a router that stops drops a request that is still arriving
+            // when nothing else is open.
+            let pause_ms = rng.u64(PIECE_PAUSE_MS).max(rng.u64(PIECE_PAUSE_MS));
+            let pause = Duration::from_millis(pause_ms);
+            let exchange = paced::send_in_pieces(address, &request, pause).await;
+            return self.record_request((router, incarnation), at_ms, request, exchange);
+        }
+        let stream = client::Request {
+            event_interval_ms: Some(AHEAD_INTERVAL_MS),
+            ..self.new_request(Kind::Stream, account, 0)
+        };
+        let [first, second] = paced::send_ahead(address, &stream, &request).await;
+        self.record_request((router, incarnation), at_ms, stream, first);
+        self.record_request((router, incarnation), at_ms, request, second);
+    }
+
+    fn record_request(
+        &self,
+        (router, incarnation): (usize, u64),
+        at_ms: u64,
+        request: client::Request,
+        exchange: client::Exchange,
+    ) {
         self.record.borrow_mut().requests.push(SentRequest {
+            content: request.content(),
             id: request.id,
             kind: request.kind,
             account: request.account,
@@ -220,7 +271,6 @@
             events: exchange.events,
             prompt_parts: request.prompt_parts,
             version: request.version,
-            content,
             outcome: exchange.outcome,
         });
     }
@@ -240,6 +290,7 @@
             prompt_tokens,
             prompt_parts: Vec::new(),
             version: self.version.get(),
+            event_interval_ms: None,
             repeated: None,
         }
     }
@@ -307,6 +358,16 @@
     }
 }
 
+/// Sends requests in pieces and requests ahead of a running stream, until the run ends.
+async fn run_paced_client(run: Rc<Run>, number: u64) {
+    let mut rng = fastrand::Rng::with_seed(!run.options.seed ^ (number << 32) ^ 1);
+    while !run.is_ending.get() {
+        let router = rng.usize(..run.options.shape.routers);
+        run.paced_request(router, &mut rng).await;
+        monoio::time::sleep(Duration::from_millis(rng.u64(CLIENT_PAUSE_MS))).await;
+    }
+}
+
 /// Probes each router in turn for the newest configuration until the run ends.
 async fn run_prober(run: Rc<Run>) {
     while !run.is_ending.get() {
--- a/crates/peridotrack-soak/src/schedule.rs
+++ b/crates/peridotrack-soak/src/schedule.rs
@@ -20,6 +20,13 @@
 /// Durations of the repetition of a request under which backend servers crash, in milliseconds: once
 /// all of them have crashed, few repetitions reach any.
 const REPETITION_DURATION_MS: std::ops::Range<u64> = 9_000..15_000;
+/// Times by which backend servers delay their responses while routers are stopped, in milliseconds:
+/// just within the deadline of requests.
+const RUN_TIME_MS: std::ops::Range<u64> = 1_400..1_900;
+/// Duration of that delay, in milliseconds: longer than the grace period of a router.
+const SLOW_DURATION_MS: u64 = 12_000;
+/// Interval between the starts of routers' stops in series, in milliseconds.
+const STOP_INTERVAL_MS: u64 = 2_000;
 /// Stated limits, in requests in 10 s.
 const STATED_REQUESTS: std::ops::Range<u32> = 10..60;
 /// Number of slots that [`random_fault`] maps to faults; frequent faults have several.
@@ -79,6 +86,8 @@
         /// Whether the servers start again under their name.
         keeps_name: bool,
     },
+    /// Backend servers take so many milliseconds longer before they respond.
+    SlowBackends(u64),
     /// A backend server states a limit of so many requests in 10 s, of all routers together.
     StatedRate(usize, u32),
 }
@@ -121,6 +130,7 @@
         }
     }
     steps.extend(server_trouble(seed, shape));
+    steps.extend(stops_in_series(seed, shape));
     steps.retain(|step| step.at_ms < shape.duration_ms);
     steps.sort_by_key(|step| step.at_ms);
     steps
@@ -160,6 +170,29 @@
     steps
 }
 
+/// Returns stops of routers one after another, with backend servers that slow down meanwhile. They
+/// are drawn by themselves, like the troubles.
+fn stops_in_series(seed: u64, shape: &Shape) -> Vec<Step> {
+    let mut rng = fastrand::Rng::with_seed(seed.rotate_left(32));
+    if rng.bool() {
+        return Vec::new();
+    }
+    let at_ms = rng.u64(..shape.duration_ms / 2);
+    let first = rng.usize(..shape.routers);
+    let mut steps = vec![Step {
+        at_ms: at_ms + rng.u64(..STOP_INTERVAL_MS),
+        duration_ms: SLOW_DURATION_MS,
+        fault: Fault::SlowBackends(rng.u64(RUN_TIME_MS)),
+    }];
+    let stops = (0..shape.routers.div_ceil(2)).map(|number| Step {
+        at_ms: at_ms + number as u64 * STOP_INTERVAL_MS,
+        duration_ms: 0,
+        fault: Fault::Stop((first + number) % shape.routers),
+    });
+    steps.extend(stops);
+    steps
+}
+
 /// Returns the fault of a slot, for a random router or backend server.
 fn random_fault(rng: &mut fastrand::Rng, slot: u32, shape: &Shape) -> Fault {
     let router = rng.usize(..shape.routers);
@@ -209,12 +242,22 @@
             | Self::Reload(_)
             | Self::Configure
             | Self::TopUp
+            | Self::SlowBackends(_)
             | Self::FatalPart(_)
             | Self::FatalRequest { .. }
             | Self::StatedRate(..) => false,
         }
     }
 
+    /// Returns whether the fault ends or suspends a router without notice.
+    pub fn interrupts(&self, router: usize) -> bool {
+        match self {
+            Self::Pause(affected) | Self::Kill(affected) => *affected == router,
+            Self::KillAll => true,
+            _ => false,
+        }
+    }
+
     /// Returns whether the step is planned maintenance, during which no request may be lost.
     pub fn is_planned(&self) -> bool {
         matches!(
--- a/crates/peridotrack-soak/tests/check.rs
+++ b/crates/peridotrack-soak/tests/check.rs
@@ -8,7 +8,7 @@
 use peridotrack_standin::{
     harness::relay::Link,
     hosted::{
-        backend::{Cause, Content},
+        backend::{self, Cause, Content},
         client::Outcome,
         deployment::{Kind, bounds},
         store,
@@ -109,6 +109,27 @@
     assert_eq!(check(&record).len(), breaches);
 }
 
+#[rstest]
+#[case::killed(Outcome::Unanswered, 1, Fault::Kill(0), 0)]
+#[case::another_router_killed(Outcome::Unanswered, 1, Fault::Kill(1), 1)]
+#[case::stopped(Outcome::Unanswered, 1, Fault::Stop(0), 1)]
+#[case::server_is_mute(Outcome::Unanswered, 1, Fault::Backend(0, backend::Mode::Mute), 1)]
+#[case::not_read(Outcome::Unanswered, 0, Fault::Stop(0), 0)]
+#[case::read_and_not_run(Outcome::Dropped, 0, Fault::Stop(0), 1)]
+#[case::read_and_killed(Outcome::Dropped, 0, Fault::Pause(0), 0)]
+#[case::sent_in_part(Outcome::NotSent, 0, Fault::Stop(0), 0)]
+fn only_a_fault_of_the_router_excuses_that_no_byte_of_a_response_arrives(
+    #[case] outcome: Outcome,
+    #[case] executions: usize,
+    #[case] fault: Fault,
+    #[case] breaches: usize,
+) {
+    let executions = vec![execution(); executions];
+    let mut record = record(vec![sent(Kind::Safe, outcome)], executions);
+    record.steps = vec![step(AT_MS - 200, fault)];
+    assert_eq!(check(&record).len(), breaches);
+}
+
 #[rstest]
 #[case::unknown_request(Execution { id: "r-9".to_owned(), ..execution() })]
 #[case::other_account(Execution { account: "t-2".to_owned(), ..execution() })]
--- a/crates/peridotrack-standin/src/hosted/backend.rs
+++ b/crates/peridotrack-standin/src/hosted/backend.rs
@@ -27,6 +27,8 @@
 const EVENT_INTERVAL: Duration = Duration::from_millis(5);
 /// Time between two events of a stream in the mode `Slow`.
 const SLOW_EVENT_INTERVAL: Duration = Duration::from_secs(2);
+/// Query field with which a request asks for another interval, in milliseconds.
+pub(super) const INTERVAL_FIELD: &str = "interval_ms=";
 /// Time from the arrival of a fatal request to the crash.
 const CRASH_DELAY: Duration = Duration::from_millis(60);
 
@@ -359,6 +361,9 @@
 
     async fn stream(&self, incoming: Incoming<'_>, mode: Mode) -> Result<(), Disconnect> {
         let headers = &incoming.request.head.headers;
+        let query = incoming.request.head.uri.query().unwrap_or_default();
+        let interval_ms = query.strip_prefix(INTERVAL_FIELD);
+        let interval_ms = interval_ms.and_then(|interval_ms| interval_ms.parse().ok());
         let first = headers
             .get("last-event-id")
             .and_then(|value| value.to_str().ok()?.parse::<u64>().ok())
@@ -369,7 +374,7 @@
         let connection = incoming.connection;
         let interval = match mode {
             Mode::Slow => SLOW_EVENT_INTERVAL,
-            _ => self.event_interval.get(),
+            _ => interval_ms.map_or(self.event_interval.get(), Duration::from_millis),
         };
         connection.start(response::finish(head, ())).await?;
         for number in first..STREAM_EVENTS {
--- a/crates/peridotrack-standin/src/hosted/client.rs
+++ b/crates/peridotrack-standin/src/hosted/client.rs
@@ -1,19 +1,25 @@
 //! Client of a gateway: sends a request and checks that the response is the one that the stand-in
 //! [`backend`] sends.
 
-use std::net::SocketAddr;
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use http::Method;
 use peridotrack_http::client::{self, Connection, Step};
 
 use super::{
-    backend,
+    backend::{self, INTERVAL_FIELD},
     deployment::{ACCOUNTS, Kind, probe_path},
 };
 
 /// Timeout for the response head and for each part of the body, in milliseconds.
-const RESPONSE_TIMEOUT_MS: u64 = 2_500;
+pub(super) const RESPONSE_TIMEOUT_MS: u64 = 2_500;
+/// Time within which a router reads what a client has sent. A connection that closes later, and is
+/// not reset, was read to the end of what had been sent.
+const READ_TIME: Duration = Duration::from_millis(300);
 /// Deadline that clients send with a request, in milliseconds.
 const DEADLINE_MS: u64 = 2_000;
 
@@ -32,6 +38,8 @@
     pub prompt_parts: Vec<u64>,
     /// Configuration version whose route a probe requests; unused by other kinds.
     pub version: u64,
+    /// Interval between the events of a stream that the server is to keep, `None` for the usual one.
+    pub event_interval_ms: Option<u64>,
     /// Number of the request that this one repeats, `None` if it is sent once. Repetitions have the
     /// same content if they have the same kind and account.
     pub repeated: Option<u64>,
@@ -47,6 +55,10 @@
             Kind::Resumable => "/stream/resumable/".to_owned(),
             Kind::Probe => probe_path(self.version),
         };
+        let path = match self.event_interval_ms {
+            Some(interval_ms) => format!("{path}?{INTERVAL_FIELD}{interval_ms}"),
+            None => path,
+        };
         let (method, target, body) = match (self.repeated, self.kind) {
             (Some(number), Kind::Safe) => {
                 let target = format!("{path}?repeated={number}");
@@ -68,9 +80,14 @@
 /// Outcome of a request as seen by the client.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Outcome {
-    /// The connection failed before a byte of the request was sent.
+    /// The connection failed before a byte of the request was sent, or before all of a request that
+    /// was sent in pieces.
     NotSent,
-    /// The request was sent, but no complete response arrived in time.
+    /// The request was sent, but no byte of a response arrived in time.
+    Unanswered,
+    /// The router had read the whole request and closed the connection without a byte of a response.
+    Dropped,
+    /// A part of the response arrived.
     Incomplete,
     /// A complete response with this status arrived.
     Status(u16),
@@ -108,35 +125,66 @@
         Some(connection) => connection,
         None => match Connection::connect(address, options()).await {
             Ok(connection) => connection,
-            Err(_) => return exchange(Outcome::NotSent, 0),
+            Err(_) => return Exchange::without_events(Outcome::NotSent),
         },
     };
+    let sent = Instant::now();
     let head = match connection.send(encode(request)).await {
         Ok(head) => head,
         Err(error) if error.step == Step::Write && !error.bytes_written => {
-            return exchange(Outcome::NotSent, 0);
+            return Exchange::without_events(Outcome::NotSent);
+        }
+        Err(error) => {
+            let is_closed = matches!(error.kind, client::Kind::Closed);
+            return Exchange::without_events(unanswered(sent, is_closed));
         }
-        Err(_) => return exchange(Outcome::Incomplete, 0),
     };
-    let result = match request.kind.is_stream() && head.status.is_success() {
-        true => read_events(&mut connection).await,
-        false => read_unstreamed(&mut connection, &head).await,
+    let mut body = Vec::new();
+    let is_complete = loop {
+        match connection.next_chunk().await {
+            Ok(Some(chunk)) => body.extend_from_slice(&chunk),
+            Ok(None) => break true,
+            Err(_) => break false,
+        }
     };
     if connection.is_reusable() {
         *idle = Some(connection);
     }
-    let (outcome, events) = result;
-    match mismatch(request, &head) {
-        Some(detail) => exchange(Outcome::Wrong(detail), events),
-        None => exchange(outcome, events),
+    classify(request, &head, &body, is_complete)
+}
+
+impl Exchange {
+    pub(super) fn without_events(outcome: Outcome) -> Self {
+        Self { outcome, events: 0 }
+    }
+}
+
+/// Returns the outcome of a request that was sent in full and got no byte of a response;
+/// `is_closed` is whether the router closed the connection, without a reset.
+pub(super) fn unanswered(sent: Instant, is_closed: bool) -> Outcome {
+    match is_closed && sent.elapsed() >= READ_TIME {
+        true => Outcome::Dropped,
+        false => Outcome::Unanswered,
     }
 }
 
-fn exchange(outcome: Outcome, events: u64) -> Exchange {
+/// Returns the result of a request from the head and the body of the response, which ended early if
+/// it is not complete.
+pub(super) fn classify(
+    request: &Request,
+    head: &http::response::Parts,
+    body: &[u8],
+    is_complete: bool,
+) -> Exchange {
+    let (outcome, events) = match request.kind.is_stream() && head.status.is_success() {
+        true => check_events(body, is_complete),
+        false => (check_body(head, body, is_complete), 0),
+    };
+    let outcome = mismatch(request, head).map_or(outcome, Outcome::Wrong);
     Exchange { outcome, events }
 }
 
-fn encode(request: &Request) -> http::Request<Bytes> {
+pub(super) fn encode(request: &Request) -> http::Request<Bytes> {
     let content = request.content();
     let (_, key) = ACCOUNTS[request.account];
     let output_tokens = match request.kind.is_stream() {
@@ -177,31 +225,20 @@
     (!is_signed).then(|| "it has no seal".to_owned())
 }
 
-async fn read_unstreamed(
-    connection: &mut Connection,
-    head: &http::response::Parts,
-) -> (Outcome, u64) {
-    let status = head.status.as_u16();
-    match connection.read_body().await {
-        Ok(body) if head.status.is_success() && body != "the answer" => {
-            (Outcome::Wrong(format!("unexpected body {body:?}")), 0)
+fn check_body(head: &http::response::Parts, body: &[u8], is_complete: bool) -> Outcome {
+    match is_complete {
+        true if head.status.is_success() && body != b"the answer" => {
+            let body = String::from_utf8_lossy(body);
+            Outcome::Wrong(format!("unexpected body {body:?}"))
         }
-        Ok(_) => (Outcome::Status(status), 0),
-        Err(_) => (Outcome::Incomplete, 0),
+        true => Outcome::Status(head.status.as_u16()),
+        false => Outcome::Incomplete,
     }
 }
 
-/// Reads a stream, whose events must be numbered in sequence, and counts its complete events.
-async fn read_events(connection: &mut Connection) -> (Outcome, u64) {
-    let mut text = Vec::new();
-    let is_complete = loop {
-        match connection.next_chunk().await {
-            Ok(Some(chunk)) => text.extend_from_slice(&chunk),
-            Ok(None) => break true,
-            Err(_) => break false,
-        }
-    };
-    let text = String::from_utf8_lossy(&text);
+/// Counts the complete events of a stream, which must be numbered in sequence.
+fn check_events(body: &[u8], is_complete: bool) -> (Outcome, u64) {
+    let text = String::from_utf8_lossy(body);
     let events: Vec<&str> = text
         .split_inclusive("\n\n")
         .filter(|event| event.ends_with("\n\n"))
