fix(peridotrackd): the daemon ends after the requests that it still receives

A caller whose request began as the listener closed, on a connection that was accepted before, saw the connection end without a response if the request was received slowly.

Cause: `Daemon::stop` waits for requests that are received or served only before it closes the listener. After that it settles claims, usage records and the budget, closes idle connections and ends.

It now waits a second time once idle connections are closed, until the shutdown timeout or the time for closing, whichever is earlier, as the gateway does. Nothing is begun at that time, so that these requests need no claim, record or grant; each is refused within the time for receiving it. Requests that were cut at the shutdown timeout are not waited for.

--- a/crates/peridotrack-edge/src/daemon.rs
+++ b/crates/peridotrack-edge/src/daemon.rs
@@ -205,7 +205,7 @@
         self.callers.stop();
         let first_request_us = self.kernel.now_us() + FIRST_REQUEST_US;
         let close_us = self.kernel.now_us() + CLOSE_US;
-        let outcome = Outcome {
+        let mut outcome = Outcome {
             cut_requests,
             are_claims_settled: self.services.claims.settle(close_us).await,
             is_usage_flushed: self.services.usage.flush(close_us).await,
@@ -214,6 +214,9 @@
         let wait_us = first_request_us.saturating_sub(self.kernel.now_us());
         self.kernel.timer().sleep_us(wait_us).await;
         self.callers.close_idle();
+        // Requests that arrived since the first drain are refused.
+        let drain_us = close_us.min(stop.finish_us);
+        outcome.cut_requests = cut_requests.max(self.callers.drain(drain_us).await);
         self.services.member.stop();
         self.kernel.timer().sleep_us(LEAVE_NOTICE_US).await;
         self.end(outcome);
--- a/crates/peridotrackd/tests/stopping.rs
+++ b/crates/peridotrackd/tests/stopping.rs
@@ -315,3 +315,25 @@
         assert_eq!(status.code(), Some(1), "grants were not returned");
     });
 }
+
+/// Guards against a process that ends while it receives a request that began as its listener closed.
+#[test]
+fn a_request_that_begins_as_the_listener_closes_is_refused_if_it_is_received_slowly() {
+    block_on(async {
+        let mut fixture = Fixture::spawn(500, 60_000).await;
+        fixture.stopping.process.terminate().unwrap();
+        monoio::time::sleep(Duration::from_millis(300)).await;
+        let mut stream = TcpStream::connect(fixture.stopping.caller_address)
+            .await
+            .unwrap();
+        monoio::time::sleep(Duration::from_millis(270)).await;
+        let head =
+            "POST /v1/services/desk/isbn HTTP/1.1\r\nhost: x\r\ncontent-length: 9\r\n\r\nabc";
+        stream.write_all(head).await.0.unwrap();
+        let reading = monoio::time::timeout(TIMEOUT, stream.read(vec![0; 4_096]));
+        let (result, text) = reading.await.unwrap();
+        let text = String::from_utf8_lossy(&text[..result.unwrap_or(0)]).into_owned();
+        assert!(text.starts_with("HTTP/1.1 503"), "{text:?}");
+        fixture.stopping.process.wait_for_exit().await.unwrap();
+    });
+}
