fix(edge): a stream requested with HTTP/1.0 is refused before it is sent

A client of HTTP/1.0 that requested a stream got no response: its connection was closed, although the request ran on a backend server and was paid for.

Cause: such a client cannot receive a chunked response. The writer reports this when the first event is sent, and the gateway and the caller server took the error for a disconnected client.

Both now check the version when they accept the request, before anything is reserved or sent, and respond with 505 and "not run". Other requests with HTTP/1.0 are served as before.

--- a/crates/peridotrack-edge/src/caller/completion.rs
+++ b/crates/peridotrack-edge/src/caller/completion.rs
@@ -77,6 +77,9 @@
         let config = services.config.current();
         let chat = Chat::parse(&request.body, &config.rules.limits)
             .map_err(|error| problem::Problem::new(problem::Kind::Malformed, error.to_string()))?;
+        if chat.is_stream {
+            response::check_stream_version(request.head.version)?;
+        }
         let is_served = config
             .register
             .engines
--- a/crates/peridotrack-edge/src/caller/response.rs
+++ b/crates/peridotrack-edge/src/caller/response.rs
@@ -55,6 +55,21 @@
         .expect("the parts of a stream's head are valid")
 }
 
+/// Checks that a request for a stream has an HTTP version that supports chunked responses.
+///
+/// # Errors
+///
+/// Returns the problem to respond with.
+pub fn check_stream_version(version: http::Version) -> Result<(), problem::Problem> {
+    if version == http::Version::HTTP_11 {
+        return Ok(());
+    }
+    let detail = format!("{version:?} does not support streams");
+    let mut refused = problem::Problem::new(problem::Kind::Malformed, detail);
+    refused.status = 505;
+    Err(refused)
+}
+
 /// Returns the response to a request that could not be read.
 ///
 /// Returns `None` after an error of the connection or of writing, when no response can be sent.
--- a/crates/peridotrack-edge/src/gateway/request.rs
+++ b/crates/peridotrack-edge/src/gateway/request.rs
@@ -16,6 +16,7 @@
 use peridotrack_types::{id, name, problem, rules, site};
 
 use super::{Shared, site::Snapshot};
+use crate::caller;
 
 /// Retry delay stated to clients while the gateway has no configuration yet, in milliseconds.
 const STARTING_RETRY_MS: u64 = 500;
@@ -102,7 +103,7 @@
 /// # Errors
 ///
 /// Returns the problem to respond with: no configuration yet, no matching route, a missing or
-/// unknown key, or a route without a service.
+/// unknown key, a stream that the HTTP version does not support, or a route without a service.
 pub(super) fn accept(
     shared: &Rc<Shared>,
     received: server::Request,
@@ -130,6 +131,9 @@
         let kind = problem::Kind::Unauthorized;
         return Err(problem::Problem::new(kind, "the key is missing or unknown"));
     }
+    if route.retry_policy.is_stream() {
+        caller::response::check_stream_version(received.head.version)?;
+    }
     let account = account_index.map(|index| &config.site.client_accounts[index]);
     let metadata = wire::Metadata::decode(headers);
     let timeout_ms = metadata
--- a/crates/peridotrack-edge/tests/gateway/main.rs
+++ b/crates/peridotrack-edge/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod endless;
 mod fixture;
 mod fleet;
+mod http_1_0;
 mod peers;
 mod prompt_parts;
 mod raw;
