fix(caller): an engine that stalls an error response does not outlast the stop

A caller got no response at the end of a stop if an engine had sent the head of an error response and not its body.

Cause: the body of a refusal or of a client error is read in `check_response_head`, which did not wait for the end of the stop, unlike the other steps of an attempt.

Reading it now ends with the stop. A refusal that proves that the request did not run remains one, also without its body; a client error without its body is an unknown outcome.

`a_request_whose_error_response_stalls_is_answered_at_the_end_of_the_stop` failed in both cases before, in one run: no response within the client's timeout of 2 s. It passes now.

--- a/crates/peridotrack-edge/src/caller/completion/attempt.rs
+++ b/crates/peridotrack-edge/src/caller/completion/attempt.rs
@@ -81,7 +81,7 @@
             ticket.backend_server_leaving();
         }
         let attempt = if let Some(attempt) = self
-            .check_response_head(&mut backend, &head, events_seen)
+            .check_response_head(&mut backend, &head, events_seen, address)
             .await
         {
             attempt
@@ -104,9 +104,15 @@
         backend: &mut client::Connection,
         head: &http::response::Parts,
         events_seen: u64,
+        address: SocketAddr,
     ) -> Option<Attempt> {
         if engine::is_not_run(head) {
-            let _ = backend.read_body().await;
+            // The body only has to be read so that the connection can be reused.
+            monoio::select! {
+                biased;
+                _ = backend.read_body() => {}
+                () = self.answer_due() => {}
+            }
             return Some(failed(
                 Outcome::RefusedNotRun,
                 "the engine refused the request without running it".to_owned(),
@@ -120,7 +126,11 @@
             return Some(failed(broken, error.to_string()));
         }
         if head.status.is_client_error() && self.forwarded == Forwarded::Nothing {
-            let body = backend.read_body().await.ok()?;
+            let body = monoio::select! {
+                biased;
+                body = backend.read_body() => body.ok()?,
+                () = self.answer_due() => return Some(self.stop(address).await),
+            };
             let status = head.status.as_u16();
             return Some(Attempt::Rejected {
                 response: response::json(status, body),
--- a/crates/peridotrackd/tests/stopping.rs
+++ b/crates/peridotrackd/tests/stopping.rs
@@ -6,7 +6,7 @@
 use http::{Request, Response, StatusCode};
 use monoio::{
     io::{AsyncReadRent, AsyncWriteRentExt},
-    net::TcpStream,
+    net::{TcpListener, TcpStream},
 };
 use peridotrack_http::client::{self, Connection};
 use peridotrack_standin::{
@@ -19,12 +19,18 @@
     },
     platform, service,
 };
-use peridotrack_types::problem::{self, Problem, Ran};
+use peridotrack_types::{
+    config::Config,
+    problem::{self, Problem, Ran},
+};
 use rstest::rstest;
 
 const TIMEOUT: Duration = Duration::from_secs(20);
 const PROGRAM: &str = env!("CARGO_BIN_EXE_peridotrackd");
 
+/// Time in which a router receives a change of the configuration.
+const CONFIGURATION_DELAY: Duration = Duration::from_millis(500);
+
 /// A fleet, and a further router with its own times of a stop.
 struct Fixture {
     fleet: Fleet,
@@ -337,3 +343,50 @@
         fixture.stopping.process.wait_for_exit().await.unwrap();
     });
 }
+
+/// Answers each request with the status and the begin of a body, whose rest never arrives.
+async fn stall_responses(listener: TcpListener, status: &'static str) {
+    while let Ok((mut stream, _)) = listener.accept().await {
+        monoio::spawn(async move {
+            let (result, text) = stream.read(vec![0; 4_096]).await;
+            let text = String::from_utf8_lossy(&text[..result.unwrap_or(0)]).into_owned();
+            let mut lines = text.split("\r\n");
+            let request_id = lines.find(|line| line.starts_with("peridotrack-request-id"));
+            let request_id = request_id.unwrap_or("x: y");
+            let head = format!("HTTP/1.1 {status}\r\n{request_id}\r\ncontent-length: 9\r\n\r\nabc");
+            let _ = stream.write_all(head.into_bytes()).await;
+            let _ = stream.read(vec![0; 1]).await;
+        });
+    }
+}
+
+/// Guards against a stop that waits for the body of an error response and closes the connection.
+#[rstest]
+#[case::rejected("400 Bad Request", Ran::Unknown)]
+#[case::not_run("503 Service Unavailable\r\nperidotrack-not-run: true", Ran::No)]
+fn a_request_whose_error_response_stalls_is_answered_at_the_end_of_the_stop(
+    #[case] status: &'static str,
+    #[case] ran: Ran,
+) {
+    block_on(async {
+        let mut fixture = Fixture::spawn(0, 1_700).await;
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let stalling = listener.local_addr().unwrap();
+        monoio::spawn(stall_responses(listener, status));
+        let change = |config: &mut Config| {
+            config.register.engines[0].name = "stalling".into();
+            config.register.engines[0].address = stalling;
+        };
+        fixture.fleet.apply(change).await.unwrap();
+        monoio::time::sleep(CONFIGURATION_DELAY).await;
+        let address = fixture.stopping.caller_address;
+        let open_request = monoio::spawn(fetch(address, chat(false)));
+        monoio::time::sleep(Duration::from_millis(200)).await;
+        fixture.stopping.process.terminate().unwrap();
+        let response = open_request.await.unwrap();
+        assert_eq!(problem_of(&response).ran, ran);
+        assert_eq!(response.headers()["connection"], "close");
+        assert_eq!(fixture.runs(), 0);
+        fixture.stopping.process.wait_for_exit().await.unwrap();
+    });
+}
