fix(caller): a claimed call that waits is refused when a stop admits no more

A call with an idempotency key that waited for a backend server, or for a retry, could be sent until 1 s before the end of a stop. It would then be cut with an unknown outcome, and its key would be used up.

Cause: a granted claim was used while time was left, without the decision that applies to all other requests.

The same decision applies now. A claimed call that has not run is refused as not run, and the outcome of its claim, which is recorded before the process ends, frees the key.

--- a/crates/peridotrack-edge/src/caller/service_call.rs
+++ b/crates/peridotrack-edge/src/caller/service_call.rs
@@ -265,12 +265,9 @@
     }
 
     /// Waits until the call is not to be sent, or not again, because the router is stopping, and
-    /// returns the problem to refuse it with. A claim that was made is used while time is left.
+    /// returns the problem to refuse it with. The key of a claimed call that has not run is free
+    /// again.
     async fn refused_at_stop(&self) -> problem::Problem {
-        if self.mode == Mode::Claimed {
-            self.services.stopping.answer_due().await;
-            return stopping::unanswered(self.may_have_run.get());
-        }
         let target = self.target();
         self.call.refused_at_stop(self.services, &target).await;
         stopping::refusal(self.may_have_run.get())
--- a/crates/peridotrackd/tests/stopping.rs
+++ b/crates/peridotrackd/tests/stopping.rs
@@ -157,6 +157,31 @@
     });
 }
 
+/// Guards against a claimed call that is sent so late that the end of the stop cuts it.
+#[test]
+fn a_claimed_call_that_waits_for_a_server_after_the_grace_period_is_refused_as_not_run() {
+    block_on(async {
+        let mut fixture = Fixture::spawn(200, 10_000).await;
+        let one_slot = |config: &mut Config| config.register.services[0].slots = 1;
+        fixture.fleet.apply(one_slot).await.unwrap();
+        monoio::time::sleep(CONFIGURATION_DELAY).await;
+        fixture.set_service_delay(800);
+        let address = fixture.stopping.caller_address;
+        let open_call = monoio::spawn(fetch(address, fleet::call("/isbn", None)));
+        fixture.wait_for_runs(1).await;
+        let call = || fleet::call("/isbn", Some("key"));
+        let waiting_call = monoio::spawn(fetch(address, call()));
+        monoio::time::sleep(Duration::from_millis(100)).await;
+        fixture.stopping.process.terminate().unwrap();
+        assert_is_stopping(&waiting_call.await.unwrap());
+        assert_eq!(open_call.await.unwrap().status(), StatusCode::OK);
+        fixture.stopping.process.wait_for_exit().await.unwrap();
+        let other = fixture.fleet.routers[0].caller_address;
+        assert_eq!(fetch(other, call()).await.unwrap().status(), StatusCode::OK);
+        assert_eq!(fixture.runs(), 2);
+    });
+}
+
 /// Guards against a next request on a connection that the router is about to close.
 #[rstest]
 #[case::chat(|| chat(false))]
