fix(edge): a response that arrives as the stop ends is forwarded

A response of a backend server that was ready at the moment when requests without a response are answered could be dropped for a 502.

Cause: the selects between the response and the end of the stop chose at random if both were ready.

They prefer the response now. While a stream is forwarded, the disconnection of the client is checked first, so that a server that is always ready does not hide it. Before an engine's connection is used, the end of the stop comes first, since nothing has been sent.

Found by reading; there is no test of this order, and no run shows that a response was dropped.

--- a/crates/peridotrack-edge/src/caller/completion/attempt.rs
+++ b/crates/peridotrack-edge/src/caller/completion/attempt.rs
@@ -54,8 +54,9 @@
         resume_offset: Option<u64>,
     ) -> Attempt {
         let taken = monoio::select! {
-            taken = self.services.pool.take(address) => taken,
+            biased;
             () = self.answer_due() => return Attempt::Stopped { usage: None },
+            taken = self.services.pool.take(address) => taken,
         };
         let mut backend = match taken {
             Ok(backend) => backend,
@@ -68,6 +69,7 @@
         ticket.sent();
         self.mark_reservation_exposed();
         let sent = monoio::select! {
+            biased;
             sent = backend.send(request) => sent,
             () = connection.closed() => return self.cancel(address).await,
             () = self.answer_due() => return self.stop(address).await,
@@ -154,6 +156,7 @@
         address: SocketAddr,
     ) -> Attempt {
         let read = monoio::select! {
+            biased;
             read = backend.read_body() => read,
             () = connection.closed() => return self.cancel(address).await,
             () = self.answer_due() => return self.stop(address).await,
@@ -190,8 +193,9 @@
         let mut tail = Vec::new();
         loop {
             let chunk = monoio::select! {
-                chunk = backend.next_chunk() => chunk,
+                biased;
                 () = connection.closed() => return self.cancel(address).await,
+                chunk = backend.next_chunk() => chunk,
                 () = self.answer_due() => return self.stop(address).await,
             };
             let events_seen = stream.events_seen();
--- a/crates/peridotrack-edge/src/caller/service_call.rs
+++ b/crates/peridotrack-edge/src/caller/service_call.rs
@@ -234,6 +234,7 @@
             self.call.note(&self.services.kernel, event);
             tracked.sent();
             let attempt = monoio::select! {
+                biased;
                 attempt = self.attempt(&ticket, target.address) => attempt,
                 () = self.services.stopping.answer_due() => Attempt::Stopped,
             };
--- a/crates/peridotrack-edge/src/gateway/attempt.rs
+++ b/crates/peridotrack-edge/src/gateway/attempt.rs
@@ -84,6 +84,7 @@
     ) -> AttemptResult {
         let sent_us = self.shared.kernel.now_us();
         let head = monoio::select! {
+            biased;
             head = self.within_deadline(self.send(progress)) => head,
             () = client.closed() => return AttemptResult::ClientDisconnected,
             () = self.answer_due(progress) => return AttemptResult::Stopped,
@@ -113,6 +114,7 @@
             };
         }
         let body = monoio::select! {
+            biased;
             body = self.within_deadline(head.connection.read_body()) => body,
             () = client.closed() => return AttemptResult::ClientDisconnected,
             () = self.answer_due(progress) => return AttemptResult::Stopped,
--- a/crates/peridotrack-edge/src/gateway/stream.rs
+++ b/crates/peridotrack-edge/src/gateway/stream.rs
@@ -157,8 +157,9 @@
     let mut parser = sse::Parser::default();
     loop {
         let chunk = monoio::select! {
-            chunk = head.connection.next_chunk() => chunk,
+            biased;
             () = client.closed() => return AttemptResult::ClientDisconnected,
+            chunk = head.connection.next_chunk() => chunk,
             () = attempt.answer_due(progress) => return AttemptResult::Stopped,
         };
         let chunk = match chunk {
