fix(caller): a connection over the limit gets its refusal

A caller whose connection exceeded `limits.connections` saw it closed without a byte, in place of the documented 429.

Cause: the refusal was written before a request had been read, and the connection permits a response only after one. The error was ignored.

`Connection::refuse` responds to a request that is not read and discards its bytes before the close, as for a request that cannot be read. The server waits for the first bytes for a limited time, since clients take a response that precedes their request for an error.

--- a/crates/peridotrack-edge/src/caller/server.rs
+++ b/crates/peridotrack-edge/src/caller/server.rs
@@ -42,6 +42,8 @@
 const SERVICES_PATH: &str = "/v1/services/";
 /// `Retry-After` of a connection refused because too many are open, in milliseconds.
 const CONNECTIONS_RETRY_MS: u64 = 1_000;
+/// Limit of the idle time of a connection over the limit, in milliseconds.
+const REFUSED_IDLE_MS: u64 = 500;
 
 /// Services and connections that the request handlers share.
 pub(super) struct Services {
@@ -305,9 +307,10 @@
         };
         let mut connection = server::Connection::new(stream, options);
         if self.open_connections.get() >= self.limits.connections {
-            let problem = problem::Problem::new(problem::Kind::Overloaded, "too many connections")
-                .retry_after_ms(CONNECTIONS_RETRY_MS);
-            let _ = connection.respond(response::problem(&problem)).await;
+            monoio::select! {
+                () = self.refuse_connection(&mut connection) => {}
+                () = self.killed.notified() => {}
+            }
             return;
         }
         self.open_connections.set(self.open_connections.get() + 1);
@@ -318,6 +321,18 @@
         self.open_connections.set(self.open_connections.get() - 1);
     }
 
+    /// Refuses the first request of a connection over the limit without reading it.
+    async fn refuse_connection(&self, connection: &mut server::Connection) {
+        let idle_ms = || REFUSED_IDLE_MS;
+        if !idle::wait_for_request(connection, &self.closing, false, idle_ms).await {
+            return;
+        }
+        let _receiving = Counted::new(&self.receiving_requests);
+        let problem = problem::Problem::new(problem::Kind::Overloaded, "too many connections")
+            .retry_after_ms(CONNECTIONS_RETRY_MS);
+        let _ = connection.refuse(response::problem(&problem)).await;
+    }
+
     async fn serve_requests(&self, connection: &mut server::Connection) {
         let mut is_kept = false;
         let idle_ms = || server::Options::default().idle_timeout_ms;
--- a/crates/peridotrack-http/src/server/connection.rs
+++ b/crates/peridotrack-http/src/server/connection.rs
@@ -42,7 +42,7 @@
 }
 
 impl Exchange {
-    const REFUSED: Self = Self {
+    pub(super) const REFUSED: Self = Self {
         keep_alive: false,
         head_only: false,
         version: Version::HTTP_11,
--- a/crates/peridotrack-http/src/server/response.rs
+++ b/crates/peridotrack-http/src/server/response.rs
@@ -13,7 +13,7 @@
     head,
     server::{
         Error, Step,
-        connection::{Connection, Phase},
+        connection::{Connection, Exchange, Phase},
     },
 };
 
@@ -51,6 +51,21 @@
         Ok(())
     }
 
+    /// Responds to a request that has not been read, and closes the connection. The bytes of the
+    /// request are discarded as [`Connection::respond`] does before a close.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a request is in progress, or if the write fails or times out.
+    pub async fn refuse(&mut self, response: http::Response<Bytes>) -> Result<(), Error> {
+        if self.phase != Phase::Ready {
+            return Err(self.out_of_order());
+        }
+        self.phase = Phase::Refused;
+        self.exchange = Exchange::REFUSED;
+        self.respond(response).await
+    }
+
     /// Writes the head of a chunked response.
     ///
     /// # Errors
--- a/crates/peridotrack-http/tests/server_responses.rs
+++ b/crates/peridotrack-http/tests/server_responses.rs
@@ -155,6 +155,28 @@
     });
 }
 
+#[test]
+fn refusal_of_an_unread_request_closes_the_connection() {
+    run(async {
+        let (mut caller, accepted) = common::connected_pair().await;
+        let mut connection = Connection::new(accepted, Options::default());
+        let exchange = monoio::spawn(async move {
+            let request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+            common::send_parts(&mut caller, vec![request.into()], AfterSend::Close).await;
+            common::read_to_end(&mut caller).await
+        });
+        connection.readable().await;
+        let refusal = Response::new(Bytes::from("refused"));
+        connection.refuse(refusal.clone()).await.unwrap();
+        let again = connection.refuse(refusal).await;
+        assert!(matches!(again, Err(Error::OutOfOrder { .. })));
+        assert!(connection.next().await.unwrap().is_none());
+        drop(connection);
+        let received = exchange.await.to_ascii_lowercase();
+        assert!(received.contains("connection: close") && received.ends_with("refused"));
+    });
+}
+
 #[test]
 fn error_response_reaches_a_caller_that_is_still_sending() {
     run(async {
