--- a/crates/peridotrack-edge/src/idle.rs
+++ b/crates/peridotrack-edge/src/idle.rs
@@ -60,7 +60,7 @@
 
 /// Waits for the first bytes of the next request; `is_kept` states whether the connection has
 /// carried one. Returns `false` if it is to be closed: because of `closing`, or because it has been
-/// idle for [`IDLE_LIMITS`] times the limit in milliseconds, the larger one of those that
+/// idle for twice the limit in milliseconds, the larger one of those that
 /// `idle_limit_ms` returns at the begin and when it expires.
 ///
 /// Also returns when the connection ends, which the next read reports.
