--- a/crates/peridotrack-edge/src/gateway/attempt.rs
+++ b/crates/peridotrack-edge/src/gateway/attempt.rs
@@ -94,13 +94,18 @@
             Some(Err(error)) => return self.failed(&error, progress),
             None => return self.timed_out(),
         };
-        progress.record_head(head.metadata.limit_per_s);
+        progress.record_head(head.metadata);
         if !head.metadata.is_misdirected {
             let server = &self.target.backend_server;
             let limit_per_s = head.metadata.limit_per_s;
             self.shared.throttle.answered(server, limit_per_s, sent_us);
             self.shared.quarantine.answered(server, sent_us);
         }
+        self.shared.directory.note_improper(
+            self.shared,
+            &self.target.backend_server,
+            &head.metadata,
+        );
         self.report_load(&head.metadata);
         if let Some(result) = self.check_head(&head) {
             return result;
--- a/crates/peridotrack-edge/src/gateway/directory.rs
+++ b/crates/peridotrack-edge/src/gateway/directory.rs
@@ -11,7 +11,7 @@
 };
 
 use peridotrack_kernel::{clock, event};
-use peridotrack_platform::directory as wire;
+use peridotrack_platform::{directory as wire, response as response_wire};
 use peridotrack_quarantine::run::Run;
 use peridotrack_types::{name, register, rules, site};
 
@@ -39,6 +39,8 @@
     entries: RefCell<BTreeMap<name::BackendServer, Entry>>,
     /// Names of entries that cannot be decoded, so that each is logged once.
     ignored: RefCell<BTreeSet<String>>,
+    /// Servers whose statements in responses have no proper value, so that each is logged once.
+    improper: RefCell<BTreeSet<(name::BackendServer, response_wire::Improper)>>,
     is_listed: Cell<bool>,
     /// When a store call of the peer that relays changes last failed, in monotonic microseconds.
     peer_last_failure_us: Cell<u64>,
@@ -57,6 +59,29 @@
         entry.map_or_else(|| name.clone().into(), |entry| run(&entry.server))
     }
 
+    /// Records that a response of a server contains a statement without a proper value, once for
+    /// each server.
+    pub(super) fn note_improper(
+        &self,
+        shared: &Shared,
+        server: &name::BackendServer,
+        metadata: &response_wire::Metadata,
+    ) {
+        let Some(improper) = metadata.improper else {
+            return;
+        };
+        if self
+            .improper
+            .borrow_mut()
+            .insert((server.clone(), improper))
+        {
+            let event = event::Event::new(event::Kind::StatementImproper)
+                .with("backend_server", server.as_str())
+                .with("detail", improper.to_string());
+            shared.kernel.note(event);
+        }
+    }
+
     /// Passes the backend servers of known services that are not draining to the routing service.
     ///
     /// Does nothing until a configuration is known.
@@ -168,6 +193,10 @@
             }
             entry.missing_since_us.is_none()
         });
+        let entries = self.entries.borrow();
+        let mut improper = self.improper.borrow_mut();
+        improper.retain(|(name, _)| entries.contains_key(name));
+        drop((entries, improper));
         for server in ended {
             liveness::report_end(shared, &server);
         }
--- a/crates/peridotrack-edge/src/gateway/exchange.rs
+++ b/crates/peridotrack-edge/src/gateway/exchange.rs
@@ -215,7 +215,7 @@
                     .with("response", progress.stage().name())
                     .with("signatures", request.signatures_text())
                     .with("detail", detail);
-                request.note(shared, progress.describe_limit(event));
+                request.note(shared, progress.describe_statements(event));
                 shared.metrics.failed_attempts.increment(1);
                 last_response = response;
                 if outcome == Outcome::ConnectFailed {
@@ -320,7 +320,7 @@
     let route = request.route();
     let is_late = first_part_us > route.objective_ms * clock::US_PER_MS
         || progress.longest_gap_us() > route.event_gap_ms * clock::US_PER_MS;
-    let event = progress.describe_limit(reservation.describe(event.with("is_late", is_late)));
+    let event = progress.describe_statements(reservation.describe(event.with("is_late", is_late)));
     request.note(shared, event);
     shared.metrics.completed.increment(1);
 }
--- a/crates/peridotrack-edge/src/gateway/stream.rs
+++ b/crates/peridotrack-edge/src/gateway/stream.rs
@@ -6,6 +6,7 @@
 use bytes::{Bytes, BytesMut};
 use peridotrack_http::{client, server};
 use peridotrack_kernel::event;
+use peridotrack_platform::response as response_wire;
 use peridotrack_route::event::Outcome;
 
 use super::{
@@ -43,10 +44,8 @@
     events_seen: u64,
     /// Events read before the current attempt.
     earlier_events: u64,
-    /// Whether the head of the current attempt's response was received.
-    has_head: bool,
-    /// Requests per second that the server of the current attempt takes, if it stated a limit.
-    limit_per_s: Option<f64>,
+    /// Head of the current attempt's response, if it was received.
+    head: Option<response_wire::Metadata>,
     last_event: Option<u64>,
     event_tokens: u64,
     first_part_us: u64,
@@ -61,8 +60,7 @@
             has_started: false,
             events_seen: 0,
             earlier_events: 0,
-            has_head: false,
-            limit_per_s: None,
+            head: None,
             last_event: request.metadata.last_event,
             event_tokens: request.engine().map_or(1, |engine| engine.event_tokens),
             first_part_us: 0,
@@ -84,28 +82,34 @@
     /// Begins an attempt, from which nothing was received yet.
     pub(super) fn begin_attempt(&mut self) {
         self.earlier_events = self.events_seen;
-        self.has_head = false;
-        self.limit_per_s = None;
+        self.head = None;
     }
 
-    /// Records that the head of the current attempt's response was received, with the limit that it
-    /// states.
-    pub(super) fn record_head(&mut self, limit_per_s: Option<f64>) {
-        self.has_head = true;
-        self.limit_per_s = limit_per_s;
+    /// Records that the head of the current attempt's response was received.
+    pub(super) fn record_head(&mut self, metadata: response_wire::Metadata) {
+        self.head = Some(metadata);
     }
 
-    /// Adds the limit that the server of the current attempt stated, if any.
-    pub(super) fn describe_limit(&self, event: event::Event) -> event::Event {
-        match self.limit_per_s {
-            Some(limit_per_s) => event.with("limit_per_s", limit_per_s.to_string()),
-            None => event,
+    /// Adds what the server of the current attempt stated about itself, if anything.
+    pub(super) fn describe_statements(&self, mut event: event::Event) -> event::Event {
+        let Some(metadata) = self.head else {
+            return event;
+        };
+        if let Some(limit_per_s) = metadata.limit_per_s {
+            event = event.with("limit_per_s", limit_per_s.to_string());
+        }
+        if metadata.is_leaving {
+            event = event.with("is_server_leaving", true);
+        }
+        if let Some(pause_ms) = metadata.pause_ms {
+            event = event.with("pause_ms", pause_ms);
         }
+        event
     }
 
     /// Returns how far the response of the current attempt got.
     pub(super) fn stage(&self) -> Stage {
-        match (self.has_head, self.events_seen - self.earlier_events) {
+        match (self.head.is_some(), self.events_seen - self.earlier_events) {
             (false, _) => Stage::Waiting,
             (true, 0) => Stage::Begun,
             (true, _) => Stage::Streaming,
--- a/crates/peridotrack-kernel/src/event.rs
+++ b/crates/peridotrack-kernel/src/event.rs
@@ -137,6 +137,8 @@
     501 Info BackendServerLeaving,
     /// A backend server states a limit of requests per second for all routers, or ended it.
     502 Info RateLimitChanged,
+    /// A backend server's response contains a statement about the server without a proper value.
+    503 Warn StatementImproper,
     /// A backend server ended with a request of these signatures in flight.
     510 Warn SignatureSuspected,
     /// Requests with all of these signatures are refused, because backend servers crash under them.
