--- a/crates/peridotrack-edge/tests/gateway/main.rs
+++ b/crates/peridotrack-edge/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod fixture;
 mod fleet;
 mod http_1_0;
+mod leaving_or_paused;
 mod peers;
 mod prompt_parts;
 mod raw;
--- a/crates/peridotrack-standin/src/hosted/backend.rs
+++ b/crates/peridotrack-standin/src/hosted/backend.rs
@@ -170,6 +170,9 @@
     arrivals: Cell<u64>,
     cancelled: Cell<u64>,
     limit_per_s: Cell<Option<f64>>,
+    is_leaving: Cell<bool>,
+    pause_until: Cell<Option<Instant>>,
+    paused_arrivals: RefCell<Vec<Instant>>,
     name: RefCell<Option<String>>,
     fatal_part: Cell<Option<u64>>,
     fatal_request: RefCell<Option<Content>>,
@@ -187,6 +190,9 @@
             arrivals: Cell::default(),
             cancelled: Cell::default(),
             limit_per_s: Cell::default(),
+            is_leaving: Cell::default(),
+            pause_until: Cell::default(),
+            paused_arrivals: RefCell::default(),
             name: RefCell::default(),
             fatal_part: Cell::default(),
             fatal_request: RefCell::default(),
@@ -242,6 +248,22 @@
         self.0.application.limit_per_s.get().is_some()
     }
 
+    /// Sets whether responses state that the server is leaving.
+    pub fn set_leaving(&self, is_leaving: bool) {
+        self.0.application.is_leaving.set(is_leaving);
+    }
+
+    /// Refuses requests for a time, and states in each refusal how much of it is left.
+    pub fn pause(&self, duration: Duration) {
+        let until = Instant::now() + duration;
+        self.0.application.pause_until.set(Some(until));
+    }
+
+    /// Returns when requests arrived during pauses since the last call.
+    pub fn take_paused_arrivals(&self) -> Vec<Instant> {
+        self.0.application.paused_arrivals.take()
+    }
+
     /// Sets the name under which the server is registered; requests for another one get 421.
     pub fn set_name(&self, name: Option<&str>) {
         let name = name.map(str::to_owned);
@@ -296,19 +318,30 @@
 }
 
 impl Server {
-    /// Starts a response with the headers of a genuine server: request id, seal, load and, if it
-    /// states one, the limit.
+    /// Starts a response with the headers of a genuine server: request id, seal, load and what the
+    /// server states about itself.
     fn signed(&self, request: &HeaderMap) -> http::response::Builder {
         let head = Response::builder()
             .header("peridotrack-request-id", &request["peridotrack-request-id"])
             .header("peridotrack-response-seal", "3e1b")
             .header("peridotrack-server-load", "1,0,8");
-        match self.limit_per_s.get() {
+        let head = match self.limit_per_s.get() {
             Some(limit_per_s) => head.header("server-limit", limit_per_s.to_string()),
             None => head,
+        };
+        match self.is_leaving.get() {
+            true => head.header("server-leaving", "1"),
+            false => head,
         }
     }
 
+    /// Returns what is left of a pause, and counts the arrival of a request in it.
+    fn arrive_in_pause(&self, at: Instant) -> Option<Duration> {
+        let left = self.pause_until.get()?.checked_duration_since(at)?;
+        self.paused_arrivals.borrow_mut().push(at);
+        Some(left)
+    }
+
     /// Crashes, after the head of a response or without any of it; sends nothing more until the
     /// handle is dropped.
     async fn crash(&self, incoming: Incoming<'_>, cause: Cause) -> Result<(), Disconnect> {
@@ -445,6 +478,12 @@
                 .status(status)
                 .header("peridotrack-not-executed", "1")
         };
+        if let Some(left) = self.arrive_in_pause(run.at) {
+            let head = refusal(StatusCode::SERVICE_UNAVAILABLE)
+                .header("retry-after", left.as_secs_f64().to_string());
+            let response = response::finish(head, Bytes::new());
+            return Ok(incoming.connection.respond(response).await?);
+        }
         match mode {
             Mode::Refuse => {
                 let response =
