fix(route): a server that states that it leaves gets no new request

Callers saw nothing, but requests reached a backend server up to 20 s after it had stated in its responses that it leaves: operators saw DRAIN broken.

Cause: routers relied on the directory, which some servers never write to, and read no statement of the server itself. Class: evidence at hand that is not used. A second one beside it, found by a test of its own: the state of a server was dropped with its entry, so that an entry that lapsed and returned made it usable again.

Change: a statement is a state of the server's lifetime in the routing state machine. It is applied at once, without the store, told to the peers in touch, and neither reports, expiry nor the return of the entry undo it, but a later start of the process does. Idle connections to the server are given up. All reasons against a server are one table now (eligibility), with their ends, which placement, refusals and the status of servers use.

--- a/crates/peridotrack-bench/src/route/case.rs
+++ b/crates/peridotrack-bench/src/route/case.rs
@@ -132,6 +132,7 @@
                 models: vec![MODEL.into()],
                 slots: slots as u32,
                 fencing: register::Fencing::Ignored,
+                lifetime: register::Lifetime::default(),
             })
             .collect(),
         ..Default::default()
--- a/crates/peridotrack-demo/src/fleet.rs
+++ b/crates/peridotrack-demo/src/fleet.rs
@@ -321,6 +321,7 @@
             models: vec![MODEL.into()],
             slots: SLOTS,
             fencing: register::Fencing::Ignored,
+            lifetime: register::Lifetime::default(),
         });
     let services = services
         .iter()
@@ -331,6 +332,7 @@
             failure_domain: DOMAINS[index].into(),
             address: service.address(),
             slots: SLOTS,
+            lifetime: register::Lifetime::default(),
         });
     let register = register::Register {
         failure_domains: DOMAINS
--- a/crates/peridotrack-edge/src/daemon.rs
+++ b/crates/peridotrack-edge/src/daemon.rs
@@ -371,6 +371,10 @@
         peer::Frame::Member(message) => members.receive(sender.address, message),
         peer::Frame::Budget { message, .. } => budget.receive(sender.incarnation, message),
         peer::Frame::Usage { message, .. } => usage.receive(sender.incarnation, message),
+        peer::Frame::LeavingStated {
+            backend_server,
+            started_ms,
+        } => route.leaving_stated_to_peer(backend_server, started_ms),
         peer::Frame::Leaving { backend_server } => route.leaving_reported_by_peer(backend_server),
         peer::Frame::ConfigRequest { above_version } => {
             config.send_object(sender.address, above_version);
--- a/crates/peridotrack-edge/src/gateway.rs
+++ b/crates/peridotrack-edge/src/gateway.rs
@@ -382,8 +382,10 @@
         follow,
         quarantine,
         throttle,
+        route,
         ..
     } = &**shared;
+    let route = Rc::clone(route);
     let (members, budget, follow) = (Rc::clone(member), Rc::clone(budget), Rc::clone(follow));
     let (quarantine, throttle) = (Rc::clone(quarantine), Rc::clone(throttle));
     let on_frame = move |sender: peer::Sender, frame: peer::Frame| match frame {
@@ -399,6 +401,10 @@
             failure_domain,
             news,
         } => throttle.receive(&failure_domain, news),
+        peer::Frame::LeavingStated {
+            backend_server,
+            started_ms,
+        } => route.leaving_stated_to_peer(backend_server, started_ms),
         _ => {}
     };
     let members = Rc::clone(member);
--- a/crates/peridotrack-edge/src/gateway/attempt.rs
+++ b/crates/peridotrack-edge/src/gateway/attempt.rs
@@ -63,7 +63,7 @@
 pub(super) struct ResponseHead {
     pub(super) connection: client::Connection,
     pub(super) parts: http::response::Parts,
-    metadata: response_wire::Metadata,
+    pub(super) metadata: response_wire::Metadata,
 }
 
 impl ResponseHead {
@@ -95,6 +95,9 @@
             None => return self.timed_out(),
         };
         progress.record_head(head.metadata);
+        if head.metadata.matches_request && !head.metadata.is_misdirected {
+            self.report_statements(&head.metadata);
+        }
         if !head.metadata.is_misdirected {
             let server = &self.target.backend_server;
             let limit_per_s = head.metadata.limit_per_s;
@@ -219,7 +222,7 @@
     fn classify(&self, head: ResponseHead, body: Bytes) -> AttemptResult {
         let status = head.parts.status;
         let response = response::forwarded(&head.parts, body);
-        self.shared.pool.put(head.connection);
+        self.keep_connection(head.connection, &head.metadata);
         if status.is_success() {
             let tokens = self.request.metadata.max_output_tokens;
             self.reservation.delivered_tokens.set(tokens);
@@ -231,6 +234,17 @@
         failed_response(format!("failed with status {status}"), final_response)
     }
 
+    /// Returns the connection of a complete response to the pool, unless the server leaves.
+    pub(super) fn keep_connection(
+        &self,
+        connection: client::Connection,
+        metadata: &response_wire::Metadata,
+    ) {
+        if !metadata.is_leaving {
+            self.shared.pool.put(connection);
+        }
+    }
+
     /// Reports the load in the headers of the response, if any, to the routing service.
     fn report_load(&self, metadata: &response_wire::Metadata) {
         let Some(load) = metadata.load else { return };
@@ -240,10 +254,19 @@
             queued: load.queued,
             slots: load.slots,
             age_us: 0,
-            leaving: false,
+            leaving: metadata.is_leaving,
         });
     }
 
+    /// Passes what the server states about itself to the routing service, and gives up the idle
+    /// connections to a server that leaves.
+    fn report_statements(&self, metadata: &response_wire::Metadata) {
+        if metadata.is_leaving {
+            self.ticket.leaving_stated();
+            self.shared.pool.close_idle(self.target.address);
+        }
+    }
+
     /// Waits until the gateway stops, unless the client has received a part of the response.
     pub(super) async fn answer_due(&self, progress: &Progress) {
         match progress.has_started() {
--- a/crates/peridotrack-edge/src/gateway/directory.rs
+++ b/crates/peridotrack-edge/src/gateway/directory.rs
@@ -266,6 +266,12 @@
     }
 }
 
+fn lifetime(server: &site::BackendServer) -> register::Lifetime {
+    register::Lifetime {
+        started_ms: server.born_ms,
+    }
+}
+
 /// Describes a model engine to the routing service, which selects it by the name of its service.
 fn engine(server: &site::BackendServer) -> register::Engine {
     register::Engine {
@@ -275,6 +281,7 @@
         models: vec![server.service.as_str().into()],
         slots: server.slots,
         fencing: register::Fencing::default(),
+        lifetime: lifetime(server),
     }
 }
 
@@ -286,6 +293,7 @@
         failure_domain: server.failure_domain.clone(),
         address: server.address,
         slots: server.slots,
+        lifetime: lifetime(server),
     }
 }
 
--- a/crates/peridotrack-edge/src/gateway/stream.rs
+++ b/crates/peridotrack-edge/src/gateway/stream.rs
@@ -259,7 +259,7 @@
     client: &mut server::Connection,
     progress: &mut Progress,
 ) -> AttemptResult {
-    attempt.shared.pool.put(head.connection);
+    attempt.keep_connection(head.connection, &head.metadata);
     if !progress.has_started
         && write_events(attempt, &head.parts, client, progress, Bytes::new())
             .await
--- a/crates/peridotrack-edge/src/peer/frame.rs
+++ b/crates/peridotrack-edge/src/peer/frame.rs
@@ -95,6 +95,13 @@
         /// The whole statement, which replaces earlier ones.
         statement: statement::Statement,
     },
+    /// Reports that a backend server has stated that it leaves.
+    LeavingStated {
+        /// Name of the backend server that gets no new requests in its lifetime.
+        backend_server: name::BackendServer,
+        /// When its process started, in milliseconds since the Unix epoch, if known.
+        started_ms: Option<u64>,
+    },
     /// News about the rate that a backend server states.
     RateLimit {
         /// Failure domain of the sender.
@@ -112,6 +119,7 @@
             Self::Hello(_)
             | Self::Member(_)
             | Self::Leaving { .. }
+            | Self::LeavingStated { .. }
             | Self::ConfigRequest { .. }
             | Self::Config { .. }
             | Self::ConfigPartRequest { .. }
--- a/crates/peridotrack-edge/src/route.rs
+++ b/crates/peridotrack-edge/src/route.rs
@@ -179,6 +179,16 @@
         }
     }
 
+    /// Reports that the backend server of the last step states in its response that it leaves.
+    pub fn leaving_stated(&self) {
+        if let Some(backend) = self.backend_server.clone() {
+            self.route.handle(Event::LeavingStated {
+                backend,
+                started_ms: None,
+            });
+        }
+    }
+
     /// Reports how the attempt ended. Done and Cancelled end the request; after any other outcome
     /// the routing service sends another step.
     pub fn finished(&mut self, outcome: Outcome) {
@@ -290,6 +300,20 @@
         self.is_reported_by_peer.set(false);
     }
 
+    /// Handles a peer's report that a backend server has stated that it leaves.
+    pub fn leaving_stated_to_peer(
+        &self,
+        backend_server: name::BackendServer,
+        started_ms: Option<u64>,
+    ) {
+        self.is_reported_by_peer.set(true);
+        self.handle(Event::LeavingStated {
+            backend: backend_server,
+            started_ms,
+        });
+        self.is_reported_by_peer.set(false);
+    }
+
     /// Passes an event to the state machine and carries out the actions that it returns.
     pub fn handle(&self, event: Event) {
         let actions = self
@@ -395,7 +419,7 @@
 
     /// Notifies live peers that a backend server is leaving, which they may otherwise detect only
     /// seconds later.
-    fn notify_peers(&self, backend_server: &name::BackendServer) {
+    fn notify_peers(&self, frame: &peer::Frame) {
         if self.is_reported_by_peer.get() {
             return;
         }
@@ -404,19 +428,27 @@
             .registry()
             .find::<member::Member>(member::SERVICE)
         {
-            members.send_to_live(&peer::Frame::Leaving {
-                backend_server: backend_server.clone(),
-            });
+            members.send_to_live(frame);
         }
     }
 
     /// Records a note on the timeline and notifies peers if a backend server is leaving.
     fn record_note(&self, note: &Note) {
-        if let Note::Leaving { backend } = note {
-            self.notify_peers(backend);
+        match note {
+            Note::Leaving { backend } => self.notify_peers(&peer::Frame::Leaving {
+                backend_server: backend.clone(),
+            }),
+            Note::LeavingStated {
+                backend,
+                started_ms,
+            } => self.notify_peers(&peer::Frame::LeavingStated {
+                backend_server: backend.clone(),
+                started_ms: *started_ms,
+            }),
+            _ => {}
         }
         let kind = match note {
-            Note::Leaving { .. } => event::Kind::BackendServerLeaving,
+            Note::Leaving { .. } | Note::LeavingStated { .. } => event::Kind::BackendServerLeaving,
             _ => event::Kind::RouteNote,
         };
         let text = serde_json::to_string(note).unwrap_or_default();
--- a/crates/peridotrack-route/src/backend.rs
+++ b/crates/peridotrack-route/src/backend.rs
@@ -3,9 +3,15 @@
 //! [`Backend`] joins the load estimate, concurrency limit, circuit breaker and drain state of a
 //! server and derives from them whether it may receive a request and at what expected latency.
 
-use peridotrack_types::name;
+use peridotrack_types::{name, register};
 
-use crate::{breaker, drain, limit, load_estimate, options::Options, pace, prefill, prefix};
+use crate::{
+    breaker, drain,
+    eligibility::{Ineligibility, Reason},
+    limit, load_estimate,
+    options::Options,
+    pace, prefill, prefix,
+};
 
 /// State of one backend server, as this router sees it.
 #[derive(Debug, Clone)]
@@ -14,6 +20,8 @@
     pub name: name::BackendServer,
     /// Failure domain in the asset register.
     pub failure_domain: name::FailureDomain,
+    /// Run of its process that the register names.
+    pub lifetime: register::Lifetime,
     /// Number of requests that it can run concurrently, from the register or its latest load
     /// report.
     pub slots: u32,
@@ -48,6 +56,7 @@
     pub fn new(
         name: name::BackendServer,
         failure_domain: name::FailureDomain,
+        lifetime: register::Lifetime,
         slots: u32,
         distance_us: u64,
     ) -> Self {
@@ -55,6 +64,7 @@
             seed: prefix::seed(name.as_str()),
             name,
             failure_domain,
+            lifetime,
             slots,
             distance_us,
             in_flight: 0,
@@ -87,27 +97,48 @@
     /// Returns whether the server may receive one more request now.
     #[inline]
     pub fn is_available(&self, now_us: u64, options: &Options) -> bool {
-        self.drain.is_serving()
-            && now_us >= self.backoff_until_us
-            && self.is_within_rate(now_us)
-            && f64::from(self.in_flight) < self.limit_requests(now_us, options).max(1.0)
-            && self.breaker.allows(now_us)
+        self.ineligibilities(now_us, options).next().is_none()
     }
 
-    /// Returns whether the rate that the server states, if any, allows this router a request now.
-    #[inline]
-    pub fn is_within_rate(&self, now_us: u64) -> bool {
-        self.pace.is_none_or(|pace| pace.allows(now_us))
-    }
-
-    /// Returns whether the server is not drained, its breaker is not open and its stated rate allows
-    /// a request.
+    /// Returns whether no reason against the server holds for longer than about a request.
     ///
     /// In contrast to [`Self::is_available`], it may be at its limit or in backoff.
-    pub fn is_usable(&self, now_us: u64) -> bool {
-        self.drain.is_serving()
-            && self.is_within_rate(now_us)
-            && !matches!(self.breaker.state(now_us), breaker::State::Open { .. })
+    pub fn is_usable(&self, now_us: u64, options: &Options) -> bool {
+        self.ineligibilities(now_us, options)
+            .all(|ineligibility| ineligibility.reason.is_brief())
+    }
+
+    /// Returns when a server that is not usable now may become so; `None` if it is usable, or if the
+    /// end of a reason is not known.
+    pub fn usable_us(&self, now_us: u64, options: &Options) -> Option<u64> {
+        let lasting = self
+            .ineligibilities(now_us, options)
+            .filter(|ineligibility| !ineligibility.reason.is_brief());
+        lasting
+            .map(|ineligibility| ineligibility.until_us)
+            .reduce(|a, b| Some(a?.max(b?)))
+            .flatten()
+    }
+
+    /// Returns all reasons why the server may receive no request now.
+    #[inline]
+    pub fn ineligibilities(
+        &self,
+        now_us: u64,
+        options: &Options,
+    ) -> impl Iterator<Item = Ineligibility> {
+        let is_at_limit =
+            f64::from(self.in_flight) >= self.limit_requests(now_us, options).max(1.0);
+        [
+            self.drain.ineligibility(),
+            self.pace.and_then(|pace| pace.ineligibility(now_us)),
+            self.breaker.ineligibility(now_us),
+            (now_us < self.backoff_until_us)
+                .then(|| Ineligibility::until(Reason::BackOff, self.backoff_until_us)),
+            is_at_limit.then(|| Reason::AtLimit.into()),
+        ]
+        .into_iter()
+        .flatten()
     }
 
     /// Returns the estimated requests of all routers per slot.
@@ -128,6 +159,24 @@
             + self.distance_us as f64
     }
 
+    /// Returns whether a run of the server's process with this start time, if known, is the one
+    /// that the register names or a later one.
+    pub fn is_current(&self, started_ms: Option<u64>) -> bool {
+        match (started_ms, self.lifetime.started_ms) {
+            (Some(started_ms), Some(known_ms)) => started_ms >= known_ms,
+            _ => true,
+        }
+    }
+
+    /// Takes over the run that the register names; returns whether it is a later one, for which
+    /// earlier statements of the server do not hold.
+    pub fn set_lifetime(&mut self, lifetime: &register::Lifetime) -> bool {
+        let is_later =
+            lifetime.started_ms > self.lifetime.started_ms && self.lifetime.started_ms.is_some();
+        self.lifetime = lifetime.clone();
+        is_later
+    }
+
     /// Counts a dispatched request; returns whether it is a breaker probe.
     pub fn on_dispatch(&mut self, now_us: u64) -> bool {
         self.in_flight += 1;
--- a/crates/peridotrack-route/src/breaker.rs
+++ b/crates/peridotrack-route/src/breaker.rs
@@ -5,7 +5,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::options::Options;
+use crate::{
+    eligibility::{Ineligibility, Reason},
+    options::Options,
+};
 
 /// Limit on the penalty, in doublings of the open time.
 const MAX_PENALTY: f64 = 10.0;
@@ -98,6 +101,15 @@
         }
     }
 
+    /// Returns why the breaker lets no request pass, if so.
+    pub fn ineligibility(&self, now_us: u64) -> Option<Ineligibility> {
+        match self.state(now_us) {
+            State::Open { until_us } => Some(Ineligibility::until(Reason::BreakerOpen, until_us)),
+            State::HalfOpen if self.probes_in_flight > 0 => Some(Reason::Probing.into()),
+            State::HalfOpen | State::Closed => None,
+        }
+    }
+
     /// Returns whether the breaker is closed, so that requests pass without being probes.
     pub fn is_closed(&self) -> bool {
         self.state == State::Closed
--- a/crates/peridotrack-route/src/configure.rs
+++ b/crates/peridotrack-route/src/configure.rs
@@ -19,6 +19,7 @@
 struct Declared<'a> {
     name: &'a name::BackendServer,
     failure_domain: &'a name::FailureDomain,
+    lifetime: &'a register::Lifetime,
     slots: u32,
     targets: Vec<Target>,
 }
@@ -42,7 +43,7 @@
             .map(|domain| (domain.name.clone(), domain.region.as_str()))
             .collect();
         let declared = declared(register);
-        self.mark_removed(&declared);
+        self.mark_removed(now_us, &declared);
         for pool in &mut self.pools {
             pool.near.clear();
             pool.far.clear();
@@ -64,7 +65,7 @@
             self.begin_slow_start(now_us, index);
         }
         self.configured = true;
-        self.free_drained(&mut actions);
+        self.free_drained(now_us, &mut actions);
         for pool in 0..self.pools.len() {
             self.refuse_if_unserved(now_us, pool, &mut actions);
             self.dispatch_queued(now_us, pool, &mut actions);
@@ -77,7 +78,9 @@
     pub(crate) fn begin_slow_start(&mut self, now_us: u64, index: usize) {
         let is_alternative = |other: usize| {
             let backend = &self.backends[other];
-            other != index && backend.slow_start_us.is_none() && backend.is_usable(now_us)
+            other != index
+                && backend.slow_start_us.is_none()
+                && backend.is_usable(now_us, &self.options)
         };
         let mut pools = self.backends[index].pools.iter();
         let has_alternatives = pools.all(|&pool| {
@@ -88,9 +91,9 @@
     }
 
     /// Frees the index of a removed server that has no request in flight.
-    pub(crate) fn free_if_drained(&mut self, index: usize, actions: &mut Vec<Action>) {
+    pub(crate) fn free_if_drained(&mut self, now_us: u64, index: usize, actions: &mut Vec<Action>) {
         let backend = &self.backends[index];
-        if !backend.drain.is_removed() || backend.in_flight > 0 {
+        if !backend.drain.may_forget(now_us, &self.options) || backend.in_flight > 0 {
             return;
         }
         let name = backend.name.clone();
@@ -101,18 +104,18 @@
         }
     }
 
-    fn free_drained(&mut self, actions: &mut Vec<Action>) {
+    pub(crate) fn free_drained(&mut self, now_us: u64, actions: &mut Vec<Action>) {
         for index in 0..self.backends.len() {
-            self.free_if_drained(index, actions);
+            self.free_if_drained(now_us, index, actions);
         }
     }
 
-    fn mark_removed(&mut self, declared: &[Declared<'_>]) {
+    fn mark_removed(&mut self, now_us: u64, declared: &[Declared<'_>]) {
         let names: HashSet<_> = declared.iter().map(|server| server.name).collect();
         for backend in &mut self.backends {
             backend.pools.clear();
             if !names.contains(&backend.name) {
-                backend.drain.set_removed(true);
+                backend.drain.set_removed(now_us, true);
             }
         }
     }
@@ -128,15 +131,20 @@
                 backend.slots = server.slots;
                 backend.limit.set_slots(server.slots);
             }
-            let was_removed = backend.drain.set_removed(false);
+            let was_removed = backend.drain.set_removed(now_us, false);
             if was_removed {
                 backend.breaker.on_flap(now_us, &self.options);
             }
-            return (index, was_removed);
+            let has_restarted = backend.set_lifetime(server.lifetime);
+            if has_restarted {
+                backend.drain.on_restarted(server.lifetime.started_ms);
+            }
+            return (index, was_removed || has_restarted);
         }
         let backend = Backend::new(
             server.name.clone(),
             server.failure_domain.clone(),
+            server.lifetime.clone(),
             server.slots,
             distance_us,
         );
@@ -197,12 +205,14 @@
     let engines = register.engines.iter().map(|engine| Declared {
         name: &engine.name,
         failure_domain: &engine.failure_domain,
+        lifetime: &engine.lifetime,
         slots: engine.slots,
         targets: engine.models.iter().cloned().map(Target::Model).collect(),
     });
     let services = register.services.iter().map(|server| Declared {
         name: &server.name,
         failure_domain: &server.failure_domain,
+        lifetime: &server.lifetime,
         slots: server.slots,
         targets: vec![Target::Service(server.service.clone())],
     });
--- a/crates/peridotrack-route/src/dispatch.rs
+++ b/crates/peridotrack-route/src/dispatch.rs
@@ -6,7 +6,6 @@
 use peridotrack_types::{id, problem};
 
 use crate::{
-    breaker,
     event::Action,
     place, queue,
     request::{Attempt, Phase, Request},
@@ -36,11 +35,11 @@
             if let Some(index) = self.choose(now_us, &request) {
                 return self.dispatch(now_us, request_id, request, index, actions);
             }
-            if !self.has_usable_backend(now_us, request.pool) {
-                let kind = problem::Kind::NoBackendServer;
-                let retry_after_us = self.time_to_probe_us(now_us, request.pool);
-                return refuse(actions, request_id, &request, kind, retry_after_us);
-            }
+        }
+        if !self.has_usable_backend(now_us, request.pool) {
+            let kind = problem::Kind::NoBackendServer;
+            let retry_after_us = self.time_to_usable_us(now_us, request.pool);
+            return refuse(actions, request_id, &request, kind, retry_after_us);
         }
         self.enqueue(now_us, request_id, request, actions);
     }
@@ -132,23 +131,19 @@
     pub(crate) fn has_usable_backend(&self, now_us: u64, pool: usize) -> bool {
         self.pools[pool]
             .members()
-            .any(|member| self.backends[member.index].is_usable(now_us))
+            .any(|member| self.backends[member.index].is_usable(now_us, &self.options))
     }
 
-    /// Returns the time until the first member of the pool that is not usable now may become so: when
-    /// its open breaker lets a probe pass, or its stated rate a request. It is the default
-    /// Retry-After if there is no such member.
-    pub(crate) fn time_to_probe_us(&self, now_us: u64, pool: usize) -> u64 {
+    /// Returns the time until the first member of the pool that is not usable now may become so, or
+    /// the default Retry-After if no member has a known end of all reasons against it.
+    pub(crate) fn time_to_usable_us(&self, now_us: u64, pool: usize) -> u64 {
         self.pools[pool]
             .members()
-            .map(|member| &self.backends[member.index])
-            .filter(|backend| backend.drain.is_serving())
-            .filter_map(|backend| match backend.breaker.state(now_us) {
-                breaker::State::Open { until_us } => Some(until_us.saturating_sub(now_us)),
-                _ => backend.pace?.wait_us(now_us),
-            })
+            .filter_map(|member| self.backends[member.index].usable_us(now_us, &self.options))
             .min()
-            .unwrap_or(self.options.default_retry_after_us)
+            .map_or(self.options.default_retry_after_us, |usable_us| {
+                usable_us.saturating_sub(now_us)
+            })
     }
 
     fn choose(&mut self, now_us: u64, request: &Request) -> Option<usize> {
@@ -316,7 +311,7 @@
         let pool = &mut self.pools[request.pool];
         pool.queue.remove(request_id);
         let retry_after_us = match kind {
-            problem::Kind::NoBackendServer => self.time_to_probe_us(now_us, request.pool),
+            problem::Kind::NoBackendServer => self.time_to_usable_us(now_us, request.pool),
             _ => pool.dequeue_us(pool.queue.len() + 1),
         };
         refuse(actions, request_id, &request, kind, retry_after_us);
--- a/crates/peridotrack-route/src/drain.rs
+++ b/crates/peridotrack-route/src/drain.rs
@@ -1,11 +1,14 @@
 //! Drain state of backend servers.
 //!
 //! [`Drain`] records why a backend server must receive no new work: it is no longer in the asset
-//! register, or a list, a load report or a refusal indicated that it is leaving.
+//! register, a list, a load report or a refusal indicated that it is leaving, or it stated so itself.
 
 use serde::{Deserialize, Serialize};
 
-use crate::options::Options;
+use crate::{
+    eligibility::{Ineligibility, Reason},
+    options::Options,
+};
 
 /// Drain state of a backend server, as operators see it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -28,7 +31,8 @@
 /// to the register again while it is leaving still receives nothing.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Drain {
-    removed: bool,
+    /// Since when the register lacks the server.
+    removed_us: Option<u64>,
     leaving: Option<Leaving>,
 }
 
@@ -37,35 +41,51 @@
 struct Leaving {
     first_indicated_us: u64,
     latest_indicated_us: u64,
+    /// Whether the server stated it, which holds for the rest of its lifetime.
+    is_stated: bool,
+    /// When the process that stated it started, in milliseconds since the Unix epoch, if known.
+    started_ms: Option<u64>,
 }
 
 impl Drain {
     /// Returns the state that operators see; removal takes precedence over leaving.
     pub fn state(self) -> State {
-        match (self.removed, self.leaving) {
-            (true, _) => State::Removed,
-            (false, Some(leaving)) => State::Leaving {
+        match (self.removed_us, self.leaving) {
+            (Some(_), _) => State::Removed,
+            (None, Some(leaving)) => State::Leaving {
                 since_us: leaving.first_indicated_us,
             },
-            (false, None) => State::Serving,
+            (None, None) => State::Serving,
         }
     }
 
     /// Returns whether the server may receive new work.
     #[inline]
     pub fn is_serving(self) -> bool {
-        !self.removed && self.leaving.is_none()
+        self.removed_us.is_none() && self.leaving.is_none()
+    }
+
+    /// Returns why the server may receive no new work, if so.
+    #[inline]
+    pub fn ineligibility(self) -> Option<Ineligibility> {
+        match (self.removed_us, self.leaving) {
+            (Some(_), _) => Some(Reason::Removed.into()),
+            (None, Some(_)) => Some(Reason::Leaving.into()),
+            (None, None) => None,
+        }
     }
 
     /// Returns whether the register lacks the server.
     pub fn is_removed(self) -> bool {
-        self.removed
+        self.removed_us.is_some()
     }
 
     /// Sets whether the register lacks the server; returns whether that changed.
-    pub fn set_removed(&mut self, removed: bool) -> bool {
-        let changed = self.removed != removed;
-        self.removed = removed;
+    pub fn set_removed(&mut self, now_us: u64, removed: bool) -> bool {
+        let changed = self.is_removed() != removed;
+        if changed {
+            self.removed_us = removed.then_some(now_us);
+        }
         changed
     }
 
@@ -75,11 +95,43 @@
         let leaving = self.leaving.get_or_insert(Leaving {
             first_indicated_us: now_us,
             latest_indicated_us: now_us,
+            is_stated: false,
+            started_ms: None,
         });
         leaving.latest_indicated_us = now_us;
         first
     }
 
+    /// Records the statement of a server, whose process started at `started_ms` if that is known,
+    /// that it leaves; returns whether it is the first one.
+    pub fn on_leaving_stated(&mut self, now_us: u64, started_ms: Option<u64>) -> bool {
+        self.on_leaving(now_us);
+        self.leaving.as_mut().is_some_and(|leaving| {
+            leaving.started_ms = leaving.started_ms.max(started_ms);
+            !std::mem::replace(&mut leaving.is_stated, true)
+        })
+    }
+
+    /// Ends the leaving state, because the server's process started again at `started_ms`, unless
+    /// it was that process which stated it.
+    pub fn on_restarted(&mut self, started_ms: Option<u64>) {
+        if self
+            .leaving
+            .is_none_or(|leaving| leaving.started_ms < started_ms)
+        {
+            self.leaving = None;
+        }
+    }
+
+    /// Returns whether the state of a removed server may be dropped. A statement that it leaves is
+    /// kept for [`Options::statement_memory_us`], since its entry may return before it ends.
+    pub fn may_forget(self, now_us: u64, options: &Options) -> bool {
+        let is_stated = self.leaving.is_some_and(|leaving| leaving.is_stated);
+        self.removed_us.is_some_and(|removed_us| {
+            !is_stated || now_us >= removed_us + options.statement_memory_us
+        })
+    }
+
     /// Applies a report that the server is not leaving; returns whether the server serves again.
     ///
     /// Lists and reports lag, so a report counts only if it was measured at least
@@ -103,7 +155,7 @@
     fn clear_leaving_if(&mut self, is_outdated: impl FnOnce(u64) -> bool) -> bool {
         let returned = self
             .leaving
-            .is_some_and(|leaving| is_outdated(leaving.latest_indicated_us));
+            .is_some_and(|leaving| !leaving.is_stated && is_outdated(leaving.latest_indicated_us));
         if returned {
             self.leaving = None;
         }
--- a/crates/peridotrack-route/src/event.rs
+++ b/crates/peridotrack-route/src/event.rs
@@ -125,6 +125,15 @@
         /// Name in the asset register of the server that is leaving.
         backend: name::BackendServer,
     },
+    /// A backend server states that it leaves, in a response to this router or to a peer. It holds
+    /// for the rest of the server's lifetime.
+    LeavingStated {
+        /// Name in the asset register of the server that is leaving.
+        backend: name::BackendServer,
+        /// When the process that states it started, as [`Note::LeavingStated`] of the peer has it;
+        /// `None` if it is the process that the register names.
+        started_ms: Option<u64>,
+    },
     /// The rate of this router's requests to a backend server changed, because the server states a
     /// limit or ended it.
     Rate {
@@ -196,6 +205,13 @@
         /// Name in the asset register of the server, which finishes its requests in flight.
         backend: name::BackendServer,
     },
+    /// A backend server states that it leaves, and receives no new work in its lifetime.
+    LeavingStated {
+        /// Name in the asset register of the server, which finishes its requests in flight.
+        backend: name::BackendServer,
+        /// When its process started, in milliseconds since the Unix epoch, if known.
+        started_ms: Option<u64>,
+    },
     /// A backend server that was leaving receives work again.
     Returned {
         /// Name in the asset register of the server, whose breaker counts the return as a flap.
--- a/crates/peridotrack-route/src/finish.rs
+++ b/crates/peridotrack-route/src/finish.rs
@@ -68,7 +68,7 @@
             Outcome::Done | Outcome::Cancelled => {}
             _ => self.handle_failure(now_us, request_id, request, &attempt, outcome, actions),
         }
-        self.free_if_drained(attempt.backend, actions);
+        self.free_if_drained(now_us, attempt.backend, actions);
         self.dispatch_queued_to(now_us, attempt.backend, actions);
     }
 
@@ -250,7 +250,7 @@
         not_run: problem::Kind,
     ) -> u64 {
         if not_run == problem::Kind::NoBackendServer {
-            return self.time_to_probe_us(now_us, request.pool);
+            return self.time_to_usable_us(now_us, request.pool);
         }
         let pool = &self.pools[request.pool];
         pool.dequeue_us(pool.queue.len() + 1)
--- a/crates/peridotrack-route/src/lib.rs
+++ b/crates/peridotrack-route/src/lib.rs
@@ -15,6 +15,7 @@
 //!     models: vec!["drafting".into()],
 //!     slots: 8,
 //!     fencing: register::Fencing::Ignored,
+//!     lifetime: register::Lifetime::default(),
 //! };
 //! let register = register::Register {
 //!     engines: vec![engine],
@@ -56,6 +57,7 @@
 mod configure;
 mod dispatch;
 pub mod drain;
+pub mod eligibility;
 pub mod event;
 pub mod fairness;
 mod finish;
--- a/crates/peridotrack-route/src/options.rs
+++ b/crates/peridotrack-route/src/options.rs
@@ -39,6 +39,9 @@
     pub leaving_hold_us: u64,
     /// Time without an indication of leaving after which the server receives work again.
     pub leaving_expiry_us: u64,
+    /// Time after its removal from the register for which a server's statement that it leaves is
+    /// kept.
+    pub statement_memory_us: u64,
     /// Limit on the expected wait in a queue, as a share of the time to the deadline less the
     /// minimum expected service time.
     pub queue_wait_share: f64,
@@ -91,6 +94,7 @@
             slow_start_us: 10_000_000,
             leaving_hold_us: 10_000_000,
             leaving_expiry_us: 60_000_000,
+            statement_memory_us: 600_000_000,
             queue_wait_share: 0.25,
             overtake_tokens: 16_000,
             ageing_us: 2_000_000,
--- a/crates/peridotrack-route/src/pace.rs
+++ b/crates/peridotrack-route/src/pace.rs
@@ -3,6 +3,8 @@
 //! [`Pace`] is the virtual scheduling form of the generic cell rate algorithm (ITU-T I.371, annex A)
 //! without tolerance: consecutive requests are at least one interval apart.
 
+use crate::eligibility::{Ineligibility, Reason};
+
 const US_PER_S: f64 = 1e6;
 
 /// Earliest time of the next request to one server.
@@ -36,10 +38,12 @@
         self.interval_us.is_some() && now_us >= self.next_us
     }
 
-    /// Returns the time until a request may be sent; `None` if this router sends none.
-    pub fn wait_us(&self, now_us: u64) -> Option<u64> {
-        self.interval_us
-            .map(|_| self.next_us.saturating_sub(now_us))
+    /// Returns why no request may be sent now, if so.
+    pub fn ineligibility(&self, now_us: u64) -> Option<Ineligibility> {
+        (!self.allows(now_us)).then_some(Ineligibility {
+            reason: Reason::Throttled,
+            until_us: self.interval_us.map(|_| self.next_us),
+        })
     }
 
     /// Counts a request that is sent now, allowed or not.
--- a/crates/peridotrack-route/src/router.rs
+++ b/crates/peridotrack-route/src/router.rs
@@ -84,7 +84,7 @@
         let members = pools.flat_map(|pool| self.pools[*pool].members());
         let backends = members.map(|member| &self.backends[member.index]);
         backends.fold((0, 0), |(usable, in_flight), backend| {
-            let is_usable = u64::from(backend.is_usable(now_us));
+            let is_usable = u64::from(backend.is_usable(now_us, &self.options));
             (usable + is_usable, in_flight + u64::from(backend.in_flight))
         })
     }
@@ -117,6 +117,7 @@
             others_requests: backend.pools.first().map_or(0.0, others),
             breaker: backend.breaker.state(now_us),
             drain: backend.drain.state(),
+            ineligibilities: backend.ineligibilities(now_us, &self.options).collect(),
             slow_start: backend.slow_start_us.is_some(),
             report_age_us: backend.load_estimate.report_age_us(now_us),
         }
@@ -184,6 +185,10 @@
             } => self.on_finished(now_us, request_id, outcome, &mut actions),
             Event::LoadReport { .. } => self.on_report(now_us, &event, &mut actions),
             Event::Leaving { backend } => self.on_leaving(now_us, &backend, &mut actions),
+            Event::LeavingStated {
+                backend,
+                started_ms,
+            } => self.on_leaving_stated(now_us, &backend, started_ms, &mut actions),
             Event::Rate { backend, per_s } => self.on_rate(now_us, &backend, per_s, &mut actions),
             Event::Connected { backend } => {
                 if let Some(&index) = self.by_name.get(&backend) {
@@ -202,6 +207,7 @@
                 self.on_returned(now_us, index, actions);
             }
         }
+        self.free_drained(now_us, actions);
         for pool in 0..self.pools.len() {
             self.refuse_late(now_us, pool, actions);
             self.dispatch_queued(now_us, pool, actions);
@@ -282,6 +288,29 @@
         }
     }
 
+    /// Records a server's statement that it leaves. One of an earlier lifetime is ignored.
+    fn on_leaving_stated(
+        &mut self,
+        now_us: u64,
+        name: &name::BackendServer,
+        started_ms: Option<u64>,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(&index) = self.by_name.get(name) else {
+            return;
+        };
+        let backend = &mut self.backends[index];
+        let is_current = backend.is_current(started_ms);
+        let started_ms = started_ms.or(backend.lifetime.started_ms);
+        if is_current && backend.drain.on_leaving_stated(now_us, started_ms) {
+            actions.push(Action::Note(Note::LeavingStated {
+                backend: name.clone(),
+                started_ms,
+            }));
+            self.refuse_unserved_pools(now_us, index, actions);
+        }
+    }
+
     fn on_not_leaving(
         &mut self,
         now_us: u64,
--- a/crates/peridotrack-route/src/status.rs
+++ b/crates/peridotrack-route/src/status.rs
@@ -6,7 +6,7 @@
 use peridotrack_types::name;
 use serde::{Deserialize, Serialize};
 
-use crate::{breaker, drain, event};
+use crate::{breaker, drain, eligibility, event};
 
 /// State of the backend servers and pools of one router.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -34,6 +34,8 @@
     pub breaker: breaker::State,
     /// Whether it receives new work, and if not, why.
     pub drain: drain::State,
+    /// All reasons why it receives no request, empty if it may receive one.
+    pub ineligibilities: Vec<eligibility::Ineligibility>,
     /// Whether it is in slow start.
     pub slow_start: bool,
     /// Age of the latest load report; `None` without one.
--- a/crates/peridotrack-route/tests/invariants.rs
+++ b/crates/peridotrack-route/tests/invariants.rs
@@ -302,6 +302,7 @@
             Note::BreakerOpened { .. } => "opened",
             Note::BreakerClosed { .. } => "closed",
             Note::Leaving { .. } => "leaving",
+            Note::LeavingStated { .. } => "leaving stated",
             Note::Returned { .. } => "returned",
             Note::Drained { .. } => "drained",
             Note::RetryDenied { .. } => "retry denied",
--- a/crates/peridotrack-route/tests/support/mod.rs
+++ b/crates/peridotrack-route/tests/support/mod.rs
@@ -27,6 +27,7 @@
         models: vec![MODEL.into()],
         slots,
         fencing: register::Fencing::Ignored,
+        lifetime: register::Lifetime::default(),
     }
 }
 
@@ -37,6 +38,7 @@
         failure_domain: format!("domain-{}", number % 4).as_str().into(),
         address: ([127, 0, 0, 1], 9000).into(),
         slots,
+        lifetime: register::Lifetime::default(),
     }
 }
 
--- a/crates/peridotrack-route/tests/throttle.rs
+++ b/crates/peridotrack-route/tests/throttle.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 
 use peridotrack_route::{
+    eligibility::Reason,
     pace::Pace,
     throttle::{Action, Event, News, Options, Routers, Throttle},
 };
@@ -192,5 +193,5 @@
 fn a_pace_of_rate_0_allows_nothing() {
     let pace = Pace::new(0, 0.0);
     assert!(!pace.allows(u64::MAX));
-    assert_eq!(pace.wait_us(0), None);
+    assert_eq!(pace.ineligibility(0), Some(Reason::Throttled.into()));
 }
--- a/crates/peridotrack-standin/src/harness/fleet.rs
+++ b/crates/peridotrack-standin/src/harness/fleet.rs
@@ -157,6 +157,7 @@
                 models: vec![name::Model::from(MODEL)],
                 slots: SLOTS,
                 fencing: register::Fencing::Ignored,
+                lifetime: register::Lifetime::default(),
             });
             self.engines.push(engine);
         }
@@ -168,6 +169,7 @@
                 failure_domain: failure_domain.clone(),
                 address: service.address(),
                 slots: SLOTS,
+                lifetime: register::Lifetime::default(),
             });
             self.services.push(service);
         }
--- a/crates/peridotrack-types/src/register.rs
+++ b/crates/peridotrack-types/src/register.rs
@@ -53,6 +53,14 @@
     Ignored,
 }
 
+/// One run of a backend server's process, as far as a directory states it.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Lifetime {
+    /// When the process started, in milliseconds since the Unix epoch on the server's clock; a
+    /// process that starts again under its name has a later time.
+    pub started_ms: Option<u64>,
+}
+
 /// One model engine.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -70,6 +78,9 @@
     /// Whether the engine enforces fencing tokens.
     #[serde(default)]
     pub fencing: Fencing,
+    /// Current run of its process; not part of the operators' register.
+    #[serde(skip)]
+    pub lifetime: Lifetime,
 }
 
 /// One backend server of a plain service.
@@ -86,6 +97,9 @@
     pub address: SocketAddr,
     /// Number of requests that the server handles concurrently.
     pub slots: u32,
+    /// Current run of its process; not part of the operators' register.
+    #[serde(skip)]
+    pub lifetime: Lifetime,
 }
 
 impl Register {
