fix(route): a server that asks for a pause gets no request until its end

Cause: a refusal of a server led to a back-off of 200 ms, whatever time the server had stated, since no router read it. Class: a stated bound replaced by an own one.

Change: the pause is a reason against the server with its end. The longest of several pauses counts, and a success does not end it. If all servers of a service pause, a request is refused at once with the end of the first pause as Retry-After; consecutive callers return one after another, and a server begins with a slow start after its pause. Queued requests wait for the end only within their deadline. The name, its pause and its statement outlive the entry.

--- a/crates/peridotrack-edge/src/gateway/attempt.rs
+++ b/crates/peridotrack-edge/src/gateway/attempt.rs
@@ -265,6 +265,9 @@
             self.ticket.leaving_stated();
             self.shared.pool.close_idle(self.target.address);
         }
+        if let Some(pause_ms) = metadata.pause_ms {
+            self.ticket.pause_asked(pause_ms * clock::US_PER_MS);
+        }
     }
 
     /// Waits until the gateway stops, unless the client has received a part of the response.
--- a/crates/peridotrack-edge/src/route.rs
+++ b/crates/peridotrack-edge/src/route.rs
@@ -189,6 +189,16 @@
         }
     }
 
+    /// Reports that the backend server of the last step wants no request of this router for a time.
+    pub fn pause_asked(&self, duration_us: u64) {
+        if let Some(backend) = self.backend_server.clone() {
+            self.route.handle(Event::Pause {
+                backend,
+                duration_us,
+            });
+        }
+    }
+
     /// Reports how the attempt ended. Done and Cancelled end the request; after any other outcome
     /// the routing service sends another step.
     pub fn finished(&mut self, outcome: Outcome) {
--- a/crates/peridotrack-route/src/backend.rs
+++ b/crates/peridotrack-route/src/backend.rs
@@ -45,6 +45,8 @@
     pub slow_start_us: Option<u64>,
     /// Time before which it receives no work, set after each refusal.
     pub backoff_until_us: u64,
+    /// Time before which it receives no work, because it asked for a pause.
+    pub paused_until_us: u64,
     /// Spacing of this router's requests while the server states a rate.
     pub pace: Option<pace::Pace>,
     /// Indices of the pools that it is a member of; empty after removal from the register.
@@ -75,6 +77,7 @@
             prefill: prefill::Prefill::default(),
             slow_start_us: None,
             backoff_until_us: 0,
+            paused_until_us: 0,
             pace: None,
             pools: Vec::new(),
         }
@@ -131,6 +134,8 @@
             f64::from(self.in_flight) >= self.limit_requests(now_us, options).max(1.0);
         [
             self.drain.ineligibility(),
+            self.is_paused(now_us)
+                .then(|| Ineligibility::until(Reason::Paused, self.paused_until_us)),
             self.pace.and_then(|pace| pace.ineligibility(now_us)),
             self.breaker.ineligibility(now_us),
             (now_us < self.backoff_until_us)
@@ -187,6 +192,30 @@
         self.breaker.on_dispatch(now_us)
     }
 
+    /// Returns whether the server wants no request now.
+    pub fn is_paused(&self, now_us: u64) -> bool {
+        now_us < self.paused_until_us
+    }
+
+    /// Records that the server wants no request until a time; the longest of several pauses counts.
+    /// After it, the server begins with a slow start, even if it is the only one: it asked for the
+    /// pause because it could not take the requests that it received.
+    ///
+    /// Returns whether the pause is longer than was known.
+    pub fn pause(&mut self, until_us: u64) -> bool {
+        if until_us <= self.paused_until_us {
+            return false;
+        }
+        self.paused_until_us = until_us;
+        self.slow_start_us = Some(until_us);
+        true
+    }
+
+    /// Returns whether the state of a removed server may be dropped.
+    pub fn may_forget(&self, now_us: u64, options: &Options) -> bool {
+        self.in_flight == 0 && !self.is_paused(now_us) && self.drain.may_forget(now_us, options)
+    }
+
     /// Counts the end of an attempt.
     pub fn on_release(&mut self, now_us: u64) {
         self.in_flight = self.in_flight.saturating_sub(1);
--- a/crates/peridotrack-route/src/configure.rs
+++ b/crates/peridotrack-route/src/configure.rs
@@ -87,13 +87,16 @@
             let mut members = self.pools[pool].members();
             members.any(|member| is_alternative(member.index))
         });
-        self.backends[index].slow_start_us = has_alternatives.then_some(now_us);
+        let backend = &mut self.backends[index];
+        if !backend.is_paused(now_us) {
+            backend.slow_start_us = has_alternatives.then_some(now_us);
+        }
     }
 
     /// Frees the index of a removed server that has no request in flight.
     pub(crate) fn free_if_drained(&mut self, now_us: u64, index: usize, actions: &mut Vec<Action>) {
         let backend = &self.backends[index];
-        if !backend.drain.may_forget(now_us, &self.options) || backend.in_flight > 0 {
+        if !backend.may_forget(now_us, &self.options) {
             return;
         }
         let name = backend.name.clone();
--- a/crates/peridotrack-route/src/dispatch.rs
+++ b/crates/peridotrack-route/src/dispatch.rs
@@ -12,6 +12,14 @@
     router::Router,
 };
 
+/// When a server that is not usable may become so.
+#[derive(Debug, Clone, Copy)]
+struct Usable {
+    at_us: u64,
+    /// Whether the end of a pause decides it.
+    is_pause: bool,
+}
+
 /// Minimum expected service time of a request, as a share of the mean duration in its pool.
 const MIN_SERVICE_SHARE: f64 = 0.5;
 
@@ -107,7 +115,8 @@
         }
     }
 
-    /// Refuses the queued requests of a pool if it has no usable server.
+    /// Refuses the queued requests of a pool if it has no usable server, except for those that can
+    /// wait until the first pause of a server ends.
     pub(crate) fn refuse_if_unserved(
         &mut self,
         now_us: u64,
@@ -117,12 +126,21 @@
         if self.pools[pool].queue.is_empty() || self.has_usable_backend(now_us, pool) {
             return;
         }
-        let queued: Vec<_> = self.pools[pool]
-            .queue
-            .iter()
+        let first = self.first_usable(now_us, pool);
+        let resumes_us = first
+            .filter(|first| first.is_pause)
+            .map(|first| first.at_us);
+        let queued = self.pools[pool].queue.iter();
+        let unservable: Vec<_> = queued
             .map(|entry| entry.request_id)
+            .filter(|id| {
+                let request = self.requests.get(id);
+                request.is_none_or(|request| {
+                    resumes_us.is_none_or(|resumes_us| self.is_late(resumes_us, request))
+                })
+            })
             .collect();
-        for request_id in queued {
+        for request_id in unservable {
             self.refuse_queued(now_us, request_id, problem::Kind::NoBackendServer, actions);
         }
     }
@@ -134,16 +152,44 @@
             .any(|member| self.backends[member.index].is_usable(now_us, &self.options))
     }
 
-    /// Returns the time until the first member of the pool that is not usable now may become so, or
-    /// the default Retry-After if no member has a known end of all reasons against it.
-    pub(crate) fn time_to_usable_us(&self, now_us: u64, pool: usize) -> u64 {
-        self.pools[pool]
-            .members()
-            .filter_map(|member| self.backends[member.index].usable_us(now_us, &self.options))
-            .min()
-            .map_or(self.options.default_retry_after_us, |usable_us| {
-                usable_us.saturating_sub(now_us)
-            })
+    /// Returns the first end that is known of all lasting reasons against a member of the pool.
+    fn first_usable(&self, now_us: u64, pool: usize) -> Option<Usable> {
+        let members = self.pools[pool].members();
+        let ends = members.filter_map(|member| {
+            let backend = &self.backends[member.index];
+            let at_us = backend.usable_us(now_us, &self.options)?;
+            let is_pause = backend.is_paused(now_us) && at_us == backend.paused_until_us;
+            Some(Usable { at_us, is_pause })
+        });
+        ends.min_by_key(|end| end.at_us)
+    }
+
+    /// Returns the time after which a caller that is refused returns, because no member of the pool
+    /// is usable: until the first one may become so, or the default Retry-After if that is not
+    /// known. The returns after a pause are spread.
+    pub(crate) fn time_to_usable_us(&mut self, now_us: u64, pool: usize) -> u64 {
+        let Some(first) = self.first_usable(now_us, pool) else {
+            return self.options.default_retry_after_us;
+        };
+        let return_us = match first.is_pause {
+            true => {
+                let interval_us = self.completion_interval_us(pool);
+                let span_us = self.options.return_span_us;
+                let returns = &mut self.pools[pool].returns;
+                returns.assign(first.at_us, interval_us, span_us)
+            }
+            false => first.at_us,
+        };
+        return_us.saturating_sub(now_us)
+    }
+
+    /// Returns the mean time between two completions of this router's requests if all members of
+    /// the pool are fully used.
+    fn completion_interval_us(&self, pool: usize) -> u64 {
+        let pool = &self.pools[pool];
+        let members = pool.members().map(|member| &self.backends[member.index]);
+        let slots: f64 = members.map(|backend| f64::from(backend.slots)).sum();
+        (pool.prior.duration_us * pool.prior.routers / slots.max(1.0)) as u64
     }
 
     fn choose(&mut self, now_us: u64, request: &Request) -> Option<usize> {
@@ -308,11 +354,13 @@
         let Some(request) = self.requests.remove(&request_id) else {
             return;
         };
-        let pool = &mut self.pools[request.pool];
-        pool.queue.remove(request_id);
+        self.pools[request.pool].queue.remove(request_id);
         let retry_after_us = match kind {
             problem::Kind::NoBackendServer => self.time_to_usable_us(now_us, request.pool),
-            _ => pool.dequeue_us(pool.queue.len() + 1),
+            _ => {
+                let pool = &self.pools[request.pool];
+                pool.dequeue_us(pool.queue.len() + 1)
+            }
         };
         refuse(actions, request_id, &request, kind, retry_after_us);
     }
--- a/crates/peridotrack-route/src/eligibility.rs
+++ b/crates/peridotrack-route/src/eligibility.rs
@@ -13,6 +13,8 @@
     Removed,
     /// The server is leaving.
     Leaving,
+    /// The server asked for a pause.
+    Paused,
     /// The rate that the server states allows no request of this router now.
     Throttled,
     /// The circuit breaker is open.
@@ -31,7 +33,9 @@
     pub fn is_brief(self) -> bool {
         match self {
             Self::Probing | Self::BackOff | Self::AtLimit => true,
-            Self::Removed | Self::Leaving | Self::Throttled | Self::BreakerOpen => false,
+            Self::Removed | Self::Leaving | Self::Paused | Self::Throttled | Self::BreakerOpen => {
+                false
+            }
         }
     }
 
@@ -40,6 +44,7 @@
         match self {
             Self::Removed => "removed",
             Self::Leaving => "leaving",
+            Self::Paused => "paused",
             Self::Throttled => "throttled",
             Self::BreakerOpen => "breaker_open",
             Self::Probing => "probing",
--- a/crates/peridotrack-route/src/event.rs
+++ b/crates/peridotrack-route/src/event.rs
@@ -134,6 +134,13 @@
         /// `None` if it is the process that the register names.
         started_ms: Option<u64>,
     },
+    /// A backend server turned a request of this router away and wants no other one for a time.
+    Pause {
+        /// Name in the asset register of the server.
+        backend: name::BackendServer,
+        /// Time for which it wants no request.
+        duration_us: u64,
+    },
     /// The rate of this router's requests to a backend server changed, because the server states a
     /// limit or ended it.
     Rate {
@@ -212,6 +219,13 @@
         /// When its process started, in milliseconds since the Unix epoch, if known.
         started_ms: Option<u64>,
     },
+    /// A backend server asked for a pause, or for a longer one.
+    Paused {
+        /// Name in the asset register of the server, which receives no requests of this router.
+        backend: name::BackendServer,
+        /// Time for which it receives none.
+        duration_us: u64,
+    },
     /// A backend server that was leaving receives work again.
     Returned {
         /// Name in the asset register of the server, whose breaker counts the return as a flap.
--- a/crates/peridotrack-route/src/finish.rs
+++ b/crates/peridotrack-route/src/finish.rs
@@ -82,21 +82,19 @@
         outcome: Outcome,
         actions: &mut Vec<Action>,
     ) {
-        let not_run = self.not_run_kind(now_us, &request);
-        let retry_after_us = self.failure_retry_after_us(now_us, &request, not_run);
         let resumes = self.can_resume(&request, attempt);
         request.unsent_dispatches += u32::from(outcome == Outcome::ConnectFailed);
         let is_proven = outcome == Outcome::RefusedNotRun && self.options.retry_proven_not_run;
         let retries = can_retry(&request, attempt, is_proven, self.options.max_dispatches);
         if request.deadline_us <= now_us || !(resumes || retries) {
-            return refuse(actions, request_id, &request, not_run, retry_after_us);
+            return self.refuse_failed(now_us, request_id, &request, actions);
         }
         // A refusal puts the server into backoff at once, so that retries of refusals cannot grow
         // into a retry storm; each request is still bounded in its dispatches.
         let is_exempt = outcome == Outcome::RefusedNotRun && !self.options.charge_refusal_retries;
         if !is_exempt && !self.pools[request.pool].retries.try_take(now_us) {
             actions.push(Action::Note(Note::RetryDenied { request_id }));
-            return refuse(actions, request_id, &request, not_run, retry_after_us);
+            return self.refuse_failed(now_us, request_id, &request, actions);
         }
         if resumes {
             self.resume(now_us, request_id, request, attempt, actions);
@@ -232,28 +230,27 @@
         );
     }
 
-    /// Returns the kind of a refusal of a request that did not run.
-    fn not_run_kind(&self, now_us: u64, request: &Request) -> problem::Kind {
-        if self.has_usable_backend(now_us, request.pool) {
-            problem::Kind::Overloaded
-        } else {
-            problem::Kind::NoBackendServer
-        }
-    }
-
-    /// Returns the time until a retry is expected to be served: the wait in the queue, or the time
-    /// to the next probe if the pool has no usable server.
-    fn failure_retry_after_us(
-        &self,
+    /// Refuses a request whose attempt failed. The caller returns after the wait in the queue, or
+    /// when a server may become usable if none is.
+    fn refuse_failed(
+        &mut self,
         now_us: u64,
+        request_id: id::Request,
         request: &Request,
-        not_run: problem::Kind,
-    ) -> u64 {
-        if not_run == problem::Kind::NoBackendServer {
-            return self.time_to_usable_us(now_us, request.pool);
-        }
-        let pool = &self.pools[request.pool];
-        pool.dequeue_us(pool.queue.len() + 1)
+        actions: &mut Vec<Action>,
+    ) {
+        let (not_run, retry_after_us) = match self.has_usable_backend(now_us, request.pool) {
+            true => {
+                let pool = &self.pools[request.pool];
+                let retry_after_us = pool.dequeue_us(pool.queue.len() + 1);
+                (problem::Kind::Overloaded, retry_after_us)
+            }
+            false => {
+                let retry_after_us = self.time_to_usable_us(now_us, request.pool);
+                (problem::Kind::NoBackendServer, retry_after_us)
+            }
+        };
+        refuse(actions, request_id, request, not_run, retry_after_us);
     }
 
     fn attempt(&mut self, request_id: id::Request) -> Option<&mut Attempt> {
--- a/crates/peridotrack-route/src/lib.rs
+++ b/crates/peridotrack-route/src/lib.rs
@@ -72,6 +72,7 @@
 pub mod queue;
 mod request;
 pub mod retry;
+pub mod returns;
 pub mod router;
 pub mod status;
 pub mod stop;
--- a/crates/peridotrack-route/src/options.rs
+++ b/crates/peridotrack-route/src/options.rs
@@ -42,6 +42,8 @@
     /// Time after its removal from the register for which a server's statement that it leaves is
     /// kept.
     pub statement_memory_us: u64,
+    /// Time over which the returns of callers are spread that are refused because all servers pause.
+    pub return_span_us: u64,
     /// Limit on the expected wait in a queue, as a share of the time to the deadline less the
     /// minimum expected service time.
     pub queue_wait_share: f64,
@@ -95,6 +97,7 @@
             leaving_hold_us: 10_000_000,
             leaving_expiry_us: 60_000_000,
             statement_memory_us: 600_000_000,
+            return_span_us: 1_000_000,
             queue_wait_share: 0.25,
             overtake_tokens: 16_000,
             ageing_us: 2_000_000,
--- a/crates/peridotrack-route/src/pool.rs
+++ b/crates/peridotrack-route/src/pool.rs
@@ -3,7 +3,9 @@
 //! [`Pool`] holds the members, the queue, fair sharing, the retry budget, and the mean estimates
 //! that stand in for members without samples.
 
-use crate::{event, fairness, load_estimate, options::Options, prefill, prefix, queue, retry};
+use crate::{
+    event, fairness, load_estimate, options::Options, prefill, prefix, queue, retry, returns,
+};
 
 /// Weight of a new sample in the mean duration.
 const DURATION_WEIGHT: f64 = 0.05;
@@ -40,6 +42,8 @@
     pub popularity: prefix::Popularity,
     /// Retry budget, relative to the traffic of this pool alone.
     pub retries: retry::Budget,
+    /// Times at which callers return that are refused while all members pause.
+    pub returns: returns::Returns,
     /// This router's requests in flight at all members.
     pub in_flight: usize,
     /// Means over all members, used where a member has no sample of its own.
@@ -64,6 +68,7 @@
             shares: fairness::Shares::default(),
             popularity: prefix::Popularity::default(),
             retries: retry::Budget::new(options.retry_ratio, options.min_retries),
+            returns: returns::Returns::default(),
             in_flight: 0,
             prior: load_estimate::Prior {
                 routers: 1.0,
--- a/crates/peridotrack-route/src/router.rs
+++ b/crates/peridotrack-route/src/router.rs
@@ -189,6 +189,10 @@
                 backend,
                 started_ms,
             } => self.on_leaving_stated(now_us, &backend, started_ms, &mut actions),
+            Event::Pause {
+                backend,
+                duration_us,
+            } => self.on_pause(now_us, &backend, duration_us, &mut actions),
             Event::Rate { backend, per_s } => self.on_rate(now_us, &backend, per_s, &mut actions),
             Event::Connected { backend } => {
                 if let Some(&index) = self.by_name.get(&backend) {
@@ -311,6 +315,27 @@
         }
     }
 
+    /// Records a server's request for a pause. Queued requests that cannot wait for its end are
+    /// refused.
+    fn on_pause(
+        &mut self,
+        now_us: u64,
+        name: &name::BackendServer,
+        duration_us: u64,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(&index) = self.by_name.get(name) else {
+            return;
+        };
+        if self.backends[index].pause(now_us + duration_us) {
+            actions.push(Action::Note(Note::Paused {
+                backend: name.clone(),
+                duration_us,
+            }));
+            self.refuse_unserved_pools(now_us, index, actions);
+        }
+    }
+
     fn on_not_leaving(
         &mut self,
         now_us: u64,
--- a/crates/peridotrack-route/tests/invariants.rs
+++ b/crates/peridotrack-route/tests/invariants.rs
@@ -303,6 +303,7 @@
             Note::BreakerClosed { .. } => "closed",
             Note::Leaving { .. } => "leaving",
             Note::LeavingStated { .. } => "leaving stated",
+            Note::Paused { .. } => "paused",
             Note::Returned { .. } => "returned",
             Note::Drained { .. } => "drained",
             Note::RetryDenied { .. } => "retry denied",
