fix(gateway): a request that waits for a connection is not sent into a pause

A request that was placed before a server asked for a pause, or stated that it leaves, was sent when its connection was open, up to 250 ms later, or more after a freeze. Such a request is withdrawn now and placed elsewhere. It was not sent, so that it counts neither as an attempt at an engine nor as a retry.

Two new cases in the routing crate's tests of pauses pass; the query that they use did not exist before.

--- a/crates/peridotrack-edge/src/gateway/attempt.rs
+++ b/crates/peridotrack-edge/src/gateway/attempt.rs
@@ -90,7 +90,8 @@
             () = self.answer_due(progress) => return AttemptResult::Stopped,
         };
         let mut head = match head {
-            Some(Ok(head)) => head,
+            Some(Ok(Some(head))) => head,
+            Some(Ok(None)) => return withdrawn(),
             Some(Err(error)) => return self.failed(&error, progress),
             None => return self.timed_out(),
         };
@@ -134,9 +135,13 @@
         }
     }
 
-    /// Connects, sends the request and reads the head of the response.
-    async fn send(&self, progress: &Progress) -> Result<ResponseHead, client::Error> {
+    /// Connects, sends the request and reads the head of the response. Returns `None` if the request
+    /// may not be sent to the server any more.
+    async fn send(&self, progress: &Progress) -> Result<Option<ResponseHead>, client::Error> {
         let mut connection = self.connect().await?;
+        if !self.ticket.may_send() {
+            return Ok(None);
+        }
         self.shared.route.handle(Event::Connected {
             backend: self.target.backend_server.clone(),
         });
@@ -146,11 +151,11 @@
         let parts = connection.send(request).await?;
         let metadata =
             response_wire::Metadata::decode(&parts, self.request.metadata.request_id.as_ref());
-        Ok(ResponseHead {
+        Ok(Some(ResponseHead {
             connection,
             parts,
             metadata,
-        })
+        }))
     }
 
     /// Connects to the backend server. A request that may run only once gets a new connection: the
@@ -334,6 +339,17 @@
     }
 }
 
+/// Returns the result of an attempt that ended before the request was sent, because the server became
+/// ineligible.
+fn withdrawn() -> AttemptResult {
+    AttemptResult::Failed {
+        outcome: Outcome::Withdrawn,
+        is_disconnected: false,
+        detail: "the server became ineligible before the request was sent".to_owned(),
+        response: None,
+    }
+}
+
 /// Returns whether the server closed or reset the connection during the exchange.
 fn is_disconnected(error: &client::Error) -> bool {
     let is_broken = matches!(error.kind, client::Kind::Closed | client::Kind::Io(_));
--- a/crates/peridotrack-edge/src/gateway/exchange.rs
+++ b/crates/peridotrack-edge/src/gateway/exchange.rs
@@ -218,7 +218,7 @@
                 request.note(shared, progress.describe_statements(event));
                 shared.metrics.failed_attempts.increment(1);
                 last_response = response;
-                if outcome == Outcome::ConnectFailed {
+                if matches!(outcome, Outcome::ConnectFailed | Outcome::Withdrawn) {
                     shared.quarantine.withdraw(&trial);
                 } else if is_disconnected && progress.stage() != stream::Stage::Streaming {
                     crash::report_break(shared, &server, target.address, trial).await;
--- a/crates/peridotrack-edge/src/route.rs
+++ b/crates/peridotrack-edge/src/route.rs
@@ -158,6 +158,12 @@
         step
     }
 
+    /// Returns whether the request may still be sent to the backend server of the last step.
+    pub fn may_send(&self) -> bool {
+        let router = self.route.router.borrow();
+        router.may_send(self.route.kernel.now_us(), self.request_id)
+    }
+
     /// Reports that the first byte of the request is about to be sent.
     pub fn sent(&self) {
         self.route.handle(Event::Sent {
--- a/crates/peridotrack-route/src/eligibility.rs
+++ b/crates/peridotrack-route/src/eligibility.rs
@@ -39,6 +39,17 @@
         }
     }
 
+    /// Returns whether the reason also holds against a request that was placed before it arose, but
+    /// of which no byte was sent yet.
+    pub fn withdraws(self) -> bool {
+        match self {
+            Self::Removed | Self::Leaving | Self::Paused => true,
+            Self::Throttled | Self::BreakerOpen | Self::Probing | Self::BackOff | Self::AtLimit => {
+                false
+            }
+        }
+    }
+
     /// Returns the name of the reason in events.
     pub fn name(self) -> &'static str {
         match self {
--- a/crates/peridotrack-route/src/event.rs
+++ b/crates/peridotrack-route/src/event.rs
@@ -67,6 +67,8 @@
     RefusedNotRun,
     /// No connection could be established; no byte was sent.
     ConnectFailed,
+    /// The server became ineligible before a byte was sent; see [`crate::router::Router::may_send`].
+    Withdrawn,
     /// The connection broke before the response was complete.
     Broken {
         /// Whether a byte of the request was sent.
--- a/crates/peridotrack-route/src/finish.rs
+++ b/crates/peridotrack-route/src/finish.rs
@@ -83,15 +83,20 @@
         actions: &mut Vec<Action>,
     ) {
         let resumes = self.can_resume(&request, attempt);
-        request.unsent_dispatches += u32::from(outcome == Outcome::ConnectFailed);
+        let is_unsent = matches!(outcome, Outcome::ConnectFailed | Outcome::Withdrawn);
+        request.unsent_dispatches += u32::from(is_unsent);
         let is_proven = outcome == Outcome::RefusedNotRun && self.options.retry_proven_not_run;
         let retries = can_retry(&request, attempt, is_proven, self.options.max_dispatches);
         if request.deadline_us <= now_us || !(resumes || retries) {
             return self.refuse_failed(now_us, request_id, &request, actions);
         }
-        // A refusal puts the server into backoff at once, so that retries of refusals cannot grow
+        // A withdrawn request is no retry: it was not sent. A refusal puts the server into backoff at once, so that retries of refusals cannot grow
         // into a retry storm; each request is still bounded in its dispatches.
-        let is_exempt = outcome == Outcome::RefusedNotRun && !self.options.charge_refusal_retries;
+        let is_exempt = match outcome {
+            Outcome::Withdrawn => true,
+            Outcome::RefusedNotRun => !self.options.charge_refusal_retries,
+            _ => false,
+        };
         if !is_exempt && !self.pools[request.pool].retries.try_take(now_us) {
             actions.push(Action::Note(Note::RetryDenied { request_id }));
             return self.refuse_failed(now_us, request_id, &request, actions);
@@ -162,7 +167,9 @@
             Outcome::Done => breaker::Sample::Success,
             Outcome::ConnectFailed => breaker::Sample::ConnectFailure,
             Outcome::Broken { .. } | Outcome::Timeout { .. } => breaker::Sample::Failure,
-            Outcome::RefusedNotRun | Outcome::Cancelled => breaker::Sample::Neutral,
+            Outcome::RefusedNotRun | Outcome::Withdrawn | Outcome::Cancelled => {
+                breaker::Sample::Neutral
+            }
         };
         if outcome == Outcome::Done {
             self.pools[request.pool].on_duration(now_us.saturating_sub(attempt.dispatched_us));
--- a/crates/peridotrack-route/src/router.rs
+++ b/crates/peridotrack-route/src/router.rs
@@ -149,6 +149,20 @@
         actions
     }
 
+    /// Returns whether a request may still be sent to the server that it was dispatched to. The
+    /// server may have stated that it leaves, or asked for a pause, while a connection was opened.
+    pub fn may_send(&self, now_us: u64, request_id: id::Request) -> bool {
+        let Some(Phase::InFlight(attempt)) =
+            self.requests.get(&request_id).map(|request| request.phase)
+        else {
+            return false;
+        };
+        let backend = &self.backends[attempt.backend];
+        backend
+            .ineligibilities(now_us, &self.options)
+            .all(|ineligibility| !ineligibility.reason.withdraws())
+    }
+
     /// Cancels a request whose caller disconnected; its final outcome is
     /// [`Outcome::Cancelled`].
     pub fn cancel(&mut self, now_us: u64, request_id: id::Request) -> Vec<Action> {
--- a/crates/peridotrack-route/tests/pause.rs
+++ b/crates/peridotrack-route/tests/pause.rs
@@ -120,3 +120,22 @@
     let status = router.status(4 * SECOND_US).backend_servers;
     assert_eq!(status[0].ineligibilities, []);
 }
+
+/// A connection may take until after the pause began.
+#[rstest]
+#[case::pause(pause(0, 4 * SECOND_US))]
+#[case::leaving(Event::LeavingStated { backend: engine(0, 4).name, started_ms: None })]
+fn a_request_that_was_not_sent_yet_is_withdrawn_and_placed_elsewhere(#[case] event: Event) {
+    let mut router = router(2, 4, 64);
+    let first = (1..).find(|sequence| {
+        let chosen = dispatched(&router.offer(0, offer(*sequence, 10 * SECOND_US)));
+        chosen == Some(engine(0, 4).name)
+    });
+    let first = first.unwrap();
+    assert!(router.may_send(0, support::request(first)));
+    router.on_event(1, event);
+    assert!(!router.may_send(1, support::request(first)));
+    let next = finish(&mut router, 1, first, Outcome::Withdrawn);
+    assert_eq!(dispatched(&next), Some(engine(1, 4).name));
+    assert!(router.may_send(1, support::request(first)));
+}
