--- a/crates/peridotrack-edge/src/gateway/exchange.rs
+++ b/crates/peridotrack-edge/src/gateway/exchange.rs
@@ -397,6 +397,10 @@
             event
                 .with("usable_backend_servers", usable)
                 .with("in_flight_requests", in_flight)
+                .with(
+                    "ineligible_servers",
+                    shared.route.ineligible_text(&request.service),
+                )
                 .with("directory_age_us", age_us.unwrap_or(u64::MAX))
         }
     }
--- a/crates/peridotrack-edge/src/route.rs
+++ b/crates/peridotrack-edge/src/route.rs
@@ -342,12 +342,26 @@
     /// Returns the number of usable backend servers of a model or service of this name, and the
     /// number of this router's requests in flight there.
     pub fn load_of(&self, service: &name::Service) -> (u64, u64) {
-        let targets = [
-            Target::Model(service.as_str().into()),
-            Target::Service(service.clone()),
-        ];
         let now_us = self.kernel.now_us();
-        self.router.borrow().load_of(now_us, &targets)
+        self.router.borrow().load_of(now_us, &targets(service))
+    }
+
+    /// Returns a text that names the lasting reasons against the servers of a model or service of
+    /// this name, with the number of servers and the time to the first end, for the log.
+    pub fn ineligible_text(&self, service: &name::Service) -> String {
+        let now_us = self.kernel.now_us();
+        let summary = self.router.borrow().ineligible(now_us, &targets(service));
+        let texts = summary.into_iter().map(|(reason, (servers, first_us))| {
+            let name = reason.name();
+            match first_us {
+                Some(first_us) => {
+                    let left_ms = first_us.saturating_sub(now_us) / clock::US_PER_MS;
+                    format!("{name}={servers} ({left_ms} ms)")
+                }
+                None => format!("{name}={servers}"),
+            }
+        });
+        texts.collect::<Vec<_>>().join(", ")
     }
 
     /// Returns the state of every backend server as JSON, for the status that operators read.
@@ -474,3 +488,11 @@
         self.last_note.set(self.kernel.note(event));
     }
 }
+
+/// Returns the targets that a name may stand for.
+fn targets(service: &name::Service) -> [Target; 2] {
+    [
+        Target::Model(service.as_str().into()),
+        Target::Service(service.clone()),
+    ]
+}
--- a/crates/peridotrack-route/src/router.rs
+++ b/crates/peridotrack-route/src/router.rs
@@ -3,10 +3,13 @@
 //! [`Router`] owns all backend servers, pools and requests without a final outcome. Placement,
 //! dispatch, the end of attempts and configuration are implemented in sibling modules.
 
+use std::collections::BTreeMap;
+
 use peridotrack_types::{collections::HashMap, id, name, problem};
 
 use crate::{
     backend::Backend,
+    eligibility::{Ineligibility, Reason},
     event::{Action, Event, Note, Offer, Outcome, Target},
     options::Options,
     pace,
@@ -89,6 +92,28 @@
         })
     }
 
+    /// Returns the lasting reasons against the backend servers of `targets`, each with the number of
+    /// servers and the first of its known ends.
+    pub fn ineligible(
+        &self,
+        now_us: u64,
+        targets: &[Target],
+    ) -> BTreeMap<Reason, (u64, Option<u64>)> {
+        let pools = targets
+            .iter()
+            .filter_map(|target| self.by_target.get(target));
+        let members = pools.flat_map(|pool| self.pools[*pool].members());
+        let reasons = members
+            .flat_map(|member| self.backends[member.index].ineligibilities(now_us, &self.options));
+        let mut summary = BTreeMap::new();
+        for Ineligibility { reason, until_us } in reasons.filter(|it| !it.reason.is_brief()) {
+            let (count, first_us) = summary.entry(reason).or_insert((0, None));
+            *count += 1;
+            *first_us = (*first_us).into_iter().chain(until_us).min();
+        }
+        summary
+    }
+
     /// Returns the state that operators see, as of `now_us`.
     pub fn status(&self, now_us: u64) -> status::Report {
         let mut indices: Vec<_> = self.by_name.values().copied().collect();
--- a/crates/peridotrack/src/diagnosis.rs
+++ b/crates/peridotrack/src/diagnosis.rs
@@ -214,8 +214,12 @@
 /// Explains a refusal because no backend server accepted the request.
 fn describe_unplaced(event: &Recorded, last_failure: Option<String>) -> String {
     let servers = format!(
-        "{} usable backend servers, {} requests in flight there, directory {} ms old",
+        "{} usable backend servers{}, {} requests in flight there, directory {} ms old",
         number_field(event, "usable_backend_servers").unwrap_or_default(),
+        match text_field(event, "ineligible_servers") {
+            None | Some("") => String::new(),
+            Some(servers) => format!(", ineligible {servers}"),
+        },
         number_field(event, "in_flight_requests").unwrap_or_default(),
         number_field(event, "directory_age_us").unwrap_or_default() / 1_000,
     );
