--- a/crates/peridotrack-edge/tests/gateway/leaving_or_paused.rs
+++ b/crates/peridotrack-edge/tests/gateway/leaving_or_paused.rs
@@ -110,11 +110,13 @@
         fixture.backends[0].pause(PAUSE);
         let statuses = send_for(&fixture, PAUSE + Duration::from_secs(1)).await;
         let arrivals = fixture.backends[0].take_paused_arrivals();
-        let first = arrivals.first().expect("a request asks for the pause");
-        let late = arrivals.iter().filter(|at| **at > *first + TOLERANCE);
+        let first = arrivals.first().expect("a request asks for the pause").at;
+        let late = arrivals
+            .iter()
+            .filter(|arrival| arrival.at > first + TOLERANCE);
         assert_eq!(late.count(), 0, "{} requests in the pause", arrivals.len());
         assert!(statuses.iter().all(StatusCode::is_success));
-        let after_pause = |run: &backend::Run| run.at > *first + PAUSE;
+        let after_pause = |run: &backend::Run| run.at > first + PAUSE;
         assert!(fixture.backends[0].runs().iter().any(after_pause));
     });
 }
--- a/crates/peridotrack-soak/src/apply.rs
+++ b/crates/peridotrack-soak/src/apply.rs
@@ -19,6 +19,7 @@
     fleet::Restart,
     run::{FIRST_PART, Run},
     schedule::{Fault, Step},
+    stated,
 };
 
 /// Tokens that a top-up adds to each account during the run.
@@ -120,6 +121,11 @@
                 to_ms: run.now_ms(),
             });
         }
+        Fault::StateLeaving(backend) => state_leaving(&run, backend, duration).await,
+        Fault::PauseBackend(backend) => {
+            run.fleet.borrow().backends[backend].handle.pause(duration);
+            monoio::time::sleep(duration).await;
+        }
         Fault::FatalPart(part) => {
             run.fatal_part.set(Some(part));
             set_fatal(&run);
@@ -180,6 +186,32 @@
     }
 }
 
+/// Lets a backend server state that it leaves, then removes its entry and registers a new
+/// incarnation; does nothing if it has crashed or states it already.
+async fn state_leaving(run: &Rc<Run>, backend: usize, duration: Duration) {
+    let name = {
+        let backend = &run.fleet.borrow().backends[backend];
+        if backend.is_down || backend.handle.is_leaving() {
+            return;
+        }
+        backend.handle.set_leaving(true);
+        backend.name.clone()
+    };
+    let from_ms = run.now_ms();
+    let leaving = stated::StatedLeaving {
+        server: name.clone(),
+        from_ms,
+    };
+    run.record.borrow_mut().leaving.push(leaving);
+    monoio::time::sleep(duration).await;
+    let mut fleet = run.fleet.borrow_mut();
+    if fleet.backends[backend].name == name && !fleet.backends[backend].is_down {
+        fleet.store.remove("servers", &name);
+        fleet.register(backend);
+        fleet.backends[backend].handle.set_leaving(false);
+    }
+}
+
 /// Sets the limit that a backend server states; returns the server's name.
 fn state_rate(run: &Run, backend: usize, limit_per_s: Option<f64>) -> String {
     let backend = &run.fleet.borrow().backends[backend];
@@ -255,14 +287,15 @@
 /// Records the crash of a backend server and ends it; returns when and how it starts again.
 fn crash(run: &Rc<Run>, number: usize, cause: backend::Cause) -> eyre::Result<DueRestart> {
     run.collect_executions(number);
-    let (name, is_limited) = {
+    let (name, has_statement) = {
         let backend = &run.fleet.borrow().backends[number];
-        (backend.name.clone(), backend.handle.is_limited())
+        let has_statement = backend.handle.is_limited() || backend.handle.is_leaving();
+        (backend.name.clone(), has_statement)
     };
     let mut record = run.record.borrow_mut();
     let is_draining = record.draining.iter().any(|drain| drain.server == name);
-    // What is recorded of the drain or the limit of a name ends with its incarnation.
-    let keeps_name = run.keeps_name.get() && !is_draining && !is_limited;
+    // What is recorded of the drain or the statements of a name ends with its incarnation.
+    let keeps_name = run.keeps_name.get() && !is_draining && !has_statement;
     let restart = match &cause {
         backend::Cause::Part(_) => Restart::NewAddress,
         backend::Cause::Request(_) if keeps_name => Restart::SameName,
--- a/crates/peridotrack-soak/src/check.rs
+++ b/crates/peridotrack-soak/src/check.rs
@@ -11,7 +11,10 @@
     deployment::{Kind, bounds},
 };
 
-use crate::schedule::{Fault, Step};
+use crate::{
+    schedule::{Fault, Step},
+    stated::{self, PausedArrival, StatedLeaving},
+};
 
 /// Allowance for request transit and for timestamps taken by different tasks, in milliseconds.
 const SLACK_MS: u64 = 300;
@@ -121,6 +124,10 @@
     pub crashes: Vec<(Cause, u64)>,
     /// Limits that backend servers stated.
     pub limits: Vec<StatedLimit>,
+    /// Backend servers that stated that they leave.
+    pub leaving: Vec<StatedLeaving>,
+    /// Requests that reached backend servers in pauses that these had asked for.
+    pub paused_arrivals: Vec<PausedArrival>,
     /// Times when the prepaid total was written, each with the total in tokens of every account.
     pub prepaid: Vec<(u64, u64)>,
     /// Names of the client accounts, indexed by [`SentRequest::account`].
@@ -164,6 +171,11 @@
     for limit in &record.limits {
         breaches.extend(check_stated_limit(record, limit, &requests_by_id));
     }
+    for leaving in &record.leaving {
+        let breach = stated::check_leaving(record, leaving, &requests_by_id, &execution_counts);
+        breaches.extend(breach);
+    }
+    breaches.extend(stated::check_pauses(record, &requests_by_id));
     breaches.extend(check_spending(record, &execution_counts));
     breaches.extend(check_config_rollback(record));
     breaches.extend(check_recovery(record));
--- a/crates/peridotrack-soak/src/fleet.rs
+++ b/crates/peridotrack-soak/src/fleet.rs
@@ -324,6 +324,8 @@
         backend.handle.set_fatal_part(None);
         backend.handle.set_fatal_request(None);
         backend.handle.set_limit(None);
+        backend.handle.set_leaving(false);
+        backend.handle.pause(Duration::ZERO);
         backend.handle.set_response_delay(Duration::ZERO);
     }
     for router in &fleet.routers {
--- a/crates/peridotrack-soak/src/lib.rs
+++ b/crates/peridotrack-soak/src/lib.rs
@@ -16,3 +16,4 @@
 pub mod fleet;
 pub mod run;
 pub mod schedule;
+pub mod stated;
--- a/crates/peridotrack-soak/src/run.rs
+++ b/crates/peridotrack-soak/src/run.rs
@@ -22,6 +22,7 @@
     check::{self, Record, SentRequest},
     fleet::{self, Fleet},
     schedule::{self, Shape},
+    stated::PausedArrival,
 };
 
 /// Tokens that each client account starts with. Odd seeds use the first value, with which accounts
@@ -176,7 +177,13 @@
 
 impl Run {
     pub(crate) fn now_ms(&self) -> u64 {
-        u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
+        self.ms_at(Instant::now())
+    }
+
+    /// Returns a time in milliseconds since the start of the run.
+    fn ms_at(&self, at: Instant) -> u64 {
+        let elapsed = at.saturating_duration_since(self.started);
+        u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
     }
 
     pub(crate) fn restart(&self, number: usize) -> eyre::Result<()> {
@@ -316,17 +323,30 @@
         parts
     }
 
-    /// Moves the executions of a backend server to the record.
+    /// Moves the executions of a backend server, and the requests that it refused during pauses, to
+    /// the record.
     pub(crate) fn collect_executions(&self, backend: usize) {
-        let runs = self.fleet.borrow().backends[backend].handle.take_runs();
+        let (runs, paused_arrivals) = {
+            let handle = &self.fleet.borrow().backends[backend].handle;
+            (handle.take_runs(), handle.take_paused_arrivals())
+        };
+        let paused_arrivals = paused_arrivals.into_iter().map(|arrival| PausedArrival {
+            id: arrival.request_id,
+            backend,
+            at_ms: self.ms_at(arrival.at),
+            until_ms: self.ms_at(arrival.until),
+        });
+        self.record
+            .borrow_mut()
+            .paused_arrivals
+            .extend(paused_arrivals);
         for run in runs {
-            let at_ms = run.at.saturating_duration_since(self.started).as_millis();
             self.record.borrow_mut().executions.push(check::Execution {
                 id: run.request_id().to_owned(),
                 expected_server: run.expected_server().to_owned(),
                 account: run.client_account().to_owned(),
                 has_credential: run.has_credential(),
-                at_ms: u64::try_from(at_ms).unwrap_or(u64::MAX),
+                at_ms: self.ms_at(run.at),
             });
         }
     }
--- a/crates/peridotrack-soak/src/schedule.rs
+++ b/crates/peridotrack-soak/src/schedule.rs
@@ -88,6 +88,11 @@
     },
     /// Backend servers take so many milliseconds longer before they respond.
     SlowBackends(u64),
+    /// A backend server states that it leaves, while its entry says that it is ready, and is then
+    /// registered under a new name.
+    StateLeaving(usize),
+    /// A backend server refuses requests for the duration, and states how much of it is left.
+    PauseBackend(usize),
     /// A backend server states a limit of so many requests in 10 s, of all routers together.
     StatedRate(usize, u32),
 }
@@ -130,6 +135,7 @@
         }
     }
     steps.extend(server_trouble(seed, shape));
+    steps.extend(statements(seed, shape));
     steps.extend(stops_in_series(seed, shape));
     steps.retain(|step| step.at_ms < shape.duration_ms);
     steps.sort_by_key(|step| step.at_ms);
@@ -170,6 +176,28 @@
     steps
 }
 
+/// Returns statements of backend servers about themselves. They are drawn by themselves, like the
+/// troubles.
+fn statements(seed: u64, shape: &Shape) -> Vec<Step> {
+    let mut rng = fastrand::Rng::with_seed(!seed.rotate_left(32));
+    let mut steps = Vec::new();
+    if rng.bool() {
+        steps.push(Step {
+            at_ms: rng.u64(..shape.duration_ms),
+            duration_ms: rng.u64(TROUBLE_DURATION_MS),
+            fault: Fault::StateLeaving(rng.usize(..shape.backends)),
+        });
+    }
+    for _ in 0..rng.u32(..=MAX_REPETITIONS) {
+        steps.push(Step {
+            at_ms: rng.u64(..shape.duration_ms),
+            duration_ms: rng.u64(FAULT_DURATION_MS),
+            fault: Fault::PauseBackend(rng.usize(..shape.backends)),
+        });
+    }
+    steps
+}
+
 /// Returns stops of routers one after another, with backend servers that slow down meanwhile. They
 /// are drawn by themselves, like the troubles.
 fn stops_in_series(seed: u64, shape: &Shape) -> Vec<Step> {
@@ -245,6 +273,8 @@
             | Self::SlowBackends(_)
             | Self::FatalPart(_)
             | Self::FatalRequest { .. }
+            | Self::StateLeaving(_)
+            | Self::PauseBackend(_)
             | Self::StatedRate(..) => false,
         }
     }
--- a/crates/peridotrack-soak/tests/check.rs
+++ b/crates/peridotrack-soak/tests/check.rs
@@ -1,14 +1,17 @@
 //! Tests of the checks of a soak run: each reports the breach that it looks for and accepts what the
 //! promises allow.
 
+mod common;
+
+use common::{AT_MS, content, execution, record, sent, step};
 use peridotrack_soak::{
     check::{Drain, Execution, Record, SentRequest, StatedLimit, check},
-    schedule::{Fault, Step},
+    schedule::Fault,
 };
 use peridotrack_standin::{
     harness::relay::Link,
     hosted::{
-        backend::{self, Cause, Content},
+        backend::{self, Cause},
         client::Outcome,
         deployment::{Kind, bounds},
         store,
@@ -16,66 +19,6 @@
 };
 use rstest::rstest;
 
-/// Default time at which a request is sent, in milliseconds since the start of the run.
-const AT_MS: u64 = 20_000;
-
-fn sent(kind: Kind, outcome: Outcome) -> SentRequest {
-    SentRequest {
-        id: "r-1".to_owned(),
-        kind,
-        account: 0,
-        router: 0,
-        incarnation: 1,
-        at_ms: AT_MS,
-        end_ms: AT_MS + 50,
-        prompt_tokens: 100,
-        prompt_parts: Vec::new(),
-        events: 0,
-        version: 2,
-        content: content("r-1"),
-        outcome,
-    }
-}
-
-fn content(body: &'static str) -> Content {
-    Content {
-        method: http::Method::POST,
-        target: "/".to_owned(),
-        body: body.into(),
-        account: "t-1".to_owned(),
-    }
-}
-
-fn execution() -> Execution {
-    Execution {
-        id: "r-1".to_owned(),
-        expected_server: "i-1".to_owned(),
-        account: "t-1".to_owned(),
-        has_credential: false,
-        at_ms: AT_MS + 10,
-    }
-}
-
-fn record(requests: Vec<SentRequest>, executions: Vec<Execution>) -> Record {
-    Record {
-        requests,
-        executions,
-        versions: vec![(1, 0), (2, 10_000)],
-        prepaid: vec![(0, 1_000)],
-        accounts: vec!["t-1", "t-2"],
-        faults_cleared_ms: 1_000_000,
-        ..Record::default()
-    }
-}
-
-fn step(at_ms: u64, fault: Fault) -> Step {
-    Step {
-        at_ms,
-        duration_ms: 500,
-        fault,
-    }
-}
-
 #[rstest]
 #[case::executed_once(Kind::Unsafe, Outcome::Status(200), 1, 0)]
 #[case::executed_twice(Kind::Unsafe, Outcome::Status(200), 2, 1)]
--- a/crates/peridotrack-standin/src/hosted/backend.rs
+++ b/crates/peridotrack-standin/src/hosted/backend.rs
@@ -162,6 +162,17 @@
     }
 }
 
+/// Record of one request that the server refused because of a pause.
+#[derive(Debug, Clone)]
+pub struct PausedArrival {
+    /// Identifier of the request, empty if the header is missing.
+    pub request_id: String,
+    /// Time at which the request was received in full.
+    pub at: Instant,
+    /// End of the pause.
+    pub until: Instant,
+}
+
 struct Server {
     mode: Cell<Mode>,
     response_delay: Cell<Duration>,
@@ -172,7 +183,7 @@
     limit_per_s: Cell<Option<f64>>,
     is_leaving: Cell<bool>,
     pause_until: Cell<Option<Instant>>,
-    paused_arrivals: RefCell<Vec<Instant>>,
+    paused_arrivals: RefCell<Vec<PausedArrival>>,
     name: RefCell<Option<String>>,
     fatal_part: Cell<Option<u64>>,
     fatal_request: RefCell<Option<Content>>,
@@ -253,14 +264,19 @@
         self.0.application.is_leaving.set(is_leaving);
     }
 
+    /// Returns whether responses state that the server is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.0.application.is_leaving.get()
+    }
+
     /// Refuses requests for a time, and states in each refusal how much of it is left.
     pub fn pause(&self, duration: Duration) {
         let until = Instant::now() + duration;
         self.0.application.pause_until.set(Some(until));
     }
 
-    /// Returns when requests arrived during pauses since the last call.
-    pub fn take_paused_arrivals(&self) -> Vec<Instant> {
+    /// Returns the requests that arrived during pauses since the last call, and removes them.
+    pub fn take_paused_arrivals(&self) -> Vec<PausedArrival> {
         self.0.application.paused_arrivals.take()
     }
 
@@ -336,9 +352,14 @@
     }
 
     /// Returns what is left of a pause, and counts the arrival of a request in it.
-    fn arrive_in_pause(&self, at: Instant) -> Option<Duration> {
-        let left = self.pause_until.get()?.checked_duration_since(at)?;
-        self.paused_arrivals.borrow_mut().push(at);
+    fn arrive_in_pause(&self, run: &Run) -> Option<Duration> {
+        let until = self.pause_until.get()?;
+        let left = until.checked_duration_since(run.at)?;
+        self.paused_arrivals.borrow_mut().push(PausedArrival {
+            request_id: run.request_id().to_owned(),
+            at: run.at,
+            until,
+        });
         Some(left)
     }
 
@@ -478,7 +499,7 @@
                 .status(status)
                 .header("peridotrack-not-executed", "1")
         };
-        if let Some(left) = self.arrive_in_pause(run.at) {
+        if let Some(left) = self.arrive_in_pause(&run) {
             let head = refusal(StatusCode::SERVICE_UNAVAILABLE)
                 .header("retry-after", left.as_secs_f64().to_string());
             let response = response::finish(head, Bytes::new());
