feat(platform): decode software versions and resumed streams, and log them

AttemptFailed and RequestCompleted state the version of the server, and RequestCompleted the attempt that a take-up names.

Nothing is decided by these values yet.

--- a/crates/peridotrack-edge/src/gateway/directory.rs
+++ b/crates/peridotrack-edge/src/gateway/directory.rs
@@ -52,6 +52,13 @@
         self.is_listed.get()
     }
 
+    /// Returns the software version of a server, empty if it has no entry.
+    pub(super) fn software_version(&self, name: &name::BackendServer) -> name::SoftwareVersion {
+        let entries = self.entries.borrow();
+        let entry = entries.get(name);
+        entry.map_or_else(|| "".into(), |entry| entry.server.software_version.clone())
+    }
+
     /// Returns the run of the server that its entry describes.
     pub(super) fn run(&self, name: &name::BackendServer) -> Run {
         let entries = self.entries.borrow();
@@ -269,6 +276,7 @@
 fn lifetime(server: &site::BackendServer) -> register::Lifetime {
     register::Lifetime {
         started_ms: server.born_ms,
+        software_version: Some(server.software_version.clone()),
     }
 }
 
--- a/crates/peridotrack-edge/src/gateway/exchange.rs
+++ b/crates/peridotrack-edge/src/gateway/exchange.rs
@@ -211,6 +211,7 @@
             } => {
                 let event = event::Event::new(event::Kind::AttemptFailed)
                     .with("backend_server", target.backend_server.as_str())
+                    .with("software_version", software_version(shared, &target))
                     .with("outcome", format!("{outcome:?}"))
                     .with("response", progress.stage().name())
                     .with("signatures", request.signatures_text())
@@ -309,7 +310,12 @@
         .with("client_request", request.client_request())
         .with("route", &*request.route().name)
         .with("backend_server", target.backend_server.as_str())
+        .with("software_version", software_version(shared, target))
         .with("elapsed_us", elapsed_us);
+    if let Some(resumption) = &request.metadata.resumption {
+        let first_attempt = resumption.first_attempt.as_deref().unwrap_or_default();
+        event = event.with("resumes", first_attempt);
+    }
     let mut first_part_us = elapsed_us;
     if progress.has_started() {
         first_part_us = progress.first_part_us() - request.arrived_us;
@@ -325,6 +331,11 @@
     shared.metrics.completed.increment(1);
 }
 
+fn software_version(shared: &Shared, target: &route::Destination) -> String {
+    let version = shared.directory.software_version(&target.backend_server);
+    version.as_str().to_owned()
+}
+
 /// Sends a problem to the client, and records the refusal or failure with the state on which it was
 /// decided.
 async fn refuse(
--- a/crates/peridotrack-edge/src/gateway/stream.rs
+++ b/crates/peridotrack-edge/src/gateway/stream.rs
@@ -61,7 +61,11 @@
             events_seen: 0,
             earlier_events: 0,
             head: None,
-            last_event: request.metadata.last_event,
+            last_event: request
+                .metadata
+                .resumption
+                .as_ref()
+                .and_then(|resumption| resumption.last_event),
             event_tokens: request.engine().map_or(1, |engine| engine.event_tokens),
             first_part_us: 0,
             last_part_us: 0,
--- a/crates/peridotrack-types/src/name.rs
+++ b/crates/peridotrack-types/src/name.rs
@@ -73,6 +73,11 @@
     /// Name of a plain service, provided by one or more backend servers.
     Service
 );
+name!(
+    /// Version of the software of a backend server, an opaque text. What servers of two versions
+    /// write for one stream does not fit together.
+    SoftwareVersion
+);
 name!(
     /// Name of a model or adapter that engines serve.
     Model
--- a/crates/peridotrack-types/src/register.rs
+++ b/crates/peridotrack-types/src/register.rs
@@ -59,6 +59,8 @@
     /// When the process started, in milliseconds since the Unix epoch on the server's clock; a
     /// process that starts again under its name has a later time.
     pub started_ms: Option<u64>,
+    /// Version of the software that it runs.
+    pub software_version: Option<name::SoftwareVersion>,
 }
 
 /// One model engine.
--- a/crates/peridotrack-types/src/site.rs
+++ b/crates/peridotrack-types/src/site.rs
@@ -163,6 +163,8 @@
     pub failure_domain: name::FailureDomain,
     /// Number of requests that the server handles concurrently.
     pub slots: u32,
+    /// Version of its software.
+    pub software_version: name::SoftwareVersion,
     /// Whether the server is about to stop and accepts no new requests.
     pub is_draining: bool,
     /// When the server's process started, in milliseconds since the Unix epoch, if it says so; the
