test(gateway): streams among backend servers of two software versions

Reproduces ORDER: streams that break off and go on within one response, that a client takes up at another gateway, and that are taken up after all gateways were restarted.

--- a/crates/peridotrack-edge/tests/gateway/main.rs
+++ b/crates/peridotrack-edge/tests/gateway/main.rs
@@ -19,3 +19,4 @@
 mod stopping;
 mod streams;
 mod unanswered;
+mod versions;
