fix(gateway): a stream goes on only at the software version that began it

Cause: the version in a server's entry was dropped, nobody read Resumes, and a stream that went on, within a response or at a client's take-up, was placed like any other request. Class: state that outlives the request which made it was not kept.

Change: the routing state machine binds a stream to the version of the server that wrote its first event, and places it only there; one check serves retries, resumes and take-ups. Such a request waits apart from the queue, so that it holds up nobody, and is refused at once if no server has the version. A router records where a stream began before it forwards the first event, and tells two homes in different failure domains; a router that does not know a stream that a client takes up asks them (peridotrack-origin). What nobody knows is refused with 503, because versions that a router has not seen may have served. If a server is known with another version later, its earlier streams are in doubt and go on nowhere.

--- a/crates/peridotrack-bench/src/route/fleet/requests.rs
+++ b/crates/peridotrack-bench/src/route/fleet/requests.rs
@@ -31,6 +31,7 @@
             idempotent: arrival.idempotent,
             continuation: Continuation::default(),
             max_dispatches: None,
+            origin: None,
             prompt: None,
         };
         match &mut self.routers[number] {
--- a/crates/peridotrack-bench/src/route/timing.rs
+++ b/crates/peridotrack-bench/src/route/timing.rs
@@ -73,6 +73,7 @@
         idempotent: true,
         continuation: event::Continuation::default(),
         max_dispatches: None,
+        origin: None,
         prompt: None,
     }
 }
--- a/crates/peridotrack-edge/src/caller/completion.rs
+++ b/crates/peridotrack-edge/src/caller/completion.rs
@@ -235,6 +235,7 @@
             idempotent: true,
             continuation: Continuation::default(),
             max_dispatches: None,
+            origin: None,
             prompt: None,
         }
     }
--- a/crates/peridotrack-edge/src/caller/service_call.rs
+++ b/crates/peridotrack-edge/src/caller/service_call.rs
@@ -295,6 +295,7 @@
             idempotent: self.mode == Mode::Idempotent,
             continuation: Continuation::default(),
             max_dispatches: None,
+            origin: None,
             prompt: None,
         }
     }
--- a/crates/peridotrack-edge/src/daemon.rs
+++ b/crates/peridotrack-edge/src/daemon.rs
@@ -363,18 +363,16 @@
     let (usage, config, route) = (Rc::clone(usage), Rc::clone(config), Rc::clone(route));
     let on_frame = move |sender: peer::Sender, frame: peer::Frame| match frame {
         // Only gateways send the others: they relay changes of store objects, know the parts of
-        // prompts and read the limits that servers state.
+        // prompts and the versions of servers, and read what servers state about themselves.
         peer::Frame::Hello(_)
         | peer::Frame::Follow { .. }
         | peer::Frame::Quarantine { .. }
+        | peer::Frame::LeavingStated { .. }
+        | peer::Frame::Origin(_)
         | peer::Frame::RateLimit { .. } => {}
         peer::Frame::Member(message) => members.receive(sender.address, message),
         peer::Frame::Budget { message, .. } => budget.receive(sender.incarnation, message),
         peer::Frame::Usage { message, .. } => usage.receive(sender.incarnation, message),
-        peer::Frame::LeavingStated {
-            backend_server,
-            started_ms,
-        } => route.leaving_stated_to_peer(backend_server, started_ms),
         peer::Frame::Leaving { backend_server } => route.leaving_reported_by_peer(backend_server),
         peer::Frame::ConfigRequest { above_version } => {
             config.send_object(sender.address, above_version);
--- a/crates/peridotrack-edge/src/gateway.rs
+++ b/crates/peridotrack-edge/src/gateway.rs
@@ -14,6 +14,7 @@
 mod request;
 mod reservation;
 mod response;
+mod resumption;
 mod server;
 mod site;
 mod stream;
@@ -28,7 +29,7 @@
 use peridotrack_types::{gateway::Settings, id};
 
 use crate::{
-    budget, follow, member, metric, peer, platform, quarantine, route, stopping, throttle,
+    budget, follow, member, metric, origin, peer, platform, quarantine, route, stopping, throttle,
 };
 
 /// Time in which the first request on a connection that was just accepted arrives, in microseconds.
@@ -81,6 +82,7 @@
     follow: Rc<follow::Follow>,
     quarantine: Rc<quarantine::Quarantine>,
     throttle: Rc<throttle::Throttle>,
+    origins: Rc<origin::Origins>,
     pool: client::Pool,
     metrics: metric::Requests,
     site: site::Current,
@@ -152,6 +154,13 @@
             settings.failure_domain.clone(),
             options::throttle(&settings.bounds),
         );
+        let origins = origin::Origins::spawn(
+            &kernel,
+            &member,
+            settings.vm.clone(),
+            options::region(&settings),
+            options::origins(),
+        );
         let shared = Rc::new(Shared {
             incarnation,
             platform,
@@ -162,6 +171,7 @@
             follow,
             quarantine,
             throttle,
+            origins,
             pool: client::Pool::new(options::backend(), options::MAX_IDLE_CONNECTIONS),
             metrics: metric::Requests::register(kernel.meter()),
             site: site::Current::default(),
@@ -382,10 +392,11 @@
         follow,
         quarantine,
         throttle,
+        origins,
         route,
         ..
     } = &**shared;
-    let route = Rc::clone(route);
+    let (route, origins) = (Rc::clone(route), Rc::clone(origins));
     let (members, budget, follow) = (Rc::clone(member), Rc::clone(budget), Rc::clone(follow));
     let (quarantine, throttle) = (Rc::clone(quarantine), Rc::clone(throttle));
     let on_frame = move |sender: peer::Sender, frame: peer::Frame| match frame {
@@ -401,6 +412,7 @@
             failure_domain,
             news,
         } => throttle.receive(&failure_domain, news),
+        peer::Frame::Origin(message) => origins.receive(sender.incarnation, message),
         peer::Frame::LeavingStated {
             backend_server,
             started_ms,
--- a/crates/peridotrack-edge/src/gateway/directory.rs
+++ b/crates/peridotrack-edge/src/gateway/directory.rs
@@ -59,6 +59,19 @@
         entry.map_or_else(|| "".into(), |entry| entry.server.software_version.clone())
     }
 
+    /// Returns the software versions of the servers of a service.
+    pub(super) fn software_versions(
+        &self,
+        service: &name::Service,
+    ) -> BTreeSet<name::SoftwareVersion> {
+        let entries = self.entries.borrow();
+        let servers = entries.values().map(|entry| &entry.server);
+        let of_service = servers.filter(|server| server.service == *service);
+        of_service
+            .map(|server| server.software_version.clone())
+            .collect()
+    }
+
     /// Returns the run of the server that its entry describes.
     pub(super) fn run(&self, name: &name::BackendServer) -> Run {
         let entries = self.entries.borrow();
@@ -143,7 +156,12 @@
                     server,
                     missing_since_us: None,
                 };
-                let former = self.entries.borrow_mut().insert(name, entry);
+                let version = entry.server.software_version.clone();
+                let former = self.entries.borrow_mut().insert(name.clone(), entry);
+                let former_version = former.as_ref().map(|entry| &entry.server.software_version);
+                if former_version != Some(&version) {
+                    shared.origins.set_version(name, version);
+                }
                 let has_restarted =
                     |former: &Run| former.born_ms.is_some() && former.born_ms < born_ms;
                 let former = former.map(|entry| run(&entry.server));
--- a/crates/peridotrack-edge/src/gateway/exchange.rs
+++ b/crates/peridotrack-edge/src/gateway/exchange.rs
@@ -20,7 +20,7 @@
     crash,
     request::{self, RoutedRequest},
     reservation::{self, ReservationGuard},
-    response,
+    response, resumption,
     server::Arrival,
     stream,
 };
@@ -52,7 +52,7 @@
     received: server::Request,
     arrival: Arrival,
 ) -> Result<(), Error> {
-    let request = match request::accept(shared, received) {
+    let mut request = match request::accept(shared, received) {
         Ok(request) => request,
         Err(problem) => return refuse(shared, connection, None, None, &problem).await,
     };
@@ -65,6 +65,13 @@
     if let Err(refusal) = shared.quarantine.check(&request.signatures) {
         return refuse_blocked(shared, connection, &request, &refusal).await;
     }
+    let known = monoio::select! {
+        known = resumption::look_up(shared, &mut request) => known,
+        () = connection.closed() => Ok(()),
+    };
+    if let Err(problem) = known {
+        return refuse(shared, connection, Some(&request), None, &problem).await;
+    }
     let reserved = monoio::select! {
         reserved = reservation::reserve(shared, &request) => reserved,
         () = connection.closed() => return cancelled(shared, &request, None),
@@ -261,7 +268,11 @@
     } = refusal;
     let problem = match kind.ran() {
         problem::Ran::No => {
-            problem::Problem::new(kind, "no backend server took it").retry_after_ms(retry_after_ms)
+            let problem = problem::Problem::new(kind, "no backend server took it");
+            match retry_after_ms {
+                0 => problem,
+                _ => problem.retry_after_ms(retry_after_ms),
+            }
         }
         problem::Ran::Unknown if request.remaining_us(shared) == 0 => response::timed_out(),
         problem::Ran::Unknown => problem::Problem::new(kind, "the attempt failed"),
@@ -312,10 +323,7 @@
         .with("backend_server", target.backend_server.as_str())
         .with("software_version", software_version(shared, target))
         .with("elapsed_us", elapsed_us);
-    if let Some(resumption) = &request.metadata.resumption {
-        let first_attempt = resumption.first_attempt.as_deref().unwrap_or_default();
-        event = event.with("resumes", first_attempt);
-    }
+    event = request.describe_lookup(shared, event);
     let mut first_part_us = elapsed_us;
     if progress.has_started() {
         first_part_us = progress.first_part_us() - request.arrived_us;
@@ -395,6 +403,7 @@
         .with("config_version", request.config.site.version)
         .with("elapsed_us", now_us - request.arrived_us)
         .with("is_store_reachable", shared.platform.is_reachable());
+    let event = request.describe_lookup(shared, event);
     let budget = name::Budget::from(account);
     match shared.budget.report(&budget) {
         Some(report) if problem.is_budget_problem() => event
--- a/crates/peridotrack-edge/src/gateway/options.rs
+++ b/crates/peridotrack-edge/src/gateway/options.rs
@@ -3,12 +3,18 @@
 //! The suffix of a constant's name is its unit: `_US` microseconds, `_MS` milliseconds, `_BYTES`
 //! bytes. A `_PART` is a fraction, and a `_DIVISOR` divides the quantity that its comment names.
 
+use std::collections::BTreeSet;
+
 use peridotrack_budget::options as budget_options;
 use peridotrack_follow::follower;
 use peridotrack_http::client;
 use peridotrack_kernel::clock;
+use peridotrack_origin::origins;
 use peridotrack_route::{options as route_options, stop, throttle};
-use peridotrack_types::gateway::{Bounds, Settings};
+use peridotrack_types::{
+    gateway::{Bounds, Settings},
+    name,
+};
 
 use crate::{member, stopping};
 
@@ -144,6 +150,12 @@
 /// Retry delay stated in a refusal of a request that another router may be sending to learn whether
 /// it causes crashes, in milliseconds.
 pub(super) const UNDECIDED_RETRY_MS: u64 = 1_000;
+/// Time for which a router that is asked where a stream began may take to answer, in microseconds:
+/// several round trips within a region, and a small part of the objective for the first event.
+const LOOKUP_TIMEOUT_US: u64 = 60 * clock::US_PER_MS;
+/// Retry delay stated in a refusal because such a router did not answer, in microseconds: a link to it
+/// is made again in that time.
+pub(super) const LOOKUP_RETRY_US: u64 = 300 * clock::US_PER_MS;
 /// Maximum size of a response body that is not streamed, in bytes.
 const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 
@@ -254,6 +266,23 @@
     }
 }
 
+/// Returns the failure domains of the region of this router.
+pub(super) fn region(settings: &Settings) -> BTreeSet<name::FailureDomain> {
+    let local = settings.regions.get(&settings.failure_domain);
+    let domains = settings.regions.iter();
+    let in_region = domains.filter(|(_, region)| Some(*region) == local);
+    let in_region = in_region.map(|(domain, _)| domain.clone());
+    in_region.chain([settings.failure_domain.clone()]).collect()
+}
+
+/// Returns the options of the records of where streams began.
+pub(super) fn origins() -> origins::Options {
+    origins::Options {
+        timeout_us: LOOKUP_TIMEOUT_US,
+        ..origins::Options::default()
+    }
+}
+
 /// Returns the options of the routing service.
 pub(super) fn route(settings: &Settings) -> route_options::Options {
     route_options::Options {
--- a/crates/peridotrack-edge/src/gateway/request.rs
+++ b/crates/peridotrack-edge/src/gateway/request.rs
@@ -15,7 +15,7 @@
 };
 use peridotrack_types::{id, name, problem, rules, site};
 
-use super::{Shared, site::Snapshot};
+use super::{Shared, resumption::Lookup, site::Snapshot};
 use crate::caller;
 
 /// Retry delay stated to clients while the gateway has no configuration yet, in milliseconds.
@@ -51,6 +51,8 @@
     /// What crashes of backend servers are counted by: the whole request, and the parts of its
     /// prompt that other requests may share.
     pub(super) signatures: Vec<Signature>,
+    /// What was found out about the stream that the request takes up, if it does.
+    pub(super) lookup: Option<Lookup>,
     priority: rules::Priority,
     /// Sequence number of the last event of this request.
     cause: Cell<u64>,
@@ -70,6 +72,19 @@
             .engine
     }
 
+    /// Returns whether the stream of the request may be taken up after it broke off.
+    pub(super) fn is_resumable(&self) -> bool {
+        self.route().retry_policy == site::RetryPolicy::ResumableStream
+    }
+
+    /// Adds what was found out about the stream that the request takes up, if it does.
+    pub(super) fn describe_lookup(&self, shared: &Shared, event: event::Event) -> event::Event {
+        match &self.lookup {
+            Some(lookup) => lookup.describe(shared, &self.service, event),
+            None => event,
+        }
+    }
+
     /// Returns the time until the deadline in microseconds, 0 once it has passed.
     pub(super) fn remaining_us(&self, shared: &Shared) -> u64 {
         self.deadline_us.saturating_sub(shared.kernel.now_us())
@@ -171,6 +186,7 @@
         service,
         has_budget,
         signatures,
+        lookup: None,
         priority: priority(rank),
         cause: Cell::new(0),
         config: Rc::clone(&config),
@@ -217,7 +233,7 @@
         Some(_) => Target::Model(request.service.as_str().into()),
         None => Target::Service(request.service.clone()),
     };
-    let is_resumable = route.retry_policy == site::RetryPolicy::ResumableStream;
+    let is_resumable = request.is_resumable();
     let account = request.account.clone();
     let prompt = prompt(&request.metadata);
     Offer {
@@ -234,6 +250,10 @@
             true => Continuation::AnyServer,
             false => Continuation::SameServer,
         },
+        origin: request
+            .lookup
+            .as_ref()
+            .and_then(|lookup| lookup.origin().cloned()),
         max_dispatches: Some(route.max_attempts),
     }
 }
--- a/crates/peridotrack-edge/src/gateway/stream.rs
+++ b/crates/peridotrack-edge/src/gateway/stream.rs
@@ -12,7 +12,7 @@
 use super::{
     attempt::{Attempt, AttemptResult, ResponseHead},
     request::RoutedRequest,
-    response,
+    response, resumption,
 };
 use crate::sse;
 
@@ -239,6 +239,9 @@
 ) -> Result<(), server::Error> {
     let now_us = attempt.shared.kernel.now_us();
     let has_started = progress.has_started;
+    if !has_started && !events.is_empty() {
+        resumption::record_beginning(attempt.shared, attempt.request, attempt.ticket);
+    }
     progress.record_part(now_us);
     if has_started {
         return client.write(events).await;
--- a/crates/peridotrack-edge/src/lib.rs
+++ b/crates/peridotrack-edge/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod metric;
 pub mod notify;
 pub mod operator;
+pub mod origin;
 pub mod peer;
 pub mod platform;
 pub mod quarantine;
--- a/crates/peridotrack-edge/src/member.rs
+++ b/crates/peridotrack-edge/src/member.rs
@@ -19,7 +19,7 @@
     peer as member_peer,
 };
 use peridotrack_route::throttle;
-use peridotrack_types::id;
+use peridotrack_types::{id, name};
 
 use crate::{budget, config, follow, peer, platform, usage};
 
@@ -171,6 +171,15 @@
         }
     }
 
+    /// Sends a frame to the live peer on a VM, if there is one.
+    pub fn send_to_vm(&self, vm: &name::Vm, frame: &peer::Frame) {
+        let members = self.members.borrow();
+        let mut live = members.live(self.kernel.now_us());
+        if let Some(peer) = live.find(|peer| peer.record.vm == *vm) {
+            self.link.send(peer.record.peer_address, frame);
+        }
+    }
+
     /// Sends a frame to every live peer, of all failure domains.
     pub fn send_to_live(&self, frame: &peer::Frame) {
         let members = self.members.borrow();
--- a/crates/peridotrack-edge/src/peer/frame.rs
+++ b/crates/peridotrack-edge/src/peer/frame.rs
@@ -10,6 +10,7 @@
 use peridotrack_follow::message as follow_message;
 use peridotrack_member::message as member_message;
 use peridotrack_once::usage;
+use peridotrack_origin::message as origin_message;
 use peridotrack_quarantine::statement;
 use peridotrack_route::throttle;
 use peridotrack_types::{id, name};
@@ -102,6 +103,8 @@
         /// When its process started, in milliseconds since the Unix epoch, if known.
         started_ms: Option<u64>,
     },
+    /// Where streams began, and questions about it.
+    Origin(origin_message::Message),
     /// News about the rate that a backend server states.
     RateLimit {
         /// Failure domain of the sender.
@@ -120,6 +123,7 @@
             | Self::Member(_)
             | Self::Leaving { .. }
             | Self::LeavingStated { .. }
+            | Self::Origin(_)
             | Self::ConfigRequest { .. }
             | Self::Config { .. }
             | Self::ConfigPartRequest { .. }
--- a/crates/peridotrack-edge/src/route.rs
+++ b/crates/peridotrack-edge/src/route.rs
@@ -17,7 +17,7 @@
     options,
     router::Router,
 };
-use peridotrack_types::{collections, id, name, problem, register, rules};
+use peridotrack_types::{collections, id, name, problem, register, rules, stream};
 
 use crate::{member, peer};
 
@@ -158,6 +158,11 @@
         step
     }
 
+    /// Returns where the stream of the request began, if that is known.
+    pub fn origin(&self) -> Option<stream::Origin> {
+        self.route.router.borrow().origin(self.request_id)
+    }
+
     /// Returns whether the request may still be sent to the backend server of the last step.
     pub fn may_send(&self) -> bool {
         let router = self.route.router.borrow();
--- a/crates/peridotrack-kernel/src/event.rs
+++ b/crates/peridotrack-kernel/src/event.rs
@@ -119,6 +119,8 @@
     210 Debug RequestSettled,
     /// A request was received while the router was stopping; the event says whether it is begun.
     211 Info RequestAtStop,
+    /// A client takes up a stream, of which it is known where it began.
+    212 Info StreamTakenUp,
     /// A budget's grant changed: tokens were drawn, returned or transferred.
     300 Info BudgetGrant,
     /// A write to a budget's ledger failed: conflict, lost reply or outage of the store.
--- /dev/null
+++ b/crates/peridotrack-origin/src/origins.rs
@@ -0,0 +1,312 @@
+//! The state machine that keeps and looks up where streams began.
+
+use peridotrack_types::{collections::HashMap, id, name};
+
+use crate::{
+    home::{self, Routers},
+    key::Key,
+    message::{Known, Message},
+    record::{Record, Records},
+};
+
+/// Tunable parameters.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Options {
+    /// Number of homes that are told of a stream.
+    pub homes: usize,
+    /// Number of homes that are asked: one more, since the membership may have changed.
+    pub asked: usize,
+    /// Time for which a home may take to answer, in microseconds.
+    pub timeout_us: u64,
+    /// Time for which a record is kept, in microseconds: longer than a client takes for all attempts.
+    pub retention_us: u64,
+    /// Maximum number of records.
+    pub max_records: usize,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            homes: 2,
+            asked: 3,
+            timeout_us: 60_000,
+            retention_us: 300_000_000,
+            max_records: 65_536,
+        }
+    }
+}
+
+/// An occurrence that the driver reports.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Event {
+    /// Time passed; expected several times per second.
+    Tick,
+    /// This router received the first event of a stream.
+    Began {
+        /// The stream.
+        key: Key,
+        /// Where it began.
+        record: Record,
+    },
+    /// A client takes up a stream at this router.
+    Wanted {
+        /// Number that the driver gives the query.
+        query: u64,
+        /// The stream.
+        key: Key,
+    },
+    /// A message of another router arrived.
+    Heard {
+        /// Incarnation of the sender.
+        from: id::Incarnation,
+        /// The message.
+        message: Message,
+    },
+    /// The routers that serve, this one included if it does.
+    Routers(Routers),
+    /// The directory names the software version of a server. Streams that the server began as
+    /// another version are forgotten: its process may have started again before the entry said so.
+    Version {
+        /// Name of the server.
+        backend_server: name::BackendServer,
+        /// Its version.
+        software_version: name::SoftwareVersion,
+    },
+}
+
+/// An operation that the driver carries out.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// Send a message to the router on a VM.
+    Send {
+        /// The VM.
+        to: name::Vm,
+        /// The message.
+        message: Message,
+    },
+    /// Send a message to the incarnation of a router that asked.
+    Reply {
+        /// The incarnation.
+        to: id::Incarnation,
+        /// The message.
+        message: Message,
+    },
+    /// End a query.
+    Resolve {
+        /// Number of the query.
+        query: u64,
+        /// Its result.
+        knowledge: Knowledge,
+    },
+}
+
+/// Result of a query.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Knowledge {
+    /// It is known where the stream began.
+    Known {
+        /// Where it began.
+        record: Record,
+        /// VM of the router that knows it.
+        known_by: name::Vm,
+        /// Time since the stream began, in microseconds.
+        age_us: u64,
+    },
+    /// No router that was asked has said where the stream began.
+    Unknown {
+        /// Number of routers that were asked.
+        asked: usize,
+        /// Number of these that answered.
+        answered: usize,
+    },
+}
+
+/// A query that waits for answers.
+#[derive(Debug)]
+struct Query {
+    asked: Vec<name::Vm>,
+    /// Routers that answered that they do not know the stream.
+    ignorant: Vec<name::Vm>,
+    due_us: u64,
+}
+
+/// Where streams began, as far as this router knows.
+#[derive(Debug)]
+pub struct Origins {
+    options: Options,
+    vm: name::Vm,
+    records: Records,
+    routers: Routers,
+    queries: HashMap<u64, Query>,
+}
+
+/// Constructors and queries.
+impl Origins {
+    /// Returns the state of the router on `vm`, which knows no stream and no other router.
+    pub fn new(vm: name::Vm, options: Options) -> Self {
+        Self {
+            options,
+            vm,
+            records: Records::default(),
+            routers: Routers::new(),
+            queries: HashMap::default(),
+        }
+    }
+
+    /// Returns the number of streams of which a record is kept.
+    pub fn record_count(&self) -> usize {
+        self.records.len()
+    }
+}
+
+/// Handling of events.
+impl Origins {
+    /// Handles an event and returns the actions to carry out.
+    pub fn on_event(&mut self, now_us: u64, event: Event) -> Vec<Action> {
+        match event {
+            Event::Tick => self.on_tick(now_us),
+            Event::Began { key, record } => self.on_began(now_us, key, record),
+            Event::Wanted { query, key } => self.on_wanted(now_us, query, key),
+            Event::Heard { from, message } => self.on_heard(now_us, from, message),
+            Event::Routers(routers) => {
+                self.routers = routers;
+                Vec::new()
+            }
+            Event::Version {
+                backend_server,
+                software_version,
+            } => {
+                self.records
+                    .remove_other_versions(&backend_server, &software_version);
+                Vec::new()
+            }
+        }
+    }
+
+    fn on_tick(&mut self, now_us: u64) -> Vec<Action> {
+        let oldest_us = now_us.saturating_sub(self.options.retention_us);
+        self.records.remove_before(oldest_us);
+        let due: Vec<u64> = self
+            .queries
+            .iter()
+            .filter(|(_, query)| now_us >= query.due_us)
+            .map(|(number, _)| *number)
+            .collect();
+        due.into_iter()
+            .filter_map(|number| self.give_up(number))
+            .collect()
+    }
+
+    fn on_began(&mut self, now_us: u64, key: Key, record: Record) -> Vec<Action> {
+        let most = self.options.max_records;
+        self.records.insert(key, record.clone(), now_us, most);
+        let homes = home::of(&key, &self.routers, self.options.homes);
+        let others = homes.into_iter().filter(|vm| *vm != self.vm);
+        others
+            .map(|to| Action::Send {
+                to,
+                message: Message::Began {
+                    key,
+                    record: record.clone(),
+                },
+            })
+            .collect()
+    }
+
+    fn on_wanted(&mut self, now_us: u64, query: u64, key: Key) -> Vec<Action> {
+        if let Some((record, began_us)) = self.records.get(&key) {
+            let knowledge = Knowledge::Known {
+                record: record.clone(),
+                known_by: self.vm.clone(),
+                age_us: now_us.saturating_sub(*began_us),
+            };
+            return vec![Action::Resolve { query, knowledge }];
+        }
+        let homes = home::of(&key, &self.routers, self.options.asked);
+        let asked: Vec<_> = homes.into_iter().filter(|vm| *vm != self.vm).collect();
+        let asks = asked.iter().map(|to| Action::Send {
+            to: to.clone(),
+            message: Message::Ask { query, key },
+        });
+        let mut actions: Vec<_> = asks.collect();
+        let is_alone = asked.is_empty();
+        let pending = Query {
+            asked,
+            ignorant: Vec::new(),
+            due_us: now_us + self.options.timeout_us,
+        };
+        self.queries.insert(query, pending);
+        if is_alone {
+            actions.extend(self.give_up(query));
+        }
+        actions
+    }
+
+    fn on_heard(&mut self, now_us: u64, from: id::Incarnation, message: Message) -> Vec<Action> {
+        match message {
+            Message::Began { key, record } => {
+                let most = self.options.max_records;
+                self.records.insert(key, record, now_us, most);
+                Vec::new()
+            }
+            Message::Ask { query, key } => {
+                let known = self.records.get(&key).map(|(record, began_us)| Known {
+                    record: record.clone(),
+                    age_us: now_us.saturating_sub(*began_us),
+                });
+                let message = Message::Answer {
+                    query,
+                    from: self.vm.clone(),
+                    known,
+                };
+                vec![Action::Reply { to: from, message }]
+            }
+            Message::Answer {
+                query,
+                from,
+                known: Some(known),
+            } => self.on_known(query, from, known),
+            Message::Answer {
+                query,
+                from,
+                known: None,
+            } => self.on_ignorant(query, from),
+        }
+    }
+
+    fn on_known(&mut self, query: u64, from: name::Vm, known: Known) -> Vec<Action> {
+        if self.queries.remove(&query).is_none() {
+            return Vec::new();
+        }
+        let knowledge = Knowledge::Known {
+            record: known.record,
+            known_by: from,
+            age_us: known.age_us,
+        };
+        vec![Action::Resolve { query, knowledge }]
+    }
+
+    fn on_ignorant(&mut self, number: u64, from: name::Vm) -> Vec<Action> {
+        let Some(query) = self.queries.get_mut(&number) else {
+            return Vec::new();
+        };
+        if query.asked.contains(&from) && !query.ignorant.contains(&from) {
+            query.ignorant.push(from);
+        }
+        match query.ignorant.len() == query.asked.len() {
+            true => self.give_up(number).into_iter().collect(),
+            false => Vec::new(),
+        }
+    }
+
+    fn give_up(&mut self, number: u64) -> Option<Action> {
+        let query = self.queries.remove(&number)?;
+        Some(Action::Resolve {
+            query: number,
+            knowledge: Knowledge::Unknown {
+                asked: query.asked.len(),
+                answered: query.ignorant.len(),
+            },
+        })
+    }
+}
--- /dev/null
+++ b/crates/peridotrack-origin/tests/origins.rs
@@ -0,0 +1,292 @@
+//! Lookups of where streams began: by the router itself, at its homes, and in vain.
+
+use peridotrack_origin::{
+    home::{self, Routers},
+    key::{self, Key},
+    message::{Known, Message},
+    origins::{Action, Event, Knowledge, Options, Origins},
+    record::Record,
+};
+use peridotrack_types::{id, name, stream};
+use rstest::rstest;
+
+const ASKER: id::Incarnation = id::Incarnation(7);
+
+fn key(number: u64) -> Key {
+    key::of_stream(b"secret", "account", &format!("attempt-{number}"))
+}
+
+fn record(version: &str) -> Record {
+    Record {
+        service: "lm".into(),
+        origin: stream::Origin {
+            backend_server: "i-1".into(),
+            software_version: Some(version.into()),
+        },
+    }
+}
+
+/// Routers `vm-0` to `vm-5` in three failure domains.
+fn routers() -> Routers {
+    let mut routers = Routers::new();
+    for number in 0..6 {
+        let domain = format!("domain-{}", number % 3);
+        let vms = routers.entry(domain.as_str().into()).or_default();
+        vms.insert(format!("vm-{number}").as_str().into());
+    }
+    routers
+}
+
+fn origins(vm: &str) -> Origins {
+    let mut origins = Origins::new(vm.into(), Options::default());
+    origins.on_event(0, Event::Routers(routers()));
+    origins
+}
+
+fn answer(query: u64, from: &name::Vm, known: Option<Known>) -> Event {
+    Event::Heard {
+        from: ASKER,
+        message: Message::Answer {
+            query,
+            from: from.clone(),
+            known,
+        },
+    }
+}
+
+/// Returns the VMs that messages are sent to.
+fn recipients(actions: &[Action]) -> Vec<name::Vm> {
+    let to = actions.iter().filter_map(|action| match action {
+        Action::Send { to, .. } => Some(to.clone()),
+        _ => None,
+    });
+    to.collect()
+}
+
+fn unknown(query: u64, asked: usize, answered: usize) -> Action {
+    let knowledge = Knowledge::Unknown { asked, answered };
+    Action::Resolve { query, knowledge }
+}
+
+#[test]
+fn homes_are_in_different_failure_domains_and_spread() {
+    let mut counts = std::collections::BTreeMap::<name::Vm, usize>::new();
+    for number in 0..600 {
+        let homes = home::of(&key(number), &routers(), 2);
+        let domain = |vm: &name::Vm| {
+            let routers = routers();
+            let mut domains = routers.into_iter();
+            domains.find(|(_, vms)| vms.contains(vm)).unwrap().0
+        };
+        assert_ne!(domain(&homes[0]), domain(&homes[1]));
+        for home in homes {
+            *counts.entry(home).or_default() += 1;
+        }
+    }
+    assert!(
+        counts.values().all(|count| (120..280).contains(count)),
+        "{counts:?}"
+    );
+}
+
+#[test]
+fn homes_in_one_failure_domain_are_different_routers() {
+    let vms = ["vm-0", "vm-1", "vm-2"].map(name::Vm::from);
+    let routers = Routers::from([("domain".into(), vms.into_iter().collect())]);
+    let homes = home::of(&key(1), &routers, 2);
+    assert_eq!(homes.len(), 2);
+    assert_ne!(homes[0], homes[1]);
+}
+
+/// Where the membership differs by one router, a home that was told is still asked.
+#[test]
+fn a_home_is_asked_although_another_router_has_left() {
+    for number in 0..200 {
+        let told = home::of(&key(number), &routers(), 2);
+        for lost in 0..6 {
+            let lost = name::Vm::from(format!("vm-{lost}").as_str());
+            let mut fewer = routers();
+            fewer.values_mut().for_each(|vms| drop(vms.remove(&lost)));
+            let asked = home::of(&key(number), &fewer, 3);
+            assert!(told.iter().any(|home| asked.contains(home)));
+        }
+    }
+}
+
+#[test]
+fn a_key_belongs_to_one_client_account() {
+    let of = |account, attempt| key::of_stream(b"secret", account, attempt);
+    assert_eq!(of("a", "bc"), of("a", "bc"));
+    assert_ne!(of("a", "bc"), of("ab", "c"));
+    assert_ne!(of("a", "1"), of("b", "1"));
+    assert_ne!(of("a", "1"), key::of_stream(b"other", "a", "1"));
+}
+
+#[test]
+fn the_homes_are_told_and_asked() {
+    let key = key(1);
+    let told = recipients(&origins("vm-9").on_event(
+        1,
+        Event::Began {
+            key,
+            record: record("v1"),
+        },
+    ));
+    assert_eq!(told, home::of(&key, &routers(), 2));
+    let asked = recipients(&origins("vm-9").on_event(1, Event::Wanted { query: 1, key }));
+    assert_eq!(asked, home::of(&key, &routers(), 3));
+}
+
+#[test]
+fn a_home_answers_what_it_was_told() {
+    let key = key(1);
+    let mut home = origins("vm-0");
+    let began = Message::Began {
+        key,
+        record: record("v1"),
+    };
+    home.on_event(
+        1_000,
+        Event::Heard {
+            from: ASKER,
+            message: began,
+        },
+    );
+    let ask = Message::Ask { query: 5, key };
+    let actions = home.on_event(
+        4_000,
+        Event::Heard {
+            from: ASKER,
+            message: ask,
+        },
+    );
+    let known = Some(Known {
+        record: record("v1"),
+        age_us: 3_000,
+    });
+    let message = Message::Answer {
+        query: 5,
+        from: "vm-0".into(),
+        known,
+    };
+    assert_eq!(actions, [Action::Reply { to: ASKER, message }]);
+}
+
+#[test]
+fn the_first_answer_that_knows_the_stream_ends_the_query() {
+    let key = key(1);
+    let mut origins = origins("vm-9");
+    let asked = recipients(&origins.on_event(0, Event::Wanted { query: 1, key }));
+    assert_eq!(origins.on_event(1, answer(1, &asked[0], None)), []);
+    let known = Known {
+        record: record("v1"),
+        age_us: 9,
+    };
+    let actions = origins.on_event(2, answer(1, &asked[1], Some(known.clone())));
+    let knowledge = Knowledge::Known {
+        record: record("v1"),
+        known_by: asked[1].clone(),
+        age_us: 9,
+    };
+    assert_eq!(
+        actions,
+        [Action::Resolve {
+            query: 1,
+            knowledge
+        }]
+    );
+    assert_eq!(origins.on_event(3, answer(1, &asked[2], Some(known))), []);
+}
+
+#[rstest]
+#[case::all_answered(3, 0)]
+#[case::some_answered(2, 60_000)]
+#[case::none_answered(0, 60_000)]
+fn a_stream_that_no_home_knows_is_unknown(#[case] answers: usize, #[case] at_us: u64) {
+    let mut origins = origins("vm-9");
+    let asked = recipients(&origins.on_event(
+        0,
+        Event::Wanted {
+            query: 1,
+            key: key(1),
+        },
+    ));
+    let mut actions = Vec::new();
+    for home in &asked[..answers] {
+        // A repeated answer counts once.
+        actions.extend(origins.on_event(0, answer(1, home, None)));
+        actions.extend(origins.on_event(0, answer(1, home, None)));
+    }
+    actions.extend(origins.on_event(59_999, Event::Tick));
+    assert_eq!(actions.is_empty(), at_us > 0);
+    actions.extend(origins.on_event(60_000, Event::Tick));
+    assert_eq!(actions, [unknown(1, 3, answers)]);
+}
+
+#[test]
+fn a_router_without_others_knows_at_once_that_it_does_not_know() {
+    let mut origins = Origins::new("vm-0".into(), Options::default());
+    let actions = origins.on_event(
+        0,
+        Event::Wanted {
+            query: 1,
+            key: key(1),
+        },
+    );
+    assert_eq!(actions, [unknown(1, 0, 0)]);
+}
+
+/// The process may have been the later version already when its entry still named the former.
+#[test]
+fn streams_of_a_server_that_started_again_as_another_version_are_forgotten() {
+    let mut origins = Origins::new("vm-0".into(), Options::default());
+    for number in 0..2 {
+        let mut record = record("v1");
+        record.origin.backend_server = format!("i-{number}").as_str().into();
+        origins.on_event(
+            0,
+            Event::Began {
+                key: key(number),
+                record,
+            },
+        );
+    }
+    let version = |version: &str| Event::Version {
+        backend_server: "i-0".into(),
+        software_version: version.into(),
+    };
+    origins.on_event(1, version("v1"));
+    assert_eq!(origins.record_count(), 2);
+    origins.on_event(2, version("v2"));
+    assert_eq!(origins.record_count(), 1);
+    let actions = origins.on_event(
+        3,
+        Event::Wanted {
+            query: 1,
+            key: key(0),
+        },
+    );
+    assert_eq!(actions, [unknown(1, 0, 0)]);
+}
+
+#[test]
+fn records_are_bounded_in_number_and_age() {
+    let options = Options {
+        max_records: 10,
+        ..Options::default()
+    };
+    let retention_us = options.retention_us;
+    let mut origins = Origins::new("vm-0".into(), options);
+    for number in 0..20 {
+        origins.on_event(
+            number,
+            Event::Began {
+                key: key(number),
+                record: record("v1"),
+            },
+        );
+    }
+    assert_eq!(origins.record_count(), 10);
+    origins.on_event(retention_us + 15, Event::Tick);
+    assert_eq!(origins.record_count(), 5);
+}
--- a/crates/peridotrack-route/src/backend.rs
+++ b/crates/peridotrack-route/src/backend.rs
@@ -3,7 +3,7 @@
 //! [`Backend`] joins the load estimate, concurrency limit, circuit breaker and drain state of a
 //! server and derives from them whether it may receive a request and at what expected latency.
 
-use peridotrack_types::{name, register};
+use peridotrack_types::{name, register, stream};
 
 use crate::{
     breaker, drain,
@@ -22,6 +22,8 @@
     pub failure_domain: name::FailureDomain,
     /// Run of its process that the register names.
     pub lifetime: register::Lifetime,
+    /// Number of changes of `lifetime`, counted from 0.
+    pub lifetimes: u64,
     /// Number of requests that it can run concurrently, from the register or its latest load
     /// report.
     pub slots: u32,
@@ -67,6 +69,7 @@
             name,
             failure_domain,
             lifetime,
+            lifetimes: 0,
             slots,
             distance_us,
             in_flight: 0,
@@ -164,6 +167,12 @@
             + self.distance_us as f64
     }
 
+    /// Returns whether the server may continue a stream that began there.
+    #[inline]
+    pub fn continues(&self, origin: &stream::Origin) -> bool {
+        self.lifetime.software_version == origin.software_version
+    }
+
     /// Returns whether a run of the server's process with this start time, if known, is the one
     /// that the register names or a later one.
     pub fn is_current(&self, started_ms: Option<u64>) -> bool {
@@ -178,6 +187,7 @@
     pub fn set_lifetime(&mut self, lifetime: &register::Lifetime) -> bool {
         let is_later =
             lifetime.started_ms > self.lifetime.started_ms && self.lifetime.started_ms.is_some();
+        self.lifetimes += u64::from(self.lifetime != *lifetime);
         self.lifetime = lifetime.clone();
         is_later
     }
--- a/crates/peridotrack-route/src/dispatch.rs
+++ b/crates/peridotrack-route/src/dispatch.rs
@@ -8,7 +8,7 @@
 use crate::{
     event::Action,
     place, queue,
-    request::{Attempt, Phase, Request},
+    request::{Attempt, Beginning, Phase, Request},
     router::Router,
 };
 
@@ -39,6 +39,9 @@
             let retry_after_us = self.pools[request.pool].dequeue_us(1);
             return refuse(actions, request_id, &request, kind, retry_after_us);
         }
+        if request.beginning != Beginning::Ahead {
+            return self.place_continuation(now_us, request_id, request, actions);
+        }
         if self.pools[request.pool].queue.is_empty() {
             if let Some(index) = self.choose(now_us, &request) {
                 return self.dispatch(now_us, request_id, request, index, actions);
@@ -54,6 +57,7 @@
 
     /// Dispatches queued requests of a pool while a server is available for the next one.
     pub(crate) fn dispatch_queued(&mut self, now_us: u64, pool: usize, actions: &mut Vec<Action>) {
+        self.dispatch_continuations(now_us, pool, actions);
         while let Some((request_id, request)) = self.next_queued(now_us, pool, None, actions) {
             match self.choose(now_us, &request) {
                 Some(index) => self.dispatch(now_us, request_id, request, index, actions),
@@ -75,6 +79,7 @@
     ) {
         for position in 0..self.backends[index].pools.len() {
             let pool = self.backends[index].pools[position];
+            self.dispatch_continuations(now_us, pool, actions);
             while self.backends[index].is_available(now_us, &self.options) {
                 let next = self.next_queued(now_us, pool, Some(index), actions);
                 let Some((request_id, request)) = next else {
@@ -192,19 +197,20 @@
         (pool.prior.duration_us * pool.prior.routers / slots.max(1.0)) as u64
     }
 
-    fn choose(&mut self, now_us: u64, request: &Request) -> Option<usize> {
+    pub(crate) fn choose(&mut self, now_us: u64, request: &Request) -> Option<usize> {
         let query = place::Query {
             now_us,
             prefix_hash: request.prefix_hash,
             prompt: request.prompt.as_ref(),
             may_probe: request.idempotent && self.pools[request.pool].retries.allows(now_us),
+            origin: request.origin(),
             excluded: request.failed_backends(),
         };
         let pool = &self.pools[request.pool];
         place::choose(&self.backends, pool, &query, &self.options, &mut self.rng)
     }
 
-    fn dispatch(
+    pub(crate) fn dispatch(
         &mut self,
         now_us: u64,
         request_id: id::Request,
@@ -233,6 +239,7 @@
         }
         request.phase = Phase::InFlight(Attempt {
             backend: index,
+            lifetimes: backend.lifetimes,
             dispatched_us: now_us,
             sent: false,
             response_started: false,
@@ -381,3 +388,17 @@
         retry_after_ms: retry_after_us.div_ceil(1_000).max(1),
     });
 }
+
+/// Refuses a request that no later attempt can expect to be served either.
+pub(crate) fn refuse_for_good(
+    actions: &mut Vec<Action>,
+    request_id: id::Request,
+    request: &Request,
+    not_run: problem::Kind,
+) {
+    actions.push(Action::Refuse {
+        request_id,
+        kind: request.refusal(not_run),
+        retry_after_ms: 0,
+    });
+}
--- a/crates/peridotrack-route/src/eligibility.rs
+++ b/crates/peridotrack-route/src/eligibility.rs
@@ -13,6 +13,9 @@
     Removed,
     /// The server is leaving.
     Leaving,
+    /// The server runs another software version than the one that began the request's stream. It
+    /// holds against a request, not for the server.
+    OtherVersion,
     /// The server asked for a pause.
     Paused,
     /// The rate that the server states allows no request of this router now.
@@ -33,9 +36,12 @@
     pub fn is_brief(self) -> bool {
         match self {
             Self::Probing | Self::BackOff | Self::AtLimit => true,
-            Self::Removed | Self::Leaving | Self::Paused | Self::Throttled | Self::BreakerOpen => {
-                false
-            }
+            Self::Removed
+            | Self::Leaving
+            | Self::OtherVersion
+            | Self::Paused
+            | Self::Throttled
+            | Self::BreakerOpen => false,
         }
     }
 
@@ -43,7 +49,7 @@
     /// of which no byte was sent yet.
     pub fn withdraws(self) -> bool {
         match self {
-            Self::Removed | Self::Leaving | Self::Paused => true,
+            Self::Removed | Self::Leaving | Self::OtherVersion | Self::Paused => true,
             Self::Throttled | Self::BreakerOpen | Self::Probing | Self::BackOff | Self::AtLimit => {
                 false
             }
@@ -55,6 +61,7 @@
         match self {
             Self::Removed => "removed",
             Self::Leaving => "leaving",
+            Self::OtherVersion => "other_version",
             Self::Paused => "paused",
             Self::Throttled => "throttled",
             Self::BreakerOpen => "breaker_open",
--- a/crates/peridotrack-route/src/event.rs
+++ b/crates/peridotrack-route/src/event.rs
@@ -3,7 +3,7 @@
 //! The driver passes [`Offer`]s and [`Event`]s to [`crate::router::Router`] and carries out the
 //! [`Action`]s that it returns. [`Note`]s are recorded on the timeline.
 
-use peridotrack_types::{id, name, problem, rules};
+use peridotrack_types::{id, name, problem, rules, stream};
 use serde::{Deserialize, Serialize};
 
 use crate::prefill;
@@ -43,6 +43,9 @@
     pub idempotent: bool,
     /// Which servers can continue its stream after a broken connection.
     pub continuation: Continuation,
+    /// Where the stream began that the request continues; `None` if it begins a stream or is no
+    /// stream.
+    pub origin: Option<stream::Origin>,
     /// Bound on the dispatches, not counting those that failed to connect; `None` applies
     /// [`crate::options::Options::max_dispatches`] to all.
     pub max_dispatches: Option<u32>,
@@ -185,7 +188,7 @@
         request_id: id::Request,
         /// Reason, which also states whether the request may have run.
         kind: problem::Kind,
-        /// Time until a new attempt is expected to be served, in milliseconds; at least 1.
+        /// Time until a new attempt is expected to be served, in milliseconds; 0 if none is.
         retry_after_ms: u64,
     },
     /// Record an occurrence on the timeline.
--- a/crates/peridotrack-route/src/lib.rs
+++ b/crates/peridotrack-route/src/lib.rs
@@ -41,6 +41,7 @@
 //!         idempotent: true,
 //!         continuation: event::Continuation::default(),
 //!         max_dispatches: None,
+//!         origin: None,
 //!         prompt: None,
 //!     },
 //! );
@@ -55,6 +56,7 @@
 pub mod backend;
 pub mod breaker;
 mod configure;
+mod continuation;
 mod dispatch;
 pub mod drain;
 pub mod eligibility;
--- a/crates/peridotrack-route/src/place.rs
+++ b/crates/peridotrack-route/src/place.rs
@@ -5,6 +5,8 @@
 //! the same in all routers, so that a request is likely sent to a server that has its prefix
 //! cached.
 
+use peridotrack_types::stream;
+
 use crate::{backend::Backend, options::Options, pool, prefill, prefix};
 
 /// Factor on the score of a server with a half-open breaker for a request that must not probe it.
@@ -30,6 +32,8 @@
     /// Whether the request may probe a half-open breaker: it is idempotent and the retry budget
     /// allows a retry.
     pub may_probe: bool,
+    /// Where the stream began that the request continues, if it does.
+    pub origin: Option<&'a stream::Origin>,
     /// Indices of servers that failed this request and must not be chosen.
     pub excluded: &'a [usize],
 }
@@ -258,7 +262,9 @@
 
 #[inline]
 fn is_eligible(backend: &Backend, index: usize, query: &Query<'_>, options: &Options) -> bool {
-    backend.is_available(query.now_us, options) && !query.excluded.contains(&index)
+    backend.is_available(query.now_us, options)
+        && query.origin.is_none_or(|origin| backend.continues(origin))
+        && !query.excluded.contains(&index)
 }
 
 #[inline]
--- a/crates/peridotrack-route/src/pool.rs
+++ b/crates/peridotrack-route/src/pool.rs
@@ -3,6 +3,8 @@
 //! [`Pool`] holds the members, the queue, fair sharing, the retry budget, and the mean estimates
 //! that stand in for members without samples.
 
+use peridotrack_types::id;
+
 use crate::{
     event, fairness, load_estimate, options::Options, prefill, prefix, queue, retry, returns,
 };
@@ -36,6 +38,9 @@
     pub far: Vec<Member>,
     /// Requests that wait for an available member.
     pub queue: queue::Queue,
+    /// Requests that wait for a server of the version that began their stream, in order of arrival.
+    /// They go before the queue.
+    pub continuations: Vec<id::Request>,
     /// Virtual times of the client accounts for fair sharing.
     pub shares: fairness::Shares,
     /// Share of each prompt prefix in the pool's requests.
@@ -65,6 +70,7 @@
             near: Vec::new(),
             far: Vec::new(),
             queue: queue::Queue::default(),
+            continuations: Vec::new(),
             shares: fairness::Shares::default(),
             popularity: prefix::Popularity::default(),
             retries: retry::Budget::new(options.retry_ratio, options.min_retries),
--- a/crates/peridotrack-route/src/request.rs
+++ b/crates/peridotrack-route/src/request.rs
@@ -3,18 +3,32 @@
 //! [`Request`] keeps the properties of the offer, the current phase, and what the previous attempts
 //! imply for retries and refusals.
 
-use peridotrack_types::{name, problem, rules};
+use peridotrack_types::{name, problem, rules, stream};
 
 use crate::{event, prefill};
 
 /// Failed servers recorded for one request; later ones overwrite the first.
 const MAX_FAILED_BACKENDS: usize = 4;
 
+/// Where the stream of a request began, which decides where it may go on.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub enum Beginning {
+    /// No event was received yet; any server may write the first one.
+    #[default]
+    Ahead,
+    /// The first event was written there.
+    At(stream::Origin),
+    /// The first event was written by one of two versions; it is not known by which one.
+    Doubtful,
+}
+
 /// The current attempt at a backend server, by dispatch or resume.
 #[derive(Debug, Clone, Copy)]
 pub struct Attempt {
     /// Index of the backend server.
     pub backend: usize,
+    /// [`crate::backend::Backend::lifetimes`] of the server when the attempt began.
+    pub lifetimes: u64,
     /// Time of the dispatch or resume.
     pub dispatched_us: u64,
     /// Whether a byte of the request may have been sent.
@@ -61,6 +75,8 @@
     pub deadline_us: u64,
     /// Whether it may run more than once.
     pub idempotent: bool,
+    /// Where its stream began.
+    pub beginning: Beginning,
     /// Which servers can continue its stream.
     pub continuation: event::Continuation,
     /// Bound on the dispatches of this request, not counting those that failed to connect; see
@@ -94,6 +110,7 @@
             size_tokens: offer.size_tokens,
             deadline_us: offer.deadline_us,
             idempotent: offer.idempotent,
+            beginning: offer.origin.map_or(Beginning::Ahead, Beginning::At),
             continuation: offer.continuation,
             max_dispatches: offer.max_dispatches,
             phase: Phase::Queued,
@@ -107,6 +124,14 @@
         }
     }
 
+    /// Returns where its stream began, if it is known.
+    pub fn origin(&self) -> Option<&stream::Origin> {
+        match &self.beginning {
+            Beginning::At(origin) => Some(origin),
+            Beginning::Ahead | Beginning::Doubtful => None,
+        }
+    }
+
     /// Returns the indices of the servers that failed this request.
     pub fn failed_backends(&self) -> &[usize] {
         &self.failed[..self.failed_len]
--- a/crates/peridotrack-route/src/router.rs
+++ b/crates/peridotrack-route/src/router.rs
@@ -175,7 +175,8 @@
     }
 
     /// Returns whether a request may still be sent to the server that it was dispatched to. The
-    /// server may have stated that it leaves, or asked for a pause, while a connection was opened.
+    /// server may have stated that it leaves, asked for a pause or started again, while a connection
+    /// was opened.
     pub fn may_send(&self, now_us: u64, request_id: id::Request) -> bool {
         let Some(Phase::InFlight(attempt)) =
             self.requests.get(&request_id).map(|request| request.phase)
@@ -183,9 +184,9 @@
             return false;
         };
         let backend = &self.backends[attempt.backend];
-        backend
-            .ineligibilities(now_us, &self.options)
-            .all(|ineligibility| !ineligibility.reason.withdraws())
+        let mut ineligibilities = backend.ineligibilities(now_us, &self.options);
+        backend.lifetimes == attempt.lifetimes
+            && ineligibilities.all(|ineligibility| !ineligibility.reason.withdraws())
     }
 
     /// Cancels a request whose caller disconnected; its final outcome is
@@ -199,7 +200,9 @@
         {
             None => {}
             Some((Phase::Queued, pool)) => {
-                self.pools[pool].queue.remove(request_id);
+                let pool = &mut self.pools[pool];
+                pool.queue.remove(request_id);
+                pool.continuations.retain(|waiting| *waiting != request_id);
                 self.requests.remove(&request_id);
             }
             Some((Phase::InFlight(_), _)) => {
@@ -217,7 +220,10 @@
         match event {
             Event::Tick => self.on_tick(now_us, &mut actions),
             Event::Sent { request_id } => self.on_sent(request_id),
-            Event::FirstToken { request_id } => self.on_first_token(now_us, request_id),
+            Event::FirstToken { request_id } => {
+                self.begin_stream(request_id);
+                self.on_first_token(now_us, request_id);
+            }
             Event::Finished {
                 request_id,
                 outcome,
@@ -253,6 +259,7 @@
         self.free_drained(now_us, actions);
         for pool in 0..self.pools.len() {
             self.refuse_late(now_us, pool, actions);
+            self.clear_failures_of_continuations(pool);
             self.dispatch_queued(now_us, pool, actions);
         }
     }
@@ -404,6 +411,6 @@
         target: pool.target.clone(),
         backend_servers: pool.len(),
         in_flight_requests: pool.in_flight,
-        queued_requests: pool.queue.len(),
+        queued_requests: pool.queue.len() + pool.continuations.len(),
     }
 }
--- a/crates/peridotrack-route/tests/invariants.rs
+++ b/crates/peridotrack-route/tests/invariants.rs
@@ -109,6 +109,7 @@
             idempotent,
             continuation: event::Continuation::default(),
             max_dispatches: None,
+            origin: None,
             prompt: None,
         };
         let actions = self.router.offer(self.now_us, offer);
--- a/crates/peridotrack-route/tests/support/mod.rs
+++ b/crates/peridotrack-route/tests/support/mod.rs
@@ -85,6 +85,7 @@
         idempotent: true,
         continuation: event::Continuation::default(),
         max_dispatches: None,
+        origin: None,
         prompt: None,
     }
 }
--- a/crates/peridotrack-types/src/lib.rs
+++ b/crates/peridotrack-types/src/lib.rs
@@ -22,3 +22,4 @@
 pub mod rules;
 pub mod settings;
 pub mod site;
+pub mod stream;
--- a/crates/peridotrack-types/src/problem.rs
+++ b/crates/peridotrack-types/src/problem.rs
@@ -47,6 +47,8 @@
     PromptPartBlocked,
     /// Backend servers crash under the request.
     RequestBlocked,
+    /// It is not known where the stream began that the request continues.
+    StreamOriginUnknown,
 }
 
 /// Whether a failed request ran on a backend server.
@@ -84,7 +86,7 @@
 
 impl Kind {
     /// All kinds, each once.
-    pub const ALL: [Self; 17] = [
+    pub const ALL: [Self; 18] = [
         Self::Malformed,
         Self::Unauthorized,
         Self::Forbidden,
@@ -102,6 +104,7 @@
         Self::BackendFailed,
         Self::PromptPartBlocked,
         Self::RequestBlocked,
+        Self::StreamOriginUnknown,
     ];
 
     /// Returns the HTTP status code of this kind.
@@ -122,6 +125,7 @@
             | Self::ClaimUnavailable
             | Self::PromptPartBlocked
             | Self::RequestBlocked
+            | Self::StreamOriginUnknown
             | Self::Stopping => 503,
         }
     }
@@ -146,6 +150,7 @@
             Self::BackendFailed => "backend-failed",
             Self::PromptPartBlocked => "prompt-part-blocked",
             Self::RequestBlocked => "request-blocked",
+            Self::StreamOriginUnknown => "stream-origin-unknown",
         }
     }
 
