fix(route): a stream does not go on at a server whose process has ended

A search over fleets in simulated time found streams of two versions where servers start again under their name as another version: a router whose directory still has the former entry takes the new process for the old one, and both begins and continues streams there.

Change: a refused connection shows that the process of the entry has ended. A router notes it, tells its peers, and neither continues a stream at the server nor records one that begins there, until the directory names a later start. A connection that breaks within a stream is followed by such a connection, too.

--- a/crates/peridotrack-edge/src/daemon.rs
+++ b/crates/peridotrack-edge/src/daemon.rs
@@ -369,6 +369,7 @@
         | peer::Frame::Quarantine { .. }
         | peer::Frame::LeavingStated { .. }
         | peer::Frame::Origin(_)
+        | peer::Frame::ServerEnded { .. }
         | peer::Frame::RateLimit { .. } => {}
         peer::Frame::Member(message) => members.receive(sender.address, message),
         peer::Frame::Budget { message, .. } => budget.receive(sender.incarnation, message),
--- a/crates/peridotrack-edge/src/gateway.rs
+++ b/crates/peridotrack-edge/src/gateway.rs
@@ -26,6 +26,7 @@
 use peridotrack_member::message::State;
 use peridotrack_platform::{directory as directory_wire, site as site_wire};
 use peridotrack_quarantine::{event as quarantine_event, options as quarantine_options, statement};
+use peridotrack_route::event as route_event;
 use peridotrack_types::{gateway::Settings, id};
 
 use crate::{
@@ -414,9 +415,19 @@
         } => throttle.receive(&failure_domain, news),
         peer::Frame::Origin(message) => origins.receive(sender.incarnation, message),
         peer::Frame::LeavingStated {
-            backend_server,
+            backend_server: backend,
             started_ms,
-        } => route.leaving_stated_to_peer(backend_server, started_ms),
+        } => route.handle_report_of_peer(route_event::Event::LeavingStated {
+            backend,
+            started_ms,
+        }),
+        peer::Frame::ServerEnded {
+            backend_server: backend,
+            started_ms,
+        } => route.handle_report_of_peer(route_event::Event::Ended {
+            backend,
+            started_ms,
+        }),
         _ => {}
     };
     let members = Rc::clone(member);
--- a/crates/peridotrack-edge/src/gateway/exchange.rs
+++ b/crates/peridotrack-edge/src/gateway/exchange.rs
@@ -17,7 +17,7 @@
 use super::{
     Shared,
     attempt::{self, AttemptResult},
-    crash,
+    crash, liveness,
     request::{self, RoutedRequest},
     reservation::{self, ReservationGuard},
     response, resumption,
@@ -231,6 +231,9 @@
                 } else if is_disconnected && progress.stage() != stream::Stage::Streaming {
                     crash::report_break(shared, &server, target.address, trial).await;
                     may_retry = shared.quarantine.may_retry(&request.signatures);
+                } else if is_disconnected {
+                    // The server may start again as another version before its entry says so.
+                    liveness::check_in_background(shared, &server, target.address);
                 }
                 ticket.finished(outcome);
             }
--- a/crates/peridotrack-edge/src/gateway/liveness.rs
+++ b/crates/peridotrack-edge/src/gateway/liveness.rs
@@ -9,6 +9,7 @@
 
 use peridotrack_http::client;
 use peridotrack_quarantine::{event::Event, run::Run};
+use peridotrack_route::event as route_event;
 
 use super::{Shared, options};
 use crate::notify::Notify;
@@ -35,6 +36,12 @@
     done.notified().await;
 }
 
+/// Does the same as [`check`], without waiting for the result.
+pub(super) fn check_in_background(shared: &Rc<Shared>, server: &Run, address: SocketAddr) {
+    let (shared, server) = (Rc::clone(shared), server.clone());
+    monoio::spawn(async move { check(&shared, &server, address).await });
+}
+
 async fn run(shared: Rc<Shared>, server: Run, address: SocketAddr) {
     let has_ended = has_ended(&shared, &server, address).await;
     let done = shared.checks.running.borrow_mut().remove(&server);
@@ -68,6 +75,10 @@
 
 /// Reports that a backend server has ended.
 pub(super) fn report_end(shared: &Shared, server: &Run) {
+    shared.route.handle(route_event::Event::Ended {
+        backend: server.backend_server.clone(),
+        started_ms: server.born_ms,
+    });
     shared.quarantine.handle(Event::ServerEnded {
         backend_server: server.clone(),
     });
--- a/crates/peridotrack-edge/src/peer/frame.rs
+++ b/crates/peridotrack-edge/src/peer/frame.rs
@@ -103,6 +103,13 @@
         /// When its process started, in milliseconds since the Unix epoch, if known.
         started_ms: Option<u64>,
     },
+    /// Reports that the process of a backend server has ended.
+    ServerEnded {
+        /// Name of the backend server.
+        backend_server: name::BackendServer,
+        /// When the process started, in milliseconds since the Unix epoch.
+        started_ms: Option<u64>,
+    },
     /// Where streams began, and questions about it.
     Origin(origin_message::Message),
     /// News about the rate that a backend server states.
@@ -124,6 +131,7 @@
             | Self::Leaving { .. }
             | Self::LeavingStated { .. }
             | Self::Origin(_)
+            | Self::ServerEnded { .. }
             | Self::ConfigRequest { .. }
             | Self::Config { .. }
             | Self::ConfigPartRequest { .. }
--- a/crates/peridotrack-edge/src/route.rs
+++ b/crates/peridotrack-edge/src/route.rs
@@ -314,24 +314,15 @@
 
     /// Handles a peer's report that a backend server is leaving.
     pub fn leaving_reported_by_peer(&self, backend_server: name::BackendServer) {
-        self.is_reported_by_peer.set(true);
-        self.handle(Event::Leaving {
+        self.handle_report_of_peer(Event::Leaving {
             backend: backend_server,
         });
-        self.is_reported_by_peer.set(false);
     }
 
-    /// Handles a peer's report that a backend server has stated that it leaves.
-    pub fn leaving_stated_to_peer(
-        &self,
-        backend_server: name::BackendServer,
-        started_ms: Option<u64>,
-    ) {
+    /// Passes an event that a peer reports to the state machine. The peer has told the others.
+    pub fn handle_report_of_peer(&self, event: Event) {
         self.is_reported_by_peer.set(true);
-        self.handle(Event::LeavingStated {
-            backend: backend_server,
-            started_ms,
-        });
+        self.handle(event);
         self.is_reported_by_peer.set(false);
     }
 
@@ -480,6 +471,13 @@
                 backend_server: backend.clone(),
                 started_ms: *started_ms,
             }),
+            Note::Ended {
+                backend,
+                started_ms,
+            } => self.notify_peers(&peer::Frame::ServerEnded {
+                backend_server: backend.clone(),
+                started_ms: *started_ms,
+            }),
             _ => {}
         }
         let kind = match note {
--- a/crates/peridotrack-origin/tests/origins.rs
+++ b/crates/peridotrack-origin/tests/origins.rs
@@ -106,7 +106,9 @@
         for lost in 0..6 {
             let lost = name::Vm::from(format!("vm-{lost}").as_str());
             let mut fewer = routers();
-            fewer.values_mut().for_each(|vms| drop(vms.remove(&lost)));
+            for vms in fewer.values_mut() {
+                vms.remove(&lost);
+            }
             let asked = home::of(&key(number), &fewer, 3);
             assert!(told.iter().any(|home| asked.contains(home)));
         }
--- a/crates/peridotrack-route/src/backend.rs
+++ b/crates/peridotrack-route/src/backend.rs
@@ -24,6 +24,9 @@
     pub lifetime: register::Lifetime,
     /// Number of changes of `lifetime`, counted from 0.
     pub lifetimes: u64,
+    /// Whether the process of `lifetime` has ended, so that the version of one that has started
+    /// since is not known.
+    pub has_ended: bool,
     /// Number of requests that it can run concurrently, from the register or its latest load
     /// report.
     pub slots: u32,
@@ -70,6 +73,7 @@
             failure_domain,
             lifetime,
             lifetimes: 0,
+            has_ended: false,
             slots,
             distance_us,
             in_flight: 0,
@@ -170,7 +174,21 @@
     /// Returns whether the server may continue a stream that began there.
     #[inline]
     pub fn continues(&self, origin: &stream::Origin) -> bool {
-        self.lifetime.software_version == origin.software_version
+        !self.has_ended && self.lifetime.software_version == origin.software_version
+    }
+
+    /// Returns whether the server is known to run another version than the one that began a stream.
+    pub fn contradicts(&self, origin: &stream::Origin) -> bool {
+        self.lifetime.software_version != origin.software_version
+    }
+
+    /// Records that a process has ended, if it is the one that the register names and another one can
+    /// be told apart by its start. Returns whether that was not known.
+    pub fn end(&mut self, started_ms: Option<u64>) -> bool {
+        let is_known = started_ms.is_none() || started_ms != self.lifetime.started_ms;
+        let is_news = !is_known && !self.has_ended;
+        self.has_ended |= is_news;
+        is_news
     }
 
     /// Returns whether a run of the server's process with this start time, if known, is the one
@@ -187,7 +205,10 @@
     pub fn set_lifetime(&mut self, lifetime: &register::Lifetime) -> bool {
         let is_later =
             lifetime.started_ms > self.lifetime.started_ms && self.lifetime.started_ms.is_some();
-        self.lifetimes += u64::from(self.lifetime != *lifetime);
+        if self.lifetime != *lifetime {
+            self.lifetimes += 1;
+            self.has_ended = false;
+        }
         self.lifetime = lifetime.clone();
         is_later
     }
--- a/crates/peridotrack-route/src/continuation.rs
+++ b/crates/peridotrack-route/src/continuation.rs
@@ -33,7 +33,8 @@
 
     /// Records that the first event of a stream was received from the server of its attempt.
     ///
-    /// If the server's lifetime changed since the attempt began, either process may have written it.
+    /// If the server's lifetime changed since the attempt began, or its process has ended, another
+    /// process may have written it.
     pub(crate) fn begin_stream(&mut self, request_id: id::Request) {
         let Some(request) = self.requests.get_mut(&request_id) else {
             return;
@@ -45,7 +46,8 @@
             return;
         }
         let backend = &self.backends[attempt.backend];
-        request.beginning = match backend.lifetimes == attempt.lifetimes {
+        let is_certain = backend.lifetimes == attempt.lifetimes && !backend.has_ended;
+        request.beginning = match is_certain {
             true => Beginning::At(stream::Origin {
                 backend_server: backend.name.clone(),
                 software_version: backend.lifetime.software_version.clone(),
@@ -120,7 +122,7 @@
     /// that one already, while its entry still named the former.
     fn is_doubtful(&self, origin: &stream::Origin) -> bool {
         let index = self.by_name.get(&origin.backend_server);
-        index.is_some_and(|index| !self.backends[*index].continues(origin))
+        index.is_some_and(|index| self.backends[*index].contradicts(origin))
     }
 
     /// Returns whether the deadline of a request passes before the next event, if a server takes it at
--- a/crates/peridotrack-route/src/event.rs
+++ b/crates/peridotrack-route/src/event.rs
@@ -139,6 +139,14 @@
         /// `None` if it is the process that the register names.
         started_ms: Option<u64>,
     },
+    /// The process of a backend server has ended, as this router or a peer has noticed. One that has
+    /// started since under its name may have another version.
+    Ended {
+        /// Name in the asset register of the server.
+        backend: name::BackendServer,
+        /// When the process started.
+        started_ms: Option<u64>,
+    },
     /// A backend server turned a request of this router away and wants no other one for a time.
     Pause {
         /// Name in the asset register of the server.
@@ -224,6 +232,13 @@
         /// When its process started, in milliseconds since the Unix epoch, if known.
         started_ms: Option<u64>,
     },
+    /// The process of a backend server has ended.
+    Ended {
+        /// Name in the asset register of the server.
+        backend: name::BackendServer,
+        /// When the process started, in milliseconds since the Unix epoch.
+        started_ms: Option<u64>,
+    },
     /// A backend server asked for a pause, or for a longer one.
     Paused {
         /// Name in the asset register of the server, which receives no requests of this router.
--- a/crates/peridotrack-route/src/router.rs
+++ b/crates/peridotrack-route/src/router.rs
@@ -234,6 +234,10 @@
                 backend,
                 started_ms,
             } => self.on_leaving_stated(now_us, &backend, started_ms, &mut actions),
+            Event::Ended {
+                backend,
+                started_ms,
+            } => self.on_ended(&backend, started_ms, &mut actions),
             Event::Pause {
                 backend,
                 duration_us,
@@ -361,6 +365,23 @@
         }
     }
 
+    fn on_ended(
+        &mut self,
+        name: &name::BackendServer,
+        started_ms: Option<u64>,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(&index) = self.by_name.get(name) else {
+            return;
+        };
+        if self.backends[index].end(started_ms) {
+            actions.push(Action::Note(Note::Ended {
+                backend: name.clone(),
+                started_ms,
+            }));
+        }
+    }
+
     /// Records a server's request for a pause. Queued requests that cannot wait for its end are
     /// refused.
     fn on_pause(
--- a/crates/peridotrack-route/tests/continuation.rs
+++ b/crates/peridotrack-route/tests/continuation.rs
@@ -246,3 +246,42 @@
     router.configure(2, &register, &rules(64));
     assert!(!router.may_send(3, request(1)));
 }
+
+/// The process that has started since under the name may have another version.
+#[rstest]
+#[case::the_process_of_the_entry(Some(1), false)]
+#[case::an_earlier_process(Some(0), true)]
+#[case::unknown_process(None, true)]
+fn a_stream_does_not_go_on_at_a_server_whose_process_has_ended(
+    #[case] started_ms: Option<u64>,
+    #[case] goes_on: bool,
+) {
+    let register = versions(&["v1"]);
+    let mut router = router(&register);
+    let ended = Event::Ended {
+        backend: engine(0, SLOTS).name,
+        started_ms,
+    };
+    router.on_event(0, ended);
+    let actions = router.offer(1, take_up(1, 9, "v1"));
+    assert_eq!(dispatched(&actions).is_some(), goes_on);
+    // A stream that begins there now cannot be taken up.
+    router.offer(2, offer(2));
+    first_token(&mut router, 3, 2);
+    assert_eq!(router.origin(request(2)).is_some(), goes_on);
+}
+
+#[test]
+fn a_server_that_started_again_as_the_same_version_continues_streams() {
+    let mut register = versions(&["v1"]);
+    let mut router = router(&register);
+    let ended = Event::Ended {
+        backend: engine(0, SLOTS).name,
+        started_ms: Some(1),
+    };
+    router.on_event(0, ended);
+    register.engines[0].lifetime.started_ms = Some(2);
+    router.configure(1, &register, &rules(64));
+    let actions = router.offer(2, take_up(1, 0, "v1"));
+    assert_eq!(dispatched(&actions), Some(engine(0, SLOTS).name));
+}
--- a/crates/peridotrack-route/tests/invariants.rs
+++ b/crates/peridotrack-route/tests/invariants.rs
@@ -305,6 +305,7 @@
             Note::Leaving { .. } => "leaving",
             Note::LeavingStated { .. } => "leaving stated",
             Note::Paused { .. } => "paused",
+            Note::Ended { .. } => "ended",
             Note::Returned { .. } => "returned",
             Note::Drained { .. } => "drained",
             Note::RetryDenied { .. } => "retry denied",
