--- a/crates/peridotrack-edge/tests/gateway/fixture.rs
+++ b/crates/peridotrack-edge/tests/gateway/fixture.rs
@@ -1,7 +1,7 @@
 //! A gateway with a store and backend servers, all on the event loop of the test, and the
 //! configuration, entries and requests that the tests use.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use http::Response;
@@ -86,8 +86,13 @@
 
 /// The entry of a backend server in the store.
 pub fn entry(backend: &backend::Handle) -> Value {
+    entry_at(backend.address())
+}
+
+/// The entry of a backend server at an address.
+pub fn entry_at(address: SocketAddr) -> Value {
     json!({
-        "service": "lm", "address": backend.address().to_string(), "zone": "a",
+        "service": "lm", "address": address.to_string(), "zone": "a",
         "version": "v1", "slots": 8, "state": "ready", "coldRemainingMs": 0, "sequence": 1,
     })
 }
--- /dev/null
+++ b/crates/peridotrack-edge/tests/gateway/odd_entries.rs
@@ -0,0 +1,76 @@
+//! Entries of other writers among those of the backend servers, with contents that strain a decoder.
+//! Whatever they hold, the gateway goes on and follows the entries of the servers.
+
+use std::time::Duration;
+
+use peridotrack_standin::{harness::http::block_on, hosted::backend};
+use rstest::rstest;
+use serde_json::json;
+
+use crate::fixture::{Fixture, LIMIT, entry};
+
+/// A complete entry of a server at an address where nothing listens, with one field replaced.
+fn entry_with(field: &str, value: &str) -> String {
+    let mut entry = json!({
+        "service": "lm", "address": "127.0.0.1:1", "zone": "a", "version": "v1", "slots": 8,
+        "state": "resting", "coldRemainingMs": 0, "sequence": 1, "extra": 0,
+    });
+    entry[field] = json!("@value");
+    entry.to_string().replace("\"@value\"", value)
+}
+
+fn nested(depth: usize) -> String {
+    format!("{}{}", "[".repeat(depth), "]".repeat(depth))
+}
+
+fn nested_objects(depth: usize) -> String {
+    format!("{}0{}", "{\"a\":".repeat(depth), "}".repeat(depth))
+}
+
+#[rstest]
+#[case::nested(nested(9_000))]
+#[case::nested_deeper(nested(160_000))]
+#[case::nested_objects(nested_objects(160_000))]
+#[case::nested_field(entry_with("extra", &nested(160_000)))]
+#[case::nested_known_field(entry_with("address", &nested(160_000)))]
+#[case::nested_start(entry_with("born", &nested_objects(9_000)))]
+#[case::number_of_400_digits(entry_with("slots", &"9".repeat(400)))]
+#[case::number_too_large(entry_with("coldRemainingMs", "1e999"))]
+#[case::number_of_128_bits(entry_with("sequence", "340282366920938463463374607431768211456"))]
+#[case::negative_number(entry_with("slots", "-1"))]
+#[case::port_too_large(entry_with("address", "\"127.0.0.1:99999\""))]
+#[case::negative_port(entry_with("address", "\"127.0.0.1:-1\""))]
+#[case::start_of_another_type(entry_with("born", "\"yesterday\""))]
+#[case::start_too_large(entry_with("born", "340282366920938463463374607431768211456"))]
+#[case::lone_surrogate(entry_with("zone", "\"\\ud800\""))]
+#[case::long_text(entry_with("version", &format!("\"{}\"", "x".repeat(1_000_000))))]
+#[case::field_given_twice(entry_with("extra", "0,\"slots\":9"))]
+fn an_odd_entry_keeps_the_gateway_from_following_the_others(#[case] text: String) {
+    block_on(async {
+        let mut fixture = Fixture::spawn_before_config(2);
+        for name in ["a-odd", "i-0-odd", "z-odd"] {
+            fixture.store.put_text("servers", name, &text);
+        }
+        fixture
+            .store
+            .put("config", "main", crate::fixture::config(4, 1_000_000));
+        fixture.ready().await;
+        fixture.until_status("/safe/x", 200, LIMIT).await;
+        // The next odd entry comes as a change, and new servers replace all.
+        fixture
+            .store
+            .put_text("servers", "m-odd", &format!("{text} "));
+        let replacements: Vec<_> = (0..2).map(|_| backend::spawn().unwrap()).collect();
+        for (number, replacement) in replacements.iter().enumerate() {
+            let name = format!("n-{number}");
+            fixture.store.put("servers", &name, entry(replacement));
+            fixture.store.remove("servers", &format!("i-{number}"));
+        }
+        monoio::time::sleep(Duration::from_millis(800)).await;
+        fixture.backends = replacements;
+        for _ in 0..10 {
+            assert_eq!(fixture.get("/safe/x").await.unwrap().status(), 200);
+        }
+        assert!(fixture.runs() >= 10);
+    });
+}
--- a/crates/peridotrack-standin/src/hosted/store.rs
+++ b/crates/peridotrack-standin/src/hosted/store.rs
@@ -83,6 +83,8 @@
     revision: u64,
     objects: BTreeMap<(String, String), Object>,
     history: Vec<Change>,
+    /// Texts that stand in documents in place of their markers.
+    texts: Vec<String>,
 }
 
 /// Application of the store behind its listener.
@@ -119,6 +121,18 @@
         self.0.application.put(kind, name, spec);
     }
 
+    /// Writes an object like [`Handle::put`] whose spec is any text, which may be no proper JSON or too
+    /// deep for a [`Value`].
+    pub fn put_text(&self, kind: &str, name: &str, text: &str) {
+        let store = &self.0.application;
+        let number = {
+            let texts = &mut store.state.borrow_mut().texts;
+            texts.push(text.to_owned());
+            texts.len() - 1
+        };
+        store.put(kind, name, Value::String(text_marker(number)));
+    }
+
     /// Removes an object, if it exists, regardless of the mode.
     pub fn remove(&self, kind: &str, name: &str) {
         self.0.application.remove(kind, name);
@@ -144,6 +158,10 @@
     }
 }
 
+fn text_marker(number: usize) -> String {
+    format!("text-{number}-of-the-store")
+}
+
 impl Object {
     fn document(&self, name: &str) -> Value {
         json!({
@@ -160,6 +178,23 @@
     }
 }
 
+impl State {
+    /// Returns a response with a document, in which texts replace their markers.
+    fn respond(&self, document: &Value) -> Response<Bytes> {
+        let response = response::json(document);
+        if self.texts.is_empty() {
+            return response;
+        }
+        response.map(|body| {
+            let mut body = String::from_utf8_lossy(&body).into_owned();
+            for (number, text) in self.texts.iter().enumerate() {
+                body = body.replace(&format!("{:?}", text_marker(number)), text);
+            }
+            body.into()
+        })
+    }
+}
+
 impl Store {
     fn put(&self, kind: &str, name: &str, spec: Value) -> Value {
         let mut state = self.state.borrow_mut();
@@ -212,7 +247,7 @@
     fn read(&self, kind: &str, name: &str) -> Response<Bytes> {
         let state = self.state.borrow();
         match state.objects.get(&(kind.to_owned(), name.to_owned())) {
-            Some(object) => response::json(&object.document(name)),
+            Some(object) => state.respond(&object.document(name)),
             None => response::failure(StatusCode::NOT_FOUND, "no such object"),
         }
     }
@@ -230,7 +265,7 @@
             .collect();
         let has_more = items.len() > PAGE_OBJECTS;
         items.truncate(PAGE_OBJECTS);
-        response::json(&json!({"items": items, "hasMore": has_more, "asOf": state.revision}))
+        state.respond(&json!({"items": items, "hasMore": has_more, "asOf": state.revision}))
     }
 
     async fn watch(
@@ -256,7 +291,10 @@
         }
         let as_of = self.state.borrow().revision;
         Ok(match self.events(kind, revision) {
-            Some(events) => response::json(&json!({"events": events, "asOf": as_of})),
+            Some(events) => {
+                let document = json!({"events": events, "asOf": as_of});
+                self.state.borrow().respond(&document)
+            }
             None => response::failure(StatusCode::GONE, "the history is gone"),
         })
     }
