test(soak): streams that clients take up among servers of two versions

Backend servers of the soak run two software versions, and clients take up resumable streams that broke off, up to three times, at random routers. The soak checks that all continuations of a stream run at one version.

--- a/crates/peridotrack-edge/src/peer/frame.rs
+++ b/crates/peridotrack-edge/src/peer/frame.rs
@@ -96,6 +96,13 @@
         /// The whole statement, which replaces earlier ones.
         statement: statement::Statement,
     },
+    /// News about the rate that a backend server states.
+    RateLimit {
+        /// Failure domain of the sender.
+        failure_domain: name::FailureDomain,
+        /// The news.
+        news: throttle::News,
+    },
     /// Reports that a backend server has stated that it leaves.
     LeavingStated {
         /// Name of the backend server that gets no new requests in its lifetime.
@@ -112,13 +119,6 @@
     },
     /// Where streams began, and questions about it.
     Origin(origin_message::Message),
-    /// News about the rate that a backend server states.
-    RateLimit {
-        /// Failure domain of the sender.
-        failure_domain: name::FailureDomain,
-        /// The news.
-        news: throttle::News,
-    },
 }
 
 impl Frame {
--- a/crates/peridotrack-edge/tests/frames.rs
+++ b/crates/peridotrack-edge/tests/frames.rs
@@ -1,8 +1,10 @@
-//! Frames of an earlier release can be read: routers are upgraded one after the other.
+//! Frames of an earlier release can be read: routers are upgraded one after the other. Frames that
+//! are sent for each stream are small.
 
 use peridotrack_budget::message::{Message, Reach};
 use peridotrack_edge::peer::frame::{self, Frame};
-use peridotrack_types::id;
+use peridotrack_origin::{key, message, origins, record};
+use peridotrack_types::{id, stream};
 
 fn token_request(available_tokens: u64) -> Frame {
     Frame::Budget {
@@ -29,3 +31,28 @@
     };
     assert_eq!(decoded(&body[..body.len() - 1]), decoded(body));
 }
+
+/// Bytes per second that a router sends for control, at the size to design for.
+const CONTROL_BYTES_PER_S: f64 = 4_096.0;
+/// Requests per second of one router at that size.
+const REQUESTS_PER_S: f64 = 8.5;
+/// Part of these bytes for telling the homes of streams where they began.
+const ORIGINS_PART: f64 = 0.25;
+
+#[test]
+fn telling_the_homes_of_all_streams_stays_within_its_part_of_the_control_bytes() {
+    let record = record::Record {
+        service: "lm-desk".into(),
+        origin: stream::Origin {
+            backend_server: "i-6e8a12ac8e".into(),
+            software_version: Some("v1.2.10".into()),
+        },
+    };
+    let key = key::of_stream(b"secret", "lowu850", "7fb48ce8ed7488ac");
+    let frame = frame::Frame::Origin(message::Message::Began { key, record });
+    let bytes = frame::encode(&frame).unwrap().len() as f64;
+    let homes = origins::Options::default().homes as f64;
+    let bytes_per_s = bytes * homes * REQUESTS_PER_S;
+    println!("{bytes} bytes a message, {bytes_per_s} a second");
+    assert!(bytes_per_s < ORIGINS_PART * CONTROL_BYTES_PER_S);
+}
--- a/crates/peridotrack-edge/tests/gateway/fleet.rs
+++ b/crates/peridotrack-edge/tests/gateway/fleet.rs
@@ -331,6 +331,7 @@
             version: 1,
             event_interval_ms: None,
             repeated: None,
+            resumed: None,
         };
         let gateway = &self.gateways[fastrand::usize(..self.gateways.len())];
         let exchange = client::send(gateway.client_address(), &mut None, &request).await;
--- a/crates/peridotrack-origin/src/origins.rs
+++ b/crates/peridotrack-origin/src/origins.rs
@@ -199,18 +199,18 @@
 
     fn on_began(&mut self, now_us: u64, key: Key, record: Record) -> Vec<Action> {
         let most = self.options.max_records;
-        self.records.insert(key, record.clone(), now_us, most);
+        let message = Message::Began {
+            key,
+            record: record.clone(),
+        };
+        self.records.insert(key, record, now_us, most);
         let homes = home::of(&key, &self.routers, self.options.homes);
         let others = homes.into_iter().filter(|vm| *vm != self.vm);
-        others
-            .map(|to| Action::Send {
-                to,
-                message: Message::Began {
-                    key,
-                    record: record.clone(),
-                },
-            })
-            .collect()
+        let send = |to| Action::Send {
+            to,
+            message: message.clone(),
+        };
+        others.map(send).collect()
     }
 
     fn on_wanted(&mut self, now_us: u64, query: u64, key: Key) -> Vec<Action> {
--- a/crates/peridotrack-origin/tests/fleet/sim.rs
+++ b/crates/peridotrack-origin/tests/fleet/sim.rs
@@ -438,7 +438,7 @@
     }
 
     fn is_cut(&self, a: usize, b: usize) -> bool {
-        self.now_us < self.cut_until_us && (a % 4 == 0) != (b % 4 == 0)
+        self.now_us < self.cut_until_us && a.is_multiple_of(4) != b.is_multiple_of(4)
     }
 
     fn change_directory(&mut self) {
--- a/crates/peridotrack-route/src/dispatch.rs
+++ b/crates/peridotrack-route/src/dispatch.rs
@@ -42,10 +42,10 @@
         if request.beginning != Beginning::Ahead {
             return self.place_continuation(now_us, request_id, request, actions);
         }
-        if self.pools[request.pool].queue.is_empty() {
-            if let Some(index) = self.choose(now_us, &request) {
-                return self.dispatch(now_us, request_id, request, index, actions);
-            }
+        if self.pools[request.pool].queue.is_empty()
+            && let Some(index) = self.choose(now_us, &request)
+        {
+            return self.dispatch(now_us, request_id, request, index, actions);
         }
         if !self.has_usable_backend(now_us, request.pool) {
             let kind = problem::Kind::NoBackendServer;
--- a/crates/peridotrack-soak/src/check.rs
+++ b/crates/peridotrack-soak/src/check.rs
@@ -14,6 +14,7 @@
 use crate::{
     schedule::{Fault, Step},
     stated::{self, PausedArrival, StatedLeaving},
+    streams,
 };
 
 /// Allowance for request transit and for timestamps taken by different tasks, in milliseconds.
@@ -74,6 +75,8 @@
     pub id: String,
     /// Name of the backend server that the router addressed.
     pub expected_server: String,
+    /// Identifier of the request that received the first event of the stream, if it continues one.
+    pub continues: Option<String>,
     /// Client account that the router named to the server.
     pub account: String,
     /// Whether the router forwarded the client's key, which it must not.
@@ -126,6 +129,8 @@
     pub limits: Vec<StatedLimit>,
     /// Backend servers that stated that they leave.
     pub leaving: Vec<StatedLeaving>,
+    /// Software versions of backend servers, by name.
+    pub software_versions: BTreeMap<String, u64>,
     /// Requests that reached backend servers in pauses that these had asked for.
     pub paused_arrivals: Vec<PausedArrival>,
     /// Times when the prepaid total was written, each with the total in tokens of every account.
@@ -176,6 +181,7 @@
         breaches.extend(breach);
     }
     breaches.extend(stated::check_pauses(record, &requests_by_id));
+    breaches.extend(streams::check_versions(record));
     breaches.extend(check_spending(record, &execution_counts));
     breaches.extend(check_config_rollback(record));
     breaches.extend(check_recovery(record));
--- a/crates/peridotrack-soak/src/fleet.rs
+++ b/crates/peridotrack-soak/src/fleet.rs
@@ -3,7 +3,7 @@
 //! Each router reaches the store through a relay of its own, and all routers reach a backend server
 //! through one relay, so that each link can fail by itself. Routers connect to each other directly.
 
-use std::{net::SocketAddr, path::PathBuf, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, path::PathBuf, time::Duration};
 
 use bytes::Bytes;
 use eyre::WrapErr;
@@ -24,6 +24,8 @@
 
 /// Failure domains; routers and backend servers are assigned to them in turn.
 const ZONES: [&str; 2] = ["a", "b"];
+/// Number of software versions that serve side by side.
+const SOFTWARE_VERSIONS: u64 = 2;
 /// Ports of every router; each router has a loopback address of its own.
 const CLIENT_PORT: u16 = 8227;
 const READY_PORT: u16 = 8220;
@@ -87,6 +89,8 @@
     pub store: store::Handle,
     /// Backend servers, by index.
     pub backends: Vec<BackendServer>,
+    /// Software versions of all incarnations of backend servers, by name.
+    pub software_versions: BTreeMap<String, u64>,
     /// Relays of backend servers that have crashed, which forward what these had sent.
     ended_links: Vec<Relay>,
 }
@@ -111,6 +115,7 @@
         let mut fleet = Self {
             store,
             backends: Vec::new(),
+            software_versions: BTreeMap::new(),
             ended_links: Vec::new(),
             routers: Vec::new(),
         };
@@ -146,6 +151,9 @@
         let backend = &mut self.backends[backend];
         backend.incarnation += 1;
         backend.name = format!("i-{number}-{}", backend.incarnation);
+        let software_version = 1 + (number as u64 + backend.incarnation) % SOFTWARE_VERSIONS;
+        self.software_versions
+            .insert(backend.name.clone(), software_version);
         // Requests that are sent to the name before are to be noticed, not refused.
         backend.handle.set_name(None);
         backend.born_ms = deployment::wall_ms();
@@ -160,7 +168,9 @@
     fn write_entry(&self, backend: usize, state: &str) {
         let backend = &self.backends[backend];
         let address = backend.link.address();
-        let entry = deployment::entry_since(address, backend.zone, state, backend.born_ms);
+        let mut entry = deployment::entry_since(address, backend.zone, state, backend.born_ms);
+        let software_version = self.software_versions[&backend.name];
+        entry["version"] = format!("v{software_version}").into();
         self.store.put("servers", &backend.name, entry);
     }
 
--- a/crates/peridotrack-soak/src/lib.rs
+++ b/crates/peridotrack-soak/src/lib.rs
@@ -17,3 +17,4 @@
 pub mod run;
 pub mod schedule;
 pub mod stated;
+mod streams;
--- a/crates/peridotrack-soak/src/run.rs
+++ b/crates/peridotrack-soak/src/run.rs
@@ -45,6 +45,8 @@
 const PIECE_PAUSE_MS: std::ops::Range<u64> = 1_000..4_000;
 /// Number of tasks that send requests in pieces or ahead, for each client.
 const PACED_TASKS: usize = 5;
+/// Times that a client takes a stream up after it broke off.
+const MAX_TAKE_UPS: usize = 3;
 /// Interval between the events of a stream behind which the next request is sent ahead.
 const AHEAD_INTERVAL_MS: u64 = 200;
 /// One in this many requests has the fatal part while there is one.
@@ -214,7 +216,7 @@
         router: usize,
         idle_connection: &mut Option<(u64, Connection)>,
         request: client::Request,
-    ) {
+    ) -> client::Exchange {
         let (address, incarnation) = {
             let router = &self.fleet.borrow().routers[router];
             (router.client_address(), router.incarnation)
@@ -226,7 +228,8 @@
         let at_ms = self.now_ms();
         let exchange = client::send(address, &mut connection, &request).await;
         *idle_connection = connection.map(|connection| (incarnation, connection));
-        self.record_request((router, incarnation), at_ms, request, exchange);
+        self.record_request((router, incarnation), at_ms, request, exchange.clone());
+        exchange
     }
 
     /// Sends the body of a request in two pieces, or two requests of which the second one is sent
@@ -299,6 +302,7 @@
             version: self.version.get(),
             event_interval_ms: None,
             repeated: None,
+            resumed: None,
         }
     }
 
@@ -343,6 +347,7 @@
         for run in runs {
             self.record.borrow_mut().executions.push(check::Execution {
                 id: run.request_id().to_owned(),
+                continues: run.continues().map(str::to_owned),
                 expected_server: run.expected_server().to_owned(),
                 account: run.client_account().to_owned(),
                 has_credential: run.has_credential(),
@@ -372,12 +377,44 @@
             request = repetition;
         }
         let router = rng.usize(..routers);
-        run.request(router, &mut idle_connections[router], request)
+        let mut exchange = run
+            .request(router, &mut idle_connections[router], request.clone())
             .await;
+        for _ in 0..MAX_TAKE_UPS {
+            let Some(resumed) = interrupted(&request, &exchange) else {
+                break;
+            };
+            request = client::Request {
+                id: run.new_request(kind, account, 0).id,
+                resumed: Some(resumed),
+                ..request
+            };
+            let router = repeat_rng.usize(..routers);
+            exchange = run.request(router, &mut None, request.clone()).await;
+        }
         monoio::time::sleep(Duration::from_millis(rng.u64(CLIENT_PAUSE_MS))).await;
     }
 }
 
+/// Returns how a client takes up the stream of a request, if it broke off after its first event.
+fn interrupted(request: &client::Request, exchange: &client::Exchange) -> Option<client::Resumed> {
+    if request.kind != Kind::Resumable || exchange.outcome != client::Outcome::Incomplete {
+        return None;
+    }
+    let received = request.resumed.as_ref();
+    let received = received.map_or(0, |resumed| resumed.last_event + 1) + exchange.events;
+    let first_id = received_first(request);
+    Some(client::Resumed {
+        first_id,
+        last_event: received.checked_sub(1)?,
+    })
+}
+
+fn received_first(request: &client::Request) -> String {
+    let resumed = request.resumed.as_ref();
+    resumed.map_or_else(|| request.id.clone(), |resumed| resumed.first_id.clone())
+}
+
 /// Sends requests in pieces and requests ahead of a running stream, until the run ends.
 async fn run_paced_client(run: Rc<Run>, number: u64) {
     let mut rng = fastrand::Rng::with_seed(!run.options.seed ^ (number << 32) ^ 1);
@@ -405,8 +442,9 @@
     for backend in 0..run.options.shape.backends {
         run.collect_executions(backend);
     }
-    let record = run.record.take();
+    let mut record = run.record.take();
     let mut fleet = run.fleet.borrow_mut();
+    record.software_versions = std::mem::take(&mut fleet.software_versions);
     let breaches = check::check(&record);
     if !breaches.is_empty() {
         std::fs::create_dir_all(&run.options.logs)?;
--- a/crates/peridotrack-soak/tests/common/mod.rs
+++ b/crates/peridotrack-soak/tests/common/mod.rs
@@ -40,6 +40,7 @@
 pub fn execution() -> Execution {
     Execution {
         id: "r-1".to_owned(),
+        continues: None,
         expected_server: "i-1".to_owned(),
         account: "t-1".to_owned(),
         has_credential: false,
--- a/crates/peridotrack-standin/src/hosted/backend.rs
+++ b/crates/peridotrack-standin/src/hosted/backend.rs
@@ -132,6 +132,16 @@
         self.header("peridotrack-tenant-id")
     }
 
+    /// Returns the identifier of the request that received the first event of the stream, if the run
+    /// continues one: that of the request itself, unless the client took the stream up.
+    pub fn continues(&self) -> Option<&str> {
+        self.headers.get("last-event-id")?;
+        match self.header("resumes") {
+            "" => Some(self.request_id()),
+            first_id => Some(first_id),
+        }
+    }
+
     /// Returns whether a part of the prompt other than the last has the identifier `part`.
     pub fn shares_part(&self, part: u64) -> bool {
         let mut parts: Vec<u64> = self
--- a/crates/peridotrack-standin/src/hosted/client.rs
+++ b/crates/peridotrack-standin/src/hosted/client.rs
@@ -43,6 +43,17 @@
     /// Number of the request that this one repeats, `None` if it is sent once. Repetitions have the
     /// same content if they have the same kind and account.
     pub repeated: Option<u64>,
+    /// The stream that the request takes up, `None` if it begins one.
+    pub resumed: Option<Resumed>,
+}
+
+/// A stream that broke off and that a client takes up.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Resumed {
+    /// Identifier of the request that received the first event.
+    pub first_id: String,
+    /// Number of the last event that the client received.
+    pub last_event: u64,
 }
 
 impl Request {
@@ -177,7 +188,11 @@
     is_complete: bool,
 ) -> Exchange {
     let (outcome, events) = match request.kind.is_stream() && head.status.is_success() {
-        true => check_events(body, is_complete),
+        true => {
+            let first = request.resumed.as_ref();
+            let first = first.map_or(0, |resumed| resumed.last_event + 1);
+            check_events(body, first, is_complete)
+        }
         false => (check_body(head, body, is_complete), 0),
     };
     let outcome = mismatch(request, head).map_or(outcome, Outcome::Wrong);
@@ -200,6 +215,11 @@
         let parts: Vec<String> = parts.map(|part| format!("{part:x}:{tokens}")).collect();
         head = head.header("peridotrack-prompt-prefix", parts.join(","));
     }
+    if let Some(resumed) = &request.resumed {
+        head = head
+            .header("resumes", &resumed.first_id)
+            .header("last-event-id", resumed.last_event);
+    }
     head.header("host", "a.example")
         .header("peridotrack-request-id", &request.id)
         .header("peridotrack-deadline-ms", DEADLINE_MS.to_string())
@@ -236,14 +256,15 @@
     }
 }
 
-/// Counts the complete events of a stream, which must be numbered in sequence.
-fn check_events(body: &[u8], is_complete: bool) -> (Outcome, u64) {
+/// Counts the complete events of a stream, which must be numbered in sequence from `first`.
+fn check_events(body: &[u8], first: u64, is_complete: bool) -> (Outcome, u64) {
     let text = String::from_utf8_lossy(body);
     let events: Vec<&str> = text
         .split_inclusive("\n\n")
         .filter(|event| event.ends_with("\n\n"))
         .collect();
     let is_next = |(number, event): (usize, &&str)| {
+        let number = number as u64 + first;
         *event == format!("id: {number}\ndata: part {number}\n\n")
     };
     let count = events.len() as u64;
@@ -254,7 +275,7 @@
         );
     }
     match is_complete {
-        true if count < backend::STREAM_EVENTS => (
+        true if first + count < backend::STREAM_EVENTS => (
             Outcome::Wrong(format!("the stream ended normally after {count} events")),
             count,
         ),
--- a/crates/peridotrack-standin/tests/paced.rs
+++ b/crates/peridotrack-standin/tests/paced.rs
@@ -23,6 +23,7 @@
         version: 1,
         event_interval_ms: None,
         repeated: None,
+        resumed: None,
     }
 }
 
