--- a/crates/peridotrack-route/tests/stated_fleet.rs
+++ b/crates/peridotrack-route/tests/stated_fleet.rs
@@ -5,6 +5,7 @@
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BTreeSet, BinaryHeap},
+    ops::Range,
 };
 
 use peridotrack_route::{
@@ -96,6 +97,13 @@
     in_flight: u32,
 }
 
+/// A pause after its tolerance.
+struct Pause {
+    span_us: Range<u64>,
+    /// Requests of the router that reached the server in it.
+    requests: usize,
+}
+
 struct Fleet {
     fault: Fault,
     rng: fastrand::Rng,
@@ -106,8 +114,8 @@
     servers: Vec<Server>,
     /// When each request arrived, and the server that it was dispatched to.
     requests: BTreeMap<u64, (u64, usize)>,
-    /// Ends of the tolerance and of the pause, by router and server, with the requests between.
-    pauses: BTreeMap<(usize, usize), Vec<(u64, u64, usize)>>,
+    /// Pauses that each router was told of, by router and server.
+    pauses: BTreeMap<(usize, usize), Vec<Pause>>,
     /// When each router learned from a response that a server leaves.
     leaving_since: BTreeMap<(usize, usize), u64>,
     late: usize,
@@ -327,10 +335,8 @@
 
     fn reach(&mut self, router: usize, sequence: u64) {
         let (arrived_us, server) = self.requests[&sequence];
-        for (from_us, to_us, count) in self.pauses.entry((router, server)).or_default() {
-            if (*from_us..*to_us).contains(&self.now_us) {
-                *count += 1;
-            }
+        for pause in self.pauses.entry((router, server)).or_default() {
+            pause.requests += usize::from(pause.span_us.contains(&self.now_us));
         }
         let since_us = self.leaving_since.get(&(router, server));
         if since_us.is_some_and(|since_us| arrived_us > since_us + DRAIN_US) {
@@ -343,7 +349,10 @@
         let (answer, after_us) = if is_refused {
             let windows = self.pauses.get_mut(&(router, server)).unwrap();
             if pause_us > 0 {
-                windows.push((self.now_us + PAUSE_TOLERANCE_US, self.now_us + pause_us, 0));
+                windows.push(Pause {
+                    span_us: self.now_us + PAUSE_TOLERANCE_US..self.now_us + pause_us,
+                    requests: 0,
+                });
             }
             (
                 Answer::Refused {
@@ -439,7 +448,7 @@
             .pauses
             .values()
             .flatten()
-            .map(|pause| pause.2)
+            .map(|pause| pause.requests)
             .collect();
         pauses += counts.len();
         most_in_pause = most_in_pause.max(counts.into_iter().max().unwrap_or(0));
