fix(gateway): a take-up whose client leaves during the lookup is not begun

A client that closed its connection while the homes of its stream were asked was treated as if it began a stream; the request could reach a server of any version before the close was noticed. It ends as cancelled now.

The software version is one of the reasons against a server that the table names: placement checks it there, and refusals and explain show it.

--- a/crates/peridotrack-edge/src/gateway/exchange.rs
+++ b/crates/peridotrack-edge/src/gateway/exchange.rs
@@ -66,8 +66,11 @@
         return refuse_blocked(shared, connection, &request, &refusal).await;
     }
     let known = monoio::select! {
-        known = resumption::look_up(shared, &mut request) => known,
-        () = connection.closed() => Ok(()),
+        known = resumption::look_up(shared, &mut request) => Some(known),
+        () = connection.closed() => None,
+    };
+    let Some(known) = known else {
+        return cancelled(shared, &request, None);
     };
     if let Err(problem) = known {
         return refuse(shared, connection, Some(&request), None, &problem).await;
@@ -422,7 +425,9 @@
                 .with("in_flight_requests", in_flight)
                 .with(
                     "ineligible_servers",
-                    shared.route.ineligible_text(&request.service),
+                    shared
+                        .route
+                        .ineligible_text(&request.service, request.origin()),
                 )
                 .with("directory_age_us", age_us.unwrap_or(u64::MAX))
         }
--- a/crates/peridotrack-edge/src/gateway/request.rs
+++ b/crates/peridotrack-edge/src/gateway/request.rs
@@ -13,7 +13,7 @@
     event::{Continuation, Offer, Target},
     prefill,
 };
-use peridotrack_types::{id, name, problem, rules, site};
+use peridotrack_types::{id, name, problem, rules, site, stream};
 
 use super::{Shared, resumption::Lookup, site::Snapshot};
 use crate::caller;
@@ -77,6 +77,11 @@
         self.route().retry_policy == site::RetryPolicy::ResumableStream
     }
 
+    /// Returns where the stream began that the request takes up, if it does and that is known.
+    pub(super) fn origin(&self) -> Option<&stream::Origin> {
+        self.lookup.as_ref()?.origin()
+    }
+
     /// Adds what was found out about the stream that the request takes up, if it does.
     pub(super) fn describe_lookup(&self, shared: &Shared, event: event::Event) -> event::Event {
         match &self.lookup {
@@ -250,10 +255,7 @@
             true => Continuation::AnyServer,
             false => Continuation::SameServer,
         },
-        origin: request
-            .lookup
-            .as_ref()
-            .and_then(|lookup| lookup.origin().cloned()),
+        origin: request.origin().cloned(),
         max_dispatches: Some(route.max_attempts),
     }
 }
--- a/crates/peridotrack-edge/src/route.rs
+++ b/crates/peridotrack-edge/src/route.rs
@@ -343,10 +343,16 @@
     }
 
     /// Returns a text that names the lasting reasons against the servers of a model or service of
-    /// this name, with the number of servers and the time to the first end, for the log.
-    pub fn ineligible_text(&self, service: &name::Service) -> String {
+    /// this name, with the number of servers and the time to the first end, for the log. The request
+    /// continues the stream that began at `origin`, if there is one.
+    pub fn ineligible_text(
+        &self,
+        service: &name::Service,
+        origin: Option<&stream::Origin>,
+    ) -> String {
         let now_us = self.kernel.now_us();
-        let summary = self.router.borrow().ineligible(now_us, &targets(service));
+        let router = self.router.borrow();
+        let summary = router.ineligible(now_us, &targets(service), origin);
         let texts = summary.into_iter().map(|(reason, (servers, first_us))| {
             let name = reason.name();
             match first_us {
--- a/crates/peridotrack-route/src/backend.rs
+++ b/crates/peridotrack-route/src/backend.rs
@@ -171,6 +171,22 @@
             + self.distance_us as f64
     }
 
+    /// Returns all reasons why the server may not receive a request now, which continues the stream
+    /// that began at `origin` if there is one.
+    #[inline]
+    pub fn ineligibilities_for(
+        &self,
+        now_us: u64,
+        options: &Options,
+        origin: Option<&stream::Origin>,
+    ) -> impl Iterator<Item = Ineligibility> {
+        let is_other = origin.is_some_and(|origin| !self.continues(origin));
+        let other_version = is_other.then(|| Reason::OtherVersion.into());
+        other_version
+            .into_iter()
+            .chain(self.ineligibilities(now_us, options))
+    }
+
     /// Returns whether the server may continue a stream that began there.
     #[inline]
     pub fn continues(&self, origin: &stream::Origin) -> bool {
--- a/crates/peridotrack-route/src/place.rs
+++ b/crates/peridotrack-route/src/place.rs
@@ -262,9 +262,8 @@
 
 #[inline]
 fn is_eligible(backend: &Backend, index: usize, query: &Query<'_>, options: &Options) -> bool {
-    backend.is_available(query.now_us, options)
-        && query.origin.is_none_or(|origin| backend.continues(origin))
-        && !query.excluded.contains(&index)
+    let mut reasons = backend.ineligibilities_for(query.now_us, options, query.origin);
+    reasons.next().is_none() && !query.excluded.contains(&index)
 }
 
 #[inline]
--- a/crates/peridotrack-route/src/router.rs
+++ b/crates/peridotrack-route/src/router.rs
@@ -5,7 +5,7 @@
 
 use std::collections::BTreeMap;
 
-use peridotrack_types::{collections::HashMap, id, name, problem};
+use peridotrack_types::{collections::HashMap, id, name, problem, stream};
 
 use crate::{
     backend::Backend,
@@ -93,18 +93,21 @@
     }
 
     /// Returns the lasting reasons against the backend servers of `targets`, each with the number of
-    /// servers and the first of its known ends.
+    /// servers and the first of its known ends, for a request that continues the stream which began
+    /// at `origin` if there is one.
     pub fn ineligible(
         &self,
         now_us: u64,
         targets: &[Target],
+        origin: Option<&stream::Origin>,
     ) -> BTreeMap<Reason, (u64, Option<u64>)> {
         let pools = targets
             .iter()
             .filter_map(|target| self.by_target.get(target));
         let members = pools.flat_map(|pool| self.pools[*pool].members());
-        let reasons = members
-            .flat_map(|member| self.backends[member.index].ineligibilities(now_us, &self.options));
+        let reasons = members.flat_map(|member| {
+            self.backends[member.index].ineligibilities_for(now_us, &self.options, origin)
+        });
         let mut summary = BTreeMap::new();
         for Ineligibility { reason, until_us } in reasons.filter(|it| !it.reason.is_brief()) {
             let (count, first_us) = summary.entry(reason).or_insert((0, None));
