fix(origin): a small fleet keeps records of streams at six homes

Cause: a stream was known to the router that began it and to two homes, and five of six routers lost what they knew. Class: copies too few for the losses to be tolerated, any number of VMs in small deployments.

--- a/crates/peridotrack-edge/tests/gateway/versions.rs
+++ b/crates/peridotrack-edge/tests/gateway/versions.rs
@@ -241,6 +241,33 @@
     });
 }
 
+/// Guards against the loss of all records with most routers.
+#[test]
+fn a_take_up_is_refused_because_the_routers_that_knew_the_stream_were_lost() {
+    block_on(async {
+        let fleet = Fleet::spawn(6, &["v1", "v1", "v2", "v2"]).await;
+        let mut begun = Vec::new();
+        for number in 0..STREAMS {
+            begun.extend(fleet.begin(number).await);
+        }
+        let lost: Vec<_> = fleet.gateways.borrow_mut().drain(1..).collect();
+        let stops = lost
+            .into_iter()
+            .map(|gateway| monoio::spawn(async move { gateway.stop().await }));
+        for stop in stops.collect::<Vec<_>>() {
+            stop.await;
+        }
+        let mut taken_up = 0;
+        for first in &begun {
+            let response = fleet.take_up(0, first).await;
+            taken_up += usize::from(response.status() == 200);
+        }
+        fleet.assert_not_joined();
+        let share = taken_up as f64 / begun.len() as f64;
+        assert!(share >= 0.95, "{share} of the take-ups go on");
+    });
+}
+
 /// What cannot be shown to go on at the version that began it is refused, truly.
 #[rstest]
 #[case::without_a_name(&[("last-event-id", "1")])]
--- a/crates/peridotrack-origin/src/origins.rs
+++ b/crates/peridotrack-origin/src/origins.rs
@@ -1,5 +1,7 @@
 //! The state machine that keeps and looks up where streams began.
 
+use std::collections::BTreeSet;
+
 use peridotrack_types::{collections::HashMap, id, name};
 
 use crate::{
@@ -14,8 +16,11 @@
 pub struct Options {
     /// Number of homes that are told of a stream.
     pub homes: usize,
-    /// Number of homes that are asked: one more, since the membership may have changed.
-    pub asked: usize,
+    /// The same in a small fleet, in which the loss of most routers is likelier and a message to each
+    /// home costs little.
+    pub homes_of_small: usize,
+    /// Maximum number of routers of a small fleet.
+    pub small_routers: usize,
     /// Time for which a home may take to answer, in microseconds.
     pub timeout_us: u64,
     /// Time for which a record is kept, in microseconds: longer than a client takes for all attempts.
@@ -28,7 +33,8 @@
     fn default() -> Self {
         Self {
             homes: 2,
-            asked: 3,
+            homes_of_small: 6,
+            small_routers: 16,
             timeout_us: 60_000,
             retention_us: 300_000_000,
             max_records: 65_536,
@@ -153,6 +159,15 @@
         }
     }
 
+    /// Returns the number of homes that are told of a stream.
+    fn home_count(&self) -> usize {
+        let routers: usize = self.routers.values().map(BTreeSet::len).sum();
+        match routers <= self.options.small_routers {
+            true => self.options.homes_of_small,
+            false => self.options.homes,
+        }
+    }
+
     /// Returns the number of streams of which a record is kept.
     pub fn record_count(&self) -> usize {
         self.records.len()
@@ -204,7 +219,7 @@
             record: record.clone(),
         };
         self.records.insert(key, record, now_us, most);
-        let homes = home::of(&key, &self.routers, self.options.homes);
+        let homes = home::of(&key, &self.routers, self.home_count());
         let others = homes.into_iter().filter(|vm| *vm != self.vm);
         let send = |to| Action::Send {
             to,
@@ -222,7 +237,8 @@
             };
             return vec![Action::Resolve { query, knowledge }];
         }
-        let homes = home::of(&key, &self.routers, self.options.asked);
+        // One more home than is told, since the membership may have changed.
+        let homes = home::of(&key, &self.routers, self.home_count() + 1);
         let asked: Vec<_> = homes.into_iter().filter(|vm| *vm != self.vm).collect();
         let asks = asked.iter().map(|to| Action::Send {
             to: to.clone(),
--- a/crates/peridotrack-origin/tests/origins.rs
+++ b/crates/peridotrack-origin/tests/origins.rs
@@ -28,8 +28,12 @@
 
 /// Routers `vm-0` to `vm-5` in three failure domains.
 fn routers() -> Routers {
+    routers_of(6)
+}
+
+fn routers_of(count: usize) -> Routers {
     let mut routers = Routers::new();
-    for number in 0..6 {
+    for number in 0..count {
         let domain = format!("domain-{}", number % 3);
         let vms = routers.entry(domain.as_str().into()).or_default();
         vms.insert(format!("vm-{number}").as_str().into());
@@ -37,8 +41,13 @@
     routers
 }
 
+/// Returns the state of a router in a fleet that is not small.
 fn origins(vm: &str) -> Origins {
-    let mut origins = Origins::new(vm.into(), Options::default());
+    let options = Options {
+        small_routers: 0,
+        ..Options::default()
+    };
+    let mut origins = Origins::new(vm.into(), options);
     origins.on_event(0, Event::Routers(routers()));
     origins
 }
@@ -292,3 +301,23 @@
     origins.on_event(retention_us + 15, Event::Tick);
     assert_eq!(origins.record_count(), 5);
 }
+
+/// Guards against the loss of all records with most routers of a small fleet.
+#[rstest]
+#[case::small(8, 6)]
+#[case::largest_small_one(16, 6)]
+#[case::large(17, 2)]
+fn a_small_fleet_has_more_homes(#[case] count: usize, #[case] homes: usize) {
+    let mut origins = Origins::new("vm-x".into(), Options::default());
+    origins.on_event(0, Event::Routers(routers_of(count)));
+    let began = Event::Began {
+        key: key(1),
+        record: record("v1"),
+    };
+    assert_eq!(recipients(&origins.on_event(1, began)).len(), homes);
+    let wanted = Event::Wanted {
+        query: 1,
+        key: key(2),
+    };
+    assert_eq!(recipients(&origins.on_event(2, wanted)).len(), homes + 1);
+}
