--- a/crates/peridotrack-soak/src/run.rs
+++ b/crates/peridotrack-soak/src/run.rs
@@ -336,6 +336,7 @@
         };
         let paused_arrivals = paused_arrivals.into_iter().map(|arrival| PausedArrival {
             id: arrival.request_id,
+            server: arrival.expected_server,
             backend,
             at_ms: self.ms_at(arrival.at),
             until_ms: self.ms_at(arrival.until),
--- a/crates/peridotrack-soak/src/stated.rs
+++ b/crates/peridotrack-soak/src/stated.rs
@@ -30,6 +30,8 @@
 pub struct PausedArrival {
     /// Identifier of the request.
     pub id: String,
+    /// Name of the server that the router addressed; one that starts anew has not asked for a pause.
+    pub server: String,
     /// Index of the server, through all its incarnations.
     pub backend: usize,
     /// When the request arrived, in milliseconds since the start of the run.
@@ -81,24 +83,24 @@
     record: &Record,
     requests_by_id: &BTreeMap<&str, &SentRequest>,
 ) -> Vec<String> {
-    let mut arrivals: BTreeMap<(Process, usize), Vec<&PausedArrival>> = BTreeMap::new();
+    let mut arrivals: BTreeMap<(Process, &str), Vec<&PausedArrival>> = BTreeMap::new();
     for arrival in &record.paused_arrivals {
         if let Some(sent) = requests_by_id.get(&*arrival.id) {
             let process = (sent.router, sent.incarnation);
-            let key = (process, arrival.backend);
+            let key = (process, &*arrival.server);
             arrivals.entry(key).or_default().push(arrival);
         }
     }
     let mut breaches = Vec::new();
-    for (((router, _), backend), arrivals) in arrivals {
+    for (((router, _), server), arrivals) in arrivals {
         for first in &arrivals {
             let window_ms = first.at_ms + PAUSE_TOLERANCE_MS..first.until_ms;
             let is_within = |arrival: &&&PausedArrival| window_ms.contains(&arrival.at_ms);
             let count = arrivals.iter().filter(is_within).count();
-            if count > ALLOWED_IN_PAUSE && !is_excused(record, router, backend, first) {
+            if count > ALLOWED_IN_PAUSE && !is_excused(record, router, first) {
                 breaches.push(format!(
-                    "backend server {backend} received {count} requests of router {router} in a \
-                     pause that it had asked for at {} ms",
+                    "{server} received {count} requests of router {router} in a pause that it had \
+                     asked for at {} ms",
                     first.at_ms
                 ));
                 break;
@@ -110,10 +112,10 @@
 
 /// Returns whether a fault may have kept the refusal from the router, or held up requests that the
 /// router had sent before.
-fn is_excused(record: &Record, router: usize, backend: usize, refusal: &PausedArrival) -> bool {
+fn is_excused(record: &Record, router: usize, refusal: &PausedArrival) -> bool {
     record.steps.iter().any(|step| {
         let affects = match step.fault {
-            Fault::BackendLink(affected, _) => affected == backend,
+            Fault::BackendLink(affected, _) => affected == refusal.backend,
             fault => fault.interrupts(router),
         };
         affects
--- a/crates/peridotrack-soak/tests/stated.rs
+++ b/crates/peridotrack-soak/tests/stated.rs
@@ -78,6 +78,7 @@
         paused_arrivals: (0..=count)
             .map(|number| PausedArrival {
                 id: format!("r-{number}"),
+                server: "i-1".to_owned(),
                 backend: 0,
                 at_ms: at_ms(number),
                 until_ms: AT_MS + 2_000,
@@ -107,3 +108,13 @@
     };
     assert_eq!(!check(&record).is_empty(), is_breach);
 }
+
+/// A server that is replaced in a pause is registered under another name while its process refuses.
+#[test]
+fn requests_to_the_successor_of_a_paused_server_are_allowed() {
+    let mut record = paused(3, 600);
+    for arrival in &mut record.paused_arrivals[1..] {
+        arrival.server = "i-2".to_owned();
+    }
+    assert!(check(&record).is_empty());
+}
--- a/crates/peridotrack-standin/src/hosted/backend.rs
+++ b/crates/peridotrack-standin/src/hosted/backend.rs
@@ -177,6 +177,8 @@
 pub struct PausedArrival {
     /// Identifier of the request, empty if the header is missing.
     pub request_id: String,
+    /// Name of the backend server that the router selected, empty if the header is missing.
+    pub expected_server: String,
     /// Time at which the request was received in full.
     pub at: Instant,
     /// End of the pause.
@@ -367,6 +369,7 @@
         let left = until.checked_duration_since(run.at)?;
         self.paused_arrivals.borrow_mut().push(PausedArrival {
             request_id: run.request_id().to_owned(),
+            expected_server: run.expected_server().to_owned(),
             at: run.at,
             until,
         });
