--- a/crates/peridotrack-origin/src/lib.rs
+++ b/crates/peridotrack-origin/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! A client whose stream broke off takes it up at any router, which must place it at the version that
 //! began it. [`origins::Origins`] keeps a record of each stream that this router began, and tells it
-//! to its homes: routers in two failure domains that follow from the key of the stream and the
+//! to its homes: routers in different failure domains that follow from the key of the stream and the
 //! membership. A router that does not know a stream asks the homes. What is not known is not guessed:
 //! versions that a router has not seen may have served, and left.
 //!
