--- a/crates/peridotrackd/tests/stopping.rs
+++ b/crates/peridotrackd/tests/stopping.rs
@@ -284,7 +284,7 @@
 
 /// Guards against a listener that closes under whole requests on connections that it has accepted.
 #[test]
-fn a_request_on_a_new_connection_at_the_end_of_the_stop_gets_a_response() {
+fn a_call_on_a_new_connection_at_the_end_of_the_stop_gets_a_response() {
     block_on(async {
         let mut fixture = Fixture::spawn(200, 60_000).await;
         let address = fixture.stopping.caller_address;
