fix(route): the rate of a server is kept while the register does not name it

Cause: a peer's news of the limit reached the router before the entry of the server did; the router was suspended meanwhile. The rate of a server that the routing service did not know was dropped, and the throttle does not set a rate again that has not changed. Evidence: RateLimitChanged of the router for the server 3.5 s before it lists the server's predecessor as removed, and refusals there without a throttled server.

Change: the routing service keeps the rates by name and gives them to a server that the register names later or again. Both cases of the_rate_of_a_server_that_the_register_does_not_name_is_lost failed before and pass.

--- a/crates/peridotrack-route/src/configure.rs
+++ b/crates/peridotrack-route/src/configure.rs
@@ -11,6 +11,7 @@
 use crate::{
     backend::Backend,
     event::{Action, Note, Target},
+    pace,
     pool::{Member, Pool},
     router::Router,
 };
@@ -144,13 +145,15 @@
             }
             return (index, was_removed || has_restarted);
         }
-        let backend = Backend::new(
+        let mut backend = Backend::new(
             server.name.clone(),
             server.failure_domain.clone(),
             server.lifetime.clone(),
             server.slots,
             distance_us,
         );
+        let rate = self.rates.get(server.name);
+        backend.pace = rate.map(|per_s| pace::Pace::new(now_us, *per_s));
         let index = match self.free_indices.pop() {
             Some(index) => {
                 self.backends[index] = backend;
--- a/crates/peridotrack-route/src/router.rs
+++ b/crates/peridotrack-route/src/router.rs
@@ -33,6 +33,9 @@
     pub(crate) free_indices: Vec<usize>,
     /// Index in `backends` of each server that is not drained.
     pub(crate) by_name: HashMap<name::BackendServer, usize>,
+    /// Rates of this router's requests to servers that state a limit, also to those that the register
+    /// does not name yet.
+    pub(crate) rates: HashMap<name::BackendServer, f64>,
     pub(crate) pools: Vec<Pool>,
     /// Index in `pools` of the pool of each target.
     pub(crate) by_target: HashMap<Target, usize>,
@@ -62,6 +65,7 @@
             backends: Vec::new(),
             free_indices: Vec::new(),
             by_name: HashMap::default(),
+            rates: HashMap::default(),
             pools: Vec::new(),
             by_target: HashMap::default(),
             requests: HashMap::default(),
@@ -318,6 +322,10 @@
         per_s: Option<f64>,
         actions: &mut Vec<Action>,
     ) {
+        match per_s {
+            Some(per_s) => drop(self.rates.insert(name.clone(), per_s)),
+            None => drop(self.rates.remove(name)),
+        }
         let Some(&index) = self.by_name.get(name) else {
             return;
         };
--- a/crates/peridotrack-route/tests/router.rs
+++ b/crates/peridotrack-route/tests/router.rs
@@ -376,3 +376,28 @@
     rate(&mut router, SECOND_US, 0, None);
     assert_eq!(sent_to(&mut router, SECOND_US, "engine-0"), 1);
 }
+
+/// Guards against a server that receives any number of requests because its limit was known before
+/// its entry.
+#[rstest]
+#[case::before_the_entry(false)]
+#[case::entry_removed_and_back(true)]
+fn the_rate_of_a_server_that_the_register_does_not_name_is_lost(#[case] was_known: bool) {
+    let mut router = router(1, 4, 64);
+    let backend = engine(1, 4).name;
+    if was_known {
+        router.configure(0, &register(2, 0, 4), &rules(64));
+    }
+    let per_s = Some(0.0);
+    router.on_event(
+        0,
+        Event::Rate {
+            backend: backend.clone(),
+            per_s,
+        },
+    );
+    router.configure(1, &register(1, 0, 4), &rules(64));
+    router.configure(2, &register(2, 0, 4), &rules(64));
+    let chosen = (1..=8).filter_map(|sequence| dispatched(&router.offer(3, offer(sequence))));
+    assert!(chosen.into_iter().all(|chosen| chosen != backend));
+}
