fix(gateway): a server that does not continue a stream is passed over

Looked for here: no error's head or text reached a caller, as the connection refuses a second head within a response; the three cases of such servers pass on the code before. What was found: a response below 500 of the second server ended the stream, though a third one could have continued it; a server that sent the stream from its first event again repeated events to the caller; a continuation that ended with its connection before any event counted as the end of the stream; complete events that were read together with a malformed one were dropped.

Change: a response that is no stream fails the attempt once a part was sent; numbers of events must increase over attempts; a continuation that ends with its connection needs an event; events before a malformed one are forwarded. Two cases failed before (status 404 refused to continue, and all events repeated) and pass; the stand-in answers continuations with a status or all events.

--- a/crates/peridotrack-edge/src/gateway/attempt.rs
+++ b/crates/peridotrack-edge/src/gateway/attempt.rs
@@ -114,7 +114,13 @@
         if let Some(result) = self.check_head(&head) {
             return result;
         }
-        if self.request.route().retry_policy.is_stream() && stream::is_event_stream(&head.parts) {
+        let is_event_stream = stream::is_event_stream(&head.parts);
+        if progress.has_started() && !is_event_stream {
+            let status = head.parts.status;
+            let detail = format!("the stream is not continued, status {status}");
+            return failed_response(detail, None);
+        }
+        if self.request.route().retry_policy.is_stream() && is_event_stream {
             let limit = Duration::from_micros(self.request.remaining_us(self.shared));
             let streaming = stream::forward_events(self, head, client, progress);
             return match monoio::time::timeout(limit, streaming).await {
--- a/crates/peridotrack-edge/src/gateway/stream.rs
+++ b/crates/peridotrack-edge/src/gateway/stream.rs
@@ -176,57 +176,76 @@
                 return broken(progress, true, "the stream ends within an event".to_owned());
             }
             // A server that ends may close the connection after the head, which ends the response.
-            Ok(None) if head.is_close_delimited() && progress.last_event.is_none() => {
+            Ok(None) if head.is_close_delimited() && progress.stage() != Stage::Streaming => {
                 return broken(progress, true, "the stream has no event".to_owned());
             }
             Ok(None) => return finish_response(attempt, head, client, progress).await,
             Err(error) => return attempt.failed(&error, progress),
         };
         parser.push(&chunk);
-        let events = match read_events(&mut parser, &mut head.connection, progress) {
-            Ok(events) => events,
-            Err(detail) => return broken(progress, false, detail),
-        };
+        let (events, fault) = read_events(&mut parser, &mut head.connection, progress);
         let tokens = progress.events_seen * progress.event_tokens;
         attempt.reservation.delivered_tokens.set(tokens);
-        if events.is_empty() {
-            continue;
+        if !events.is_empty() {
+            attempt.ticket.first_token();
+            if write_events(attempt, &head.parts, client, progress, events)
+                .await
+                .is_err()
+            {
+                return AttemptResult::ClientDisconnected;
+            }
         }
-        attempt.ticket.first_token();
-        if write_events(attempt, &head.parts, client, progress, events)
-            .await
-            .is_err()
-        {
-            return AttemptResult::ClientDisconnected;
+        if let Some(detail) = fault {
+            return broken(progress, false, detail);
         }
     }
 }
 
-/// Reads every complete event that has arrived, without waiting for more.
-///
-/// # Errors
-///
-/// Returns an error if the stream is malformed.
+/// Reads every complete event that has arrived, without waiting for more. If the stream is malformed
+/// after these, the reason is returned with them.
 fn read_events(
     parser: &mut sse::Parser,
     connection: &mut client::Connection,
     progress: &mut Progress,
-) -> Result<Bytes, String> {
+) -> (Bytes, Option<String>) {
+    let mut events = BytesMut::new();
+    let fault = push_buffered(parser, connection)
+        .and_then(|()| take_events(parser, progress, &mut events))
+        .err();
+    (events.freeze(), fault)
+}
+
+fn push_buffered(
+    parser: &mut sse::Parser,
+    connection: &mut client::Connection,
+) -> Result<(), String> {
     while let Some(chunk) = connection
         .buffered_chunk()
         .map_err(|error| error.to_string())?
     {
         parser.push(&chunk);
     }
-    let mut events = BytesMut::new();
+    Ok(())
+}
+
+/// Moves the complete events to `events`. Their numbers must increase, also over attempts: a server
+/// that does not resume the stream would repeat it.
+fn take_events(
+    parser: &mut sse::Parser,
+    progress: &mut Progress,
+    events: &mut BytesMut,
+) -> Result<(), String> {
     while let Some(event) = parser.next_event().map_err(|error| error.to_string())? {
-        progress.events_seen += 1;
         if let Some(number) = event.id() {
+            if let Some(last) = progress.last_event.filter(|last| number <= *last) {
+                return Err(format!("event {number} follows event {last}"));
+            }
             progress.last_event = Some(number);
         }
+        progress.events_seen += 1;
         events.extend_from_slice(event.bytes());
     }
-    Ok(events.freeze())
+    Ok(())
 }
 
 /// Sends events to the client, preceded by the head of the response if it was not sent yet.
--- a/crates/peridotrack-edge/tests/gateway/raw.rs
+++ b/crates/peridotrack-edge/tests/gateway/raw.rs
@@ -86,16 +86,29 @@
                 .read_bytes(head.text("content-length").parse().ok()?)
                 .await;
         }
+        let (body, is_complete) = self.read_chunks().await;
+        is_complete.then_some(body)
+    }
+
+    /// Reads the chunks of a body; returns also whether the last one arrived before the connection
+    /// ended.
+    pub async fn read_chunks(&mut self) -> (Vec<u8>, bool) {
         let mut body = Vec::new();
-        loop {
-            let line = self.read_line().await?;
-            let size = usize::from_str_radix(line.split(';').next()?, 16).ok()?;
-            body.extend(self.read_bytes(size).await?);
-            self.read_line().await?;
-            if size == 0 {
-                return Some(body);
+        while let Some(chunk) = self.read_chunk().await {
+            if chunk.is_empty() {
+                return (body, true);
             }
+            body.extend(chunk);
         }
+        (body, false)
+    }
+
+    async fn read_chunk(&mut self) -> Option<Vec<u8>> {
+        let line = self.read_line().await?;
+        let size = usize::from_str_radix(line.split(';').next()?, 16).ok()?;
+        let chunk = self.read_bytes(size).await?;
+        self.read_line().await?;
+        Some(chunk)
     }
 
     /// Reads the next response; `None` if the connection ends before the response does.
--- a/crates/peridotrack-edge/tests/gateway/streams.rs
+++ b/crates/peridotrack-edge/tests/gateway/streams.rs
@@ -1,13 +1,19 @@
 //! An event stream must be forwarded completely, end visibly truncated if it is interrupted, and
 //! continue on another backend server only if its route is resumable.
 
+use std::time::Duration;
+
+use http::StatusCode;
 use peridotrack_standin::{
     harness::{http::block_on, wait},
-    hosted::backend::{Mode, STREAM_EVENTS},
+    hosted::backend::{Mode, Resumption, STREAM_EVENTS},
 };
 use rstest::rstest;
 
-use crate::fixture::{Fixture, LIMIT, request};
+use crate::{
+    fixture::{Fixture, LIMIT, request},
+    raw,
+};
 
 /// Returns the events of a complete stream.
 fn complete_stream() -> String {
@@ -92,7 +98,7 @@
     block_on(async {
         let fixture = Fixture::spawn(1).await;
         fixture.set_modes(Mode::Slow);
-        let limit = std::time::Duration::from_millis(300);
+        let limit = Duration::from_millis(300);
         let reading = monoio::time::timeout(limit, fixture.get("/stream/x"));
         assert!(reading.await.is_err(), "the stream is still open");
         let is_cancelled = || fixture.backends[0].cancelled() == 1;
@@ -111,3 +117,61 @@
         assert_eq!(fixture.runs(), 1);
     });
 }
+
+/// Guards against the text of an error, or of events that the client has, within a stream.
+#[rstest]
+#[case::client_error(Resumption::Status(StatusCode::NOT_FOUND))]
+#[case::server_error(Resumption::Status(StatusCode::INTERNAL_SERVER_ERROR))]
+#[case::not_a_stream(Resumption::Status(StatusCode::OK))]
+#[case::from_the_first_event(Resumption::AllEvents)]
+fn a_server_that_does_not_continue_a_stream_adds_nothing_to_it(#[case] resumption: Resumption) {
+    block_on(async {
+        let fixture = Fixture::spawn(2).await;
+        fixture.set_modes(Mode::CutStream);
+        for backend in &fixture.backends {
+            backend.set_resumption(resumption);
+        }
+        let mut client = raw::Connection::open(fixture.gateway.client_address())
+            .await
+            .unwrap();
+        let request = raw::encode(&request("/stream/resumable/x", &[]));
+        assert!(client.write(&request).await);
+        let head = client.read_head().await.unwrap();
+        let (received, is_complete) = client.read_chunks().await;
+        assert_eq!(head.status, StatusCode::OK);
+        assert_eq!(
+            std::str::from_utf8(&received).unwrap(),
+            "id: 0\ndata: part 0\n\nid: 1\ndata: part 1\n\n"
+        );
+        assert!(!is_complete);
+        assert!(
+            fixture.runs() > 1,
+            "the stream is to be continued elsewhere"
+        );
+    });
+}
+
+/// A third server continues the stream that the second one refused to continue.
+#[rstest]
+#[case(StatusCode::NOT_FOUND)]
+#[case(StatusCode::INTERNAL_SERVER_ERROR)]
+fn a_stream_goes_on_after_a_server_that_does_not_continue_it(#[case] status: StatusCode) {
+    block_on(async {
+        // The servers are chosen at random: the one that refuses is rarely the second each time.
+        for _ in 0..20 {
+            let fixture = Fixture::spawn(3).await;
+            fixture.set_modes(Mode::CutStream);
+            fixture.backends[0].set_resumption(Resumption::Status(status));
+            let response = fixture.get("/stream/resumable/x").await.unwrap();
+            assert_eq!(
+                std::str::from_utf8(response.body()).unwrap(),
+                complete_stream()
+            );
+            let runs = fixture.backends[0].runs();
+            if runs.iter().any(|run| run.continues().is_some()) {
+                return;
+            }
+        }
+        panic!("no stream met the server that refuses");
+    });
+}
--- a/crates/peridotrack-standin/src/hosted/backend.rs
+++ b/crates/peridotrack-standin/src/hosted/backend.rs
@@ -78,6 +78,18 @@
     ];
 }
 
+/// How the server responds to requests that continue a stream.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Resumption {
+    /// With the events after the last one.
+    #[default]
+    Events,
+    /// With the events from the first one.
+    AllEvents,
+    /// With a status and a body that is no stream.
+    Status(StatusCode),
+}
+
 /// What identifies a request as a whole: each repetition of it has the same values.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Content {
@@ -187,6 +199,9 @@
 
 struct Server {
     mode: Cell<Mode>,
+    resumption: Cell<Resumption>,
+    /// When the process started, as its reports state it.
+    born_ms: Cell<Option<u64>>,
     response_delay: Cell<Duration>,
     event_interval: Cell<Duration>,
     runs: RefCell<Vec<Run>>,
@@ -207,6 +222,8 @@
     fn default() -> Self {
         Self {
             mode: Cell::default(),
+            resumption: Cell::default(),
+            born_ms: Cell::default(),
             response_delay: Cell::default(),
             event_interval: Cell::new(EVENT_INTERVAL),
             runs: RefCell::default(),
@@ -250,6 +267,16 @@
         self.0.application.mode.set(mode);
     }
 
+    /// Changes how requests that continue a stream are answered, for those received from now on.
+    pub fn set_resumption(&self, resumption: Resumption) {
+        self.0.application.resumption.set(resumption);
+    }
+
+    /// Sets when the process started, in milliseconds since the Unix epoch, as reports state it.
+    pub fn set_born_ms(&self, born_ms: Option<u64>) {
+        self.0.application.born_ms.set(born_ms);
+    }
+
     /// Sets the time from the arrival of a request that the server runs to the beginning of its
     /// response, for requests received from now on.
     pub fn set_response_delay(&self, delay: Duration) {
@@ -363,6 +390,15 @@
         }
     }
 
+    /// Returns the report of the server about itself.
+    fn report(&self) -> Response<Bytes> {
+        let report = match self.born_ms.get() {
+            Some(born_ms) => format!(r#"{{"stage":"both","busy":false,"born":{born_ms}}}"#),
+            None => r#"{"stage":"both","busy":false}"#.to_owned(),
+        };
+        response::finish(Response::builder(), Bytes::from(report))
+    }
+
     /// Returns what is left of a pause, and counts the arrival of a request in it.
     fn arrive_in_pause(&self, run: &Run) -> Option<Duration> {
         let until = self.pause_until.get()?;
@@ -431,10 +467,13 @@
         let query = incoming.request.head.uri.query().unwrap_or_default();
         let interval_ms = query.strip_prefix(INTERVAL_FIELD);
         let interval_ms = interval_ms.and_then(|interval_ms| interval_ms.parse().ok());
-        let first = headers
+        let last = headers
             .get("last-event-id")
-            .and_then(|value| value.to_str().ok()?.parse::<u64>().ok())
-            .map_or(0, |last| last + 1);
+            .and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
+        let first = match (last, self.resumption.get()) {
+            (None, _) | (Some(_), Resumption::AllEvents) => 0,
+            (Some(last), _) => last + 1,
+        };
         let head = self
             .signed(headers)
             .header("content-type", "text/event-stream");
@@ -445,7 +484,7 @@
         };
         connection.start(response::finish(head, ())).await?;
         for number in first..STREAM_EVENTS {
-            if mode == Mode::CutStream && number == 2 && first == 0 {
+            if mode == Mode::CutStream && number == 2 && last.is_none() {
                 connection.write(Bytes::from("id: 2\nda")).await?;
                 return Err(Disconnect);
             }
@@ -484,6 +523,10 @@
         let mode = self.mode.get();
         let request = &incoming.request;
         let headers = &request.head.headers;
+        if request.head.uri.path() == "/report" {
+            let response = self.report();
+            return Ok(incoming.connection.respond(response).await?);
+        }
         // If the system reuses the port, requests meant for its previous owner may arrive here.
         if !headers.contains_key("peridotrack-request-id") {
             let head = Response::builder()
@@ -533,6 +576,7 @@
             }
             _ => {}
         }
+        let is_continuation = run.continues().is_some();
         self.runs.borrow_mut().push(run);
         if let Some(cause) = fatal {
             return self.crash(incoming, cause).await;
@@ -554,6 +598,9 @@
                 self.cancelled.set(self.cancelled.get() + 1);
                 return Err(Disconnect);
             }
+            _ if is_continuation && let Resumption::Status(status) = self.resumption.get() => {
+                complete(status)
+            }
             Mode::Fail => complete(StatusCode::INTERNAL_SERVER_ERROR),
             Mode::RefuseAfterRun => complete(StatusCode::SERVICE_UNAVAILABLE),
             Mode::Cross => {
