fix(gateway): a stream goes on only at the process that the directory names

Cause: a server starts again under its name and address as another version; a router whose directory lags, and none of whose connections broke, has the former entry and sends a continuation there.

Change: a request that continues a stream gets a new connection, on which the server is asked for its report first. A start other than the directory's ends the entry, as a refused connection does, and the request is placed again; a server that does not answer in 150 ms counts as not connected, one that states no start is believed.

The edge test with two restarted servers failed before and passes.

--- a/crates/peridotrack-edge/src/gateway.rs
+++ b/crates/peridotrack-edge/src/gateway.rs
@@ -8,6 +8,7 @@
 mod crash;
 mod directory;
 mod exchange;
+mod identity;
 mod liveness;
 mod options;
 mod probe;
--- a/crates/peridotrack-edge/src/gateway/attempt.rs
+++ b/crates/peridotrack-edge/src/gateway/attempt.rs
@@ -16,7 +16,7 @@
 use peridotrack_types::site;
 
 use super::{
-    Shared, liveness, options,
+    Shared, identity, liveness, options,
     request::RoutedRequest,
     reservation::ReservationGuard,
     response,
@@ -144,7 +144,15 @@
     /// Connects, sends the request and reads the head of the response. Returns `None` if the request
     /// may not be sent to the server any more.
     async fn send(&self, progress: &Progress) -> Result<Option<ResponseHead>, client::Error> {
-        let mut connection = self.connect().await?;
+        let is_continuation =
+            self.request.route().retry_policy.is_stream() && progress.last_event().is_some();
+        let connection = match is_continuation {
+            true => identity::connect(self).await?,
+            false => Some(self.connect().await?),
+        };
+        let Some(mut connection) = connection else {
+            return Ok(None);
+        };
         if !self.ticket.may_send() {
             return Ok(None);
         }
--- /dev/null
+++ b/crates/peridotrack-edge/src/gateway/identity.rs
@@ -0,0 +1,72 @@
+//! Connections on which a stream goes on: they lead to the process that the directory names.
+//!
+//! A backend server may start again under its name and at its address as another software version
+//! before its entry says so. A router whose directory lags, and none of whose connections broke, asks
+//! the process itself, on the connection that the request is sent on.
+
+use std::time::Duration;
+
+use http::StatusCode;
+use peridotrack_http::client;
+use peridotrack_platform::report;
+
+use super::{attempt::Attempt, liveness, options};
+
+/// Whether a process is the run that the directory names.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Identity {
+    Same,
+    /// The process does not state when it started.
+    Unstated,
+    Other,
+}
+
+/// Connects to the backend server of an attempt that continues a stream. Returns `None` if another
+/// process listens at the address, which is then reported as the end of the former.
+///
+/// # Errors
+///
+/// Returns an error of the step `Connect`, as nothing of the request was sent.
+pub(super) async fn connect(
+    attempt: &Attempt<'_>,
+) -> Result<Option<client::Connection>, client::Error> {
+    let address = attempt.target.address;
+    let mut connection = client::Connection::connect(address, options::backend()).await?;
+    let Some(born_ms) = attempt.server.born_ms else {
+        return Ok(Some(connection));
+    };
+    let limit = Duration::from_micros(options::REPORT_TIMEOUT_US);
+    let identity = monoio::time::timeout(limit, identify(&mut connection, born_ms)).await;
+    let unsent = |kind| client::Error {
+        step: client::Step::Connect,
+        peer: address,
+        bytes_written: false,
+        kind,
+    };
+    match identity.map_err(|_| unsent(client::Kind::TimedOut))? {
+        Ok(Identity::Same | Identity::Unstated) if connection.is_reusable() => Ok(Some(connection)),
+        Ok(Identity::Same | Identity::Unstated) => {
+            let connection = client::Connection::connect(address, options::backend()).await?;
+            Ok(Some(connection))
+        }
+        Ok(Identity::Other) => {
+            liveness::report_end(attempt.shared, attempt.server);
+            Ok(None)
+        }
+        Err(error) => Err(unsent(error.kind)),
+    }
+}
+
+async fn identify(
+    connection: &mut client::Connection,
+    born_ms: u64,
+) -> Result<Identity, client::Error> {
+    let head = connection.send(report::request()).await?;
+    let body = connection.read_body().await?;
+    let stated_ms = (head.status == StatusCode::OK).then(|| report::born_ms(&body));
+    Ok(match stated_ms.flatten() {
+        None => Identity::Unstated,
+        Some(stated_ms) if stated_ms == born_ms => Identity::Same,
+        Some(_) => Identity::Other,
+    })
+}
--- a/crates/peridotrack-edge/src/gateway/options.rs
+++ b/crates/peridotrack-edge/src/gateway/options.rs
@@ -141,6 +141,9 @@
 /// Timeout for connecting to a backend server whose connection broke, in milliseconds: several
 /// round trips within a region, since a retry waits for the result.
 const LIVENESS_TIMEOUT_MS: u64 = 50;
+/// Time in which a backend server must state when it started before a stream goes on there, in
+/// microseconds: reports need no slot, and events may pause for about twice as long.
+pub(super) const REPORT_TIMEOUT_US: u64 = 150 * clock::US_PER_MS;
 /// Time after which such a server is connected to once more if it accepted the connection, in
 /// microseconds: the sockets of a process that ends are closed one after the other.
 pub(super) const LIVENESS_RECHECK_US: u64 = 100 * clock::US_PER_MS;
--- a/crates/peridotrack-edge/tests/gateway/streams.rs
+++ b/crates/peridotrack-edge/tests/gateway/streams.rs
@@ -9,12 +9,16 @@
     hosted::backend::{Mode, Resumption, STREAM_EVENTS},
 };
 use rstest::rstest;
+use serde_json::json;
 
 use crate::{
-    fixture::{Fixture, LIMIT, request},
+    fixture::{Fixture, LIMIT, entry, request},
     raw,
 };
 
+/// Time after which a change of the entries is known to the gateway.
+const ENTRIES_FOLLOWED: Duration = Duration::from_millis(500);
+
 /// Returns the events of a complete stream.
 fn complete_stream() -> String {
     (0..STREAM_EVENTS)
@@ -175,3 +179,22 @@
         panic!("no stream met the server that refuses");
     });
 }
+
+/// The entries of both servers name the process that began there, but the second one has started
+/// again since, and its software version is not known.
+#[test]
+fn a_stream_goes_on_at_a_process_that_started_again_under_its_name() {
+    block_on(async {
+        let fixture = Fixture::spawn(2).await;
+        fixture.set_modes(Mode::CutStream);
+        for (number, backend) in fixture.backends.iter().enumerate() {
+            backend.set_born_ms(Some(2_000));
+            let mut entry = entry(backend);
+            entry["born"] = json!(1_000);
+            fixture.store.put("servers", &format!("i-{number}"), entry);
+        }
+        monoio::time::sleep(ENTRIES_FOLLOWED).await;
+        assert!(fixture.get("/stream/resumable/x").await.is_none());
+        assert_eq!(fixture.runs(), 1);
+    });
+}
--- a/crates/peridotrack-origin/tests/fleet/sim/streams.rs
+++ b/crates/peridotrack-origin/tests/fleet/sim/streams.rs
@@ -156,11 +156,27 @@
             self.report_end(router, name);
             return self.finish(router, request, Outcome::ConnectFailed);
         };
+        if self.continues(router, request) && !self.is_listed_process(router, server) {
+            self.report_end(router, name);
+            return self.finish(router, request, Outcome::Withdrawn);
+        }
         let request_id = Self::request_id(request);
         self.route_event(router, route_event::Event::Sent { request_id });
         self.schedule_write(router, request, server);
     }
 
+    fn continues(&self, router: usize, request: u64) -> bool {
+        let attempt = &self.nodes[router].attempts[&request];
+        attempt.is_take_up || attempt.events_seen > 0
+    }
+
+    /// Returns whether the process of a server, which is asked on the connection of the request, is
+    /// the one that the router's directory names.
+    fn is_listed_process(&self, router: usize, server: usize) -> bool {
+        let server = &self.servers[server];
+        self.nodes[router].starts.get(&server.name) == Some(&server.start)
+    }
+
     pub(super) fn schedule_write(&mut self, router: usize, request: u64, server: usize) {
         let step = Step::Write {
             router,
