fix(kernel): a busy router's log keeps a sample of each event and counts the rest

Cause: a notice is written with the next event, at the limit of the rate, and takes the place of a line, which is then dropped; refusals, which are urgent, use up the burst that successes may not use.

Change: a notice is written at most once a second and counts the lines by event.

--- a/crates/peridotrack-kernel/src/kernel.rs
+++ b/crates/peridotrack-kernel/src/kernel.rs
@@ -130,13 +130,20 @@
 impl Kernel {
     /// Records an event in the timeline and the log and returns its sequence number.
     ///
-    /// If log lines were dropped since the previous call, an event that counts them is recorded
-    /// first.
+    /// If log lines were dropped, an event that counts them is recorded first, at most once a second.
     pub fn note(&self, event: event::Event) -> u64 {
-        let dropped_lines = self.log.take_dropped_lines();
-        if dropped_lines > 0 {
-            let dropped = event::Event::new(event::Kind::LogLinesDropped);
-            self.record(dropped.with("lines", dropped_lines));
+        let dropped = self.log.take_dropped_lines(self.clock.now_us());
+        if !dropped.is_empty() {
+            let lines: u64 = dropped.values().sum();
+            let kinds = event::Kind::ALL.iter();
+            let events: Vec<_> = kinds
+                .filter_map(|kind| Some((kind.name(), dropped.get(&kind.number())?)))
+                .map(|(name, lines)| format!("{name}={lines}"))
+                .collect();
+            let notice = event::Event::new(event::Kind::LogLinesDropped)
+                .with("lines", lines)
+                .with("events", events.join(" "));
+            self.record(notice);
         }
         self.record(event)
     }
--- a/crates/peridotrack-kernel/src/log.rs
+++ b/crates/peridotrack-kernel/src/log.rs
@@ -5,7 +5,7 @@
 
 pub mod bounded;
 
-use std::{cell::RefCell, io::Write, os::fd::AsFd, sync::Arc};
+use std::{cell::RefCell, collections::BTreeMap, io::Write, os::fd::AsFd, sync::Arc};
 
 use spdlog::{Level, LevelFilter, Logger, formatter, sink, sink::Sink};
 
@@ -87,9 +87,9 @@
         })
     }
 
-    /// Returns the number of lines dropped since the last call.
-    pub(crate) fn take_dropped_lines(&self) -> u64 {
-        self.dropped.take()
+    /// Returns the lines dropped since they were stated last, by number of the event, if they are to be stated now.
+    pub(crate) fn take_dropped_lines(&self, now_us: u64) -> BTreeMap<u16, u64> {
+        self.dropped.take(now_us)
     }
 
     /// Writes one event unless its severity is `debug`.
@@ -103,6 +103,7 @@
             event::Severity::Warn => Level::Warn,
             event::Severity::Error => Level::Error,
         };
+        self.dropped.begin(recorded.number);
         let Ok(line) = serde_json::to_string(recorded) else {
             return self.dropped.add();
         };
@@ -110,7 +111,7 @@
         if let Some(rate_limiter) = &self.rate_limiter
             && !rate_limiter
                 .borrow_mut()
-                .try_take(now_us, line.len(), is_urgent)
+                .try_take(now_us, recorded.number, line.len(), is_urgent)
         {
             return self.dropped.add();
         }
