refactor(gateway): the result of the question for a server's start is matched once

Cause: a reading as a newcomer. The two arms for a server that is believed differed in a guard alone, and a line of the log's documentation was over the width.

Change: the errors of the question are converted first, then the one case that ends the attempt is told apart; the decision is the same.

--- a/crates/peridotrack-edge/src/gateway/identity.rs
+++ b/crates/peridotrack-edge/src/gateway/identity.rs
@@ -43,17 +43,19 @@
         bytes_written: false,
         kind,
     };
-    match identity.map_err(|_| unsent(client::Kind::TimedOut))? {
-        Ok(Identity::Same | Identity::Unstated) if connection.is_reusable() => Ok(Some(connection)),
-        Ok(Identity::Same | Identity::Unstated) => {
-            let connection = client::Connection::connect(address, options::backend()).await?;
-            Ok(Some(connection))
-        }
-        Ok(Identity::Other) => {
-            liveness::report_end(attempt.shared, attempt.server);
-            Ok(None)
-        }
-        Err(error) => Err(unsent(error.kind)),
+    let identity = identity
+        .map_err(|_| unsent(client::Kind::TimedOut))?
+        .map_err(|error| unsent(error.kind))?;
+    if identity == Identity::Other {
+        liveness::report_end(attempt.shared, attempt.server);
+        return Ok(None);
+    }
+    // Servers now and then close a connection after a response.
+    match connection.is_reusable() {
+        true => Ok(Some(connection)),
+        false => client::Connection::connect(address, options::backend())
+            .await
+            .map(Some),
     }
 }
 
--- a/crates/peridotrack-kernel/src/log.rs
+++ b/crates/peridotrack-kernel/src/log.rs
@@ -87,7 +87,8 @@
         })
     }
 
-    /// Returns the lines dropped since they were stated last, by number of the event, if they are to be stated now.
+    /// Returns the lines dropped since they were stated last, by number of the event; none if it is
+    /// too soon to state them again.
     pub(crate) fn take_dropped_lines(&self, now_us: u64) -> BTreeMap<u16, u64> {
         self.dropped.take(now_us)
     }
