--- a/crates/peridotrack-edge/src/gateway/identity.rs
+++ b/crates/peridotrack-edge/src/gateway/identity.rs
@@ -12,15 +12,6 @@
 
 use super::{attempt::Attempt, liveness, options};
 
-/// Whether a process is the run that the directory names.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Identity {
-    Same,
-    /// The process does not state when it started.
-    Unstated,
-    Other,
-}
-
 /// Connects to the backend server of an attempt that continues a stream. Returns `None` if another
 /// process listens at the address, which is then reported as the end of the former.
 ///
@@ -36,17 +27,17 @@
         return Ok(Some(connection));
     };
     let limit = Duration::from_micros(options::REPORT_TIMEOUT_US);
-    let identity = monoio::time::timeout(limit, identify(&mut connection, born_ms)).await;
+    let asked = monoio::time::timeout(limit, states_other_start(&mut connection, born_ms)).await;
     let unsent = |kind| client::Error {
         step: client::Step::Connect,
         peer: address,
         bytes_written: false,
         kind,
     };
-    let identity = identity
+    let is_other = asked
         .map_err(|_| unsent(client::Kind::TimedOut))?
         .map_err(|error| unsent(error.kind))?;
-    if identity == Identity::Other {
+    if is_other {
         liveness::report_end(attempt.shared, attempt.server);
         return Ok(None);
     }
@@ -59,16 +50,15 @@
     }
 }
 
-async fn identify(
+/// Asks the process for its report, and returns whether that states another start. A process that
+/// states none is believed to be the one that the directory names.
+async fn states_other_start(
     connection: &mut client::Connection,
     born_ms: u64,
-) -> Result<Identity, client::Error> {
+) -> Result<bool, client::Error> {
     let head = connection.send(report::request()).await?;
     let body = connection.read_body().await?;
     let stated_ms = (head.status == StatusCode::OK).then(|| report::born_ms(&body));
-    Ok(match stated_ms.flatten() {
-        None => Identity::Unstated,
-        Some(stated_ms) if stated_ms == born_ms => Identity::Same,
-        Some(_) => Identity::Other,
-    })
+    let stated_ms = stated_ms.flatten();
+    Ok(stated_ms.is_some_and(|stated_ms| stated_ms != born_ms))
 }
