fix(gateway): a slow report does not open the breaker of a sound server

Cause: a report that does not come within 150 ms was counted as a failure to connect, one of which opens the breaker for all requests, although the connection was established.

Change: what is known of the process is a type of its own; without an answer the attempt ends unsent, as a timeout, which counts as one failure of the five that open a breaker.

--- a/crates/peridotrack-edge/src/gateway/attempt.rs
+++ b/crates/peridotrack-edge/src/gateway/attempt.rs
@@ -16,7 +16,9 @@
 use peridotrack_types::site;
 
 use super::{
-    Shared, identity, liveness, options,
+    Shared,
+    identity::{self, Identified},
+    liveness, options,
     request::RoutedRequest,
     reservation::ReservationGuard,
     response,
@@ -66,6 +68,16 @@
     pub(super) metadata: response_wire::Metadata,
 }
 
+/// What became of a request that was to be sent to the chosen server.
+enum Sent {
+    Responded(Box<ResponseHead>),
+    /// It was not sent, because the server became ineligible.
+    Withdrawn,
+    /// It was not sent, because the server did not state which process it is; the reason is for the
+    /// log.
+    Unidentified(String),
+}
+
 impl ResponseHead {
     /// Returns whether the end of the connection marks the end of the body.
     pub(super) fn is_close_delimited(&self) -> bool {
@@ -90,8 +102,9 @@
             () = self.answer_due(progress) => return AttemptResult::Stopped,
         };
         let mut head = match head {
-            Some(Ok(Some(head))) => head,
-            Some(Ok(None)) => return withdrawn(),
+            Some(Ok(Sent::Responded(head))) => *head,
+            Some(Ok(Sent::Withdrawn)) => return withdrawn(),
+            Some(Ok(Sent::Unidentified(detail))) => return unidentified(detail),
             Some(Err(error)) => return self.failed(&error, progress),
             None => return self.timed_out(),
         };
@@ -141,20 +154,21 @@
         }
     }
 
-    /// Connects, sends the request and reads the head of the response. Returns `None` if the request
-    /// may not be sent to the server any more.
-    async fn send(&self, progress: &Progress) -> Result<Option<ResponseHead>, client::Error> {
+    /// Connects, sends the request unless that is ruled out meanwhile, and reads the head of the
+    /// response.
+    async fn send(&self, progress: &Progress) -> Result<Sent, client::Error> {
         let is_continuation =
             self.request.route().retry_policy.is_stream() && progress.last_event().is_some();
-        let connection = match is_continuation {
-            true => identity::connect(self).await?,
-            false => Some(self.connect().await?),
-        };
-        let Some(mut connection) = connection else {
-            return Ok(None);
+        let mut connection = match is_continuation {
+            true => match identity::connect(self).await? {
+                Identified::Listed(connection) => *connection,
+                Identified::Other => return Ok(Sent::Withdrawn),
+                Identified::Unknown(detail) => return Ok(Sent::Unidentified(detail)),
+            },
+            false => self.connect().await?,
         };
         if !self.ticket.may_send() {
-            return Ok(None);
+            return Ok(Sent::Withdrawn);
         }
         self.shared.route.handle(Event::Connected {
             backend: self.target.backend_server.clone(),
@@ -165,11 +179,11 @@
         let parts = connection.send(request).await?;
         let metadata =
             response_wire::Metadata::decode(&parts, self.request.metadata.request_id.as_ref());
-        Ok(Some(ResponseHead {
+        Ok(Sent::Responded(Box::new(ResponseHead {
             connection,
             parts,
             metadata,
-        }))
+        })))
     }
 
     /// Connects to the backend server. A request that may run only once gets a new connection: the
@@ -364,6 +378,17 @@
     }
 }
 
+/// Returns the result of an attempt that ended before the request was sent, because the server did not
+/// state which process it is. It took the connection, so that this is no failure to connect.
+fn unidentified(detail: String) -> AttemptResult {
+    AttemptResult::Failed {
+        outcome: Outcome::Timeout { sent: false },
+        is_disconnected: false,
+        detail,
+        response: None,
+    }
+}
+
 /// Returns whether the server closed or reset the connection during the exchange.
 fn is_disconnected(error: &client::Error) -> bool {
     let is_broken = matches!(error.kind, client::Kind::Closed | client::Kind::Io(_));
--- a/crates/peridotrack-edge/src/gateway/exchange.rs
+++ b/crates/peridotrack-edge/src/gateway/exchange.rs
@@ -229,7 +229,11 @@
                 request.note(shared, progress.describe_statements(event));
                 shared.metrics.failed_attempts.increment(1);
                 last_response = response;
-                if matches!(outcome, Outcome::ConnectFailed | Outcome::Withdrawn) {
+                let is_unsent = matches!(
+                    outcome,
+                    Outcome::ConnectFailed | Outcome::Withdrawn | Outcome::Timeout { sent: false }
+                );
+                if is_unsent {
                     shared.quarantine.withdraw(&trial);
                 } else if is_disconnected && progress.stage() != stream::Stage::Streaming {
                     crash::report_break(shared, &server, target.address, trial).await;
--- a/crates/peridotrack-edge/src/gateway/identity.rs
+++ b/crates/peridotrack-edge/src/gateway/identity.rs
@@ -12,42 +12,46 @@
 
 use super::{attempt::Attempt, liveness, options};
 
-/// Connects to the backend server of an attempt that continues a stream. Returns `None` if another
-/// process listens at the address, which is then reported as the end of the former.
+/// What is known of the process that a new connection leads to.
+pub(super) enum Identified {
+    /// It is the one that the directory names, or states nothing else.
+    Listed(Box<client::Connection>),
+    /// It is another one; the end of the former is reported.
+    Other,
+    /// It did not answer in time, or not properly; the reason is for the log.
+    Unknown(String),
+}
+
+/// Connects to the backend server of an attempt that continues a stream.
 ///
 /// # Errors
 ///
-/// Returns an error of the step `Connect`, as nothing of the request was sent.
-pub(super) async fn connect(
-    attempt: &Attempt<'_>,
-) -> Result<Option<client::Connection>, client::Error> {
+/// Returns an error if the connection cannot be established.
+pub(super) async fn connect(attempt: &Attempt<'_>) -> Result<Identified, client::Error> {
     let address = attempt.target.address;
     let mut connection = client::Connection::connect(address, options::backend()).await?;
     let Some(born_ms) = attempt.server.born_ms else {
-        return Ok(Some(connection));
+        return Ok(Identified::Listed(Box::new(connection)));
     };
     let limit = Duration::from_micros(options::REPORT_TIMEOUT_US);
     let asked = monoio::time::timeout(limit, states_other_start(&mut connection, born_ms)).await;
-    let unsent = |kind| client::Error {
-        step: client::Step::Connect,
-        peer: address,
-        bytes_written: false,
-        kind,
-    };
-    let is_other = asked
-        .map_err(|_| unsent(client::Kind::TimedOut))?
-        .map_err(|error| unsent(error.kind))?;
-    if is_other {
-        liveness::report_end(attempt.shared, attempt.server);
-        return Ok(None);
+    match asked {
+        Ok(Ok(true)) => {
+            liveness::report_end(attempt.shared, attempt.server);
+            return Ok(Identified::Other);
+        }
+        Ok(Ok(false)) => {}
+        Ok(Err(error)) => return Ok(Identified::Unknown(error.to_string())),
+        Err(_) => {
+            let detail = "the server did not state in time when it started";
+            return Ok(Identified::Unknown(detail.to_owned()));
+        }
     }
     // Servers now and then close a connection after a response.
-    match connection.is_reusable() {
-        true => Ok(Some(connection)),
-        false => client::Connection::connect(address, options::backend())
-            .await
-            .map(Some),
+    if !connection.is_reusable() {
+        connection = client::Connection::connect(address, options::backend()).await?;
     }
+    Ok(Identified::Listed(Box::new(connection)))
 }
 
 /// Asks the process for its report, and returns whether that states another start. A process that
--- a/crates/peridotrack-edge/tests/gateway/streams.rs
+++ b/crates/peridotrack-edge/tests/gateway/streams.rs
@@ -26,6 +26,16 @@
         .collect()
 }
 
+/// Adds to the entries of the servers when their processes started, and waits until that is known.
+async fn list_starts(fixture: &Fixture, born_ms: u64) {
+    for (number, backend) in fixture.backends.iter().enumerate() {
+        let mut entry = entry(backend);
+        entry["born"] = json!(born_ms);
+        fixture.store.put("servers", &format!("i-{number}"), entry);
+    }
+    monoio::time::sleep(ENTRIES_FOLLOWED).await;
+}
+
 #[rstest]
 #[case("/stream/x")]
 #[case("/stream/resumable/x")]
@@ -180,6 +190,24 @@
     });
 }
 
+/// The only server is sound, but takes long to state when it started.
+#[test]
+fn a_slow_report_keeps_other_requests_from_a_sound_server() {
+    block_on(async {
+        let fixture = Fixture::spawn(1).await;
+        list_starts(&fixture, 1_000).await;
+        // The stream of the request with the identifier 9c41.
+        fixture.get("/stream/resumable/x").await.unwrap();
+        fixture.backends[0].set_report_delay(Duration::from_secs(1));
+        let headers = [("last-event-id", "3"), ("resumes", "9c41")];
+        let resumed = request("/stream/resumable/x", &headers);
+        let response = fixture.send(resumed).await.unwrap();
+        assert!(!response.status().is_success(), "{response:?}");
+        let response = fixture.get("/safe/x").await.unwrap();
+        assert_eq!(response.status(), StatusCode::OK);
+    });
+}
+
 /// The entries of both servers name the process that began there, but the second one has started
 /// again since, and its software version is not known.
 #[test]
@@ -187,13 +215,10 @@
     block_on(async {
         let fixture = Fixture::spawn(2).await;
         fixture.set_modes(Mode::CutStream);
-        for (number, backend) in fixture.backends.iter().enumerate() {
+        list_starts(&fixture, 1_000).await;
+        for backend in &fixture.backends {
             backend.set_born_ms(Some(2_000));
-            let mut entry = entry(backend);
-            entry["born"] = json!(1_000);
-            fixture.store.put("servers", &format!("i-{number}"), entry);
         }
-        monoio::time::sleep(ENTRIES_FOLLOWED).await;
         assert!(fixture.get("/stream/resumable/x").await.is_none());
         assert_eq!(fixture.runs(), 1);
     });
--- a/crates/peridotrack-standin/src/hosted/backend.rs
+++ b/crates/peridotrack-standin/src/hosted/backend.rs
@@ -99,6 +99,7 @@
     resumption: Cell<Resumption>,
     /// When the process started, as its reports state it.
     born_ms: Cell<Option<u64>>,
+    report_delay: Cell<Duration>,
     response_delay: Cell<Duration>,
     event_interval: Cell<Duration>,
     runs: RefCell<Vec<Run>>,
@@ -121,6 +122,7 @@
             mode: Cell::default(),
             resumption: Cell::default(),
             born_ms: Cell::default(),
+            report_delay: Cell::default(),
             response_delay: Cell::default(),
             event_interval: Cell::new(EVENT_INTERVAL),
             runs: RefCell::default(),
@@ -174,6 +176,11 @@
         self.0.application.born_ms.set(born_ms);
     }
 
+    /// Sets the time after which reports are sent.
+    pub fn set_report_delay(&self, delay: Duration) {
+        self.0.application.report_delay.set(delay);
+    }
+
     /// Sets the time from the arrival of a request that the server runs to the beginning of its
     /// response, for requests received from now on.
     pub fn set_response_delay(&self, delay: Duration) {
@@ -421,6 +428,7 @@
         let request = &incoming.request;
         let headers = &request.head.headers;
         if request.head.uri.path() == "/report" {
+            monoio::time::sleep(self.report_delay.get()).await;
             let response = self.report();
             return Ok(incoming.connection.respond(response).await?);
         }
