--- /dev/null
+++ b/review/standin/grace.rs
@@ -0,0 +1,168 @@
+//! Case: the platform shortens `graceS` in the settings, with SIGHUP, and later stops gateways. No
+//! request that they have read may be cut.
+
+use std::{
+    collections::BTreeSet,
+    net::SocketAddr,
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc, Mutex,
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    client::{self, Answer, Request},
+    engine::{Engine, Runs, Service},
+    gateway::{self, SIGHUP, SIGTERM},
+    record::Record,
+    store::Store,
+    Failure, Verdict,
+};
+
+/// Grace period before and after the change, in seconds.
+const GRACE_S: [u64; 2] = [8, 4];
+const CLIENTS: usize = 18;
+const PAUSE: Duration = Duration::from_millis(60);
+/// Gateways that are stopped at the same time, of three in their zone.
+const STOPPED: usize = 2;
+/// Requests that are sent within this time after SIGTERM and are at work in the last sixth of the
+/// grace period are not counted.
+const EXEMPT_MS: u64 = 3_000;
+
+/// A request with the time at which it was sent and the gateway that took it.
+struct Sent {
+    at_ms: u64,
+    ended_ms: u64,
+    gateway: usize,
+    answer: Answer,
+}
+
+type Log = Mutex<Vec<Sent>>;
+
+pub fn run(record: &Arc<Record>, is_troubled: bool) -> Result<Verdict, Failure> {
+    let error = |error: std::io::Error| error.to_string();
+    let store = Store::spawn().map_err(error)?;
+    let runs = Arc::new(Runs::default());
+    let service = Service {
+        name: "desk",
+        work: Duration::from_millis(250),
+        event_gap: None,
+        stride: 1,
+        slots: 6,
+    };
+    store.put("config", "main", CONFIG);
+    for id in ["desk-1", "desk-2", "desk-3", "desk-4"] {
+        let engine = Engine::start(id, None, "a", &service, &runs, record).map_err(error)?;
+        engine.register(&store);
+    }
+    let folder = gateway::folder().map_err(error)?;
+    let mut gateways = gateway::start_all(&["a", "a", "a"], store.address, &folder, record)?;
+    let fronts: Vec<SocketAddr> = gateways.iter().map(|gateway| gateway.front).collect();
+    let is_over = Arc::new(AtomicBool::new(false));
+    let log = Arc::new(Log::default());
+    let clients: Vec<_> = (0..CLIENTS)
+        .map(|number| {
+            let (fronts, record) = (fronts.clone(), Arc::clone(record));
+            let (is_over, log) = (Arc::clone(&is_over), Arc::clone(&log));
+            thread::spawn(move || book(number, &fronts, &is_over, &log, &record))
+        })
+        .collect();
+    thread::sleep(Duration::from_secs(3));
+
+    let mut grace_s = GRACE_S[0];
+    if is_troubled {
+        grace_s = GRACE_S[1];
+        record.note(format!("the settings change: graceS {GRACE_S:?}, and SIGHUP"));
+        for gateway in &mut gateways {
+            gateway.settings.grace_s = grace_s;
+            gateway.write_settings().map_err(error)?;
+            gateway.signal(SIGHUP);
+        }
+    }
+    thread::sleep(Duration::from_secs(10));
+
+    let stop_ms = record.now_ms();
+    record.note(format!("SIGTERM to {STOPPED} gateways, SIGKILL after {grace_s} s"));
+    let end = Instant::now() + Duration::from_secs(grace_s);
+    for gateway in &gateways[..STOPPED] {
+        gateway.signal(SIGTERM);
+    }
+    for (number, gateway) in gateways[..STOPPED].iter_mut().enumerate() {
+        let is_killed = gateway.wait_end(end);
+        record.note(format!("gateway {number} has ended, by SIGKILL: {is_killed}"));
+    }
+    let killed_ms = stop_ms + grace_s * 1_000;
+    thread::sleep(Duration::from_secs(2));
+    is_over.store(true, Ordering::SeqCst);
+    for client in clients {
+        let _ = client.join();
+    }
+
+    let ran: BTreeSet<String> = runs.all().into_iter().map(|run| run.request).collect();
+    let log = log.lock().unwrap();
+    let cut: Vec<&Sent> = log
+        .iter()
+        .filter(|sent| sent.answer.status.is_none() && ran.contains(&sent.answer.id))
+        .filter(|sent| sent.gateway < STOPPED && sent.ended_ms <= killed_ms + 1_000)
+        .collect();
+    let counted = cut.iter().filter(|sent| sent.at_ms > stop_ms + EXEMPT_MS);
+    let counted = counted.count();
+    record.note(format!(
+        "{} requests sent; read, passed on and cut without an answer: {}, of them sent later than \
+         {EXEMPT_MS} ms after SIGTERM: {counted}",
+        log.len(),
+        cut.len()
+    ));
+    if log.iter().filter(|sent| sent.answer.is_success()).count() < 100 {
+        return Err("too few requests were served".to_owned());
+    }
+    Ok(match counted {
+        0 => Verdict::Held,
+        _ => Verdict::Broken,
+    })
+}
+
+/// Sends requests that may run at most once, each on a new channel. The platform goes on to use all
+/// nodes of the zone, because fewer than half of them are in rotation; a node that takes no channel
+/// any more is passed over.
+fn book(
+    client: usize,
+    fronts: &[SocketAddr],
+    is_over: &AtomicBool,
+    log: &Log,
+    record: &Record,
+) {
+    let mut gateway = client % fronts.len();
+    let mut number = 0;
+    while !is_over.load(Ordering::SeqCst) {
+        number += 1;
+        let request = Request {
+            method: "POST",
+            path: "/book/2f".to_owned(),
+            key: "key-1".to_owned(),
+            deadline_ms: 1_000,
+            tokens: None,
+            prompt: String::new(),
+            body: format!("booking {number} of {client}"),
+        };
+        let at_ms = record.now_ms();
+        let answer = client::send(fronts[gateway], &request);
+        let text = format!("book {} at gateway {gateway} -> {:?}", answer.id, answer.status);
+        record.note(text);
+        let is_unanswered = answer.status.is_none();
+        log.lock().unwrap().push(Sent {
+            at_ms,
+            ended_ms: record.now_ms(),
+            gateway,
+            answer,
+        });
+        if is_unanswered {
+            gateway = fronts.len() - 1;
+        }
+        thread::sleep(PAUSE);
+    }
+}
+
+const CONFIG: &str = r#"{"version":7,"routes":[{"name":"r-book","host":"a.example","pathPrefix":"/book/","routeType":"unsafe","timeoutMs":1000,"targetLatencyMs":300,"priority":0,"service":"desk","maxAttempts":2,"authExempt":false}],"services":[{"name":"desk","healthPath":"/health","maxConnections":110,"protocol":"h1","tls":false}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},"tenants":[{"name":"t1","apiKeys":["key-1"],"priority":1}]}"#;
