--- a/review/standin/blocked.rs
+++ b/review/standin/blocked.rs
@@ -1,5 +1,5 @@
-//! Case: all engines of a service fail in two steps, with many requests in their prefill, and come
-//! back. The requests on its route must be served again.
+//! Case: all engines of a service fail one after the other, with many requests in their
+//! prefill, and come back. The requests on its route must be served again.
 
 use std::{
     io,
@@ -21,13 +21,17 @@
     Failure, Verdict,
 };
 
-const ENGINES: usize = 3;
+const ENGINES: usize = 6;
 /// Clients that come at once.
 const CLIENTS: usize = 24;
 /// Clients before that.
 const EARLY_CLIENTS: usize = 4;
-/// Time from the first request of the burst to the first step, and from there to the second.
-const STEP: Duration = Duration::from_millis(300);
+/// Time from the first request of the burst to the first crash.
+const FIRST: Duration = Duration::from_millis(300);
+/// Time between two crashes.
+const STEP: Duration = Duration::from_millis(140);
+/// Subjects of prompts, each with a part of its own.
+const SUBJECTS: usize = 12;
 /// Time for which the engines are down.
 const DOWN: Duration = Duration::from_secs(3);
 /// Time after the silence of an engine until its entry is removed: three check-in intervals.
@@ -108,7 +112,7 @@
 
     record.note(format!("{CLIENTS} clients come at once"));
     clients.extend((0..CLIENTS).map(|number| spawn(number, true, None)));
-    thread::sleep(STEP);
+    thread::sleep(FIRST);
     if is_troubled {
         for (number, engine) in engines.iter().enumerate() {
             if number > 0 {
@@ -194,8 +198,12 @@
         key: "key-1".to_owned(),
         deadline_ms: if is_lm { 15_000 } else { 1_000 },
         tokens: is_lm.then_some((6_000, 100)),
-        // All prompts begin with the same instructions; the last part is the request's own.
-        prompt: format!("5c1e07a2:5382,{client:x}{number:04x}:618"),
+        // All prompts begin with the same instructions, and those of a subject have a second part in
+        // common; the last part is the request's own.
+        prompt: format!(
+            "5c1e07a2:512,91bd{:02x}:4870,{client:x}{number:04x}:618",
+            (client + number) % SUBJECTS
+        ),
         body: format!("client {client} request {number}"),
     }
 }
