test(review): a foreign entry's name ends every gateway that lists the engines

Another writer has left 600 entries with names like 'batch job 17' in the directory, so that the list has two pages. The name that continues the list goes into a URI unescaped, and the client of the store panics. Running gateways are not affected; after the final fault every process ends by itself at each start.

--- a/review/standin/gateway.rs
+++ b/review/standin/gateway.rs
@@ -213,6 +213,12 @@
         }
     }
 
+    /// Returns how the process ended, if it has.
+    pub fn ended(&mut self) -> Option<String> {
+        let status = self.child.as_mut()?.try_wait().ok()??;
+        Some(status.to_string())
+    }
+
     fn is_ready(&self) -> bool {
         let ask = || -> io::Result<bool> {
             let mut stream = TcpStream::connect_timeout(&self.ready, Duration::from_millis(500))?;
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -14,6 +14,7 @@
 mod store;
 
 mod blocked;
+mod foreign;
 mod grace;
 mod removed;
 mod shards;
@@ -46,6 +47,7 @@
         "shards" => shards::run(&record, is_troubled),
         "removed" => removed::run(&record, is_troubled),
         "blocked" => blocked::run(&record, is_troubled),
+        "foreign" => foreign::run(&record, is_troubled),
         "grace" => grace::run(&record, is_troubled),
         _ => Err(format!("unknown case {name}")),
     };
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -14,6 +14,9 @@
     json,
 };
 
+/// Number of objects in one page of a list.
+const PAGE: usize = 500;
+
 struct Object {
     revision: u64,
     spec: String,
@@ -42,6 +45,27 @@
     changed: Condvar,
 }
 
+/// Decodes a parameter of a query.
+fn decode(text: &str) -> String {
+    let mut bytes = Vec::new();
+    let mut rest = text.as_bytes();
+    while let Some((first, more)) = rest.split_first() {
+        let code = more.get(..2).and_then(|hex| std::str::from_utf8(hex).ok());
+        let code = code.and_then(|hex| u8::from_str_radix(hex, 16).ok());
+        match (first, code) {
+            (b'%', Some(code)) => {
+                bytes.push(code);
+                rest = &more[2..];
+            }
+            _ => {
+                bytes.push(if *first == b'+' { b' ' } else { *first });
+                rest = more;
+            }
+        }
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
 fn document(name: &str, object: &Object) -> String {
     format!(
         "{{\"metadata\":{{\"name\":\"{name}\",\"revision\":{},\"createdRev\":1,\"finalizers\":[],\
@@ -147,7 +171,7 @@
         match (request.method.as_str(), name) {
             ("GET", None) => match request.parameter("watch") {
                 Some(revision) => self.watch(kind, revision.parse().ok()?, request),
-                None => Some((200, self.list(kind))),
+                None => Some((200, self.list(kind, request.parameter("sinceRev")))),
             },
             ("GET", Some(name)) => Some(self.get(kind, name)),
             ("POST", None) | ("PUT", Some(_)) => {
@@ -157,15 +181,21 @@
         }
     }
 
-    fn list(&self, kind: &str) -> String {
+    /// Returns one page of the objects of a kind, those that follow the name `after`.
+    fn list(&self, kind: &str, after: Option<&str>) -> String {
         let state = self.state.lock().unwrap();
-        let of_kind = state.objects.iter().filter(|((known, _), _)| known == kind);
-        let items: Vec<String> = of_kind
+        let after = after.map(decode);
+        let mut left = state.objects.iter().filter(|((known, name), _)| {
+            known == kind && after.as_ref().is_none_or(|after| name > after)
+        });
+        let items: Vec<String> = left
+            .by_ref()
+            .take(PAGE)
             .map(|((_, name), object)| document(name, object))
             .collect();
-        let items = items.join(",");
+        let (items, has_more) = (items.join(","), left.next().is_some());
         format!(
-            "{{\"items\":[{items}],\"hasMore\":false,\"asOf\":{}}}",
+            "{{\"items\":[{items}],\"hasMore\":{has_more},\"asOf\":{}}}",
             state.revision
         )
     }
