--- a/review/standin/gateway.rs
+++ b/review/standin/gateway.rs
@@ -139,7 +139,7 @@
              \"stream\",\"tenants\",\"platform\"]\n\
              [zones]\n{}\n[listen]\nfront = \"{}\"\nready = \"{}\"\ncontrol = \"{}\"\n\
              [limits]\ncpuShare = 0.25\ncores = 1\nmemoryMb = 110\nmaxFds = 4100\n\
-             linkMbps = 1000.0\ndiskMb = 0\n[bounds]\nseedLagS = 3\nreuseAfterS = 2\n\
+             linkMbps = 1000.0\ndiskMb = 0\n[faultTolerance]\nmachines = 2\nzones = 1\nregions = 0\n[bounds]\nseedLagS = 3\nreuseAfterS = 2\n\
              contactMs = 3000\nackMs = 4000\ncatchUpS = 4\ndrainMs = 2000\ngraceS = {grace_s}\n\
              lossSlackMs = 200\nconfigApplyMs = 2000\nrollbackSlackMs = 250\nmaxSkewMs = 5000\n\
              revokeStrict = false\nrevokeMs = 5000\nretryBudgetRatio = 0.2\nbudgetWindowS = 10\n\
@@ -219,22 +219,14 @@
         Some(status.to_string())
     }
 
-    fn is_ready(&self) -> bool {
-        let ask = || -> io::Result<bool> {
-            let mut stream = TcpStream::connect_timeout(&self.ready, Duration::from_millis(500))?;
-            stream.set_read_timeout(Some(Duration::from_millis(500)))?;
-            stream.write_all(b"GET /readiness HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")?;
-            let mut text = String::new();
-            stream.read_to_string(&mut text)?;
-            Ok(text.starts_with("HTTP/1.1 200"))
-        };
-        ask().unwrap_or(false)
+    pub fn addresses(&self) -> (SocketAddr, SocketAddr) {
+        (self.front, self.ready)
     }
 
     /// Waits until the process says that it is ready.
     pub fn wait_ready(&self, record: &Record) -> Result<(), Failure> {
         for _ in 0..200 {
-            if self.is_ready() {
+            if is_ready(self.ready) {
                 record.note(format!("gateway {} is ready", self.settings.name));
                 return Ok(());
             }
@@ -244,6 +236,19 @@
     }
 }
 
+/// Returns whether a node says at this address that it is ready.
+pub fn is_ready(address: SocketAddr) -> bool {
+    let ask = || -> io::Result<bool> {
+        let mut stream = TcpStream::connect_timeout(&address, Duration::from_millis(500))?;
+        stream.set_read_timeout(Some(Duration::from_millis(500)))?;
+        stream.write_all(b"GET /readiness HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")?;
+        let mut text = String::new();
+        stream.read_to_string(&mut text)?;
+        Ok(text.starts_with("HTTP/1.1 200"))
+    };
+    ask().unwrap_or(false)
+}
+
 impl Drop for Gateway {
     fn drop(&mut self) {
         self.kill();
--- a/review/standin/grace.rs
+++ b/review/standin/grace.rs
@@ -3,7 +3,6 @@
 
 use std::{
     collections::BTreeSet,
-    net::SocketAddr,
     sync::{
         atomic::{AtomicBool, Ordering},
         Arc, Mutex,
@@ -15,7 +14,8 @@
 use crate::{
     client::{self, Answer, Request},
     engine::{Engine, Runs, Service},
-    gateway::{self, SIGHUP, SIGTERM},
+    gateway::{self, Gateway, SIGHUP, SIGTERM},
+    ingress::Ingress,
     record::Record,
     store::Store,
     Failure, Verdict,
@@ -23,7 +23,7 @@
 
 /// Grace period before and after the change, in seconds.
 const GRACE_S: [u64; 2] = [8, 4];
-const CLIENTS: usize = 18;
+const CLIENTS: usize = 36;
 const PAUSE: Duration = Duration::from_millis(60);
 /// Gateways that are stopped at the same time, of three in their zone.
 const STOPPED: usize = 2;
@@ -50,7 +50,7 @@
         work: Duration::from_millis(250),
         event_gap: None,
         stride: 1,
-        slots: 6,
+        slots: 16,
     };
     store.put("config", "main", CONFIG);
     for id in ["desk-1", "desk-2", "desk-3", "desk-4"] {
@@ -59,14 +59,15 @@
     }
     let folder = gateway::folder().map_err(error)?;
     let mut gateways = gateway::start_all(&["a", "a", "a"], store.address, &folder, record)?;
-    let fronts: Vec<SocketAddr> = gateways.iter().map(|gateway| gateway.front).collect();
+    let addresses: Vec<_> = gateways.iter().map(Gateway::addresses).collect();
+    let ingress = Ingress::spawn(&addresses);
     let is_over = Arc::new(AtomicBool::new(false));
     let log = Arc::new(Log::default());
     let clients: Vec<_> = (0..CLIENTS)
         .map(|number| {
-            let (fronts, record) = (fronts.clone(), Arc::clone(record));
+            let (ingress, record) = (Arc::clone(&ingress), Arc::clone(record));
             let (is_over, log) = (Arc::clone(&is_over), Arc::clone(&log));
-            thread::spawn(move || book(number, &fronts, &is_over, &log, &record))
+            thread::spawn(move || book(number, &ingress, &is_over, &log, &record))
         })
         .collect();
     thread::sleep(Duration::from_secs(3));
@@ -89,26 +90,39 @@
     for gateway in &gateways[..STOPPED] {
         gateway.signal(SIGTERM);
     }
-    for (number, gateway) in gateways[..STOPPED].iter_mut().enumerate() {
-        let is_killed = gateway.wait_end(end);
-        record.note(format!("gateway {number} has ended, by SIGKILL: {is_killed}"));
+    let stopping: Vec<_> = gateways
+        .drain(..STOPPED)
+        .enumerate()
+        .map(|(number, mut gateway)| {
+            let record = Arc::clone(record);
+            thread::spawn(move || {
+                let is_killed = gateway.wait_end(end);
+                record.note(format!("gateway {number} has ended, by SIGKILL: {is_killed}"));
+                let _ = gateway.start();
+                gateway
+            })
+        })
+        .collect();
+    for stopping in stopping {
+        gateways.extend(stopping.join());
     }
-    let killed_ms = stop_ms + grace_s * 1_000;
     thread::sleep(Duration::from_secs(2));
     is_over.store(true, Ordering::SeqCst);
     for client in clients {
         let _ = client.join();
     }
+    ingress.stop();
 
+    let until_ms = stop_ms + grace_s * 1_000 + 1_000;
     let ran: BTreeSet<String> = runs.all().into_iter().map(|run| run.request).collect();
     let log = log.lock().unwrap();
-    let cut: Vec<&Sent> = log
-        .iter()
-        .filter(|sent| sent.answer.status.is_none() && ran.contains(&sent.answer.id))
-        .filter(|sent| sent.gateway < STOPPED && sent.ended_ms <= killed_ms + 1_000)
-        .collect();
-    let counted = cut.iter().filter(|sent| sent.at_ms > stop_ms + EXEMPT_MS);
-    let counted = counted.count();
+    let is_cut = |sent: &&Sent| {
+        let is_stopped = sent.gateway < STOPPED && sent.at_ms > stop_ms;
+        let is_passed_on = sent.answer.status.is_none() && ran.contains(&sent.answer.id);
+        is_stopped && is_passed_on && sent.ended_ms <= until_ms
+    };
+    let cut: Vec<&Sent> = log.iter().filter(is_cut).collect();
+    let counted = cut.iter().filter(|sent| sent.at_ms > stop_ms + EXEMPT_MS).count();
     record.note(format!(
         "{} requests sent; read, passed on and cut without an answer: {}, of them sent later than \
          {EXEMPT_MS} ms after SIGTERM: {counted}",
@@ -124,18 +138,9 @@
     })
 }
 
-/// Sends requests that may run at most once, each on a new channel. The platform goes on to use all
-/// nodes of the zone, because fewer than half of them are in rotation; a node that takes no channel
-/// any more is passed over.
-fn book(
-    client: usize,
-    fronts: &[SocketAddr],
-    is_over: &AtomicBool,
-    log: &Log,
-    record: &Record,
-) {
-    let mut gateway = client % fronts.len();
-    let mut number = 0;
+/// Sends requests that may run at most once, each on a new channel.
+fn book(client: usize, ingress: &Ingress, is_over: &AtomicBool, log: &Log, record: &Record) {
+    let (mut number, mut attempt) = (0, 0);
     while !is_over.load(Ordering::SeqCst) {
         number += 1;
         let request = Request {
@@ -147,20 +152,18 @@
             prompt: String::new(),
             body: format!("booking {number} of {client}"),
         };
+        let (gateway, front) = ingress.choose(client, attempt);
         let at_ms = record.now_ms();
-        let answer = client::send(fronts[gateway], &request);
+        let answer = client::send(front, &request);
         let text = format!("book {} at gateway {gateway} -> {:?}", answer.id, answer.status);
         record.note(text);
-        let is_unanswered = answer.status.is_none();
+        attempt = if answer.status.is_none() { attempt + 1 } else { 0 };
         log.lock().unwrap().push(Sent {
             at_ms,
             ended_ms: record.now_ms(),
             gateway,
             answer,
         });
-        if is_unanswered {
-            gateway = fronts.len() - 1;
-        }
         thread::sleep(PAUSE);
     }
 }
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -9,6 +9,7 @@
 mod engine;
 mod gateway;
 mod http;
+mod ingress;
 mod json;
 mod record;
 mod store;
