fix(gateway): watches that the store cuts off do not keep a removed server

What callers saw: a backend server whose entry the store had removed got new requests until it exited, and the last of them were lost with it (DRAIN).

Cause: each watch without a response counted as an outage of the store, and entries that disappear around an outage are kept for 2.2 s, because their servers may not have been able to renew them. The store may close the connection of a waiting watch at any time; with a cut every two seconds the entry stayed for good.

Change: `follow::outage::Outages` decides what counts as an outage. A call without a response and a 5xx do, as before. A waiting watch that is closed, and a refusal for exceeding a rate, count only once the store has not responded for two renewal intervals, below which no entry can expire. A watch that was cut off is followed by one that does not wait, whose result is conclusive. Waits are bounded, so that a cut can be told from a silent outage. Responses that exceed the client's limits are no outage either. One task instead of one for each change waits for the end of the time in which entries are kept.

The outage tests of the directory, which guard entries that expire in an outage, pass unchanged.

--- a/crates/peridotrack-edge/src/daemon.rs
+++ b/crates/peridotrack-edge/src/daemon.rs
@@ -101,6 +101,7 @@
             Rc::clone(&kernel),
             settings.platform_address,
             platform::Dialect::Native,
+            0,
         );
         let services = Services::spawn(&kernel, &platform, &link, &settings, incarnation)?;
         let (caller_address, limits) = (settings.caller_address, settings.limits.clone());
--- a/crates/peridotrack-edge/src/follow.rs
+++ b/crates/peridotrack-edge/src/follow.rs
@@ -35,8 +35,8 @@
     Changes {
         /// The changes, oldest first.
         changes: &'a [Change],
-        /// Time since a call to the store last failed at the router that watched it, in
-        /// microseconds; `None` if none did.
+        /// Time since the store was last unavailable to the router that watched it, in
+        /// microseconds; `None` if it never was.
         since_loss_us: Option<u64>,
     },
 }
@@ -204,14 +204,15 @@
                 since_loss_us: self.since_loss_us(),
             },
             Err(platform::Error::HistoryLost { .. }) => Event::HistoryLost,
+            Err(platform::Error::WatchCut { .. }) => Event::WatchCut,
             Err(_) => Event::CallFailed,
         };
         self.handle(event);
     }
 
     fn since_loss_us(&self) -> Option<u64> {
-        let failed_us = self.platform.last_failure_us();
-        (failed_us > 0).then(|| self.kernel.now_us().saturating_sub(failed_us))
+        let outage_us = self.platform.last_outage_us()?;
+        Some(self.kernel.now_us().saturating_sub(outage_us))
     }
 }
 
--- a/crates/peridotrack-edge/src/gateway.rs
+++ b/crates/peridotrack-edge/src/gateway.rs
@@ -120,6 +120,7 @@
             Rc::clone(&kernel),
             settings.store_address,
             platform::Dialect::Hosted,
+            options::min_outage_us(&settings.bounds),
         );
         let budget =
             budget::Budget::spawn(&kernel, &platform, incarnation, options::ledger(&settings));
--- a/crates/peridotrack-edge/src/gateway/directory.rs
+++ b/crates/peridotrack-edge/src/gateway/directory.rs
@@ -42,8 +42,11 @@
     /// Servers whose statements in responses have no proper value, so that each is logged once.
     improper: RefCell<BTreeSet<(name::BackendServer, response_wire::Improper)>>,
     is_listed: Cell<bool>,
-    /// When a store call of the peer that relays changes last failed, in monotonic microseconds.
-    peer_last_failure_us: Cell<u64>,
+    /// When the store was last unavailable to the peer that relays changes, in monotonic
+    /// microseconds.
+    peer_last_outage_us: Cell<Option<u64>>,
+    /// Whether a task waits for the end of the time in which missing entries are kept.
+    is_checking_missing: Cell<bool>,
 }
 
 impl Directory {
@@ -196,12 +199,12 @@
     /// Returns whether any missing entry was kept for that reason.
     fn remove_missing(&self, shared: &Shared) -> bool {
         let now_us = shared.kernel.now_us();
-        let last_failure_us = shared
+        let last_outage_us = shared
             .platform
-            .last_failure_us()
-            .max(self.peer_last_failure_us.get());
-        let may_return = last_failure_us > 0 && now_us < last_failure_us + RENEWAL_GRACE_US;
-        if may_return {
+            .last_outage_us()
+            .max(self.peer_last_outage_us.get());
+        let may_return = |outage_us| now_us < outage_us + RENEWAL_GRACE_US;
+        if last_outage_us.is_some_and(may_return) {
             return self
                 .entries
                 .borrow()
@@ -253,8 +256,8 @@
         } => {
             if let Some(since_us) = since_loss_us {
                 directory
-                    .peer_last_failure_us
-                    .set(now_us.saturating_sub(since_us));
+                    .peer_last_outage_us
+                    .set(Some(now_us.saturating_sub(since_us)));
             }
             for change in changes {
                 if change.is_removed {
@@ -273,12 +276,13 @@
 fn remove_missing_and_apply(shared: &Rc<Shared>) {
     let is_waiting = shared.directory.remove_missing(shared);
     shared.directory.apply(shared);
-    if is_waiting {
+    if is_waiting && !shared.directory.is_checking_missing.replace(true) {
         let shared = Rc::clone(shared);
         monoio::spawn(async move {
             while shared.directory.remove_missing(&shared) {
                 shared.kernel.timer().sleep_us(MISSING_CHECK_US).await;
             }
+            shared.directory.is_checking_missing.set(false);
             shared.directory.apply(&shared);
         });
     }
--- a/crates/peridotrack-edge/src/gateway/options.rs
+++ b/crates/peridotrack-edge/src/gateway/options.rs
@@ -106,6 +106,10 @@
 const FOLLOW_BACKOFF_MAX_US: u64 = 800 * clock::US_PER_MS;
 /// Maximum wait of a watch of the statements about crashes, in microseconds.
 const QUARANTINE_WAIT_US: u64 = 10 * clock::US_PER_S;
+/// Renewal intervals of an entry in the shortest outage of the store in which it expires. Entries
+/// expire after three intervals without renewal, of which the last renewal may precede the outage
+/// by one.
+const EXPIRY_INTERVALS: u64 = 2;
 /// Divisor of the time after an outage in which a gateway must be connected again; gives the wait
 /// of a watch. A watch that gets no response because of an outage must be detected within that
 /// time, which includes the time for a response.
@@ -210,6 +214,11 @@
     }
 }
 
+/// Returns the length of the shortest outage of the store in which entries expire, in microseconds.
+pub(super) fn min_outage_us(bounds: &Bounds) -> u64 {
+    EXPIRY_INTERVALS * bounds.heartbeat_ms * clock::US_PER_MS
+}
+
 /// Returns the options for following the configuration, on which [`follow_servers`] is based.
 pub(super) fn follow(bounds: &Bounds) -> follower::Options {
     let apply_us = bounds.drain_ms.min(bounds.config_apply_ms) * clock::US_PER_MS;
@@ -219,7 +228,9 @@
         relay_wait_us: (apply_us as f64 * RELAY_WAIT_PART) as u64,
         silence_us: (apply_us as f64 * SILENCE_PART) as u64,
         backoff_max_us: FOLLOW_BACKOFF_MAX_US,
-        wait_us: bounds.contact_ms * clock::US_PER_MS / CONTACT_WAIT_DIVISOR,
+        // A watch that is cut off after a longer wait could not be told from an outage.
+        wait_us: (bounds.contact_ms * clock::US_PER_MS / CONTACT_WAIT_DIVISOR)
+            .min(min_outage_us(bounds) * 3 / 4),
         retry_wait_us: bounds.contact_ms * clock::US_PER_MS / CONTACT_RETRY_WAIT_DIVISOR,
         seed: fastrand::u64(..),
         ..follower::Options::default()
--- a/crates/peridotrack-edge/src/platform.rs
+++ b/crates/peridotrack-edge/src/platform.rs
@@ -10,11 +10,13 @@
 
 use std::{
     cell::{Cell, RefCell},
+    io,
     net::SocketAddr,
     rc::Rc,
 };
 
 use bytes::Bytes;
+use peridotrack_follow::outage::{Failure, Outages};
 use peridotrack_http::client;
 use peridotrack_kernel::{Kernel, event};
 use peridotrack_types::name;
@@ -122,6 +124,16 @@
         /// Kind of the objects.
         key: String,
     },
+    /// The store closed the connection of a watch that waited.
+    #[error("{step} {key}: cut off: {source}")]
+    WatchCut {
+        /// Name of the call, always `watch`.
+        step: &'static str,
+        /// Kind of the objects.
+        key: String,
+        /// Failure of the connection.
+        source: client::Error,
+    },
     /// The call may have taken effect, or its response cannot be read.
     #[error("{step} {key}: outcome unknown: {detail}")]
     Unknown {
@@ -165,7 +177,9 @@
             Err(Error::NotSent { .. }) => Self::Refused {
                 retry_after_ms: NOT_SENT_RETRY_MS,
             },
-            Err(Error::HistoryLost { .. } | Error::Unknown { .. }) => Self::Unknown,
+            Err(Error::HistoryLost { .. } | Error::WatchCut { .. } | Error::Unknown { .. }) => {
+                Self::Unknown
+            }
         }
     }
 }
@@ -189,7 +203,7 @@
     reachable: Cell<bool>,
     /// Whether the most recent response was a refusal.
     is_refusing: Cell<bool>,
-    last_failure_us: Cell<u64>,
+    outages: RefCell<Outages>,
     /// Idle connections of watches that have ended.
     watch_connections: RefCell<Vec<client::Connection>>,
     /// Notifies the pending watches when another call fails.
@@ -199,7 +213,14 @@
 /// Creates the client.
 impl Platform {
     /// Returns a client of the platform at `address`, which connects with the first call.
-    pub fn open(kernel: Rc<Kernel>, address: SocketAddr, dialect: Dialect) -> Rc<Self> {
+    /// `min_outage_us` is the length from which on failures that an available store may cause count
+    /// as an outage, in microseconds.
+    pub fn open(
+        kernel: Rc<Kernel>,
+        address: SocketAddr,
+        dialect: Dialect,
+        min_outage_us: u64,
+    ) -> Rc<Self> {
         let options = client::Options {
             connect_timeout_ms: CONNECT_TIMEOUT_MS,
             response_timeout_ms: RESPONSE_TIMEOUT_MS,
@@ -212,7 +233,7 @@
             kernel,
             dialect,
             address,
-            last_failure_us: Cell::new(0),
+            outages: RefCell::new(Outages::new(min_outage_us)),
             watch_connections: RefCell::default(),
             call_failed: notify::Notify::default(),
             pool: client::Pool::new(options, IDLE_CONNECTIONS),
@@ -235,10 +256,10 @@
         self.dialect
     }
 
-    /// Returns when a call last got no response or, in [`Dialect::Hosted`], was refused, in
-    /// monotonic microseconds; 0 if no call has failed.
-    pub fn last_failure_us(&self) -> u64 {
-        self.last_failure_us.get()
+    /// Returns when the store was last unavailable, in monotonic microseconds; `None` if it never
+    /// was.
+    pub fn last_outage_us(&self) -> Option<u64> {
+        self.outages.borrow().last_us()
     }
 
     /// Reads an object; `None` if it does not exist.
@@ -269,9 +290,9 @@
             ..self.watch_options
         };
         let request = request("GET", &path, &[], Bytes::new());
-        self.count("watch");
+        let call = self.begin("watch", key);
         let response = fetch_once(self.address, options, request).await;
-        let response = self.record_result("watch", key, response)?;
+        let response = self.record_result(&call, response)?;
         match response.status().as_u16() {
             204 => Ok(None),
             200 => object("watch", key, response).map(Some),
@@ -347,6 +368,15 @@
     }
 }
 
+/// A call that was sent.
+struct Call<'a> {
+    step: &'static str,
+    key: &'a str,
+    sent_us: u64,
+    /// Whether the store keeps the call waiting for a change.
+    is_waiting: bool,
+}
+
 /// Sends requests and records their results.
 impl Platform {
     async fn fetch(
@@ -355,79 +385,144 @@
         key: &str,
         request: http::Request<Bytes>,
     ) -> Result<http::Response<Bytes>, Error> {
-        self.count(step);
+        let call = self.begin(step, key);
         let result = self.pool.fetch(self.address, request).await;
-        self.record_result(step, key, result)
+        self.record_result(&call, result)
     }
 
-    fn count(&self, step: &'static str) {
+    /// Counts a call that is about to be sent.
+    fn begin<'a>(&self, step: &'static str, key: &'a str) -> Call<'a> {
         let meter = self.kernel.meter();
         meter
             .labelled_counter(metric::PLATFORM_CALLS, "kind", step)
             .increment(1);
+        Call {
+            step,
+            key,
+            sent_us: self.kernel.now_us(),
+            is_waiting: false,
+        }
     }
 
     /// Logs a refusal, unless the previous response was a refusal as well.
-    fn note_refusal(&self, step: &'static str, key: &str, status: http::StatusCode) {
-        let is_refused = matches!(
-            status,
-            http::StatusCode::UNAUTHORIZED
-                | http::StatusCode::FORBIDDEN
-                | http::StatusCode::TOO_MANY_REQUESTS
-        ) || status.is_server_error();
+    fn note_refusal(&self, call: &Call<'_>, status: http::StatusCode) {
+        let is_refused = is_refusal(status);
         if !self.is_refusing.replace(is_refused) && is_refused {
             let event = event::Event::new(event::Kind::PlatformRefused)
-                .with("step", step)
-                .with("key", key)
+                .with("step", call.step)
+                .with("key", call.key)
                 .with("status", u64::from(status.as_u16()));
             self.kernel.note(event);
         }
     }
 
-    /// Records whether the platform is reachable, logs a change of it, and converts the error.
+    /// Records what the result of a call shows about the store, and converts the error.
     fn record_result(
         &self,
-        step: &'static str,
-        key: &str,
+        call: &Call<'_>,
         result: Result<http::Response<Bytes>, client::Error>,
     ) -> Result<http::Response<Bytes>, Error> {
-        if let Err(error) = &result {
-            self.last_failure_us.set(self.kernel.now_us());
-            // Connections that were opened before a network partition may be unusable after it.
-            self.pool.close_idle(self.address);
-            // A watch that was ended here must not end others in turn.
-            if step != "watch" || matches!(error.kind, client::Kind::TimedOut) {
-                self.call_failed.notify_all();
-            }
-        }
-        if self.reachable.replace(result.is_ok()) != result.is_ok() {
-            let kind = match result {
-                Ok(_) => event::Kind::PlatformReached,
-                Err(_) => event::Kind::PlatformLost,
-            };
-            let event = event::Event::new(kind).with("step", step).with("key", key);
-            self.kernel.note(match &result {
-                Ok(_) => event,
-                Err(error) => event.with("error", error.to_string()),
-            });
+        let now_us = self.kernel.now_us();
+        match failure(call, &result) {
+            Some(failure) => self.outages.borrow_mut().on_failure(now_us, failure),
+            None => self.outages.borrow_mut().on_response(now_us),
         }
-        if let Ok(response) = &result {
-            self.note_refusal(step, key, response.status());
-        }
-        result.map_err(|source| {
-            if source.bytes_written {
-                unknown(step, key, source.to_string())
-            } else {
-                Error::NotSent {
-                    step,
-                    key: key.to_owned(),
-                    source,
+        let key = || call.key.to_owned();
+        let response = match result {
+            Ok(response) => response,
+            Err(error) => {
+                // Connections that were opened before a network partition may be unusable after it.
+                self.pool.close_idle(self.address);
+                if is_cut(call, &error) {
+                    return Err(Error::WatchCut {
+                        step: call.step,
+                        key: key(),
+                        source: error,
+                    });
+                }
+                // A watch that was ended here must not end others in turn.
+                if call.step != "watch" || matches!(error.kind, client::Kind::TimedOut) {
+                    self.call_failed.notify_all();
                 }
+                self.note_reachable(call, Some(&error));
+                return Err(match error.bytes_written {
+                    true => unknown(call.step, call.key, error.to_string()),
+                    false => Error::NotSent {
+                        step: call.step,
+                        key: key(),
+                        source: error,
+                    },
+                });
             }
-        })
+        };
+        self.note_reachable(call, None);
+        self.note_refusal(call, response.status());
+        Ok(response)
+    }
+
+    /// Records whether the platform is reachable, and logs a change of it.
+    fn note_reachable(&self, call: &Call<'_>, error: Option<&client::Error>) {
+        if self.reachable.replace(error.is_none()) == error.is_none() {
+            return;
+        }
+        let kind = match error {
+            None => event::Kind::PlatformReached,
+            Some(_) => event::Kind::PlatformLost,
+        };
+        let event = event::Event::new(kind)
+            .with("step", call.step)
+            .with("key", call.key);
+        self.kernel.note(match error {
+            None => event,
+            Some(error) => event.with("error", error.to_string()),
+        });
     }
 }
 
+/// Returns what a result shows about the store, `None` if the store is available.
+fn failure(
+    call: &Call<'_>,
+    result: &Result<http::Response<Bytes>, client::Error>,
+) -> Option<Failure> {
+    let inconclusive = Failure::Inconclusive {
+        sent_us: call.sent_us,
+    };
+    match result {
+        Ok(response) if response.status().is_server_error() => Some(Failure::Unavailable),
+        Ok(response) => is_refusal(response.status()).then_some(inconclusive),
+        Err(error) if is_cut(call, error) => Some(inconclusive),
+        Err(error) => match error.kind {
+            client::Kind::BodyTooLarge | client::Kind::HeadTooLarge => None,
+            _ => Some(Failure::Unavailable),
+        },
+    }
+}
+
+/// Returns whether an error means that the store closed the connection of a waiting watch.
+fn is_cut(call: &Call<'_>, error: &client::Error) -> bool {
+    let is_closed = match &error.kind {
+        client::Kind::Closed => true,
+        client::Kind::Io(error) => matches!(
+            error.kind(),
+            io::ErrorKind::ConnectionReset
+                | io::ErrorKind::ConnectionAborted
+                | io::ErrorKind::BrokenPipe
+        ),
+        _ => false,
+    };
+    call.is_waiting && error.bytes_written && is_closed
+}
+
+/// Returns whether a status means that the store does not serve this VM at present.
+fn is_refusal(status: http::StatusCode) -> bool {
+    let refusals = [
+        http::StatusCode::UNAUTHORIZED,
+        http::StatusCode::FORBIDDEN,
+        http::StatusCode::TOO_MANY_REQUESTS,
+    ];
+    refusals.contains(&status) || status.is_server_error()
+}
+
 async fn fetch_once(
     address: SocketAddr,
     options: client::Options,
--- a/crates/peridotrack-edge/src/platform/hosted.rs
+++ b/crates/peridotrack-edge/src/platform/hosted.rs
@@ -8,7 +8,7 @@
 use peridotrack_kernel::event;
 use peridotrack_platform::store;
 
-use super::{DEFAULT_RETRY_MS, Error, Object, Platform, pack, request, unknown};
+use super::{Call, DEFAULT_RETRY_MS, Error, Object, Platform, pack, request, unknown};
 
 /// Result of listing the objects of one kind.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -47,7 +47,8 @@
     ///
     /// # Errors
     ///
-    /// [`Error::HistoryLost`] if the store no longer keeps the changes after `revision`.
+    /// [`Error::HistoryLost`] if the store no longer keeps the changes after `revision`, and
+    /// [`Error::WatchCut`] if it closed the connection while the watch waited.
     pub async fn watch_kind(
         &self,
         kind: &str,
@@ -55,9 +56,12 @@
         wait_ms: u64,
     ) -> Result<store::Changes, Error> {
         let path = store::watch_path(kind, revision, wait_ms);
-        self.count("watch");
+        let call = Call {
+            is_waiting: wait_ms > 0,
+            ..self.begin("watch", kind)
+        };
         let result = self.send_watch(&path, wait_ms).await;
-        let response = self.record_result("watch", kind, result)?;
+        let response = self.record_result(&call, result)?;
         match response.status().as_u16() {
             200 => {
                 let changes = store::changes(response.body())
@@ -196,10 +200,7 @@
         }
     }
 
-    /// Returns the error for a refusal. A store that refuses this VM's calls counts as
-    /// unavailable, so the refusal also updates [`Platform::last_failure_us`].
     fn refused(&self, step: &'static str, key: &str, response: &http::Response<Bytes>) -> Error {
-        self.last_failure_us.set(self.kernel.now_us());
         let seconds = response
             .headers()
             .get("retry-after")
--- a/crates/peridotrack-edge/tests/gateway/directory.rs
+++ b/crates/peridotrack-edge/tests/gateway/directory.rs
@@ -7,6 +7,7 @@
     harness::{http::block_on, wait},
     hosted::{backend, store},
 };
+use rstest::rstest;
 use serde_json::{Value, json};
 
 use crate::fixture::{Fixture, LIMIT, config, entry};
@@ -51,6 +52,29 @@
     });
 }
 
+/// Guards against an entry that is kept because the store has closed the connection of a watch, which
+/// it may do at any time: its server, which leaves, got requests until it ended.
+#[rstest]
+#[case::cut_once_before_the_removal(false)]
+#[case::cut_again_and_again(true)]
+fn a_removed_server_gets_no_new_request_although_watches_are_cut_off(#[case] is_repeated: bool) {
+    block_on(async {
+        let fixture = Fixture::spawn(1).await;
+        let limit = Some(Duration::from_millis(400));
+        fixture.store.cut_watches_after(limit);
+        let calls = fixture.store.counters().calls;
+        let cut = || fixture.store.counters().calls > calls + 6;
+        wait::until(LIMIT, "watches that were cut off", cut)
+            .await
+            .unwrap();
+        if !is_repeated {
+            fixture.store.cut_watches_after(None);
+        }
+        fixture.store.remove("servers", "i-0");
+        fixture.until_status("/safe/x", 503, APPLY).await;
+    });
+}
+
 /// Other writers store objects of the same kinds; the gateway must skip those that it cannot use.
 #[test]
 fn entries_that_cannot_be_used_do_not_affect_others() {
--- a/crates/peridotrack-follow/src/event.rs
+++ b/crates/peridotrack-follow/src/event.rs
@@ -10,7 +10,7 @@
 /// An input of a [`crate::follower::Follower`].
 ///
 /// For each [`Action::List`] and [`Action::Watch`] the driver reports exactly one of `Listed`,
-/// `Watched`, `CallFailed` and `HistoryLost`. At most one of these calls is outstanding.
+/// `Watched`, `CallFailed`, `WatchCut` and `HistoryLost`. At most one of these calls is outstanding.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Event {
     /// Time has passed. Expected about every 100 ms.
@@ -26,12 +26,14 @@
         changes: Vec<Change>,
         /// Last revision that the changes cover.
         revision: u64,
-        /// Time since a call of this router to the store last failed, in microseconds; `None` if
-        /// no call has failed.
+        /// Time since the store was last unavailable to this router, in microseconds; `None` if it
+        /// never was.
         since_loss_us: Option<u64>,
     },
     /// A list or watch failed or timed out.
     CallFailed,
+    /// The store closed the connection of a watch that waited. An available store may do so.
+    WatchCut,
     /// The store no longer keeps the changes after the requested revision, so that the objects
     /// have to be listed again.
     HistoryLost,
@@ -60,15 +62,16 @@
     Watch {
         /// Revision after which changes are requested.
         revision: u64,
-        /// Maximum time that the store waits for a change, in milliseconds.
+        /// Maximum time that the store waits for a change, in milliseconds; 0 for a response at
+        /// once.
         wait_ms: u64,
     },
     /// Apply changes to the driver's copy of the objects.
     Apply {
         /// The changes, oldest first.
         changes: Vec<Change>,
-        /// Time since a call to the store last failed at the router that read the changes, in
-        /// microseconds; `None` if no call has failed.
+        /// Time since the store was last unavailable to the router that read the changes, in
+        /// microseconds; `None` if it never was.
         since_loss_us: Option<u64>,
     },
     /// Send a message to a peer. It may be lost.
--- a/crates/peridotrack-follow/src/follower.rs
+++ b/crates/peridotrack-follow/src/follower.rs
@@ -106,6 +106,9 @@
     failures: u32,
     /// When the next call to the store may start.
     call_at_us: u64,
+    /// Whether the next watch, or the one that is outstanding, does not wait: its response shows
+    /// whether the store is available.
+    is_polling: bool,
     /// Live peers of the failure domain, without this router.
     peers: Vec<id::Incarnation>,
     /// Peer that this router subscribes to, and when it last sent an update; before its first
@@ -133,6 +136,7 @@
             is_calling: false,
             failures: 0,
             call_at_us: now_us,
+            is_polling: false,
             peers: Vec::new(),
             relay: None,
             relayed_us: None,
@@ -183,7 +187,10 @@
                 since_loss_us,
             } => {
                 self.is_calling = false;
-                self.failures = 0;
+                // The watch after a poll may be cut off again.
+                if !std::mem::take(&mut self.is_polling) {
+                    self.failures = 0;
+                }
                 // A relay does not delay its next watch, because that would delay its subscribers.
                 if !changes.is_empty() && !self.is_relay(now_us) {
                     self.call_at_us = now_us + self.options.batch_delay_us;
@@ -197,8 +204,13 @@
                 self.apply(now_us, update, &mut actions);
             }
             Event::CallFailed => self.on_failure(now_us),
+            Event::WatchCut => {
+                self.on_failure(now_us);
+                self.is_polling = true;
+            }
             Event::HistoryLost => {
                 self.is_calling = false;
+                self.is_polling = false;
                 self.view = None;
             }
             Event::Peers(peers) => {
@@ -215,6 +227,7 @@
 
     fn on_listed(&mut self, now_us: u64, revision: u64) {
         self.is_calling = false;
+        self.is_polling = false;
         self.failures = 0;
         self.view = Some(View {
             revision,
@@ -425,7 +438,9 @@
             return actions.push(Action::List);
         }
         let is_stale = age_us >= self.options.silence_us;
-        let wait_us = if self.failures > 0 || is_stale {
+        let wait_us = if self.is_polling {
+            0
+        } else if self.failures > 0 || is_stale {
             self.options.retry_wait_us
         } else if self.is_relay(now_us) {
             self.options.relay_wait_us
--- a/crates/peridotrack-follow/src/lib.rs
+++ b/crates/peridotrack-follow/src/lib.rs
@@ -24,3 +24,4 @@
 pub mod event;
 pub mod follower;
 pub mod message;
+pub mod outage;
--- a/crates/peridotrack-follow/src/message.rs
+++ b/crates/peridotrack-follow/src/message.rs
@@ -29,8 +29,8 @@
     pub revision: u64,
     /// The changes, oldest first.
     pub changes: Vec<Change>,
-    /// Time since a call to the store last failed at the router that read the changes, in
-    /// microseconds; `None` if no call has failed.
+    /// Time since the store was last unavailable to the router that read the changes, in
+    /// microseconds; `None` if it never was.
     pub since_loss_us: Option<u64>,
 }
 
--- a/crates/peridotrack-follow/tests/follower.rs
+++ b/crates/peridotrack-follow/tests/follower.rs
@@ -232,3 +232,47 @@
     let _ = follower.on_event(50 * MS, update(10, 12, &[change(b"x")]));
     assert_eq!(follower.relay(50 * MS), Some(RELAY));
 }
+
+/// A watch that does not wait shows whether the store is available.
+#[test]
+fn a_watch_that_was_cut_off_is_followed_by_one_that_does_not_wait() {
+    let options = Options::default();
+    let mut follower = Follower::new(SELF, options.clone(), 0);
+    let _ = follower.on_event(10 * MS, Event::Listed { revision: 10 });
+    let _ = follower.on_event(400 * MS, Event::WatchCut);
+    let actions = follower.on_event(500 * MS, Event::Tick);
+    assert_eq!(watch_wait_ms(&actions), Some(0));
+    let _ = follower.on_event(510 * MS, Event::CallFailed);
+    let actions = follower.on_event(710 * MS, Event::Tick);
+    assert_eq!(watch_wait_ms(&actions), Some(0));
+    let actions = follower.on_event(720 * MS, watched(10, &[]));
+    assert_eq!(watch_wait_ms(&actions), Some(options.retry_wait_us / MS));
+    let actions = follower.on_event(1_220 * MS, watched(10, &[]));
+    assert_eq!(watch_wait_ms(&actions), Some(options.wait_us / MS));
+}
+
+/// Guards against calls without a pause to a store that cuts each watch off at once.
+#[test]
+fn watches_that_are_cut_off_at_once_are_repeated_with_backoff() {
+    let options = Options::default();
+    let mut follower = Follower::new(SELF, options, 0);
+    let mut actions = follower.on_event(0, Event::Listed { revision: 10 });
+    let mut calls = 0;
+    for step in 1..=1_000 {
+        let now_us = step * 10 * MS;
+        actions = match watch_wait_ms(&actions) {
+            Some(wait_ms) => {
+                calls += 1;
+                follower.on_event(
+                    now_us,
+                    match wait_ms {
+                        0 => watched(10, &[]),
+                        _ => Event::WatchCut,
+                    },
+                )
+            }
+            None => follower.on_event(now_us, Event::Tick),
+        };
+    }
+    assert!(calls <= 80, "{calls} calls in 10 s");
+}
--- a/crates/peridotrack-standin/src/hosted/store.rs
+++ b/crates/peridotrack-standin/src/hosted/store.rs
@@ -94,6 +94,8 @@
     mode: Cell<Mode>,
     counters: Cell<Counters>,
     changed: Notify,
+    /// Wait after which the connection of a watch is closed; `None` if watches end regularly.
+    watch_limit: Cell<Option<Duration>>,
 }
 
 /// A running store; dropping it closes its listener and connections.
@@ -116,6 +118,12 @@
         self.0.application.control(mode);
     }
 
+    /// Closes the connections of watches that have waited for `limit`, from now on; `None` lets them
+    /// wait for as long as they ask.
+    pub fn cut_watches_after(&self, limit: Option<Duration>) {
+        self.0.application.watch_limit.set(limit);
+    }
+
     /// Writes an object without a condition and regardless of the mode.
     pub fn put(&self, kind: &str, name: &str, spec: Value) {
         self.0.application.put(kind, name, spec);
@@ -274,19 +282,20 @@
         revision: u64,
         wait_ms: u64,
     ) -> Result<Response<Bytes>, Disconnect> {
-        let limit = Duration::from_millis(wait_ms);
+        let wait = Duration::from_millis(wait_ms);
+        let cut_after = self.watch_limit.get().filter(|limit| *limit < wait);
         let is_unchanged = || {
             let events = self.events(kind, revision);
             events.is_some_and(|events| events.is_empty()) && !self.is_unavailable()
         };
-        let _ = monoio::time::timeout(limit, async {
+        let waited = monoio::time::timeout(cut_after.unwrap_or(wait), async {
             while is_unchanged() {
                 let seen = self.changed.generation();
                 self.changed.changed(seen).await;
             }
         })
         .await;
-        if self.is_unavailable() {
+        if self.is_unavailable() || cut_after.is_some() && waited.is_err() {
             return Err(Disconnect);
         }
         let as_of = self.state.borrow().revision;
--- a/crates/peridotrack/src/quarantine.rs
+++ b/crates/peridotrack/src/quarantine.rs
@@ -80,7 +80,7 @@
         ..peridotrack_kernel::Options::default()
     };
     let kernel = Kernel::open(options).or_exit(Exit::Refused)?;
-    Ok(Platform::open(kernel, store, platform::Dialect::Hosted))
+    Ok(Platform::open(kernel, store, platform::Dialect::Hosted, 0))
 }
 
 /// Returns the statements that can be decoded, and the revision of the operators' object.
