fix(quarantine): a block is rechecked by one request at a time

What callers saw: after the servers of a model service had crashed one after the other and come back, every request of its route got 503 with a Retry-After of 600 s, for 24 h or until an operator lifted the block.

Cause: crashes in series look like crashes in sequence where all requests share a prompt part, and the requests of a block are the only ones that can clear it. They were never sent.

Change: 4 s after the last crash under a block, a router that refuses one of its requests claims a recheck by a conditional write in the store, and sends the request. A completion clears the signatures at all routers; if a server ends, the next claim is due after 32 s, then 256 s. Without the store a block stays. Refusals state the time until the next recheck.

Evidence: `a_service_is_served_again_after_its_servers_ended_one_after_another` served 0 on the code before. In simulated fleets six of the eight new cases fail without rechecks.

--- a/crates/peridotrack-edge/src/gateway/crash.rs
+++ b/crates/peridotrack-edge/src/gateway/crash.rs
@@ -3,7 +3,7 @@
 
 use std::{net::SocketAddr, rc::Rc};
 
-use peridotrack_kernel::event;
+use peridotrack_kernel::{clock, event};
 use peridotrack_quarantine::{
     event::{Event, Refusal, Trial},
     run::Run,
@@ -48,10 +48,11 @@
         true => problem::Kind::PromptPartBlocked,
         false => problem::Kind::RequestBlocked,
     };
-    let retry_after_ms = match refusal.is_proven {
-        true => options::BLOCKED_RETRY_MS,
-        false => options::UNDECIDED_RETRY_MS,
-    };
+    let recheck_ms = refusal
+        .recheck_in_us
+        .map(|us| us.div_ceil(clock::US_PER_MS));
+    let retry_after_ms = recheck_ms.unwrap_or_default();
+    let retry_after_ms = retry_after_ms.max(options::UNDECIDED_RETRY_MS);
     let signatures: Vec<_> = block.signatures.iter().map(Signature::to_string).collect();
     let detail = format!(
         "{} backend servers ended under requests with the signatures {}",
--- a/crates/peridotrack-edge/src/gateway/exchange.rs
+++ b/crates/peridotrack-edge/src/gateway/exchange.rs
@@ -62,7 +62,7 @@
             return refuse_at_stop(shared, connection, &request, None, &verdict).await;
         }
     }
-    if let Err(refusal) = shared.quarantine.check(&request.signatures) {
+    if let Err(refusal) = shared.quarantine.admit(&request.signatures).await {
         return refuse_blocked(shared, connection, &request, &refusal).await;
     }
     let known = monoio::select! {
--- a/crates/peridotrack-edge/src/gateway/options.rs
+++ b/crates/peridotrack-edge/src/gateway/options.rs
@@ -151,11 +151,8 @@
 /// Time after which such a server is connected to once more if it accepted the connection, in
 /// microseconds: the sockets of a process that ends are closed one after the other.
 pub(super) const LIVENESS_RECHECK_US: u64 = 100 * clock::US_PER_MS;
-/// Retry delay stated in a refusal because of crashes, in milliseconds: until operators have had time
-/// to act.
-pub(super) const BLOCKED_RETRY_MS: u64 = 600_000;
-/// Retry delay stated in a refusal of a request that another router may be sending to learn whether
-/// it causes crashes, in milliseconds.
+/// Minimum retry delay stated in a refusal of a request that another router may be sending to learn
+/// whether it causes crashes, in milliseconds.
 pub(super) const UNDECIDED_RETRY_MS: u64 = 1_000;
 /// Time for which a router that is asked where a stream began may take to answer, in microseconds:
 /// several round trips within a region, and a small part of the objective for the first event.
--- a/crates/peridotrack-edge/src/quarantine.rs
+++ b/crates/peridotrack-edge/src/quarantine.rs
@@ -13,17 +13,22 @@
 use peridotrack_quarantine::{
     event::{Action, Event, Note, Now, Refusal, Trial},
     options, quarantine,
+    recheck::{self, Claim, Claims, Outcome},
     signature::Signature,
     statement::{KIND, Statement},
     verdict::Block,
 };
 use peridotrack_types::name;
 
-use crate::{follow::Update, member, peer, platform};
+use crate::{follow::Update, member, notify, peer, platform};
 
 /// Period of the state machine's ticks, in microseconds.
 const TICK_US: u64 = 20 * clock::US_PER_MS;
 
+/// Time for which a request waits for the claim of a recheck, in microseconds: several calls to the
+/// store.
+const CLAIM_WAIT_US: u64 = 200 * clock::US_PER_MS;
+
 /// Quarantine of this router.
 pub struct Quarantine {
     kernel: Rc<Kernel>,
@@ -72,13 +77,26 @@
         self.is_listed.get()
     }
 
-    /// Returns whether a request with these signatures may be sent now.
+    /// Returns whether a request with these signatures may be sent now, after claiming the rechecks
+    /// that are due.
     ///
     /// # Errors
     ///
     /// Returns the reason why it is not sent.
-    pub fn check(&self, signatures: &[Signature]) -> Result<(), Refusal> {
-        self.state.borrow().check(self.now(), signatures)
+    pub async fn admit(self: &Rc<Self>, signatures: &[Signature]) -> Result<(), Refusal> {
+        loop {
+            let checked = self.state.borrow().check(self.now(), signatures);
+            let Err(refusal) = checked else { return Ok(()) };
+            let claim = self.state.borrow_mut().claim(self.now(), &refusal.block);
+            let Some(claim) = claim else {
+                return Err(refusal);
+            };
+            let done = Rc::new(notify::Notify::default());
+            monoio::spawn(Rc::clone(self).claim(claim, Rc::clone(&done)));
+            if !done.wait(CLAIM_WAIT_US).await {
+                return Err(refusal);
+            }
+        }
     }
 
     /// Returns the trial of a request with these signatures that is sent now.
@@ -210,6 +228,35 @@
         self.handle(event);
     }
 
+    /// Claims a recheck in the store and reports the result.
+    async fn claim(self: Rc<Self>, claim: Claim, done: Rc<notify::Notify>) {
+        let outcome = self.write_claim(&claim).await;
+        self.handle(Event::Claimed { claim, outcome });
+        done.notify_all();
+    }
+
+    async fn write_claim(&self, claim: &Claim) -> Outcome {
+        let key = format!("{}/{}", recheck::KIND, claim.object_name());
+        let Ok(stored) = self.platform.read(&key).await else {
+            return Outcome::Failed;
+        };
+        // Content that cannot be decoded is replaced, as if there had been no claim.
+        let claims = stored
+            .as_ref()
+            .and_then(|object| serde_json::from_slice::<Claims>(&object.body).ok());
+        let next = match claim.next(claims.as_ref()) {
+            Ok(next) => next,
+            Err(taken) => return taken,
+        };
+        let content = serde_json::to_vec(&next).expect("claims have only text keys");
+        let revision = stored.map(|object| object.version);
+        match self.platform.write(&key, revision, content.into()).await {
+            Ok(_) => Outcome::Granted { count: next.count },
+            Err(platform::Error::Conflict { .. }) => Outcome::Taken { count: next.count },
+            Err(_) => Outcome::Failed,
+        }
+    }
+
     /// Takes over the revision and the content of this router's object: an earlier incarnation may
     /// have written it, or a write of this one whose response was lost.
     fn adopt(self: &Rc<Self>, current: Option<platform::Object>) {
@@ -233,6 +280,11 @@
             Note::Blocked(block) => {
                 describe_block(event::Event::new(event::Kind::SignatureBlocked), block)
             }
+            Note::Rechecked { signatures, count } => {
+                event::Event::new(event::Kind::SignatureRechecked)
+                    .with("signatures", join(signatures))
+                    .with("recheck", u64::from(*count))
+            }
             Note::Released { signatures } => event::Event::new(event::Kind::SignatureReleased)
                 .with("signatures", join(signatures)),
         };
--- a/crates/peridotrack-edge/tests/gateway/prompt_parts.rs
+++ b/crates/peridotrack-edge/tests/gateway/prompt_parts.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     fixture::{Fixture, LIMIT, request},
-    fleet::{FATAL_PART, Fleet},
+    fleet::{FATAL_PART, Fatal, Fleet, Options, PREPAID_TOKENS, Return},
 };
 
 /// Part that all prompts begin with.
@@ -63,6 +63,38 @@
     });
 }
 
+/// Guards against a service that is refused for good after its servers ended one after the other for
+/// another reason: all requests share a part, and none was sent that could clear it.
+#[test]
+fn a_service_is_served_again_after_its_servers_ended_one_after_another() {
+    block_on(async {
+        let fleet = Fleet::spawn_with(Options {
+            gateways: 4,
+            servers: 6,
+            config: deployment::config(1, PREPAID_TOKENS),
+            fatal: Fatal::Nothing,
+            returns: Return::NewAddress,
+            run_time: Duration::from_secs(1),
+        })
+        .await;
+        let requests = Rc::clone(&fleet);
+        let requests = monoio::spawn(async move {
+            let interval = Duration::from_millis(25);
+            let before = Duration::from_secs(16);
+            requests.send_for(before, interval, &[FIRST_PART]).await;
+            let settled = Duration::from_secs(3);
+            requests.send_for(settled, interval, &[FIRST_PART]).await
+        });
+        // All servers end before the first response.
+        for number in 0..6 {
+            monoio::time::sleep(Duration::from_millis(140)).await;
+            fleet.crash(number);
+        }
+        let served = requests.await;
+        assert!(served > 0.9, "{served}");
+    });
+}
+
 /// Starts a server that closes the connection of its first request after the head of the response,
 /// and its listener some time later.
 fn spawn_ending_server() -> SocketAddr {
--- a/crates/peridotrack-quarantine/src/event.rs
+++ b/crates/peridotrack-quarantine/src/event.rs
@@ -2,7 +2,7 @@
 
 use peridotrack_types::name;
 
-use crate::{run::Run, signature::Signature, statement::Statement, verdict::Block};
+use crate::{recheck, run::Run, signature::Signature, statement::Statement, verdict::Block};
 
 /// Current time on both clocks.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -37,6 +37,9 @@
     /// Whether the crashes prove the signatures. Otherwise few routers at a time send such a
     /// request, and its outcome decides.
     pub is_proven: bool,
+    /// Time until a request of a proven block may be sent to recheck it, in microseconds; 0 if the
+    /// router may claim that now, `None` if the block is not proven.
+    pub recheck_in_us: Option<u64>,
 }
 
 /// An occurrence that the driver reports to the quarantine.
@@ -81,6 +84,13 @@
     Written,
     /// A write of this router's statement failed or its outcome is unknown.
     WriteFailed,
+    /// A claim that [`crate::quarantine::Quarantine::claim`] returned was made.
+    Claimed {
+        /// The claim.
+        claim: recheck::Claim,
+        /// Its result.
+        outcome: recheck::Outcome,
+    },
 }
 
 /// An operation that the driver carries out.
@@ -108,6 +118,13 @@
     },
     /// Requests with all of the block's signatures are refused from now on.
     Blocked(Block),
+    /// This router sends the next request with all of the signatures to recheck their block.
+    Rechecked {
+        /// Signatures of the block.
+        signatures: Vec<Signature>,
+        /// Number of rechecks of the block with this one.
+        count: u32,
+    },
     /// Requests with the signatures are no longer refused.
     Released {
         /// Signatures of the former block.
--- a/crates/peridotrack-quarantine/src/lib.rs
+++ b/crates/peridotrack-quarantine/src/lib.rs
@@ -7,7 +7,8 @@
 //! [`statement::Crash`] for each signature of a request whose response had at most just begun when
 //! its server ended. Routers exchange their [`statement::Statement`]s, directly and through the
 //! store. A signature of a completed request is cleared. The remaining crashes are explained by as
-//! few signatures as possible, and requests with such a signature are refused.
+//! few signatures as possible, and requests with such a signature are refused. From time to time one
+//! of them is sent, so that a block that is wrong ends.
 //!
 //! What counts are crashes in sequence: a crash has depth 2 if its request was sent when a crash
 //! of depth 1 under the same signature was known, and so on. Many servers that end at once, as in a
@@ -41,6 +42,7 @@
 mod pending;
 mod probe;
 pub mod quarantine;
+pub mod recheck;
 pub mod run;
 pub mod signature;
 pub mod statement;
--- a/crates/peridotrack-quarantine/src/options.rs
+++ b/crates/peridotrack-quarantine/src/options.rs
@@ -24,6 +24,10 @@
     pub probe_turn_ms: u64,
     /// Time between two such requests of one router.
     pub probe_interval_us: u64,
+    /// Time from the last crash under a block to the first request that is sent to recheck it.
+    pub recheck_delay_us: u64,
+    /// Factor by which that time grows with each recheck.
+    pub recheck_factor: u64,
     /// Time for which a broken attempt waits for the news that its server has ended.
     pub pending_us: u64,
     /// Delay that batches changes into one statement to the peers.
@@ -56,6 +60,8 @@
             probe_groups: 16,
             probe_turn_ms: 500,
             probe_interval_us: 2_000_000,
+            recheck_delay_us: 4_000_000,
+            recheck_factor: 8,
             pending_us: 5_000_000,
             send_delay_us: 20_000,
             write_delay_us: 200_000,
--- a/crates/peridotrack-quarantine/src/quarantine.rs
+++ b/crates/peridotrack-quarantine/src/quarantine.rs
@@ -9,6 +9,7 @@
     options::Options,
     pending::{Attempt, Pending},
     probe::Probes,
+    recheck::{Claim, Outcome, Rechecks},
     run::Run,
     signature::Signature,
     statement::{Clearance, Crash, Statement},
@@ -31,6 +32,9 @@
     crashes: BTreeMap<Signature, Crashes>,
     verdict: Verdict,
     probes: Probes,
+    rechecks: Rechecks,
+    /// When the last crash under each signature became known, in monotonic microseconds.
+    crashed_us: BTreeMap<Signature, u64>,
     /// When the statement is due to be sent to the peers.
     send_us: Option<u64>,
     /// When the statement is due to be written.
@@ -56,6 +60,8 @@
             crashes: BTreeMap::new(),
             verdict: Verdict::default(),
             probes: Probes::default(),
+            rechecks: Rechecks::default(),
+            crashed_us: BTreeMap::new(),
             send_us: None,
             write_us: None,
             written: Some(Statement::default()),
@@ -73,10 +79,15 @@
     ///
     /// Returns the reason why it is not sent.
     pub fn check(&self, now: Now, signatures: &[Signature]) -> Result<(), Refusal> {
-        if let Some(block) = self.block(signatures) {
+        let is_refused = |block: &&Block| !self.rechecks.may_send(now.monotonic_us, block);
+        if let Some(block) = self.blocks_of(signatures).find(is_refused) {
+            let due_in_us = self
+                .rechecks
+                .due_in_us(now.monotonic_us, block, &self.options);
             return Err(Refusal {
                 block: block.clone(),
                 is_proven: true,
+                recheck_in_us: Some(due_in_us),
             });
         }
         for (signature, crashes) in self.undecided(signatures) {
@@ -90,6 +101,7 @@
                         crashes: crashes.clone(),
                     },
                     is_proven: false,
+                    recheck_in_us: None,
                 });
             }
         }
@@ -108,6 +120,9 @@
                 self.probes.begin(now, *signature);
             }
         }
+        for block in blocks_of(&self.verdict.blocks, signatures) {
+            self.rechecks.begin(now.monotonic_us, block, &self.options);
+        }
         let depth = |signature| self.crashes.get(signature).map_or(0, verdict::max_depth);
         let signatures = signatures.iter().take(self.options.max_signatures);
         Ok(Trial {
@@ -122,6 +137,15 @@
         for (signature, _) in &trial.signatures {
             self.probes.withdraw(*signature);
         }
+        let signatures = trial.signatures.iter().map(|(signature, _)| signature);
+        self.rechecks
+            .withdraw(|wanted| signatures.clone().any(|signature| signature == wanted));
+    }
+
+    /// Returns the claim that the driver makes in the store, if a recheck of the block is due. The
+    /// driver reports its result as [`Event::Claimed`].
+    pub fn claim(&mut self, now: Now, block: &Block) -> Option<Claim> {
+        self.rechecks.claim(now.monotonic_us, block, &self.options)
     }
 
     /// Returns whether a request with these signatures may be sent again after its server ended.
@@ -134,15 +158,12 @@
             })
         };
         let is_undecided = self.undecided(signatures).next().is_some();
-        self.block(signatures).is_none() && !is_undecided && signatures.iter().all(is_allowed)
+        let is_blocked = self.blocks_of(signatures).next().is_some();
+        !is_blocked && !is_undecided && signatures.iter().all(is_allowed)
     }
 
-    fn block(&self, signatures: &[Signature]) -> Option<&Block> {
-        let is_refused = |block: &&Block| {
-            let mut blocked = block.signatures.iter();
-            blocked.all(|signature| signatures.contains(signature))
-        };
-        self.verdict.blocks.iter().find(is_refused)
+    fn blocks_of(&self, signatures: &[Signature]) -> impl Iterator<Item = &Block> {
+        blocks_of(&self.verdict.blocks, signatures)
     }
 
     /// Returns those of the signatures that are sent only to learn whether they cause crashes.
@@ -192,6 +213,9 @@
                 self.written = None;
                 self.write_us = Some(now.monotonic_us + self.options.write_retry_us);
             }
+            Event::Claimed { claim, outcome } => {
+                self.on_claimed(now, claim, outcome, &mut actions);
+            }
         }
         actions
     }
@@ -257,6 +281,18 @@
         self.change(now, actions);
     }
 
+    fn on_claimed(&mut self, now: Now, claim: Claim, outcome: Outcome, actions: &mut Vec<Action>) {
+        let is_granted = self.rechecks.claimed(now.monotonic_us, &claim, outcome);
+        if let Outcome::Granted { count } = outcome
+            && is_granted
+        {
+            actions.push(Action::Note(Note::Rechecked {
+                signatures: claim.signatures,
+                count,
+            }));
+        }
+    }
+
     fn on_completed(&mut self, now: Now, signatures: &[Signature], actions: &mut Vec<Action>) {
         let mut is_changed = false;
         let suspected = |signature: &&Signature| self.crashes.contains_key(signature);
@@ -453,14 +489,34 @@
                 report.authors.insert((*author).clone());
             }
         }
+        for (signature, known) in &crashes {
+            let before = self.crashes.get(signature).map_or(0, Crashes::len);
+            if known.len() > before {
+                self.crashed_us.insert(*signature, now.monotonic_us);
+            }
+        }
+        self.crashed_us
+            .retain(|signature, _| crashes.contains_key(signature));
         self.crashes = crashes;
         let verdict = verdict::judge(&self.crashes, &self.options);
         note_changes(&self.verdict, &verdict, actions);
         self.verdict = verdict;
         self.probes.retain(&self.verdict.undecided);
+        let crashed_us = |signature: &Signature| self.crashed_us.get(signature).copied();
+        self.rechecks.update(&self.verdict.blocks, |signature| {
+            crashed_us(signature).unwrap_or_default()
+        });
     }
 }
 
+/// Returns the blocks because of which a request with the signatures is refused.
+fn blocks_of<'a>(blocks: &'a [Block], signatures: &[Signature]) -> impl Iterator<Item = &'a Block> {
+    blocks.iter().filter(move |block| {
+        let mut blocked = block.signatures.iter();
+        blocked.all(|signature| signatures.contains(signature))
+    })
+}
+
 fn clearance(crash: &Crash) -> Clearance {
     Clearance {
         signature: crash.signature,
--- a/crates/peridotrack-quarantine/tests/fleet/main.rs
+++ b/crates/peridotrack-quarantine/tests/fleet/main.rs
@@ -71,6 +71,26 @@
     play(&Scenario::parts(routers, fault));
 }
 
+/// Guards against a block that nothing ends: all servers ended for another reason, and the refused
+/// requests are the only ones that could clear their parts.
+#[rstest]
+fn requests_are_served_again_after_their_servers_ended_in_series(
+    #[values(6, 54)] routers: usize,
+    #[values(40, 100, 250, 700)] gap_ms: u64,
+) {
+    let scenario = Scenario::series(routers, gap_ms);
+    let mut failures = Vec::new();
+    for seed in 0..SEEDS {
+        let mut fleet = Fleet::new(scenario.clone(), seed);
+        fleet.run();
+        let refused = fleet.settled_refused as f64 / fleet.settled as f64;
+        if refused >= MAX_REFUSED {
+            failures.push(format!("seed {seed}: {refused:.4} refused"));
+        }
+    }
+    assert!(failures.is_empty(), "{failures:#?}");
+}
+
 /// Guards against a fleet that keeps sending a request under which three servers have ended, to
 /// servers that return and through retries, and against one that refuses those beside it.
 #[rstest]
--- a/crates/peridotrack-quarantine/tests/fleet/scenario.rs
+++ b/crates/peridotrack-quarantine/tests/fleet/scenario.rs
@@ -30,6 +30,10 @@
     Restart,
     /// The clocks of some routers jump back.
     ClockStep,
+    /// All servers end one after the other.
+    ServersInSeries {
+        gap_ms: u64,
+    },
     /// Half of the servers lose power, a third of the routers restart with a clock that jumps back,
     /// and routers no longer reach each other, all at once.
     All,
@@ -42,6 +46,8 @@
     Steady { interval_ms: u64 },
     /// Several at once, at as many routers.
     Waves { interval_ms: u64, size: usize },
+    /// No request is fatal.
+    None,
 }
 
 /// One service and its requests.
@@ -85,6 +91,14 @@
         }
     }
 
+    /// Model engines that end one after the other, although no request is fatal.
+    pub fn series(routers: usize, gap_ms: u64) -> Self {
+        Self {
+            arrivals: Arrivals::None,
+            ..Self::parts(routers, Fault::ServersInSeries { gap_ms })
+        }
+    }
+
     /// Servers of a plain service that crash under a whole request.
     pub fn requests(routers: usize, max_attempts: u32, arrivals: Arrivals, fault: Fault) -> Self {
         Self {
--- a/crates/peridotrack-quarantine/tests/fleet/sim.rs
+++ b/crates/peridotrack-quarantine/tests/fleet/sim.rs
@@ -7,6 +7,7 @@
     event::{Action, Event, Now, Trial},
     options::Options,
     quarantine::Quarantine,
+    recheck::{Claims, Outcome},
     signature::Signature,
     statement::Statement,
 };
@@ -19,6 +20,8 @@
 const END_US: u64 = 30_000 * MS;
 /// Time within which the fleet must have stopped after the crashes that count.
 const CONTACT_US: u64 = 3_000 * MS;
+/// Time after the return of servers that ended in series within which requests must be served again.
+const SETTLE_US: u64 = 10_000 * MS;
 /// Time for which a request waits for a server.
 const DEADLINE_US: u64 = 1_000 * MS;
 /// Time after the end of a server in which a router may still send on a kept connection.
@@ -76,11 +79,17 @@
     waiting: Vec<Request>,
     messages: Vec<Message>,
     stored: BTreeMap<usize, Statement>,
+    /// Claims of rechecks in the store, by the name of their object.
+    claims: BTreeMap<String, Claims>,
     started: usize,
     pub crashes_us: Vec<u64>,
     fatal_sent_us: Vec<u64>,
     pub sound: usize,
     pub sound_refused: usize,
+    /// When requests must be served again after servers ended in series.
+    settled_us: u64,
+    pub settled: usize,
+    pub settled_refused: usize,
 }
 
 impl Fleet {
@@ -95,11 +104,15 @@
             waiting: Vec::new(),
             messages: Vec::new(),
             stored: BTreeMap::new(),
+            claims: BTreeMap::new(),
             started: 0,
             crashes_us: Vec::new(),
             fatal_sent_us: Vec::new(),
             sound: 0,
             sound_refused: 0,
+            settled_us: u64::MAX,
+            settled: 0,
+            settled_refused: 0,
             scenario,
         };
         for _ in 0..fleet.scenario.servers {
@@ -194,11 +207,36 @@
         };
         let is_sound = !self.scenario.is_fatal(&request.signatures);
         self.sound += usize::from(is_sound);
+        let is_settled = self.now_us >= self.settled_us;
+        self.settled += usize::from(is_settled);
+        match self.admit(router, &request.signatures) {
+            true => self.dispatch(request),
+            false => {
+                self.sound_refused += usize::from(is_sound);
+                self.settled_refused += usize::from(is_settled);
+            }
+        }
+    }
+
+    /// Returns whether a request may be sent, after the claims that are due.
+    fn admit(&mut self, router: usize, signatures: &[Signature]) -> bool {
         let now = self.now(router);
-        match self.routers[router].check(now, &request.signatures) {
-            Ok(()) => self.dispatch(request),
-            Err(_) => self.sound_refused += usize::from(is_sound),
+        while let Err(refusal) = self.routers[router].check(now, signatures) {
+            let Some(claim) = self.routers[router].claim(now, &refusal.block) else {
+                return false;
+            };
+            let name = claim.object_name();
+            let outcome = match claim.next(self.claims.get(&name)) {
+                Ok(next) => {
+                    let count = next.count;
+                    self.claims.insert(name, next);
+                    Outcome::Granted { count }
+                }
+                Err(taken) => taken,
+            };
+            self.handle(router, Event::Claimed { claim, outcome });
         }
+        true
     }
 
     /// Sends a request to a random server, or has it wait for one. A router does not know which
@@ -352,6 +390,19 @@
         }
     }
 
+    /// Ends each server once, the next one after each gap.
+    fn end_in_series(&mut self, begin_us: u64, gap_us: u64) {
+        let count = self.servers.len();
+        for number in 0..count {
+            let end_us = begin_us + number as u64 * gap_us;
+            if (end_us..end_us + STEP_US).contains(&self.now_us) {
+                self.end_servers(number..=number);
+            }
+        }
+        let returned_us = begin_us + count as u64 * gap_us + self.scenario.return_ms.end * MS;
+        self.settled_us = returned_us + SETTLE_US;
+    }
+
     fn send_waiting(&mut self) {
         let oldest_us = self.now_us.saturating_sub(DEADLINE_US);
         for request in std::mem::take(&mut self.waiting) {
@@ -377,6 +428,7 @@
                 }
                 self.now_us + interval_ms * MS
             }
+            Arrivals::None => u64::MAX,
         }
     }
 
@@ -397,6 +449,9 @@
             if (fault_us..fault_us + STEP_US).contains(&self.now_us) {
                 self.inject();
             }
+            if let Fault::ServersInSeries { gap_ms } = self.scenario.fault {
+                self.end_in_series(fault_us, gap_ms * MS);
+            }
             self.send_waiting();
             self.run_servers();
             self.deliver();
--- a/crates/peridotrack/src/diagnosis.rs
+++ b/crates/peridotrack/src/diagnosis.rs
@@ -87,7 +87,9 @@
         "BudgetNote" | "BudgetGrant" => names(of_account),
         "BackendServerLeaving" | "RouteNote" => names(of_server),
         "SignatureSuspected" => names(of_server) || shares_signature(event, reference),
-        "SignatureBlocked" | "SignatureReleased" => shares_signature(event, reference),
+        "SignatureBlocked" | "SignatureReleased" | "SignatureRechecked" => {
+            shares_signature(event, reference)
+        }
         _ => false,
     }
 }
