test(http): a response that ends within its head is an error

Another operator reported responses cut off within their head that reached callers as a 200 with an empty body. Each prefix of three heads is an error of the client here, also where responses may end with their connection.

--- a/crates/peridotrack-http/tests/client.rs
+++ b/crates/peridotrack-http/tests/client.rs
@@ -370,3 +370,27 @@
         assert!(!connection.is_reusable());
     });
 }
+
+/// Guards against a response that ended within its head and is taken as one without a length, which
+/// ends with its connection.
+#[rstest]
+#[case::no_length(
+    "HTTP/1.1 200 OK\r\nPeridotrack-Request-Id: 9c41\r\nContent-Type: text/plain\r\n\r\n"
+)]
+#[case::length("HTTP/1.1 200 OK\r\nPeridotrack-Request-Id: 9c41\r\nContent-Length: 5\r\n\r\n")]
+#[case::chunks("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")]
+fn a_response_that_ends_within_its_head_is_an_error(#[case] head: &'static str) {
+    run(async move {
+        for length in 0..head.len() {
+            let options = Options {
+                accept_close_delimited: true,
+                ..options()
+            };
+            let part = head.as_bytes()[..length].to_vec();
+            let mut connection = connection_to(vec![part], AfterSend::Close, options).await;
+            let result = exchange(&mut connection, get()).await;
+            assert!(result.is_err(), "{length} bytes: {result:?}");
+            assert!(!connection.is_reusable());
+        }
+    });
+}
