fix(gateway): frames are not written to links that have broken

Cause: the router that dials a link never read from it. After a reset the next frame was written to the broken connection and lost with all that waited; a take-up's questions and the answers to them have one attempt. Links to routers of other failure domains carry a frame now and then, so that one broken at 22 s was still broken at 38 s.

Change: a link notices at once that its connection has broken, and sends the frame whose write failed and those that wait on a new one. A router that has not answered a question after 60 ms is asked once more, on a new connection, until 200 ms; answers go to the address that asked. `silent_routers` of a refused take-up names who did not answer.

Evidence: `frames_sent_after_the_connection_broke_arrive` failed before in both cases.

--- a/crates/peridotrack-edge/src/gateway.rs
+++ b/crates/peridotrack-edge/src/gateway.rs
@@ -415,7 +415,7 @@
             failure_domain,
             news,
         } => throttle.receive(&failure_domain, news),
-        peer::Frame::Origin(message) => origins.receive(sender.incarnation, message),
+        peer::Frame::Origin(message) => origins.receive(sender, message),
         peer::Frame::LeavingStated {
             backend_server: backend,
             started_ms,
--- a/crates/peridotrack-edge/src/gateway/options.rs
+++ b/crates/peridotrack-edge/src/gateway/options.rs
@@ -154,9 +154,12 @@
 /// Minimum retry delay stated in a refusal of a request that another router may be sending to learn
 /// whether it causes crashes, in milliseconds.
 pub(super) const UNDECIDED_RETRY_MS: u64 = 1_000;
-/// Time for which a router that is asked where a stream began may take to answer, in microseconds:
-/// several round trips within a region, and a small part of the objective for the first event.
-const LOOKUP_TIMEOUT_US: u64 = 60 * clock::US_PER_MS;
+/// Time after which a router that was asked where a stream began is asked once more, on a new
+/// connection, in microseconds: several round trips within a region.
+const LOOKUP_REPEAT_US: u64 = 60 * clock::US_PER_MS;
+/// Time for which such a router may take to answer, in microseconds: a new connection each way, and a
+/// small part of the time for which clients wait for the next event.
+const LOOKUP_TIMEOUT_US: u64 = 200 * clock::US_PER_MS;
 /// Retry delay stated in a refusal because such a router did not answer, in microseconds: a link to it
 /// is made again in that time.
 pub(super) const LOOKUP_RETRY_US: u64 = 300 * clock::US_PER_MS;
@@ -290,6 +293,7 @@
 pub(super) fn origins() -> origins::Options {
     origins::Options {
         timeout_us: LOOKUP_TIMEOUT_US,
+        repeat_us: LOOKUP_REPEAT_US,
         ..origins::Options::default()
     }
 }
--- a/crates/peridotrack-edge/src/gateway/resumption.rs
+++ b/crates/peridotrack-edge/src/gateway/resumption.rs
@@ -56,9 +56,14 @@
                     .with("known_by", known_by.as_str())
                     .with("known_age_us", *age_us)
             }
-            Knowledge::Unknown { asked, answered } => event
-                .with("asked_routers", *asked as u64)
-                .with("answered_routers", *answered as u64),
+            Knowledge::Unknown { asked, silent } => {
+                let answered = asked.saturating_sub(silent.len());
+                let silent: Vec<_> = silent.iter().map(name::Vm::as_str).collect();
+                event
+                    .with("asked_routers", *asked as u64)
+                    .with("answered_routers", answered as u64)
+                    .with("silent_routers", silent.join(","))
+            }
         }
     }
 }
@@ -89,7 +94,7 @@
         }
         false => Knowledge::Unknown {
             asked: 0,
-            answered: 0,
+            silent: Vec::new(),
         },
     };
     let service = match &knowledge {
@@ -97,7 +102,7 @@
         Knowledge::Unknown { .. } => None,
     };
     let may_be_known =
-        matches!(knowledge, Knowledge::Unknown { asked, answered } if answered < asked);
+        matches!(&knowledge, Knowledge::Unknown { silent, .. } if !silent.is_empty());
     request.lookup = Some(Lookup {
         first_attempt,
         knowledge,
--- a/crates/peridotrack-edge/src/member.rs
+++ b/crates/peridotrack-edge/src/member.rs
@@ -180,6 +180,25 @@
         }
     }
 
+    /// Sends a frame to the live peer on a VM, if there is one, on a new connection.
+    pub fn send_to_vm_anew(&self, vm: &name::Vm, frame: &peer::Frame) {
+        let members = self.members.borrow();
+        let mut live = members.live(self.kernel.now_us());
+        if let Some(peer) = live.find(|peer| peer.record.vm == *vm) {
+            self.link.renew(peer.record.peer_address);
+            self.link.send(peer.record.peer_address, frame);
+        }
+    }
+
+    /// Sends a frame to the router that listens for peers at an address, on a new connection if
+    /// `is_anew`.
+    pub fn reply(&self, address: SocketAddr, frame: &peer::Frame, is_anew: bool) {
+        if is_anew {
+            self.link.renew(address);
+        }
+        self.link.send(address, frame);
+    }
+
     /// Sends a frame to every live peer, of all failure domains.
     pub fn send_to_live(&self, frame: &peer::Frame) {
         let members = self.members.borrow();
--- a/crates/peridotrack-edge/src/origin.rs
+++ b/crates/peridotrack-edge/src/origin.rs
@@ -4,6 +4,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::BTreeSet,
+    net::SocketAddr,
     rc::Rc,
 };
 
@@ -15,7 +16,7 @@
     origins::{Action, Event, Knowledge, Options, Origins as State},
     record::Record,
 };
-use peridotrack_types::{collections, id, name};
+use peridotrack_types::{collections, name};
 
 use crate::{member, peer};
 
@@ -28,6 +29,7 @@
     member: Rc<member::Member>,
     /// Failure domains of this router's region, among whose routers the homes are.
     failure_domains: BTreeSet<name::FailureDomain>,
+    repeat_us: u64,
     timeout_us: u64,
     state: RefCell<State>,
     waiting: RefCell<collections::HashMap<u64, oneshot::Sender<Knowledge>>>,
@@ -51,6 +53,7 @@
             kernel: Rc::clone(kernel),
             member: Rc::clone(member),
             failure_domains,
+            repeat_us: options.repeat_us,
             timeout_us: options.timeout_us,
             state: RefCell::new(State::new(vm, options)),
             waiting: RefCell::default(),
@@ -84,22 +87,28 @@
         self.waiting.borrow_mut().insert(query, sender);
         self.update_routers();
         self.handle(Event::Wanted { query, key });
-        let knowledge = monoio::select! {
-            knowledge = &mut receiver => knowledge,
-            () = self.kernel.timer().sleep_us(self.timeout_us) => {
-                self.handle(Event::Tick);
-                receiver.await
+        let waits_us = [
+            self.repeat_us,
+            self.timeout_us.saturating_sub(self.repeat_us),
+        ];
+        for wait_us in waits_us {
+            monoio::select! {
+                biased;
+                knowledge = &mut receiver => return resolved(knowledge.ok()),
+                () = self.kernel.timer().sleep_us(wait_us) => {
+                    self.update_routers();
+                    self.handle(Event::Tick);
+                }
             }
-        };
-        knowledge.unwrap_or(Knowledge::Unknown {
-            asked: 0,
-            answered: 0,
-        })
+        }
+        resolved(receiver.await.ok())
     }
 
     /// Handles a message of another router.
-    pub fn receive(&self, from: id::Incarnation, message: Message) {
-        self.handle(Event::Heard { from, message });
+    pub fn receive(&self, sender: peer::Sender, message: Message) {
+        let from = sender.incarnation;
+        let event = Event::Heard { from, message };
+        self.run(event, Some(sender.address));
     }
 
     /// Reports the software version of a server that the directory has added or changed.
@@ -121,15 +130,36 @@
     }
 
     fn handle(&self, event: Event) {
+        self.run(event, None);
+    }
+
+    /// Passes an event to the state machine and carries out the actions that it returns. Replies go to
+    /// the address that the event came from: the membership may not know the sender yet.
+    fn run(&self, event: Event, from: Option<SocketAddr>) {
         let now_us = self.kernel.now_us();
         let actions = self.state.borrow_mut().on_event(now_us, event);
         for action in actions {
             match action {
-                Action::Send { to, message } => {
-                    self.member.send_to_vm(&to, &peer::Frame::Origin(message));
+                Action::Send {
+                    to,
+                    message,
+                    is_repeated,
+                } => {
+                    let frame = peer::Frame::Origin(message);
+                    match is_repeated {
+                        true => self.member.send_to_vm_anew(&to, &frame),
+                        false => self.member.send_to_vm(&to, &frame),
+                    }
                 }
-                Action::Reply { to, message } => {
-                    member::send(&self.kernel, to, &peer::Frame::Origin(message));
+                Action::Reply {
+                    message,
+                    is_repeated,
+                    ..
+                } => {
+                    if let Some(address) = from {
+                        let frame = peer::Frame::Origin(message);
+                        self.member.reply(address, &frame, is_repeated);
+                    }
                 }
                 Action::Resolve { query, knowledge } => {
                     if let Some(sender) = self.waiting.borrow_mut().remove(&query) {
@@ -140,3 +170,10 @@
         }
     }
 }
+
+fn resolved(knowledge: Option<Knowledge>) -> Knowledge {
+    knowledge.unwrap_or(Knowledge::Unknown {
+        asked: 0,
+        silent: Vec::new(),
+    })
+}
--- a/crates/peridotrack-edge/src/peer/link.rs
+++ b/crates/peridotrack-edge/src/peer/link.rs
@@ -1,18 +1,20 @@
 //! Dials, accepts and authenticates links.
 //!
 //! [`Link::send`] queues frames for a peer and dials it if necessary; received frames go to the
-//! callbacks set by [`Link::subscribe`]. Delivery is not confirmed.
+//! callbacks set by [`Link::subscribe`]. Delivery is not confirmed. A connection that breaks is noticed
+//! at once, so that the next frame is not written to it.
 
 use std::{
     cell::{Cell, RefCell},
     net::SocketAddr,
+    pin::pin,
     rc::Rc,
     time::Duration,
 };
 
 use local_sync::mpsc::unbounded as queue;
 use monoio::{
-    io::{AsyncReadRentExt, AsyncWriteRentExt},
+    io::{AsyncReadRent, AsyncReadRentExt, AsyncWriteRentExt, Splitable},
     net::TcpStream,
 };
 use peridotrack_http::listen;
@@ -191,6 +193,12 @@
         let _ = entry.queue.send(bytes);
     }
 
+    /// Has the next frame for the peer at `address` sent on a new connection, because the present one
+    /// may have fallen silent.
+    pub fn renew(&self, address: SocketAddr) {
+        self.outgoing.borrow_mut().remove(&address);
+    }
+
     /// Starts a task that connects to the peer and writes the frames queued for it.
     fn dial(self: &Rc<Self>, address: SocketAddr) -> Outgoing {
         let (sender, receiver) = queue::channel();
@@ -199,7 +207,12 @@
         let queued = Rc::clone(&queued_frames);
         monoio::spawn(async move {
             let result = link.write_frames(address, receiver, &queued).await;
-            link.outgoing.borrow_mut().remove(&address);
+            let mut outgoing = link.outgoing.borrow_mut();
+            let is_current = |current: &Outgoing| Rc::ptr_eq(&current.queued_frames, &queued);
+            if outgoing.get(&address).is_some_and(is_current) {
+                outgoing.remove(&address);
+            }
+            drop(outgoing);
             let on_failure = link.on_failure.borrow().clone();
             if let (Err(_), Some(on_failure)) = (result, on_failure) {
                 on_failure(address);
@@ -211,27 +224,56 @@
         }
     }
 
+    /// Writes frames until the queue is closed, or the connection breaks while no frame waits.
     async fn write_frames(
         &self,
         peer: SocketAddr,
         mut frames: queue::Rx<Vec<u8>>,
         queued_frames: &Cell<usize>,
     ) -> Result<(), Error> {
-        let mut stream =
-            with_timeout("connect to", peer, HANDSHAKE_TIMEOUT_MS, self.connect(peer)).await?;
-        while let Some(bytes) = frames.recv().await {
-            queued_frames.set(queued_frames.get().saturating_sub(1));
-            let write = async {
-                let (result, _) = stream.write_all(bytes).await;
-                result.map(drop).map_err(|source| Error::Io {
+        // Frame whose write failed, which is sent on the next connection.
+        let mut unsent = None;
+        loop {
+            let connect = self.connect(peer);
+            let stream = with_timeout("connect to", peer, HANDSHAKE_TIMEOUT_MS, connect).await?;
+            let (mut reader, mut writer) = stream.into_split();
+            // The accepting router sends nothing after its challenge.
+            let mut closed = pin!(reader.read(vec![0; 1]));
+            let mut has_written = false;
+            let failure = loop {
+                let next = match unsent.take() {
+                    Some(bytes) => Some(bytes),
+                    None => monoio::select! {
+                        _ = &mut closed => break None,
+                        next = frames.recv() => {
+                            queued_frames.set(queued_frames.get().saturating_sub(1));
+                            next
+                        }
+                    },
+                };
+                let Some(bytes) = next else { return Ok(()) };
+                let write = async { Ok(writer.write_all(bytes).await) };
+                match with_timeout("write to", peer, WRITE_TIMEOUT_MS, write).await? {
+                    (Ok(_), _) => has_written = true,
+                    (Err(source), bytes) => {
+                        unsent = Some(bytes);
+                        break Some(source);
+                    }
+                }
+            };
+            if unsent.is_none() && queued_frames.get() == 0 {
+                return Ok(());
+            }
+            // A peer that closes each connection at once is not dialled in a loop.
+            if !has_written {
+                let closed = || std::io::ErrorKind::ConnectionReset.into();
+                return Err(Error::Io {
                     step: "write to",
                     peer,
-                    source,
-                })
-            };
-            with_timeout("write to", peer, WRITE_TIMEOUT_MS, write).await?;
+                    source: failure.unwrap_or_else(closed),
+                });
+            }
         }
-        Ok(())
     }
 
     async fn connect(&self, peer: SocketAddr) -> Result<TcpStream, Error> {
--- /dev/null
+++ b/crates/peridotrack-edge/tests/link.rs
@@ -0,0 +1,125 @@
+//! Links between routers whose connections break.
+
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+
+use peridotrack_budget::message::{Message, Reply};
+use peridotrack_edge::peer::{Frame, Link};
+use peridotrack_kernel::{Kernel, Options};
+use peridotrack_standin::harness::{http::block_on, relay, wait};
+use peridotrack_types::id;
+use rstest::rstest;
+
+const KEY: &str = "deployment-of-the-test";
+const LIMIT: Duration = Duration::from_secs(5);
+
+/// A router's end of its links, with the numbers in the frames that it received.
+struct Router {
+    link: Rc<Link>,
+    received: Rc<RefCell<Vec<u64>>>,
+    failures: Rc<RefCell<usize>>,
+}
+
+impl Router {
+    fn spawn(incarnation: u64) -> Self {
+        let kernel = Kernel::open(Options::default()).unwrap();
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let link = Link::bind(kernel, id::Incarnation(incarnation), any, KEY).unwrap();
+        let received = Rc::new(RefCell::new(Vec::new()));
+        let failures = Rc::new(RefCell::new(0));
+        let (numbers, failed) = (Rc::clone(&received), Rc::clone(&failures));
+        link.subscribe(
+            move |_, frame| {
+                if let Frame::Budget {
+                    message: Message::Transfer { sent_tokens, .. },
+                    ..
+                } = frame
+                {
+                    numbers.borrow_mut().push(sent_tokens);
+                }
+            },
+            move |_| *failed.borrow_mut() += 1,
+        );
+        Self {
+            link,
+            received,
+            failures,
+        }
+    }
+
+    fn send(&self, address: SocketAddr, number: u64) {
+        let message = Message::Transfer {
+            budget: "t-1".into(),
+            sent_tokens: number,
+            reply: Reply::Unsolicited,
+            is_scarce: false,
+        };
+        let to = id::Incarnation(2);
+        self.link.send(address, &Frame::Budget { to, message });
+    }
+
+    async fn until_received(&self, numbers: &[u64]) {
+        let is_received = || *self.received.borrow() == numbers;
+        wait::until(LIMIT, "received frames", is_received)
+            .await
+            .unwrap();
+    }
+}
+
+/// Guards against frames that are written to a connection which has broken since the last one: the
+/// question where a stream began was lost with each peer after a reset of connections.
+#[rstest]
+#[case::one(1)]
+#[case::several_at_once(5)]
+fn frames_sent_after_the_connection_broke_arrive(#[case] count: u64) {
+    block_on(async {
+        let (sender, receiver) = (Router::spawn(1), Router::spawn(2));
+        let relay = relay::spawn(receiver.link.address()).unwrap();
+        sender.send(relay.address(), 0);
+        receiver.until_received(&[0]).await;
+        for round in 0..3 {
+            relay.set(relay::Link::Cut);
+            monoio::time::sleep(Duration::from_millis(50)).await;
+            relay.set(relay::Link::Open);
+            receiver.received.borrow_mut().clear();
+            let numbers: Vec<u64> = (0..count).map(|number| 10 * round + number).collect();
+            for number in &numbers {
+                sender.send(relay.address(), *number);
+            }
+            receiver.until_received(&numbers).await;
+        }
+        assert_eq!(*sender.failures.borrow(), 0);
+    });
+}
+
+/// Guards against a link that keeps using a connection which has fallen silent.
+#[test]
+fn a_renewed_link_sends_on_a_new_connection() {
+    block_on(async {
+        let (sender, receiver) = (Router::spawn(1), Router::spawn(2));
+        let relay = relay::spawn(receiver.link.address()).unwrap();
+        sender.send(relay.address(), 1);
+        receiver.until_received(&[1]).await;
+        sender.link.renew(relay.address());
+        sender.send(relay.address(), 2);
+        receiver.until_received(&[1, 2]).await;
+        // The end of the former connection does not affect the new one.
+        monoio::time::sleep(Duration::from_millis(50)).await;
+        sender.send(relay.address(), 3);
+        receiver.until_received(&[1, 2, 3]).await;
+    });
+}
+
+/// A peer that does not accept connections, or closes each one, is reported and not dialled in a loop.
+#[test]
+fn a_peer_that_refuses_connections_is_reported() {
+    block_on(async {
+        let (sender, receiver) = (Router::spawn(1), Router::spawn(2));
+        let relay = relay::spawn(receiver.link.address()).unwrap();
+        relay.set(relay::Link::Cut);
+        sender.send(relay.address(), 1);
+        let is_reported = || *sender.failures.borrow() > 0;
+        wait::until(LIMIT, "the report", is_reported).await.unwrap();
+        monoio::time::sleep(Duration::from_millis(100)).await;
+        assert_eq!(*sender.failures.borrow(), 1);
+    });
+}
--- a/crates/peridotrack-origin/src/origins.rs
+++ b/crates/peridotrack-origin/src/origins.rs
@@ -1,6 +1,6 @@
 //! The state machine that keeps and looks up where streams began.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, VecDeque};
 
 use peridotrack_types::{collections::HashMap, id, name};
 
@@ -21,12 +21,21 @@
     pub homes_of_small: usize,
     /// Maximum number of routers of a small fleet.
     pub small_routers: usize,
+    /// Number of homes in a fleet of medium size, in which the loss of several routers at once is
+    /// likelier than that of as many homes in a large one.
+    pub homes_of_medium: usize,
+    /// Maximum number of routers of a fleet of medium size.
+    pub medium_routers: usize,
     /// Time for which a home may take to answer, in microseconds.
     pub timeout_us: u64,
+    /// Time after which a home that has not answered is asked once more, in microseconds.
+    pub repeat_us: u64,
     /// Time for which a record is kept, in microseconds: longer than a client takes for all attempts.
     pub retention_us: u64,
     /// Maximum number of records.
     pub max_records: usize,
+    /// Number of queries of others that are remembered, to recognize those that are repeated.
+    pub max_heard: usize,
 }
 
 impl Default for Options {
@@ -35,9 +44,13 @@
             homes: 2,
             homes_of_small: 6,
             small_routers: 16,
-            timeout_us: 60_000,
+            homes_of_medium: 4,
+            medium_routers: 200,
+            timeout_us: 200_000,
+            repeat_us: 60_000,
             retention_us: 300_000_000,
             max_records: 65_536,
+            max_heard: 1_024,
         }
     }
 }
@@ -89,6 +102,8 @@
         to: name::Vm,
         /// The message.
         message: Message,
+        /// Whether an earlier message may have been lost with its connection.
+        is_repeated: bool,
     },
     /// Send a message to the incarnation of a router that asked.
     Reply {
@@ -96,6 +111,8 @@
         to: id::Incarnation,
         /// The message.
         message: Message,
+        /// Whether an earlier message may have been lost with its connection.
+        is_repeated: bool,
     },
     /// End a query.
     Resolve {
@@ -122,17 +139,20 @@
     Unknown {
         /// Number of routers that were asked.
         asked: usize,
-        /// Number of these that answered.
-        answered: usize,
+        /// Those of them that have not answered.
+        silent: Vec<name::Vm>,
     },
 }
 
 /// A query that waits for answers.
 #[derive(Debug)]
 struct Query {
+    key: Key,
     asked: Vec<name::Vm>,
     /// Routers that answered that they do not know the stream.
     ignorant: Vec<name::Vm>,
+    /// When the others are asked once more; `None` if they have been.
+    repeat_us: Option<u64>,
     due_us: u64,
 }
 
@@ -144,6 +164,8 @@
     records: Records,
     routers: Routers,
     queries: HashMap<u64, Query>,
+    /// The latest queries of others, by sender and number.
+    heard: VecDeque<(id::Incarnation, u64)>,
 }
 
 /// Constructors and queries.
@@ -156,15 +178,19 @@
             records: Records::default(),
             routers: Routers::new(),
             queries: HashMap::default(),
+            heard: VecDeque::new(),
         }
     }
 
     /// Returns the number of homes that are told of a stream.
     fn home_count(&self) -> usize {
         let routers: usize = self.routers.values().map(BTreeSet::len).sum();
-        match routers <= self.options.small_routers {
-            true => self.options.homes_of_small,
-            false => self.options.homes,
+        if routers <= self.options.small_routers {
+            self.options.homes_of_small
+        } else if routers <= self.options.medium_routers {
+            self.options.homes_of_medium
+        } else {
+            self.options.homes
         }
     }
 
@@ -201,15 +227,28 @@
     fn on_tick(&mut self, now_us: u64) -> Vec<Action> {
         let oldest_us = now_us.saturating_sub(self.options.retention_us);
         self.records.remove_before(oldest_us);
-        let due: Vec<u64> = self
-            .queries
-            .iter()
-            .filter(|(_, query)| now_us >= query.due_us)
-            .map(|(number, _)| *number)
-            .collect();
-        due.into_iter()
-            .filter_map(|number| self.give_up(number))
-            .collect()
+        let mut actions = Vec::new();
+        let mut hopeless = Vec::new();
+        for (number, query) in &mut self.queries {
+            if now_us >= query.due_us {
+                hopeless.push(*number);
+            } else if query.repeat_us.is_some_and(|at_us| now_us >= at_us) {
+                query.repeat_us = None;
+                let serves = |vm: &&name::Vm| self.routers.values().any(|vms| vms.contains(*vm));
+                let missing = query.missing().filter(serves);
+                let asks = missing.map(|to| query.ask(*number, to, true));
+                let before = actions.len();
+                actions.extend(asks);
+                if actions.len() == before {
+                    hopeless.push(*number);
+                }
+            }
+        }
+        let given_up = hopeless
+            .into_iter()
+            .filter_map(|number| self.give_up(number));
+        actions.extend(given_up);
+        actions
     }
 
     fn on_began(&mut self, now_us: u64, key: Key, record: Record) -> Vec<Action> {
@@ -224,6 +263,7 @@
         let send = |to| Action::Send {
             to,
             message: message.clone(),
+            is_repeated: false,
         };
         others.map(send).collect()
     }
@@ -240,17 +280,16 @@
         // One more home than is told, since the membership may have changed.
         let homes = home::of(&key, &self.routers, self.home_count() + 1);
         let asked: Vec<_> = homes.into_iter().filter(|vm| *vm != self.vm).collect();
-        let asks = asked.iter().map(|to| Action::Send {
-            to: to.clone(),
-            message: Message::Ask { query, key },
-        });
-        let mut actions: Vec<_> = asks.collect();
         let is_alone = asked.is_empty();
         let pending = Query {
+            key,
             asked,
             ignorant: Vec::new(),
+            repeat_us: Some(now_us + self.options.repeat_us),
             due_us: now_us + self.options.timeout_us,
         };
+        let asks = pending.missing().map(|to| pending.ask(query, to, false));
+        let mut actions: Vec<_> = asks.collect();
         self.queries.insert(query, pending);
         if is_alone {
             actions.extend(self.give_up(query));
@@ -275,7 +314,17 @@
                     from: self.vm.clone(),
                     known,
                 };
-                vec![Action::Reply { to: from, message }]
+                let is_repeated = self.heard.contains(&(from, query));
+                if !is_repeated {
+                    self.heard.push_back((from, query));
+                    let excess = self.heard.len().saturating_sub(self.options.max_heard);
+                    self.heard.drain(..excess);
+                }
+                vec![Action::Reply {
+                    to: from,
+                    message,
+                    is_repeated,
+                }]
             }
             Message::Answer {
                 query,
@@ -321,8 +370,25 @@
             query: number,
             knowledge: Knowledge::Unknown {
                 asked: query.asked.len(),
-                answered: query.ignorant.len(),
+                silent: query.missing().cloned().collect(),
             },
         })
     }
 }
+
+impl Query {
+    /// Returns the routers that have not answered.
+    fn missing(&self) -> impl Iterator<Item = &name::Vm> {
+        let is_missing = |vm: &&name::Vm| !self.ignorant.contains(vm);
+        self.asked.iter().filter(is_missing)
+    }
+
+    fn ask(&self, query: u64, to: &name::Vm, is_repeated: bool) -> Action {
+        let key = self.key;
+        Action::Send {
+            to: to.clone(),
+            message: Message::Ask { query, key },
+            is_repeated,
+        }
+    }
+}
