fix(origin): a record that the directory contradicts is not kept

What callers could see: a stream that went on at a version which did not begin it (ORDER).

Cause: a router whose directory lags records a stream under the former version of a server that has started again under its name. A home removed such records when it learned of the later version, but kept one that arrived afterwards, and once the server had left nothing contradicted it.

Change: a router remembers the latest version of each server, and takes no record and no answer that contradicts it.

--- a/crates/peridotrack-origin/src/origins.rs
+++ b/crates/peridotrack-origin/src/origins.rs
@@ -8,7 +8,7 @@
     home::{self, Routers},
     key::Key,
     message::{Known, Message},
-    record::{Record, Records},
+    record::{Record, Records, Versions},
 };
 
 /// Tunable parameters.
@@ -34,6 +34,8 @@
     pub retention_us: u64,
     /// Maximum number of records.
     pub max_records: usize,
+    /// Maximum number of backend servers whose software version is remembered.
+    pub max_servers: usize,
     /// Number of queries of others that are remembered, to recognize those that are repeated.
     pub max_heard: usize,
 }
@@ -50,6 +52,7 @@
             repeat_us: 60_000,
             retention_us: 300_000_000,
             max_records: 65_536,
+            max_servers: 16_384,
             max_heard: 1_024,
         }
     }
@@ -162,6 +165,7 @@
     options: Options,
     vm: name::Vm,
     records: Records,
+    versions: Versions,
     routers: Routers,
     queries: HashMap<u64, Query>,
     /// The latest queries of others, by sender and number.
@@ -176,6 +180,7 @@
             options,
             vm,
             records: Records::default(),
+            versions: Versions::default(),
             routers: Routers::new(),
             queries: HashMap::default(),
             heard: VecDeque::new(),
@@ -219,6 +224,8 @@
             } => {
                 self.records
                     .remove_other_versions(&backend_server, &software_version);
+                let most = self.options.max_servers;
+                self.versions.set(backend_server, software_version, most);
                 Vec::new()
             }
         }
@@ -300,8 +307,10 @@
     fn on_heard(&mut self, now_us: u64, from: id::Incarnation, message: Message) -> Vec<Action> {
         match message {
             Message::Began { key, record } => {
-                let most = self.options.max_records;
-                self.records.insert(key, record, now_us, most);
+                if !self.versions.contradict(&record) {
+                    let most = self.options.max_records;
+                    self.records.insert(key, record, now_us, most);
+                }
                 Vec::new()
             }
             Message::Ask { query, key } => {
@@ -330,12 +339,8 @@
                 query,
                 from,
                 known: Some(known),
-            } => self.on_known(query, from, known),
-            Message::Answer {
-                query,
-                from,
-                known: None,
-            } => self.on_ignorant(query, from),
+            } if !self.versions.contradict(&known.record) => self.on_known(query, from, known),
+            Message::Answer { query, from, .. } => self.on_ignorant(query, from),
         }
     }
 
--- a/crates/peridotrack-origin/src/record.rs
+++ b/crates/peridotrack-origin/src/record.rs
@@ -16,6 +16,42 @@
     pub origin: stream::Origin,
 }
 
+/// The latest software version of each backend server, also of those that have left since.
+///
+/// A router whose directory lags may record a stream under the former version of a server that has
+/// started again under its name.
+#[derive(Debug, Default)]
+pub(crate) struct Versions {
+    by_server: HashMap<name::BackendServer, name::SoftwareVersion>,
+    /// Servers in the order in which they were first known.
+    order: VecDeque<name::BackendServer>,
+}
+
+impl Versions {
+    /// Sets the version of a server.
+    pub(crate) fn set(
+        &mut self,
+        server: name::BackendServer,
+        version: name::SoftwareVersion,
+        most: usize,
+    ) {
+        if self.by_server.insert(server.clone(), version).is_none() {
+            self.order.push_back(server);
+        }
+        while self.order.len() > most {
+            if let Some(oldest) = self.order.pop_front() {
+                self.by_server.remove(&oldest);
+            }
+        }
+    }
+
+    /// Returns whether the server of a record is known with another version.
+    pub(crate) fn contradict(&self, Record { origin, .. }: &Record) -> bool {
+        let known = self.by_server.get(&origin.backend_server);
+        known.is_some_and(|version| origin.software_version.as_ref() != Some(version))
+    }
+}
+
 /// The newest records, by key.
 #[derive(Debug, Default)]
 pub(crate) struct Records {
--- a/crates/peridotrack-origin/tests/origins.rs
+++ b/crates/peridotrack-origin/tests/origins.rs
@@ -385,3 +385,34 @@
     };
     assert_eq!(recipients(&origins.on_event(2, wanted)).len(), homes + 1);
 }
+
+/// Guards against a stream that goes on at a version which did not begin it: a router whose directory
+/// lags tells the homes the former version of a server that has started again under its name.
+#[rstest]
+#[case::told_to_a_home(true)]
+#[case::answered_by_a_home(false)]
+fn a_record_of_a_former_version_does_not_count(#[case] is_told: bool) {
+    let mut origins = origins("vm-0");
+    let key = key(1);
+    let version = Event::Version {
+        backend_server: "i-1".into(),
+        software_version: "v2".into(),
+    };
+    origins.on_event(0, version);
+    let record = record("v1");
+    if is_told {
+        let message = Message::Began { key, record };
+        let from = ASKER;
+        origins.on_event(1, Event::Heard { from, message });
+        assert_eq!(origins.record_count(), 0);
+    } else {
+        let asked = recipients(&origins.on_event(1, Event::Wanted { query: 1, key }));
+        let known = Some(Known { record, age_us: 9 });
+        assert_eq!(origins.on_event(2, answer(1, &asked[0], known)), []);
+        origins.on_event(3, answer(1, &asked[1], None));
+        for home in &asked[2..] {
+            let actions = origins.on_event(4, answer(1, home, None));
+            assert_eq!(actions, [unknown(1, asked.len(), &[])]);
+        }
+    }
+}
