--- a/crates/peridotrack-edge/src/platform.rs
+++ b/crates/peridotrack-edge/src/platform.rs
@@ -214,7 +214,7 @@
 impl Platform {
     /// Returns a client of the platform at `address`, which connects with the first call.
     /// `min_outage_us` is the length from which on failures that an available store may cause count
-    /// as an outage, in microseconds.
+    /// as an outage, in microseconds; 0 if each of them does.
     pub fn open(
         kernel: Rc<Kernel>,
         address: SocketAddr,
--- a/crates/peridotrack-kernel/src/event.rs
+++ b/crates/peridotrack-kernel/src/event.rs
@@ -147,7 +147,7 @@
     511 Error SignatureBlocked,
     /// Requests with these signatures are no longer refused.
     512 Info SignatureReleased,
-    /// A claimed recheck: the next request of a block is sent.
+    /// The next request with all of these signatures is sent, to find out whether servers still crash under it.
     513 Info SignatureRechecked,
     /// An operator, or a demonstration in the operator's role, acted on the fleet.
     600 Info OperatorAction,
