feat(gateway): evacuate failure domains

Cause: operators can ask that the servers of a failure domain receive nothing, and no part of the product read that request. Change: the gateway follows the kind that holds evacuations if the bounds state a time for them, serves nothing before it has listed them, and passes them to the router, where they are a reason against each server of the domain; requests that were not sent are withdrawn, a stream is not resumed there, and the servers begin with a slow start when the domain is taken back.

--- a/crates/peridotrack-edge/src/gateway.rs
+++ b/crates/peridotrack-edge/src/gateway.rs
@@ -7,6 +7,7 @@
 mod attempt;
 mod crash;
 mod directory;
+mod evacuation;
 mod exchange;
 mod identity;
 mod liveness;
@@ -25,7 +26,9 @@
 use peridotrack_http::client;
 use peridotrack_kernel::{Kernel, clock, event, log, registry};
 use peridotrack_member::message::State;
-use peridotrack_platform::{directory as directory_wire, site as site_wire};
+use peridotrack_platform::{
+    directory as directory_wire, evacuation as evacuation_wire, site as site_wire,
+};
 use peridotrack_quarantine::{event as quarantine_event, options as quarantine_options, statement};
 use peridotrack_route::event as route_event;
 use peridotrack_types::{gateway::Settings, id};
@@ -89,6 +92,7 @@
     metrics: metric::Requests,
     site: site::Current,
     directory: directory::Directory,
+    evacuations: evacuation::Evacuations,
     checks: liveness::Checks,
     stopping: Rc<stopping::Stopping<Arc<str>>>,
     sequence: Cell<u64>,
@@ -179,6 +183,7 @@
             metrics: metric::Requests::register(kernel.meter()),
             site: site::Current::default(),
             directory: directory::Directory::default(),
+            evacuations: evacuation::Evacuations::default(),
             checks: liveness::Checks::default(),
             stopping: Rc::new(stopping::Stopping::new(&kernel)),
             sequence: Cell::new(0),
@@ -354,8 +359,8 @@
     member
 }
 
-/// Follows the configuration, the directory of backend servers and the statements about crashes in the
-/// store.
+/// Follows the configuration, the directory of backend servers, the evacuations and the statements about
+/// crashes in the store.
 fn follow_store(shared: &Rc<Shared>) {
     let Shared {
         kernel,
@@ -377,6 +382,14 @@
     follow.add(kernel, platform, *incarnation, kind, move |update| {
         directory::apply_update(&directory, update);
     });
+    if let Some(evacuation_ms) = shared.settings.bounds.evacuation_ms {
+        let evacuation = Rc::clone(shared);
+        let options = options::follow_evacuations(&shared.settings.bounds, evacuation_ms);
+        let kind = (evacuation_wire::KIND, options);
+        follow.add(kernel, platform, *incarnation, kind, move |update| {
+            evacuation::apply_update(&evacuation, update);
+        });
+    }
     let quarantine = Rc::clone(&shared.quarantine);
     let kind = (
         statement::KIND,
--- a/crates/peridotrack-edge/src/gateway/options.rs
+++ b/crates/peridotrack-edge/src/gateway/options.rs
@@ -106,6 +106,8 @@
 const FOLLOW_BACKOFF_MAX_US: u64 = 800 * clock::US_PER_MS;
 /// Maximum wait of a watch of the statements about crashes, in microseconds.
 const QUARANTINE_WAIT_US: u64 = 10 * clock::US_PER_S;
+/// Divisor of the time within which an evacuation must be known; gives the wait of a watch for it.
+const EVACUATION_WAIT_DIVISOR: u64 = 3;
 /// Renewal intervals of an entry in the shortest outage of the store in which it expires. Entries
 /// expire after three intervals without renewal, of which the last renewal may precede the outage
 /// by one.
@@ -248,6 +250,21 @@
     }
 }
 
+/// Returns the options for following the evacuations, which must be known within `evacuation_ms`. The
+/// follower of the configuration detects a relay that cannot be reached; a watch that an outage leaves
+/// without a response is detected after its wait, of which two fit into the bound.
+pub(super) fn follow_evacuations(bounds: &Bounds, evacuation_ms: u64) -> follower::Options {
+    let wait_us = evacuation_ms * clock::US_PER_MS / EVACUATION_WAIT_DIVISOR;
+    follower::Options {
+        wait_us,
+        relay_wait_us: wait_us,
+        silence_us: 2 * wait_us,
+        relist_after_us: u64::MAX,
+        is_led: true,
+        ..follow(bounds)
+    }
+}
+
 /// Returns the options for following the statements about crashes, which change rarely. The
 /// follower of the configuration detects a relay or a store that cannot be reached.
 pub(super) fn follow_quarantine(bounds: &Bounds) -> follower::Options {
--- a/crates/peridotrack-edge/src/gateway/probe.rs
+++ b/crates/peridotrack-edge/src/gateway/probe.rs
@@ -1,7 +1,7 @@
 //! The listeners for probes: readiness for the load balancer, and metrics.
 //!
-//! A gateway is ready once it has a configuration and has listed the backend servers and the
-//! statements about crashes, until it begins to stop.
+//! A gateway is ready once it has a configuration and has listed the backend servers, the evacuations
+//! and the statements about crashes, until it begins to stop.
 
 use std::{net::SocketAddr, rc::Rc};
 
@@ -82,4 +82,5 @@
         && shared.site.get().is_some()
         && shared.directory.is_listed()
         && shared.quarantine.is_listed()
+        && shared.evacuations.is_known(shared)
 }
--- a/crates/peridotrack-edge/src/gateway/request.rs
+++ b/crates/peridotrack-edge/src/gateway/request.rs
@@ -175,6 +175,11 @@
         let kind = problem::Kind::NoBackendServer;
         return Err(problem::Problem::new(kind, detail).retry_after_ms(STARTING_RETRY_MS));
     }
+    if !shared.evacuations.is_known(shared) {
+        let detail = "it is not known yet which failure domains are evacuated";
+        let kind = problem::Kind::NoBackendServer;
+        return Err(problem::Problem::new(kind, detail).retry_after_ms(STARTING_RETRY_MS));
+    }
     let account = account.map(|account| &account.name);
     let signatures = signatures(shared, route, account, &received, &metadata);
     shared.sequence.set(shared.sequence.get() + 1);
--- a/crates/peridotrack-edge/src/metric.rs
+++ b/crates/peridotrack-edge/src/metric.rs
@@ -23,8 +23,11 @@
 /// Counter of calls to the platform, by `kind`.
 pub const PLATFORM_CALLS: &str = "peridotrack_platform_calls_total";
 
+/// Gauge of the time since which a failure domain is evacuated, by `failure_domain`.
+pub const EVACUATED_SINCE: &str = "peridotrack_evacuated_since_seconds";
+
 /// Names of all metrics.
-pub const ALL: [&str; 8] = [
+pub const ALL: [&str; 9] = [
     ACCEPTED,
     COMPLETED,
     REFUSED,
@@ -33,6 +36,7 @@
     SETTLED_TOKENS,
     PEER_SENT_BYTES,
     PLATFORM_CALLS,
+    EVACUATED_SINCE,
 ];
 
 /// Handles to the metrics of requests.
--- a/crates/peridotrack-edge/tests/gateway/fixture.rs
+++ b/crates/peridotrack-edge/tests/gateway/fixture.rs
@@ -51,6 +51,7 @@
             retry_slack: 50,
             retry_window_ms: 10_000,
             heartbeat_ms: 1_000,
+            evacuation_ms: None,
         },
     }
 }
--- a/crates/peridotrack-edge/tests/gateway/main.rs
+++ b/crates/peridotrack-edge/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod connections;
 mod directory;
 mod endless;
+mod evacuation;
 mod fixture;
 mod fleet;
 mod http_1_0;
--- a/crates/peridotrack-kernel/src/event.rs
+++ b/crates/peridotrack-kernel/src/event.rs
@@ -141,6 +141,8 @@
     502 Info RateLimitChanged,
     /// A backend server's response contains a statement about the server without a proper value.
     503 Warn StatementImproper,
+    /// A failure domain is evacuated, or taken back into service.
+    504 Warn EvacuationChanged,
     /// A backend server ended with a request of these signatures in flight.
     510 Warn SignatureSuspected,
     /// Requests with all of these signatures are refused, because backend servers crash under them.
--- a/crates/peridotrack-kernel/src/meter.rs
+++ b/crates/peridotrack-kernel/src/meter.rs
@@ -49,6 +49,12 @@
         metrics::with_local_recorder(&self.recorder, || metrics::gauge!(name))
     }
 
+    /// Returns the gauge `name` with one label, created on first use.
+    pub fn labelled_gauge(&self, name: &'static str, label: &'static str, value: &str) -> Gauge {
+        let value = value.to_owned();
+        metrics::with_local_recorder(&self.recorder, || metrics::gauge!(name, label => value))
+    }
+
     /// Returns the histogram `name` of durations in seconds, created on first use.
     pub fn histogram(&self, name: &'static str) -> Histogram {
         metrics::with_local_recorder(&self.recorder, || metrics::histogram!(name))
--- a/crates/peridotrack-route/src/backend.rs
+++ b/crates/peridotrack-route/src/backend.rs
@@ -42,6 +42,8 @@
     pub breaker: breaker::Breaker,
     /// Whether it may receive new work: not if it is removed from the register or leaving.
     pub drain: drain::Drain,
+    /// Whether its failure domain is evacuated.
+    pub is_evacuated: bool,
     /// Estimate of the load by all routers and of the first-token time.
     pub load_estimate: load_estimate::LoadEstimate,
     /// Pending prefill work and cached prompt parts.
@@ -80,6 +82,7 @@
             limit: limit::Limit::new(slots),
             breaker: breaker::Breaker::new(),
             drain: drain::Drain::default(),
+            is_evacuated: false,
             load_estimate: load_estimate::LoadEstimate::new(),
             prefill: prefill::Prefill::default(),
             slow_start_us: None,
@@ -141,6 +144,7 @@
             f64::from(self.in_flight) >= self.limit_requests(now_us, options).max(1.0);
         [
             self.drain.ineligibility(),
+            self.is_evacuated.then(|| Reason::Evacuated.into()),
             self.is_paused(now_us)
                 .then(|| Ineligibility::until(Reason::Paused, self.paused_until_us)),
             self.pace.and_then(|pace| pace.ineligibility(now_us)),
--- a/crates/peridotrack-route/src/configure.rs
+++ b/crates/peridotrack-route/src/configure.rs
@@ -130,6 +130,7 @@
         if let Some(&index) = self.by_name.get(server.name) {
             let backend = &mut self.backends[index];
             backend.failure_domain = server.failure_domain.clone();
+            backend.is_evacuated = self.evacuated.contains(server.failure_domain);
             backend.distance_us = distance_us;
             if backend.slots != server.slots {
                 backend.slots = server.slots;
@@ -152,6 +153,7 @@
             server.slots,
             distance_us,
         );
+        backend.is_evacuated = self.evacuated.contains(server.failure_domain);
         let rate = self.rates.get(server.name);
         backend.pace = rate.map(|per_s| pace::Pace::new(now_us, *per_s));
         let index = match self.free_indices.pop() {
--- a/crates/peridotrack-route/src/eligibility.rs
+++ b/crates/peridotrack-route/src/eligibility.rs
@@ -13,6 +13,8 @@
     Removed,
     /// The server is leaving.
     Leaving,
+    /// The failure domain of the server is evacuated.
+    Evacuated,
     /// The server runs another software version than the one that began the request's stream. It
     /// holds against a request, not for the server.
     OtherVersion,
@@ -38,6 +40,7 @@
             Self::Probing | Self::BackOff | Self::AtLimit => true,
             Self::Removed
             | Self::Leaving
+            | Self::Evacuated
             | Self::OtherVersion
             | Self::Paused
             | Self::Throttled
@@ -49,7 +52,9 @@
     /// of which no byte was sent yet.
     pub fn withdraws(self) -> bool {
         match self {
-            Self::Removed | Self::Leaving | Self::OtherVersion | Self::Paused => true,
+            Self::Removed | Self::Leaving | Self::Evacuated | Self::OtherVersion | Self::Paused => {
+                true
+            }
             Self::Throttled | Self::BreakerOpen | Self::Probing | Self::BackOff | Self::AtLimit => {
                 false
             }
@@ -61,6 +66,7 @@
         match self {
             Self::Removed => "removed",
             Self::Leaving => "leaving",
+            Self::Evacuated => "evacuated",
             Self::OtherVersion => "other_version",
             Self::Paused => "paused",
             Self::Throttled => "throttled",
--- a/crates/peridotrack-route/src/event.rs
+++ b/crates/peridotrack-route/src/event.rs
@@ -162,6 +162,13 @@
         /// Requests per second that this router may send, 0 for none; `None` without a limit.
         per_s: Option<f64>,
     },
+    /// A failure domain is evacuated, or taken back into service.
+    Evacuated {
+        /// Name of the failure domain in the asset register.
+        failure_domain: name::FailureDomain,
+        /// Whether its backend servers are to receive no new requests.
+        is_evacuated: bool,
+    },
     /// A connection to the backend server was established.
     Connected {
         /// Name in the asset register of the server that accepted the connection.
--- a/crates/peridotrack-route/src/finish.rs
+++ b/crates/peridotrack-route/src/finish.rs
@@ -117,6 +117,7 @@
             && request.events_seen > 0
             && request.resumes < self.options.max_resumes
             && backend.breaker.is_closed()
+            && !backend.is_evacuated
     }
 
     fn resume(
--- a/crates/peridotrack-route/src/lib.rs
+++ b/crates/peridotrack-route/src/lib.rs
@@ -60,6 +60,7 @@
 mod dispatch;
 pub mod drain;
 pub mod eligibility;
+mod evacuation;
 pub mod event;
 pub mod fairness;
 mod finish;
--- a/crates/peridotrack-route/src/router.rs
+++ b/crates/peridotrack-route/src/router.rs
@@ -5,7 +5,10 @@
 
 use std::collections::BTreeMap;
 
-use peridotrack_types::{collections::HashMap, id, name, problem, stream};
+use peridotrack_types::{
+    collections::{HashMap, HashSet},
+    id, name, problem, stream,
+};
 
 use crate::{
     backend::Backend,
@@ -36,6 +39,8 @@
     /// Rates of this router's requests to servers that state a limit, also to those that the register
     /// does not name yet.
     pub(crate) rates: HashMap<name::BackendServer, f64>,
+    /// Failure domains that are evacuated, also those without a server in the register.
+    pub(crate) evacuated: HashSet<name::FailureDomain>,
     pub(crate) pools: Vec<Pool>,
     /// Index in `pools` of the pool of each target.
     pub(crate) by_target: HashMap<Target, usize>,
@@ -66,6 +71,7 @@
             free_indices: Vec::new(),
             by_name: HashMap::default(),
             rates: HashMap::default(),
+            evacuated: HashSet::default(),
             pools: Vec::new(),
             by_target: HashMap::default(),
             requests: HashMap::default(),
@@ -250,6 +256,10 @@
                 duration_us,
             } => self.on_pause(now_us, &backend, duration_us, &mut actions),
             Event::Rate { backend, per_s } => self.on_rate(now_us, &backend, per_s, &mut actions),
+            Event::Evacuated {
+                failure_domain,
+                is_evacuated,
+            } => self.on_evacuated(now_us, &failure_domain, is_evacuated, &mut actions),
             Event::Connected { backend } => {
                 if let Some(&index) = self.by_name.get(&backend) {
                     self.backends[index].breaker.on_connected();
--- a/crates/peridotrack-types/src/gateway.rs
+++ b/crates/peridotrack-types/src/gateway.rs
@@ -63,4 +63,7 @@
     pub retry_window_ms: u64,
     /// Interval at which backend servers renew their directory entries, in milliseconds.
     pub heartbeat_ms: u64,
+    /// Time after the evacuation of a failure domain by which its backend servers receive no new
+    /// requests, in milliseconds; absent if failure domains are not evacuated.
+    pub evacuation_ms: Option<u64>,
 }
