test(route): take the last rate without reading all of them

Cause: the linter rejects a search from the front for the last element. Result: the linter is clean; the same tests pass.

--- a/crates/peridotrack-route/tests/cold.rs
+++ b/crates/peridotrack-route/tests/cold.rs
@@ -45,11 +45,11 @@
 
 /// Returns the rate that the last action sets, `None` if no action sets one.
 fn rate(actions: &[Action]) -> Option<Option<f64>> {
-    let rates = actions.iter().filter_map(|action| match action {
+    let mut rates = actions.iter().filter_map(|action| match action {
         Action::SetRate { per_s, .. } => Some(*per_s),
         _ => None,
     });
-    rates.last()
+    rates.next_back()
 }
 
 fn is_cold(throttle: &Throttle) -> bool {
