fix(route): keep warm servers warm when their service gains a limit

Cause: a server whose service had no limit before counted as new, so a configuration that adds coldPerS limited all warm servers of the service for coldStartS at once. Change: only a name that the directory lacked before, or a later start, makes a server new.

--- a/crates/peridotrack-route/src/cold.rs
+++ b/crates/peridotrack-route/src/cold.rs
@@ -90,14 +90,16 @@
 /// Changes.
 impl ColdServers {
     /// Applies the servers of the directory. One that is new, or whose process started again, counts
-    /// as cold for the time of a start, because its entry may have been written a while ago.
+    /// as cold for the time of a start, because its entry may have been written a while ago. One whose
+    /// service gains a limit is not new.
     pub fn set_servers(&mut self, now_us: u64, servers: Servers) {
         for (name, server) in &servers {
             let Some(limit) = server.limit else { continue };
-            let known = self.servers.get(name).and_then(|server| server.limit);
-            let is_new = match known {
+            let is_new = match self.servers.get(name) {
                 None => self.is_listed,
-                Some(known) => known.started_ms.is_some() && known.started_ms < limit.started_ms,
+                Some(known) => known.limit.is_some_and(|known| {
+                    known.started_ms.is_some() && known.started_ms < limit.started_ms
+                }),
             };
             if is_new {
                 let state = State {
--- a/crates/peridotrack-route/tests/cold.rs
+++ b/crates/peridotrack-route/tests/cold.rs
@@ -64,6 +64,19 @@
     assert!(is_cold(&other));
 }
 
+/// Guards against a change of the configuration that limits all warm servers of a service at once.
+#[test]
+fn a_warm_server_stays_warm_when_its_service_gains_a_limit() {
+    let mut throttle = Throttle::new("a-1".into(), Options::default(), 1, 0);
+    let mut unlimited = servers(1, 0);
+    for server in unlimited.values_mut() {
+        server.limit = None;
+    }
+    throttle.on_event(0, 0, Event::Servers(unlimited));
+    throttle.on_event(S, 0, Event::Servers(servers(1, 0)));
+    assert!(!is_cold(&throttle));
+}
+
 #[rstest]
 #[case::stated(Event::Servers(servers(1, 2 * S)), 2)]
 #[case::started_again(Event::Servers(servers(2, 0)), 3)]
