fix(route): withdraw unsent requests when a limit begins

Cause: a request that was placed before its server became limited was sent when its connection was ready, so that requests waiting for connections met a cold server together, uncounted by the pace. Change: such a request is withdrawn and placed again; one that the pace counted is sent. Result: the added test fails before and passes after; cargo test -p peridotrack-route: all passed.

--- a/crates/peridotrack-route/src/pace.rs
+++ b/crates/peridotrack-route/src/pace.rs
@@ -10,6 +10,8 @@
 /// Earliest time of the next request to one server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Pace {
+    /// When the limit began.
+    since_us: u64,
     /// Time between two requests; `None` if this router sends none.
     interval_us: Option<u64>,
     next_us: u64,
@@ -21,6 +23,7 @@
     pub fn new(now_us: u64, per_s: f64) -> Self {
         let interval_us = (per_s > 0.0).then(|| (US_PER_S / per_s) as u64);
         Self {
+            since_us: now_us,
             interval_us,
             next_us: now_us.saturating_add(interval_us.unwrap_or(0)),
         }
@@ -28,8 +31,11 @@
 
     /// Changes the rate; the next request is due no earlier than at the old one.
     pub fn set(&mut self, now_us: u64, per_s: f64) {
-        let next_us = self.next_us;
+        let Self {
+            since_us, next_us, ..
+        } = *self;
         *self = Self::new(now_us, per_s);
+        self.since_us = since_us;
         self.next_us = self.next_us.max(next_us);
     }
 
@@ -46,6 +52,12 @@
         })
     }
 
+    /// Returns whether a request that was placed at `placed_us` is not counted, because the limit began
+    /// later.
+    pub fn began_after(&self, placed_us: u64) -> bool {
+        self.since_us > placed_us
+    }
+
     /// Counts a request that is sent now, allowed or not.
     pub fn on_dispatch(&mut self, now_us: u64) {
         let interval_us = self.interval_us.unwrap_or(0);
--- a/crates/peridotrack-route/src/router.rs
+++ b/crates/peridotrack-route/src/router.rs
@@ -188,8 +188,8 @@
     }
 
     /// Returns whether a request may still be sent to the server that it was dispatched to. The
-    /// server may have stated that it leaves, asked for a pause or started again, while a connection
-    /// was opened.
+    /// server may have stated that it leaves, asked for a pause, become limited or started again, while
+    /// a connection was opened.
     pub fn may_send(&self, now_us: u64, request_id: id::Request) -> bool {
         let Some(Phase::InFlight(attempt)) =
             self.requests.get(&request_id).map(|request| request.phase)
@@ -198,7 +198,9 @@
         };
         let backend = &self.backends[attempt.backend];
         let mut ineligibilities = backend.ineligibilities(now_us, &self.options);
+        let is_uncounted = |pace: pace::Pace| pace.began_after(attempt.dispatched_us);
         backend.lifetimes == attempt.lifetimes
+            && !backend.pace.is_some_and(is_uncounted)
             && ineligibilities.all(|ineligibility| !ineligibility.reason.withdraws())
     }
 
