fix(route): treat the first server of an empty directory as cold

Cause: the servers of the first list that is not empty counted as known, so that the first server of a deployment got the requests of all routers at once unless its entry said in time that it is cold. Change: the first listing of the store ends that time, also if it is empty; the gateway passes no servers before it.

--- a/crates/peridotrack-edge/src/gateway/directory.rs
+++ b/crates/peridotrack-edge/src/gateway/directory.rs
@@ -160,7 +160,10 @@
                 },
             )
         });
-        shared.throttle.set_servers(servers.collect());
+        // Before the first listing nothing shows which servers are new.
+        if self.is_listed.get() {
+            shared.throttle.set_servers(servers.collect());
+        }
         drop(entries);
         shared.route.configure(&register, &rules::Rules::default());
     }
--- a/crates/peridotrack-route/src/cold.rs
+++ b/crates/peridotrack-route/src/cold.rs
@@ -50,7 +50,7 @@
     states: HashMap<name::BackendServer, State>,
     /// When failure domains were taken back into service.
     returned_us: BTreeMap<name::FailureDomain, u64>,
-    /// Whether the directory had servers before; those of the first list are not new.
+    /// Whether the directory is known; the servers of its first list are not new.
     is_listed: bool,
 }
 
@@ -110,7 +110,7 @@
             }
         }
         self.states.retain(|name, _| servers.contains_key(name));
-        self.is_listed |= !servers.is_empty();
+        self.is_listed = true;
         self.servers = servers;
     }
 
--- a/crates/peridotrack-route/tests/cold.rs
+++ b/crates/peridotrack-route/tests/cold.rs
@@ -64,6 +64,15 @@
     assert!(is_cold(&other));
 }
 
+/// Guards against a burst at the first server of a deployment.
+#[test]
+fn a_server_that_appears_in_an_empty_directory_is_cold() {
+    let mut throttle = Throttle::new("a-1".into(), Options::default(), 1, 0);
+    throttle.on_event(0, 0, Event::Servers(Servers::default()));
+    throttle.on_event(S, 0, Event::Servers(servers(1, 0)));
+    assert!(is_cold(&throttle));
+}
+
 /// Guards against a change of the configuration that limits all warm servers of a service at once.
 #[test]
 fn a_warm_server_stays_warm_when_its_service_gains_a_limit() {
