fix(gateway): accept any time for which a server stays cold

Cause: an entry with a very large coldRemainingMs ended the gateway in a debug build by an overflow, and gave a wrong time in a release build; the store takes entries of any writer. Change: these sums and products saturate. Gateway tests cover that, and a cold server beside a warm one.

--- a/crates/peridotrack-edge/src/gateway/directory.rs
+++ b/crates/peridotrack-edge/src/gateway/directory.rs
@@ -147,7 +147,7 @@
             let limited = service.filter(|service| service.cold_per_s > 0.0);
             let limit = limited.map(|service| cold::Limit {
                 per_s: service.cold_per_s,
-                start_us: service.cold_start_ms * clock::US_PER_MS,
+                start_us: service.cold_start_ms.saturating_mul(clock::US_PER_MS),
                 until_us: entry.cold_until_us,
                 started_ms: server.born_ms,
             });
@@ -177,9 +177,10 @@
                 }
                 self.ignored.borrow_mut().remove(name);
                 let (name, born_ms) = (server.name.clone(), server.born_ms);
-                let cold_us = server.cold_remaining_ms * clock::US_PER_MS;
+                // Anybody may write an entry, with any time.
+                let cold_us = server.cold_remaining_ms.saturating_mul(clock::US_PER_MS);
                 let entry = Entry {
-                    cold_until_us: shared.kernel.now_us() + cold_us,
+                    cold_until_us: shared.kernel.now_us().saturating_add(cold_us),
                     server,
                     missing_since_us: None,
                 };
--- a/crates/peridotrack-edge/tests/gateway/main.rs
+++ b/crates/peridotrack-edge/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 
 mod budget;
 mod close_delimited;
+mod cold;
 mod connections;
 mod directory;
 mod endless;
--- a/crates/peridotrack-route/src/cold.rs
+++ b/crates/peridotrack-route/src/cold.rs
@@ -78,7 +78,7 @@
     fn until_us(&self, name: &name::BackendServer, server: &Server, limit: &Limit) -> u64 {
         let state = self.states.get(name).copied().unwrap_or_default();
         let returned_us = self.returned_us.get(&server.failure_domain);
-        let returned_until_us = returned_us.map_or(0, |at_us| at_us + limit.start_us);
+        let returned_until_us = returned_us.map_or(0, |at_us| at_us.saturating_add(limit.start_us));
         limit
             .until_us
             .max(state.new_until_us)
@@ -103,7 +103,7 @@
             };
             if is_new {
                 let state = State {
-                    new_until_us: now_us + limit.start_us,
+                    new_until_us: now_us.saturating_add(limit.start_us),
                     ended_until_us: 0,
                 };
                 self.states.insert(name.clone(), state);
@@ -134,6 +134,6 @@
             return;
         };
         let state = self.states.entry(name.clone()).or_default();
-        state.ended_until_us = now_us + limit.start_us + lag_us;
+        state.ended_until_us = now_us.saturating_add(limit.start_us).saturating_add(lag_us);
     }
 }
