--- a/crates/peridotrack-edge/tests/gateway/main.rs
+++ b/crates/peridotrack-edge/tests/gateway/main.rs
@@ -3,9 +3,11 @@
 
 mod budget;
 mod close_delimited;
+mod cold;
 mod connections;
 mod directory;
 mod endless;
+mod evacuation;
 mod fixture;
 mod fleet;
 mod http_1_0;
--- a/crates/peridotrack-route/src/lib.rs
+++ b/crates/peridotrack-route/src/lib.rs
@@ -55,11 +55,13 @@
 
 pub mod backend;
 pub mod breaker;
+pub mod cold;
 mod configure;
 mod continuation;
 mod dispatch;
 pub mod drain;
 pub mod eligibility;
+mod evacuation;
 pub mod event;
 pub mod fairness;
 mod finish;
