--- a/crates/peridotrack-edge/src/gateway/options.rs
+++ b/crates/peridotrack-edge/src/gateway/options.rs
@@ -106,8 +106,6 @@
 const FOLLOW_BACKOFF_MAX_US: u64 = 800 * clock::US_PER_MS;
 /// Maximum wait of a watch of the statements about crashes, in microseconds.
 const QUARANTINE_WAIT_US: u64 = 10 * clock::US_PER_S;
-/// Divisor of the time within which an evacuation must be known; gives the wait of a watch for it.
-const EVACUATION_WAIT_DIVISOR: u64 = 3;
 /// Renewal intervals of an entry in the shortest outage of the store in which it expires. Entries
 /// expire after three intervals without renewal, of which the last renewal may precede the outage
 /// by one.
@@ -251,10 +249,11 @@
 }
 
 /// Returns the options for following the evacuations, which must be known within `evacuation_ms`. The
-/// follower of the configuration detects a relay that cannot be reached; a watch that an outage leaves
-/// without a response is detected after its wait, of which two fit into the bound.
+/// follower of the configuration detects a relay or a store that cannot be reached. A watch that gets no
+/// response because of an outage is detected after its wait and the time for a response, before the
+/// bound on changes after the time of contact has passed.
 pub(super) fn follow_evacuations(bounds: &Bounds, evacuation_ms: u64) -> follower::Options {
-    let wait_us = evacuation_ms * clock::US_PER_MS / EVACUATION_WAIT_DIVISOR;
+    let wait_us = evacuation_ms * clock::US_PER_MS;
     follower::Options {
         wait_us,
         relay_wait_us: wait_us,
