feat(route): use the stated duration of work in placement

Servers that share a machine state a fourth figure in their load header: how long work takes at this moment. It was ignored, so requests went to servers in a slow spell.

The figure is decoded, and placement multiplies the expected times of a server by its ratio to the usual one. The ratio ages with a time constant of 150 ms. A figure below the usual one gives no preference, so that routers do not all choose the same server.

--- a/crates/peridotrack-bench/src/capacity/time.rs
+++ b/crates/peridotrack-bench/src/capacity/time.rs
@@ -121,6 +121,7 @@
             running: 8,
             queued: 0,
             slots: 16,
+            duration_percent: None,
             age_us: 500_000,
             leaving: false,
         };
--- a/crates/peridotrack-bench/src/route/fleet.rs
+++ b/crates/peridotrack-bench/src/route/fleet.rs
@@ -188,6 +188,7 @@
                     running,
                     queued,
                     slots: self.case.slots as u32,
+                    duration_percent: None,
                     age_us: self.case.report_delay_us,
                     leaving,
                 };
--- a/crates/peridotrack-edge/src/gateway/attempt.rs
+++ b/crates/peridotrack-edge/src/gateway/attempt.rs
@@ -286,6 +286,7 @@
             running: load.running,
             queued: load.queued,
             slots: load.slots,
+            duration_percent: load.duration_percent,
             age_us: 0,
             leaving: metadata.is_leaving,
         });
--- a/crates/peridotrack-edge/src/load.rs
+++ b/crates/peridotrack-edge/src/load.rs
@@ -82,6 +82,7 @@
             running: load.running,
             queued: load.queued,
             slots: load.slots,
+            duration_percent: None,
             age_us: load.age_ms * clock::US_PER_MS + round_trip_us,
             leaving: load.state == engine::State::Leaving,
         });
--- a/crates/peridotrack-route/src/backend.rs
+++ b/crates/peridotrack-route/src/backend.rs
@@ -46,6 +46,8 @@
     pub is_evacuated: bool,
     /// Estimate of the load by all routers and of the first-token time.
     pub load_estimate: load_estimate::LoadEstimate,
+    /// Durations of work that the server states.
+    pub stated_duration: load_estimate::StatedDuration,
     /// Pending prefill work and cached prompt parts.
     pub prefill: prefill::Prefill,
     /// When its slow start began; `None` if it has none.
@@ -84,6 +86,7 @@
             drain: drain::Drain::default(),
             is_evacuated: false,
             load_estimate: load_estimate::LoadEstimate::new(),
+            stated_duration: load_estimate::StatedDuration::default(),
             prefill: prefill::Prefill::default(),
             slow_start_us: None,
             backoff_until_us: 0,
@@ -171,7 +174,9 @@
     #[inline]
     pub fn score_us(&self, now_us: u64, prior: &load_estimate::Prior) -> f64 {
         let load = self.load(now_us, prior);
-        self.load_estimate.idle_first_token_us(now_us, prior) * load_estimate::load_factor(load)
+        self.load_estimate.idle_first_token_us(now_us, prior)
+            * load_estimate::load_factor(load)
+            * self.stated_duration.factor(now_us)
             + self.distance_us as f64
     }
 
--- a/crates/peridotrack-route/src/event.rs
+++ b/crates/peridotrack-route/src/event.rs
@@ -120,6 +120,9 @@
         queued: u32,
         /// Number of requests that it can run concurrently; 0 keeps the number known before.
         slots: u32,
+        /// Current duration of work in percent of the usual one; `None` if the server does not state
+        /// it.
+        duration_percent: Option<u32>,
         /// Age of the measurement.
         age_us: u64,
         /// Whether the report states that the server is leaving.
--- a/crates/peridotrack-route/src/load_estimate.rs
+++ b/crates/peridotrack-route/src/load_estimate.rs
@@ -13,6 +13,12 @@
 /// the mean of the pool, in microseconds.
 const FIRST_TOKEN_HALF_WEIGHT_US: f64 = 20_000_000.0;
 
+/// Time constant with which a stated duration of work loses weight, in microseconds: slow spells of
+/// servers that share a machine last about 100 ms.
+const STATED_DURATION_AGEING_US: f64 = 150_000.0;
+/// Weight of a new statement in a server's usual duration of work.
+const USUAL_DURATION_WEIGHT: f64 = 0.05;
+
 /// The latest load report, with this router's requests at the time it was measured.
 #[derive(Debug, Clone, Copy)]
 struct Report {
@@ -30,6 +36,43 @@
     idle_sampled_us: u64,
 }
 
+/// Durations of work that a backend server states, relative to what it usually states.
+///
+/// A server that states less than usual gains nothing, so that routers which hear of it at the same
+/// time do not all choose it.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct StatedDuration {
+    /// Time and value of the latest statement, in percent.
+    latest: Option<(u64, f64)>,
+    usual_percent: f64,
+}
+
+impl StatedDuration {
+    /// Applies a statement in percent, unless a newer one was applied.
+    pub fn on_report(&mut self, measured_us: u64, percent: u32) {
+        let percent = f64::from(percent);
+        match self.latest {
+            Some((latest_us, _)) if latest_us > measured_us => return,
+            Some(_) => self.usual_percent += USUAL_DURATION_WEIGHT * (percent - self.usual_percent),
+            // The first statement may fall into a slow spell.
+            None => self.usual_percent = percent.min(100.0),
+        }
+        self.latest = Some((measured_us, percent));
+    }
+
+    /// Returns the expected duration of work as a ratio to the usual one, at least 1; it returns to 1
+    /// as the latest statement ages.
+    #[inline]
+    pub fn factor(&self, now_us: u64) -> f64 {
+        let Some((measured_us, percent)) = self.latest else {
+            return 1.0;
+        };
+        let age_us = now_us.saturating_sub(measured_us) as f64;
+        let excess = (percent / self.usual_percent.max(1.0) - 1.0).max(0.0);
+        1.0 + excess * (-age_us / STATED_DURATION_AGEING_US).exp()
+    }
+}
+
 /// Means over the backend servers of a pool, used where a server has no recent report or sample.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Prior {
--- a/crates/peridotrack-route/src/place.rs
+++ b/crates/peridotrack-route/src/place.rs
@@ -99,7 +99,8 @@
         let prefill_us = tokens * pool.speed.us_per_token;
         let recompute_us = recomputed_tokens * pool.speed.us_per_token * options.recompute_weight;
         let load_us = backend.load(query.now_us, &pool.prior) * options.full_load_cost_us;
-        let slowdown = backend.prefill.slowdown(query.now_us);
+        let slowdown =
+            backend.prefill.slowdown(query.now_us) * backend.stated_duration.factor(query.now_us);
         let score_us =
             slowdown * (wait_us + prefill_us + load_us) + recompute_us + backend.distance_us as f64;
         match (backend.breaker.is_closed(), query.may_probe) {
--- a/crates/peridotrack-route/src/router.rs
+++ b/crates/peridotrack-route/src/router.rs
@@ -291,6 +291,7 @@
             running,
             queued,
             slots,
+            duration_percent,
             age_us,
             leaving,
         } = event
@@ -308,6 +309,9 @@
         }
         let backend = &mut self.backends[index];
         backend.prefill.on_report(measured_us, *queued);
+        if let Some(percent) = duration_percent {
+            backend.stated_duration.on_report(measured_us, *percent);
+        }
         if *slots > 0 && *slots != backend.slots {
             backend.slots = *slots;
             backend.limit.set_slots(*slots);
--- a/crates/peridotrack-route/tests/drain.rs
+++ b/crates/peridotrack-route/tests/drain.rs
@@ -43,6 +43,7 @@
             running: 0,
             queued: 0,
             slots: 4,
+            duration_percent: None,
             age_us: 0,
             leaving: false,
         };
@@ -92,6 +93,7 @@
         running: 0,
         queued: 0,
         slots: 4,
+        duration_percent: None,
         age_us: 0,
         leaving: false,
     };
--- a/crates/peridotrack-route/tests/invariants.rs
+++ b/crates/peridotrack-route/tests/invariants.rs
@@ -191,6 +191,7 @@
             running: self.rng.u32(0..4),
             queued: self.rng.u32(0..4),
             slots: 2,
+            duration_percent: None,
             age_us: self.rng.u64(0..8 * SECOND_US),
             leaving: false,
         };
--- a/crates/peridotrack-route/tests/place.rs
+++ b/crates/peridotrack-route/tests/place.rs
@@ -7,6 +7,7 @@
 use peridotrack_route::{
     breaker::State,
     event::{Event, Outcome},
+    load_estimate,
     options::Options,
     router::Router,
 };
@@ -139,6 +140,7 @@
             running,
             queued: 0,
             slots: 8,
+            duration_percent: None,
             age_us,
             leaving: false,
         };
@@ -162,6 +164,7 @@
             running,
             queued: 0,
             slots: 8,
+            duration_percent: None,
             age_us,
             leaving: false,
         };
@@ -261,3 +264,28 @@
     let held = last.iter().filter(|is_home| **is_home).count();
     assert_eq!(held >= 4, kept, "{at_home:?}");
 }
+
+/// Guards against a statement that lasts longer than the spell, an older one that replaces a newer
+/// one, and a preference for a server that was fast a moment ago.
+#[test]
+fn a_stated_duration_ages_within_a_few_hundred_ms() {
+    let mut stated = load_estimate::StatedDuration::default();
+    assert_eq!(stated.factor(SECOND_US), 1.0);
+    stated.on_report(SECOND_US, 250);
+    assert_eq!(stated.factor(SECOND_US), 2.5);
+    stated.on_report(SECOND_US / 2, 100);
+    assert_eq!(stated.factor(SECOND_US), 2.5);
+    assert!(stated.factor(SECOND_US + 600_000) < 1.05);
+    stated.on_report(2 * SECOND_US, 10);
+    assert_eq!(stated.factor(2 * SECOND_US), 1.0);
+}
+
+/// Guards against reading a server that is always slow as one in a slow spell.
+#[test]
+fn a_stated_duration_counts_relative_to_the_usual_one() {
+    let mut stated = load_estimate::StatedDuration::default();
+    for second in 1..=200 {
+        stated.on_report(second * SECOND_US, 160);
+    }
+    assert!(stated.factor(200 * SECOND_US) < 1.01);
+}
--- a/crates/peridotrack-route/tests/router.rs
+++ b/crates/peridotrack-route/tests/router.rs
@@ -182,6 +182,7 @@
         running,
         queued: 0,
         slots: 4,
+        duration_percent: None,
         age_us,
         leaving,
     }
