feat(route): bound the tokens at servers by their memory

A server crashes if the requests that it holds exceed its memory. Placement counted requests only, so large prompts met at one server.

With the contract `pressure` in the settings, a server is offered a request only if its memory takes it beside this router's requests and an estimate of the other routers'.

--- a/crates/peridotrack-route/src/dispatch.rs
+++ b/crates/peridotrack-route/src/dispatch.rs
@@ -85,7 +85,12 @@
                 let Some((request_id, request)) = next else {
                     break;
                 };
-                self.pools[pool].queue.remove(request_id);
+                let pool = &mut self.pools[pool];
+                if !self.backends[index].has_memory(now_us, pool, request.size_tokens) {
+                    self.requests.insert(request_id, request);
+                    break;
+                }
+                pool.queue.remove(request_id);
                 self.dispatch(now_us, request_id, request, index, actions);
             }
         }
@@ -204,6 +209,7 @@
             prompt: request.prompt.as_ref(),
             may_probe: request.idempotent && self.pools[request.pool].retries.allows(now_us),
             origin: request.origin(),
+            size_tokens: request.size_tokens,
             excluded: request.failed_backends(),
         };
         let pool = &self.pools[request.pool];
@@ -243,7 +249,7 @@
             dispatched_us: now_us,
             sent: false,
             response_started: false,
-            probe: backend.on_dispatch(now_us),
+            probe: backend.on_dispatch(now_us, request.size_tokens),
             load,
             prefill_tokens,
             predicted_us,
