--- a/crates/peridotrack-route/src/router.rs
+++ b/crates/peridotrack-route/src/router.rs
@@ -182,6 +182,7 @@
             return actions;
         };
         self.pools[pool].popularity.on_request(offer.prefix_hash);
+        self.pools[pool].on_size(offer.size_tokens);
         let request = Request::new(pool, offer);
         self.place_or_queue(now_us, request_id, request, &mut actions);
         actions
@@ -293,6 +294,7 @@
             running,
             queued,
             slots,
+            duration_percent,
             age_us,
             leaving,
         } = event
@@ -310,6 +312,9 @@
         }
         let backend = &mut self.backends[index];
         backend.prefill.on_report(measured_us, *queued);
+        if let Some(percent) = duration_percent {
+            backend.stated_duration.on_report(measured_us, *percent);
+        }
         if *slots > 0 && *slots != backend.slots {
             backend.slots = *slots;
             backend.limit.set_slots(*slots);
