perf(route): compute rates only when a response changes them

Cause: with a service that states coldPerS each response computed the rates of all limited servers again, and ordering the routers computed each weight several times. Change: a response without a limit from a server without one changes nothing; weights are computed once for each order. Processor time not measured.

--- a/crates/peridotrack-route/src/throttle.rs
+++ b/crates/peridotrack-route/src/throttle.rs
@@ -230,10 +230,12 @@
                 sent_us,
             } => {
                 let is_known = self.entries.contains_key(&backend_server);
-                if limit_per_s.is_some() || is_known {
-                    let answer = (backend_server, limit_per_s, sent_us);
-                    self.on_answered(now_us, wall_ms, answer, &mut actions);
+                // Most responses change nothing, and rates are costly to compute in a large fleet.
+                if limit_per_s.is_none() && !is_known {
+                    return actions;
                 }
+                let answer = (backend_server, limit_per_s, sent_us);
+                self.on_answered(now_us, wall_ms, answer, &mut actions);
             }
             Event::Heard { news, is_foreign } => {
                 self.on_heard(now_us, news, is_foreign, &mut actions);
@@ -448,7 +450,7 @@
                 best.map(|(_, routers)| routers)
             });
         let mut routers: Vec<&name::Vm> = domain.into_iter().flatten().collect();
-        routers.sort_by_key(|vm| std::cmp::Reverse(weight(vm.as_str())));
+        routers.sort_by_cached_key(|vm| std::cmp::Reverse(weight(vm.as_str())));
         let senders = (limit_per_s / self.options.per_sender_s) as usize;
         routers.truncate(senders.max(1));
         routers
