fix(route): keep a running slow start when another sign would begin one

Cause: the end of a limit ended the slow start after a pause if no other server could take the work, so that a server which had asked for a pause got all requests at once. Change: a slow start that cannot begin anew leaves a running one as it is. Result: the added test fails before and passes after; cargo test -p peridotrack-route: all passed.

--- a/crates/peridotrack-route/src/configure.rs
+++ b/crates/peridotrack-route/src/configure.rs
@@ -75,7 +75,7 @@
     }
 
     /// Begins a server's slow start if each of its pools has another usable server, not in slow
-    /// start itself, that can take the work meanwhile.
+    /// start itself, that can take the work meanwhile. Otherwise one that runs goes on.
     pub(crate) fn begin_slow_start(&mut self, now_us: u64, index: usize) {
         let is_alternative = |other: usize| {
             let backend = &self.backends[other];
@@ -90,7 +90,8 @@
         });
         let backend = &mut self.backends[index];
         if !backend.is_paused(now_us) {
-            backend.slow_start_us = has_alternatives.then_some(now_us);
+            let start_us = has_alternatives.then_some(now_us);
+            backend.slow_start_us = start_us.or(backend.slow_start_us);
         }
     }
 
--- a/crates/peridotrack-route/tests/pause.rs
+++ b/crates/peridotrack-route/tests/pause.rs
@@ -139,3 +139,18 @@
     assert_eq!(dispatched(&next), Some(engine(1, 4).name));
     assert!(router.may_send(1, support::request(first)));
 }
+
+/// Guards against a server that gets all requests at once after a pause, because a limit ends in its slow
+/// start and no other server could take the work meanwhile.
+#[test]
+fn the_end_of_a_limit_does_not_end_the_slow_start_after_a_pause() {
+    let mut router = router(1, 4, 64);
+    let rate = |per_s| Event::Rate {
+        backend: engine(0, 4).name,
+        per_s,
+    };
+    router.on_event(0, rate(Some(2.0)));
+    router.on_event(0, pause(0, SECOND_US));
+    router.on_event(SECOND_US + MS_US, rate(None));
+    assert!(router.status(SECOND_US + MS_US).backend_servers[0].slow_start);
+}
