test(gateway): a new server of a service with coldPerS is cold

Cause: no gateway test covered a server that is new in the directory and does not state that it is cold. Change: such a server is added while requests run, and receives no more than its rate.

--- a/crates/peridotrack-edge/tests/gateway/cold.rs
+++ b/crates/peridotrack-edge/tests/gateway/cold.rs
@@ -1,8 +1,11 @@
 //! Cold servers of a service that states how many requests a second such a server takes.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use peridotrack_standin::harness::{http::block_on, wait};
+use peridotrack_standin::{
+    harness::{http::block_on, wait},
+    hosted::backend,
+};
 use serde_json::json;
 
 use crate::fixture::{Fixture, LIMIT, config, entry};
@@ -11,6 +14,9 @@
 const COLD_PER_S: f64 = 8.0;
 /// Part of it that gateways use.
 const RATE_PART: f64 = 0.7;
+/// Time for which a server is cold after its start. A gateway sends nothing to cold servers in its first 3 s,
+/// so that a new server is still cold then.
+const COLD_START: Duration = Duration::from_secs(12);
 const WINDOW: Duration = Duration::from_secs(1);
 /// Time in which requests are counted: a gateway sends nothing to a cold server in the first 3 s.
 const COUNTED: Duration = Duration::from_secs(6);
@@ -22,7 +28,7 @@
     cold["coldRemainingMs"] = json!(cold_remaining_ms);
     fixture.store.put("servers", "i-0", cold);
     let mut config = config(4, 1_000_000);
-    config["services"][0]["coldStartS"] = json!(1.0);
+    config["services"][0]["coldStartS"] = json!(COLD_START.as_secs_f64());
     config["services"][0]["coldPerS"] = json!(cold_per_s);
     fixture.store.put("config", "main", config);
     fixture.ready().await;
@@ -32,8 +38,8 @@
 /// Sends requests one after the other for [`COUNTED`] and returns the most that the first server
 /// received in one second.
 async fn most_in_a_second(fixture: &Fixture) -> usize {
-    let end = std::time::Instant::now() + COUNTED;
-    while std::time::Instant::now() < end {
+    let end = Instant::now() + COUNTED;
+    while Instant::now() < end {
         assert_eq!(fixture.get("/safe/x").await.unwrap().status(), 200);
         monoio::time::sleep(Duration::from_millis(5)).await;
     }
@@ -70,6 +76,33 @@
     });
 }
 
+/// Guards against a burst at a server that is new in the directory, whose entry states too late that it is
+/// cold.
+#[test]
+fn a_new_server_receives_few_requests_whatever_it_states() {
+    block_on(async {
+        let mut fixture = spawn(0.0, COLD_PER_S).await;
+        let backend = backend::spawn().unwrap();
+        fixture.store.put("servers", "i-new", entry(&backend));
+        fixture.backends.insert(0, backend);
+        let used = async || {
+            assert_eq!(fixture.get("/safe/x").await.unwrap().status(), 200);
+            (fixture.backends[0].arrivals() > 0).then_some(())
+        };
+        wait::poll(LIMIT, "requests to the new server", used)
+            .await
+            .unwrap();
+        let first = fixture.backends[0].arrivals();
+        let end = Instant::now() + COLD_START / 3;
+        while Instant::now() < end {
+            assert_eq!(fixture.get("/safe/x").await.unwrap().status(), 200);
+        }
+        let most = COLD_PER_S * RATE_PART * (COLD_START / 3).as_secs_f64() + 1.0;
+        let received = fixture.backends[0].arrivals() - first;
+        assert!(received as f64 <= most, "{received} of {most}");
+    });
+}
+
 /// Guards against a gateway that ends because an entry states a time beyond its clock.
 #[test]
 fn a_server_may_state_any_time_for_which_it_stays_cold() {
