--- a/crates/peridotrack-route/src/backend.rs
+++ b/crates/peridotrack-route/src/backend.rs
@@ -15,8 +15,8 @@
 
 /// Estimated requests of other routers below which a server counts as idle; estimates seldom reach 0.
 const IDLE_REQUESTS: f64 = 0.5;
-/// Deviations of the other routers' tokens that stay free beside their estimate; two of them left 7% of
-/// the work unserved at three quarters of all memory.
+/// Deviations of the other routers' tokens that stay free beside their estimate; two of them
+/// reduced served work by 7% with three quarters of all memory in use.
 const MEMORY_MARGIN_DEVIATIONS: f64 = 1.0;
 
 /// State of one backend server, as this router sees it.
