--- a/crates/peridotrack-demo/src/fleet.rs
+++ b/crates/peridotrack-demo/src/fleet.rs
@@ -335,7 +335,6 @@
             lifetime: register::Lifetime::default(),
         });
     let register = register::Register {
-        memory_tokens: std::collections::BTreeMap::new(),
         failure_domains: DOMAINS
             .iter()
             .map(|domain| register::FailureDomain {
--- a/crates/peridotrack-edge/src/gateway/directory.rs
+++ b/crates/peridotrack-edge/src/gateway/directory.rs
@@ -122,14 +122,6 @@
                 region: region.clone(),
             });
         }
-        if shared.settings.is_server_memory_binding {
-            let services = config.site.services.iter();
-            register.memory_tokens = services
-                .filter_map(|service| {
-                    Some((service.name.as_str().into(), service.engine?.memory_tokens))
-                })
-                .collect();
-        }
         let entries = self.entries.borrow();
         for server in entries.values().map(|entry| &entry.server) {
             if server.is_draining {
--- a/crates/peridotrack-route/src/backend.rs
+++ b/crates/peridotrack-route/src/backend.rs
@@ -10,15 +10,9 @@
     eligibility::{Ineligibility, Reason},
     limit, load_estimate,
     options::Options,
-    pace, pool, prefill, prefix,
+    pace, prefill, prefix,
 };
 
-/// Estimated requests of other routers below which a server counts as idle; estimates seldom reach 0.
-const IDLE_REQUESTS: f64 = 0.5;
-/// Deviations of the other routers' tokens that stay free beside their estimate; two of them
-/// reduced served work by 7% with three quarters of all memory in use.
-const MEMORY_MARGIN_DEVIATIONS: f64 = 1.0;
-
 /// State of one backend server, as this router sees it.
 #[derive(Debug, Clone)]
 pub struct Backend {
@@ -42,8 +36,6 @@
     pub seed: u64,
     /// This router's requests in flight at the server.
     pub in_flight: u32,
-    /// Estimated tokens of this router's requests in flight at the server.
-    pub in_flight_tokens: u64,
     /// Adaptive limit on `in_flight`.
     pub limit: limit::Limit,
     /// Circuit breaker, fed by the outcomes of attempts.
@@ -89,7 +81,6 @@
             slots,
             distance_us,
             in_flight: 0,
-            in_flight_tokens: 0,
             limit: limit::Limit::new(slots),
             breaker: breaker::Breaker::new(),
             drain: drain::Drain::default(),
@@ -178,31 +169,6 @@
         total / f64::from(self.slots.max(1))
     }
 
-    /// Returns the estimated tokens of all routers' requests at the server.
-    pub fn held_tokens(&self, now_us: u64, pool: &pool::Pool) -> f64 {
-        let mean = pool.others_mean();
-        let others = self
-            .load_estimate
-            .others_requests(now_us, mean, &pool.prior);
-        self.in_flight_tokens as f64 + others * pool.mean_size_tokens
-    }
-
-    /// Returns whether the server's memory takes one more request of `size_tokens`. A request larger
-    /// than the memory is taken by an idle server, since it fits no better elsewhere.
-    pub fn has_memory(&self, now_us: u64, pool: &pool::Pool, size_tokens: u64) -> bool {
-        let Some(memory_tokens) = pool.memory_tokens else {
-            return true;
-        };
-        let held_tokens = self.held_tokens(now_us, pool);
-        let others_tokens = held_tokens - self.in_flight_tokens as f64;
-        let margin_tokens =
-            MEMORY_MARGIN_DEVIATIONS * (2.0 * others_tokens * pool.mean_size_tokens).sqrt();
-        match size_tokens > memory_tokens {
-            true => self.in_flight == 0 && held_tokens < pool.mean_size_tokens * IDLE_REQUESTS,
-            false => held_tokens + margin_tokens + size_tokens as f64 <= memory_tokens as f64,
-        }
-    }
-
     /// Returns the estimated first-token time of one more request plus the server's distance, in
     /// microseconds.
     #[inline]
@@ -272,10 +238,9 @@
         is_later
     }
 
-    /// Counts a dispatched request of `size_tokens`; returns whether it is a breaker probe.
-    pub fn on_dispatch(&mut self, now_us: u64, size_tokens: u64) -> bool {
+    /// Counts a dispatched request; returns whether it is a breaker probe.
+    pub fn on_dispatch(&mut self, now_us: u64) -> bool {
         self.in_flight += 1;
-        self.in_flight_tokens += size_tokens;
         self.load_estimate.on_local_change(now_us, self.in_flight);
         if let Some(pace) = &mut self.pace {
             pace.on_dispatch(now_us);
@@ -307,9 +272,8 @@
         self.in_flight == 0 && !self.is_paused(now_us) && self.drain.may_forget(now_us, options)
     }
 
-    /// Counts the end of an attempt of `size_tokens`.
-    pub fn on_release(&mut self, now_us: u64, size_tokens: u64) {
-        self.in_flight_tokens = self.in_flight_tokens.saturating_sub(size_tokens);
+    /// Counts the end of an attempt.
+    pub fn on_release(&mut self, now_us: u64) {
         self.in_flight = self.in_flight.saturating_sub(1);
         self.load_estimate.on_local_change(now_us, self.in_flight);
     }
--- a/crates/peridotrack-route/src/configure.rs
+++ b/crates/peridotrack-route/src/configure.rs
@@ -59,10 +59,6 @@
             }
         }
         for pool in &mut self.pools {
-            pool.memory_tokens = match &pool.target {
-                Target::Model(model) => register.memory_tokens.get(model).copied(),
-                Target::Service(_) => None,
-            };
             pool.near.sort_by_key(|member| member.seed);
             pool.far.sort_by_key(|member| member.seed);
         }
--- a/crates/peridotrack-route/src/dispatch.rs
+++ b/crates/peridotrack-route/src/dispatch.rs
@@ -85,12 +85,7 @@
                 let Some((request_id, request)) = next else {
                     break;
                 };
-                let pool = &mut self.pools[pool];
-                if !self.backends[index].has_memory(now_us, pool, request.size_tokens) {
-                    self.requests.insert(request_id, request);
-                    break;
-                }
-                pool.queue.remove(request_id);
+                self.pools[pool].queue.remove(request_id);
                 self.dispatch(now_us, request_id, request, index, actions);
             }
         }
@@ -209,7 +204,6 @@
             prompt: request.prompt.as_ref(),
             may_probe: request.idempotent && self.pools[request.pool].retries.allows(now_us),
             origin: request.origin(),
-            size_tokens: request.size_tokens,
             excluded: request.failed_backends(),
         };
         let pool = &self.pools[request.pool];
@@ -249,7 +243,7 @@
             dispatched_us: now_us,
             sent: false,
             response_started: false,
-            probe: backend.on_dispatch(now_us, request.size_tokens),
+            probe: backend.on_dispatch(now_us),
             load,
             prefill_tokens,
             predicted_us,
--- a/crates/peridotrack-route/src/finish.rs
+++ b/crates/peridotrack-route/src/finish.rs
@@ -129,7 +129,7 @@
         actions: &mut Vec<Action>,
     ) {
         let backend = &mut self.backends[attempt.backend];
-        backend.on_dispatch(now_us, request.size_tokens);
+        backend.on_dispatch(now_us);
         self.pools[request.pool].in_flight += 1;
         request.resumes += 1;
         request.phase = Phase::InFlight(Attempt {
@@ -149,7 +149,7 @@
     /// Removes an ended attempt from the counts of its server and pool.
     fn release(&mut self, now_us: u64, request: &Request, attempt: &Attempt) {
         let backend = &mut self.backends[attempt.backend];
-        backend.on_release(now_us, request.size_tokens);
+        backend.on_release(now_us);
         backend.prefill.on_prefilled(attempt.prefill_tokens);
         let pool = &mut self.pools[request.pool];
         pool.in_flight = pool.in_flight.saturating_sub(1);
--- a/crates/peridotrack-route/src/load_estimate.rs
+++ b/crates/peridotrack-route/src/load_estimate.rs
@@ -145,18 +145,6 @@
         (expected + weight * correction).max(local)
     }
 
-    /// Returns the estimated requests of other routers; as the latest report ages, the estimate
-    /// returns to `mean`.
-    pub fn others_requests(&self, now_us: u64, mean: f64, prior: &Prior) -> f64 {
-        let Some(report) = self.report else {
-            return mean;
-        };
-        let age_us = now_us.saturating_sub(report.measured_us) as f64;
-        let weight = (-age_us / prior.duration_us.max(1.0)).exp();
-        let reported = (report.total - report.local).max(0.0);
-        mean + weight * (reported - mean)
-    }
-
     /// Returns the estimated first-token time of this server when idle, in microseconds.
     #[inline]
     pub fn idle_first_token_us(&self, now_us: u64, prior: &Prior) -> f64 {
--- a/crates/peridotrack-route/src/place.rs
+++ b/crates/peridotrack-route/src/place.rs
@@ -34,8 +34,6 @@
     pub may_probe: bool,
     /// Where the stream began that the request continues, if it does.
     pub origin: Option<&'a stream::Origin>,
-    /// Estimated tokens of prompt and output.
-    pub size_tokens: u64,
     /// Indices of servers that failed this request and must not be chosen.
     pub excluded: &'a [usize],
 }
@@ -100,11 +98,7 @@
         let recomputed_tokens = (tokens - unshared_tokens).max(0.0);
         let prefill_us = tokens * pool.speed.us_per_token;
         let recompute_us = recomputed_tokens * pool.speed.us_per_token * options.recompute_weight;
-        let load = backend.load(query.now_us, &pool.prior);
-        let memory_load = pool.memory_tokens.map_or(0.0, |memory_tokens| {
-            backend.held_tokens(query.now_us, pool) / memory_tokens.max(1) as f64
-        });
-        let load_us = load.max(memory_load) * options.full_load_cost_us;
+        let load_us = backend.load(query.now_us, &pool.prior) * options.full_load_cost_us;
         let slowdown =
             backend.prefill.slowdown(query.now_us) * backend.stated_duration.factor(query.now_us);
         let score_us =
@@ -123,11 +117,11 @@
         .extend(sample(&pool.far, options.sample_size - near, rng).map(|member| member.index));
     candidates
         .into_iter()
-        .filter(|index| is_eligible(&backends[*index], *index, pool, query, options))
+        .filter(|index| is_eligible(&backends[*index], *index, query, options))
         .min_by(|a, b| score(*a).total_cmp(&score(*b)))
         .or_else(|| {
             let mut members = pool.members().map(|member| member.index);
-            members.find(|index| is_eligible(&backends[*index], *index, pool, query, options))
+            members.find(|index| is_eligible(&backends[*index], *index, query, options))
         })
 }
 
@@ -172,7 +166,7 @@
         let backend = &backends[index];
         backend.breaker.is_closed()
             && backend.load(query.now_us, &pool.prior) < FULL_LOAD
-            && is_eligible(backend, index, pool, query, options)
+            && is_eligible(backend, index, query, options)
     };
     let homes = pool
         .popularity
@@ -234,7 +228,7 @@
     let mut best: Option<(f64, usize)> = None;
     let mut consider = |member: &pool::Member| {
         let backend = &backends[member.index];
-        if !is_eligible(backend, member.index, pool, query, options) {
+        if !is_eligible(backend, member.index, query, options) {
             return;
         }
         let score = score(backend, pool, query);
@@ -249,7 +243,7 @@
     best.or_else(|| {
         let mut members = pool.members();
         let eligible =
-            members.find(|m| is_eligible(&backends[m.index], m.index, pool, query, options))?;
+            members.find(|m| is_eligible(&backends[m.index], m.index, query, options))?;
         Some((f64::MAX, eligible.index))
     })
 }
@@ -268,17 +262,9 @@
 }
 
 #[inline]
-fn is_eligible(
-    backend: &Backend,
-    index: usize,
-    pool: &pool::Pool,
-    query: &Query<'_>,
-    options: &Options,
-) -> bool {
+fn is_eligible(backend: &Backend, index: usize, query: &Query<'_>, options: &Options) -> bool {
     let mut reasons = backend.ineligibilities_for(query.now_us, options, query.origin);
-    reasons.next().is_none()
-        && !query.excluded.contains(&index)
-        && backend.has_memory(query.now_us, pool, query.size_tokens)
+    reasons.next().is_none() && !query.excluded.contains(&index)
 }
 
 #[inline]
--- a/crates/peridotrack-route/src/pool.rs
+++ b/crates/peridotrack-route/src/pool.rs
@@ -13,8 +13,6 @@
 const DURATION_WEIGHT: f64 = 0.05;
 /// Weight of a new sample in the mean first-token time of an idle server.
 const FIRST_TOKEN_WEIGHT: f64 = 0.05;
-/// Weight of a new request in the mean of estimated tokens.
-const SIZE_WEIGHT: f64 = 0.02;
 /// Weight of a new report in the means of this router's and all requests.
 const REPORT_WEIGHT: f64 = 0.01;
 /// Upper bound of the estimated number of routers that share the members.
@@ -57,10 +55,6 @@
     pub prior: load_estimate::Prior,
     /// Mean prefill speed of the members.
     pub speed: prefill::Speed,
-    /// Memory of a member for running requests, in tokens; `None` if it does not bind.
-    pub memory_tokens: Option<u64>,
-    /// Mean estimated tokens of a request.
-    pub mean_size_tokens: f64,
     /// Mean of this router's requests at a member when a load report was measured.
     local_mean: f64,
     /// Mean of all routers' requests at a member, from load reports.
@@ -88,8 +82,6 @@
                 duration_us: duration_us as f64,
             },
             speed: prefill::Speed::new(options.initial_prefill_us_per_token),
-            memory_tokens: None,
-            mean_size_tokens: 0.0,
             local_mean: 0.0,
             total_mean: 0.0,
         }
@@ -137,20 +129,6 @@
             FIRST_TOKEN_WEIGHT * (idle_first_token_us - self.prior.idle_first_token_us);
     }
 
-    /// Adds the estimated tokens of a new request to the mean.
-    pub fn on_size(&mut self, size_tokens: u64) {
-        let size_tokens = size_tokens as f64;
-        self.mean_size_tokens = match self.mean_size_tokens > 0.0 {
-            true => self.mean_size_tokens + SIZE_WEIGHT * (size_tokens - self.mean_size_tokens),
-            false => size_tokens,
-        };
-    }
-
-    /// Returns the mean of other routers' requests at a member.
-    pub fn others_mean(&self) -> f64 {
-        (self.total_mean - self.local_mean).max(0.0)
-    }
-
     /// Updates the estimated number of routers from a load report of a member: the requests of this
     /// router (`local`) and of all routers (`total`) when it was measured.
     pub fn on_report(&mut self, local: u32, total: u32) {
--- a/crates/peridotrack-route/src/router.rs
+++ b/crates/peridotrack-route/src/router.rs
@@ -182,7 +182,6 @@
             return actions;
         };
         self.pools[pool].popularity.on_request(offer.prefix_hash);
-        self.pools[pool].on_size(offer.size_tokens);
         let request = Request::new(pool, offer);
         self.place_or_queue(now_us, request_id, request, &mut actions);
         actions
--- a/crates/peridotrack-types/src/gateway.rs
+++ b/crates/peridotrack-types/src/gateway.rs
@@ -37,10 +37,6 @@
     pub store_writes_per_s: u64,
     /// Maximum number of sockets that this process may have open.
     pub sockets: usize,
-    /// Whether the memory of backend servers binds: one crashes if the requests that it holds exceed
-    /// its memory.
-    #[serde(default)]
-    pub is_server_memory_binding: bool,
     /// Bounds set by the operators.
     pub bounds: Bounds,
 }
--- a/crates/peridotrack-types/src/register.rs
+++ b/crates/peridotrack-types/src/register.rs
@@ -2,7 +2,7 @@
 //!
 //! [`crate::config::check`] validates it together with the rules.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
 
@@ -20,10 +20,6 @@
     pub engines: Vec<Engine>,
     /// Backend servers of plain services.
     pub services: Vec<ServiceServer>,
-    /// Memory of one engine of a model for running requests, in tokens, of models whose engines must
-    /// not be offered more; not part of the operators' register.
-    #[serde(skip)]
-    pub memory_tokens: BTreeMap<name::Model, u64>,
 }
 
 /// A failure domain and its region.
