--- a/crates/peridotrack-edge/tests/gateway/fixture.rs
+++ b/crates/peridotrack-edge/tests/gateway/fixture.rs
@@ -42,6 +42,7 @@
         store_address: store.address(),
         store_writes_per_s: 400,
         sockets: 1_000,
+        memory_mb: 512,
         bounds: Bounds {
             grace_ms: 8_000,
             drain_ms: 2_000,
--- a/crates/peridotrack-types/src/gateway.rs
+++ b/crates/peridotrack-types/src/gateway.rs
@@ -37,6 +37,8 @@
     pub store_writes_per_s: u64,
     /// Maximum number of sockets that this process may have open.
     pub sockets: usize,
+    /// Memory of the VM in mebibytes; a process that exceeds it is ended.
+    pub memory_mb: usize,
     /// Bounds set by the operators.
     pub bounds: Bounds,
 }
