feat(gateway): bound what is held for clients and servers

Change: peridotrack-capacity decides what a process can carry. Requests and responses that are read whole ask for memory before they grow; under pressure, reading waits, and unfinished requests with the least progress are dropped with 503. Open client connections are bounded; those without a request are closed first. Bodies with a length are allocated exactly. Events 106 and 107 and three gauges report it.

--- a/crates/peridotrack-edge/src/caller/response.rs
+++ b/crates/peridotrack-edge/src/caller/response.rs
@@ -11,6 +11,10 @@
 /// Milliseconds in a second, for `Retry-After`, which counts whole seconds.
 const MS_PER_S: u64 = 1_000;
 
+/// Retry delay stated to a client whose request was dropped for lack of memory, in milliseconds:
+/// unfinished requests are dropped in less.
+const DROPPED_RETRY_MS: u64 = 1_000;
+
 /// Returns the `application/problem+json` response for a problem.
 ///
 /// Sets `Retry-After` (rounded up, at least 1 s) and the request identifier if the problem has
@@ -77,6 +81,12 @@
     if matches!(error, server::Error::Ended { .. }) {
         return Some(problem(&stopping::refusal(false)));
     }
+    if matches!(error, server::Error::Dropped { .. }) {
+        let kind = problem::Kind::Overloaded;
+        let mut refused = problem::Problem::new(kind, error.to_string());
+        refused.status = 503;
+        return Some(problem(&refused.retry_after_ms(DROPPED_RETRY_MS)));
+    }
     let kind = match error {
         server::Error::Malformed { .. } => problem::Kind::Malformed,
         server::Error::HeadTooLarge { .. } | server::Error::BodyTooLarge { .. } => {
@@ -89,6 +99,7 @@
         server::Error::TimedOut { .. } => problem::Kind::Malformed,
         server::Error::Io { .. }
         | server::Error::Ended { .. }
+        | server::Error::Dropped { .. }
         | server::Error::StreamUnsupported { .. }
         | server::Error::OutOfOrder { .. } => return None,
     };
--- a/crates/peridotrack-edge/src/gateway.rs
+++ b/crates/peridotrack-edge/src/gateway.rs
@@ -5,6 +5,7 @@
 //! names are those of the users' platform; `peridotrack-platform` encodes and decodes them.
 
 mod attempt;
+mod capacity;
 mod crash;
 mod directory;
 mod evacuation;
@@ -23,7 +24,7 @@
 
 use std::{cell::Cell, net::SocketAddr, rc::Rc, sync::Arc};
 
-use peridotrack_http::client;
+use peridotrack_http::{client, memory};
 use peridotrack_kernel::{Kernel, clock, event, log, registry};
 use peridotrack_member::message::State;
 use peridotrack_platform::{
@@ -89,6 +90,7 @@
     throttle: Rc<throttle::Throttle>,
     origins: Rc<origin::Origins>,
     pool: client::Pool,
+    memory: memory::Memory,
     metrics: metric::Requests,
     site: site::Current,
     directory: directory::Directory,
@@ -168,6 +170,7 @@
             options::region(&settings),
             options::origins(),
         );
+        let memory = memory::Memory::new(options::account(&settings));
         let shared = Rc::new(Shared {
             incarnation,
             platform,
@@ -179,7 +182,9 @@
             quarantine,
             throttle,
             origins,
-            pool: client::Pool::new(options::backend(), options::MAX_IDLE_CONNECTIONS),
+            pool: client::Pool::new(options::backend(), options::MAX_IDLE_CONNECTIONS)
+                .with_memory(memory.clone()),
+            memory,
             metrics: metric::Requests::register(kernel.meter()),
             site: site::Current::default(),
             directory: directory::Directory::default(),
@@ -193,6 +198,7 @@
         subscribe(&shared);
         let clients = server::Server::bind(&shared)
             .map_err(|error| listen_error("clients", shared.settings.client_address, &error))?;
+        capacity::observe(&shared, &clients);
         let probes = probe::Probe::bind(&shared)
             .map_err(|error| listen_error("probes", shared.settings.readiness_address, &error))?;
         follow_store(&shared);
--- a/crates/peridotrack-edge/src/gateway/attempt.rs
+++ b/crates/peridotrack-edge/src/gateway/attempt.rs
@@ -18,7 +18,7 @@
 use super::{
     Shared,
     identity::{self, Identified},
-    liveness, options,
+    liveness,
     request::RoutedRequest,
     reservation::ReservationGuard,
     response,
@@ -194,10 +194,8 @@
         let address = self.target.address;
         let is_in_sequence = self.trial.depth() > 1;
         match self.request.route().retry_policy {
-            _ if is_in_sequence => client::Connection::connect(address, options::backend()).await,
-            site::RetryPolicy::AtMostOnce => {
-                client::Connection::connect(address, options::backend()).await
-            }
+            _ if is_in_sequence => self.shared.pool.connect(address).await,
+            site::RetryPolicy::AtMostOnce => self.shared.pool.connect(address).await,
             _ => self.shared.pool.take(address).await,
         }
     }
--- a/crates/peridotrack-edge/src/gateway/options.rs
+++ b/crates/peridotrack-edge/src/gateway/options.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeSet;
 
 use peridotrack_budget::options as budget_options;
+use peridotrack_capacity::{account, connections};
 use peridotrack_follow::follower;
 use peridotrack_http::client;
 use peridotrack_kernel::clock;
@@ -168,6 +169,61 @@
 /// Maximum size of a response body that is not streamed, in bytes.
 const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 
+/// Memory of an idle process with its connections, in mebibytes.
+const IDLE_MB: usize = 24;
+/// Divisor of the remaining memory that gives what may be held for messages: freed memory is not
+/// returned to the system at once, and fragmentation adds to it.
+const HELD_DIVISOR: usize = 2;
+/// Least memory for messages in mebibytes, for VMs below those of the platform.
+const MIN_HELD_MB: usize = 8;
+const BYTES_PER_MB: usize = 1024 * 1024;
+/// Divisor of the memory for messages that gives the part only responses use.
+const RESPONSE_RESERVE_DIVISOR: usize = 4;
+/// Divisor of the memory for messages that gives the part only small requests and responses use.
+const SMALL_RESERVE_DIVISOR: usize = 8;
+/// Size of a small request in bytes.
+const SMALL_REQUEST_BYTES: usize = 64 * 1024;
+/// Wait for memory after which unfinished requests are dropped, in microseconds.
+const DROP_AFTER_US: u64 = 200 * clock::US_PER_MS;
+/// Time for which a client may be slow before its request can be dropped, in microseconds: several
+/// round trips.
+const MIN_AGE_US: u64 = 500 * clock::US_PER_MS;
+/// Longest wait of a message for memory, in microseconds.
+const MAX_MEMORY_WAIT_US: u64 = 5 * clock::US_PER_S;
+/// Time without a wait after which the gateway no longer holds back, in microseconds.
+const CALM_US: u64 = 2 * clock::US_PER_S;
+/// Numerator and divisor of the part of the sockets that clients may use; the others are for backend
+/// servers, peers and the store.
+const CLIENT_SOCKETS_PART: (usize, usize) = (2, 3);
+/// Time in which a client may send its first request before its connection can be closed for another
+/// one, in microseconds.
+const FIRST_REQUEST_AGE_US: u64 = 500 * clock::US_PER_MS;
+
+/// Returns the limits of the memory for messages.
+pub(super) fn account(settings: &Settings) -> account::Options {
+    let held_mb = settings.memory_mb.saturating_sub(IDLE_MB) / HELD_DIVISOR;
+    let bound_bytes = held_mb.max(MIN_HELD_MB) * BYTES_PER_MB;
+    account::Options {
+        bound_bytes,
+        response_reserve_bytes: bound_bytes / RESPONSE_RESERVE_DIVISOR,
+        small_reserve_bytes: bound_bytes / SMALL_RESERVE_DIVISOR,
+        small_bytes: SMALL_REQUEST_BYTES,
+        drop_after_us: DROP_AFTER_US,
+        min_age_us: MIN_AGE_US,
+        max_wait_us: MAX_MEMORY_WAIT_US,
+        calm_us: CALM_US,
+    }
+}
+
+/// Returns the bound of open client connections.
+pub(super) fn connections(settings: &Settings) -> connections::Options {
+    let (numerator, divisor) = CLIENT_SOCKETS_PART;
+    connections::Options {
+        max_connections: (settings.sockets * numerator / divisor).max(1),
+        min_age_us: FIRST_REQUEST_AGE_US,
+    }
+}
+
 /// Returns the options of the budget holder.
 ///
 /// The shard count depends only on the store's write rate, so that all routers of a deployment
--- a/crates/peridotrack-edge/src/metric.rs
+++ b/crates/peridotrack-edge/src/metric.rs
@@ -29,8 +29,17 @@
 /// Gauge of the backend servers whose requests are limited because they are cold.
 pub const COLD_SERVERS: &str = "peridotrack_cold_servers";
 
+/// Gauge of the bytes that are held for requests of clients.
+pub const HELD_REQUEST_BYTES: &str = "peridotrack_held_request_bytes";
+
+/// Gauge of the bytes that are held for responses of backend servers.
+pub const HELD_RESPONSE_BYTES: &str = "peridotrack_held_response_bytes";
+
+/// Gauge of the open client connections.
+pub const CLIENT_CONNECTIONS: &str = "peridotrack_client_connections";
+
 /// Names of all metrics.
-pub const ALL: [&str; 10] = [
+pub const ALL: [&str; 13] = [
     ACCEPTED,
     COMPLETED,
     REFUSED,
@@ -41,6 +50,9 @@
     PLATFORM_CALLS,
     EVACUATED_SINCE,
     COLD_SERVERS,
+    HELD_REQUEST_BYTES,
+    HELD_RESPONSE_BYTES,
+    CLIENT_CONNECTIONS,
 ];
 
 /// Handles to the metrics of requests.
--- a/crates/peridotrack-edge/src/platform.rs
+++ b/crates/peridotrack-edge/src/platform.rs
@@ -492,7 +492,7 @@
         Ok(response) => is_refusal(response.status()).then_some(inconclusive),
         Err(error) if is_cut(call, error) => Some(inconclusive),
         Err(error) => match error.kind {
-            client::Kind::BodyTooLarge | client::Kind::HeadTooLarge => None,
+            client::Kind::BodyTooLarge | client::Kind::HeadTooLarge | client::Kind::Dropped => None,
             _ => Some(Failure::Unavailable),
         },
     }
--- a/crates/peridotrack-http/src/body.rs
+++ b/crates/peridotrack-http/src/body.rs
@@ -10,6 +10,14 @@
 /// Allowance for a chunk's size line and line ends in the buffered bytes of an incomplete chunk.
 const CHUNK_OVERHEAD_BYTES: usize = 32;
 
+/// Growth in bytes beyond which a body that is collected in small pieces grows by a fourth at a time.
+const MIN_GROWTH_BYTES: usize = 1024;
+
+/// Returns the capacity for a body of unknown length that has reached `bytes`, at most the limit.
+pub(crate) fn grown_capacity_bytes(bytes: usize, limit_bytes: usize) -> usize {
+    (bytes + bytes / 4 + MIN_GROWTH_BYTES).min(limit_bytes)
+}
+
 /// Reason why a body is rejected.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Error {
--- a/crates/peridotrack-http/src/client/connection.rs
+++ b/crates/peridotrack-http/src/client/connection.rs
@@ -2,15 +2,17 @@
 
 use std::{io, net::SocketAddr, time::Duration};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{Method, StatusCode, Version};
 use monoio::net::TcpStream;
+use peridotrack_capacity::account;
 
 use crate::{
     body::{self, Body, Piece},
     client::{Error, Kind, Options, Step},
     encode::{self, Length},
     head::{self, Framing, Scanner},
+    memory::{Memory, Share},
     tcp::{self, BufferedStream},
 };
 
@@ -35,6 +37,8 @@
     options: Options,
     scanner: Scanner,
     phase: Phase,
+    /// Memory for bodies that are read whole; `None` if only the limits bound them.
+    memory: Option<Memory>,
     /// Bytes written to the stream before the current exchange.
     written_before_exchange_bytes: u64,
 }
@@ -70,10 +74,16 @@
             options,
             scanner: Scanner::default(),
             phase: Phase::Ready,
+            memory: None,
             written_before_exchange_bytes: 0,
         })
     }
 
+    /// Sets the memory that bodies read by [`Connection::read_body`] count towards.
+    pub fn set_memory(&mut self, memory: Memory) {
+        self.memory = Some(memory);
+    }
+
     /// Returns the address of the server.
     pub fn peer(&self) -> SocketAddr {
         self.stream.peer()
@@ -195,14 +205,61 @@
     ///
     /// As [`Connection::next_chunk`], and if the body exceeds the limit.
     pub async fn read_body(&mut self) -> Result<Bytes, Error> {
-        let mut complete = BytesMut::new();
+        let memory = self.memory.as_ref();
+        let mut share = memory.map(|memory| memory.open(account::Kind::Response));
+        let mut complete = Vec::new();
+        if let Some(bytes) = self.remaining_bytes() {
+            if bytes > self.options.body_bytes {
+                return Err(self.fail(Step::Body, Kind::BodyTooLarge));
+            }
+            self.grow(&mut share, bytes, true).await?;
+            complete.reserve_exact(bytes);
+        }
         while let Some(chunk) = self.next_chunk().await? {
-            if complete.len() + chunk.len() > self.options.body_bytes {
+            let bytes = complete.len() + chunk.len();
+            if bytes > self.options.body_bytes {
                 return Err(self.fail(Step::Body, Kind::BodyTooLarge));
             }
+            if bytes > complete.capacity() {
+                let limit_bytes = self.options.body_bytes;
+                let capacity_bytes = body::grown_capacity_bytes(bytes, limit_bytes);
+                let held_bytes = complete.capacity() + self.stream.buffer.capacity();
+                self.grow(&mut share, capacity_bytes + held_bytes, false)
+                    .await?;
+                complete.reserve_exact(capacity_bytes - complete.len());
+            }
             complete.extend_from_slice(&chunk);
         }
-        Ok(complete.freeze())
+        self.stream.shrink_buffer();
+        Ok(match share {
+            Some(share) => share.into_bytes(complete),
+            None => complete.into(),
+        })
+    }
+
+    /// Returns the announced bytes of the body that have not been consumed, if it announced any.
+    fn remaining_bytes(&self) -> Option<usize> {
+        match &self.phase {
+            Phase::Body {
+                body: Body::Fixed { remaining_bytes },
+                ..
+            } => Some(usize::try_from(*remaining_bytes).unwrap_or(usize::MAX)),
+            _ => None,
+        }
+    }
+
+    /// Waits until the memory, if any, has room for `bytes` of the body in all.
+    async fn grow(
+        &mut self,
+        share: &mut Option<Share>,
+        bytes: usize,
+        is_exact: bool,
+    ) -> Result<(), Error> {
+        let Some(share) = share else { return Ok(()) };
+        match share.grow_to(bytes, is_exact).await {
+            Ok(()) => Ok(()),
+            Err(_) => Err(self.fail(Step::Body, Kind::Dropped)),
+        }
     }
 
     async fn write_request(
--- a/crates/peridotrack-http/src/client/mod.rs
+++ b/crates/peridotrack-http/src/client/mod.rs
@@ -82,6 +82,9 @@
     /// The response's body, or one chunk of it, exceeds [`Options::body_bytes`].
     #[error("response body exceeds the limit")]
     BodyTooLarge,
+    /// The response was dropped while it was read, because the process lacks memory.
+    #[error("response dropped for lack of memory")]
+    Dropped,
     /// The operating system reported an error.
     #[error("{0}")]
     Io(#[from] io::Error),
--- a/crates/peridotrack-http/src/client/pool.rs
+++ b/crates/peridotrack-http/src/client/pool.rs
@@ -12,7 +12,10 @@
 
 use bytes::Bytes;
 
-use crate::client::{Connection, Error, Options};
+use crate::{
+    client::{Connection, Error, Options},
+    memory::Memory,
+};
 
 /// Maximum idle time of a pooled connection. The idle timeout of servers should be longer, so
 /// that a request is rarely sent on a connection that the server is closing.
@@ -27,6 +30,7 @@
 pub struct Pool {
     options: Options,
     max_idle_per_server: usize,
+    memory: Option<Memory>,
     idle: RefCell<BTreeMap<SocketAddr, VecDeque<IdleConnection>>>,
 }
 
@@ -36,10 +40,18 @@
         Self {
             options,
             max_idle_per_server,
+            memory: None,
             idle: RefCell::default(),
         }
     }
 
+    /// Makes responses that are read whole count towards `memory`.
+    #[must_use]
+    pub fn with_memory(mut self, memory: Memory) -> Self {
+        self.memory = Some(memory);
+        self
+    }
+
     /// Takes the most recently used idle connection, or opens one.
     ///
     /// Connections past the idle time, or on which the event loop has seen a close or data, are
@@ -55,7 +67,20 @@
                 return Ok(idle.connection);
             }
         }
-        Connection::connect(address, self.options).await
+        self.connect(address).await
+    }
+
+    /// Opens a connection, also if there is an idle one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if none can be opened.
+    pub async fn connect(&self, address: SocketAddr) -> Result<Connection, Error> {
+        let mut connection = Connection::connect(address, self.options).await?;
+        if let Some(memory) = &self.memory {
+            connection.set_memory(memory.clone());
+        }
+        Ok(connection)
     }
 
     /// Returns a connection to the pool, or drops it if it is not reusable.
--- a/crates/peridotrack-http/src/lib.rs
+++ b/crates/peridotrack-http/src/lib.rs
@@ -35,5 +35,6 @@
 mod encode;
 mod head;
 pub mod listen;
+pub mod memory;
 pub mod server;
 mod tcp;
--- a/crates/peridotrack-http/src/server/connection.rs
+++ b/crates/peridotrack-http/src/server/connection.rs
@@ -4,17 +4,23 @@
 
 use std::{future::Future, io, net::SocketAddr};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{Method, Version, header};
 use monoio::net::TcpStream;
+use peridotrack_capacity::account;
 
 use crate::{
     body::{self, Body, Piece},
     head::{self, Framing, Scanner},
+    memory::{Memory, Share},
     server::{Error, Options, Request, Step},
     tcp::{self, BufferedStream},
 };
 
+/// Size of an incomplete head in bytes above which it counts as held memory; smaller ones are covered
+/// by the allowance for connections.
+const COUNTED_HEAD_BYTES: usize = 2 * 1024;
+
 /// State of the current exchange.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Phase {
@@ -56,6 +62,8 @@
     pub(super) stream: BufferedStream,
     pub(super) options: Options,
     scanner: Scanner,
+    /// Memory for request bodies; `None` if only the limits bound them.
+    memory: Option<Memory>,
     pub(super) phase: Phase,
     pub(super) exchange: Exchange,
     /// Whether the current response has no body because of its status or the request's method.
@@ -72,12 +80,18 @@
             stream: BufferedStream::new(stream, peer),
             options,
             scanner: Scanner::default(),
+            memory: None,
             phase: Phase::Ready,
             exchange: Exchange::REFUSED,
             omit_body: false,
         }
     }
 
+    /// Sets the memory that request bodies count towards.
+    pub fn set_memory(&mut self, memory: Memory) {
+        self.memory = Some(memory);
+    }
+
     /// Returns the address of the caller; `0.0.0.0:0` if the operating system did not report it.
     pub fn peer(&self) -> SocketAddr {
         self.stream.peer()
@@ -141,6 +155,7 @@
             Err(error) => {
                 self.phase = Phase::Refused;
                 self.exchange = Exchange::REFUSED;
+                self.stream.discard_buffer();
                 Err(error)
             }
         }
@@ -167,6 +182,7 @@
         }
         self.phase = Phase::Refused;
         self.exchange = Exchange::REFUSED;
+        self.stream.discard_buffer();
         Err(Error::Ended { peer: self.peer() })
     }
 
@@ -236,12 +252,20 @@
 
     async fn read_head(&mut self) -> Result<http::request::Parts, Error> {
         let limit_bytes = self.options.head_bytes;
+        let memory = self.memory.as_ref();
+        let mut share = memory.map(|memory| memory.open(account::Kind::Request));
         loop {
             let split = self.scanner.split(&mut self.stream.buffer, limit_bytes);
             if let Some(text) = split.map_err(|error| self.head_error(error))? {
                 return head::decode_request(text).map_err(|error| self.head_error(error));
             }
-            self.read_more(Step::Head).await?;
+            let bytes = self.stream.buffer.len();
+            if bytes > COUNTED_HEAD_BYTES {
+                // The buffer doubles as it grows.
+                let bytes = 2 * (bytes + self.stream.read_bytes());
+                self.grow(&mut share, bytes, false).await?;
+            }
+            self.read_more_of(Step::Head, share.as_ref()).await?;
         }
     }
 
@@ -257,18 +281,79 @@
             Framing::Chunked => Body::chunked(),
         };
         self.send_continue(head).await?;
-        let mut complete = BytesMut::new();
+        let mut share = self
+            .memory
+            .as_ref()
+            .map(|memory| memory.open(account::Kind::Request));
+        let mut complete = Vec::new();
+        if let Framing::Length(bytes) = framing {
+            let bytes = usize::try_from(bytes).unwrap_or(limit_bytes);
+            self.grow(&mut share, bytes, true).await?;
+            complete.reserve_exact(bytes);
+        }
         loop {
             let piece = body.next(&mut self.stream.buffer, limit_bytes);
             match piece.map_err(|error| self.body_error(error))? {
                 Piece::Data(data) if complete.len() + data.len() > limit_bytes => {
                     return Err(self.body_too_large());
                 }
-                Piece::Data(data) => complete.extend_from_slice(&data),
-                Piece::Insufficient => self.read_more(Step::Body).await?,
-                Piece::End => return Ok(complete.freeze()),
+                Piece::Data(data) => {
+                    let bytes = complete.len() + data.len();
+                    if bytes > complete.capacity() {
+                        let capacity_bytes = body::grown_capacity_bytes(bytes, limit_bytes);
+                        // Growing copies the bytes to a new allocation while the old one exists.
+                        let held_bytes = complete.capacity() + self.stream.buffer.capacity();
+                        self.grow(&mut share, capacity_bytes + held_bytes, false)
+                            .await?;
+                        complete.reserve_exact(capacity_bytes - complete.len());
+                    }
+                    complete.extend_from_slice(&data);
+                }
+                Piece::Insufficient => {
+                    if framing == Framing::Chunked {
+                        // The decoder keeps the bytes of a chunk in the buffer until its end, and
+                        // the buffer doubles as it grows.
+                        let bytes = self.stream.buffer.len() + self.stream.read_bytes();
+                        let bytes = complete.capacity() + 2 * bytes;
+                        self.grow(&mut share, bytes, false).await?;
+                    }
+                    self.read_more_of(Step::Body, share.as_ref()).await?;
+                }
+                Piece::End => break,
             }
         }
+        self.stream.shrink_buffer();
+        Ok(match share {
+            Some(share) => share.into_bytes(complete),
+            None => complete.into(),
+        })
+    }
+
+    /// Waits until the memory, if any, has room for `bytes` of the body in all.
+    async fn grow(
+        &self,
+        share: &mut Option<Share>,
+        bytes: usize,
+        is_exact: bool,
+    ) -> Result<(), Error> {
+        let Some(share) = share else { return Ok(()) };
+        let grown = share.grow_to(bytes, is_exact).await;
+        grown.map_err(|_| Error::Dropped { peer: self.peer() })
+    }
+
+    /// Reads more of a request, unless it is dropped to make room for others.
+    async fn read_more_of(&mut self, step: Step, share: Option<&Share>) -> Result<(), Error> {
+        let Some(share) = share else {
+            return self.read_more(step).await;
+        };
+        let before_bytes = self.stream.buffer.len();
+        monoio::select! {
+            biased;
+            () = share.dropped() => return Err(Error::Dropped { peer: self.peer() }),
+            outcome = self.read_more(step) => outcome?,
+        }
+        share.received(self.stream.buffer.len() - before_bytes);
+        Ok(())
     }
 
     /// Sends `100 Continue` if the request expects it and no byte of its body has arrived.
--- a/crates/peridotrack-http/src/server/mod.rs
+++ b/crates/peridotrack-http/src/server/mod.rs
@@ -104,6 +104,13 @@
         /// Address of the caller.
         peer: SocketAddr,
     },
+    /// The request was dropped while it was read, because the process lacks memory; respond with
+    /// 503.
+    #[error("the request from {peer} was dropped for lack of memory")]
+    Dropped {
+        /// Address of the caller.
+        peer: SocketAddr,
+    },
     /// HTTP/1.0 does not support chunked responses; [`Connection::respond`] is still possible.
     #[error("{peer} uses HTTP/1.0, which does not support chunked responses")]
     StreamUnsupported {
--- a/crates/peridotrack-http/src/tcp.rs
+++ b/crates/peridotrack-http/src/tcp.rs
@@ -91,6 +91,23 @@
         }
     }
 
+    /// Frees the memory of a large buffer, and keeps the bytes that it still contains.
+    pub(crate) fn shrink_buffer(&mut self) {
+        if self.buffer.capacity() > MAX_READ_BYTES {
+            self.buffer = BytesMut::from(&self.buffer[..]);
+        }
+    }
+
+    /// Discards the buffered bytes and frees their memory.
+    pub(crate) fn discard_buffer(&mut self) {
+        self.buffer = BytesMut::new();
+    }
+
+    /// Returns the maximum size of the next read in bytes.
+    pub(crate) fn read_bytes(&self) -> usize {
+        self.read_bytes
+    }
+
     /// Reads once and appends to the buffer; returns `false` at the end of the stream.
     pub(crate) async fn read_more(&mut self) -> io::Result<bool> {
         self.buffer.reserve(self.read_bytes);
--- a/crates/peridotrack-http/tests/client.rs
+++ b/crates/peridotrack-http/tests/client.rs
@@ -129,6 +129,7 @@
         Kind::Malformed { .. } => "malformed",
         Kind::HeadTooLarge => "head too large",
         Kind::BodyTooLarge => "body too large",
+        Kind::Dropped => "dropped",
         Kind::Io(_) => "io",
         Kind::OutOfOrder => "out of order",
     };
--- a/crates/peridotrack-kernel/src/event.rs
+++ b/crates/peridotrack-kernel/src/event.rs
@@ -73,6 +73,10 @@
     104 Info SettingsRead,
     /// Log lines were dropped: the reader was slow or the limit on bytes was reached.
     105 Warn LogLinesDropped,
+    /// The router began to hold back: messages wait for memory, or client connections were refused.
+    106 Warn HoldingBackBegun,
+    /// The router no longer holds back.
+    107 Info HoldingBackEnded,
     /// A configuration was applied.
     110 Info ConfigApplied,
     /// A configuration was refused: it is invalid or older than the current one.
