--- a/crates/peridotrack-http/src/memory.rs
+++ b/crates/peridotrack-http/src/memory.rs
@@ -108,11 +108,7 @@
             false => bytes.next_multiple_of(STEP_BYTES),
         };
         let asked_bytes = wanted_bytes - self.granted_bytes;
-        let mut state = self.memory.lock();
-        let now_us = state.now_us();
-        let asked = state.account.ask(self.id, asked_bytes, now_us);
-        drop(state);
-        match asked {
+        match self.ask(asked_bytes) {
             account::State::Granted => {}
             account::State::Dropped => return Err(Dropped),
             account::State::Waiting => self.wait_for_room().await?,
@@ -140,11 +136,18 @@
         let mut state = self.memory.lock();
         let now_us = state.now_us();
         let changed = state.account.complete(self.id, data.capacity(), now_us);
+        state.wakers.remove(&self.id);
         state.wake(&changed);
         drop(state);
         Bytes::from_owner(Held { data, _share: self })
     }
 
+    fn ask(&self, bytes: usize) -> account::State {
+        let mut state = self.memory.lock();
+        let now_us = state.now_us();
+        state.account.ask(self.id, bytes, now_us)
+    }
+
     async fn wait_for_room(&self) -> Result<(), Dropped> {
         loop {
             let changed = future::poll_fn(|context| match self.poll_state(context) {
