feat(gateway): send slow requests to a second server

Cause: the gateway ran the attempts of a request one after the other, so that a slow server decided its latency.

Change: an attempt is held before the first byte to the client; gateway/hedge.rs runs a second one beside it when the routing service grants it, forwards the first good response and drops the other attempt. PERIDOTRACK_HEDGE_RATIO, 0 to 0.5, sets the ratio; 0, the default, hedges nothing. Event 213 RequestHedged and four counters record hedges.

Measured: gateway tests with the stand-ins on loopback, 179 passed before the tests of hedging were added; the 5 of hedging passed.

--- a/crates/peridotrack-edge/src/gateway.rs
+++ b/crates/peridotrack-edge/src/gateway.rs
@@ -9,6 +9,7 @@
 mod directory;
 mod evacuation;
 mod exchange;
+mod hedge;
 mod identity;
 mod liveness;
 mod options;
