--- a/crates/peridotrack-edge/src/metric.rs
+++ b/crates/peridotrack-edge/src/metric.rs
@@ -22,19 +22,14 @@
 pub const PEER_SENT_BYTES: &str = "peridotrack_peer_sent_bytes_total";
 /// Counter of calls to the platform, by `kind`.
 pub const PLATFORM_CALLS: &str = "peridotrack_platform_calls_total";
-
 /// Gauge of the time since which a failure domain is evacuated, by `failure_domain`.
 pub const EVACUATED_SINCE: &str = "peridotrack_evacuated_since_seconds";
-
 /// Gauge of the backend servers whose requests are limited because they are cold.
 pub const COLD_SERVERS: &str = "peridotrack_cold_servers";
-
 /// Gauge of the bytes that are held for requests of clients.
 pub const HELD_REQUEST_BYTES: &str = "peridotrack_held_request_bytes";
-
 /// Gauge of the bytes that are held for responses of backend servers.
 pub const HELD_RESPONSE_BYTES: &str = "peridotrack_held_response_bytes";
-
 /// Gauge of the open client connections.
 pub const CLIENT_CONNECTIONS: &str = "peridotrack_client_connections";
 /// Counter of second attempts of slow requests.
