--- a/crates/peridotrack-route/src/second_attempt.rs
+++ b/crates/peridotrack-route/src/second_attempt.rs
@@ -1,6 +1,6 @@
 //! Second attempts of requests: placement at another server, and which of two attempts goes on.
 //!
-//! While both run, [`Request::second`] is the second one. It replaces the first one if it wins or if
+//! While both run, the request keeps the second one beside the first. It replaces the first one if it wins or if
 //! the first one fails; it is then like any attempt after a retry.
 
 use peridotrack_types::{id, name};
