--- a/crates/peridotrack-edge/src/gateway.rs
+++ b/crates/peridotrack-edge/src/gateway.rs
@@ -10,7 +10,6 @@
 mod directory;
 mod evacuation;
 mod exchange;
-mod hedge;
 mod identity;
 mod liveness;
 mod options;
--- a/crates/peridotrack-edge/src/gateway/attempt.rs
+++ b/crates/peridotrack-edge/src/gateway/attempt.rs
@@ -27,7 +27,6 @@
 use crate::route;
 
 /// One attempt, with the request, its reservation and the backend server that was chosen.
-#[derive(Clone, Copy)]
 pub(super) struct Attempt<'a> {
     pub(super) shared: &'a Rc<Shared>,
     pub(super) request: &'a RoutedRequest,
@@ -37,16 +36,6 @@
     /// Run of the server, as the directory had it when the attempt began.
     pub(super) server: &'a Run,
     pub(super) trial: &'a Trial,
-    /// Whether another attempt of the request runs that began before.
-    pub(super) is_second: bool,
-}
-
-/// An attempt that got as far as the client can be sent the first byte.
-pub(super) enum Held {
-    /// It ended; nothing was forwarded.
-    Ended(AttemptResult),
-    /// It responds with a stream.
-    Streaming(Box<stream::Stream>, stream::Part),
 }
 
 /// How an attempt ended.
@@ -99,76 +88,70 @@
 }
 
 impl Attempt<'_> {
-    /// Sends the request, and reads the whole response or, for a streaming route, the first events.
-    pub(super) async fn hold(&self, progress: &mut Progress) -> Held {
-        match self.within_deadline(self.hold_unlimited(progress)).await {
-            Some(Ok(held)) => held,
-            Some(Err(result)) => Held::Ended(result),
-            None => Held::Ended(self.timed_out()),
-        }
-    }
-
-    /// Does the same as [`Self::hold`] without a time limit; a failure is an error.
-    async fn hold_unlimited(&self, progress: &mut Progress) -> Result<Held, AttemptResult> {
-        let sent_us = self.shared.kernel.now_us();
-        let mut head = match self.send(progress).await {
-            Ok(Sent::Responded(head)) => *head,
-            Ok(Sent::Withdrawn) => return Err(withdrawn()),
-            Ok(Sent::Unidentified(detail)) => return Err(unidentified(detail)),
-            Err(error) => return Err(self.failed(&error, progress)),
-        };
-        self.report_head(&head, progress, sent_us);
-        if let Some(result) = self.check_head(&head) {
-            return Err(result);
-        }
-        let is_event_stream = stream::is_event_stream(&head.parts);
-        if progress.has_started() && !is_event_stream {
-            let status = head.parts.status;
-            let detail = format!("the stream is not continued, status {status}");
-            return Err(failed_response(detail, None));
-        }
-        if self.request.route().retry_policy.is_stream() && is_event_stream {
-            let mut stream = Box::new(stream::Stream::new(head));
-            let part = stream.first_part(self, progress).await?;
-            return Ok(Held::Streaming(stream, part));
-        }
-        match head.connection.read_body().await {
-            Ok(body) => Ok(Held::Ended(self.classify(head, body))),
-            Err(error) => Err(self.failed(&error, progress)),
-        }
-    }
-
-    /// Forwards a stream of which the first part was received to the client.
-    pub(super) async fn forward(
+    /// Sends the request and, for a streaming route, forwards the events to the client.
+    pub(super) async fn run(
         &self,
-        stream: stream::Stream,
-        part: stream::Part,
         client: &mut server::Connection,
         progress: &mut Progress,
     ) -> AttemptResult {
-        let forwarding = stream::forward_events(self, stream, part, client, progress);
-        match self.within_deadline(forwarding).await {
-            Some(result) => result,
-            None => self.timed_out(),
-        }
-    }
-
-    /// Passes on what the head of a response states about the server.
-    fn report_head(&self, head: &ResponseHead, progress: &mut Progress, sent_us: u64) {
+        let sent_us = self.shared.kernel.now_us();
+        let head = monoio::select! {
+            biased;
+            head = self.within_deadline(self.send(progress)) => head,
+            () = client.closed() => return AttemptResult::ClientDisconnected,
+            () = self.answer_due(progress) => return AttemptResult::Stopped,
+        };
+        let mut head = match head {
+            Some(Ok(Sent::Responded(head))) => *head,
+            Some(Ok(Sent::Withdrawn)) => return withdrawn(),
+            Some(Ok(Sent::Unidentified(detail))) => return unidentified(detail),
+            Some(Err(error)) => return self.failed(&error, progress),
+            None => return self.timed_out(),
+        };
         progress.record_head(head.metadata);
         if head.metadata.matches_request && !head.metadata.is_misdirected {
             self.report_statements(&head.metadata);
         }
-        let server = &self.target.backend_server;
         if !head.metadata.is_misdirected {
+            let server = &self.target.backend_server;
             let limit_per_s = head.metadata.limit_per_s;
             self.shared.throttle.answered(server, limit_per_s, sent_us);
             self.shared.quarantine.answered(server, sent_us);
         }
-        self.shared
-            .directory
-            .note_improper(self.shared, server, &head.metadata);
+        self.shared.directory.note_improper(
+            self.shared,
+            &self.target.backend_server,
+            &head.metadata,
+        );
         self.report_load(&head.metadata);
+        if let Some(result) = self.check_head(&head) {
+            return result;
+        }
+        let is_event_stream = stream::is_event_stream(&head.parts);
+        if progress.has_started() && !is_event_stream {
+            let status = head.parts.status;
+            let detail = format!("the stream is not continued, status {status}");
+            return failed_response(detail, None);
+        }
+        if self.request.route().retry_policy.is_stream() && is_event_stream {
+            let limit = Duration::from_micros(self.request.remaining_us(self.shared));
+            let streaming = stream::forward_events(self, head, client, progress);
+            return match monoio::time::timeout(limit, streaming).await {
+                Ok(result) => result,
+                Err(_) => self.timed_out(),
+            };
+        }
+        let body = monoio::select! {
+            biased;
+            body = self.within_deadline(head.connection.read_body()) => body,
+            () = client.closed() => return AttemptResult::ClientDisconnected,
+            () = self.answer_due(progress) => return AttemptResult::Stopped,
+        };
+        match body {
+            Some(Ok(body)) => self.classify(head, body),
+            Some(Err(error)) => self.failed(&error, progress),
+            None => self.timed_out(),
+        }
     }
 
     /// Connects, sends the request unless that is ruled out meanwhile, and reads the head of the
@@ -184,13 +167,13 @@
             },
             false => self.connect().await?,
         };
-        if !self.may_send() {
+        if !self.ticket.may_send() {
             return Ok(Sent::Withdrawn);
         }
         self.shared.route.handle(Event::Connected {
             backend: self.target.backend_server.clone(),
         });
-        self.report_sent();
+        self.ticket.sent();
         self.reservation.begin_attempt();
         let request = self.backend_request(progress);
         let parts = connection.send(request).await?;
@@ -203,22 +186,6 @@
         })))
     }
 
-    /// Returns whether the request may still be sent to the server of this attempt.
-    fn may_send(&self) -> bool {
-        match self.is_second {
-            true => self.ticket.may_send_second(),
-            false => self.ticket.may_send(),
-        }
-    }
-
-    /// Reports that the first byte of the request is about to be sent.
-    fn report_sent(&self) {
-        match self.is_second {
-            true => self.ticket.second_sent(),
-            false => self.ticket.sent(),
-        }
-    }
-
     /// Connects to the backend server. A request that may run only once gets a new connection: the
     /// server may close a pooled one just as the request is sent, and its outcome would be unknown.
     /// So does one under which servers ended: a pooled connection may be that of another server that
@@ -263,8 +230,7 @@
             self.reservation.mark_not_run();
             if metadata.is_misdirected {
                 liveness::report_end(self.shared, self.server);
-                let backend = self.target.backend_server.clone();
-                self.shared.route.handle(Event::Leaving { backend });
+                self.ticket.backend_server_leaving();
             }
             return Some(AttemptResult::Failed {
                 outcome: Outcome::RefusedNotRun,
@@ -328,23 +294,17 @@
     /// connections to a server that leaves.
     fn report_statements(&self, metadata: &response_wire::Metadata) {
         if metadata.is_leaving {
-            self.shared.route.handle(Event::LeavingStated {
-                backend: self.target.backend_server.clone(),
-                started_ms: None,
-            });
+            self.ticket.leaving_stated();
             self.shared.pool.close_idle(self.target.address);
         }
         if let Some(pause_ms) = metadata.pause_ms {
-            self.shared.route.handle(Event::Pause {
-                backend: self.target.backend_server.clone(),
-                duration_us: pause_ms * clock::US_PER_MS,
-            });
+            self.ticket.pause_asked(pause_ms * clock::US_PER_MS);
         }
     }
 
     /// Waits until the gateway stops, unless the client has received a part of the response.
-    pub(super) async fn answer_due(&self, has_started: bool) {
-        match has_started {
+    pub(super) async fn answer_due(&self, progress: &Progress) {
+        match progress.has_started() {
             true => std::future::pending().await,
             false => self.shared.stopping.answer_due().await,
         }
--- a/crates/peridotrack-edge/src/gateway/exchange.rs
+++ b/crates/peridotrack-edge/src/gateway/exchange.rs
@@ -17,7 +17,7 @@
 use super::{
     Shared,
     attempt::{self, AttemptResult},
-    crash, hedge, liveness,
+    crash, liveness,
     request::{self, RoutedRequest},
     reservation::{self, ReservationGuard},
     response, resumption,
@@ -187,14 +187,8 @@
             ticket: &ticket,
             server: &server,
             trial: &trial,
-            is_second: false,
         };
-        let ended = hedge::run(&attempt, connection, &mut progress).await;
-        let (target, server) = match ended.second {
-            Some(second) => (second.target, second.server),
-            None => (target, server),
-        };
-        match ended.result {
+        match attempt.run(connection, &mut progress).await {
             AttemptResult::Responded(response) => {
                 ticket.finished(Outcome::Done);
                 crash::report_completion(shared, request);
@@ -254,19 +248,6 @@
     }
 }
 
-/// Records the failure of one of two attempts of a request; the other one goes on.
-pub(super) fn note_failure(attempt: &attempt::Attempt<'_>, outcome: Outcome, detail: &str) {
-    let (shared, request) = (attempt.shared, attempt.request);
-    let event = event::Event::new(event::Kind::AttemptFailed)
-        .with("backend_server", attempt.target.backend_server.as_str())
-        .with("software_version", software_version(shared, attempt.target))
-        .with("outcome", format!("{outcome:?}"))
-        .with("signatures", request.signatures_text())
-        .with("detail", detail);
-    request.note(shared, event);
-    shared.metrics.failed_attempts.increment(1);
-}
-
 /// Ends a request that is not begun, or not sent again, because the gateway is stopping.
 async fn refuse_at_stop(
     shared: &Rc<Shared>,
--- a/crates/peridotrack-edge/src/gateway/options.rs
+++ b/crates/peridotrack-edge/src/gateway/options.rs
@@ -375,7 +375,6 @@
     route_options::Options {
         retry_ratio: settings.bounds.retry_ratio * LOCAL_RETRY_PART,
         min_retries: MIN_RETRIES,
-        hedge_ratio: settings.hedge_ratio,
         retry_proven_not_run: true,
         charge_refusal_retries: true,
         ..route_options::Options::default()
--- a/crates/peridotrack-edge/src/gateway/stream.rs
+++ b/crates/peridotrack-edge/src/gateway/stream.rs
@@ -155,94 +155,40 @@
         && content_type.is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"))
 }
 
-/// A stream that a backend server writes.
-pub(super) struct Stream {
-    head: ResponseHead,
-    parser: sse::Parser,
-}
-
-/// Next part of a stream.
-pub(super) enum Part {
-    /// Complete events, possibly none, and the reason if the stream is malformed after them.
-    Events(Bytes, Option<String>),
-    /// The stream ended properly.
-    End,
-}
-
-impl Stream {
-    /// Returns the stream that follows the head of a response.
-    pub(super) fn new(head: ResponseHead) -> Self {
-        Self {
-            head,
-            parser: sse::Parser::default(),
-        }
-    }
-
-    /// Waits for the first complete events or the end of the stream.
-    ///
-    /// # Errors
-    ///
-    /// Returns the result of the attempt if the stream fails before its first event.
-    pub(super) async fn first_part(
-        &mut self,
-        attempt: &Attempt<'_>,
-        progress: &mut Progress,
-    ) -> Result<Part, AttemptResult> {
-        loop {
-            match self.next_part(attempt, progress).await? {
-                Part::Events(events, fault) if events.is_empty() => {
-                    if let Some(detail) = fault {
-                        return Err(broken(progress, false, detail));
-                    }
-                }
-                part => return Ok(part),
-            }
-        }
-    }
-
-    /// Waits for more of the stream.
-    async fn next_part(
-        &mut self,
-        attempt: &Attempt<'_>,
-        progress: &mut Progress,
-    ) -> Result<Part, AttemptResult> {
-        let chunk = match self.head.connection.next_chunk().await {
-            Ok(Some(chunk)) => chunk,
-            Ok(None) if self.parser.finish().is_err() => {
-                let detail = "the stream ends within an event".to_owned();
-                return Err(broken(progress, true, detail));
-            }
-            // A server that ends may close the connection after the head, which ends the response.
-            Ok(None) if self.head.is_close_delimited() && progress.stage() != Stage::Streaming => {
-                return Err(broken(progress, true, "the stream has no event".to_owned()));
-            }
-            Ok(None) => return Ok(Part::End),
-            Err(error) => return Err(attempt.failed(&error, progress)),
-        };
-        self.parser.push(&chunk);
-        let (events, fault) = read_events(&mut self.parser, &mut self.head.connection, progress);
-        Ok(Part::Events(events, fault))
-    }
-}
-
-/// Forwards the first part and then complete events as they arrive, until the stream ends or fails.
+/// Forwards complete events as they arrive, until the stream ends or fails.
 pub(super) async fn forward_events(
     attempt: &Attempt<'_>,
-    mut stream: Stream,
-    mut part: Part,
+    mut head: ResponseHead,
     client: &mut server::Connection,
     progress: &mut Progress,
 ) -> AttemptResult {
+    let mut parser = sse::Parser::default();
     loop {
-        let (events, fault) = match part {
-            Part::Events(events, fault) => (events, fault),
-            Part::End => return finish_response(attempt, stream.head, client, progress).await,
+        let chunk = monoio::select! {
+            biased;
+            () = client.closed() => return AttemptResult::ClientDisconnected,
+            chunk = head.connection.next_chunk() => chunk,
+            () = attempt.answer_due(progress) => return AttemptResult::Stopped,
+        };
+        let chunk = match chunk {
+            Ok(Some(chunk)) => chunk,
+            Ok(None) if parser.finish().is_err() => {
+                return broken(progress, true, "the stream ends within an event".to_owned());
+            }
+            // A server that ends may close the connection after the head, which ends the response.
+            Ok(None) if head.is_close_delimited() && progress.stage() != Stage::Streaming => {
+                return broken(progress, true, "the stream has no event".to_owned());
+            }
+            Ok(None) => return finish_response(attempt, head, client, progress).await,
+            Err(error) => return attempt.failed(&error, progress),
         };
+        parser.push(&chunk);
+        let (events, fault) = read_events(&mut parser, &mut head.connection, progress);
         let tokens = progress.events_seen * progress.event_tokens;
         attempt.reservation.delivered_tokens.set(tokens);
         if !events.is_empty() {
             attempt.ticket.first_token();
-            if write_events(attempt, &stream.head.parts, client, progress, events)
+            if write_events(attempt, &head.parts, client, progress, events)
                 .await
                 .is_err()
             {
@@ -252,17 +198,6 @@
         if let Some(detail) = fault {
             return broken(progress, false, detail);
         }
-        let has_started = progress.has_started;
-        let next = monoio::select! {
-            biased;
-            () = client.closed() => return AttemptResult::ClientDisconnected,
-            next = stream.next_part(attempt, progress) => next,
-            () = attempt.answer_due(has_started) => return AttemptResult::Stopped,
-        };
-        part = match next {
-            Ok(part) => part,
-            Err(result) => return result,
-        };
     }
 }
 
--- a/crates/peridotrack-edge/src/metric.rs
+++ b/crates/peridotrack-edge/src/metric.rs
@@ -32,18 +32,9 @@
 pub const HELD_RESPONSE_BYTES: &str = "peridotrack_held_response_bytes";
 /// Gauge of the open client connections.
 pub const CLIENT_CONNECTIONS: &str = "peridotrack_client_connections";
-/// Counter of second attempts of slow requests.
-pub const HEDGES_SENT: &str = "peridotrack_hedges_sent_total";
-/// Counter of second attempts that took the place of the first one.
-pub const HEDGES_WON: &str = "peridotrack_hedges_won_total";
-/// Counter of second attempts that were cancelled, because the first one was answered or the request
-/// ended.
-pub const HEDGES_CANCELLED: &str = "peridotrack_hedges_cancelled_total";
-/// Counter of second attempts that were due and exceeded the operators' ratio or the retry budget.
-pub const HEDGES_DENIED: &str = "peridotrack_hedges_denied_total";
 
 /// Names of all metrics.
-pub const ALL: [&str; 17] = [
+pub const ALL: [&str; 13] = [
     ACCEPTED,
     COMPLETED,
     REFUSED,
@@ -57,10 +48,6 @@
     HELD_REQUEST_BYTES,
     HELD_RESPONSE_BYTES,
     CLIENT_CONNECTIONS,
-    HEDGES_SENT,
-    HEDGES_WON,
-    HEDGES_CANCELLED,
-    HEDGES_DENIED,
 ];
 
 /// Handles to the metrics of requests.
@@ -75,14 +62,6 @@
     pub failed_attempts: Counter,
     /// Counts [`SETTLED_TOKENS`].
     pub settled_tokens: Counter,
-    /// Counts [`HEDGES_SENT`].
-    pub hedges_sent: Counter,
-    /// Counts [`HEDGES_WON`].
-    pub hedges_won: Counter,
-    /// Counts [`HEDGES_CANCELLED`].
-    pub hedges_cancelled: Counter,
-    /// Counts [`HEDGES_DENIED`].
-    pub hedges_denied: Counter,
     refused_not_run: Counter,
     refused_unknown: Counter,
 }
@@ -96,10 +75,6 @@
             first_token: meter.histogram(FIRST_TOKEN),
             failed_attempts: meter.counter(FAILED_ATTEMPTS),
             settled_tokens: meter.counter(SETTLED_TOKENS),
-            hedges_sent: meter.counter(HEDGES_SENT),
-            hedges_won: meter.counter(HEDGES_WON),
-            hedges_cancelled: meter.counter(HEDGES_CANCELLED),
-            hedges_denied: meter.counter(HEDGES_DENIED),
             refused_not_run: meter.labelled_counter(REFUSED, "ran", "no"),
             refused_unknown: meter.labelled_counter(REFUSED, "ran", "unknown"),
         }
--- a/crates/peridotrack-edge/src/route.rs
+++ b/crates/peridotrack-edge/src/route.rs
@@ -18,10 +18,8 @@
 use peridotrack_kernel::{Kernel, clock, event, timer};
 use peridotrack_route::{
     event::{Action, Event, Note, Offer, Outcome, Target},
-    hedge::Denial,
     options,
     router::Router,
-    second_attempt::Hedge,
 };
 use peridotrack_types::{collections, id, name, problem, register, rules, stream};
 
@@ -95,79 +93,6 @@
         });
     }
 
-    /// Returns when a second attempt of the request is due, in monotonic microseconds; `None` if there
-    /// is to be none.
-    pub fn hedge_due_us(&self) -> Option<u64> {
-        self.route.router.borrow().hedge_due_us(self.request_id)
-    }
-
-    /// Begins a second attempt of the request.
-    ///
-    /// # Errors
-    ///
-    /// Returns the reason if there is to be none.
-    pub fn hedge(&self) -> Result<(Destination, Hedge), Denial> {
-        let now_us = self.route.kernel.now_us();
-        let hedge = self
-            .route
-            .router
-            .borrow_mut()
-            .hedge(now_us, self.request_id)?;
-        let address = self.route.addresses.borrow().get(&hedge.backend).copied();
-        let Some(address) = address else {
-            self.second_finished(Outcome::Withdrawn);
-            return Err(Denial::NoServer);
-        };
-        let destination = Destination {
-            backend_server: hedge.backend.clone(),
-            address,
-            attempt: hedge.attempt,
-        };
-        Ok((destination, hedge))
-    }
-
-    /// Returns whether the second attempt may still be sent.
-    pub fn may_send_second(&self) -> bool {
-        let now_us = self.route.kernel.now_us();
-        let router = self.route.router.borrow();
-        router.may_send_second(now_us, self.request_id)
-    }
-
-    /// Returns whether a byte of the second attempt may have been sent.
-    pub fn is_second_sent(&self) -> bool {
-        self.route.router.borrow().is_second_sent(self.request_id)
-    }
-
-    /// Reports that the first byte of the second attempt is about to be sent.
-    pub fn second_sent(&self) {
-        self.route.handle(Event::SecondSent {
-            request_id: self.request_id,
-        });
-    }
-
-    /// Reports that the second attempt takes the place of the first one, which is cancelled.
-    pub fn second_won(&self) {
-        self.route.handle(Event::SecondWon {
-            request_id: self.request_id,
-        });
-    }
-
-    /// Reports how the second attempt ended while the first one goes on.
-    pub fn second_finished(&self, outcome: Outcome) {
-        self.route.handle(Event::SecondFinished {
-            request_id: self.request_id,
-            outcome,
-        });
-    }
-
-    /// Reports a failure of the first attempt while the second one runs, which takes its place.
-    pub fn first_failed(&self, outcome: Outcome) {
-        self.route.handle(Event::Finished {
-            request_id: self.request_id,
-            outcome,
-        });
-    }
-
     /// Reports that the first part of the response arrived.
     pub fn first_token(&self) {
         self.route.handle(Event::FirstToken {
--- a/crates/peridotrack-edge/tests/gateway/fixture.rs
+++ b/crates/peridotrack-edge/tests/gateway/fixture.rs
@@ -41,7 +41,6 @@
         metrics_address: None,
         store_address: store.address(),
         store_writes_per_s: 400,
-        hedge_ratio: 0.0,
         sockets: 1_000,
         memory_mb: 512,
         bounds: Bounds {
@@ -111,20 +110,13 @@
 
     /// Starts a gateway with `backends` backend servers and no configuration in the store.
     pub fn spawn_before_config(backends: usize) -> Self {
-        Self::spawn_with(backends, |_| {})
-    }
-
-    /// Does the same with changed settings.
-    pub fn spawn_with(backends: usize, change: impl FnOnce(&mut Settings)) -> Self {
         let store = store::spawn().unwrap();
         let backends: Vec<backend::Handle> =
             (0..backends).map(|_| backend::spawn().unwrap()).collect();
         for (number, backend) in backends.iter().enumerate() {
             store.put("servers", &format!("i-{number}"), entry(backend));
         }
-        let mut settings = settings(&store);
-        change(&mut settings);
-        let gateway = Gateway::spawn(settings, log::Output::Off).unwrap();
+        let gateway = Gateway::spawn(settings(&store), log::Output::Off).unwrap();
         Self {
             store,
             backends,
--- a/crates/peridotrack-edge/tests/gateway/main.rs
+++ b/crates/peridotrack-edge/tests/gateway/main.rs
@@ -10,7 +10,6 @@
 mod evacuation;
 mod fixture;
 mod fleet;
-mod hedging;
 mod http_1_0;
 mod leaving_or_paused;
 mod odd_entries;
--- a/crates/peridotrack-kernel/src/event.rs
+++ b/crates/peridotrack-kernel/src/event.rs
@@ -125,8 +125,6 @@
     211 Info RequestAtStop,
     /// A client takes up a stream, of which it is known where it began.
     212 Info StreamTakenUp,
-    /// A slow request was sent to a second backend server; the event says which attempt went on.
-    213 Info RequestHedged,
     /// A budget's grant changed: tokens were drawn, returned or transferred.
     300 Info BudgetGrant,
     /// A write to a budget's ledger failed: conflict, lost reply or outage of the store.
--- a/crates/peridotrack-route/src/dispatch.rs
+++ b/crates/peridotrack-route/src/dispatch.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     event::Action,
-    place, prefill, queue,
+    place, queue,
     request::{Attempt, Beginning, Phase, Request},
     router::Router,
 };
@@ -218,44 +218,11 @@
         index: usize,
         actions: &mut Vec<Action>,
     ) {
-        let attempt = self.begin_attempt(now_us, request.pool, request.prompt.as_ref(), index);
-        request.phase = Phase::InFlight(attempt);
-        request.dispatches += 1;
-        if request.dispatches == 1 {
-            let pool = &mut self.pools[request.pool];
-            let least_waiting_tokens = pool.queue.start_tokens(&pool.shares);
-            pool.shares
-                .charge(&request.account, request.size_tokens, least_waiting_tokens);
-            pool.retries.on_first_dispatch(now_us);
-            if let Some(hedges) = &mut pool.hedges {
-                let tokens = request.hedge_tokens();
-                hedges.allowance.on_request(now_us, tokens);
-                if request.idempotent {
-                    request.hedge_delay_us = hedges.delay_us(now_us, tokens);
-                }
-            }
-        }
-        actions.push(Action::Dispatch {
-            request_id,
-            backend: self.backends[index].name.clone(),
-            attempt: request.dispatches,
-        });
-        self.requests.insert(request_id, request);
-    }
-
-    /// Counts an attempt at a server and returns it.
-    pub(crate) fn begin_attempt(
-        &mut self,
-        now_us: u64,
-        pool: usize,
-        prompt: Option<&prefill::Prompt>,
-        index: usize,
-    ) -> Attempt {
-        let pool = &mut self.pools[pool];
+        let pool = &mut self.pools[request.pool];
         let backend = &mut self.backends[index];
         let load = backend.load(now_us, &pool.prior);
         let (mut prefill_tokens, mut predicted_us, mut wait_us) = (0.0, 0.0, 0.0);
-        if let Some(prompt) = prompt {
+        if let Some(prompt) = &request.prompt {
             prefill_tokens = backend.prefill.tokens_to_prefill(now_us, prompt);
             wait_us = backend.prefill.wait_us(now_us, &pool.speed);
             predicted_us = wait_us + prefill_tokens * pool.speed.us_per_token;
@@ -263,7 +230,14 @@
             pool.speed.on_dispatch(prefill_tokens);
         }
         pool.in_flight += 1;
-        Attempt {
+        request.dispatches += 1;
+        if request.dispatches == 1 {
+            let least_waiting_tokens = pool.queue.start_tokens(&pool.shares);
+            pool.shares
+                .charge(&request.account, request.size_tokens, least_waiting_tokens);
+            pool.retries.on_first_dispatch(now_us);
+        }
+        request.phase = Phase::InFlight(Attempt {
             backend: index,
             lifetimes: backend.lifetimes,
             dispatched_us: now_us,
@@ -274,7 +248,13 @@
             prefill_tokens,
             predicted_us,
             wait_us,
-        }
+        });
+        actions.push(Action::Dispatch {
+            request_id,
+            backend: backend.name.clone(),
+            attempt: request.dispatches,
+        });
+        self.requests.insert(request_id, request);
     }
 
     fn enqueue(
--- a/crates/peridotrack-route/src/event.rs
+++ b/crates/peridotrack-route/src/event.rs
@@ -110,25 +110,6 @@
         /// Outcome of the attempt.
         outcome: Outcome,
     },
-    /// The first byte of a second attempt is about to be written to its backend server.
-    SecondSent {
-        /// Request that is written; the event is ignored if it has no second attempt.
-        request_id: id::Request,
-    },
-    /// A second attempt ended without winning; the first one goes on. If the first one fails
-    /// ([`Event::Finished`]), the second takes its place and no action follows.
-    SecondFinished {
-        /// Request of the attempt; the event is ignored if it has no second attempt.
-        request_id: id::Request,
-        /// Outcome of the second attempt.
-        outcome: Outcome,
-    },
-    /// A second attempt was answered first. The first one is cancelled, and the second takes its
-    /// place in later events.
-    SecondWon {
-        /// Request of the attempt; the event is ignored if it has no second attempt.
-        request_id: id::Request,
-    },
     /// A load report of a backend server, measured `age_us` ago.
     LoadReport {
         /// Name in the asset register of the server that the report describes.
--- a/crates/peridotrack-route/src/finish.rs
+++ b/crates/peridotrack-route/src/finish.rs
@@ -26,7 +26,7 @@
         let Some(request) = self.requests.get_mut(&request_id) else {
             return;
         };
-        let (pool, tokens) = (request.pool, request.hedge_tokens());
+        let pool = request.pool;
         let Some(attempt) = request.attempt() else {
             return;
         };
@@ -44,7 +44,6 @@
             .prefill
             .on_prefilled(prefilled_tokens);
         self.sample_first_token(now_us, pool, &attempt);
-        self.sample_answer(now_us, pool, tokens, &attempt);
     }
 
     /// Ends an attempt, decides what follows, and dispatches queued work to the server.
@@ -62,41 +61,17 @@
             self.requests.insert(request_id, request);
             return;
         };
-        self.end_attempt(now_us, &mut request, &mut attempt, outcome, actions);
-        let is_end = matches!(outcome, Outcome::Done | Outcome::Cancelled);
-        match request.second.take() {
-            Some(second) if is_end => {
-                self.end_second(now_us, &mut request, second, Outcome::Cancelled, actions);
-            }
-            // The second attempt is the retry of the first one.
-            Some(second) => {
-                let is_unsent = matches!(outcome, Outcome::ConnectFailed | Outcome::Withdrawn);
-                request.unsent_dispatches += u32::from(is_unsent);
-                request.add_failed_backend(attempt.backend);
-                request.phase = Phase::InFlight(second);
-                self.requests.insert(request_id, request);
-            }
-            None if is_end => {}
-            None => self.handle_failure(now_us, request_id, request, &attempt, outcome, actions),
+        record_outcome(&mut request, &mut attempt, outcome);
+        self.release(now_us, &request, &attempt);
+        self.sample_outcome(now_us, &request, &attempt, outcome, actions);
+        match outcome {
+            Outcome::Done | Outcome::Cancelled => {}
+            _ => self.handle_failure(now_us, request_id, request, &attempt, outcome, actions),
         }
         self.free_if_drained(now_us, attempt.backend, actions);
         self.dispatch_queued_to(now_us, attempt.backend, actions);
     }
 
-    /// Records the outcome of an attempt and removes it from the counts.
-    pub(crate) fn end_attempt(
-        &mut self,
-        now_us: u64,
-        request: &mut Request,
-        attempt: &mut Attempt,
-        outcome: Outcome,
-        actions: &mut Vec<Action>,
-    ) {
-        record_outcome(request, attempt, outcome);
-        self.release(now_us, request, attempt);
-        self.sample_outcome(now_us, request, attempt, outcome, actions);
-    }
-
     /// Resumes, retries or refuses a request whose attempt failed.
     fn handle_failure(
         &mut self,
@@ -201,7 +176,6 @@
             self.pools[request.pool].on_duration(now_us.saturating_sub(attempt.dispatched_us));
             if !attempt.response_started {
                 self.sample_first_token(now_us, request.pool, attempt);
-                self.sample_answer(now_us, request.pool, request.hedge_tokens(), attempt);
             }
         }
         let jitter = self.rng.f64();
@@ -233,13 +207,6 @@
         }
     }
 
-    /// Samples the time to the first event or answer, if anything is hedged.
-    fn sample_answer(&mut self, now_us: u64, pool: usize, tokens: u64, attempt: &Attempt) {
-        if let Some(hedges) = &mut self.pools[pool].hedges {
-            hedges.on_answer(now_us, tokens, attempt.dispatched_us);
-        }
-    }
-
     fn sample_first_token(&mut self, now_us: u64, pool: usize, attempt: &Attempt) {
         let first_token_us = now_us.saturating_sub(attempt.dispatched_us);
         let pool = &mut self.pools[pool];
--- a/crates/peridotrack-route/src/options.rs
+++ b/crates/peridotrack-route/src/options.rs
@@ -15,8 +15,6 @@
     pub retry_proven_not_run: bool,
     /// Whether a retry after a refusal counts against the retry budget.
     pub charge_refusal_retries: bool,
-    /// Hedges allowed in the window, as a ratio to requests and to their tokens; 0 for none.
-    pub hedge_ratio: f64,
     /// Limit on the dispatches of one request.
     pub max_dispatches: u32,
     /// Limit on the resumes of one stream.
@@ -86,7 +84,6 @@
             min_retries: 1.0,
             retry_proven_not_run: false,
             charge_refusal_retries: false,
-            hedge_ratio: 0.0,
             max_dispatches: 3,
             max_resumes: 3,
             breaker_connect_failures: 1,
--- a/crates/peridotrack-route/src/pool.rs
+++ b/crates/peridotrack-route/src/pool.rs
@@ -6,7 +6,7 @@
 use peridotrack_types::id;
 
 use crate::{
-    event, fairness, hedge, load_estimate, options::Options, prefill, prefix, queue, retry, returns,
+    event, fairness, load_estimate, options::Options, prefill, prefix, queue, retry, returns,
 };
 
 /// Weight of a new sample in the mean duration.
@@ -47,8 +47,6 @@
     pub popularity: prefix::Popularity,
     /// Retry budget, relative to the traffic of this pool alone.
     pub retries: retry::Budget,
-    /// Recent times and limit of hedges; `None` if nothing is hedged.
-    pub hedges: Option<hedge::Hedges>,
     /// Times at which callers return that are refused while all members pause.
     pub returns: returns::Returns,
     /// This router's requests in flight at all members.
@@ -76,7 +74,6 @@
             shares: fairness::Shares::default(),
             popularity: prefix::Popularity::default(),
             retries: retry::Budget::new(options.retry_ratio, options.min_retries),
-            hedges: hedge::Hedges::new(options.hedge_ratio),
             returns: returns::Returns::default(),
             in_flight: 0,
             prior: load_estimate::Prior {
--- a/crates/peridotrack-route/src/request.rs
+++ b/crates/peridotrack-route/src/request.rs
@@ -84,11 +84,6 @@
     pub max_dispatches: Option<u32>,
     /// Whether it is queued or in flight, with the current attempt.
     pub phase: Phase,
-    /// Time after its first dispatch at which a second attempt is due, in microseconds; `None` if there
-    /// is to be none.
-    pub hedge_delay_us: Option<u64>,
-    /// The second attempt, while the request runs at two servers.
-    pub second: Option<Attempt>,
     /// Number of dispatches, including the current one.
     pub dispatches: u32,
     /// Number of dispatches that failed to connect.
@@ -119,8 +114,6 @@
             continuation: offer.continuation,
             max_dispatches: offer.max_dispatches,
             phase: Phase::Queued,
-            hedge_delay_us: None,
-            second: None,
             dispatches: 0,
             unsent_dispatches: 0,
             resumes: 0,
@@ -144,12 +137,6 @@
         &self.failed[..self.failed_len]
     }
 
-    /// Returns the tokens by which hedges are classed and limited: those of the prompt if it is known.
-    pub fn hedge_tokens(&self) -> u64 {
-        let prompt = self.prompt.as_ref();
-        prompt.map_or(self.size_tokens, |prompt| prompt.tokens)
-    }
-
     /// Returns the current attempt if the request is in flight.
     pub fn attempt(&mut self) -> Option<&mut Attempt> {
         match &mut self.phase {
--- a/crates/peridotrack-route/src/router.rs
+++ b/crates/peridotrack-route/src/router.rs
@@ -17,7 +17,7 @@
     options::Options,
     pace,
     pool::Pool,
-    request::{Attempt, Phase, Request},
+    request::{Phase, Request},
     status,
 };
 
@@ -196,10 +196,6 @@
         else {
             return false;
         };
-        self.may_send_attempt(now_us, &attempt)
-    }
-
-    pub(crate) fn may_send_attempt(&self, now_us: u64, attempt: &Attempt) -> bool {
         let backend = &self.backends[attempt.backend];
         let mut ineligibilities = backend.ineligibilities(now_us, &self.options);
         let is_uncounted = |pace: pace::Pace| pace.began_after(attempt.dispatched_us);
@@ -247,14 +243,6 @@
                 request_id,
                 outcome,
             } => self.on_finished(now_us, request_id, outcome, &mut actions),
-            Event::SecondSent { request_id } => self.on_second_sent(request_id),
-            Event::SecondFinished {
-                request_id,
-                outcome,
-            } => self.on_second_finished(now_us, request_id, outcome, &mut actions),
-            Event::SecondWon { request_id } => {
-                self.on_second_won(now_us, request_id, &mut actions);
-            }
             Event::LoadReport { .. } => self.on_report(now_us, &event, &mut actions),
             Event::Leaving { backend } => self.on_leaving(now_us, &backend, &mut actions),
             Event::LeavingStated {
--- a/crates/peridotrack-types/src/gateway.rs
+++ b/crates/peridotrack-types/src/gateway.rs
@@ -9,9 +9,6 @@
 
 use crate::{collections, name};
 
-/// Upper bound of [`Settings::hedge_ratio`]: above it, more requests would run twice than once.
-pub const MAX_HEDGE_RATIO: f64 = 0.5;
-
 /// Settings of one gateway process: its VM, its addresses and its deployment.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -42,9 +39,6 @@
     pub sockets: usize,
     /// Memory of the VM in mebibytes; a process that exceeds it is ended.
     pub memory_mb: usize,
-    /// Second attempts of slow requests allowed, as a ratio to requests and to their tokens: 0 for none,
-    /// at most [`MAX_HEDGE_RATIO`].
-    pub hedge_ratio: f64,
     /// Bounds set by the operators.
     pub bounds: Bounds,
 }
--- a/crates/peridotrackd/src/gateway.rs
+++ b/crates/peridotrackd/src/gateway.rs
@@ -9,7 +9,7 @@
 use peridotrack_edge::gateway;
 use peridotrack_kernel::log;
 use peridotrack_platform::settings as settings_file;
-use peridotrack_types::gateway::{MAX_HEDGE_RATIO, Settings};
+use peridotrack_types::gateway::Settings;
 
 use crate::{
     EXIT_FAILURE, EXIT_USAGE, SIGNAL_POLL_INTERVAL, build_runtime, fail, signals, wait_until,
@@ -19,9 +19,6 @@
 /// peers check only that both belong to the same deployment.
 const PEER_KEY_VARIABLE: &str = "PERIDOTRACK_PEER_KEY";
 
-/// Environment variable with the ratio of requests that may be hedged. If it is unset, none are.
-const HEDGE_RATIO_VARIABLE: &str = "PERIDOTRACK_HEDGE_RATIO";
-
 /// Runs a gateway until a stop signal arrives and returns the exit code of the process.
 pub fn main() -> ExitCode {
     let settings = match read_settings() {
@@ -47,24 +44,9 @@
         Err(std::env::VarError::NotPresent) => {}
         Err(error) => return Err(error).wrap_err_with(|| format!("invalid {PEER_KEY_VARIABLE}")),
     }
-    match std::env::var(HEDGE_RATIO_VARIABLE) {
-        Ok(text) => settings.hedge_ratio = hedge_ratio(&text)?,
-        Err(std::env::VarError::NotPresent) => {}
-        Err(error) => {
-            return Err(error).wrap_err_with(|| format!("invalid {HEDGE_RATIO_VARIABLE}"));
-        }
-    }
     Ok(settings)
 }
 
-fn hedge_ratio(text: &str) -> eyre::Result<f64> {
-    let ratio: Option<f64> = text.parse().ok();
-    let ratio = ratio.filter(|ratio| (0.0..=MAX_HEDGE_RATIO).contains(ratio));
-    ratio.ok_or_else(|| {
-        eyre::eyre!("{HEDGE_RATIO_VARIABLE} is {text:?}, not a number from 0 to {MAX_HEDGE_RATIO}")
-    })
-}
-
 /// Runs the gateway and returns whether it stopped gracefully, without cutting a request.
 fn run(settings: Settings) -> eyre::Result<bool> {
     let signals = signals::Signals::open().wrap_err("cannot register signal handlers")?;
