test(daemon): both kinds of crowds share one course

Cause: the tests of bodies and of connections wrote the same steps twice. Change: the steps are one function; crowds, bounds and checks are as they were.

--- a/crates/peridotrackd/tests/untrusted_clients/main.rs
+++ b/crates/peridotrackd/tests/untrusted_clients/main.rs
@@ -76,6 +76,18 @@
     Client::new(head, &body, BODY_PIECE_BYTES)
 }
 
+/// Lets a crowd press a gateway, and checks its bounds and an ordinary request during and after it.
+async fn assert_survives(clients: Vec<Client>) {
+    let mut fixture = Fixture::spawn().await;
+    let crowd = Crowd::send(fixture.client, clients);
+    crowd.wait().await;
+    fixture.assert_within_bounds();
+    fixture.assert_serves().await;
+    fixture.assert_within_bounds();
+    crowd.close().await;
+    fixture.assert_serves().await;
+}
+
 /// Guards against a process that ends for lack of memory, or serves nobody, because many clients send
 /// large bodies and stop just short of their end.
 #[rstest]
@@ -87,16 +99,7 @@
 #[case::sent_over_the_limit(sent_over_limit)]
 fn bodies_of_many_clients_stay_within_memory(#[case] client: fn(usize) -> Client) {
     let _running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
-    block_on(async {
-        let mut fixture = Fixture::spawn().await;
-        let crowd = Crowd::send(fixture.client, (0..BODY_CLIENTS).map(client).collect());
-        crowd.wait().await;
-        fixture.assert_within_bounds();
-        fixture.assert_serves().await;
-        fixture.assert_within_bounds();
-        crowd.close().await;
-        fixture.assert_serves().await;
-    });
+    block_on(assert_survives((0..BODY_CLIENTS).map(client).collect()));
 }
 
 /// Guards against a process that runs out of descriptors because clients open connections and send
@@ -106,17 +109,8 @@
 #[case::part_of_a_head(crowd::head("x: ")[..40].to_vec())]
 fn connections_of_many_clients_stay_within_descriptors(#[case] head: Vec<u8>) {
     let _running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
-    block_on(async {
-        let mut fixture = Fixture::spawn().await;
-        let clients = (0..CONNECTION_CLIENTS).map(|_| Client::new(head.clone(), &[], 1));
-        let crowd = Crowd::send(fixture.client, clients.collect());
-        crowd.wait().await;
-        fixture.assert_within_bounds();
-        fixture.assert_serves().await;
-        fixture.assert_within_bounds();
-        crowd.close().await;
-        fixture.assert_serves().await;
-    });
+    let clients = (0..CONNECTION_CLIENTS).map(|_| Client::new(head.clone(), &[], 1));
+    block_on(assert_survives(clients.collect()));
 }
 
 /// Guards against limits that refuse what the configuration allows.
