--- a/review/standin-2/fleet.py
+++ b/review/standin-2/fleet.py
@@ -21,6 +21,8 @@
 PROGRAM = ["target/release/peridotrackd", "gateway"]
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 STARTED = time.monotonic()
+# Time for which the store keeps changes, in seconds (historyS of the settings).
+HISTORY_S = 20.0
 
 
 def now():
@@ -88,6 +90,7 @@
         self.objects = {}
         self.history = []
         self.changed = asyncio.Condition()
+        self.forgotten = 0
         self.calls = 0
         self.latency_s = 0.004
 
@@ -119,7 +122,7 @@
             await self.record(kind, {"object": document, "tombstone": True})
 
     async def record(self, kind, event):
-        self.history.append((self.revision, kind, event))
+        self.history.append((self.revision, kind, event, now()))
         async with self.changed:
             self.changed.notify_all()
 
@@ -147,8 +150,7 @@
         if method == "GET" and not name:
             after = query.get("sinceRev", "")
             names = sorted(n for k, n in self.objects if k == kind and n > after)
-            items = [self.document(kind, n) for n in names[:500]]
-            return whole(200, {"items": items, "hasMore": len(names) > 500, "asOf": self.revision})
+            return whole(200, self.page(kind, names))
         if method == "GET":
             if (kind, name) in self.objects:
                 return whole(200, self.document(kind, name))
@@ -175,9 +177,28 @@
         await self.put(kind, name, document["spec"])
         return whole(200, self.document(kind, name))
 
+    def page(self, kind, names):
+        """Returns about 500 objects or 1 MB of them."""
+        items, size = [], 0
+        for name in names[:500]:
+            items.append(self.document(kind, name))
+            size += len(json.dumps(items[-1]["spec"]))
+            if size >= 1_000_000:
+                break
+        return {"items": items, "hasMore": len(items) < len(names), "asOf": self.revision}
+
+    def is_gone(self, revision):
+        """Returns whether a change after this revision is older than the history."""
+        while self.history and self.history[0][3] < now() - HISTORY_S:
+            self.forgotten = self.history.pop(0)[0]
+        return revision < self.forgotten
+
     async def watch(self, kind, revision, wait_ms):
+        if self.is_gone(revision):
+            return whole(410, {})
+
         def events():
-            return [e for r, k, e in self.history if k == kind and r > revision]
+            return [e for r, k, e, _ in self.history if k == kind and r > revision]
 
         async def changed():
             async with self.changed:
@@ -200,6 +221,8 @@
         self.born_ms = int(time.time() * 1000)
         self.runs = []
         self.beats = 0
+        self.state = "ready"
+        self.channels = set()
         self.running = 0
         self.event_s = 0.02
         self.work_s = 0.03
@@ -215,7 +238,7 @@
         self.beats += 1
         await self.store.put("servers", self.id, {
             "service": self.service, "address": f"127.0.0.1:{self.port}", "zone": self.zone,
-            "version": "v1", "slots": 64, "state": "ready", "coldRemainingMs": 0,
+            "version": "v1", "slots": 64, "state": self.state, "coldRemainingMs": 0,
             "born": self.born_ms, "sequence": self.beats})
 
     async def beats_on(self):
@@ -223,7 +246,16 @@
             await asyncio.sleep(1.2)
             await self.beat()
 
+    async def exit(self):
+        """Ends the process: its listener and all its channels."""
+        self.task.cancel()
+        self.server.close()
+        for writer in list(self.channels):
+            writer.transport.abort()
+        await self.store.remove("servers", self.id)
+
     async def serve(self, reader, writer):
+        self.channels.add(writer)
         try:
             while True:
                 first, headers = await read_head(reader)
@@ -233,6 +265,7 @@
         except (Closed, ConnectionError):
             pass
         finally:
+            self.channels.discard(writer)
             writer.close()
 
     async def answer(self, first, headers, body, writer):
@@ -244,7 +277,8 @@
             writer.write(whole(421, b"", [("Peridotrack-Instance-Id", self.id)]))
             return True
         run = {"id": headers.get("peridotrack-request-id"), "at": now(), "server": self.id,
-               "path": target, "tenant": headers.get("peridotrack-tenant-id"), "tokens": 0}
+               "path": target, "tenant": headers.get("peridotrack-tenant-id"), "tokens": 0,
+               "is_done": False}
         self.runs.append(run)
         common = [("Peridotrack-Request-Id", run["id"]), ("Peridotrack-Response-Seal", "seal." + self.id),
                   ("Peridotrack-Server-Load", f"{self.running},0,64")]
@@ -254,6 +288,7 @@
                 await asyncio.sleep(self.work_s)
                 writer.write(whole(200, b"done " + run["id"].encode(), common))
                 await writer.drain()
+                run["is_done"] = True
                 return True
             return await self.stream(run, headers, common, writer)
         finally:
