--- a/review/standin-3/fleet.rs
+++ b/review/standin-3/fleet.rs
@@ -42,7 +42,7 @@
     directory: PathBuf,
     process: Option<Child>,
     store: SocketAddr,
-    writes_per_s: u32,
+    drain_ms: String,
     starts: u32,
 }
 
@@ -84,7 +84,7 @@
         directory: directory.to_owned(),
         process: None,
         store,
-        writes_per_s: 400,
+        drain_ms: "2000".to_owned(),
         starts: 0,
     };
     Ok((0..count).map(machine).collect())
@@ -95,9 +95,9 @@
         (self.ip, self.ports.front).into()
     }
 
-    /// Sets the rate of the store that the settings state.
-    pub fn set_writes_per_s(&mut self, writes_per_s: u32) -> io::Result<()> {
-        self.writes_per_s = writes_per_s;
+    /// Sets `drainMs` as the settings state it.
+    pub fn set_drain_ms(&mut self, drain_ms: &str) -> io::Result<()> {
+        self.drain_ms = drain_ms.to_owned();
         fs::write(self.settings_path(), self.settings())
     }
 
@@ -106,7 +106,7 @@
     }
 
     fn settings(&self) -> String {
-        let Self { name, zone, ip, seeds, zones, store, writes_per_s, .. } = self;
+        let Self { name, zone, ip, seeds, zones, store, drain_ms, .. } = self;
         let Ports { front, ready, control, internal } = self.ports;
         format!(
             "nodeName = \"{name}\"\nrole = \"gateway\"\nmachineClass = \"front\"\n\
@@ -118,12 +118,12 @@
              ready = \"{ip}:{ready}\"\ncontrol = \"{ip}:{control}\"\n[limits]\ncpuShare = 0.25\n\
              cores = 1\nmemoryMb = 260\nmaxFds = 4100\nlinkMbps = 1000.0\ndiskMb = 0\n\
              [faultTolerance]\nmachines = 2\nzones = 1\nregions = 0\n[bounds]\nseedLagS = 3\n\
-             reuseAfterS = 2\ncontactMs = 3000\nackMs = 4000\ncatchUpS = 4\ndrainMs = 2000\n\
+             reuseAfterS = 2\ncontactMs = 3000\nackMs = 4000\ncatchUpS = 4\ndrainMs = {drain_ms}\n\
              graceS = 8\nlossSlackMs = 200\nconfigApplyMs = 2000\nrollbackSlackMs = 250\n\
              maxSkewMs = 5000\nrevokeStrict = false\nrevokeMs = 5000\nretryBudgetRatio = 0.2\n\
              budgetWindowS = 10\nretryBudgetSlack = 52\nrecoveryS = 12\npassMs = 120\nagainS = 10\n\
              settle_ms = 1500\n[platform]\naddress = \"{store}\"\nform = \"objects\"\n\
-             writesPerS = {writes_per_s}\nreadsPerS = 2000\nhistoryS = 20\nvalueBytes = 1048576\n\
+             writesPerS = 400\nreadsPerS = 2000\nhistoryS = 20\nvalueBytes = 1048576\n\
              ttlMinMs = 1000\n",
             internal.0, internal.1
         )
--- a/review/standin-3/server.rs
+++ b/review/standin-3/server.rs
@@ -13,7 +13,7 @@
 };
 
 /// Tokens in one event, as the configuration states them.
-pub const STRIDE: u64 = 5;
+const STRIDE: u64 = 5;
 
 /// What a server does with a request.
 #[derive(Clone, Copy)]
@@ -97,7 +97,7 @@
         }
         let tenant = request.header("peridotrack-tenant-id").unwrap_or("").to_owned();
         let last = request.header("last-event-id").and_then(|text| text.parse::<u64>().ok());
-        record.ran(id, &request_id, &tenant, tokens(&request).0);
+        record.note(&format!("{id} runs {request_id} of {tenant}"));
         let headers = format!("{echo}Peridotrack-Response-Seal: seal-{id}\r\n");
         thread::sleep(Duration::from_millis(work.first_ms));
         if work.is_engine {
