--- a/review/standin-3/client.rs
+++ b/review/standin-3/client.rs
@@ -40,7 +40,13 @@
 impl Request {
     fn text(&self) -> String {
         let limit_ms = self.time_limit.as_millis();
-        let Self { method, path, id, key, .. } = self;
+        let Self {
+            method,
+            path,
+            id,
+            key,
+            ..
+        } = self;
         let mut text = format!(
             "{method} {path} HTTP/1.1\r\nHost: desk.example\r\nPeridotrack-Request-Id: {id}\r\n\
              Peridotrack-Deadline-Ms: {limit_ms}\r\nPeridotrack-Credential: {key}\r\n"
@@ -71,11 +77,24 @@
             ..Answer::default()
         };
         let id = &self.id;
-        let resumed = self.last_event.map(|last| format!(", Last-Event-Id {last}"));
-        record.note(&format!("{id} sent to {gateway}{}", resumed.unwrap_or_default()));
+        let resumed = self
+            .last_event
+            .map(|last| format!(", Last-Event-Id {last}"));
+        record.note(&format!(
+            "{id} sent to {gateway}{}",
+            resumed.unwrap_or_default()
+        ));
         let result = self.exchange(gateway, &mut answer);
-        let Answer { status, is_whole, last_event, .. } = &answer;
-        let failure = result.err().map(|error| format!(", {error}")).unwrap_or_default();
+        let Answer {
+            status,
+            is_whole,
+            last_event,
+            ..
+        } = &answer;
+        let failure = result
+            .err()
+            .map(|error| format!(", {error}"))
+            .unwrap_or_default();
         record.note(&format!(
             "{id} answered {status}, whole {is_whole}, last event {last_event:?}{failure}"
         ));
@@ -90,7 +109,9 @@
             return Err(io::ErrorKind::UnexpectedEof.into());
         };
         answer.status = head.status();
-        answer.retry_after_s = head.header("retry-after").and_then(|text| text.parse().ok());
+        answer.retry_after_s = head
+            .header("retry-after")
+            .and_then(|text| text.parse().ok());
         if head.header("transfer-encoding").is_none() {
             connection.body(&mut head)?;
             answer.is_whole = true;
--- a/review/standin-3/fleet.rs
+++ b/review/standin-3/fleet.rs
@@ -55,7 +55,9 @@
 ) -> io::Result<Vec<Machine>> {
     let count = zones.len() * per_zone;
     let third = (std::process::id() % 200 + 20) as u8;
-    let ips: Vec<_> = (0..count).map(|n| Ipv4Addr::new(127, 77, third, n as u8 + 10)).collect();
+    let ips: Vec<_> = (0..count)
+        .map(|n| Ipv4Addr::new(127, 77, third, n as u8 + 10))
+        .collect();
     // The ports are free on the first address, and no one else uses the others.
     let mut free = Vec::new();
     let mut listeners = Vec::new();
@@ -70,7 +72,10 @@
         control: free[2],
         internal: (free[3], free[3].saturating_add(15)),
     };
-    let seeds = ips.iter().take(3).map(|ip| format!("\"{ip}:{}\"", ports.control));
+    let seeds = ips
+        .iter()
+        .take(3)
+        .map(|ip| format!("\"{ip}:{}\"", ports.control));
     let seeds = seeds.collect::<Vec<_>>().join(",");
     let regions = zones.iter().map(|zone| format!("{zone} = \"home\"\n"));
     let regions: String = regions.collect();
@@ -106,8 +111,22 @@
     }
 
     fn settings(&self) -> String {
-        let Self { name, zone, ip, seeds, zones, store, drain_ms, .. } = self;
-        let Ports { front, ready, control, internal } = self.ports;
+        let Self {
+            name,
+            zone,
+            ip,
+            seeds,
+            zones,
+            store,
+            drain_ms,
+            ..
+        } = self;
+        let Ports {
+            front,
+            ready,
+            control,
+            internal,
+        } = self.ports;
         format!(
             "nodeName = \"{name}\"\nrole = \"gateway\"\nmachineClass = \"front\"\n\
              serves = [\"front\",\"control\"]\nip = \"{ip}\"\nzone = \"{zone}\"\nregion = \"home\"\n\
@@ -132,7 +151,10 @@
     pub fn start(&mut self, record: &Record) -> io::Result<()> {
         fs::write(self.settings_path(), self.settings())?;
         self.starts += 1;
-        let log = File::create(self.directory.join(format!("{}-{}.log", self.name, self.starts)))?;
+        let log = File::create(
+            self.directory
+                .join(format!("{}-{}.log", self.name, self.starts)),
+        )?;
         let process = Command::new(PROGRAM)
             .arg("gateway")
             .env_clear()
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -79,17 +79,31 @@
 ) -> io::Result<Site> {
     let store = Store::default();
     let store_address = store.start(ANY_PORT)?;
-    let service = Work { is_engine: false, first_ms: 30, gap_ms: 0 };
+    let service = Work {
+        is_engine: false,
+        first_ms: 30,
+        gap_ms: 0,
+    };
     let mut servers = Vec::new();
     for number in 0..4 {
         let zone = ZONES[number % 2];
         let id = format!("i-marker-{number}");
-        servers.push(Server::start((&id, zone, "marker"), ANY_PORT, engine, &record)?);
+        servers.push(Server::start(
+            (&id, zone, "marker"),
+            ANY_PORT,
+            engine,
+            &record,
+        )?);
     }
     for number in 0..3 {
         let zone = ZONES[number % 2];
         let id = format!("i-desk-{number}");
-        servers.push(Server::start((&id, zone, "desk-api"), ANY_PORT, service, &record)?);
+        servers.push(Server::start(
+            (&id, zone, "desk-api"),
+            ANY_PORT,
+            service,
+            &record,
+        )?);
     }
     for server in &servers {
         store.put("servers", &server.id, &server.entry("ready"));
@@ -114,7 +128,11 @@
 fn resume(record: Record, temporary: PathBuf, is_troubled: bool) -> Outcome {
     const STREAMS: usize = 10;
     let tenants = ["tenant-a", "tenant-b", "tenant-c", "tenant-d"];
-    let engine = Work { is_engine: true, first_ms: 60, gap_ms: 75 };
+    let engine = Work {
+        is_engine: true,
+        first_ms: 60,
+        gap_ms: 75,
+    };
     let budget = (&tenants[..], 3_600_000);
     let mut site = site(record, temporary, 2, budget, engine)?;
     if !start(&mut site)? {
@@ -211,10 +229,13 @@
     }
 }
 
-
 /// The settings state bounds as fractions. The machines are restarted one after the other.
 fn bounds(record: Record, temporary: PathBuf, is_troubled: bool) -> Outcome {
-    let engine = Work { is_engine: true, first_ms: 5, gap_ms: 1 };
+    let engine = Work {
+        is_engine: true,
+        first_ms: 5,
+        gap_ms: 1,
+    };
     let budget = (&["tenant-a"][..], 3_600_000);
     let mut site = site(record, temporary, 2, budget, engine)?;
     if !start(&mut site)? {
@@ -222,7 +243,9 @@
     }
     let record = site.record.clone();
     let drain_ms = if is_troubled { "1999.5" } else { "1999" };
-    record.say(&format!("the settings state drainMs = {drain_ms}; SIGHUP, then a restart of each"));
+    record.say(&format!(
+        "the settings state drainMs = {drain_ms}; SIGHUP, then a restart of each"
+    ));
     for machine in &mut site.machines {
         machine.set_drain_ms(drain_ms)?;
         machine.signal(SIGHUP, &record);
@@ -240,7 +263,10 @@
                 break;
             }
             ends[number] += 1;
-            record.note(&format!("{} has ended by itself", site.machines[number].name));
+            record.note(&format!(
+                "{} has ended by itself",
+                site.machines[number].name
+            ));
         }
     }
     thread::sleep(LEAD);
@@ -250,7 +276,9 @@
         let answer = charge(format!("charge-{number}"), "tenant-a").send(front, &record);
         served += usize::from(answer.status == 200);
     }
-    record.say(&format!("own ends of each machine: {ends:?}; served {served} of 40 requests afterwards"));
+    record.say(&format!(
+        "own ends of each machine: {ends:?}; served {served} of 40 requests afterwards"
+    ));
     let is_ending = |count: &&u32| **count >= 3;
     Ok(Some(ends.iter().filter(is_ending).count() >= 2))
 }
--- a/review/standin-3/server.rs
+++ b/review/standin-3/server.rs
@@ -1,11 +1,6 @@
 //! Backend servers: model engines that stream events, and a plain service.
 
-use std::{
-    io,
-    net::SocketAddr,
-    thread,
-    time::Duration,
-};
+use std::{io, net::SocketAddr, thread, time::Duration};
 
 use crate::{
     http::{self, Connection, Message},
@@ -60,7 +55,13 @@
 
     /// The entry that the server writes to the store.
     pub fn entry(&self, state: &str) -> String {
-        let Self { address, zone, service, born_ms, .. } = self;
+        let Self {
+            address,
+            zone,
+            service,
+            born_ms,
+            ..
+        } = self;
         format!(
             "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"{zone}\",\
              \"version\":\"v1\",\"slots\":64,\"state\":\"{state}\",\"coldRemainingMs\":0,\
@@ -77,7 +78,10 @@
     record: &Record,
 ) -> io::Result<()> {
     while let Some(request) = connection.message()? {
-        let request_id = request.header("peridotrack-request-id").unwrap_or("").to_owned();
+        let request_id = request
+            .header("peridotrack-request-id")
+            .unwrap_or("")
+            .to_owned();
         if request.word(1) == "/report" || request.word(1) == "/health" {
             let body = format!(
                 "{{\"stage\":\"both\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\
@@ -95,13 +99,24 @@
             connection.respond("421 Misdirected Request", &echo, b"")?;
             continue;
         }
-        let tenant = request.header("peridotrack-tenant-id").unwrap_or("").to_owned();
-        let last = request.header("last-event-id").and_then(|text| text.parse::<u64>().ok());
+        let tenant = request
+            .header("peridotrack-tenant-id")
+            .unwrap_or("")
+            .to_owned();
+        let last = request
+            .header("last-event-id")
+            .and_then(|text| text.parse::<u64>().ok());
         record.note(&format!("{id} runs {request_id} of {tenant}"));
         let headers = format!("{echo}Peridotrack-Response-Seal: seal-{id}\r\n");
         thread::sleep(Duration::from_millis(work.first_ms));
         if work.is_engine {
-            stream(&mut connection, &headers, work, last.unwrap_or(0), tokens(&request).1)?;
+            stream(
+                &mut connection,
+                &headers,
+                work,
+                last.unwrap_or(0),
+                tokens(&request).1,
+            )?;
         } else {
             connection.respond("200 OK", &headers, b"done")?;
         }
--- a/review/standin-3/store.rs
+++ b/review/standin-3/store.rs
@@ -63,7 +63,11 @@
             kind: kind.to_owned(),
             event,
         });
-        while self.history.first().is_some_and(|change| change.at.elapsed() > HISTORY) {
+        while self
+            .history
+            .first()
+            .is_some_and(|change| change.at.elapsed() > HISTORY)
+        {
             self.forgotten = self.history.remove(0).revision;
         }
     }
@@ -144,11 +148,16 @@
     }
 
     fn serve(&self, connection: &mut Connection, request: &Message) -> io::Result<()> {
-        let (path, query) = request.word(1).split_once('?').unwrap_or((request.word(1), ""));
+        let (path, query) = request
+            .word(1)
+            .split_once('?')
+            .unwrap_or((request.word(1), ""));
         let parts: Vec<String> = path.split('/').skip(2).map(http::percent_decoded).collect();
         let field = |name: &str| {
             let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-            pairs.find(|(key, _)| *key == name).map(|(_, value)| http::percent_decoded(value))
+            pairs
+                .find(|(key, _)| *key == name)
+                .map(|(_, value)| http::percent_decoded(value))
         };
         let kind = parts.first().cloned().unwrap_or_default();
         let name = parts.get(1).cloned();
@@ -157,13 +166,18 @@
                 Some(after) => self.watch(&kind, after, field("waitMs")),
                 None => {
                     let after = field("sinceRev");
-                    ("200 OK", self.0.0.lock().unwrap().list(&kind, after.as_deref()))
+                    (
+                        "200 OK",
+                        self.0.0.lock().unwrap().list(&kind, after.as_deref()),
+                    )
                 }
             },
-            ("GET", Some(name)) => match self.0.0.lock().unwrap().objects.get(&(kind, name.clone())) {
-                Some(object) => ("200 OK", object.document(&name)),
-                None => ("404 Not Found", "{}".to_owned()),
-            },
+            ("GET", Some(name)) => {
+                match self.0.0.lock().unwrap().objects.get(&(kind, name.clone())) {
+                    Some(object) => ("200 OK", object.document(&name)),
+                    None => ("404 Not Found", "{}".to_owned()),
+                }
+            }
             (method @ ("POST" | "PUT"), name) => self.write(method, &kind, name, &request.body),
             ("DELETE", Some(name)) => {
                 self.remove(&kind, &name);
@@ -171,7 +185,11 @@
             }
             _ => ("400 Bad Request", "{}".to_owned()),
         };
-        connection.respond(status, "Content-Type: application/json\r\n", body.as_bytes())
+        connection.respond(
+            status,
+            "Content-Type: application/json\r\n",
+            body.as_bytes(),
+        )
     }
 
     fn watch(&self, kind: &str, after: u64, wait: Option<String>) -> (&'static str, String) {
@@ -186,7 +204,10 @@
             let left = end.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
                 let (events, revision) = (events.join(","), state.revision);
-                return ("200 OK", format!("{{\"events\":[{events}],\"asOf\":{revision}}}"));
+                return (
+                    "200 OK",
+                    format!("{{\"events\":[{events}],\"asOf\":{revision}}}"),
+                );
             }
             state = self.0.1.wait_timeout(state, left).unwrap().0;
         }
@@ -212,7 +233,9 @@
         match (method, known) {
             ("POST", Some(object)) => return ("409 Conflict", object.document(&name)),
             ("PUT", None) => return ("404 Not Found", "{}".to_owned()),
-            ("PUT", Some(object)) if expected.is_some_and(|expected| expected != object.revision) => {
+            ("PUT", Some(object))
+                if expected.is_some_and(|expected| expected != object.revision) =>
+            {
                 return ("409 Conflict", object.document(&name));
             }
             _ => {}
