--- a/crates/peridotrackd/tests/gateway.rs
+++ b/crates/peridotrackd/tests/gateway.rs
@@ -3,7 +3,7 @@
 use std::{
     io::{BufRead, BufReader},
     net::{SocketAddr, TcpListener},
-    path::PathBuf,
+    path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::mpsc,
     thread,
@@ -51,6 +51,24 @@
         .replace("graceS = 8", "graceS = 4")
 }
 
+/// Starts a process with this settings file; returns also the lines of its log.
+fn spawn_process(settings: &Path) -> (Child, mpsc::Receiver<String>) {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_peridotrackd"))
+        .arg("gateway")
+        .env("PERIDOTRACK_SETTINGS", settings)
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let stdout = BufReader::new(child.stdout.take().unwrap());
+    let (sender, lines) = mpsc::channel();
+    thread::spawn(move || {
+        for line in stdout.lines().map_while(Result::ok) {
+            let _ = sender.send(line);
+        }
+    });
+    (child, lines)
+}
+
 impl Gateway {
     /// Starts a gateway. A free port may be taken before the gateway listens, so a failed start is
     /// repeated with other ports.
@@ -85,19 +103,7 @@
             std::process::id()
         ));
         std::fs::write(&path, settings(store, &addresses)).unwrap();
-        let mut child = Command::new(env!("CARGO_BIN_EXE_peridotrackd"))
-            .arg("gateway")
-            .env("PERIDOTRACK_SETTINGS", &path)
-            .stdout(Stdio::piped())
-            .spawn()
-            .unwrap();
-        let stdout = BufReader::new(child.stdout.take().unwrap());
-        let (sender, lines) = mpsc::channel();
-        thread::spawn(move || {
-            for line in stdout.lines().map_while(Result::ok) {
-                let _ = sender.send(line);
-            }
-        });
+        let (child, lines) = spawn_process(&path);
         Self {
             child,
             lines,
@@ -107,6 +113,13 @@
         }
     }
 
+    /// Kills the process and starts another one with the same settings file.
+    fn restart(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+        (self.child, self.lines) = spawn_process(&self.settings);
+    }
+
     fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
         let status = Command::new("kill").args([name, &pid]).status().unwrap();
@@ -275,6 +288,24 @@
     });
 }
 
+/// Guards against a fleet that does not start again, because its settings state a bound as a fraction.
+#[test]
+fn a_gateway_reloads_and_starts_with_a_bound_that_is_a_fraction() {
+    block_on(async {
+        let (store, _backend) = fixture(backend::Mode::Serve);
+        let mut gateway = Gateway::spawn(store.address(), "fraction").await;
+        gateway.wait_until_ready().await;
+        let text = std::fs::read_to_string(&gateway.settings).unwrap();
+        let text = text.replace("drainMs = 2000", "drainMs = 1999.5");
+        std::fs::write(&gateway.settings, &text).unwrap();
+        gateway.signal("-HUP");
+        let read = gateway.wait_for_event("SettingsRead").await;
+        assert_eq!(read["fields"]["is_changed"], true, "{read}");
+        gateway.restart();
+        gateway.wait_until_ready().await;
+    });
+}
+
 #[test]
 fn invalid_settings_are_reported_on_stderr() {
     let path = std::env::temp_dir().join(format!("peridotrackd-bad-{}.toml", std::process::id()));
