feat(edge): warn at SIGHUP of settings with which no process would start

A file of settings that cannot be used was recorded at SIGHUP as `SettingsRead`, of severity info, with the error as a field.

`SettingsRefused` (108) is a warning of its own. `SettingsRead` means from now on that the settings can be used.

--- a/crates/peridotrack-edge/src/gateway.rs
+++ b/crates/peridotrack-edge/src/gateway.rs
@@ -280,14 +280,15 @@
         stopping.begin(|begun_us| options::stop_times(begun_us, &settings.bounds))
     }
 
-    /// Records whether settings that were read again differ from the active ones. They take effect
-    /// only at the next start.
+    /// Records whether settings that were read again differ from the active ones, or that they are
+    /// invalid. They take effect only at the next start.
     pub fn reload(&self, settings: &Result<Settings, String>) {
-        let is_changed = settings.as_ref().map(|new| *new != self.shared.settings);
-        let event = event::Event::new(event::Kind::SettingsRead);
-        self.shared.kernel.note(match is_changed {
-            Ok(is_changed) => event.with("is_changed", is_changed),
-            Err(error) => event.with("error", error.as_str()),
+        self.shared.kernel.note(match settings {
+            Ok(new) => event::Event::new(event::Kind::SettingsRead)
+                .with("is_changed", *new != self.shared.settings),
+            Err(error) => {
+                event::Event::new(event::Kind::SettingsRefused).with("error", error.as_str())
+            }
         });
     }
 
--- a/crates/peridotrack-kernel/src/event.rs
+++ b/crates/peridotrack-kernel/src/event.rs
@@ -69,7 +69,7 @@
     102 Info RouterStopped,
     /// The router stopped at the shutdown limit or on a second SIGINT and cut open requests.
     103 Error RouterCut,
-    /// The settings were read again; if that failed, a field holds the error.
+    /// The settings were read again; they take effect at the next start.
     104 Info SettingsRead,
     /// Log lines were dropped: the reader was slow or the limit on bytes was reached.
     105 Warn LogLinesDropped,
@@ -77,6 +77,8 @@
     106 Warn HoldingBackBegun,
     /// The router no longer holds back.
     107 Info HoldingBackEnded,
+    /// The settings that were read again are invalid: with them no process of this VM would start.
+    108 Warn SettingsRefused,
     /// A configuration was applied.
     110 Info ConfigApplied,
     /// A configuration was refused: it is invalid or older than the current one.
--- a/crates/peridotrackd/tests/gateway.rs
+++ b/crates/peridotrackd/tests/gateway.rs
@@ -306,6 +306,23 @@
     });
 }
 
+/// Guards against restarts in turn with settings of which only the first start tells that they are
+/// invalid.
+#[test]
+fn invalid_settings_are_a_warning_at_sighup_and_requests_go_on() {
+    block_on(async {
+        let (store, _backend) = fixture(backend::Mode::Serve);
+        let gateway = Gateway::spawn(store.address(), "refused").await;
+        gateway.wait_until_ready().await;
+        std::fs::write(&gateway.settings, "zone = 7").unwrap();
+        gateway.signal("-HUP");
+        let refused = gateway.wait_for_event("SettingsRefused").await;
+        assert_eq!(refused["severity"], "warn");
+        let response = fetch(gateway.client, request()).await.unwrap();
+        assert_eq!(response.status(), 200);
+    });
+}
+
 #[test]
 fn invalid_settings_are_reported_on_stderr() {
     let path = std::env::temp_dir().join(format!("peridotrackd-bad-{}.toml", std::process::id()));
