fix(platform): keep weights of a split that are fractions

With weights of 0.5 and 0.5 all requests of a route went to its first service, and none to the second.

Cause: weights were truncated to integers. Both became 0, and a split whose weights are all 0 goes to its first service.

`site::Share::weight` is a number of its own precision, and the choice draws from the sum of the weights.

--- a/crates/peridotrack-edge/src/gateway/request.rs
+++ b/crates/peridotrack-edge/src/gateway/request.rs
@@ -213,18 +213,19 @@
 
 /// Chooses one of a route's services at random, in proportion to their weights.
 fn choose_service(route: &site::Route) -> Option<name::Service> {
-    let total: u32 = route.shares.iter().map(|share| share.weight).sum();
-    let mut point = match total {
-        0 => 0,
-        _ => fastrand::u32(..total),
-    };
+    let total: f64 = route.shares.iter().map(|share| share.weight).sum();
+    let mut point = fastrand::f64() * total;
     for share in &route.shares {
         if point < share.weight {
             return Some(share.service.clone());
         }
         point -= share.weight;
     }
-    route.shares.first().map(|share| share.service.clone())
+    // The sum and the differences of weights may be rounded differently.
+    let is_weighted = |share: &&site::Share| share.weight > 0.0;
+    let last = route.shares.iter().rfind(is_weighted);
+    last.or(route.shares.first())
+        .map(|share| share.service.clone())
 }
 
 /// Maps a rank of the configuration to a priority of the routing service.
--- a/crates/peridotrack-edge/tests/gateway/requests.rs
+++ b/crates/peridotrack-edge/tests/gateway/requests.rs
@@ -6,9 +6,10 @@
 use bytes::Bytes;
 use peridotrack_standin::{
     harness::{http::block_on, wait},
-    hosted::backend::Mode,
+    hosted::backend::{self, Mode},
 };
 use rstest::rstest;
+use serde_json::json;
 
 use crate::fixture::{self, Fixture, LIMIT, config, entry, request};
 
@@ -203,6 +204,35 @@
     });
 }
 
+/// Guards against weights below 1 that count as 0, so that the first service gets all requests.
+#[test]
+fn a_route_is_split_by_weights_that_are_fractions() {
+    block_on(async {
+        let fixture = Fixture::spawn_before_config(2);
+        let mut entry = entry(&fixture.backends[1]);
+        entry["service"] = json!("lm-2");
+        fixture.store.put("servers", "i-1", entry);
+        let mut config = config(4, 1_000_000);
+        config["services"]
+            .as_array_mut()
+            .unwrap()
+            .push(json!({"name": "lm-2"}));
+        config["routes"][0]["trafficSplit"] = json!([
+            {"service": "lm", "weight": 0.5}, {"service": "lm-2", "weight": 0.5},
+        ]);
+        fixture.store.put("config", "main", config);
+        fixture.ready().await;
+        let both_ran = async || {
+            fixture.get("/safe/x").await;
+            let is_idle = |backend: &backend::Handle| backend.runs().is_empty();
+            (!fixture.backends.iter().any(is_idle)).then_some(())
+        };
+        wait::poll(LIMIT, "runs of both services", both_ran)
+            .await
+            .unwrap();
+    });
+}
+
 /// A gateway without a configuration does not know which paths exist, so it must not send 404.
 #[test]
 fn without_a_configuration_requests_get_503_with_a_retry_delay() {
--- a/crates/peridotrack-types/src/site.rs
+++ b/crates/peridotrack-types/src/site.rs
@@ -84,8 +84,8 @@
 pub struct Share {
     /// Service that receives the requests.
     pub service: name::Service,
-    /// Weight relative to the other shares of the route.
-    pub weight: u32,
+    /// Weight relative to the other shares of the route, at least zero.
+    pub weight: f64,
 }
 
 /// A service that routes distribute requests to.
