fix(http): reject responses with a status above 599

A client got a response with the status 600 or 999, with the server's signature, as that server had sent it.

Cause: the decoder accepts statuses from 100 to 999, and the gateway takes every status that is no server error for a final response. Statuses of HTTP end at 599 (RFC 9110, section 15).

The head of such a response is malformed now, as one without a status is: the attempt fails as one that may have run, so that only requests that may be repeated are, and the client gets 502 without a signature.

Failed before: 6 of 12 cases of `a_response_with_a_status_of_no_class_is_not_forwarded`, and the cases `status_above_599` and `largest_status` of `invalid_or_truncated_response_is_an_error`; the other cases passed before. The server of the tests serves each connection on a thread of its own, because the gateway opens some without a request.

--- a/crates/peridotrack-edge/tests/gateway/close_delimited.rs
+++ b/crates/peridotrack-edge/tests/gateway/close_delimited.rs
@@ -27,18 +27,34 @@
 
 /// Starts a server that sends every request a response with this body and then ends the connection.
 fn serve(content_type: &'static str, body: &'static str, end: End) -> SocketAddr {
+    serve_status("200 OK", content_type, body, end)
+}
+
+/// Does the same as [`serve`], with this status in the response.
+fn serve_status(
+    status: &'static str,
+    content_type: &'static str,
+    body: &'static str,
+    end: End,
+) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     thread::spawn(move || {
         for stream in listener.incoming().map_while(Result::ok) {
-            // The gateway may close a connection of its own accord; the next one is served.
-            let _ = respond(stream, content_type, body, end);
+            // The gateway opens connections without a request, and may close others.
+            thread::spawn(move || respond(stream, status, content_type, body, end));
         }
     });
     address
 }
 
-fn respond(mut stream: TcpStream, content_type: &str, body: &str, end: End) -> std::io::Result<()> {
+fn respond(
+    mut stream: TcpStream,
+    status: &str,
+    content_type: &str,
+    body: &str,
+    end: End,
+) -> std::io::Result<()> {
     let mut head = Vec::new();
     let mut byte = [0];
     while !head.ends_with(b"\r\n\r\n") {
@@ -50,7 +66,7 @@
         stream.read_exact(&mut [0; 4])?;
     }
     let response = format!(
-        "HTTP/1.1 200 OK\r\nperidotrack-request-id: 9c41\r\nperidotrack-response-seal: 3e1b\r\n\
+        "HTTP/1.1 {status}\r\nperidotrack-request-id: 9c41\r\nperidotrack-response-seal: 3e1b\r\n\
          content-type: {content_type}\r\n\r\n{body}"
     );
     stream.write_all(response.as_bytes())?;
@@ -113,3 +129,18 @@
         assert_eq!(response.status() == 200, is_whole, "{response:?}");
     });
 }
+
+/// Guards against a response that the client receives, although its status is none.
+#[rstest]
+fn a_response_with_a_status_of_no_class_is_not_forwarded(
+    #[values("000 OK", "099 OK", "600 OK", "999 OK")] status: &'static str,
+    #[values("/safe/x", "/unsafe/x", "/stream/x")] path: &str,
+) {
+    block_on(async {
+        let server = serve_status(status, "text/plain", "the answer", End::Close);
+        let fixture = fixture(server, path).await;
+        let response = fixture.get(path).await.unwrap();
+        assert_eq!(response.status(), 502);
+        assert!(!response.headers().contains_key("peridotrack-response-seal"));
+    });
+}
--- a/crates/peridotrack-http/src/head.rs
+++ b/crates/peridotrack-http/src/head.rs
@@ -11,6 +11,9 @@
 /// Maximum size of a head on any connection: `http::HeaderName` panics on longer names.
 pub(crate) const MAX_HEAD_BYTES: usize = 65_535;
 
+/// Largest status that belongs to a class.
+const MAX_STATUS: u16 = 599;
+
 /// Reason why a head is rejected.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum Error {
@@ -121,8 +124,15 @@
 }
 
 /// Decodes a response head that [`Scanner::split`] returned.
+///
+/// The decoder accepts any status from 100 to 999, and one above 599 has no class (RFC 9110, section
+/// 15): whether it is a failure, and whether the response may be forwarded, would be a guess.
 pub(crate) fn decode_response(mut text: BytesMut) -> Result<http::response::Parts, Error> {
-    into_head(ResponseHeadDecoder.decode(&mut text))
+    let head = into_head(ResponseHeadDecoder.decode(&mut text))?;
+    if head.status.as_u16() > MAX_STATUS {
+        return Err(malformed("the status is above 599"));
+    }
+    Ok(head)
 }
 
 /// Maps the decoder's result. Its error for too many fields is recognized by its text only.
--- a/crates/peridotrack-http/tests/client.rs
+++ b/crates/peridotrack-http/tests/client.rs
@@ -140,6 +140,14 @@
 #[case::closed_without_response("", "Head closed")]
 #[case::cut_head("HTTP/1.1 200 OK\r\nConte", "Head closed")]
 #[case::not_http("SSH-2.0-server\r\n\r\n", "Head malformed")]
+#[case::status_zero("HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n", "Head malformed")]
+#[case::status_below_100("HTTP/1.1 099 OK\r\nContent-Length: 0\r\n\r\n", "Head malformed")]
+#[case::status_above_599("HTTP/1.1 600 OK\r\nContent-Length: 0\r\n\r\n", "Head malformed")]
+#[case::largest_status("HTTP/1.1 999 OK\r\nContent-Length: 0\r\n\r\n", "Head malformed")]
+#[case::status_of_two_digits("HTTP/1.1 20 OK\r\nContent-Length: 0\r\n\r\n", "Head malformed")]
+#[case::status_of_four_digits("HTTP/1.1 2000 OK\r\nContent-Length: 0\r\n\r\n", "Head malformed")]
+#[case::no_status("HTTP/1.1 OK\r\nContent-Length: 0\r\n\r\n", "Head malformed")]
+#[case::other_version("HTTP/2.0 200 OK\r\nContent-Length: 0\r\n\r\n", "Head malformed")]
 #[case::no_stated_end("HTTP/1.1 200 OK\r\n\r\nhello", "Head malformed")]
 #[case::lengths_differ(
     "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 4\r\n\r\nhello",
