test(http): show that a response which is reset during an upload is not complete

Operators of similar systems saw a part of a response without a length taken as complete: the server had answered a long upload at once and reset the connection while the upload was still being written.

It does not happen here: an error of the write ends the attempt, whatever was received. The tests pass on the code before.

--- a/crates/peridotrack-edge/tests/gateway/close_delimited.rs
+++ b/crates/peridotrack-edge/tests/gateway/close_delimited.rs
@@ -14,7 +14,7 @@
 };
 use rstest::rstest;
 
-use crate::fixture::{Fixture, LIMIT};
+use crate::fixture::{Fixture, LIMIT, request};
 
 /// How the server ends the connection after its response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -130,6 +130,30 @@
     });
 }
 
+/// Guards against a part of a response that looks complete, because the connection was reset while
+/// the request was still being written.
+#[rstest]
+fn a_response_that_is_reset_during_a_long_upload_does_not_look_complete(
+    #[values("/safe/x", "/unsafe/x", "/stream/x")] path: &str,
+    #[values("text/plain", "text/event-stream")] content_type: &'static str,
+    #[values(40_000, 4_000_000)] upload_bytes: usize,
+) {
+    block_on(async {
+        let server = serve(content_type, EVENTS, End::Reset);
+        let fixture = fixture(server, path).await;
+        let mut upload = request(path, &[]);
+        *upload.body_mut() = vec![0; upload_bytes].into();
+        let response = fixture.send(upload).await;
+        // Events that arrive before the reset are forwarded, and the stream is cut off.
+        assert!(
+            response
+                .as_ref()
+                .is_none_or(|response| response.status() == 502),
+            "{response:?}"
+        );
+    });
+}
+
 /// Guards against a response that the client receives, although its status is none.
 #[rstest]
 fn a_response_with_a_status_of_no_class_is_not_forwarded(
