fix(http): reset a client connection that is dropped within an exchange

Cause: to give up an attempt closed its socket, and TCP goes on delivering what was written to a closed socket, 6.2 s later if a cut holds it up for 3.2.

A server behind a link that holds bytes back gets the request after the client has left.

A `client::Connection` that is dropped before its response is complete discards what has not arrived (`SO_LINGER` with 0 s), so that no byte of the request is delivered afterwards. A complete exchange ends as before: a response or a request that has arrived is never ended by a reset.

--- a/crates/peridotrack-edge/tests/gateway/main.rs
+++ b/crates/peridotrack-edge/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod fixture;
 mod fleet;
 mod http_1_0;
+mod late_bytes;
 mod leaving_or_paused;
 mod odd_entries;
 mod peers;
--- a/crates/peridotrack-http/src/client/connection.rs
+++ b/crates/peridotrack-http/src/client/connection.rs
@@ -13,7 +13,7 @@
     encode::{self, Length},
     head::{self, Framing, Scanner},
     memory::{Memory, Share},
-    tcp::{self, BufferedStream},
+    tcp::{self, BufferedStream, End},
 };
 
 /// Number of unacknowledged TCP keep-alive probes that ends a connection.
@@ -32,6 +32,9 @@
 }
 
 /// A connection to a server, which carries one exchange at a time.
+///
+/// A connection that is dropped within an exchange is reset, so that no byte of the request arrives
+/// afterwards.
 pub struct Connection {
     stream: BufferedStream,
     options: Options,
@@ -383,6 +386,17 @@
     }
 }
 
+/// A request whose response is not complete is given up with its connection: if it has not arrived,
+/// it must not arrive later, when another one may have taken its place.
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.stream.set_end(match self.phase {
+            Phase::Ready | Phase::Ended => End::Deliver,
+            Phase::Interrupted | Phase::Body { .. } => End::Discard,
+        });
+    }
+}
+
 impl From<body::Error> for Kind {
     fn from(error: body::Error) -> Self {
         match error {
--- a/crates/peridotrack-http/src/tcp.rs
+++ b/crates/peridotrack-http/src/tcp.rs
@@ -1,12 +1,14 @@
-//! A TCP stream with a read buffer, and timeouts for operations on it.
+//! A TCP stream with a read buffer, timeouts for operations on it, and its end.
 //!
 //! Server and client connections decode messages from the buffer. Reads are safe to cancel; after
-//! a cancelled write it is unknown how many bytes were written.
+//! a cancelled write it is unknown how many bytes were written. How connections end, and why, is
+//! tabulated in `docs/design/end-of-connections.md`.
 
 use std::{
     future::Future,
     io,
     net::SocketAddr,
+    os::fd::AsRawFd,
     pin::pin,
     task::{Context, Waker},
     time::Duration,
@@ -17,6 +19,10 @@
     io::{AsyncReadRent, AsyncWriteRent},
     net::TcpStream,
 };
+use nix::{
+    libc,
+    sys::socket::{self, sockopt},
+};
 
 /// Initial and minimum size of one read in bytes, for connections with little traffic.
 const MIN_READ_BYTES: usize = 2 * 1024;
@@ -31,6 +37,16 @@
     monoio::time::timeout(timeout, future).await.ok()
 }
 
+/// What becomes of bytes that were written to a stream and have not arrived when it is dropped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum End {
+    /// The operating system delivers them in the background, after an outage of the network too, and
+    /// then the end of the stream.
+    Deliver,
+    /// They are discarded, and the peer sees a reset.
+    Discard,
+}
+
 /// A TCP stream with a read buffer. Dropping a read in progress loses no bytes.
 pub(crate) struct BufferedStream {
     stream: TcpStream,
@@ -40,6 +56,20 @@
     read_bytes: usize,
     /// Bytes received and not consumed yet.
     pub(crate) buffer: BytesMut,
+    end: End,
+}
+
+impl Drop for BufferedStream {
+    fn drop(&mut self) {
+        if self.end == End::Discard {
+            let linger = libc::linger {
+                l_onoff: 1,
+                l_linger: 0,
+            };
+            // Fails only if the connection is broken, and then nothing is delivered any more.
+            let _ = socket::setsockopt(self.stream.as_raw_fd(), sockopt::Linger, &linger);
+        }
+    }
 }
 
 impl BufferedStream {
@@ -53,6 +83,7 @@
             written_bytes: 0,
             read_bytes: MIN_READ_BYTES,
             buffer: BytesMut::new(),
+            end: End::Deliver,
         }
     }
 
@@ -142,6 +173,11 @@
         Ok(())
     }
 
+    /// Sets how the stream ends when it is dropped; without a call, by [`End::Deliver`].
+    pub(crate) fn set_end(&mut self, end: End) {
+        self.end = end;
+    }
+
     /// Shuts down the write half and discards what the peer still sends, until it closes or a
     /// limit is reached.
     ///
