--- a/crates/peridotrack-edge/tests/gateway/fixture.rs
+++ b/crates/peridotrack-edge/tests/gateway/fixture.rs
@@ -116,6 +116,11 @@
         for (number, backend) in backends.iter().enumerate() {
             store.put("servers", &format!("i-{number}"), entry(backend));
         }
+        Self::spawn_with(store, backends)
+    }
+
+    /// Starts a gateway that follows the objects in `store`.
+    pub fn spawn_with(store: store::Handle, backends: Vec<backend::Handle>) -> Self {
         let gateway = Gateway::spawn(settings(&store), log::Output::Off).unwrap();
         Self {
             store,
--- a/crates/peridotrack-edge/tests/gateway/odd_entries.rs
+++ b/crates/peridotrack-edge/tests/gateway/odd_entries.rs
@@ -1,13 +1,16 @@
-//! Entries of other writers among those of the backend servers, with contents that strain a decoder.
-//! Whatever they hold, the gateway goes on and follows the entries of the servers.
+//! Entries of other writers among those of the backend servers, with contents or names that strain a
+//! decoder. Whatever they hold, the gateway goes on and follows the entries of the servers.
 
 use std::time::Duration;
 
-use peridotrack_standin::{harness::http::block_on, hosted::backend};
+use peridotrack_standin::{
+    harness::http::block_on,
+    hosted::{backend, store},
+};
 use rstest::rstest;
 use serde_json::json;
 
-use crate::fixture::{Fixture, LIMIT, entry};
+use crate::fixture::{Fixture, LIMIT, config, entry};
 
 /// A complete entry of a server at an address where nothing listens, with one field replaced.
 fn entry_with(field: &str, value: &str) -> String {
@@ -74,3 +77,38 @@
         assert!(fixture.runs() >= 10);
     });
 }
+
+/// Guards against names of other writers' entries that become a part of the address of the next page:
+/// gateways that were started while they stood ended, or never knew the servers.
+#[rstest]
+#[case::plain("batch")]
+#[case::blank("batch job")]
+#[case::ampersand("batch&waitMs=1")]
+#[case::plus("batch+job")]
+#[case::hash("batch#1")]
+#[case::percent("batch%20job")]
+#[case::lone_percent("batch%")]
+#[case::question_mark("batch?watch=1")]
+#[case::slash("batch/job")]
+#[case::dots("../batch")]
+#[case::quotes("\"batch\"")]
+#[case::control("batch\r\n\tjob")]
+#[case::other_script("batch-タスク")]
+#[case::long(&"batch ".repeat(1_000))]
+fn a_server_is_listed_after_entries_with_odd_names(#[case] name: &str) {
+    block_on(async {
+        let store = store::spawn().unwrap();
+        let backend = backend::spawn().unwrap();
+        // The stand-in returns two objects in a page, so that the first page ends with an odd name.
+        for number in 0..3 {
+            let name = format!("{name}{number}");
+            store.put("servers", &name, json!({"service": "batch"}));
+            store.put("config", &name, json!("not a configuration"));
+        }
+        store.put("servers", "n-0", entry(&backend));
+        store.put("config", "main", config(4, 1_000_000));
+        let fixture = Fixture::spawn_with(store, vec![backend]);
+        fixture.ready().await;
+        assert_eq!(fixture.get("/safe/x").await.unwrap().status(), 200);
+    });
+}
--- a/crates/peridotrack-standin/src/hosted/store.rs
+++ b/crates/peridotrack-standin/src/hosted/store.rs
@@ -166,6 +166,12 @@
     }
 }
 
+fn decode(text: &str) -> String {
+    percent_encoding::percent_decode_str(text)
+        .decode_utf8_lossy()
+        .into_owned()
+}
+
 fn text_marker(number: usize) -> String {
     format!("text-{number}-of-the-store")
 }
@@ -386,12 +392,14 @@
         let uri = incoming.request.head.uri.clone();
         let mut parts = uri.path().trim_start_matches("/objects/").splitn(2, '/');
         let kind = parts.next().unwrap_or_default().to_owned();
-        let name = parts.next();
-        let query: BTreeMap<&str, &str> = uri
+        let name = parts.next().map(decode);
+        let name = name.as_deref();
+        let query: BTreeMap<&str, String> = uri
             .query()
             .unwrap_or_default()
             .split('&')
             .filter_map(|field| field.split_once('='))
+            .map(|(field, value)| (field, decode(&value.replace('+', " "))))
             .collect();
         let number = |field: &str| query.get(field).and_then(|text| text.parse::<u64>().ok());
         let body = || serde_json::from_slice(&incoming.request.body).unwrap_or(Value::Null);
@@ -410,7 +418,9 @@
                 let wait_ms = number("waitMs").unwrap_or_default();
                 self.watch(&kind, revision, wait_ms).await?
             }
-            (&Method::GET, None, None) => self.list(&kind, query.get("sinceRev").copied()),
+            (&Method::GET, None, None) => {
+                self.list(&kind, query.get("sinceRev").map(String::as_str))
+            }
             (&Method::GET, Some(name), _) => self.read(&kind, name),
             (&Method::POST, None, _) => self.write(&kind, None, &body()),
             (&Method::PUT, Some(name), _) => self.write(&kind, Some(name), &body()),
