fix(platform): continue a list after objects that cannot be decoded

A page that ended with malformed objects was followed by one after an earlier name, and a page without any object that can be decoded was taken for the last one: servers on later pages were never known.

Change: the list goes on after the last object that has a name. If no object of a page has one, or the list does not advance, the gateway uses what it has read, logs it, and removes nothing that it knows.

--- a/crates/peridotrack-edge/src/follow.rs
+++ b/crates/peridotrack-edge/src/follow.rs
@@ -29,8 +29,14 @@
 /// Update of the view of one kind of objects, as passed to the callback.
 #[derive(Clone, Copy)]
 pub enum Update<'a> {
-    /// All objects of the kind; one that is absent was removed or cannot be decoded.
-    Listing(&'a [store::Object]),
+    /// The objects of the kind.
+    Listing {
+        /// The objects that can be decoded.
+        objects: &'a [store::Object],
+        /// Whether an object that is absent was removed or cannot be decoded; otherwise it may only
+        /// be missing from the list.
+        is_complete: bool,
+    },
     /// Changes since the previous update.
     Changes {
         /// The changes, oldest first.
@@ -185,7 +191,10 @@
     async fn list(self: Rc<Self>) {
         let event = match self.platform.list(self.name).await {
             Ok(listing) => {
-                (self.on_update)(Update::Listing(&listing.objects));
+                (self.on_update)(Update::Listing {
+                    objects: &listing.objects,
+                    is_complete: listing.is_complete,
+                });
                 Event::Listed {
                     revision: listing.revision,
                 }
--- a/crates/peridotrack-edge/src/gateway/directory.rs
+++ b/crates/peridotrack-edge/src/gateway/directory.rs
@@ -262,10 +262,13 @@
     let directory = &shared.directory;
     let now_us = shared.kernel.now_us();
     match update {
-        Update::Listing(objects) => {
+        Update::Listing {
+            objects,
+            is_complete,
+        } => {
             let known: Vec<_> = directory.entries.borrow().keys().cloned().collect();
             let is_listed = |name: &name::BackendServer| {
-                objects.iter().any(|object| object.name == name.as_str())
+                !is_complete || objects.iter().any(|object| object.name == name.as_str())
             };
             for name in known.iter().filter(|name| !is_listed(name)) {
                 directory.mark_missing(now_us, name.as_str());
--- a/crates/peridotrack-edge/src/gateway/evacuation.rs
+++ b/crates/peridotrack-edge/src/gateway/evacuation.rs
@@ -34,7 +34,10 @@
 /// Applies a listing or changes of the evacuations.
 pub(super) fn apply_update(shared: &Rc<Shared>, update: Update<'_>) {
     match update {
-        Update::Listing(objects) => {
+        Update::Listing {
+            objects,
+            is_complete,
+        } => {
             let listed: BTreeSet<name::FailureDomain> = objects
                 .iter()
                 .map(|object| object.name.as_str().into())
@@ -46,7 +49,8 @@
                 .keys()
                 .cloned()
                 .collect();
-            for domain in known.iter().filter(|domain| !listed.contains(*domain)) {
+            let is_listed = |domain: &name::FailureDomain| !is_complete || listed.contains(domain);
+            for domain in known.iter().filter(|domain| !is_listed(domain)) {
                 take_back(shared, domain);
             }
             for domain in &listed {
--- a/crates/peridotrack-edge/src/gateway/site.rs
+++ b/crates/peridotrack-edge/src/gateway/site.rs
@@ -33,7 +33,7 @@
 /// Applies a listing or changes of the configuration objects.
 pub(super) fn apply_update(shared: &Rc<Shared>, update: Update<'_>) {
     match update {
-        Update::Listing(objects) => {
+        Update::Listing { objects, .. } => {
             for object in objects {
                 apply(shared, &object.name, &object.content);
             }
--- a/crates/peridotrack-edge/src/platform/hosted.rs
+++ b/crates/peridotrack-edge/src/platform/hosted.rs
@@ -17,6 +17,9 @@
     pub objects: Vec<store::Object>,
     /// Revision after which a watch reports every change that the listing may lack.
     pub revision: u64,
+    /// Whether no object is missing. The list cannot be read to its end if a page has no object whose
+    /// name can be decoded.
+    pub is_complete: bool,
 }
 
 /// Lists and watches all objects of a kind.
@@ -36,8 +39,21 @@
             // A watch from the first page's revision repeats the changes made between two pages.
             let revision = *first_revision.get_or_insert(page.revision);
             match page.next {
-                Some(next) => after = Some(next),
-                None => return Ok(Listing { objects, revision }),
+                // The store may not recognise a name of which only a part can be decoded.
+                store::Next::After(next) if after.as_ref() != Some(&next) => after = Some(next),
+                next => {
+                    if next != store::Next::End {
+                        let event = event::Event::new(event::Kind::ObjectIgnored)
+                            .with("kind", kind)
+                            .with("error", "the list cannot be read to its end");
+                        self.kernel.note(event);
+                    }
+                    return Ok(Listing {
+                        objects,
+                        revision,
+                        is_complete: next == store::Next::End,
+                    });
+                }
             }
         }
     }
--- a/crates/peridotrack-edge/src/quarantine.rs
+++ b/crates/peridotrack-edge/src/quarantine.rs
@@ -154,7 +154,7 @@
     /// Applies a listing or changes of the statements in the store.
     pub fn apply_update(self: &Rc<Self>, update: Update<'_>) {
         match update {
-            Update::Listing(objects) => {
+            Update::Listing { objects, .. } => {
                 for object in objects {
                     if object.name == self.vm.as_str() {
                         self.revision.set(Some(object.revision));
--- a/crates/peridotrack-edge/tests/gateway/odd_entries.rs
+++ b/crates/peridotrack-edge/tests/gateway/odd_entries.rs
@@ -112,3 +112,22 @@
         assert_eq!(fixture.get("/safe/x").await.unwrap().status(), 200);
     });
 }
+
+/// Guards against a list that was taken to end with a page none of whose objects can be decoded.
+#[test]
+fn a_server_is_listed_after_a_page_of_malformed_objects() {
+    block_on(async {
+        let store = store::spawn().unwrap();
+        let backend = backend::spawn().unwrap();
+        for number in 0..4 {
+            let name = format!("batch-{number}");
+            store.put("servers", &name, json!({"service": "batch"}));
+            store.make_malformed("servers", &name);
+        }
+        store.put("servers", "n-0", entry(&backend));
+        store.put("config", "main", config(4, 1_000_000));
+        let fixture = Fixture::spawn_with(store, vec![backend]);
+        fixture.ready().await;
+        assert_eq!(fixture.get("/safe/x").await.unwrap().status(), 200);
+    });
+}
--- a/crates/peridotrack-standin/src/hosted/store.rs
+++ b/crates/peridotrack-standin/src/hosted/store.rs
@@ -69,6 +69,8 @@
     revision: u64,
     created_revision: u64,
     spec: Value,
+    /// Whether its document states the revision as a text.
+    is_malformed: bool,
 }
 
 #[derive(Debug, Clone)]
@@ -141,6 +143,15 @@
         store.put(kind, name, Value::String(text_marker(number)));
     }
 
+    /// Makes the document of an existing object one that cannot be decoded.
+    pub fn make_malformed(&self, kind: &str, name: &str) {
+        let key = (kind.to_owned(), name.to_owned());
+        let mut state = self.0.application.state.borrow_mut();
+        if let Some(object) = state.objects.get_mut(&key) {
+            object.is_malformed = true;
+        }
+    }
+
     /// Removes an object, if it exists, regardless of the mode.
     pub fn remove(&self, kind: &str, name: &str) {
         self.0.application.remove(kind, name);
@@ -178,10 +189,14 @@
 
 impl Object {
     fn document(&self, name: &str) -> Value {
+        let revision = match self.is_malformed {
+            true => json!("none"),
+            false => json!(self.revision),
+        };
         json!({
             "metadata": {
                 "name": name,
-                "revision": self.revision,
+                "revision": revision,
                 "createdRev": self.created_revision,
                 "finalizers": [],
                 "deleting": false,
@@ -222,6 +237,7 @@
             revision: state.revision,
             created_revision: existing.map_or(state.revision, |object| object.created_revision),
             spec,
+            is_malformed: false,
         };
         let document = object.document(name);
         state.objects.insert(key, object);
