--- a/crates/peridotrack-standin/src/hosted/store.rs
+++ b/crates/peridotrack-standin/src/hosted/store.rs
@@ -69,6 +69,8 @@
     revision: u64,
     created_revision: u64,
     spec: Value,
+    /// Whether its document states the revision as a text.
+    is_malformed: bool,
 }
 
 #[derive(Debug, Clone)]
@@ -141,6 +143,15 @@
         store.put(kind, name, Value::String(text_marker(number)));
     }
 
+    /// Makes the document of an existing object one that cannot be decoded.
+    pub fn make_malformed(&self, kind: &str, name: &str) {
+        let key = (kind.to_owned(), name.to_owned());
+        let mut state = self.0.application.state.borrow_mut();
+        if let Some(object) = state.objects.get_mut(&key) {
+            object.is_malformed = true;
+        }
+    }
+
     /// Removes an object, if it exists, regardless of the mode.
     pub fn remove(&self, kind: &str, name: &str) {
         self.0.application.remove(kind, name);
@@ -166,16 +177,26 @@
     }
 }
 
+fn decode(text: &str) -> String {
+    percent_encoding::percent_decode_str(text)
+        .decode_utf8_lossy()
+        .into_owned()
+}
+
 fn text_marker(number: usize) -> String {
     format!("text-{number}-of-the-store")
 }
 
 impl Object {
     fn document(&self, name: &str) -> Value {
+        let revision = match self.is_malformed {
+            true => json!("none"),
+            false => json!(self.revision),
+        };
         json!({
             "metadata": {
                 "name": name,
-                "revision": self.revision,
+                "revision": revision,
                 "createdRev": self.created_revision,
                 "finalizers": [],
                 "deleting": false,
@@ -216,6 +237,7 @@
             revision: state.revision,
             created_revision: existing.map_or(state.revision, |object| object.created_revision),
             spec,
+            is_malformed: false,
         };
         let document = object.document(name);
         state.objects.insert(key, object);
@@ -386,12 +408,14 @@
         let uri = incoming.request.head.uri.clone();
         let mut parts = uri.path().trim_start_matches("/objects/").splitn(2, '/');
         let kind = parts.next().unwrap_or_default().to_owned();
-        let name = parts.next();
-        let query: BTreeMap<&str, &str> = uri
+        let name = parts.next().map(decode);
+        let name = name.as_deref();
+        let query: BTreeMap<&str, String> = uri
             .query()
             .unwrap_or_default()
             .split('&')
             .filter_map(|field| field.split_once('='))
+            .map(|(field, value)| (field, decode(&value.replace('+', " "))))
             .collect();
         let number = |field: &str| query.get(field).and_then(|text| text.parse::<u64>().ok());
         let body = || serde_json::from_slice(&incoming.request.body).unwrap_or(Value::Null);
@@ -410,7 +434,9 @@
                 let wait_ms = number("waitMs").unwrap_or_default();
                 self.watch(&kind, revision, wait_ms).await?
             }
-            (&Method::GET, None, None) => self.list(&kind, query.get("sinceRev").copied()),
+            (&Method::GET, None, None) => {
+                self.list(&kind, query.get("sinceRev").map(String::as_str))
+            }
             (&Method::GET, Some(name), _) => self.read(&kind, name),
             (&Method::POST, None, _) => self.write(&kind, None, &body()),
             (&Method::PUT, Some(name), _) => self.write(&kind, Some(name), &body()),
