--- a/crates/peridotrack-edge/tests/gateway/odd_entries.rs
+++ b/crates/peridotrack-edge/tests/gateway/odd_entries.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use peridotrack_standin::{
-    harness::http::block_on,
+    harness::{http::block_on, wait},
     hosted::{backend, store},
 };
 use rstest::rstest;
@@ -122,7 +122,7 @@
         for number in 0..4 {
             let name = format!("batch-{number}");
             store.put("servers", &name, json!({"service": "batch"}));
-            store.make_malformed("servers", &name);
+            store.make_malformed("servers", &name, store::Flaw::Revision);
         }
         store.put("servers", "n-0", entry(&backend));
         store.put("config", "main", config(4, 1_000_000));
@@ -131,3 +131,26 @@
         assert_eq!(fixture.get("/safe/x").await.unwrap().status(), 200);
     });
 }
+
+/// Guards against the removal of servers that stand in a part of the list which cannot be read.
+#[test]
+fn a_known_server_is_kept_if_the_list_cannot_be_read_to_its_end() {
+    block_on(async {
+        let fixture = Fixture::spawn(1).await;
+        for name in ["batch-0", "batch-1"] {
+            fixture
+                .store
+                .put("servers", name, json!({"service": "batch"}));
+            fixture
+                .store
+                .make_malformed("servers", name, store::Flaw::Name);
+        }
+        let calls = fixture.store.counters().calls;
+        fixture.store.clear_history();
+        let has_listed = || fixture.store.counters().calls > calls + 8;
+        wait::until(LIMIT, "listings", has_listed).await.unwrap();
+        for _ in 0..5 {
+            assert_eq!(fixture.get("/safe/x").await.unwrap().status(), 200);
+        }
+    });
+}
--- a/crates/peridotrack-standin/src/hosted/store.rs
+++ b/crates/peridotrack-standin/src/hosted/store.rs
@@ -64,13 +64,21 @@
     pub writes: u64,
 }
 
+/// What is wrong with the document of an object.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Flaw {
+    /// Its revision is a text.
+    Revision,
+    /// Its name is a number.
+    Name,
+}
+
 #[derive(Debug, Clone)]
 struct Object {
     revision: u64,
     created_revision: u64,
     spec: Value,
-    /// Whether its document states the revision as a text.
-    is_malformed: bool,
+    flaw: Option<Flaw>,
 }
 
 #[derive(Debug, Clone)]
@@ -144,11 +152,11 @@
     }
 
     /// Makes the document of an existing object one that cannot be decoded.
-    pub fn make_malformed(&self, kind: &str, name: &str) {
+    pub fn make_malformed(&self, kind: &str, name: &str, flaw: Flaw) {
         let key = (kind.to_owned(), name.to_owned());
         let mut state = self.0.application.state.borrow_mut();
         if let Some(object) = state.objects.get_mut(&key) {
-            object.is_malformed = true;
+            object.flaw = Some(flaw);
         }
     }
 
@@ -189,9 +197,10 @@
 
 impl Object {
     fn document(&self, name: &str) -> Value {
-        let revision = match self.is_malformed {
-            true => json!("none"),
-            false => json!(self.revision),
+        let (name, revision) = match self.flaw {
+            Some(Flaw::Name) => (json!(0), json!(self.revision)),
+            Some(Flaw::Revision) => (json!(name), json!("none")),
+            None => (json!(name), json!(self.revision)),
         };
         json!({
             "metadata": {
@@ -237,7 +246,7 @@
             revision: state.revision,
             created_revision: existing.map_or(state.revision, |object| object.created_revision),
             spec,
-            is_malformed: false,
+            flaw: None,
         };
         let document = object.document(name);
         state.objects.insert(key, object);
