fix(edge): fetch the configuration from peers that hold a higher version

Requests went to services that only the older version allowed, and added routes got 404.

Cause: changes were relayed only within a failure domain and only from the router with the lowest incarnation. If the store turned away that router, or all routers of a failure domain, they had no other source. The membership compares versions and requests a higher one from the peer that advertises it, but a gateway neither advertised its version nor answered the request.

Change: a gateway advertises the active version, answers requests for it with the content of the store's object, packed, and applies what it receives if the version is higher. ConfigApplied states the source.

Result: a_configuration_reaches_gateways_that_the_store_turns_away failed in 5 of 5 cases before and passes.

--- a/crates/peridotrack-edge/src/gateway.rs
+++ b/crates/peridotrack-edge/src/gateway.rs
@@ -422,6 +422,7 @@
     let (route, origins) = (Rc::clone(route), Rc::clone(origins));
     let (members, budget, follow) = (Rc::clone(member), Rc::clone(budget), Rc::clone(follow));
     let (quarantine, throttle) = (Rc::clone(quarantine), Rc::clone(throttle));
+    let weak = Rc::downgrade(shared);
     let on_frame = move |sender: peer::Sender, frame: peer::Frame| match frame {
         peer::Frame::Member(message) => members.receive(sender.address, message),
         peer::Frame::Budget { message, .. } => budget.receive(sender.incarnation, message),
@@ -436,6 +437,16 @@
             news,
         } => throttle.receive(&failure_domain, news),
         peer::Frame::Origin(message) => origins.receive(sender, message),
+        peer::Frame::ConfigRequest { above_version } => {
+            if let Some(shared) = weak.upgrade() {
+                site::send(&shared, sender.address, above_version);
+            }
+        }
+        peer::Frame::Config { content } => {
+            if let Some(shared) = weak.upgrade() {
+                site::receive(&shared, content);
+            }
+        }
         peer::Frame::LeavingStated {
             backend_server: backend,
             started_ms,
--- a/crates/peridotrack-edge/src/gateway/site.rs
+++ b/crates/peridotrack-edge/src/gateway/site.rs
@@ -1,22 +1,28 @@
-//! The operators' active configuration, kept current from the store.
+//! The operators' active configuration, kept current from the store and from peers.
 //!
 //! A new version is applied only if it is higher than the active one. Applying it configures the
-//! budgets and passes the backend servers of its services to the routing service.
+//! budgets and passes the backend servers of its services to the routing service. The membership
+//! advertises the active version, and a router that holds a lower one requests the configuration: the
+//! store may turn it away and serve the others.
 
-use std::{cell::RefCell, rc::Rc};
+use std::{cell::RefCell, net::SocketAddr, rc::Rc};
 
+use bytes::Bytes;
+use peridotrack_follow::message::Change;
 use peridotrack_kernel::event;
 use peridotrack_platform::site as wire;
 use peridotrack_types::site;
 
 use super::Shared;
-use crate::follow::Update;
+use crate::{follow::Update, peer, platform};
 
 /// One version of the configuration, with its lookup index.
 #[derive(Debug, Default)]
 pub(super) struct Snapshot {
     pub(super) site: site::Site,
     pub(super) index: site::Index,
+    /// Content of the store object, as peers request it.
+    content: Bytes,
 }
 
 /// The active configuration, `None` until the first one is received.
@@ -30,19 +36,57 @@
     }
 }
 
+/// Where a configuration was received from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Source {
+    /// The store, or a peer that relays its changes.
+    Store,
+    /// A peer that was asked for a higher version.
+    Peer,
+}
+
+impl Source {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Store => "store",
+            Self::Peer => "peer",
+        }
+    }
+}
+
+/// Sends the active configuration to a peer if its version exceeds `above_version`.
+pub(super) fn send(shared: &Shared, to: SocketAddr, above_version: u64) {
+    let Some(current) = shared.site.get() else {
+        return;
+    };
+    if current.site.version > above_version {
+        let content = platform::pack(&current.content).to_vec();
+        shared.link.send(to, &peer::Frame::Config { content });
+    }
+}
+
+/// Applies a configuration that a peer sent.
+pub(super) fn receive(shared: &Shared, content: Vec<u8>) {
+    match platform::unpack(&content.into()) {
+        Ok(content) => drop(apply(shared, Source::Peer, &content)),
+        Err(error) => note_refused(shared, Source::Peer, &error),
+    }
+}
+
 /// Applies a listing or changes of the configuration objects.
 pub(super) fn apply_update(shared: &Rc<Shared>, update: Update<'_>) {
     match update {
         Update::Listing { objects, .. } => {
-            for object in objects {
-                apply(shared, &object.name, &object.content);
+            let current = objects.iter().filter(|object| object.name == wire::NAME);
+            for object in current {
+                apply(shared, Source::Store, &object.content);
             }
         }
         Update::Changes { changes, .. } => {
             // Of several changes received together, only the newest readable one is applied.
-            let written = changes.iter().rev().filter(|change| !change.is_removed);
-            for change in written {
-                if apply(shared, &change.name, &change.content) {
+            let is_written = |change: &&Change| change.name == wire::NAME && !change.is_removed;
+            for change in changes.iter().rev().filter(is_written) {
+                if apply(shared, Source::Store, &change.content) {
                     break;
                 }
             }
@@ -52,16 +96,12 @@
 
 /// Applies a configuration if it is newer than the active one, and records the result.
 ///
-/// Returns whether it is the object of that name and could be decoded.
-fn apply(shared: &Rc<Shared>, name: &str, content: &[u8]) -> bool {
-    if name != wire::NAME {
-        return false;
-    }
+/// Returns whether it could be decoded.
+fn apply(shared: &Shared, source: Source, content: &[u8]) -> bool {
     let site = match wire::decode(content) {
         Ok(site) => site,
         Err(error) => {
-            let event = event::Event::new(event::Kind::ConfigRefused);
-            shared.kernel.note(event.with("error", error.to_string()));
+            note_refused(shared, source, &error);
             return false;
         }
     };
@@ -75,13 +115,27 @@
         .iter()
         .filter_map(|account| Some((account.name.as_str().into(), account.prepaid_tokens?)))
         .collect();
-    let index = site::Index::new(&site);
-    *shared.site.0.borrow_mut() = Some(Rc::new(Snapshot { site, index }));
+    let snapshot = Snapshot {
+        index: site::Index::new(&site),
+        site,
+        content: Bytes::copy_from_slice(content),
+    };
+    *shared.site.0.borrow_mut() = Some(Rc::new(snapshot));
     shared.budget.configure(version, budgets);
     shared.directory.apply(shared);
+    // The active version is that of the membership too, so that the outcome is known.
+    shared.member.configure(version);
     let event = event::Event::new(event::Kind::ConfigApplied)
         .with("version", version)
-        .with("previous_version", previous_version);
+        .with("previous_version", previous_version)
+        .with("source", source.name());
     shared.kernel.note(event);
     true
 }
+
+fn note_refused(shared: &Shared, source: Source, error: &dyn std::error::Error) {
+    let event = event::Event::new(event::Kind::ConfigRefused)
+        .with("error", error.to_string())
+        .with("source", source.name());
+    shared.kernel.note(event);
+}
--- a/crates/peridotrack-edge/src/platform.rs
+++ b/crates/peridotrack-edge/src/platform.rs
@@ -25,7 +25,7 @@
 use crate::{metric, notify};
 pub use hosted::Listing;
 use native::{etag, object, object_path, refused, request, unknown};
-pub use pack::unpack;
+pub use pack::{pack, unpack};
 
 /// Name of this service in the registry.
 pub const SERVICE: &str = "platform";
--- a/crates/peridotrack-edge/src/platform/pack.rs
+++ b/crates/peridotrack-edge/src/platform/pack.rs
@@ -28,7 +28,7 @@
 }
 
 /// Returns a JSON string with the packed `content`.
-pub(super) fn pack(content: &[u8]) -> Bytes {
+pub fn pack(content: &[u8]) -> Bytes {
     let deflated = miniz_oxide::deflate::compress_to_vec(content, LEVEL);
     // Base64 needs no JSON escapes.
     format!("\"{}\"", STANDARD.encode(deflated)).into()
--- a/crates/peridotrack-edge/tests/gateway/peers.rs
+++ b/crates/peridotrack-edge/tests/gateway/peers.rs
@@ -14,6 +14,7 @@
     hosted::{backend, store},
 };
 use peridotrack_types::{gateway::Settings, id, name};
+use rstest::rstest;
 use serde_json::{Value, json};
 
 use crate::{
@@ -70,10 +71,15 @@
 
 impl ProxiedGateway {
     fn spawn(store: &store::Handle, seeds: Vec<SocketAddr>) -> Self {
+        Self::spawn_in(store, "a", seeds)
+    }
+
+    fn spawn_in(store: &store::Handle, failure_domain: &str, seeds: Vec<SocketAddr>) -> Self {
         let store_link = relay::spawn(store.address()).unwrap();
         let settings = Settings {
             store_address: store_link.address(),
             seed_addresses: seeds,
+            failure_domain: failure_domain.into(),
             vm: format!("vm-{}", store_link.address().port())
                 .as_str()
                 .into(),
@@ -174,3 +180,68 @@
         assert_eq!(applied(), [4, 20]);
     });
 }
+
+/// Time by which a store that turns a gateway away may delay a configuration further.
+const STORE_DELAY: Duration = Duration::from_secs(5);
+
+/// Which of three gateways the store turns away; the first two are in one failure domain.
+#[derive(Clone, Copy)]
+enum TurnedAway {
+    /// Of the first two, the one that relays changes to the other.
+    Relay,
+    /// Both of the first failure domain.
+    Domain,
+    /// The only one of the second failure domain.
+    Single,
+}
+
+/// Guards against gateways that went on by an older configuration for as long as the store turned them
+/// away, although it served others, which they reach.
+#[rstest]
+#[case::relay_closed(TurnedAway::Relay, relay::Link::Cut)]
+#[case::domain_closed(TurnedAway::Domain, relay::Link::Cut)]
+#[case::domain_silent(TurnedAway::Domain, relay::Link::Stalled)]
+#[case::single_closed(TurnedAway::Single, relay::Link::Cut)]
+#[case::single_one_way(TurnedAway::Single, relay::Link::ResponsesStalled)]
+fn a_configuration_reaches_gateways_that_the_store_turns_away(
+    #[case] turned_away: TurnedAway,
+    #[case] link: relay::Link,
+) {
+    block_on(async {
+        let store = store::spawn().unwrap();
+        let backend = backend::spawn().unwrap();
+        store.put("servers", "i-0", entry(&backend));
+        store.put("config", "main", config(1, 1_000_000));
+        let first = ProxiedGateway::spawn(&store, Vec::new());
+        let seeds = vec![first.gateway.peer_address()];
+        let second = ProxiedGateway::spawn(&store, seeds.clone());
+        let third = ProxiedGateway::spawn_in(&store, "b", seeds);
+        let (lower, higher) = match first.gateway.incarnation() < second.gateway.incarnation() {
+            true => (first, second),
+            false => (second, first),
+        };
+        for gateway in [&lower, &higher, &third] {
+            gateway.until_route("/safe/", LIMIT).await;
+        }
+        let relayed = || higher.gateway.is_relayed("config");
+        wait::until(LIMIT, "relayed configuration", relayed)
+            .await
+            .unwrap();
+        let affected = match turned_away {
+            TurnedAway::Relay => vec![&lower],
+            TurnedAway::Domain => vec![&lower, &higher],
+            TurnedAway::Single => vec![&third],
+        };
+        for gateway in affected {
+            gateway.store_link.set(link);
+        }
+        let apply = Duration::from_millis(settings(&store).bounds.config_apply_ms);
+        for version in 2..4 {
+            let path = format!("/added-{version}/");
+            store.put("config", "main", extended(version, &path));
+            for gateway in [&lower, &higher, &third] {
+                gateway.until_route(&path, apply + STORE_DELAY).await;
+            }
+        }
+    });
+}
