fix(follow): fetch objects from peers while the store turns a router away

A gateway that started while the store turned it away did not serve, although the store served its peers, and running gateways did not know new servers for as long as that lasted.

Objects of the store reach a router from the store or from the relay of its failure domain; without both it learned nothing, whatever other peers knew.

Change: a follower whose calls fail, and which no relay keeps current, asks the peers of all failure domains, one after another, for the objects if they have changed after its revision. Only a router that the store or a relay keeps current answers, so that routers without a source never confirm each other.

--- a/crates/peridotrack-edge/src/follow.rs
+++ b/crates/peridotrack-edge/src/follow.rs
@@ -6,13 +6,16 @@
 
 use std::{
     cell::{Cell, RefCell},
+    collections::BTreeMap,
     rc::Rc,
 };
 
+use bytes::Bytes;
+
 use peridotrack_follow::{
     event::{Action, Event},
     follower::{Follower, Options},
-    message::{Change, Message},
+    message::{Change, Message, Snapshot},
 };
 use peridotrack_kernel::{Kernel, clock, event, timer};
 use peridotrack_platform::store;
@@ -62,6 +65,8 @@
     name: &'static str,
     follower: RefCell<Follower>,
     on_update: OnUpdate,
+    /// Content of the objects by name, for peers that the store turns away.
+    objects: RefCell<BTreeMap<String, Bytes>>,
     /// Kind whose follower leads that of this kind, if it is led.
     leader: Option<Rc<Kind>>,
     /// Whether a peer kept the view current at the last event.
@@ -89,6 +94,7 @@
             name,
             follower: RefCell::new(Follower::new(incarnation, options, kernel.now_us())),
             on_update: Box::new(on_update),
+            objects: RefCell::default(),
             was_relayed: Cell::new(false),
             subscription: RefCell::default(),
         });
@@ -125,10 +131,11 @@
 
 /// Passes membership changes and peer messages to the followers.
 impl Follow {
-    /// Sets the live peers of the local failure domain.
-    pub fn set_peers(&self, peers: &[id::Incarnation]) {
+    /// Sets the live peers of the local failure domain, and those of all failure domains.
+    pub fn set_peers(&self, local: &[id::Incarnation], all: &[id::Incarnation]) {
         for kind in self.kinds.borrow().iter() {
-            kind.handle(Event::Peers(peers.to_vec()));
+            kind.handle(Event::Peers(local.to_vec()));
+            kind.handle(Event::AllPeers(all.to_vec()));
         }
     }
 
@@ -163,18 +170,77 @@
                 Action::Apply {
                     changes,
                     since_loss_us,
-                } => (self.on_update)(Update::Changes {
-                    changes: &changes,
-                    since_loss_us,
-                }),
-                Action::Send { to, message } => {
-                    let kind = self.name.to_owned();
-                    let frame = peer::Frame::Follow { to, kind, message };
-                    // If the address is unknown, the peer has just left.
-                    member::send(&self.kernel, to, &frame);
-                }
+                } => self.change(&changes, since_loss_us),
+                Action::Replace(snapshot) => self.replace(snapshot),
+                Action::SendSnapshot { to, revision } => self.send_snapshot(to, revision),
+                Action::Send { to, message } => self.send(to, message),
+            }
+        }
+    }
+
+    fn send(&self, to: id::Incarnation, message: Message) {
+        let kind = self.name.to_owned();
+        let frame = peer::Frame::Follow { to, kind, message };
+        // If the address is unknown, the peer has just left.
+        member::send(&self.kernel, to, &frame);
+    }
+
+    fn send_snapshot(&self, to: id::Incarnation, revision: u64) {
+        let objects = self.objects.borrow();
+        let objects = objects
+            .iter()
+            .map(|(name, content)| (name.clone(), content.to_vec()))
+            .collect();
+        self.send(to, Message::Snapshot(Snapshot { revision, objects }));
+    }
+
+    fn change(&self, changes: &[Change], since_loss_us: Option<u64>) {
+        let mut objects = self.objects.borrow_mut();
+        for change in changes {
+            match change.is_removed {
+                true => drop(objects.remove(&change.name)),
+                false => drop(
+                    objects.insert(change.name.clone(), Bytes::copy_from_slice(&change.content)),
+                ),
             }
         }
+        drop(objects);
+        (self.on_update)(Update::Changes {
+            changes,
+            since_loss_us,
+        });
+    }
+
+    /// Replaces the objects by those that a peer sent.
+    fn replace(&self, snapshot: Snapshot) {
+        let object = |(name, content): (String, Vec<u8>)| store::Object {
+            name,
+            revision: snapshot.revision,
+            content: content.into(),
+        };
+        let objects: Vec<_> = snapshot.objects.into_iter().map(object).collect();
+        let event = event::Event::new(event::Kind::ObjectsFetched)
+            .with("kind", self.name)
+            .with("objects", objects.len() as u64)
+            .with("revision", snapshot.revision);
+        self.kernel.note(event);
+        self.set_listing(&objects, true);
+    }
+
+    fn set_listing(&self, objects: &[store::Object], is_complete: bool) {
+        let mut contents = self.objects.borrow_mut();
+        if is_complete {
+            contents.clear();
+        }
+        let listed = objects
+            .iter()
+            .map(|object| (object.name.clone(), object.content.clone()));
+        contents.extend(listed);
+        drop(contents);
+        (self.on_update)(Update::Listing {
+            objects,
+            is_complete,
+        });
     }
 
     /// Logs a change between a peer and the store as the source that keeps the view current.
@@ -191,10 +257,7 @@
     async fn list(self: Rc<Self>) {
         let event = match self.platform.list(self.name).await {
             Ok(listing) => {
-                (self.on_update)(Update::Listing {
-                    objects: &listing.objects,
-                    is_complete: listing.is_complete,
-                });
+                self.set_listing(&listing.objects, listing.is_complete);
                 Event::Listed {
                     revision: listing.revision,
                 }
--- a/crates/peridotrack-edge/src/member.rs
+++ b/crates/peridotrack-edge/src/member.rs
@@ -303,6 +303,10 @@
             .live_in(self.kernel.now_us(), &domain)
             .map(|peer| peer.record.incarnation)
             .collect();
+        let all: Vec<id::Incarnation> = members
+            .live(self.kernel.now_us())
+            .map(|peer| peer.record.incarnation)
+            .collect();
         drop(members);
         if let Ok(budget) = self.find_service::<budget::Budget>(budget::SERVICE) {
             budget.set_peers(&live);
@@ -311,7 +315,7 @@
             usage.set_peers(&live);
         }
         if let Ok(follow) = self.find_service::<follow::Follow>(follow::SERVICE) {
-            follow.set_peers(&live);
+            follow.set_peers(&live, &all);
         }
     }
 
--- a/crates/peridotrack-edge/tests/gateway/peers.rs
+++ b/crates/peridotrack-edge/tests/gateway/peers.rs
@@ -75,7 +75,18 @@
     }
 
     fn spawn_in(store: &store::Handle, failure_domain: &str, seeds: Vec<SocketAddr>) -> Self {
+        Self::spawn_with(store, failure_domain, seeds, relay::Link::Open)
+    }
+
+    /// Starts a gateway whose link to the store is in a given state.
+    fn spawn_with(
+        store: &store::Handle,
+        failure_domain: &str,
+        seeds: Vec<SocketAddr>,
+        link: relay::Link,
+    ) -> Self {
         let store_link = relay::spawn(store.address()).unwrap();
+        store_link.set(link);
         let settings = Settings {
             store_address: store_link.address(),
             seed_addresses: seeds,
@@ -92,6 +103,16 @@
         }
     }
 
+    /// Waits until a request that needs no tokens is served.
+    async fn until_served(&self, limit: Duration) {
+        let address = self.gateway.client_address();
+        let served = async || {
+            let response = fetch(address, request("/public/x", &[])).await.ok()?;
+            (response.status() == 200).then_some(())
+        };
+        wait::poll(limit, "served request", served).await.unwrap();
+    }
+
     /// Returns whether the active configuration has a route for the path.
     async fn has_route(&self, path: &str) -> bool {
         let response = fetch(self.gateway.client_address(), request(path, &[])).await;
@@ -245,3 +266,33 @@
         }
     });
 }
+
+/// Guards against gateways that did not serve, or did not know new servers, for as long as the store
+/// turned them away.
+#[rstest]
+#[case::closed(relay::Link::Cut)]
+#[case::silent(relay::Link::Stalled)]
+fn servers_are_known_to_gateways_that_the_store_turns_away(#[case] link: relay::Link) {
+    block_on(async {
+        let store = store::spawn().unwrap();
+        let former = backend::spawn().unwrap();
+        store.put("servers", "i-0", entry(&former));
+        store.put("config", "main", config(1, 1_000_000));
+        let first = ProxiedGateway::spawn(&store, Vec::new());
+        let seeds = vec![first.gateway.peer_address()];
+        let second = ProxiedGateway::spawn_in(&store, "b", seeds.clone());
+        for gateway in [&first, &second] {
+            gateway.until_served(LIMIT).await;
+        }
+        second.store_link.set(link);
+        let started = ProxiedGateway::spawn_with(&store, "b", seeds, link);
+        started.until_served(Duration::from_secs(7)).await;
+        let server = backend::spawn().unwrap();
+        store.put("servers", "i-1", entry(&server));
+        former.set_mode(backend::Mode::Refuse);
+        for gateway in [&first, &second, &started] {
+            gateway.until_served(Duration::from_secs(7)).await;
+        }
+        assert!(server.arrivals() >= 3);
+    });
+}
--- a/crates/peridotrack-follow/src/event.rs
+++ b/crates/peridotrack-follow/src/event.rs
@@ -5,7 +5,7 @@
 
 use peridotrack_types::id;
 
-use crate::message::{Change, Message};
+use crate::message::{Change, Message, Snapshot};
 
 /// An input of a [`crate::follower::Follower`].
 ///
@@ -40,6 +40,9 @@
     /// The live routers of the local failure domain have changed. The list replaces the previous
     /// one, has no order and may include this router.
     Peers(Vec<id::Incarnation>),
+    /// The live routers of all failure domains have changed. The list replaces the previous one, has
+    /// no order and may include this router.
+    AllPeers(Vec<id::Incarnation>),
     /// The relay that the leading follower of this router relies on; `None` if it watches the store
     /// itself. Only for followers with [`is_led`](crate::follower::Options::is_led), for which it
     /// takes the place of `Tick`.
@@ -74,6 +77,15 @@
         /// microseconds; `None` if it never was.
         since_loss_us: Option<u64>,
     },
+    /// Replace the driver's copy of the objects by those of a peer.
+    Replace(Snapshot),
+    /// Send a peer the driver's copy of the objects as a [`Snapshot`]. It may be lost.
+    SendSnapshot {
+        /// Incarnation of the receiver.
+        to: id::Incarnation,
+        /// Revision of the store that the copy shows.
+        revision: u64,
+    },
     /// Send a message to a peer. It may be lost.
     Send {
         /// Incarnation of the receiver.
--- a/crates/peridotrack-follow/src/follower.rs
+++ b/crates/peridotrack-follow/src/follower.rs
@@ -2,7 +2,7 @@
 //!
 //! [`Follower::on_event`] takes each [`Event`] and returns the [`Action`]s to carry out. It decides
 //! whether to watch the store or to rely on a relay, and as a relay it sends updates to its
-//! subscribers. Times are microseconds of a monotonic clock that the driver reads.
+//! subscribers. While neither keeps it current, it fetches the objects from other peers. Times are microseconds of a monotonic clock that the driver reads.
 
 use std::collections::BTreeMap;
 
@@ -10,7 +10,7 @@
 
 use crate::{
     event::{Action, Event},
-    message::{Message, Update},
+    message::{Message, Snapshot, Update},
 };
 
 const US_PER_MS: u64 = 1_000;
@@ -50,6 +50,9 @@
     pub subscription_us: u64,
     /// Time for which a silent relay is not chosen again, in microseconds.
     pub suspect_us: u64,
+    /// Period at which a router that neither the store nor a relay keeps current asks a peer for the
+    /// objects, in microseconds.
+    pub fetch_us: u64,
     /// Maximum content of one update, in bytes. Of larger changes only the revision is sent, so
     /// that the subscribers read them from the store.
     pub max_update_bytes: usize,
@@ -75,6 +78,7 @@
             subscribe_us: 500_000,
             subscription_us: 2_000_000,
             suspect_us: 4_000_000,
+            fetch_us: 500_000,
             max_update_bytes: 16 * 1024,
             is_led: false,
             seed: 0,
@@ -121,6 +125,14 @@
     subscribe_at_us: u64,
     /// Relays that fell silent, and until when they are not chosen again.
     suspects: BTreeMap<id::Incarnation, u64>,
+    /// Live peers of all failure domains, without this router.
+    all_peers: Vec<id::Incarnation>,
+    /// Position in [`Self::all_peers`] of the peer that is asked for the objects next.
+    next_peer: usize,
+    /// Peer whose objects were adopted last; it is asked each time.
+    source: Option<id::Incarnation>,
+    /// When a peer may be asked for the objects next.
+    fetch_at_us: u64,
     /// Peers that receive updates from this router, and when their subscriptions expire.
     subscribers: BTreeMap<id::Incarnation, u64>,
 }
@@ -142,6 +154,10 @@
             relayed_us: None,
             subscribe_at_us: now_us,
             suspects: BTreeMap::new(),
+            all_peers: Vec::new(),
+            next_peer: 0,
+            source: None,
+            fetch_at_us: now_us,
             subscribers: BTreeMap::new(),
             options,
         }
@@ -217,11 +233,18 @@
                 self.peers = peers;
                 self.peers.retain(|peer| *peer != self.id);
             }
+            Event::AllPeers(peers) => {
+                self.all_peers = peers;
+                self.all_peers.retain(|peer| *peer != self.id);
+                // Routers that are turned away together do not ask the same peers.
+                self.rng.shuffle(&mut self.all_peers);
+            }
             Event::Relay(relay) => self.set_relay(now_us, relay),
             Event::Peer { from, message } => self.on_message(now_us, from, message, &mut actions),
         }
         self.subscribe(now_us, &mut actions);
         self.call_store(now_us, &mut actions);
+        self.fetch(now_us, &mut actions);
         actions
     }
 
@@ -259,6 +282,8 @@
                 }
             }
             Message::Update(update) => self.on_update(now_us, from, update, actions),
+            Message::Fetch { after } => self.on_fetch(now_us, from, after, actions),
+            Message::Snapshot(snapshot) => self.on_snapshot(now_us, from, snapshot, actions),
         }
     }
 
@@ -305,6 +330,85 @@
     }
 }
 
+/// Exchange of all objects with peers of any failure domain: the store may turn some routers away and
+/// serve the others.
+impl Follower {
+    /// Returns whether the store or a relay has confirmed the view recently.
+    fn is_confirmed(&self, now_us: u64) -> bool {
+        self.view
+            .is_some_and(|view| now_us < view.confirmed_us + self.options.silence_us)
+    }
+
+    /// Returns whether the view shows what the store held at most one regular wait ago.
+    fn is_current(&self, now_us: u64) -> bool {
+        let age_us = self.options.wait_us + self.options.silence_us;
+        self.view
+            .is_some_and(|view| now_us < view.confirmed_us + age_us)
+    }
+
+    /// Asks peers, one after another, for the objects if calls to the store fail and no relay keeps the
+    /// view current.
+    fn fetch(&mut self, now_us: u64, actions: &mut Vec<Action>) {
+        let is_due = self.failures > 0 && now_us >= self.fetch_at_us;
+        if !is_due || self.is_confirmed(now_us) || self.all_peers.is_empty() {
+            return;
+        }
+        self.fetch_at_us = now_us + self.options.fetch_us;
+        self.next_peer = (self.next_peer + 1) % self.all_peers.len();
+        let next = self.all_peers[self.next_peer];
+        let source = self.source.filter(|source| *source != next);
+        for to in std::iter::once(next).chain(source) {
+            let message = Message::Fetch {
+                after: self.revision(),
+            };
+            actions.push(Action::Send { to, message });
+        }
+    }
+
+    /// Sends the objects to a peer that has older ones. Objects that this router fetched itself are not
+    /// passed on, so that routers without a source never confirm each other's view.
+    fn on_fetch(
+        &self,
+        now_us: u64,
+        from: id::Incarnation,
+        after: Option<u64>,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(view) = self.view.filter(|_| self.is_current(now_us)) else {
+            return;
+        };
+        if after.is_none_or(|after| after < view.unchanged_since) {
+            actions.push(Action::SendSnapshot {
+                to: from,
+                revision: view.revision,
+            });
+        }
+    }
+
+    /// Adopts the objects of a peer if they are newer. The view does not count as confirmed: the peer
+    /// may not send the next change.
+    fn on_snapshot(
+        &mut self,
+        now_us: u64,
+        from: id::Incarnation,
+        snapshot: Snapshot,
+        actions: &mut Vec<Action>,
+    ) {
+        let is_newer = self.revision().is_none_or(|own| own < snapshot.revision);
+        let is_known = self.all_peers.contains(&from);
+        if !is_known || !is_newer || self.is_confirmed(now_us) {
+            return;
+        }
+        self.source = Some(from);
+        self.view = Some(View {
+            revision: snapshot.revision,
+            unchanged_since: snapshot.revision,
+            confirmed_us: self.view.map_or(0, |view| view.confirmed_us),
+        });
+        actions.push(Action::Replace(snapshot));
+    }
+}
+
 /// Updates of the view and of the subscribers.
 impl Follower {
     /// Returns the revision after which the changes of a watch begin; 0 without a view.
--- a/crates/peridotrack-follow/src/message.rs
+++ b/crates/peridotrack-follow/src/message.rs
@@ -1,8 +1,9 @@
-//! Messages between the routers of a failure domain about the objects of one kind.
+//! Messages between routers about the objects of one kind.
 //!
 //! A router sends [`Message::Subscribe`] to the peer that relays the kind to it and receives an
-//! [`Update`] for each change and each confirmation. The frame that carries a message names the
-//! kind.
+//! [`Update`] for each change and each confirmation. A router that no relay and no store keeps current
+//! sends [`Message::Fetch`] to one of all its peers and receives a [`Snapshot`]. The frame that carries a
+//! message names the kind.
 
 use serde::{Deserialize, Serialize};
 
@@ -34,6 +35,15 @@
     pub since_loss_us: Option<u64>,
 }
 
+/// All objects of the kind at one revision of the store.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// Revision of the store that the objects show.
+    pub revision: u64,
+    /// The objects by name, with their content as their writers stored it.
+    pub objects: Vec<(String, Vec<u8>)>,
+}
+
 /// A message between routers about one kind of objects.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -43,4 +53,11 @@
     Subscribe,
     /// Reports changes, or confirms that there are none.
     Update(Update),
+    /// Requests the objects if they have changed after a revision; `None` if the sender has none.
+    Fetch {
+        /// Revision that the sender's view shows.
+        after: Option<u64>,
+    },
+    /// The objects, in response to [`Message::Fetch`].
+    Snapshot(Snapshot),
 }
--- a/crates/peridotrack-follow/tests/fleet.rs
+++ b/crates/peridotrack-follow/tests/fleet.rs
@@ -8,7 +8,7 @@
 use peridotrack_follow::{
     event::{Action, Event},
     follower::{Follower, Options},
-    message::{Change, Message},
+    message::{Change, Message, Snapshot},
 };
 use peridotrack_types::id;
 use rstest::rstest;
@@ -126,12 +126,12 @@
             .collect();
         for node in 0..self.nodes.len() {
             self.event(node, Event::Peers(running.clone()));
+            self.event(node, Event::AllPeers(running.clone()));
         }
     }
 
     fn event(&mut self, node: usize, event: Event) {
         let now_us = self.now_us;
-        let from = self.id(node);
         let Some(follower) = &mut self.nodes[node].follower else {
             return;
         };
@@ -148,14 +148,30 @@
                         .known
                         .extend(revisions.collect::<Vec<u64>>());
                 }
-                Action::Send { to, message } => {
-                    let at_us = now_us + self.rng.u64(MS..30 * MS);
-                    self.messages.push((at_us, node, from, to, message));
+                Action::Replace(snapshot) => {
+                    let revisions = snapshot.objects.iter().map(|(name, _)| name.parse());
+                    self.nodes[node].known = revisions.collect::<Result<_, _>>().unwrap();
+                }
+                Action::SendSnapshot { to, revision } => {
+                    let known = self.nodes[node].known.iter();
+                    let objects = known.map(|revision| (revision.to_string(), Vec::new()));
+                    let snapshot = Snapshot {
+                        revision,
+                        objects: objects.collect(),
+                    };
+                    self.send(node, to, Message::Snapshot(snapshot));
                 }
+                Action::Send { to, message } => self.send(node, to, message),
             }
         }
     }
 
+    fn send(&mut self, node: usize, to: id::Incarnation, message: Message) {
+        let at_us = self.now_us + self.rng.u64(MS..30 * MS);
+        let from = self.id(node);
+        self.messages.push((at_us, node, from, to, message));
+    }
+
     fn call(&mut self, node: usize, call: Call) {
         self.calls += 1;
         let is_cut = self.now_us < self.nodes[node].store_cut_until_us;
@@ -353,6 +369,52 @@
     );
 }
 
+/// Guards against routers that know no change for as long as the store turns them away, although it
+/// serves others.
+#[rstest]
+fn routers_that_the_store_turns_away_know_changes_through_the_others(
+    #[values(1, 3, 7)] turned_away: usize,
+    #[values(false, true)] is_started_meanwhile: bool,
+) {
+    const ROUTERS: usize = 8;
+    const OUTAGE_US: u64 = 30_000 * MS;
+    /// Longest time from a change to its arrival: a failed call, and requests to peers of which
+    /// only one may be served.
+    const ARRIVAL_US: u64 = 7_000 * MS;
+    for seed in 0..40 {
+        let mut fleet = Fleet::new(seed, ROUTERS);
+        while fleet.now_us < 5_000 * MS {
+            fleet.step();
+        }
+        let mut nodes: Vec<usize> = (0..ROUTERS).collect();
+        fleet.rng.shuffle(&mut nodes);
+        let nodes = &nodes[..turned_away];
+        let end_us = fleet.now_us + OUTAGE_US;
+        for node in nodes {
+            fleet.cut_store(*node, OUTAGE_US);
+            if is_started_meanwhile {
+                fleet.kill(*node);
+                fleet.start(*node);
+            }
+        }
+        let mut commit_at_us = fleet.now_us + 100 * MS;
+        while fleet.now_us < end_us {
+            fleet.step();
+            if fleet.now_us >= commit_at_us {
+                commit_at_us += 3_000 * MS;
+                fleet.commit();
+            }
+            let due = fleet.now_us.saturating_sub(ARRIVAL_US);
+            for (revision, _) in fleet.commits.iter().filter(|(_, at_us)| *at_us <= due) {
+                for node in nodes {
+                    let known = &fleet.nodes[*node].known;
+                    assert!(known.contains(revision), "seed {seed}: router {node}");
+                }
+            }
+        }
+    }
+}
+
 /// After startup only the relay may call the store, however many routers there are.
 #[rstest]
 #[case::few(4)]
--- a/crates/peridotrack-follow/tests/follower.rs
+++ b/crates/peridotrack-follow/tests/follower.rs
@@ -3,7 +3,7 @@
 use peridotrack_follow::{
     event::{Action, Event},
     follower::{Follower, Options},
-    message::{Change, Message, Update},
+    message::{Change, Message, Snapshot, Update},
 };
 use peridotrack_types::id;
 use rstest::rstest;
@@ -276,3 +276,83 @@
     }
     assert!(calls <= 80, "{calls} calls in 10 s");
 }
+
+fn snapshot(from: id::Incarnation, revision: u64) -> Event {
+    let objects = vec![("a".to_owned(), b"new".to_vec())];
+    let message = Message::Snapshot(Snapshot { revision, objects });
+    Event::Peer { from, message }
+}
+
+fn fetches(actions: &[Action]) -> usize {
+    let is_fetch = |action: &&Action| {
+        matches!(
+            action,
+            Action::Send {
+                message: Message::Fetch { .. },
+                ..
+            }
+        )
+    };
+    actions.iter().filter(is_fetch).count()
+}
+
+fn replaces(actions: &[Action]) -> bool {
+    let is_replacement = |action: &Action| matches!(action, Action::Replace(_));
+    actions.iter().any(is_replacement)
+}
+
+/// Returns a follower without peers in its failure domain whose view is at revision 10, and whose
+/// calls to the store fail for some seconds.
+fn turned_away() -> (Follower, u64) {
+    let mut follower = Follower::new(SELF, Options::default(), 0);
+    let _ = follower.on_event(0, Event::AllPeers(vec![SELF, HIGHER]));
+    let _ = follower.on_event(10 * MS, Event::Listed { revision: 10 });
+    let now_us = 3_000 * MS;
+    let actions = follower.on_event(now_us, Event::CallFailed);
+    assert_eq!(fetches(&actions), 1);
+    (follower, now_us)
+}
+
+#[test]
+fn peers_are_asked_only_while_calls_to_the_store_fail() {
+    let (mut follower, now_us) = turned_away();
+    let again = follower.on_event(now_us + 100 * MS, Event::Tick);
+    assert_eq!(fetches(&again), 0);
+    let later = follower.on_event(now_us + Options::default().fetch_us, Event::Tick);
+    assert_eq!(fetches(&later), 1);
+    let now_us = now_us + 10_000 * MS;
+    let _ = follower.on_event(now_us, watched(10, &[]));
+    let served = follower.on_event(now_us + 100 * MS, Event::Tick);
+    assert_eq!(fetches(&served), 0);
+}
+
+#[test]
+fn a_snapshot_of_a_peer_is_adopted_if_it_is_newer() {
+    let (mut follower, now_us) = turned_away();
+    assert!(!replaces(&follower.on_event(now_us, snapshot(RELAY, 12))));
+    assert!(!replaces(&follower.on_event(now_us, snapshot(HIGHER, 10))));
+    assert!(replaces(&follower.on_event(now_us, snapshot(HIGHER, 12))));
+    assert_eq!(follower.revision(), Some(12));
+    assert!(!replaces(&follower.on_event(now_us, snapshot(HIGHER, 11))));
+}
+
+/// Routers without a source must not confirm each other's view.
+#[test]
+fn objects_that_were_fetched_are_not_passed_on() {
+    let fetch = |after| Event::Peer {
+        from: HIGHER,
+        message: Message::Fetch { after },
+    };
+    let is_sent = |actions: &[Action]| {
+        let is_snapshot = |action: &Action| matches!(action, Action::SendSnapshot { .. });
+        actions.iter().any(is_snapshot)
+    };
+    let mut follower = relayed();
+    assert!(is_sent(&follower.on_event(30 * MS, fetch(None))));
+    assert!(is_sent(&follower.on_event(30 * MS, fetch(Some(9)))));
+    assert!(!is_sent(&follower.on_event(30 * MS, fetch(Some(10)))));
+    let (mut follower, now_us) = turned_away();
+    let _ = follower.on_event(now_us, snapshot(HIGHER, 12));
+    assert_eq!(follower.revision(), Some(12));
+    assert!(!is_sent(&follower.on_event(now_us, fetch(None))));
+}
--- a/crates/peridotrack-kernel/src/event.rs
+++ b/crates/peridotrack-kernel/src/event.rs
@@ -93,6 +93,8 @@
     122 Warn PlatformRefused,
     /// The source of a kind of objects changed: a peer relays it, or this router watches the store.
     123 Info SourceChanged,
+    /// Objects of the store were fetched from a peer, because neither the store nor a relay sends them.
+    124 Info ObjectsFetched,
     /// A peer became live.
     130 Info PeerJoined,
     /// A peer is no longer live.
