fix(peridotrackd): register signal handlers before anything else at a start

What callers saw: a gateway that was told by SIGHUP of changed settings while it started ended by itself, by the signal; restarts of a fleet and changes of its settings overlap.

Cause: the handlers were registered after the settings had been read. Until then SIGHUP and SIGTERM have their default action.

Change: the handlers are the first step of the start, in both modes of the daemon. A SIGTERM that arrives while the settings are read now stops the process gracefully.

--- a/crates/peridotrackd/src/gateway.rs
+++ b/crates/peridotrackd/src/gateway.rs
@@ -12,7 +12,8 @@
 use peridotrack_types::gateway::Settings;
 
 use crate::{
-    EXIT_FAILURE, EXIT_USAGE, SIGNAL_POLL_INTERVAL, build_runtime, fail, signals, wait_until,
+    EXIT_FAILURE, EXIT_USAGE, SIGNAL_POLL_INTERVAL, build_runtime, fail, open_signals, signals,
+    wait_until,
 };
 
 /// Environment variable with the secret that authenticates gateways to each other. If it is unset,
@@ -21,11 +22,15 @@
 
 /// Runs a gateway until a stop signal arrives and returns the exit code of the process.
 pub fn main() -> ExitCode {
+    let signals = match open_signals() {
+        Ok(signals) => signals,
+        Err(error) => return fail(EXIT_FAILURE, &error),
+    };
     let settings = match read_settings() {
         Ok(settings) => settings,
         Err(error) => return fail(EXIT_USAGE, &error),
     };
-    match run(settings) {
+    match run(settings, &signals) {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::from(EXIT_FAILURE),
         Err(error) => fail(EXIT_FAILURE, &error),
@@ -48,8 +53,7 @@
 }
 
 /// Runs the gateway and returns whether it stopped gracefully, without cutting a request.
-fn run(settings: Settings) -> eyre::Result<bool> {
-    let signals = signals::Signals::open().wrap_err("cannot register signal handlers")?;
+fn run(settings: Settings, signals: &signals::Signals) -> eyre::Result<bool> {
     let mut runtime = build_runtime()?;
     runtime.block_on(async {
         let gateway = gateway::Gateway::spawn(settings, log::Output::Stdout)?;
--- a/crates/peridotrackd/src/main.rs
+++ b/crates/peridotrackd/src/main.rs
@@ -34,11 +34,15 @@
         }
         Err(error) => return fail(EXIT_USAGE, &error),
     };
+    let signals = match open_signals() {
+        Ok(signals) => signals,
+        Err(error) => return fail(EXIT_FAILURE, &error),
+    };
     let settings = match read_settings(&settings) {
         Ok(settings) => settings,
         Err(error) => return fail(EXIT_USAGE, &error),
     };
-    match run(settings) {
+    match run(settings, &signals) {
         Ok(outcome) if outcome.is_clean() => ExitCode::SUCCESS,
         Ok(_) => ExitCode::from(EXIT_FAILURE),
         Err(error) => fail(EXIT_FAILURE, &error),
@@ -50,6 +54,12 @@
     ExitCode::from(code)
 }
 
+/// Registers the signal handlers. Until then a signal ends the process, so this precedes all other
+/// steps of a start.
+fn open_signals() -> eyre::Result<signals::Signals> {
+    signals::Signals::open().wrap_err("cannot register signal handlers")
+}
+
 fn read_settings(path: &Path) -> eyre::Result<settings::Settings> {
     let text = std::fs::read_to_string(path)
         .wrap_err_with(|| format!("cannot read the settings file {}", path.display()))?;
@@ -67,8 +77,7 @@
 }
 
 /// Runs the router on this thread until a stop signal arrives; a second SIGINT ends the stop at once.
-fn run(settings: settings::Settings) -> eyre::Result<daemon::Outcome> {
-    let signals = signals::Signals::open().wrap_err("cannot register signal handlers")?;
+fn run(settings: settings::Settings, signals: &signals::Signals) -> eyre::Result<daemon::Outcome> {
     let mut runtime = build_runtime()?;
     runtime.block_on(async {
         let daemon = daemon::Daemon::spawn(settings, log::Output::Stderr)?;
@@ -79,7 +88,7 @@
             daemon.peer_address()
         );
         monoio::select! {
-            () = serve_until_signal(&daemon, &signals) => {}
+            () = serve_until_signal(&daemon, signals) => {}
             () = wait_until(|| signals.is_stop_requested()) => {}
         }
         daemon.begin_stop();
