fix(peridotrackd): read settings again that are incomplete at a start

What callers saw: a gateway whose settings file was being replaced while it started ended with exit status 2, at each start that met the gap. The file may change at any time, also without a signal.

Cause: the file was read once. Empty, cut off or absent for some milliseconds, it ended the start like one that is invalid for good.

A file that stays invalid ends the process with the same status and message as before.

--- a/crates/peridotrackd/src/gateway.rs
+++ b/crates/peridotrackd/src/gateway.rs
@@ -3,7 +3,11 @@
 //! SIGHUP reloads the settings file, SIGTERM or SIGINT stops gracefully, and a second SIGINT ends the
 //! stop at once.
 
-use std::process::ExitCode;
+use std::{
+    process::ExitCode,
+    thread,
+    time::{Duration, Instant},
+};
 
 use eyre::WrapErr;
 use peridotrack_edge::gateway;
@@ -20,13 +24,16 @@
 /// peers check only that both belong to the same deployment.
 const PEER_KEY_VARIABLE: &str = "PERIDOTRACK_PEER_KEY";
 
+/// Time in which a settings file that is being replaced becomes complete.
+const SETTINGS_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Runs a gateway until a stop signal arrives and returns the exit code of the process.
 pub fn main() -> ExitCode {
     let signals = match open_signals() {
         Ok(signals) => signals,
         Err(error) => return fail(EXIT_FAILURE, &error),
     };
-    let settings = match read_settings() {
+    let settings = match wait_for_settings(&signals) {
         Ok(settings) => settings,
         Err(error) => return fail(EXIT_USAGE, &error),
     };
@@ -37,6 +44,20 @@
     }
 }
 
+/// Reads the settings again and again until they are valid, the time is up or a stop is requested: the
+/// file may be replaced at any time.
+fn wait_for_settings(signals: &signals::Signals) -> eyre::Result<Settings> {
+    let started = Instant::now();
+    loop {
+        let settings = read_settings();
+        let is_over = started.elapsed() >= SETTINGS_TIMEOUT || signals.is_stop_requested();
+        if settings.is_ok() || is_over {
+            return settings;
+        }
+        thread::sleep(SIGNAL_POLL_INTERVAL);
+    }
+}
+
 fn read_settings() -> eyre::Result<Settings> {
     let path = std::env::var(settings_file::PATH_VARIABLE)
         .wrap_err_with(|| format!("cannot read {}", settings_file::PATH_VARIABLE))?;
--- a/crates/peridotrackd/tests/starting.rs
+++ b/crates/peridotrackd/tests/starting.rs
@@ -17,6 +17,7 @@
     },
     hosted::deployment,
 };
+use rstest::rstest;
 
 const TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -130,3 +131,22 @@
         assert!(status.success(), "{status}: {:?}", gateway.stderr());
     });
 }
+
+/// Guards against a process that ends because its settings file is being replaced while it starts.
+#[rstest]
+#[case::empty(0)]
+#[case::half(2)]
+fn a_file_that_is_incomplete_at_the_start_is_read_again(#[case] divisor: usize) {
+    block_on(async {
+        let directory = Directory::create(&format!("incomplete-{divisor}"));
+        let (path, complete) = (directory.file("boot.toml"), directory.file("complete.toml"));
+        let text = settings();
+        fs::write(&complete, &text).unwrap();
+        let (mut gateway, mut writer) = open_slow_file(&path, || spawn(&path));
+        fs::rename(&complete, &path).unwrap();
+        let length = text.len().checked_div(divisor).unwrap_or_default();
+        writer.write_all(&text.as_bytes()[..length]).unwrap();
+        drop(writer);
+        wait_until_started(&mut gateway).await;
+    });
+}
