fix(edge): bound the number of ledger shards that a write rate asks for

What callers saw: with a very large writesPerS in the settings each start of a gateway was aborted, out of memory.

Cause: the number of ledger shards grows with the square of the stated rate, and a holder keeps a state of each: 1.1 TB at 4e9 writes a second, tens of megabytes at 1e5.

Change: at most 4,096 shards, the number at 12,800 writes a second. Those of the known deployments (400 to 3,200 writes a second) stay as they are, and the number still follows from the rate alone, so that all routers agree on it.

Measured: a_gateway_starts_with_a_very_large_write_rate failed before (memory allocation of bytes failed) and passes now.

--- a/crates/peridotrack-edge/src/gateway/options.rs
+++ b/crates/peridotrack-edge/src/gateway/options.rs
@@ -91,6 +91,8 @@
 /// Square of the store's write rate (calls per second) per shard of the ledger. The write rate
 /// grows with the fleet, and so do both the draws and the coordinators that they contend with.
 const SQUARED_WRITES_PER_SHARD: u64 = 40_000;
+/// Maximum number of shards of the ledger: each router keeps a state of each, of some hundred bytes.
+const MAX_SHARDS: u64 = 4_096;
 /// Span that a coordinator's grant covers while an account is scarce, in microseconds: long
 /// compared with the duration of a draw, short because the loss of a coordinator strands its
 /// grant.
@@ -228,8 +230,9 @@
 /// agree on it.
 pub(super) fn ledger(settings: &Settings) -> budget_options::Options {
     let shard_count = settings.store_writes_per_s.pow(2) / SQUARED_WRITES_PER_SHARD;
+    let shard_count = shard_count.clamp(1, MAX_SHARDS);
     budget_options::Options {
-        shard_count: u32::try_from(shard_count.max(1)).unwrap_or(u32::MAX),
+        shard_count: u32::try_from(shard_count).unwrap_or(u32::MAX),
         grant_span_us: DRAW_SPAN_US,
         give_span_us: TRANSFER_SPAN_US,
         buffer_span_us: DRAW_SPAN_US,
--- a/crates/peridotrackd/tests/starting.rs
+++ b/crates/peridotrackd/tests/starting.rs
@@ -150,3 +150,17 @@
         wait_until_started(&mut gateway).await;
     });
 }
+
+/// Guards against a process that ends for want of memory because the store takes many writes.
+#[test]
+fn a_gateway_starts_with_a_very_large_write_rate() {
+    block_on(async {
+        let directory = Directory::create("write-rate");
+        let path = directory.file("boot.toml");
+        let text = settings().replace("writesPerS = 400", "writesPerS = 1e9");
+        assert!(text.contains("writesPerS = 1e9"));
+        fs::write(&path, text).unwrap();
+        let mut gateway = spawn(&path);
+        wait_until_started(&mut gateway).await;
+    });
+}
