test(standin): let relays partition, reset and refuse, and routers see servers at addresses of their own

A relay could stall the connections that it had accepted, or close them. It could not let connects go unanswered, refuse new connections while open ones live on, or reset open ones, which is how a router sees that it is partitioned from a backend server. The store serves views of its objects in which the addresses of servers are replaced, so that the path of one router can fail while the others' stay open.

--- a/crates/peridotrack-standin/src/harness/relay.rs
+++ b/crates/peridotrack-standin/src/harness/relay.rs
@@ -1,10 +1,14 @@
-//! TCP relay on loopback that can stall, delay or cut the link between two processes.
+//! TCP relay on loopback that can stall, delay, cut or partition the link between two processes.
 
-use std::{cell::Cell, io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::Cell, io, net, net::SocketAddr, os::fd::AsRawFd, rc::Rc, time::Duration};
 
 use monoio::{
     io::{AsyncReadRent, AsyncWriteRent, AsyncWriteRentExt, Splitable},
-    net::{TcpListener, TcpStream},
+    net::{ListenerOpts, TcpListener, TcpStream},
+};
+use nix::{
+    libc,
+    sys::socket::{self, sockopt},
 };
 use peridotrack_http::listen;
 
@@ -16,6 +20,11 @@
 /// Latency that [`Link::Delayed`] adds to each forwarded piece.
 pub const DELAY: Duration = Duration::from_millis(40);
 
+/// Maximum wait for the connection that fills the queue of [`Unattended`].
+const FILL_TIMEOUT: Duration = Duration::from_millis(5);
+/// Time after which an address that another socket uses is bound again.
+const REBIND_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Direction in which bytes are forwarded.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Direction {
@@ -37,6 +46,33 @@
     Delayed,
     /// Closes all connections, and new ones as soon as they are accepted.
     Cut,
+    /// Forwards nothing, closes nothing and establishes no new connections: attempts to connect get no
+    /// answer, as in a network partition.
+    Partitioned,
+    /// Resets all connections and refuses new ones.
+    Reset,
+    /// Forwards on open connections and refuses new ones.
+    Refusing,
+}
+
+/// What becomes of connections that clients open.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Admission {
+    Accept,
+    Refuse,
+    Ignore,
+}
+
+impl Link {
+    fn admission(self) -> Admission {
+        match self {
+            Self::Open | Self::Stalled | Self::ResponsesStalled | Self::Delayed | Self::Cut => {
+                Admission::Accept
+            }
+            Self::Reset | Self::Refusing => Admission::Refuse,
+            Self::Partitioned => Admission::Ignore,
+        }
+    }
 }
 
 /// State shared by a relay and the tasks of its connections.
@@ -74,7 +110,7 @@
         is_refusing: Notify::default(),
         stop: Notify::default(),
     });
-    monoio::spawn(accept(listener, shared.clone()));
+    monoio::spawn(run(listener, address, shared.clone()));
     Ok(Relay { address, shared })
 }
 
@@ -119,13 +155,15 @@
         loop {
             let seen = self.changed.generation();
             match (self.link.get(), direction) {
-                (Link::Open, _) | (Link::ResponsesStalled, Direction::ToTarget) => return true,
+                (Link::Open | Link::Refusing, _)
+                | (Link::ResponsesStalled, Direction::ToTarget) => return true,
                 (Link::Delayed, _) => {
                     monoio::time::sleep(DELAY).await;
                     return true;
                 }
-                (Link::Cut, _) => return false,
-                (Link::Stalled, _) | (Link::ResponsesStalled, Direction::ToClient) => {
+                (Link::Cut | Link::Reset, _) => return false,
+                (Link::Stalled | Link::Partitioned, _)
+                | (Link::ResponsesStalled, Direction::ToClient) => {
                     self.changed.changed(seen).await;
                 }
             }
@@ -136,7 +174,30 @@
     async fn wait_for_cut(&self) {
         loop {
             let seen = self.changed.generation();
-            if self.link.get() == Link::Cut {
+            if matches!(self.link.get(), Link::Cut | Link::Reset) {
+                return;
+            }
+            self.changed.changed(seen).await;
+        }
+    }
+
+    /// Makes the client see a reset when its connection is closed, if the link resets connections.
+    fn prepare_close(&self, client: &TcpStream) {
+        if self.link.get() == Link::Reset {
+            let linger = libc::linger {
+                l_onoff: 1,
+                l_linger: 0,
+            };
+            // Fails only if the connection is broken.
+            let _ = socket::setsockopt(client.as_raw_fd(), sockopt::Linger, &linger);
+        }
+    }
+
+    /// Resolves once connections are no longer admitted in this way.
+    async fn wait_for_admission_other_than(&self, admission: Admission) {
+        loop {
+            let seen = self.changed.generation();
+            if self.link.get().admission() != admission {
                 return;
             }
             self.changed.changed(seen).await;
@@ -144,19 +205,82 @@
     }
 }
 
-async fn accept(listener: TcpListener, shared: Rc<Shared>) {
+/// A listener whose queue is full, so that the operating system drops what asks for a connection.
+struct Unattended {
+    _listener: TcpListener,
+    _queued: Option<net::TcpStream>,
+}
+
+impl Unattended {
+    fn bind(address: SocketAddr) -> io::Result<Self> {
+        let options = ListenerOpts::new()
+            .reuse_port(false)
+            .reuse_addr(true)
+            .backlog(0);
+        let listener = TcpListener::bind_with_config(address, &options)?;
+        Ok(Self {
+            _listener: listener,
+            // Times out if a client was first, whose connection then fills the queue.
+            _queued: net::TcpStream::connect_timeout(&address, FILL_TIMEOUT).ok(),
+        })
+    }
+}
+
+/// Admits connections as the state of the link says, until the relay is dropped or refuses them for
+/// good.
+async fn run(listener: TcpListener, address: SocketAddr, shared: Rc<Shared>) {
+    monoio::select! {
+        () = admit(listener, address, &shared) => {}
+        () = shared.is_refusing.changed(0) => {}
+        () = shared.stop.changed(0) => {}
+    }
+}
+
+async fn admit(listener: TcpListener, address: SocketAddr, shared: &Rc<Shared>) {
+    let mut bound = Some(listener);
+    loop {
+        let admission = shared.link.get().admission();
+        match admission {
+            Admission::Accept => {
+                let listener = match bound.take() {
+                    Some(listener) => listener,
+                    None => rebind(|| listen::bind(address)).await,
+                };
+                monoio::select! {
+                    () = accept(&listener, shared) => {}
+                    () = shared.wait_for_admission_other_than(admission) => {}
+                }
+            }
+            Admission::Refuse => {
+                bound = None;
+                shared.wait_for_admission_other_than(admission).await;
+            }
+            Admission::Ignore => {
+                bound = None;
+                let _unattended = rebind(|| Unattended::bind(address)).await;
+                shared.wait_for_admission_other_than(admission).await;
+            }
+        }
+    }
+}
+
+/// Binds an address again, which another socket may use for a moment.
+async fn rebind<T>(bind: impl Fn() -> io::Result<T>) -> T {
+    loop {
+        match bind() {
+            Ok(bound) => return bound,
+            Err(_) => monoio::time::sleep(REBIND_INTERVAL).await,
+        }
+    }
+}
+
+async fn accept(listener: &TcpListener, shared: &Rc<Shared>) {
     loop {
-        let accepted = monoio::select! {
-            accepted = listener.accept() => accepted,
-            () = shared.is_refusing.changed(0) => return,
-            () = shared.stop.changed(0) => return,
-        };
-        if let Ok((stream, _)) = accepted {
+        if let Ok((stream, _)) = listener.accept().await {
             let shared = shared.clone();
             monoio::spawn(async move {
                 monoio::select! {
                     () = relay_connection(stream, &shared) => {}
-                    () = shared.wait_for_cut() => {}
                     () = shared.stop.changed(0) => {}
                 }
             });
@@ -166,24 +290,44 @@
 
 async fn relay_connection(client: TcpStream, shared: &Shared) {
     if !shared.wait_until_open(Direction::ToTarget).await {
-        return;
+        return shared.prepare_close(&client);
     }
     let Ok(target) = TcpStream::connect_addr(shared.target.get()).await else {
         return;
     };
     let _ = (client.set_nodelay(true), target.set_nodelay(true));
-    let (client_read, client_write) = client.into_split();
-    let (target_read, target_write) = target.into_split();
+    let (mut client_read, mut client_write) = client.into_split();
+    let (mut target_read, mut target_write) = target.into_split();
     // Both directions run to their end, since one side may shut down only its sending half.
-    monoio::join!(
-        forward(client_read, target_write, shared, Direction::ToTarget),
-        forward(target_read, client_write, shared, Direction::ToClient),
-    );
+    let forward_both = async {
+        monoio::join!(
+            forward(
+                &mut client_read,
+                &mut target_write,
+                shared,
+                Direction::ToTarget
+            ),
+            forward(
+                &mut target_read,
+                &mut client_write,
+                shared,
+                Direction::ToClient
+            ),
+        )
+    };
+    monoio::select! {
+        _ = forward_both => {}
+        () = shared.wait_for_cut() => {}
+    }
+    // Dropping one half would shut the connection down before it is reset.
+    if let Ok(client) = client_read.reunite(client_write) {
+        shared.prepare_close(&client);
+    }
 }
 
 async fn forward(
-    mut from: impl AsyncReadRent,
-    mut to: impl AsyncWriteRent,
+    from: &mut impl AsyncReadRent,
+    to: &mut impl AsyncWriteRent,
     shared: &Shared,
     direction: Direction,
 ) {
--- a/crates/peridotrack-standin/src/hosted/store.rs
+++ b/crates/peridotrack-standin/src/hosted/store.rs
@@ -1,6 +1,10 @@
 //! Stand-in of the metadata store of the users' platform: objects by kind and name, conditional
 //! writes, paged lists and watches. [`Handle::set_mode`] injects faults.
 
+mod view;
+
+pub use view::View;
+
 use std::{
     cell::{Cell, RefCell},
     collections::BTreeMap,
@@ -123,6 +127,12 @@
         self.0.addresses[0]
     }
 
+    /// Serves the same objects on another free loopback port, with other addresses in place of those
+    /// of the map. Fails if none can be bound.
+    pub fn spawn_view(&self, addresses: BTreeMap<SocketAddr, SocketAddr>) -> io::Result<View> {
+        view::spawn(Rc::clone(&self.0.application), addresses)
+    }
+
     /// Changes the mode, for calls received from now on and for waiting watches.
     pub fn set_mode(&self, mode: Mode) {
         self.0.application.control(mode);
@@ -395,7 +405,18 @@
         self.counters.get()
     }
 
-    async fn handle(self: Rc<Self>, incoming: Incoming<'_>) -> Result<(), Disconnect> {
+    async fn handle(self: Rc<Self>, mut incoming: Incoming<'_>) -> Result<(), Disconnect> {
+        let response = self.call(&mut incoming).await?;
+        Ok(incoming.connection.respond(response).await?)
+    }
+}
+
+impl Store {
+    /// Executes a call; `Err` closes its connection without a response.
+    async fn call(
+        self: Rc<Self>,
+        incoming: &mut Incoming<'_>,
+    ) -> Result<Response<Bytes>, Disconnect> {
         let counters = self.counters.get();
         self.counters.set(Counters {
             calls: counters.calls + 1,
@@ -404,10 +425,7 @@
         let mode = self.mode.get();
         match mode {
             Mode::Reset => return Err(Disconnect),
-            Mode::Busy => {
-                let response = response::failure(StatusCode::SERVICE_UNAVAILABLE, "busy");
-                return Ok(incoming.connection.respond(response).await?);
-            }
+            Mode::Busy => return Ok(response::failure(StatusCode::SERVICE_UNAVAILABLE, "busy")),
             Mode::Mute => {
                 incoming.connection.closed().await;
                 return Err(Disconnect);
@@ -458,6 +476,6 @@
         if mode == Mode::LoseWrites && method != Method::GET {
             return Err(Disconnect);
         }
-        Ok(incoming.connection.respond(response).await?)
+        Ok(response)
     }
 }
--- a/crates/peridotrack-standin/tests/harness.rs
+++ b/crates/peridotrack-standin/tests/harness.rs
@@ -1,7 +1,7 @@
 //! Contract tests of the process harness: a dropped handle kills its process, every wait is
 //! bounded.
 
-use std::{fs, time::Duration};
+use std::{fs, io::ErrorKind, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use http::Request;
@@ -11,7 +11,7 @@
         http::{block_on, control, counters, fetch},
         process::{self, Options, Process, Step},
         relay::{self, Link},
-        wait,
+        router, wait,
     },
     service,
 };
@@ -239,3 +239,64 @@
         assert!(cut.await.unwrap_err().bytes_written);
     });
 }
+
+/// Connections as a process sees them whose link is partitioned, reset or refused.
+#[rstest]
+#[case::partitioned(Link::Partitioned, None, None)]
+#[case::reset(
+    Link::Reset,
+    Some(ErrorKind::ConnectionReset),
+    Some(ErrorKind::ConnectionRefused)
+)]
+#[case::refusing(Link::Refusing, None, Some(ErrorKind::ConnectionRefused))]
+fn relay_fails_open_and_new_connections(
+    #[case] link: Link,
+    #[case] open: Option<ErrorKind>,
+    #[case] new: Option<ErrorKind>,
+) {
+    const PORT: u16 = 8_690;
+    block_on(async {
+        let slow = service::Control {
+            delay_ms: Some(60),
+            ..service::Control::default()
+        };
+        let options = service::Options {
+            control: slow,
+            ..service::Options::default()
+        };
+        let service = service::spawn(&options).unwrap();
+        let address = SocketAddr::new(router::fresh_loopback_ip(), PORT);
+        let relay = relay::spawn_at(address, service.address()).unwrap();
+        let in_flight = monoio::spawn(async move { fetch(address, get()).await });
+        wait::until(LIMIT, "run", || service.counters().runs == 1)
+            .await
+            .unwrap();
+        relay.set(link);
+        monoio::time::sleep(SHORT_LIMIT).await;
+        let impatient = client::Options {
+            connect_timeout_ms: 100,
+            ..client::Options::default()
+        };
+        let error = client::Connection::connect(address, impatient).await;
+        let error = error.err().unwrap().kind;
+        match new {
+            Some(kind) => assert!(
+                matches!(&error, client::Kind::Io(error) if error.kind() == kind),
+                "{error:?}"
+            ),
+            None => assert!(matches!(error, client::Kind::TimedOut), "{error:?}"),
+        }
+        relay.set(Link::Open);
+        match (in_flight.await, open) {
+            (Ok(response), None) => assert_eq!(response.status(), 200),
+            (Err(error), Some(kind)) => assert!(
+                matches!(&error.kind, client::Kind::Io(error) if error.kind() == kind),
+                "{error:?}"
+            ),
+            (outcome, _) => panic!("{outcome:?}"),
+        }
+        let connected = async || fetch(address, get()).await.ok();
+        let response = wait::poll(LIMIT, "connection", connected).await.unwrap();
+        assert_eq!(response.status(), 200);
+    });
+}
