test(gateway): show requests that fail where gateways are partitioned from all servers

Four gateways in two failure domains each have a path of their own to the servers. The paths of one gateway, of a failure domain or of all but one hang, are reset, or live on while new connections are refused. From 3 s after the partition began, each kind of request must be served at least two thirds as often there as elsewhere; no request may run twice or after a refusal; the other gateways must not regard servers as ended; and 3 s after the partition requests must go directly again.

--- a/crates/peridotrack-edge/tests/gateway/main.rs
+++ b/crates/peridotrack-edge/tests/gateway/main.rs
@@ -14,6 +14,7 @@
 mod late_bytes;
 mod leaving_or_paused;
 mod odd_entries;
+mod partitioned;
 mod peers;
 mod prompt_parts;
 mod raw;
