feat(peer): open tunnels to backend servers through peers

Callers of a router that is partitioned from all backend servers are served far worse than others. A tunnel leads one connection to a backend server through a peer. This commit adds the dialling side, its frame and status byte, and client connections over established streams; until routers serve tunnels, each is declined.

--- a/crates/peridotrack-edge/src/daemon.rs
+++ b/crates/peridotrack-edge/src/daemon.rs
@@ -370,6 +370,7 @@
         | peer::Frame::Quarantine { .. }
         | peer::Frame::LeavingStated { .. }
         | peer::Frame::Origin(_)
+        | peer::Frame::Tunnel { .. }
         | peer::Frame::ServerEnded { .. }
         | peer::Frame::RateLimit { .. } => {}
         peer::Frame::Member(message) => members.receive(sender.address, message),
--- a/crates/peridotrack-edge/src/peer.rs
+++ b/crates/peridotrack-edge/src/peer.rs
@@ -6,9 +6,11 @@
 
 pub mod frame;
 mod link;
+pub mod tunnel;
 
 pub use frame::Frame;
 pub use link::{Error, Link, Sender};
+pub use tunnel::TunnelError;
 
 /// Name of this service in the registry.
 pub const SERVICE: &str = "peer";
--- a/crates/peridotrack-edge/src/peer/frame.rs
+++ b/crates/peridotrack-edge/src/peer/frame.rs
@@ -119,13 +119,25 @@
     },
     /// Where streams began, and questions about it.
     Origin(origin_message::Message),
+    /// Requests a connection to a backend server; the last frame of a link. The accepting router
+    /// answers with a status byte, after which the stream carries the connection's bytes.
+    Tunnel {
+        /// Incarnation that alone may handle the frame; after a restart another one may listen on
+        /// the same address.
+        to: id::Incarnation,
+        /// Name of the backend server to connect to.
+        backend_server: name::BackendServer,
+    },
 }
 
 impl Frame {
     /// Returns the incarnation that alone may handle the frame, or `None` if any may.
     pub fn recipient(&self) -> Option<id::Incarnation> {
         match self {
-            Self::Budget { to, .. } | Self::Usage { to, .. } | Self::Follow { to, .. } => Some(*to),
+            Self::Budget { to, .. }
+            | Self::Usage { to, .. }
+            | Self::Follow { to, .. }
+            | Self::Tunnel { to, .. } => Some(*to),
             Self::Hello(_)
             | Self::Member(_)
             | Self::Leaving { .. }
--- a/crates/peridotrack-edge/src/peer/link.rs
+++ b/crates/peridotrack-edge/src/peer/link.rs
@@ -19,9 +19,12 @@
 };
 use peridotrack_http::listen;
 use peridotrack_kernel::{Kernel, event};
-use peridotrack_types::{collections, id};
+use peridotrack_types::{collections, id, name};
 
-use super::frame::{self, Frame};
+use super::{
+    frame::{self, Frame},
+    tunnel,
+};
 use crate::{acceptor, metric};
 
 /// Timeout of connecting and authenticating, in milliseconds.
@@ -76,6 +79,7 @@
 
 type OnFrame = Rc<dyn Fn(Sender, Frame)>;
 type OnFailure = Rc<dyn Fn(SocketAddr)>;
+type OnTunnel = Rc<dyn Fn(Sender, name::BackendServer, TcpStream)>;
 
 /// Queue of a link that this router dialled.
 struct Outgoing {
@@ -92,6 +96,7 @@
     outgoing: RefCell<collections::HashMap<SocketAddr, Outgoing>>,
     on_frame: RefCell<Option<OnFrame>>,
     on_failure: RefCell<Option<OnFailure>>,
+    pub(super) on_tunnel: RefCell<Option<OnTunnel>>,
     acceptor: RefCell<Option<Rc<acceptor::Acceptor>>>,
     sent_bytes: metrics::Counter,
 }
@@ -121,6 +126,7 @@
             outgoing: RefCell::default(),
             on_frame: RefCell::default(),
             on_failure: RefCell::default(),
+            on_tunnel: RefCell::default(),
             acceptor: RefCell::default(),
             sent_bytes,
         });
@@ -153,6 +159,7 @@
         self.outgoing.borrow_mut().clear();
         self.on_frame.borrow_mut().take();
         self.on_failure.borrow_mut().take();
+        self.on_tunnel.borrow_mut().take();
     }
 }
 
@@ -276,7 +283,7 @@
         }
     }
 
-    async fn connect(&self, peer: SocketAddr) -> Result<TcpStream, Error> {
+    pub(super) async fn connect(&self, peer: SocketAddr) -> Result<TcpStream, Error> {
         let io = |source| Error::Io {
             step: "connect to",
             peer,
@@ -313,6 +320,10 @@
         let sender = with_timeout("authenticate", peer, HANDSHAKE_TIMEOUT_MS, authenticate).await?;
         while !self.is_stopped() {
             let frame = read_frame(&mut stream, peer).await?;
+            if let Frame::Tunnel { to, backend_server } = frame {
+                self.pass_tunnel(sender, to, backend_server, stream).await;
+                return Ok(());
+            }
             // A frame for an earlier incarnation at this address is dropped.
             if frame.recipient().is_some_and(|to| to != self.incarnation) {
                 continue;
@@ -325,6 +336,25 @@
         Ok(())
     }
 
+    /// Passes the stream of a tunnel to the callback, or declines it.
+    async fn pass_tunnel(
+        &self,
+        sender: Sender,
+        to: id::Incarnation,
+        backend_server: name::BackendServer,
+        mut stream: TcpStream,
+    ) {
+        let on_tunnel = self.on_tunnel.borrow().clone();
+        match on_tunnel {
+            Some(on_tunnel) if to == self.incarnation => on_tunnel(sender, backend_server, stream),
+            _ => {
+                let declined = vec![tunnel::Status::Declined.encode()];
+                // A router that has gone needs no answer.
+                let _ = stream.write_all(declined).await;
+            }
+        }
+    }
+
     async fn authenticate(
         &self,
         stream: &mut TcpStream,
--- a/crates/peridotrack-http/src/client/connection.rs
+++ b/crates/peridotrack-http/src/client/connection.rs
@@ -72,14 +72,20 @@
                 .set_tcp_keepalive(period, period, Some(KEEPALIVE_PROBES))
                 .map_err(|source| error(Kind::Io(source)))?;
         }
-        Ok(Self {
-            stream: BufferedStream::new(stream, address),
+        Ok(Self::over(stream, address, options))
+    }
+
+    /// Returns a connection over an established stream that leads to `server`, such as a tunnel
+    /// through another process. Keep-alive probes are left as the stream has them.
+    pub fn over(stream: TcpStream, server: SocketAddr, options: Options) -> Self {
+        Self {
+            stream: BufferedStream::new(stream, server),
             options,
             scanner: Scanner::default(),
             phase: Phase::Ready,
             memory: None,
             written_before_exchange_bytes: 0,
-        })
+        }
     }
 
     /// Sets the memory that bodies read by [`Connection::read_body`] count towards.
--- a/crates/peridotrack-http/src/client/pool.rs
+++ b/crates/peridotrack-http/src/client/pool.rs
@@ -11,6 +11,7 @@
 };
 
 use bytes::Bytes;
+use monoio::net::TcpStream;
 
 use crate::{
     client::{Connection, Error, Options},
@@ -76,11 +77,21 @@
     ///
     /// Fails if none can be opened.
     pub async fn connect(&self, address: SocketAddr) -> Result<Connection, Error> {
-        let mut connection = Connection::connect(address, self.options).await?;
-        if let Some(memory) = &self.memory {
-            connection.set_memory(memory.clone());
-        }
-        Ok(connection)
+        let connection = Connection::connect(address, self.options).await?;
+        Ok(self.with_pool_memory(connection))
+    }
+
+    /// Returns a connection to `server` over an established stream that leads there through another
+    /// process, with the options and the memory of the pool.
+    ///
+    /// A close-delimited response is not accepted: the other process also closes the stream when it
+    /// ends itself, so the end of the stream does not prove the end of the response.
+    pub fn adopt(&self, stream: TcpStream, server: SocketAddr) -> Connection {
+        let options = Options {
+            accept_close_delimited: false,
+            ..self.options
+        };
+        self.with_pool_memory(Connection::over(stream, server, options))
     }
 
     /// Returns a connection to the pool, or drops it if it is not reusable.
@@ -110,6 +121,11 @@
         self.idle.borrow_mut().remove(&address);
     }
 
+    /// Closes all idle connections.
+    pub fn clear(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
     /// Performs one exchange and returns the response with its complete body. Never retries.
     ///
     /// # Errors
@@ -132,6 +148,13 @@
         self.idle.borrow().get(&address).map_or(0, VecDeque::len)
     }
 
+    fn with_pool_memory(&self, mut connection: Connection) -> Connection {
+        if let Some(memory) = &self.memory {
+            connection.set_memory(memory.clone());
+        }
+        connection
+    }
+
     fn pop(&self, address: SocketAddr) -> Option<IdleConnection> {
         self.idle.borrow_mut().get_mut(&address)?.pop_back()
     }
