--- a/crates/peridotrack-http/src/lib.rs
+++ b/crates/peridotrack-http/src/lib.rs
@@ -33,6 +33,7 @@
 mod body;
 pub mod client;
 mod encode;
+pub mod forward;
 mod head;
 pub mod listen;
 pub mod memory;
--- a/crates/peridotrack-http/src/tcp.rs
+++ b/crates/peridotrack-http/src/tcp.rs
@@ -47,6 +47,19 @@
     Discard,
 }
 
+/// Sets how a stream ends when it is closed, which also happens when the process ends.
+pub(crate) fn set_end(stream: &TcpStream, end: End) {
+    let linger = libc::linger {
+        l_onoff: match end {
+            End::Deliver => 0,
+            End::Discard => 1,
+        },
+        l_linger: 0,
+    };
+    // Fails only if the connection is broken, and then nothing is delivered any more.
+    let _ = socket::setsockopt(stream.as_raw_fd(), sockopt::Linger, &linger);
+}
+
 /// A TCP stream with a read buffer. Dropping a read in progress loses no bytes.
 pub(crate) struct BufferedStream {
     stream: TcpStream,
@@ -62,12 +75,7 @@
 impl Drop for BufferedStream {
     fn drop(&mut self) {
         if self.end == End::Discard {
-            let linger = libc::linger {
-                l_onoff: 1,
-                l_linger: 0,
-            };
-            // Fails only if the connection is broken, and then nothing is delivered any more.
-            let _ = socket::setsockopt(self.stream.as_raw_fd(), sockopt::Linger, &linger);
+            set_end(&self.stream, End::Discard);
         }
     }
 }
--- a/crates/peridotrack-http/tests/pool.rs
+++ b/crates/peridotrack-http/tests/pool.rs
@@ -10,10 +10,15 @@
 use bytes::Bytes;
 use common::run;
 use http::{Request, Response};
+use monoio::{
+    io::{AsyncReadRent, AsyncWriteRentExt},
+    net::TcpStream,
+};
 use peridotrack_http::{
     client::{Options, Pool},
     server,
 };
+use rstest::rstest;
 
 /// What the server does after its response.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -110,3 +115,67 @@
         assert_eq!(connections.get(), 2);
     });
 }
+
+#[test]
+fn an_adopted_connection_is_pooled_for_the_server_that_it_leads_to() {
+    run(async {
+        let (address, connections, requests) = spawn_server(AfterResponse::KeepOpen);
+        let server = SocketAddr::from(([192, 0, 2, 1], 80));
+        let pool = Pool::new(Options::default(), 2);
+        let stream = TcpStream::connect(address).await.unwrap();
+        let mut connection = pool.adopt(stream, server);
+        assert_eq!(connection.peer(), server);
+        connection.send(post("a")).await.unwrap();
+        assert_eq!(connection.read_body().await.unwrap(), "a");
+        pool.put(connection);
+        assert_eq!(pool.fetch(server, post("b")).await.unwrap().body(), "b");
+        assert_eq!((connections.get(), requests.get()), (1, 2));
+    });
+}
+
+/// The end of an adopted stream does not prove that the server ended the response.
+#[rstest]
+#[case::direct(false)]
+#[case::adopted(true)]
+fn a_close_delimited_response_is_accepted_on_a_direct_connection_only(#[case] is_adopted: bool) {
+    run(async {
+        let (listener, address) = common::listen();
+        monoio::spawn(async move {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            stream.read(vec![0; 1024]).await.0.unwrap();
+            let response = b"HTTP/1.1 200 OK\r\n\r\nhel".as_slice();
+            stream.write_all(response).await.0.unwrap();
+        });
+        let options = Options {
+            accept_close_delimited: true,
+            ..Options::default()
+        };
+        let pool = Pool::new(options, 2);
+        let mut connection = match is_adopted {
+            true => pool.adopt(TcpStream::connect(address).await.unwrap(), address),
+            false => pool.connect(address).await.unwrap(),
+        };
+        let is_accepted = match connection.send(post("a")).await {
+            Ok(_) => connection.read_body().await.is_ok(),
+            Err(_) => false,
+        };
+        assert_eq!(is_accepted, !is_adopted);
+    });
+}
+
+#[test]
+fn a_cleared_pool_has_no_idle_connections() {
+    run(async {
+        let (first, connections, _) = spawn_server(AfterResponse::KeepOpen);
+        let (second, ..) = spawn_server(AfterResponse::KeepOpen);
+        let pool = Pool::new(Options::default(), 2);
+        for server in [first, second] {
+            pool.fetch(server, post("a")).await.unwrap();
+        }
+        pool.clear();
+        let idle = [first, second].map(|server| pool.idle_connections(server));
+        assert_eq!(idle, [0, 0]);
+        pool.fetch(first, post("b")).await.unwrap();
+        assert_eq!(connections.get(), 2);
+    });
+}
