feat(gateway): serve tunnels to backend servers

Callers of a router that is partitioned from all backend servers are served far worse than others, although its peers reach the servers. A gateway now connects to a backend server for a peer and forwards the bytes of the connection. It looks the address up in its own directory, so that a peer cannot have it connect elsewhere. It declines while it stops or is itself partitioned, for an unknown server or another incarnation, and beyond a twelfth of its sockets. A stop waits for open tunnels as for requests, and then resets them.

--- a/crates/peridotrack-edge/src/gateway.rs
+++ b/crates/peridotrack-edge/src/gateway.rs
@@ -21,6 +21,7 @@
 mod server;
 mod site;
 mod stream;
+mod tunnel;
 
 use std::{cell::Cell, net::SocketAddr, rc::Rc, sync::Arc};
 
@@ -96,6 +97,7 @@
     directory: directory::Directory,
     evacuations: evacuation::Evacuations,
     checks: liveness::Checks,
+    tunnels: tunnel::Tunnels,
     stopping: Rc<stopping::Stopping<Arc<str>>>,
     sequence: Cell<u64>,
 }
@@ -190,12 +192,14 @@
             directory: directory::Directory::default(),
             evacuations: evacuation::Evacuations::default(),
             checks: liveness::Checks::default(),
+            tunnels: tunnel::Tunnels::new(&kernel),
             stopping: Rc::new(stopping::Stopping::new(&kernel)),
             sequence: Cell::new(0),
             settings,
             kernel,
         });
         subscribe(&shared);
+        tunnel::subscribe(&shared);
         let clients = server::Server::bind(&shared)
             .map_err(|error| listen_error("clients", shared.settings.client_address, &error))?;
         capacity::observe(&shared, &clients);
@@ -318,6 +322,8 @@
         let leave_us = times.stop.leave_us.saturating_sub(kernel.now_us());
         kernel.timer().sleep_us(leave_us).await;
         self.clients.drain(times.stop.finish_us).await;
+        let tunnels = &self.shared.tunnels;
+        tunnels.drain(kernel, times.stop.finish_us).await;
         self.clients.stop();
         kernel.timer().sleep_us(FIRST_REQUEST_US).await;
         self.clients.close_idle();
@@ -332,6 +338,7 @@
         self.shared.member.stop();
         kernel.timer().sleep_us(LEAVE_NOTICE_US).await;
         self.shared.link.stop();
+        tunnels.cut();
         let kind = match outcome.cut_requests {
             0 => event::Kind::RouterStopped,
             _ => event::Kind::RouterCut,
--- a/crates/peridotrack-edge/src/gateway/directory.rs
+++ b/crates/peridotrack-edge/src/gateway/directory.rs
@@ -7,6 +7,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
     rc::Rc,
 };
 
@@ -58,6 +59,12 @@
         self.is_listed.get()
     }
 
+    /// Returns the address of a server, `None` if it has no entry.
+    pub(super) fn address(&self, name: &name::BackendServer) -> Option<SocketAddr> {
+        let entries = self.entries.borrow();
+        entries.get(name).map(|entry| entry.server.address)
+    }
+
     /// Returns the software version of a server, empty if it has no entry.
     pub(super) fn software_version(&self, name: &name::BackendServer) -> name::SoftwareVersion {
         let entries = self.entries.borrow();
--- a/crates/peridotrack-edge/src/gateway/options.rs
+++ b/crates/peridotrack-edge/src/gateway/options.rs
@@ -8,7 +8,7 @@
 use peridotrack_budget::options as budget_options;
 use peridotrack_capacity::{account, connections};
 use peridotrack_follow::follower;
-use peridotrack_http::client;
+use peridotrack_http::{client, forward};
 use peridotrack_kernel::clock;
 use peridotrack_origin::origins;
 use peridotrack_route::{options as route_options, stop, throttle};
@@ -17,7 +17,7 @@
     name,
 };
 
-use crate::{member, stopping};
+use crate::{member, peer, stopping};
 
 /// Time at the end of the grace period that is reserved for closing the budget, in microseconds;
 /// closing may take longer if open requests end earlier.
@@ -193,6 +193,14 @@
 /// Numerator and divisor of the part of the sockets that clients may use; the others are for backend
 /// servers, peers and the store.
 const CLIENT_SOCKETS_PART: (usize, usize) = (2, 3);
+/// Numerator and divisor of the part of the sockets that tunnels of other routers may use, which leaves
+/// as many for this router's own connections to backend servers, peers and the store.
+const TUNNEL_SOCKETS_PART: (usize, usize) = (1, 6);
+/// Sockets of one tunnel: one to the other router, one to the backend server.
+const SOCKETS_PER_TUNNEL: usize = 2;
+/// Time by which the idle timeout of a tunnel exceeds the longest silence of a response, in
+/// milliseconds.
+const TUNNEL_IDLE_MARGIN_MS: u64 = 5_000;
 /// Time in which a client may send its first request before its connection can be closed for another
 /// one, in microseconds.
 const FIRST_REQUEST_AGE_US: u64 = 500 * clock::US_PER_MS;
@@ -222,6 +230,12 @@
     }
 }
 
+/// Returns the maximum number of tunnels that are served at a time.
+pub(super) fn max_tunnels(settings: &Settings) -> usize {
+    let (numerator, divisor) = TUNNEL_SOCKETS_PART;
+    settings.sockets * numerator / divisor / SOCKETS_PER_TUNNEL
+}
+
 /// Returns the options of the budget holder.
 ///
 /// The shard count depends only on the store's write rate, so that all routers of a deployment
@@ -391,6 +405,17 @@
     }
 }
 
+/// Returns the timeouts of tunnels, which are silent for longer than a response may be and than a
+/// pooled connection is kept.
+pub(super) fn tunnel() -> forward::Options {
+    let backend = backend();
+    let silence_ms = backend.response_timeout_ms.max(backend.chunk_timeout_ms);
+    forward::Options {
+        idle_timeout_ms: silence_ms + TUNNEL_IDLE_MARGIN_MS,
+        keepalive_ms: peer::tunnel::KEEPALIVE_MS,
+    }
+}
+
 /// Returns the times of a stop that begins at `begun_us` (monotonic microseconds) and ends with the
 /// operators' grace period.
 pub(super) fn stop_times(begun_us: u64, bounds: &Bounds) -> stopping::Times {
--- a/crates/peridotrack-edge/src/metric.rs
+++ b/crates/peridotrack-edge/src/metric.rs
@@ -32,9 +32,15 @@
 pub const HELD_RESPONSE_BYTES: &str = "peridotrack_held_response_bytes";
 /// Gauge of the open client connections.
 pub const CLIENT_CONNECTIONS: &str = "peridotrack_client_connections";
+/// Counter of the tunnels to backend servers that peers opened for this router.
+pub const OPENED_TUNNELS: &str = "peridotrack_opened_tunnels_total";
+/// Counter of the tunnels to backend servers that this router opened for peers.
+pub const SERVED_TUNNELS: &str = "peridotrack_served_tunnels_total";
+/// Gauge of the open tunnels that this router serves.
+pub const OPEN_TUNNELS: &str = "peridotrack_open_tunnels";
 
 /// Names of all metrics.
-pub const ALL: [&str; 13] = [
+pub const ALL: [&str; 16] = [
     ACCEPTED,
     COMPLETED,
     REFUSED,
@@ -48,6 +54,9 @@
     HELD_REQUEST_BYTES,
     HELD_RESPONSE_BYTES,
     CLIENT_CONNECTIONS,
+    OPENED_TUNNELS,
+    SERVED_TUNNELS,
+    OPEN_TUNNELS,
 ];
 
 /// Handles to the metrics of requests.
--- a/crates/peridotrack-edge/src/peer/link.rs
+++ b/crates/peridotrack-edge/src/peer/link.rs
@@ -99,6 +99,7 @@
     pub(super) on_tunnel: RefCell<Option<OnTunnel>>,
     acceptor: RefCell<Option<Rc<acceptor::Acceptor>>>,
     sent_bytes: metrics::Counter,
+    pub(super) opened_tunnels: metrics::Counter,
 }
 
 /// Listens for peers, sets the callbacks and stops the links.
@@ -118,6 +119,7 @@
         let listener = listen::bind(address).map_err(io)?;
         let address = listener.local_addr().map_err(io)?;
         let sent_bytes = kernel.meter().counter(metric::PEER_SENT_BYTES);
+        let opened_tunnels = kernel.meter().counter(metric::OPENED_TUNNELS);
         let link = Rc::new(Self {
             kernel,
             incarnation,
@@ -129,6 +131,7 @@
             on_tunnel: RefCell::default(),
             acceptor: RefCell::default(),
             sent_bytes,
+            opened_tunnels,
         });
         let weak = Rc::downgrade(&link);
         let acceptor = acceptor::Acceptor::spawn(listener, move |stream, peer| {
--- a/crates/peridotrack-edge/src/peer/tunnel.rs
+++ b/crates/peridotrack-edge/src/peer/tunnel.rs
@@ -132,7 +132,10 @@
         let (outcome, status) = stream.read_exact(vec![0; 1]).await;
         outcome.map_err(io)?;
         match Status::decode(status[0]) {
-            Some(Status::Connected) => Ok(stream),
+            Some(Status::Connected) => {
+                self.opened_tunnels.increment(1);
+                Ok(stream)
+            }
             Some(Status::Refused) => Err(TunnelError::Refused),
             Some(Status::Unreachable) => Err(TunnelError::Unreachable),
             Some(Status::Declined) => Err(TunnelError::Declined),
--- a/crates/peridotrack-edge/tests/gateway/main.rs
+++ b/crates/peridotrack-edge/tests/gateway/main.rs
@@ -23,5 +23,6 @@
 mod stated_limit;
 mod stopping;
 mod streams;
+mod tunnel;
 mod unanswered;
 mod versions;
--- a/crates/peridotrack-kernel/src/event.rs
+++ b/crates/peridotrack-kernel/src/event.rs
@@ -101,6 +101,8 @@
     132 Warn PeerRefused,
     /// Membership reports a pause of this process, a newer process on its VM or a stale version.
     133 Warn MemberNote,
+    /// A tunnel to a backend server that a peer requested was declined or failed; the event says at which step, and how many others since the last such event.
+    134 Warn TunnelFailed,
     /// A request was accepted from a caller.
     200 Debug RequestAccepted,
     /// Tokens were reserved for a request.
--- a/crates/peridotrackd/tests/gateway.rs
+++ b/crates/peridotrackd/tests/gateway.rs
@@ -11,6 +11,9 @@
 };
 
 use bytes::Bytes;
+use monoio::io::{AsyncReadRent, AsyncWriteRentExt};
+use peridotrack_edge::peer;
+use peridotrack_kernel::{Kernel, Options};
 use peridotrack_standin::{
     harness::{
         http::{block_on, fetch},
@@ -18,6 +21,7 @@
     },
     hosted::{backend, deployment, store},
 };
+use peridotrack_types::id;
 use serde_json::{Value, json};
 
 const TIMEOUT: Duration = Duration::from_secs(10);
@@ -355,3 +359,42 @@
         assert!(first.is_ready().await);
     });
 }
+
+/// Guards against a tunnel whose router is killed and that looks as if the other side had ended it: a
+/// truncated response would count as complete, and a request that was given up would arrive.
+#[test]
+fn a_killed_process_resets_both_sides_of_its_tunnels() {
+    block_on(async {
+        let (store, _backend) = fixture(backend::Mode::Serve);
+        let server = monoio::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let entry = json!({
+            "service": "s", "address": server.local_addr().unwrap().to_string(), "zone": "a",
+            "version": "v1", "slots": 8, "state": "ready", "coldRemainingMs": 0, "sequence": 1,
+        });
+        store.put("servers", "i-1", entry);
+        let addresses = [(); 4].map(|()| free_address());
+        let mut gateway = Gateway::spawn_at(store.address(), "tunnel", addresses);
+        let started = gateway.wait_for_event("RouterStarted").await;
+        let incarnation = started["fields"]["incarnation"].as_str().unwrap();
+        let to: id::Incarnation = incarnation.parse().unwrap();
+        gateway.wait_until_ready().await;
+
+        let kernel = Kernel::open(Options::default()).unwrap();
+        let key = format!("deployment-of-store-{}", store.address());
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let link = peer::Link::bind(kernel, id::Incarnation(77), any, &key).unwrap();
+        let name = "i-1".into();
+        let opening = link.open_tunnel(addresses[2], to, &name);
+        let mut origin = opening.await.unwrap();
+        let (mut server, _) = server.accept().await.unwrap();
+        server.write_all(b"HTTP/1.1 200 OK\r\n").await.0.unwrap();
+        assert_eq!(origin.read(vec![0; 64]).await.0.unwrap(), 17);
+
+        gateway.child.kill().unwrap();
+        for side in [&mut origin, &mut server] {
+            let reading = monoio::time::timeout(TIMEOUT, side.read(vec![0; 64]));
+            let error = reading.await.unwrap().0.unwrap_err();
+            assert_eq!(error.kind(), std::io::ErrorKind::ConnectionReset);
+        }
+    });
+}
