--- a/crates/peridotrack-edge/tests/gateway/main.rs
+++ b/crates/peridotrack-edge/tests/gateway/main.rs
@@ -24,5 +24,6 @@
 mod stated_limit;
 mod stopping;
 mod streams;
+mod tunnel;
 mod unanswered;
 mod versions;
