test(gateway): bound what tunnels use of a process

A process with as many tunnels as it serves, of which nobody reads, holds two descriptors for each and at most 32 KiB; they are free when the tunnels end.

The encoding of the frame shows that earlier frames keep their positions.

--- a/crates/peridotrack-edge/tests/frames.rs
+++ b/crates/peridotrack-edge/tests/frames.rs
@@ -56,3 +56,18 @@
     println!("{bytes} bytes a message, {bytes_per_s} a second");
     assert!(bytes_per_s < ORIGINS_PART * CONTROL_BYTES_PER_S);
 }
+
+/// Postcard encodes variants by position, and an earlier release reads the frames that it knows.
+#[test]
+fn a_request_for_a_tunnel_is_encoded_after_all_earlier_frames() {
+    let frame = Frame::Tunnel {
+        to: id::Incarnation(1),
+        backend_server: "i-0".into(),
+    };
+    let encoded = frame::encode(&frame).unwrap();
+    assert_eq!(
+        encoded[frame::LENGTH_BYTES..],
+        *b"\x0f\x100000000000000001\x03i-0"
+    );
+    assert_eq!(frame.recipient(), Some(id::Incarnation(1)));
+}
--- a/crates/peridotrackd/tests/gateway.rs
+++ b/crates/peridotrackd/tests/gateway.rs
@@ -5,13 +5,17 @@
     net::{SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
+    rc::Rc,
     sync::mpsc,
     thread,
     time::Duration,
 };
 
 use bytes::Bytes;
-use monoio::io::{AsyncReadRent, AsyncWriteRentExt};
+use monoio::{
+    io::{AsyncReadRent, AsyncWriteRentExt},
+    net::TcpStream,
+};
 use peridotrack_edge::peer;
 use peridotrack_kernel::{Kernel, Options};
 use peridotrack_standin::{
@@ -28,6 +32,15 @@
 /// Maximum number of starts, each with new addresses, before a test fails.
 const MAX_SPAWN_ATTEMPTS: usize = 5;
 
+/// Bytes that the buffers of a tunnel do not hold.
+const FILL_BYTES: usize = 16_000_000;
+/// Time in which these buffers are filled.
+const FILL_TIME: Duration = Duration::from_millis(20);
+/// Bound of the memory of one tunnel: 8 KiB in each direction, and its state.
+const MAX_TUNNEL_BYTES: usize = 32 * 1024;
+/// Descriptors that the process may open meanwhile for other purposes.
+const OTHER_DESCRIPTORS: usize = 8;
+
 /// A gateway process; dropping it kills the process and removes its settings file.
 struct Gateway {
     child: Child,
@@ -360,12 +373,19 @@
     });
 }
 
-/// Guards against a tunnel whose router is killed and that looks as if the other side had ended it: a
-/// truncated response would count as complete, and a request that was given up would arrive.
-#[test]
-fn a_killed_process_resets_both_sides_of_its_tunnels() {
-    block_on(async {
-        let (store, _backend) = fixture(backend::Mode::Serve);
+/// A gateway process, a backend server, and a link that opens tunnels between them.
+struct Tunnels {
+    gateway: Gateway,
+    server: monoio::net::TcpListener,
+    link: Rc<peer::Link>,
+    peer: SocketAddr,
+    to: id::Incarnation,
+    _store: store::Handle,
+}
+
+impl Tunnels {
+    async fn spawn(name: &str) -> Self {
+        let (store, _) = fixture(backend::Mode::Serve);
         let server = monoio::net::TcpListener::bind("127.0.0.1:0").unwrap();
         let entry = json!({
             "service": "s", "address": server.local_addr().unwrap().to_string(), "zone": "a",
@@ -373,24 +393,65 @@
         });
         store.put("servers", "i-1", entry);
         let addresses = [(); 4].map(|()| free_address());
-        let mut gateway = Gateway::spawn_at(store.address(), "tunnel", addresses);
+        let gateway = Gateway::spawn_at(store.address(), name, addresses);
         let started = gateway.wait_for_event("RouterStarted").await;
-        let incarnation = started["fields"]["incarnation"].as_str().unwrap();
-        let to: id::Incarnation = incarnation.parse().unwrap();
         gateway.wait_until_ready().await;
-
         let kernel = Kernel::open(Options::default()).unwrap();
         let key = format!("deployment-of-store-{}", store.address());
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
-        let link = peer::Link::bind(kernel, id::Incarnation(77), any, &key).unwrap();
-        let name = "i-1".into();
-        let opening = link.open_tunnel(addresses[2], to, &name);
-        let mut origin = opening.await.unwrap();
-        let (mut server, _) = server.accept().await.unwrap();
+        Self {
+            gateway,
+            server,
+            link: peer::Link::bind(kernel, id::Incarnation(77), any, &key).unwrap(),
+            peer: addresses[2],
+            to: started["fields"]["incarnation"]
+                .as_str()
+                .unwrap()
+                .parse()
+                .unwrap(),
+            _store: store,
+        }
+    }
+
+    /// Opens a tunnel; returns its end and that of the server, or `None` if it is declined.
+    async fn open(&self) -> Option<(TcpStream, TcpStream)> {
+        match self
+            .link
+            .open_tunnel(self.peer, self.to, &"i-1".into())
+            .await
+        {
+            Ok(origin) => Some((origin, self.server.accept().await.unwrap().0)),
+            Err(peer::TunnelError::Declined) => None,
+            Err(error) => panic!("{error}"),
+        }
+    }
+
+    fn descriptors(&self) -> usize {
+        let path = format!("/proc/{}/fd", self.gateway.child.id());
+        std::fs::read_dir(path).unwrap().count()
+    }
+
+    fn resident_bytes(&self) -> usize {
+        let path = format!("/proc/{}/status", self.gateway.child.id());
+        let status = std::fs::read_to_string(path).unwrap();
+        let mut lines = status.lines();
+        let line = lines.find_map(|line| line.strip_prefix("VmRSS:")).unwrap();
+        let kib: usize = line.trim().trim_end_matches(" kB").parse().unwrap();
+        kib * 1024
+    }
+}
+
+/// Guards against a tunnel whose router is killed and that looks as if the other side had ended it: a
+/// truncated response would count as complete, and a request that was given up would arrive.
+#[test]
+fn a_killed_process_resets_both_sides_of_its_tunnels() {
+    block_on(async {
+        let mut tunnels = Tunnels::spawn("killed").await;
+        let (mut origin, mut server) = tunnels.open().await.unwrap();
         server.write_all(b"HTTP/1.1 200 OK\r\n").await.0.unwrap();
         assert_eq!(origin.read(vec![0; 64]).await.0.unwrap(), 17);
 
-        gateway.child.kill().unwrap();
+        tunnels.gateway.child.kill().unwrap();
         for side in [&mut origin, &mut server] {
             let reading = monoio::time::timeout(TIMEOUT, side.read(vec![0; 64]));
             let error = reading.await.unwrap().0.unwrap_err();
@@ -398,3 +459,31 @@
         }
     });
 }
+
+/// Descriptors and memory of tunnels are bounded, also if nobody reads, and freed with them.
+#[test]
+fn tunnels_are_bounded_in_descriptors_and_memory() {
+    block_on(async {
+        let tunnels = Tunnels::spawn("bounded").await;
+        let (descriptors, resident_bytes) = (tunnels.descriptors(), tunnels.resident_bytes());
+        let mut open = Vec::new();
+        while let Some((mut origin, mut server)) = tunnels.open().await {
+            for end in [&mut origin, &mut server] {
+                let filling = end.write_all(vec![7; FILL_BYTES]);
+                let _ = monoio::time::timeout(FILL_TIME, filling).await;
+            }
+            open.push((origin, server));
+        }
+        let grown_bytes = tunnels.resident_bytes().saturating_sub(resident_bytes);
+        println!("{} tunnels, {grown_bytes} bytes", open.len());
+        assert!((10..200).contains(&open.len()), "{} tunnels", open.len());
+        assert!(tunnels.descriptors() <= descriptors + 2 * open.len() + OTHER_DESCRIPTORS);
+        assert!(grown_bytes < open.len() * MAX_TUNNEL_BYTES, "{grown_bytes}");
+        drop(open);
+        let is_freed = || tunnels.descriptors() <= descriptors + OTHER_DESCRIPTORS;
+        wait::until(TIMEOUT, "free descriptors", is_freed)
+            .await
+            .unwrap();
+        assert!(tunnels.open().await.is_some());
+    });
+}
