feat(route): take back breakers that explained connect failures opened

Callers of a router that was partitioned from all backend servers were refused for as long as its breakers stayed open: one failed connection opens a breaker, and all servers seemed to fail. With ConnectFailuresExplained the driver states that the router's own network was the reason since a time; breakers opened by failed connections since then close, without the penalty of that opening, and queued requests are placed at once. Breakers opened by broken responses stay open.

--- a/crates/peridotrack-route/src/breaker.rs
+++ b/crates/peridotrack-route/src/breaker.rs
@@ -68,6 +68,9 @@
     probes_succeeded: u32,
     penalty: f64,
     penalty_updated_us: u64,
+    /// When failed connections last opened the breaker, with the penalty before; `None` if anything
+    /// else opened it since.
+    opened_by_connects: Option<(u64, f64)>,
 }
 
 impl Breaker {
@@ -81,6 +84,7 @@
             probes_succeeded: 0,
             penalty: 0.0,
             penalty_updated_us: 0,
+            opened_by_connects: None,
         }
     }
 
@@ -156,12 +160,31 @@
                 self.on_failure(now_us, sample, jitter, options)
             }
             (Sample::ConnectFailure | Sample::Failure, State::HalfOpen) if probe => {
-                self.open(now_us, jitter, options)
+                self.open_after(now_us, sample, jitter, options)
             }
             _ => Change::None,
         }
     }
 
+    /// Takes back failed connections, and the open state and its penalty if failed connections opened
+    /// the breaker at `since_us` or later. Returns whether the breaker was open or half-open and
+    /// closes.
+    pub fn forgive_connect_failures(&mut self, since_us: u64) -> bool {
+        self.failures -= self.connect_failures.min(self.failures);
+        self.connect_failures = 0;
+        let is_explained = |(opened_us, _): &(u64, f64)| *opened_us >= since_us;
+        let Some((_, penalty)) = self.opened_by_connects.filter(is_explained) else {
+            return false;
+        };
+        self.opened_by_connects = None;
+        let was_closed = self.is_closed();
+        self.state = State::Closed;
+        self.failures = 0;
+        self.probes_succeeded = 0;
+        self.penalty = penalty;
+        !was_closed
+    }
+
     /// Adds a penalty without opening the breaker, as for a server that left and returned.
     pub fn on_flap(&mut self, now_us: u64, options: &Options) {
         self.penalty = (self.decayed_penalty(now_us, options) + 1.0).min(MAX_PENALTY);
@@ -182,9 +205,27 @@
         };
         self.probes_succeeded = 0;
         self.probes_in_flight = 0;
+        self.opened_by_connects = None;
         Change::Opened { open_us }
     }
 
+    /// Opens the breaker after a failed attempt, and records whether it failed to connect.
+    fn open_after(
+        &mut self,
+        now_us: u64,
+        sample: Sample,
+        jitter: f64,
+        options: &Options,
+    ) -> Change {
+        let first = self.opened_by_connects.filter(|_| !self.is_closed());
+        let penalty = self.decayed_penalty(now_us, options);
+        let change = self.open(now_us, jitter, options);
+        if sample == Sample::ConnectFailure {
+            self.opened_by_connects = Some(first.unwrap_or((now_us, penalty)));
+        }
+        change
+    }
+
     fn on_failure(
         &mut self,
         now_us: u64,
@@ -199,7 +240,7 @@
         let opens = self.failures >= options.breaker_failures
             || self.connect_failures >= options.breaker_connect_failures;
         if opens {
-            self.open(now_us, jitter, options)
+            self.open_after(now_us, sample, jitter, options)
         } else {
             Change::None
         }
--- a/crates/peridotrack-route/src/event.rs
+++ b/crates/peridotrack-route/src/event.rs
@@ -177,6 +177,11 @@
         /// Name in the asset register of the server that accepted the connection.
         backend: name::BackendServer,
     },
+    /// The reason of failed connections was the network of this router, not the servers.
+    ConnectFailuresExplained {
+        /// When the first of these connections may have failed, on the clock of the events.
+        since_us: u64,
+    },
 }
 
 /// An operation that the driver carries out for [`crate::router::Router`].
--- a/crates/peridotrack-route/src/router.rs
+++ b/crates/peridotrack-route/src/router.rs
@@ -267,6 +267,9 @@
                     self.backends[index].breaker.on_connected();
                 }
             }
+            Event::ConnectFailuresExplained { since_us } => {
+                self.on_connect_failures_explained(now_us, since_us, &mut actions);
+            }
         }
         actions
     }
@@ -287,6 +290,25 @@
         }
     }
 
+    /// Takes back what failed connections since `since_us` changed, and dispatches queued work.
+    fn on_connect_failures_explained(
+        &mut self,
+        now_us: u64,
+        since_us: u64,
+        actions: &mut Vec<Action>,
+    ) {
+        for backend in &mut self.backends {
+            if backend.breaker.forgive_connect_failures(since_us) {
+                actions.push(Action::Note(Note::BreakerClosed {
+                    backend: backend.name.clone(),
+                }));
+            }
+        }
+        for pool in 0..self.pools.len() {
+            self.dispatch_queued(now_us, pool, actions);
+        }
+    }
+
     fn on_report(&mut self, now_us: u64, event: &Event, actions: &mut Vec<Action>) {
         let Event::LoadReport {
             backend: name,
--- a/crates/peridotrack-route/tests/breaker.rs
+++ b/crates/peridotrack-route/tests/breaker.rs
@@ -101,3 +101,48 @@
     };
     assert!(open_us < 2 * options.breaker_open_us);
 }
+
+#[rstest]
+#[case::open(Sample::ConnectFailure, 0, true)]
+#[case::opened_before(Sample::ConnectFailure, 1, false)]
+#[case::broken_connections(Sample::Failure, 0, false)]
+fn a_breaker_that_explained_connect_failures_opened_closes(
+    #[case] sample: Sample,
+    #[case] since_us: u64,
+    #[case] expected: bool,
+) {
+    let options = Options {
+        breaker_connect_failures: 1,
+        breaker_failures: 1,
+        ..Options::default()
+    };
+    let mut breaker = Breaker::new();
+    breaker.on_sample(0, sample, false, HALF, &options);
+    assert_eq!(breaker.forgive_connect_failures(since_us), expected);
+    assert_eq!(breaker.allows(0), expected);
+}
+
+/// A probe that fails to connect opens the breaker again; explained failures take back both.
+#[rstest]
+fn the_penalty_of_explained_connect_failures_is_taken_back() {
+    let options = Options {
+        breaker_connect_failures: 1,
+        ..Options::default()
+    };
+    let open_us = |breaker: &mut Breaker, now_us| match breaker.on_sample(
+        now_us,
+        Sample::ConnectFailure,
+        false,
+        HALF,
+        &options,
+    ) {
+        Change::Opened { open_us } => open_us,
+        change => panic!("{change:?}"),
+    };
+    let mut breaker = Breaker::new();
+    let first_us = open_us(&mut breaker, 0);
+    assert!(breaker.on_dispatch(first_us));
+    breaker.on_sample(first_us, Sample::ConnectFailure, true, HALF, &options);
+    assert!(breaker.forgive_connect_failures(0));
+    assert_eq!(open_us(&mut breaker, first_us), first_us);
+}
