feat(gateway): connect through peers while partitioned from the backend servers

Each connection failed, each failure was taken for that of the server, and its breaker opened.

All new connections of attempts, streams that go on and checks of liveness now go through gateway::reach. It reports direct connections to peridotrack-reach; while that states a partition, a connection leads through a live peer, those of other failure domains first. When the path changes, idle connections are closed and breakers opened by failed connections are taken back.

A refused connection is reported as the end of the server only if a direct connection to another one succeeded meanwhile, or a peer was refused too: a router whose new connections are refused no longer has its peers drop healthy servers.

--- a/crates/peridotrack-edge/src/gateway.rs
+++ b/crates/peridotrack-edge/src/gateway.rs
@@ -14,6 +14,7 @@
 mod liveness;
 mod options;
 mod probe;
+mod reach;
 mod request;
 mod reservation;
 mod response;
@@ -98,6 +99,7 @@
     evacuations: evacuation::Evacuations,
     checks: liveness::Checks,
     tunnels: tunnel::Tunnels,
+    reach: reach::Reach,
     stopping: Rc<stopping::Stopping<Arc<str>>>,
     sequence: Cell<u64>,
 }
@@ -193,6 +195,7 @@
             evacuations: evacuation::Evacuations::default(),
             checks: liveness::Checks::default(),
             tunnels: tunnel::Tunnels::new(&kernel),
+            reach: reach::Reach::default(),
             stopping: Rc::new(stopping::Stopping::new(&kernel)),
             sequence: Cell::new(0),
             settings,
@@ -200,6 +203,7 @@
         });
         subscribe(&shared);
         tunnel::subscribe(&shared);
+        reach::spawn(&shared);
         let clients = server::Server::bind(&shared)
             .map_err(|error| listen_error("clients", shared.settings.client_address, &error))?;
         capacity::observe(&shared, &clients);
--- a/crates/peridotrack-edge/src/gateway/attempt.rs
+++ b/crates/peridotrack-edge/src/gateway/attempt.rs
@@ -18,7 +18,7 @@
 use super::{
     Shared,
     identity::{self, Identified},
-    liveness,
+    liveness, reach,
     request::RoutedRequest,
     reservation::ReservationGuard,
     response,
@@ -176,7 +176,10 @@
         self.ticket.sent();
         self.reservation.begin_attempt();
         let request = self.backend_request(progress);
+        let awaiting = reach::await_response(self.shared);
         let parts = connection.send(request).await?;
+        drop(awaiting);
+        reach::received(self.shared);
         let metadata =
             response_wire::Metadata::decode(&parts, self.request.metadata.request_id.as_ref());
         Ok(Sent::Responded(Box::new(ResponseHead {
@@ -191,12 +194,12 @@
     /// So does one under which servers ended: a pooled connection may be that of another server that
     /// ended at the same time, which would count as a crash in sequence.
     async fn connect(&self) -> Result<client::Connection, client::Error> {
-        let address = self.target.address;
+        let (server, address) = (&self.target.backend_server, self.target.address);
         let is_in_sequence = self.trial.depth() > 1;
         match self.request.route().retry_policy {
-            _ if is_in_sequence => self.shared.pool.connect(address).await,
-            site::RetryPolicy::AtMostOnce => self.shared.pool.connect(address).await,
-            _ => self.shared.pool.take(address).await,
+            _ if is_in_sequence => reach::connect(self.shared, server, address).await,
+            site::RetryPolicy::AtMostOnce => reach::connect(self.shared, server, address).await,
+            _ => reach::take(self.shared, server, address).await,
         }
     }
 
@@ -329,7 +332,7 @@
                 events_seen: progress.events_seen(),
             },
         };
-        if error.step == client::Step::Connect && liveness::is_refused(error) {
+        if error.step == client::Step::Connect && reach::is_refused(error) {
             liveness::report_end(self.shared, self.server);
         }
         AttemptResult::Failed {
--- a/crates/peridotrack-edge/src/gateway/directory.rs
+++ b/crates/peridotrack-edge/src/gateway/directory.rs
@@ -17,7 +17,7 @@
 use peridotrack_route::cold;
 use peridotrack_types::{name, register, rules, site};
 
-use super::{Shared, liveness};
+use super::{Shared, liveness, reach};
 use crate::follow::Update;
 
 /// Time after an outage of the store in which backend servers renew entries that expired, in
@@ -118,7 +118,7 @@
     /// Passes the backend servers of known services that are not draining to the routing service.
     ///
     /// Does nothing until a configuration is known.
-    pub(super) fn apply(&self, shared: &Shared) {
+    pub(super) fn apply(&self, shared: &Rc<Shared>) {
         let Some(config) = shared.site.get() else {
             return;
         };
@@ -172,6 +172,7 @@
             shared.throttle.set_servers(servers.collect());
         }
         drop(entries);
+        reach::set_servers(shared, addresses(&register));
         shared.route.configure(&register, &rules::Rules::default());
     }
 
@@ -323,6 +324,14 @@
     }
 }
 
+fn addresses(register: &register::Register) -> reach::Servers {
+    let engines = register.engines.iter();
+    let engines = engines.map(|engine| (engine.name.clone(), engine.address));
+    let services = register.services.iter();
+    let services = services.map(|server| (server.name.clone(), server.address));
+    engines.chain(services).collect()
+}
+
 fn run(server: &site::BackendServer) -> Run {
     Run {
         backend_server: server.name.clone(),
--- a/crates/peridotrack-edge/src/gateway/identity.rs
+++ b/crates/peridotrack-edge/src/gateway/identity.rs
@@ -10,7 +10,7 @@
 use peridotrack_http::client;
 use peridotrack_platform::report;
 
-use super::{attempt::Attempt, liveness, options};
+use super::{attempt::Attempt, liveness, options, reach};
 
 /// What is known of the process that a new connection leads to.
 pub(super) enum Identified {
@@ -28,8 +28,8 @@
 ///
 /// Returns an error if the connection cannot be established.
 pub(super) async fn connect(attempt: &Attempt<'_>) -> Result<Identified, client::Error> {
-    let address = attempt.target.address;
-    let mut connection = client::Connection::connect(address, options::backend()).await?;
+    let (server, address) = (&attempt.target.backend_server, attempt.target.address);
+    let mut connection = reach::connect(attempt.shared, server, address).await?;
     let Some(born_ms) = attempt.server.born_ms else {
         return Ok(Identified::Listed(Box::new(connection)));
     };
@@ -49,7 +49,7 @@
     }
     // Servers now and then close a connection after a response.
     if !connection.is_reusable() {
-        connection = client::Connection::connect(address, options::backend()).await?;
+        connection = reach::connect(attempt.shared, server, address).await?;
     }
     Ok(Identified::Listed(Box::new(connection)))
 }
--- a/crates/peridotrack-edge/src/gateway/liveness.rs
+++ b/crates/peridotrack-edge/src/gateway/liveness.rs
@@ -7,11 +7,10 @@
     rc::Rc,
 };
 
-use peridotrack_http::client;
 use peridotrack_quarantine::{event::Event, run::Run};
 use peridotrack_route::event as route_event;
 
-use super::{Shared, options};
+use super::{Shared, options, reach};
 use crate::notify::Notify;
 
 /// The checks in progress: many connections break at once when a server ends or is overloaded.
@@ -59,13 +58,14 @@
     }
 }
 
-async fn has_ended(shared: &Shared, server: &Run, address: SocketAddr) -> bool {
-    match client::Connection::connect(address, options::liveness()).await {
+async fn has_ended(shared: &Rc<Shared>, server: &Run, address: SocketAddr) -> bool {
+    let name = &server.backend_server;
+    match reach::connect_with(shared, name, address, options::liveness()).await {
         Ok(connection) => {
             shared.pool.put(connection);
             false
         }
-        Err(error) if is_refused(&error) => {
+        Err(error) if reach::is_refused(&error) => {
             report_end(shared, server);
             true
         }
@@ -86,8 +86,3 @@
         backend_server: server.clone(),
     });
 }
-
-/// Returns whether an error of the connection shows that nothing listens at the address any more.
-pub(super) fn is_refused(error: &client::Error) -> bool {
-    matches!(&error.kind, client::Kind::Io(error) if error.kind() == std::io::ErrorKind::ConnectionRefused)
-}
--- a/crates/peridotrack-edge/src/gateway/stream.rs
+++ b/crates/peridotrack-edge/src/gateway/stream.rs
@@ -11,6 +11,7 @@
 
 use super::{
     attempt::{Attempt, AttemptResult, ResponseHead},
+    reach,
     request::RoutedRequest,
     response, resumption,
 };
@@ -182,6 +183,7 @@
             Ok(None) => return finish_response(attempt, head, client, progress).await,
             Err(error) => return attempt.failed(&error, progress),
         };
+        reach::received(attempt.shared);
         parser.push(&chunk);
         let (events, fault) = read_events(&mut parser, &mut head.connection, progress);
         let tokens = progress.events_seen * progress.event_tokens;
--- a/crates/peridotrack-edge/src/member.rs
+++ b/crates/peridotrack-edge/src/member.rs
@@ -15,7 +15,7 @@
     action::{Action, Event, ListedVm},
     config as member_config,
     member::Members,
-    message::{Message, State},
+    message::{Message, Record, State},
     peer as member_peer,
 };
 use peridotrack_route::throttle;
@@ -129,6 +129,13 @@
         routers
     }
 
+    /// Returns the records of the live peers, of all failure domains.
+    pub fn live(&self) -> Vec<Record> {
+        let members = self.members.borrow();
+        let live = members.live(self.kernel.now_us());
+        live.map(|peer| peer.record.clone()).collect()
+    }
+
     /// Returns the known peers as a JSON array, for the operator API.
     pub fn report(&self) -> serde_json::Value {
         let peer_report = |peer: &member_peer::Peer| {
--- a/crates/peridotrack-edge/src/metric.rs
+++ b/crates/peridotrack-edge/src/metric.rs
@@ -38,9 +38,11 @@
 pub const SERVED_TUNNELS: &str = "peridotrack_served_tunnels_total";
 /// Gauge of the open tunnels that this router serves.
 pub const OPEN_TUNNELS: &str = "peridotrack_open_tunnels";
+/// Gauge that is 1 while this router connects to backend servers through peers, otherwise 0.
+pub const PARTITIONED: &str = "peridotrack_partitioned";
 
 /// Names of all metrics.
-pub const ALL: [&str; 16] = [
+pub const ALL: [&str; 17] = [
     ACCEPTED,
     COMPLETED,
     REFUSED,
@@ -57,6 +59,7 @@
     OPENED_TUNNELS,
     SERVED_TUNNELS,
     OPEN_TUNNELS,
+    PARTITIONED,
 ];
 
 /// Handles to the metrics of requests.
--- a/crates/peridotrack-http/src/client/pool.rs
+++ b/crates/peridotrack-http/src/client/pool.rs
@@ -63,12 +63,20 @@
     ///
     /// Fails if there is no usable idle connection and none can be opened.
     pub async fn take(&self, address: SocketAddr) -> Result<Connection, Error> {
+        match self.take_idle(address) {
+            Some(connection) => Ok(connection),
+            None => self.connect(address).await,
+        }
+    }
+
+    /// Takes the most recently used idle connection, if there is a usable one; see [`Pool::take`].
+    pub fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
         while let Some(idle) = self.pop(address) {
             if idle.since.elapsed() < MAX_IDLE && idle.connection.is_idle() {
-                return Ok(idle.connection);
+                return Some(idle.connection);
             }
         }
-        self.connect(address).await
+        None
     }
 
     /// Opens a connection, also if there is an idle one.
@@ -77,7 +85,20 @@
     ///
     /// Fails if none can be opened.
     pub async fn connect(&self, address: SocketAddr) -> Result<Connection, Error> {
-        let connection = Connection::connect(address, self.options).await?;
+        self.connect_with(address, self.options).await
+    }
+
+    /// Opens a connection with other options than those of the pool.
+    ///
+    /// # Errors
+    ///
+    /// Fails if none can be opened.
+    pub async fn connect_with(
+        &self,
+        address: SocketAddr,
+        options: Options,
+    ) -> Result<Connection, Error> {
+        let connection = Connection::connect(address, options).await?;
         Ok(self.with_pool_memory(connection))
     }
 
--- a/crates/peridotrack-kernel/src/event.rs
+++ b/crates/peridotrack-kernel/src/event.rs
@@ -153,6 +153,10 @@
     504 Warn EvacuationChanged,
     /// Which backend servers are limited because they count as cold has changed.
     505 Info ColdServersChanged,
+    /// This router is partitioned from the backend servers and connects to them through peers.
+    506 Warn PartitionBegun,
+    /// This router reaches the backend servers directly again.
+    507 Info PartitionEnded,
     /// A backend server ended with a request of these signatures in flight.
     510 Warn SignatureSuspected,
     /// Requests with all of these signatures are refused, because backend servers crash under them.
