test(standin): discard what a reset connection held during a partition

A relay that is partitioned holds what a router has sent. If the router resets the connection meanwhile, its operating system discards what has not arrived; the relay delivered it after the partition, so that a request that was given up ran. Views of the store may replace further addresses.

--- a/crates/peridotrack-standin/src/harness/relay.rs
+++ b/crates/peridotrack-standin/src/harness/relay.rs
@@ -1,6 +1,13 @@
 //! TCP relay on loopback that can stall, delay, cut or partition the link between two processes.
 
-use std::{cell::Cell, io, net, net::SocketAddr, os::fd::AsRawFd, rc::Rc, time::Duration};
+use std::{
+    cell::Cell,
+    io, net,
+    net::SocketAddr,
+    os::fd::{AsRawFd, RawFd},
+    rc::Rc,
+    time::Duration,
+};
 
 use monoio::{
     io::{AsyncReadRent, AsyncWriteRent, AsyncWriteRentExt, Splitable},
@@ -170,6 +177,13 @@
         }
     }
 
+    /// Does the same as [`Shared::wait_until_open`] for what a sender has sent. Returns `false` also if
+    /// the sender has reset its connection during a partition: it has discarded what did not arrive.
+    async fn wait_to_forward(&self, direction: Direction, sender: RawFd) -> bool {
+        let is_partitioned = self.link.get() == Link::Partitioned;
+        self.wait_until_open(direction).await && !(is_partitioned && is_reset(sender))
+    }
+
     /// Resolves once the link is cut.
     async fn wait_for_cut(&self) {
         loop {
@@ -289,26 +303,28 @@
 }
 
 async fn relay_connection(client: TcpStream, shared: &Shared) {
-    if !shared.wait_until_open(Direction::ToTarget).await {
+    let is_open = shared.wait_to_forward(Direction::ToTarget, client.as_raw_fd());
+    if !is_open.await {
         return shared.prepare_close(&client);
     }
     let Ok(target) = TcpStream::connect_addr(shared.target.get()).await else {
         return;
     };
     let _ = (client.set_nodelay(true), target.set_nodelay(true));
+    let sockets = (client.as_raw_fd(), target.as_raw_fd());
     let (mut client_read, mut client_write) = client.into_split();
     let (mut target_read, mut target_write) = target.into_split();
     // Both directions run to their end, since one side may shut down only its sending half.
     let forward_both = async {
         monoio::join!(
             forward(
-                &mut client_read,
+                (&mut client_read, sockets.0),
                 &mut target_write,
                 shared,
                 Direction::ToTarget
             ),
             forward(
-                &mut target_read,
+                (&mut target_read, sockets.1),
                 &mut client_write,
                 shared,
                 Direction::ToClient
@@ -325,8 +341,13 @@
     }
 }
 
+/// Returns whether the other side has reset a connection since the last call.
+fn is_reset(connection: RawFd) -> bool {
+    socket::getsockopt(connection, sockopt::SocketError).is_ok_and(|error| error != 0)
+}
+
 async fn forward(
-    from: &mut impl AsyncReadRent,
+    (from, source): (&mut impl AsyncReadRent, RawFd),
     to: &mut impl AsyncWriteRent,
     shared: &Shared,
     direction: Direction,
@@ -335,7 +356,7 @@
     loop {
         let (outcome, read) = from.read(buffer).await;
         let Ok(count) = outcome else { break };
-        if count == 0 || !shared.wait_until_open(direction).await {
+        if count == 0 || !shared.wait_to_forward(direction, source).await {
             break;
         }
         let (outcome, written) = to.write_all(read).await;
--- a/crates/peridotrack-standin/src/hosted/store/view.rs
+++ b/crates/peridotrack-standin/src/hosted/store/view.rs
@@ -1,7 +1,7 @@
 //! The objects of a store as one router sees them, which reaches the backend servers at addresses of
 //! its own.
 
-use std::{collections::BTreeMap, io, net::SocketAddr, rc::Rc};
+use std::{cell::RefCell, collections::BTreeMap, io, net::SocketAddr, rc::Rc};
 
 use super::{Counters, Mode, Store};
 use crate::endpoint::{self, Application, Disconnect, Incoming};
@@ -9,7 +9,7 @@
 /// A store and the addresses that stand in responses in place of those of its objects.
 struct Translated {
     store: Rc<Store>,
-    addresses: BTreeMap<SocketAddr, SocketAddr>,
+    addresses: RefCell<BTreeMap<SocketAddr, SocketAddr>>,
 }
 
 /// A running view; dropping it closes its listener and connections.
@@ -20,6 +20,7 @@
     addresses: BTreeMap<SocketAddr, SocketAddr>,
 ) -> io::Result<View> {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let addresses = RefCell::new(addresses);
     endpoint::spawn(&[any], Rc::new(Translated { store, addresses })).map(View)
 }
 
@@ -28,12 +29,18 @@
     pub fn address(&self) -> SocketAddr {
         self.0.addresses[0]
     }
+
+    /// Replaces a further address, in responses from now on.
+    pub fn replace(&self, stored: SocketAddr, seen: SocketAddr) {
+        let mut addresses = self.0.application.addresses.borrow_mut();
+        addresses.insert(stored, seen);
+    }
 }
 
 impl Translated {
     fn translate(&self, body: &[u8]) -> String {
         let mut text = String::from_utf8_lossy(body).into_owned();
-        for (stored, seen) in &self.addresses {
+        for (stored, seen) in &*self.addresses.borrow() {
             text = text.replace(&format!("\"{stored}\""), &format!("\"{seen}\""));
         }
         text
--- a/crates/peridotrack-standin/tests/harness.rs
+++ b/crates/peridotrack-standin/tests/harness.rs
@@ -300,3 +300,27 @@
         assert_eq!(response.status(), 200);
     });
 }
+
+#[test]
+fn partitioned_relay_delivers_nothing_of_a_connection_that_was_reset() {
+    block_on(async {
+        let service = service::spawn(&service::Options::default()).unwrap();
+        let relay = relay::spawn(service.address()).unwrap();
+        let impatient = client::Options {
+            response_timeout_ms: 50,
+            ..client::Options::default()
+        };
+        let mut connection = client::Connection::connect(relay.address(), impatient)
+            .await
+            .unwrap();
+        connection.send(get()).await.unwrap();
+        connection.read_body().await.unwrap();
+        relay.set(Link::Partitioned);
+        assert!(connection.send(get()).await.unwrap_err().bytes_written);
+        drop(connection);
+        monoio::time::sleep(SHORT_LIMIT).await;
+        relay.set(Link::Open);
+        monoio::time::sleep(Duration::from_millis(100)).await;
+        assert_eq!(service.counters().runs, 1);
+    });
+}
