test(standin): let open connections of a relay fall silent

Connections to the store may fall silent for good, without a reset, while new ones work. The relay could stall or cut a link for all its connections only.

--- a/crates/peridotrack-standin/src/harness/relay.rs
+++ b/crates/peridotrack-standin/src/harness/relay.rs
@@ -44,6 +44,8 @@
     target: Cell<SocketAddr>,
     link: Cell<Link>,
     changed: Notify,
+    /// Records when the connections that were open then fall silent.
+    silenced: Notify,
     forwarded_bytes: Cell<u64>,
     is_refusing: Notify,
     stop: Notify,
@@ -70,6 +72,7 @@
         target: Cell::new(target),
         link: Cell::new(Link::Open),
         changed: Notify::default(),
+        silenced: Notify::default(),
         forwarded_bytes: Cell::new(0),
         is_refusing: Notify::default(),
         stop: Notify::default(),
@@ -95,6 +98,11 @@
         self.shared.target.set(target);
     }
 
+    /// Forwards nothing more on the connections that are open, without closing them. New ones work.
+    pub fn silence_connections(&self) {
+        self.shared.silenced.notify();
+    }
+
     /// Closes the listener, so that connections are refused from now on. Open ones end with the
     /// target's, after what it sent was forwarded.
     pub fn refuse_connections(&self) {
@@ -172,12 +180,23 @@
         return;
     };
     let _ = (client.set_nodelay(true), target.set_nodelay(true));
+    let opened = shared.silenced.generation();
     let (client_read, client_write) = client.into_split();
     let (target_read, target_write) = target.into_split();
     // Both directions run to their end, since one side may shut down only its sending half.
     monoio::join!(
-        forward(client_read, target_write, shared, Direction::ToTarget),
-        forward(target_read, client_write, shared, Direction::ToClient),
+        forward(
+            client_read,
+            target_write,
+            shared,
+            (Direction::ToTarget, opened)
+        ),
+        forward(
+            target_read,
+            client_write,
+            shared,
+            (Direction::ToClient, opened)
+        ),
     );
 }
 
@@ -185,8 +204,9 @@
     mut from: impl AsyncReadRent,
     mut to: impl AsyncWriteRent,
     shared: &Shared,
-    direction: Direction,
+    (direction, opened): (Direction, u64),
 ) {
+    let is_silent = || shared.silenced.generation() != opened;
     let mut buffer = Vec::with_capacity(BUFFER_BYTES);
     loop {
         let (outcome, read) = from.read(buffer).await;
@@ -194,6 +214,11 @@
         if count == 0 || !shared.wait_until_open(direction).await {
             break;
         }
+        if is_silent() {
+            buffer = read;
+            buffer.clear();
+            continue;
+        }
         let (outcome, written) = to.write_all(read).await;
         if outcome.is_err() {
             break;
@@ -204,6 +229,9 @@
         buffer = written;
         buffer.clear();
     }
+    if is_silent() {
+        return std::future::pending().await;
+    }
     if shared.wait_until_open(direction).await {
         let _ = to.shutdown().await;
     }
--- a/crates/peridotrack-standin/tests/harness.rs
+++ b/crates/peridotrack-standin/tests/harness.rs
@@ -239,3 +239,27 @@
         assert!(cut.await.unwrap_err().bytes_written);
     });
 }
+
+/// The connection that was open gets no response and is not closed.
+#[test]
+fn silenced_connections_stay_open_while_new_ones_work() {
+    block_on(async {
+        let service = service::spawn(&service::Options::default()).unwrap();
+        let relay = relay::spawn(service.address()).unwrap();
+        let options = client::Options {
+            response_timeout_ms: 100,
+            ..client::Options::default()
+        };
+        let mut open = client::Connection::connect(relay.address(), options)
+            .await
+            .unwrap();
+        open.send(get()).await.unwrap();
+        open.read_body().await.unwrap();
+
+        relay.silence_connections();
+        let error = open.send(get()).await.unwrap_err();
+        assert!(matches!(error.kind, client::Kind::TimedOut), "{error}");
+        assert_eq!(fetch(relay.address(), get()).await.unwrap().status(), 200);
+        assert_eq!(service.counters().runs, 2);
+    });
+}
