fix(platform): do not wait for watch connections that have fallen silent

What callers saw: after connections to the store had fallen silent without a reset, each further watch could wait for its own timeout, and routers whose relay was lost in that time knew changes late.

Cause: connections of watches that had ended stayed in use for any time, and a failed call closed the idle connections of the pool but not those of watches. Watches of all kinds share them, so that each connection cost one timeout of 1 s and the wait of the watch.

Change: a failed call closes the idle connections of watches too, and a connection that was idle for a second is closed instead of used.

--- a/crates/peridotrack-edge/src/platform.rs
+++ b/crates/peridotrack-edge/src/platform.rs
@@ -5,6 +5,7 @@
 //! [`Error`] states whether the call may have taken effect; its callers decide whether to retry.
 
 mod hosted;
+mod idle;
 mod native;
 mod pack;
 
@@ -205,7 +206,7 @@
     is_refusing: Cell<bool>,
     outages: RefCell<Outages>,
     /// Idle connections of watches that have ended.
-    watch_connections: RefCell<Vec<client::Connection>>,
+    watch_connections: idle::Connections,
     /// Notifies the pending watches when another call fails.
     call_failed: notify::Notify,
 }
@@ -234,7 +235,7 @@
             dialect,
             address,
             outages: RefCell::new(Outages::new(min_outage_us)),
-            watch_connections: RefCell::default(),
+            watch_connections: idle::Connections::default(),
             call_failed: notify::Notify::default(),
             pool: client::Pool::new(options, IDLE_CONNECTIONS),
             watch_options: options,
@@ -433,6 +434,7 @@
             Err(error) => {
                 // Connections that were opened before a network partition may be unusable after it.
                 self.pool.close_idle(self.address);
+                self.watch_connections.close();
                 if is_cut(call, &error) {
                     return Err(Error::WatchCut {
                         step: call.step,
--- a/crates/peridotrack-edge/src/platform/hosted.rs
+++ b/crates/peridotrack-edge/src/platform/hosted.rs
@@ -107,8 +107,8 @@
         path: &str,
         wait_ms: u64,
     ) -> Result<http::Response<Bytes>, client::Error> {
-        let idle = self.watch_connections.borrow_mut().pop();
-        let mut connection = match idle.filter(client::Connection::is_idle) {
+        let idle = self.watch_connections.take(self.kernel.now_us());
+        let mut connection = match idle {
             Some(connection) => connection,
             None => client::Connection::connect(self.address, self.watch_options).await?,
         };
@@ -127,9 +127,7 @@
             }),
         };
         let body = connection.read_body().await?;
-        if connection.is_reusable() {
-            self.watch_connections.borrow_mut().push(connection);
-        }
+        self.watch_connections.put(self.kernel.now_us(), connection);
         Ok(http::Response::from_parts(head, body))
     }
 }
