--- a/crates/peridotrack-standin/src/harness/relay.rs
+++ b/crates/peridotrack-standin/src/harness/relay.rs
@@ -87,6 +87,8 @@
     target: Cell<SocketAddr>,
     link: Cell<Link>,
     changed: Notify,
+    /// Records when the connections that were open then fall silent.
+    silenced: Notify,
     forwarded_bytes: Cell<u64>,
     is_refusing: Notify,
     stop: Notify,
@@ -113,6 +115,7 @@
         target: Cell::new(target),
         link: Cell::new(Link::Open),
         changed: Notify::default(),
+        silenced: Notify::default(),
         forwarded_bytes: Cell::new(0),
         is_refusing: Notify::default(),
         stop: Notify::default(),
@@ -138,6 +141,11 @@
         self.shared.target.set(target);
     }
 
+    /// Forwards nothing more on the connections that are open, without closing them. New ones work.
+    pub fn silence_connections(&self) {
+        self.shared.silenced.notify();
+    }
+
     /// Closes the listener, so that connections are refused from now on. Open ones end with the
     /// target's, after what it sent was forwarded.
     pub fn refuse_connections(&self) {
@@ -311,6 +319,7 @@
         return;
     };
     let _ = (client.set_nodelay(true), target.set_nodelay(true));
+    let opened = shared.silenced.generation();
     let sockets = (client.as_raw_fd(), target.as_raw_fd());
     let (mut client_read, mut client_write) = client.into_split();
     let (mut target_read, mut target_write) = target.into_split();
@@ -321,13 +330,13 @@
                 (&mut client_read, sockets.0),
                 &mut target_write,
                 shared,
-                Direction::ToTarget
+                (Direction::ToTarget, opened)
             ),
             forward(
                 (&mut target_read, sockets.1),
                 &mut client_write,
                 shared,
-                Direction::ToClient
+                (Direction::ToClient, opened)
             ),
         )
     };
@@ -350,8 +359,9 @@
     (from, source): (&mut impl AsyncReadRent, RawFd),
     to: &mut impl AsyncWriteRent,
     shared: &Shared,
-    direction: Direction,
+    (direction, opened): (Direction, u64),
 ) {
+    let is_silent = || shared.silenced.generation() != opened;
     let mut buffer = Vec::with_capacity(BUFFER_BYTES);
     loop {
         let (outcome, read) = from.read(buffer).await;
@@ -359,6 +369,11 @@
         if count == 0 || !shared.wait_to_forward(direction, source).await {
             break;
         }
+        if is_silent() {
+            buffer = read;
+            buffer.clear();
+            continue;
+        }
         let (outcome, written) = to.write_all(read).await;
         if outcome.is_err() {
             break;
@@ -369,6 +384,9 @@
         buffer = written;
         buffer.clear();
     }
+    if is_silent() {
+        return std::future::pending().await;
+    }
     if shared.wait_until_open(direction).await {
         let _ = to.shutdown().await;
     }
