--- a/crates/peridotrack-edge/src/gateway/site.rs
+++ b/crates/peridotrack-edge/src/gateway/site.rs
@@ -66,7 +66,7 @@
 }
 
 /// Applies a configuration that a peer sent.
-pub(super) fn receive(shared: &Shared, content: Vec<u8>) {
+pub(super) fn receive(shared: &Rc<Shared>, content: Vec<u8>) {
     match platform::unpack(&content.into()) {
         Ok(content) => drop(apply(shared, Source::Peer, &content)),
         Err(error) => note_refused(shared, Source::Peer, &error),
@@ -97,7 +97,7 @@
 /// Applies a configuration if it is newer than the active one, and records the result.
 ///
 /// Returns whether it could be decoded.
-fn apply(shared: &Shared, source: Source, content: &[u8]) -> bool {
+fn apply(shared: &Rc<Shared>, source: Source, content: &[u8]) -> bool {
     let site = match wire::decode(content) {
         Ok(site) => site,
         Err(error) => {
