fix(gateway): keep one idle tunnel for each server

With three of four gateways partitioned, 303 of 600 first tries at these were served: each kept up to 16 idle tunnels for each server, and the peer declined further ones ("too many tunnels are open").

--- a/crates/peridotrack-edge/src/gateway/attempt.rs
+++ b/crates/peridotrack-edge/src/gateway/attempt.rs
@@ -275,7 +275,7 @@
         metadata: &response_wire::Metadata,
     ) {
         if !metadata.is_leaving {
-            self.shared.pool.put(connection);
+            reach::keep(self.shared, connection);
         }
     }
 
--- a/crates/peridotrack-edge/src/gateway/liveness.rs
+++ b/crates/peridotrack-edge/src/gateway/liveness.rs
@@ -62,7 +62,7 @@
     let name = &server.backend_server;
     match reach::connect_with(shared, name, address, options::liveness()).await {
         Ok(connection) => {
-            shared.pool.put(connection);
+            reach::keep(shared, connection);
             false
         }
         Err(error) if reach::is_refused(&error) => {
