fix(platform): list again after changes that exceed a response

What callers saw: a server that was draining got requests later than drainMs, after another writer had added large entries to the list of servers.

Cause: a watch whose response was above the limit of 2 MiB failed like one without a response. It was repeated from the same revision and failed again, so that no later change was known until the store had forgotten those before it.

Change: such a watch is treated like one whose history is lost, and the objects are listed page by page.

Measured: `a_draining_server_gets_no_new_request_after_changes_larger_than_a_response` failed before in its second case (40 of 40 requests went to the draining server 2 s after the change, 1 of 1 run) and passes in both. The first case passed before as well, because a router without load chooses the second server.

--- a/crates/peridotrack-edge/src/platform.rs
+++ b/crates/peridotrack-edge/src/platform.rs
@@ -117,8 +117,9 @@
         /// Failure of the connection.
         source: client::Error,
     },
-    /// The store no longer keeps the changes after the revision that a watch asked for.
-    #[error("{step} {key}: the changes after the requested revision are no longer kept")]
+    /// The store no longer keeps the changes after the revision that a watch asked for, or they exceed
+    /// the limit of a response.
+    #[error("{step} {key}: the changes after the requested revision cannot be read")]
     HistoryLost {
         /// Name of the call, always `watch`.
         step: &'static str,
--- a/crates/peridotrack-edge/src/platform/hosted.rs
+++ b/crates/peridotrack-edge/src/platform/hosted.rs
@@ -63,7 +63,8 @@
     ///
     /// # Errors
     ///
-    /// [`Error::HistoryLost`] if the store no longer keeps the changes after `revision`, and
+    /// [`Error::HistoryLost`] if the store no longer keeps the changes after `revision`, or if they
+    /// exceed the limit of a response, and
     /// [`Error::WatchCut`] if it closed the connection while the watch waited.
     pub async fn watch_kind(
         &self,
@@ -77,6 +78,14 @@
             ..self.begin("watch", kind)
         };
         let result = self.send_watch(&path, wait_ms).await;
+        // The same watch would get the same response again; pages of a list are smaller.
+        if matches!(&result, Err(error) if matches!(error.kind, client::Kind::BodyTooLarge)) {
+            self.outages.borrow_mut().on_response(self.kernel.now_us());
+            return Err(Error::HistoryLost {
+                step: "watch",
+                key: kind.to_owned(),
+            });
+        }
         let response = self.record_result(&call, result)?;
         match response.status().as_u16() {
             200 => {
--- a/crates/peridotrack-edge/tests/gateway/directory.rs
+++ b/crates/peridotrack-edge/tests/gateway/directory.rs
@@ -43,6 +43,36 @@
     });
 }
 
+/// Guards against a watch that is repeated without end because its response is larger than the limit:
+/// no later change was known until the store forgot those before it.
+#[rstest]
+#[case::first_server(0)]
+#[case::second_server(1)]
+fn a_draining_server_gets_no_new_request_after_changes_larger_than_a_response(
+    #[case] index: usize,
+) {
+    const FOREIGN_ENTRIES: usize = 4;
+    const FOREIGN_BYTES: usize = 900_000;
+    block_on(async {
+        let fixture = Fixture::spawn(2).await;
+        for number in 0..FOREIGN_ENTRIES {
+            let text = json!({"comment": "x".repeat(FOREIGN_BYTES)});
+            fixture.store.put("servers", &format!("z-{number}"), text);
+        }
+        let mut draining = entry(&fixture.backends[index]);
+        draining["state"] = json!("draining");
+        fixture
+            .store
+            .put("servers", &format!("i-{index}"), draining);
+        monoio::time::sleep(APPLY).await;
+        let before = fixture.backends[index].arrivals();
+        for _ in 0..40 {
+            assert_eq!(fixture.get("/safe/x").await.unwrap().status(), 200);
+        }
+        assert_eq!(fixture.backends[index].arrivals(), before);
+    });
+}
+
 #[test]
 fn a_removed_server_gets_no_new_request() {
     block_on(async {
