fix(gateway): do not keep connections that lead through a peer

Cause: a tunnel whose response ended after the partition was put into the pool as if it were a direct connection, and stayed in use while its peer stopped.

Change: each exchange through a peer gets a tunnel of its own, which a stopping peer declines.

--- a/crates/peridotrack-edge/src/gateway/reach.rs
+++ b/crates/peridotrack-edge/src/gateway/reach.rs
@@ -34,10 +34,6 @@
 /// Time for which a peer that did not open a tunnel is asked after all others, in microseconds.
 const AVOID_PEER_US: u64 = clock::US_PER_S;
 
-/// Maximum number of idle tunnels kept for each server: peers serve a bounded number of tunnels, idle
-/// ones included.
-const MAX_IDLE_TUNNELS: usize = 1;
-
 /// Known backend servers with their addresses.
 pub(super) type Servers = BTreeMap<name::BackendServer, SocketAddr>;
 
@@ -141,13 +137,10 @@
     }
 }
 
-/// Keeps the connection of a complete response for later requests.
+/// Keeps the connection of a complete response for later requests. Tunnels are not kept: a peer that
+/// stops resets them, and it serves a bounded number, idle ones included.
 pub(super) fn keep(shared: &Shared, connection: client::Connection) {
-    let is_wanted = match shared.reach.path() {
-        Path::Direct => true,
-        Path::ThroughPeers => shared.pool.idle_connections(connection.peer()) < MAX_IDLE_TUNNELS,
-    };
-    if is_wanted {
+    if !connection.is_tunnel() {
         shared.pool.put(connection);
     }
 }
--- a/crates/peridotrack-http/src/client/connection.rs
+++ b/crates/peridotrack-http/src/client/connection.rs
@@ -44,6 +44,8 @@
     memory: Option<Memory>,
     /// Bytes written to the stream before the current exchange.
     written_before_exchange_bytes: u64,
+    /// Whether the stream leads to the server through another process.
+    is_tunnel: bool,
 }
 
 /// Opens a connection and reports its state.
@@ -85,9 +87,20 @@
             phase: Phase::Ready,
             memory: None,
             written_before_exchange_bytes: 0,
+            is_tunnel: false,
         }
     }
 
+    /// Marks the connection as one that leads to the server through another process.
+    pub(crate) fn set_tunnel(&mut self) {
+        self.is_tunnel = true;
+    }
+
+    /// Returns whether the connection leads to the server through another process.
+    pub fn is_tunnel(&self) -> bool {
+        self.is_tunnel
+    }
+
     /// Sets the memory that bodies read by [`Connection::read_body`] count towards.
     pub fn set_memory(&mut self, memory: Memory) {
         self.memory = Some(memory);
--- a/crates/peridotrack-http/src/client/pool.rs
+++ b/crates/peridotrack-http/src/client/pool.rs
@@ -112,7 +112,9 @@
             accept_close_delimited: false,
             ..self.options
         };
-        self.with_pool_memory(Connection::over(stream, server, options))
+        let mut connection = Connection::over(stream, server, options);
+        connection.set_tunnel();
+        self.with_pool_memory(connection)
     }
 
     /// Returns a connection to the pool, or drops it if it is not reusable.
