test(gateway): connect through a peer where servers refuse one gateway

One of two gateways has all its connections refused while the other reaches the servers: requests are served through the other, no server counts as ended, and direct connections return within a second. The end of the only server a gateway knows counts only if a peer is refused too. Servers that refuse connections beside others change no path.

--- a/crates/peridotrack-edge/tests/gateway/main.rs
+++ b/crates/peridotrack-edge/tests/gateway/main.rs
@@ -17,6 +17,7 @@
 mod peers;
 mod prompt_parts;
 mod raw;
+mod reach;
 mod repeated_refusal;
 mod requests;
 mod requests_that_crash;
