--- a/crates/peridotrack-reach/src/reach.rs
+++ b/crates/peridotrack-reach/src/reach.rs
@@ -93,7 +93,7 @@
             } => {
                 // A connection that succeeded meanwhile shows that the server is the reason.
                 if !self.has_connected_since(began_us) {
-                    self.on_failed(now_us, backend_server, &mut actions);
+                    self.on_failed(now_us, &backend_server, &mut actions);
                 }
             }
             Event::Received => self.silent_since_us = now_us,
@@ -140,19 +140,19 @@
     fn on_failed(
         &mut self,
         now_us: u64,
-        backend_server: name::BackendServer,
+        backend_server: &name::BackendServer,
         actions: &mut Vec<Action>,
     ) {
         if self.path == Path::ThroughPeers {
             return;
         }
         self.expire(now_us);
-        if self.servers.contains(&backend_server) {
+        if self.servers.contains(backend_server) {
             self.failed_us.insert(backend_server.clone(), now_us);
         }
         match &mut self.round {
             Some(round) => {
-                round.pending.remove(&backend_server);
+                round.pending.remove(backend_server);
             }
             None => {
                 let pending = self.draw(self.options.probed_servers, actions);
