fix(gateway): decline tunnels where a partition is not known yet

Two gateways whose connections are refused at the same moment confirmed each other's refusals: the peer asked for a tunnel did not know yet that it is partitioned, and passed its own refused connection on as the server's. Both then regarded healthy servers as ended (8 ends with 4 servers). The serving side now takes its connections for tunnels as evidence, waits until other servers have been probed, and declines if it is partitioned. The new test failed before and passes.

--- a/crates/peridotrack-edge/src/gateway/reach.rs
+++ b/crates/peridotrack-edge/src/gateway/reach.rs
@@ -228,6 +228,29 @@
     connected
 }
 
+/// Reports whether a direct connection that began at `began_us` (monotonic microseconds) was
+/// established, and waits until servers that are probed because it was not have answered. Returns
+/// whether this router is partitioned from the servers.
+pub(super) async fn is_partitioned_after(
+    shared: &Rc<Shared>,
+    server: &name::BackendServer,
+    began_us: u64,
+    is_connected: bool,
+) -> bool {
+    let backend_server = server.clone();
+    handle(
+        shared,
+        match is_connected {
+            true => Event::Connected { backend_server },
+            false => Event::Failed {
+                backend_server,
+                began_us,
+            },
+        },
+    );
+    shared.reach.conclude().await == Path::ThroughPeers
+}
+
 /// Opens a tunnel through one of the peers; without peers, returns the error of the direct
 /// connection.
 async fn tunnel(
--- a/crates/peridotrack-edge/src/gateway/tunnel.rs
+++ b/crates/peridotrack-edge/src/gateway/tunnel.rs
@@ -11,7 +11,7 @@
 use peridotrack_kernel::{Kernel, clock, event};
 use peridotrack_types::name;
 
-use super::{Shared, options};
+use super::{Shared, options, reach};
 use crate::{
     metric,
     notify::Notify,
@@ -191,7 +191,7 @@
 }
 
 async fn serve(
-    shared: &Shared,
+    shared: &Rc<Shared>,
     sender: peer::Sender,
     server: &name::BackendServer,
     mut origin: TcpStream,
@@ -218,7 +218,10 @@
 }
 
 /// Connects to a backend server, unless the tunnel is declined.
-async fn open(shared: &Shared, server: &name::BackendServer) -> Result<(TcpStream, Open), Failure> {
+async fn open(
+    shared: &Rc<Shared>,
+    server: &name::BackendServer,
+) -> Result<(TcpStream, Open), Failure> {
     let tunnels = &shared.tunnels;
     if shared.stopping.has_begun() {
         return Err(Reason::Stopping.into());
@@ -235,9 +238,15 @@
     let open = Open::new(&tunnels.open);
     let timeout = Duration::from_millis(options::backend().connect_timeout_ms);
     let connecting = monoio::time::timeout(timeout, TcpStream::connect_addr(address));
+    let began_us = shared.kernel.now_us();
     let connected = connecting
         .await
         .unwrap_or(Err(io::ErrorKind::TimedOut.into()));
+    // A router that is partitioned without knowing it must not take its own failure for the server's.
+    let is_connected = connected.is_ok();
+    if reach::is_partitioned_after(shared, server, began_us, is_connected).await {
+        return Err(Reason::Partitioned.into());
+    }
     match connected {
         Ok(stream) => Ok((stream, open)),
         Err(error) => Err(Failure {
--- a/crates/peridotrack-edge/tests/gateway/reach.rs
+++ b/crates/peridotrack-edge/tests/gateway/reach.rs
@@ -70,11 +70,19 @@
 
 impl Pair {
     async fn spawn(servers: usize) -> Self {
+        Self::spawn_with(servers, false).await
+    }
+
+    /// Starts the pair; `is_shared` has the other gateway connect through the relays too.
+    async fn spawn_with(servers: usize, is_shared: bool) -> Self {
         let servers: Vec<_> = (0..servers).map(|_| backend::spawn().unwrap()).collect();
         let relays = servers.iter().map(|server| relay::spawn(server.address()));
         let relays: Vec<_> = relays.map(Result::unwrap).collect();
         let store = store_of(relays.iter().map(relay::Relay::address));
-        let other_store = store_of(servers.iter().map(backend::Handle::address));
+        let other_store = match is_shared {
+            true => store_of(relays.iter().map(relay::Relay::address)),
+            false => store_of(servers.iter().map(backend::Handle::address)),
+        };
         let other = spawn("vm-2", &other_store, &[]);
         let gateway = spawn("vm-1", &store, &[other.peer_address()]);
         let pair = Self {
@@ -170,6 +178,20 @@
     });
 }
 
+/// The peer that is asked does not know yet that it is partitioned itself.
+#[test]
+fn two_gateways_whose_connections_are_refused_end_no_server() {
+    block_on(async {
+        let pair = Pair::spawn_with(4, true).await;
+        pair.refuse();
+        for _ in 0..REQUESTS {
+            assert_ne!(send(&pair.gateway, "/once/").await, 200);
+        }
+        assert_eq!(pair.ends(), 0);
+        assert_eq!(count(&pair.other, "PartitionBegun", ""), 1);
+    });
+}
+
 /// The others show that the network of the gateway is not the reason.
 #[test]
 fn servers_that_refuse_connections_beside_others_change_no_path() {
