--- a/crates/peridotrack-edge/tests/gateway/main.rs
+++ b/crates/peridotrack-edge/tests/gateway/main.rs
@@ -18,6 +18,7 @@
 mod peers;
 mod prompt_parts;
 mod raw;
+mod reach;
 mod repeated_refusal;
 mod requests;
 mod requests_that_crash;
