fix(gateway): conclude partitions from the servers of each service

Cause: one path for all servers. A partition may separate a router from the servers of one service.

Change: each service has a path of its own, with its own evidence and probes; a peer declines tunnels to the servers of services from which it is partitioned.

The tests of partitions, tunnels, crashes and liveness passed, 52.

--- a/crates/peridotrack-edge/src/gateway/attempt.rs
+++ b/crates/peridotrack-edge/src/gateway/attempt.rs
@@ -176,10 +176,11 @@
         self.ticket.sent();
         self.reservation.begin_attempt();
         let request = self.backend_request(progress);
-        let awaiting = reach::await_response(self.shared);
+        let server = &self.target.backend_server;
+        let awaiting = reach::await_response(self.shared, server);
         let parts = connection.send(request).await?;
         drop(awaiting);
-        reach::received(self.shared);
+        reach::received(self.shared, server);
         let metadata =
             response_wire::Metadata::decode(&parts, self.request.metadata.request_id.as_ref());
         Ok(Sent::Responded(Box::new(ResponseHead {
--- a/crates/peridotrack-edge/src/gateway/directory.rs
+++ b/crates/peridotrack-edge/src/gateway/directory.rs
@@ -65,6 +65,13 @@
         entries.get(name).map(|entry| entry.server.address)
     }
 
+    /// Returns the service of a server, empty if it has no entry.
+    pub(super) fn service(&self, name: &name::BackendServer) -> name::Service {
+        let entries = self.entries.borrow();
+        let entry = entries.get(name);
+        entry.map_or_else(|| "".into(), |entry| entry.server.service.clone())
+    }
+
     /// Returns the software version of a server, empty if it has no entry.
     pub(super) fn software_version(&self, name: &name::BackendServer) -> name::SoftwareVersion {
         let entries = self.entries.borrow();
@@ -129,22 +136,21 @@
                 region: region.clone(),
             });
         }
+        let mut services = reach::Services::new();
         let entries = self.entries.borrow();
         for server in entries.values().map(|entry| &entry.server) {
             if server.is_draining {
                 continue;
             }
-            let service = config
-                .site
-                .services
-                .iter()
-                .find(|service| service.name == server.service);
-            match service {
-                Some(service) if service.engine.is_some() => {
-                    register.engines.push(engine(server));
-                }
-                Some(_) => register.services.push(service_server(server)),
-                None => {}
+            let mut configured = config.site.services.iter();
+            let Some(service) = configured.find(|service| service.name == server.service) else {
+                continue;
+            };
+            let servers = services.entry(service.name.clone()).or_default();
+            servers.insert(server.name.clone(), server.address);
+            match service.engine {
+                Some(_) => register.engines.push(engine(server)),
+                None => register.services.push(service_server(server)),
             }
         }
         let servers = entries.values().map(|entry| {
@@ -172,7 +178,7 @@
             shared.throttle.set_servers(servers.collect());
         }
         drop(entries);
-        reach::set_servers(shared, addresses(&register));
+        reach::set_servers(shared, services);
         shared.route.configure(&register, &rules::Rules::default());
     }
 
@@ -324,14 +330,6 @@
     }
 }
 
-fn addresses(register: &register::Register) -> reach::Servers {
-    let engines = register.engines.iter();
-    let engines = engines.map(|engine| (engine.name.clone(), engine.address));
-    let services = register.services.iter();
-    let services = services.map(|server| (server.name.clone(), server.address));
-    engines.chain(services).collect()
-}
-
 fn run(server: &site::BackendServer) -> Run {
     Run {
         backend_server: server.name.clone(),
--- a/crates/peridotrack-edge/src/gateway/reach.rs
+++ b/crates/peridotrack-edge/src/gateway/reach.rs
@@ -34,36 +34,58 @@
 /// Time for which a peer that did not open a tunnel is asked after all others, in microseconds.
 const AVOID_PEER_US: u64 = clock::US_PER_S;
 
-/// Known backend servers with their addresses.
-pub(super) type Servers = BTreeMap<name::BackendServer, SocketAddr>;
+/// Known backend servers of each service, with their addresses.
+pub(super) type Services = BTreeMap<name::Service, BTreeMap<name::BackendServer, SocketAddr>>;
 
-/// Path of this router to the backend servers.
+/// Paths of this router to the backend servers of each service: a partition may separate it from
+/// those of one service only.
+#[derive(Default)]
 pub(super) struct Reach {
+    scopes: RefCell<BTreeMap<name::Service, Rc<Scope>>>,
+    /// Until when peers that did not open a tunnel are asked last.
+    avoided_until_us: RefCell<BTreeMap<id::Incarnation, u64>>,
+    subscription: RefCell<Option<timer::Subscription>>,
+}
+
+/// Path to the backend servers of one service.
+struct Scope {
+    service: name::Service,
     state: RefCell<reach::Reach>,
-    servers: RefCell<Servers>,
+    servers: RefCell<BTreeMap<name::BackendServer, SocketAddr>>,
     /// Notified when the path has changed, or servers are no longer probed.
     concluded: Notify,
     /// Requests that were sent directly and wait for the beginning of a response.
     awaited_responses: Rc<Cell<usize>>,
-    /// Until when peers that did not open a tunnel are asked last.
-    avoided_until_us: RefCell<BTreeMap<id::Incarnation, u64>>,
-    subscription: RefCell<Option<timer::Subscription>>,
 }
 
-impl Default for Reach {
-    fn default() -> Self {
-        Self {
-            state: RefCell::new(reach::Reach::new(Options::default(), fastrand::u64(..))),
-            servers: RefCell::default(),
-            concluded: Notify::default(),
-            awaited_responses: Rc::default(),
-            avoided_until_us: RefCell::default(),
-            subscription: RefCell::default(),
-        }
+impl Reach {
+    /// Returns the scope of a service, which is created if there is none.
+    fn of_service(&self, service: &name::Service) -> Rc<Scope> {
+        let mut scopes = self.scopes.borrow_mut();
+        let scope = scopes.entry(service.clone()).or_insert_with(|| {
+            let state = reach::Reach::new(Options::default(), fastrand::u64(..));
+            Rc::new(Scope {
+                service: service.clone(),
+                state: RefCell::new(state),
+                servers: RefCell::default(),
+                concluded: Notify::default(),
+                awaited_responses: Rc::default(),
+            })
+        });
+        Rc::clone(scope)
+    }
+
+    fn scopes(&self) -> Vec<Rc<Scope>> {
+        self.scopes.borrow().values().cloned().collect()
     }
 }
 
-impl Reach {
+impl Scope {
+    /// Returns the scope of the service of a server.
+    fn of(shared: &Shared, server: &name::BackendServer) -> Rc<Self> {
+        shared.reach.of_service(&shared.directory.service(server))
+    }
+
     fn path(&self) -> Path {
         self.state.borrow().path()
     }
@@ -88,39 +110,52 @@
     }
 }
 
-/// Starts the ticks of the state machine.
+/// Starts the ticks of the state machines.
 pub(super) fn spawn(shared: &Rc<Shared>) {
     shared.kernel.meter().gauge(metric::PARTITIONED).set(0.0);
     let weak = Rc::downgrade(shared);
     let subscription = shared.kernel.timer().subscribe(TICK_US, move |_| {
-        if let Some(shared) = weak.upgrade() {
-            let awaited_responses = shared.reach.awaited_responses.get();
-            handle(&shared, Event::Tick { awaited_responses });
+        let Some(shared) = weak.upgrade() else { return };
+        for scope in shared.reach.scopes() {
+            let awaited_responses = scope.awaited_responses.get();
+            handle(&shared, &scope, Event::Tick { awaited_responses });
         }
     });
     *shared.reach.subscription.borrow_mut() = Some(subscription);
 }
 
 /// Sets the known backend servers.
-pub(super) fn set_servers(shared: &Rc<Shared>, servers: Servers) {
-    let names = servers.keys().cloned().collect();
-    *shared.reach.servers.borrow_mut() = servers;
-    handle(shared, Event::Servers(names));
+pub(super) fn set_servers(shared: &Rc<Shared>, mut services: Services) {
+    for service in services.keys() {
+        shared.reach.of_service(service);
+    }
+    for scope in shared.reach.scopes() {
+        let servers = services.remove(&scope.service).unwrap_or_default();
+        let names = servers.keys().cloned().collect();
+        *scope.servers.borrow_mut() = servers;
+        handle(shared, &scope, Event::Servers(names));
+    }
 }
 
-/// Counts a request that was sent and waits for the beginning of its response, until the returned
-/// value is dropped.
-pub(super) fn await_response(shared: &Shared) -> Counted {
-    Counted::new(&shared.reach.awaited_responses)
+/// Counts a request that was sent to a server and waits for the beginning of its response, until the
+/// returned value is dropped.
+pub(super) fn await_response(shared: &Shared, server: &name::BackendServer) -> Counted {
+    Counted::new(&Scope::of(shared, server).awaited_responses)
 }
 
 /// Records that bytes of a backend server were received.
-pub(super) fn received(shared: &Rc<Shared>) {
-    if shared.reach.path() == Path::Direct {
-        handle(shared, Event::Received);
+pub(super) fn received(shared: &Rc<Shared>, server: &name::BackendServer) {
+    let scope = Scope::of(shared, server);
+    if scope.path() == Path::Direct {
+        handle(shared, &scope, Event::Received);
     }
 }
 
+/// Returns whether this router is partitioned from the servers of the same service.
+pub(super) fn is_partitioned(shared: &Shared, server: &name::BackendServer) -> bool {
+    Scope::of(shared, server).path() == Path::ThroughPeers
+}
+
 /// Takes an idle connection to a backend server, or opens one as [`connect`] does.
 ///
 /// # Errors
@@ -171,12 +206,13 @@
     options: client::Options,
 ) -> Result<client::Connection, client::Error> {
     let began_us = shared.kernel.now_us();
+    let scope = Scope::of(shared, server);
     let mut error = None;
-    if shared.reach.path() == Path::Direct {
+    if scope.path() == Path::Direct {
         let direct = monoio::select! {
             biased;
-            direct = connect_direct(shared, server, address, options) => Some(direct),
-            () = shared.reach.partitioned() => None,
+            direct = connect_direct(shared, &scope, server, address, options) => Some(direct),
+            () = scope.partitioned() => None,
         };
         match direct {
             Some(Ok(connection)) => return Ok(connection),
@@ -184,19 +220,20 @@
             None => {}
         }
     }
-    let path = shared.reach.conclude().await;
-    let is_confirmed = || shared.reach.state.borrow().has_connected_since(began_us);
+    let path = scope.conclude().await;
+    let is_confirmed = || scope.state.borrow().has_connected_since(began_us);
     match (path, error) {
         (Path::Direct, Some(error)) if !is_refused(&error) || is_confirmed() => Err(error),
         // The path has returned while this connection waited for it.
-        (Path::Direct, None) => connect_direct(shared, server, address, options).await,
-        (_, error) => tunnel(shared, server, address, error).await,
+        (Path::Direct, None) => connect_direct(shared, &scope, server, address, options).await,
+        (_, error) => tunnel(shared, &scope, server, address, error).await,
     }
 }
 
 /// Connects directly, and reports whether that succeeded.
 async fn connect_direct(
     shared: &Rc<Shared>,
+    scope: &Rc<Scope>,
     server: &name::BackendServer,
     address: SocketAddr,
     options: client::Options,
@@ -205,13 +242,14 @@
     let connected = shared.pool.connect_with(address, options).await;
     let backend_server = server.clone();
     match &connected {
-        Ok(_) => handle(shared, Event::Connected { backend_server }),
+        Ok(_) => handle(shared, scope, Event::Connected { backend_server }),
         // A shorter time-out than that of attempts may pass on a long way.
         Err(error)
             if matches!(error.kind, client::Kind::TimedOut)
                 && options.connect_timeout_ms < options::backend().connect_timeout_ms => {}
         Err(_) => handle(
             shared,
+            scope,
             Event::Failed {
                 backend_server,
                 began_us,
@@ -230,9 +268,11 @@
     began_us: u64,
     is_connected: bool,
 ) -> bool {
+    let scope = Scope::of(shared, server);
     let backend_server = server.clone();
     handle(
         shared,
+        &scope,
         match is_connected {
             true => Event::Connected { backend_server },
             false => Event::Failed {
@@ -241,13 +281,14 @@
             },
         },
     );
-    shared.reach.conclude().await == Path::ThroughPeers
+    scope.conclude().await == Path::ThroughPeers
 }
 
 /// Opens a tunnel through one of the peers; without peers, returns the error of the direct
 /// connection.
 async fn tunnel(
     shared: &Rc<Shared>,
+    scope: &Rc<Scope>,
     server: &name::BackendServer,
     address: SocketAddr,
     direct: Option<client::Error>,
@@ -256,7 +297,7 @@
     if peers.is_empty() {
         return match direct {
             Some(error) => Err(error),
-            None => connect_direct(shared, server, address, options::backend()).await,
+            None => connect_direct(shared, scope, server, address, options::backend()).await,
         };
     }
     let mut kind = io::ErrorKind::HostUnreachable;
@@ -304,39 +345,42 @@
 }
 
 /// Passes an event to the state machine and carries out the actions that it returns.
-fn handle(shared: &Rc<Shared>, event: Event) {
+fn handle(shared: &Rc<Shared>, scope: &Rc<Scope>, event: Event) {
     let now_us = shared.kernel.now_us();
-    let actions = shared.reach.state.borrow_mut().on_event(now_us, event);
+    let actions = scope.state.borrow_mut().on_event(now_us, event);
     for action in actions {
         match action {
             Action::Probe { backend_server } => {
-                let shared = Rc::clone(shared);
-                monoio::spawn(async move { probe(&shared, &backend_server).await });
+                let (shared, scope) = (Rc::clone(shared), Rc::clone(scope));
+                monoio::spawn(async move { probe(&shared, &scope, &backend_server).await });
             }
-            Action::Changed(change) => apply(shared, &change),
+            Action::Changed(change) => apply(shared, scope, &change),
         }
     }
-    if !shared.reach.is_checking() {
-        shared.reach.concluded.notify_all();
+    if !scope.is_checking() {
+        scope.concluded.notify_all();
     }
 }
 
 /// Connects directly to a server, only to report whether that succeeds.
-async fn probe(shared: &Rc<Shared>, server: &name::BackendServer) {
-    let address = shared.reach.servers.borrow().get(server).copied();
+async fn probe(shared: &Rc<Shared>, scope: &Rc<Scope>, server: &name::BackendServer) {
+    let address = scope.servers.borrow().get(server).copied();
     if let Some(address) = address {
-        let _ = connect_direct(shared, server, address, options::backend()).await;
+        let _ = connect_direct(shared, scope, server, address, options::backend()).await;
     }
 }
 
-/// Applies a change of the path. Idle connections that are direct may hang during a partition, and
-/// those through peers are not wanted after it.
-fn apply(shared: &Rc<Shared>, change: &Change) {
-    let is_partitioned = change.path == Path::ThroughPeers;
-    shared.pool.clear();
-    shared.tunnels.is_partitioned.set(is_partitioned);
+/// Applies a change of the path. Idle connections may hang during a partition.
+fn apply(shared: &Rc<Shared>, scope: &Scope, change: &Change) {
+    for address in scope.servers.borrow().values() {
+        shared.pool.close_idle(*address);
+    }
+    let scopes = shared.reach.scopes();
+    let partitioned = scopes
+        .iter()
+        .filter(|scope| scope.path() == Path::ThroughPeers);
     let gauge = shared.kernel.meter().gauge(metric::PARTITIONED);
-    gauge.set(f64::from(u8::from(is_partitioned)));
+    gauge.set(partitioned.count() as f64);
     let kind = match change.path {
         Path::ThroughPeers => kernel_event::Kind::PartitionBegun,
         Path::Direct => kernel_event::Kind::PartitionEnded,
@@ -348,6 +392,7 @@
         .collect();
     let now_us = shared.kernel.now_us();
     let event = kernel_event::Event::new(kind)
+        .with("service", scope.service.as_str())
         .with("backend_servers", servers.join(","))
         .with("since_us", now_us.saturating_sub(change.since_us))
         .with("live_peers", shared.member.live().len() as u64);
--- a/crates/peridotrack-edge/src/gateway/stream.rs
+++ b/crates/peridotrack-edge/src/gateway/stream.rs
@@ -183,7 +183,7 @@
             Ok(None) => return finish_response(attempt, head, client, progress).await,
             Err(error) => return attempt.failed(&error, progress),
         };
-        reach::received(attempt.shared);
+        reach::received(attempt.shared, &attempt.target.backend_server);
         parser.push(&chunk);
         let (events, fault) = read_events(&mut parser, &mut head.connection, progress);
         let tokens = progress.events_seen * progress.event_tokens;
--- a/crates/peridotrack-edge/src/gateway/tunnel.rs
+++ b/crates/peridotrack-edge/src/gateway/tunnel.rs
@@ -26,9 +26,6 @@
 
 /// The tunnels that this router serves.
 pub(super) struct Tunnels {
-    /// Whether this router is itself partitioned from the backend servers, so that it declines
-    /// tunnels.
-    pub(super) is_partitioned: Cell<bool>,
     open: Rc<Count>,
     cut: Notify,
     served: metrics::Counter,
@@ -124,7 +121,6 @@
 impl Tunnels {
     pub(super) fn new(kernel: &Kernel) -> Self {
         Self {
-            is_partitioned: Cell::new(false),
             open: Rc::new(Count {
                 tunnels: Cell::new(0),
                 gauge: kernel.meter().gauge(metric::OPEN_TUNNELS),
@@ -226,7 +222,7 @@
     if shared.stopping.has_begun() {
         return Err(Reason::Stopping.into());
     }
-    if tunnels.is_partitioned.get() {
+    if reach::is_partitioned(shared, server) {
         return Err(Reason::Partitioned.into());
     }
     if tunnels.open() >= options::max_tunnels(&shared.settings) {
--- a/crates/peridotrack-edge/src/metric.rs
+++ b/crates/peridotrack-edge/src/metric.rs
@@ -38,7 +38,7 @@
 pub const SERVED_TUNNELS: &str = "peridotrack_served_tunnels_total";
 /// Gauge of the open tunnels that this router serves.
 pub const OPEN_TUNNELS: &str = "peridotrack_open_tunnels";
-/// Gauge that is 1 while this router connects to backend servers through peers, otherwise 0.
+/// Gauge of the services to whose backend servers this router connects through peers.
 pub const PARTITIONED: &str = "peridotrack_partitioned";
 
 /// Names of all metrics.
--- a/crates/peridotrack-kernel/src/event.rs
+++ b/crates/peridotrack-kernel/src/event.rs
@@ -155,7 +155,7 @@
     504 Warn EvacuationChanged,
     /// Which backend servers are limited because they count as cold has changed.
     505 Info ColdServersChanged,
-    /// This router is partitioned from the backend servers and connects to them through peers.
+    /// This router is partitioned from the backend servers of a service and connects to them through peers.
     506 Warn PartitionBegun,
     /// This router reaches the backend servers directly again.
     507 Info PartitionEnded,
