fix(peer): do not send frames above the limit

What callers saw: nothing yet; found by a review.

Cause: the limit of a frame was checked by the receiver only. It closes the link on such a frame; the sender writes the frame again on a new connection, which is closed too, reports the peer as failed and drops the queue. Gossip, shares of budgets and transfers of tokens behind the frame were lost, each time that the peer asked.

Change: a frame above the limit is not encoded, so that it is dropped alone.

Measured: a_frame_above_the_limit_does_not_affect_others failed before in 2 of 3 cases (one byte above the limit, and four times the limit) and passes now; the largest frame arrives before and after.

--- a/crates/peridotrack-edge/src/peer/frame.rs
+++ b/crates/peridotrack-edge/src/peer/frame.rs
@@ -207,9 +207,17 @@
 }
 
 /// Encodes a frame, length prefix included.
+///
+/// # Errors
+///
+/// Fails if the frame is longer than [`FRAME_BYTES`]: its receiver would close the link, and frames
+/// behind it would be lost.
 pub fn encode(frame: &Frame) -> Result<Vec<u8>, postcard::Error> {
     let body = postcard::to_stdvec(frame)?;
-    let length = u32::try_from(body.len()).map_err(|_| postcard::Error::SerializeBufferFull)?;
+    let length = u32::try_from(body.len())
+        .ok()
+        .filter(|_| body.len() <= FRAME_BYTES)
+        .ok_or(postcard::Error::SerializeBufferFull)?;
     let mut bytes = Vec::with_capacity(LENGTH_BYTES + body.len());
     bytes.extend_from_slice(&length.to_be_bytes());
     bytes.extend_from_slice(&body);
--- a/crates/peridotrack-edge/src/peer/link.rs
+++ b/crates/peridotrack-edge/src/peer/link.rs
@@ -183,7 +183,8 @@
             .is_some_and(|acceptor| acceptor.is_stopped())
     }
 
-    /// Queues a frame for the peer at `address`. A frame that cannot be delivered is dropped.
+    /// Queues a frame for the peer at `address`. A frame that is too long or cannot be delivered is
+    /// dropped.
     pub fn send(self: &Rc<Self>, address: SocketAddr, frame: &Frame) {
         let Ok(bytes) = frame::encode(frame) else {
             return;
--- a/crates/peridotrack-edge/tests/link.rs
+++ b/crates/peridotrack-edge/tests/link.rs
@@ -3,7 +3,7 @@
 use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
 
 use peridotrack_budget::message::{Message, Reply};
-use peridotrack_edge::peer::{Frame, Link};
+use peridotrack_edge::peer::{Frame, Link, frame};
 use peridotrack_kernel::{Kernel, Options};
 use peridotrack_standin::harness::{http::block_on, relay, wait};
 use peridotrack_types::id;
@@ -12,10 +12,12 @@
 const KEY: &str = "deployment-of-the-test";
 const LIMIT: Duration = Duration::from_secs(5);
 
-/// A router's end of its links, with the numbers in the frames that it received.
+/// A router's end of its links, with the numbers in the frames that it received and the number of
+/// configurations.
 struct Router {
     link: Rc<Link>,
     received: Rc<RefCell<Vec<u64>>>,
+    configurations: Rc<RefCell<usize>>,
     failures: Rc<RefCell<usize>>,
 }
 
@@ -25,23 +27,25 @@
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let link = Link::bind(kernel, id::Incarnation(incarnation), any, KEY).unwrap();
         let received = Rc::new(RefCell::new(Vec::new()));
+        let configurations = Rc::new(RefCell::new(0));
         let failures = Rc::new(RefCell::new(0));
         let (numbers, failed) = (Rc::clone(&received), Rc::clone(&failures));
+        let configured = Rc::clone(&configurations);
         link.subscribe(
-            move |_, frame| {
-                if let Frame::Budget {
+            move |_, frame| match frame {
+                Frame::Budget {
                     message: Message::Transfer { sent_tokens, .. },
                     ..
-                } = frame
-                {
-                    numbers.borrow_mut().push(sent_tokens);
-                }
+                } => numbers.borrow_mut().push(sent_tokens),
+                Frame::Config { .. } => *configured.borrow_mut() += 1,
+                _ => {}
             },
             move |_| *failed.borrow_mut() += 1,
         );
         Self {
             link,
             received,
+            configurations,
             failures,
         }
     }
@@ -123,3 +127,27 @@
         assert_eq!(*sender.failures.borrow(), 1);
     });
 }
+
+/// Guards against a frame above the limit, such as all objects of a kind: the peer closes the link on it,
+/// and the frames behind it are lost.
+#[rstest]
+#[case::largest(0, 1)]
+#[case::just_above(1, 0)]
+#[case::far_above(4 * frame::FRAME_BYTES, 0)]
+fn a_frame_above_the_limit_does_not_affect_others(
+    #[case] excess_bytes: usize,
+    #[case] configurations: usize,
+) {
+    block_on(async {
+        let (sender, receiver) = (Router::spawn(1), Router::spawn(2));
+        let address = receiver.link.address();
+        sender.send(address, 1);
+        // One byte for the variant and three for the length of the content.
+        let content = vec![0; frame::FRAME_BYTES - 4 + excess_bytes];
+        sender.link.send(address, &Frame::Config { content });
+        sender.send(address, 2);
+        receiver.until_received(&[1, 2]).await;
+        assert_eq!(*receiver.configurations.borrow(), configurations);
+        assert_eq!(*sender.failures.borrow(), 0);
+    });
+}
