--- a/crates/peridotrack-edge/src/follow.rs
+++ b/crates/peridotrack-edge/src/follow.rs
@@ -67,6 +67,8 @@
     on_update: OnUpdate,
     /// Content of the objects by name, for peers that the store turns away.
     objects: RefCell<BTreeMap<String, Bytes>>,
+    /// Whether `objects` lacks none.
+    is_complete: Cell<bool>,
     /// Kind whose follower leads that of this kind, if it is led.
     leader: Option<Rc<Kind>>,
     /// Whether a peer kept the view current at the last event.
@@ -95,6 +97,7 @@
             follower: RefCell::new(Follower::new(incarnation, options, kernel.now_us())),
             on_update: Box::new(on_update),
             objects: RefCell::default(),
+            is_complete: Cell::default(),
             was_relayed: Cell::new(false),
             subscription: RefCell::default(),
         });
@@ -191,7 +194,12 @@
             .iter()
             .map(|(name, content)| (name.clone(), content.to_vec()))
             .collect();
-        self.send(to, Message::Snapshot(Snapshot { revision, objects }));
+        let snapshot = Snapshot {
+            is_complete: self.is_complete.get(),
+            revision,
+            objects,
+        };
+        self.send(to, Message::Snapshot(snapshot));
     }
 
     fn change(&self, changes: &[Change], since_loss_us: Option<u64>) {
@@ -224,7 +232,7 @@
             .with("objects", objects.len() as u64)
             .with("revision", snapshot.revision);
         self.kernel.note(event);
-        self.set_listing(&objects, true);
+        self.set_listing(&objects, snapshot.is_complete);
     }
 
     fn set_listing(&self, objects: &[store::Object], is_complete: bool) {
@@ -237,6 +245,7 @@
             .map(|object| (object.name.clone(), object.content.clone()));
         contents.extend(listed);
         drop(contents);
+        self.is_complete.set(is_complete);
         (self.on_update)(Update::Listing {
             objects,
             is_complete,
--- a/crates/peridotrack-edge/tests/gateway/peers.rs
+++ b/crates/peridotrack-edge/tests/gateway/peers.rs
@@ -296,3 +296,39 @@
         assert!(server.arrivals() >= 3);
     });
 }
+
+/// Guards against the removal of servers that a peer does not know, because it cannot read the list to
+/// its end.
+#[test]
+fn a_known_server_is_kept_if_a_peer_does_not_know_all() {
+    block_on(async {
+        let store = store::spawn().unwrap();
+        let backend = backend::spawn().unwrap();
+        store.put("servers", "i-0", entry(&backend));
+        store.put("config", "main", config(1, 1_000_000));
+        let turned_away = ProxiedGateway::spawn(&store, Vec::new());
+        turned_away.until_served(LIMIT).await;
+        turned_away.store_link.set(relay::Link::Cut);
+        for name in ["batch-0", "batch-1"] {
+            store.put("servers", name, json!({"service": "batch"}));
+            store.make_malformed("servers", name, store::Flaw::Name);
+        }
+        let seeds = vec![turned_away.gateway.peer_address()];
+        let _partial = ProxiedGateway::spawn_in(&store, "b", seeds);
+        let is_fetched = || {
+            let events = turned_away.gateway.kernel().timeline().after(0);
+            let servers = event::Value::from("servers");
+            let mut fetched = events
+                .iter()
+                .filter(|event| &*event.name == "ObjectsFetched");
+            fetched.any(|event| event.fields["kind"] == servers)
+        };
+        wait::until(LIMIT, "fetched objects", is_fetched)
+            .await
+            .unwrap();
+        turned_away.store_link.set(relay::Link::Open);
+        // Time in which missing entries are kept after an outage.
+        monoio::time::sleep(Duration::from_secs(4)).await;
+        turned_away.until_served(Duration::from_secs(1)).await;
+    });
+}
--- a/crates/peridotrack-follow/src/message.rs
+++ b/crates/peridotrack-follow/src/message.rs
@@ -35,9 +35,12 @@
     pub since_loss_us: Option<u64>,
 }
 
-/// All objects of the kind at one revision of the store.
+/// The objects of the kind that a router knows at one revision of the store.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Snapshot {
+    /// Whether an object that is absent does not exist; otherwise the sender may only be unable to read
+    /// it.
+    pub is_complete: bool,
     /// Revision of the store that the objects show.
     pub revision: u64,
     /// The objects by name, with their content as their writers stored it.
--- a/crates/peridotrack-follow/tests/fleet.rs
+++ b/crates/peridotrack-follow/tests/fleet.rs
@@ -156,6 +156,7 @@
                     let known = self.nodes[node].known.iter();
                     let objects = known.map(|revision| (revision.to_string(), Vec::new()));
                     let snapshot = Snapshot {
+                        is_complete: true,
                         revision,
                         objects: objects.collect(),
                     };
--- a/crates/peridotrack-follow/tests/follower.rs
+++ b/crates/peridotrack-follow/tests/follower.rs
@@ -279,7 +279,11 @@
 
 fn snapshot(from: id::Incarnation, revision: u64) -> Event {
     let objects = vec![("a".to_owned(), b"new".to_vec())];
-    let message = Message::Snapshot(Snapshot { revision, objects });
+    let message = Message::Snapshot(Snapshot {
+        is_complete: true,
+        revision,
+        objects,
+    });
     Event::Peer { from, message }
 }
 
