fix(follow): do not count objects of a peer as confirmed after a start

What callers saw: nothing yet; found by a review.

Cause: a view that a peer sent to a router without one counted as confirmed at time zero, which is only one second before the start of the process.

Change: such a view has no time of confirmation.

--- a/crates/peridotrack-follow/src/follower.rs
+++ b/crates/peridotrack-follow/src/follower.rs
@@ -93,8 +93,9 @@
     revision: u64,
     /// Revision of the last known change, or of the list if there was no change since.
     unchanged_since: u64,
-    /// When the store or the relay last confirmed the view.
-    confirmed_us: u64,
+    /// When the store or the relay last confirmed the view; `None` if a peer sent it since there was
+    /// none.
+    confirmed_us: Option<u64>,
 }
 
 /// Follows one kind of objects for one router.
@@ -171,9 +172,9 @@
         self.view.map(|view| view.revision)
     }
 
-    /// Returns when the store or the relay last confirmed the view, `None` before the first list.
+    /// Returns when the store or the relay last confirmed the view; `None` if neither has yet.
     pub fn confirmed_us(&self) -> Option<u64> {
-        self.view.map(|view| view.confirmed_us)
+        self.view?.confirmed_us
     }
 
     /// Returns whether updates of a relay keep the view current, so that no watch is needed.
@@ -255,7 +256,7 @@
         self.view = Some(View {
             revision,
             unchanged_since: revision,
-            confirmed_us: now_us,
+            confirmed_us: Some(now_us),
         });
     }
 
@@ -290,7 +291,7 @@
     /// Sends a new subscriber the current revision, if the view was confirmed recently.
     fn send_confirmation(&self, now_us: u64, to: id::Incarnation, actions: &mut Vec<Action>) {
         let Some(view) = self.view else { return };
-        if now_us.saturating_sub(view.confirmed_us) >= self.options.relay_wait_us {
+        if !self.is_confirmed_within(now_us, self.options.relay_wait_us) {
             return;
         }
         actions.push(Action::Send {
@@ -335,15 +336,17 @@
 impl Follower {
     /// Returns whether the store or a relay has confirmed the view recently.
     fn is_confirmed(&self, now_us: u64) -> bool {
-        self.view
-            .is_some_and(|view| now_us < view.confirmed_us + self.options.silence_us)
+        self.is_confirmed_within(now_us, self.options.silence_us)
+    }
+
+    fn is_confirmed_within(&self, now_us: u64, age_us: u64) -> bool {
+        self.confirmed_us()
+            .is_some_and(|confirmed_us| now_us < confirmed_us + age_us)
     }
 
     /// Returns whether the view shows what the store held at most one regular wait ago.
     fn is_current(&self, now_us: u64) -> bool {
-        let age_us = self.options.wait_us + self.options.silence_us;
-        self.view
-            .is_some_and(|view| now_us < view.confirmed_us + age_us)
+        self.is_confirmed_within(now_us, self.options.wait_us + self.options.silence_us)
     }
 
     /// Asks peers, one after another, for the objects if calls to the store fail and no relay keeps the
@@ -403,7 +406,7 @@
         self.view = Some(View {
             revision: snapshot.revision,
             unchanged_since: snapshot.revision,
-            confirmed_us: self.view.map_or(0, |view| view.confirmed_us),
+            confirmed_us: self.confirmed_us(),
         });
         actions.push(Action::Replace(snapshot));
     }
@@ -421,7 +424,7 @@
         let Some(view) = &mut self.view else {
             return;
         };
-        view.confirmed_us = now_us;
+        view.confirmed_us = Some(now_us);
         if update.revision < view.revision {
             return;
         }
@@ -536,7 +539,7 @@
         if self.is_relayed(now_us) {
             return;
         }
-        let age_us = now_us.saturating_sub(view.confirmed_us);
+        let age_us = now_us.saturating_sub(view.confirmed_us.unwrap_or(0));
         if age_us >= self.options.relist_after_us {
             self.is_calling = true;
             return actions.push(Action::List);
--- a/crates/peridotrack-follow/tests/follower.rs
+++ b/crates/peridotrack-follow/tests/follower.rs
@@ -360,3 +360,27 @@
     assert_eq!(follower.revision(), Some(12));
     assert!(!is_sent(&follower.on_event(now_us, fetch(None))));
 }
+
+/// Guards against a router that has just started and takes the objects that it fetched for confirmed:
+/// it asked no peer again and passed them on.
+#[test]
+fn objects_that_were_fetched_do_not_count_as_confirmed_after_a_start() {
+    let options = Options {
+        silence_us: 20_000 * MS,
+        ..Options::default()
+    };
+    let start_us = 1_000 * MS;
+    let mut follower = Follower::new(SELF, options, start_us);
+    let _ = follower.on_event(start_us, Event::AllPeers(vec![SELF, HIGHER]));
+    let _ = follower.on_event(start_us, Event::CallFailed);
+    let now_us = start_us + 100 * MS;
+    assert!(replaces(&follower.on_event(now_us, snapshot(HIGHER, 12))));
+    let from = HIGHER;
+    let message = Message::Fetch { after: None };
+    let asked = follower.on_event(now_us, Event::Peer { from, message });
+    let is_sent = |action: &Action| matches!(action, Action::SendSnapshot { .. });
+    assert!(!asked.iter().any(is_sent));
+    let later = follower.on_event(now_us + Options::default().fetch_us, Event::Tick);
+    assert_eq!(fetches(&later), 1);
+    assert!(replaces(&follower.on_event(now_us, snapshot(HIGHER, 13))));
+}
