fix(follow): discard a list that is older than the objects of a peer

What callers saw: nothing yet; found by a review. While a list was on its way, a router could fetch newer objects from a peer; the list then replaced them by older ones until the next watch, or, if the store turned the router away again, the next fetch.

Cause: a list was applied whatever the view showed.

Change: a list at a lower revision than the view is discarded. The store's revisions never decrease, and the next call begins at the view.

--- a/crates/peridotrack-edge/src/follow.rs
+++ b/crates/peridotrack-edge/src/follow.rs
@@ -266,7 +266,9 @@
     async fn list(self: Rc<Self>) {
         let event = match self.platform.list(self.name).await {
             Ok(listing) => {
-                self.set_listing(&listing.objects, listing.is_complete);
+                if self.follower.borrow().accepts_list(listing.revision) {
+                    self.set_listing(&listing.objects, listing.is_complete);
+                }
                 Event::Listed {
                     revision: listing.revision,
                 }
--- a/crates/peridotrack-follow/src/event.rs
+++ b/crates/peridotrack-follow/src/event.rs
@@ -15,7 +15,8 @@
 pub enum Event {
     /// Time has passed. Expected about every 100 ms.
     Tick,
-    /// The objects were listed, and the driver has applied the list.
+    /// The objects were listed, and the driver has applied the list if the follower
+    /// [accepts](crate::follower::Follower::accepts_list) it.
     Listed {
         /// Revision of the store that the list shows.
         revision: u64,
--- a/crates/peridotrack-follow/src/follower.rs
+++ b/crates/peridotrack-follow/src/follower.rs
@@ -177,6 +177,12 @@
         self.view?.confirmed_us
     }
 
+    /// Returns whether a list of a revision may be applied. One that took long may be older than
+    /// objects that a peer has sent meanwhile; the store's revisions never decrease.
+    pub fn accepts_list(&self, revision: u64) -> bool {
+        self.view.is_none_or(|view| view.revision <= revision)
+    }
+
     /// Returns whether updates of a relay keep the view current, so that no watch is needed.
     pub fn is_relayed(&self, now_us: u64) -> bool {
         self.relayed_us
@@ -253,6 +259,9 @@
         self.is_calling = false;
         self.is_polling = false;
         self.failures = 0;
+        if !self.accepts_list(revision) {
+            return;
+        }
         self.view = Some(View {
             revision,
             unchanged_since: revision,
--- a/crates/peridotrack-follow/tests/follower.rs
+++ b/crates/peridotrack-follow/tests/follower.rs
@@ -384,3 +384,21 @@
     assert_eq!(fetches(&later), 1);
     assert!(replaces(&follower.on_event(now_us, snapshot(HIGHER, 13))));
 }
+
+/// Guards against a list that takes long and replaces the newer objects of a peer by older ones.
+#[test]
+fn a_list_that_is_older_than_the_objects_of_a_peer_is_discarded() {
+    let mut follower = Follower::new(SELF, Options::default(), 0);
+    let _ = follower.on_event(0, Event::AllPeers(vec![SELF, HIGHER]));
+    let _ = follower.on_event(0, Event::CallFailed);
+    let again = follower.on_event(1_000 * MS, Event::Tick);
+    assert!(again.contains(&Action::List));
+    assert!(replaces(
+        &follower.on_event(1_100 * MS, snapshot(HIGHER, 12))
+    ));
+    assert!(!follower.accepts_list(11));
+    let next = follower.on_event(1_200 * MS, Event::Listed { revision: 11 });
+    assert_eq!(follower.revision(), Some(12));
+    let is_watch = |action: &Action| matches!(action, Action::Watch { revision: 12, .. });
+    assert!(next.iter().any(is_watch));
+}
