--- a/crates/peridotrack-follow/tests/follower.rs
+++ b/crates/peridotrack-follow/tests/follower.rs
@@ -279,7 +279,11 @@
 
 fn snapshot(from: id::Incarnation, revision: u64) -> Event {
     let objects = vec![("a".to_owned(), b"new".to_vec())];
-    let message = Message::Snapshot(Snapshot { revision, objects });
+    let message = Message::Snapshot(Snapshot {
+        is_complete: true,
+        revision,
+        objects,
+    });
     Event::Peer { from, message }
 }
 
@@ -356,3 +360,45 @@
     assert_eq!(follower.revision(), Some(12));
     assert!(!is_sent(&follower.on_event(now_us, fetch(None))));
 }
+
+/// Guards against a router that has just started and takes the objects that it fetched for confirmed:
+/// it asked no peer again and passed them on.
+#[test]
+fn objects_that_were_fetched_do_not_count_as_confirmed_after_a_start() {
+    let options = Options {
+        silence_us: 20_000 * MS,
+        ..Options::default()
+    };
+    let start_us = 1_000 * MS;
+    let mut follower = Follower::new(SELF, options, start_us);
+    let _ = follower.on_event(start_us, Event::AllPeers(vec![SELF, HIGHER]));
+    let _ = follower.on_event(start_us, Event::CallFailed);
+    let now_us = start_us + 100 * MS;
+    assert!(replaces(&follower.on_event(now_us, snapshot(HIGHER, 12))));
+    let from = HIGHER;
+    let message = Message::Fetch { after: None };
+    let asked = follower.on_event(now_us, Event::Peer { from, message });
+    let is_sent = |action: &Action| matches!(action, Action::SendSnapshot { .. });
+    assert!(!asked.iter().any(is_sent));
+    let later = follower.on_event(now_us + Options::default().fetch_us, Event::Tick);
+    assert_eq!(fetches(&later), 1);
+    assert!(replaces(&follower.on_event(now_us, snapshot(HIGHER, 13))));
+}
+
+/// Guards against a list that takes long and replaces the newer objects of a peer by older ones.
+#[test]
+fn a_list_that_is_older_than_the_objects_of_a_peer_is_discarded() {
+    let mut follower = Follower::new(SELF, Options::default(), 0);
+    let _ = follower.on_event(0, Event::AllPeers(vec![SELF, HIGHER]));
+    let _ = follower.on_event(0, Event::CallFailed);
+    let again = follower.on_event(1_000 * MS, Event::Tick);
+    assert!(again.contains(&Action::List));
+    assert!(replaces(
+        &follower.on_event(1_100 * MS, snapshot(HIGHER, 12))
+    ));
+    assert!(!follower.accepts_list(11));
+    let next = follower.on_event(1_200 * MS, Event::Listed { revision: 11 });
+    assert_eq!(follower.revision(), Some(12));
+    let is_watch = |action: &Action| matches!(action, Action::Watch { revision: 12, .. });
+    assert!(next.iter().any(is_watch));
+}
