test(gateway): show that a draining server gets no request from then on

The test passed without the change that it tests: a gateway without load sends eight requests in a row to one of two equal servers often enough (1 of 1 run without the entry that drains). The check now repeats for the time in which a change must be applied, and the test runs for each of the two servers. Without the entry both cases fail (1 of 1 run each).

--- a/crates/peridotrack-edge/tests/gateway/directory.rs
+++ b/crates/peridotrack-edge/tests/gateway/directory.rs
@@ -1,7 +1,7 @@
 //! Changes of backend server entries and of the configuration in the store must be applied in time,
 //! also around an outage of the store and next to objects that cannot be decoded.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use peridotrack_standin::{
     harness::{http::block_on, wait},
@@ -18,7 +18,8 @@
 /// Time after a store outage within which a gateway must be connected again.
 const CONTACT: Duration = Duration::from_secs(3);
 
-/// Waits until all requests go to the server `index` of the two.
+/// Waits until all requests go to the server `index` of the two, and checks that this remains so: a
+/// gateway without load may send a few in a row to one of two equal servers.
 async fn until_only(fixture: &Fixture, index: usize) {
     let only = async || {
         let before = fixture.backends[1 - index].arrivals();
@@ -30,16 +31,24 @@
     wait::poll(APPLY, "single server for all requests", only)
         .await
         .unwrap();
+    let end = Instant::now() + APPLY;
+    while Instant::now() < end {
+        assert_eq!(only().await, Some(()), "request to the other server");
+    }
 }
 
-#[test]
-fn a_draining_server_gets_no_new_request() {
+#[rstest]
+#[case::first_server(0)]
+#[case::second_server(1)]
+fn a_draining_server_gets_no_new_request(#[case] index: usize) {
     block_on(async {
         let fixture = Fixture::spawn(2).await;
-        let mut draining = entry(&fixture.backends[0]);
+        let mut draining = entry(&fixture.backends[index]);
         draining["state"] = json!("draining");
-        fixture.store.put("servers", "i-0", draining);
-        until_only(&fixture, 1).await;
+        fixture
+            .store
+            .put("servers", &format!("i-{index}"), draining);
+        until_only(&fixture, 1 - index).await;
     });
 }
 
