fix(follow): do not wait for changes that a relay has announced

What callers saw: after connections to the store had fallen silent, a router in contact answered 404 for a route that had been added 2.45 s before.

Cause: a relay sends large changes without their content, and the router then watches the store. The watch asked for the usual wait of 1.5 s although the change was known to be there, so that a silent connection was noticed 2.5 s later.

--- a/crates/peridotrack-edge/tests/gateway/peers.rs
+++ b/crates/peridotrack-edge/tests/gateway/peers.rs
@@ -111,6 +111,23 @@
     config
 }
 
+/// Starts two gateways, of which the first relays changes to the second.
+async fn relay_and_follower(store: &store::Handle) -> (ProxiedGateway, ProxiedGateway) {
+    let first = ProxiedGateway::spawn(store, Vec::new());
+    let second = ProxiedGateway::spawn(store, vec![first.gateway.peer_address()]);
+    let (relay, follower) = match first.gateway.incarnation() < second.gateway.incarnation() {
+        true => (first, second),
+        false => (second, first),
+    };
+    relay.until_route("/safe/", LIMIT).await;
+    follower.until_route("/safe/", LIMIT).await;
+    let relayed = || follower.gateway.is_relayed("config");
+    wait::until(LIMIT, "relayed configuration", relayed)
+        .await
+        .unwrap();
+    (relay, follower)
+}
+
 /// One of two gateways relays changes to the other, the follower. The follower must apply a relayed
 /// change while its connection to the store is blocked, and a change from the store while the
 /// connection of its relay is blocked.
@@ -121,18 +138,7 @@
         let backend = backend::spawn().unwrap();
         store.put("servers", "i-0", entry(&backend));
         store.put("config", "main", config(1, 1_000_000));
-        let first = ProxiedGateway::spawn(&store, Vec::new());
-        let second = ProxiedGateway::spawn(&store, vec![first.gateway.peer_address()]);
-        let (relay, follower) = match first.gateway.incarnation() < second.gateway.incarnation() {
-            true => (first, second),
-            false => (second, first),
-        };
-        relay.until_route("/safe/", LIMIT).await;
-        follower.until_route("/safe/", LIMIT).await;
-        let relayed = || follower.gateway.is_relayed("config");
-        wait::until(LIMIT, "relayed configuration", relayed)
-            .await
-            .unwrap();
+        let (relay, follower) = relay_and_follower(&store).await;
         let apply = Duration::from_millis(settings(&store).bounds.config_apply_ms);
         follower.store_link.set(relay::Link::Stalled);
         store.put("config", "main", extended(2, "/second/"));
@@ -145,6 +151,31 @@
     });
 }
 
+/// A relay announces a large configuration without its content, and the follower reads it from the store.
+/// Connections of earlier watches that fell silent in the meantime must not delay that.
+#[test]
+fn a_large_configuration_is_applied_in_time_after_idle_connections_fell_silent() {
+    const ADDED_BYTES: usize = 40_000;
+    const SILENCE: Duration = Duration::from_secs(1);
+    block_on(async {
+        let store = store::spawn().unwrap();
+        let backend = backend::spawn().unwrap();
+        store.put("servers", "i-0", entry(&backend));
+        store.put("config", "main", config(1, 1_000_000));
+        let (_relay, follower) = relay_and_follower(&store).await;
+        // The watches that the follower began before it had a relay end in the meantime.
+        let bounds = settings(&store).bounds;
+        monoio::time::sleep(Duration::from_millis(bounds.contact_ms)).await;
+        follower.store_link.silence_connections();
+        monoio::time::sleep(SILENCE).await;
+        let mut large = extended(2, "/second/");
+        large["comment"] = json!("x".repeat(ADDED_BYTES));
+        store.put("config", "main", large);
+        let apply = Duration::from_millis(bounds.config_apply_ms);
+        follower.until_route("/second/", apply).await;
+    });
+}
+
 #[test]
 fn the_newest_readable_of_several_configurations_is_applied() {
     block_on(async {
--- a/crates/peridotrack-follow/src/follower.rs
+++ b/crates/peridotrack-follow/src/follower.rs
@@ -107,7 +107,7 @@
     /// When the next call to the store may start.
     call_at_us: u64,
     /// Whether the next watch, or the one that is outstanding, does not wait: its response shows
-    /// whether the store is available.
+    /// whether the store is available, or contains changes that a relay has announced.
     is_polling: bool,
     /// Live peers of the failure domain, without this router.
     peers: Vec<id::Incarnation>,
@@ -298,6 +298,7 @@
             .is_none_or(|view| update.from_revision > view.revision);
         if is_gap {
             self.relayed_us = None;
+            self.is_polling |= !self.is_calling;
             return;
         }
         self.relayed_us = Some(now_us);
--- a/crates/peridotrack-follow/tests/follower.rs
+++ b/crates/peridotrack-follow/tests/follower.rs
@@ -251,6 +251,19 @@
     assert_eq!(watch_wait_ms(&actions), Some(options.wait_us / MS));
 }
 
+/// The relay has announced a change, so that the store responds at once if the connection works. With a
+/// long wait, the timeout of a silent connection would pass only after the change had to be applied.
+#[test]
+fn a_watch_for_changes_that_a_relay_has_announced_does_not_wait() {
+    let options = Options::default();
+    let mut follower = relayed();
+    let actions = follower.on_event(500 * MS, update(12, 12, &[]));
+    assert_eq!(watch_wait_ms(&actions), Some(0));
+    let actions = follower.on_event(510 * MS, watched(12, &[change(b"x")]));
+    assert_eq!(applied(&actions), 1);
+    assert_eq!(watch_wait_ms(&actions), Some(options.wait_us / MS));
+}
+
 /// Guards against calls without a pause to a store that cuts each watch off at once.
 #[test]
 fn watches_that_are_cut_off_at_once_are_repeated_with_backoff() {
