--- a/crates/peridotrackd/tests/late_configuration.rs
+++ b/crates/peridotrackd/tests/late_configuration.rs
@@ -27,7 +27,7 @@
 use serde_json::json;
 
 /// Seeds of the runs.
-const SEEDS: [u64; 2] = [1, 2];
+const SEEDS: [u64; 3] = [1, 2, 212];
 const ROUTERS: usize = 6;
 const BACKENDS: usize = 2;
 const PREPAID_TOKENS: u64 = 2_000_000;
