test(soak): partition the routers of a failure domain from all servers

In the soak, all routers reached a server through one relay, so that no router could lose its paths alone.

The routers of a failure domain now reach the servers through relays of their own, and see these in a view of the store.

--- a/crates/peridotrack-soak/src/apply.rs
+++ b/crates/peridotrack-soak/src/apply.rs
@@ -70,9 +70,14 @@
             run.fleet.borrow().routers[router].link.set(Link::Open);
         }
         Fault::BackendLink(backend, link) => {
-            run.fleet.borrow().backends[backend].link.set(link);
+            run.fleet.borrow().backends[backend].paths.set(link);
             monoio::time::sleep(duration).await;
-            run.fleet.borrow().backends[backend].link.set(Link::Open);
+            run.fleet.borrow().backends[backend].paths.set(Link::Open);
+        }
+        Fault::Partition(domain, link) => {
+            run.fleet.borrow().partition(domain, link);
+            monoio::time::sleep(duration).await;
+            run.fleet.borrow().partition(domain, Link::Open);
         }
         Fault::Backend(backend, mode) => {
             run.fleet.borrow().backends[backend].handle.set_mode(mode);
--- a/crates/peridotrack-soak/src/check.rs
+++ b/crates/peridotrack-soak/src/check.rs
@@ -12,6 +12,7 @@
 };
 
 use crate::{
+    partition,
     schedule::{Fault, Step},
     stated::{self, PausedArrival, StatedLeaving},
     streams,
@@ -185,6 +186,7 @@
     breaches.extend(check_spending(record, &execution_counts));
     breaches.extend(check_config_rollback(record));
     breaches.extend(check_recovery(record));
+    breaches.extend(partition::check(record));
     breaches
 }
 
@@ -233,7 +235,7 @@
     let is_late = drained.is_some_and(|drain| {
         execution.at_ms > drain.at_ms + bounds::DRAIN_MS + SLACK_MS
             && is_undisrupted(record, sent.router, sent.at_ms, execution.at_ms)
-            && !is_held_up(record, drain.backend, execution.at_ms)
+            && !is_held_up(record, (sent.router, drain.backend), execution.at_ms)
     });
     is_late.then(|| {
         format!(
@@ -243,20 +245,22 @@
     })
 }
 
-/// Returns whether the link to a backend server failed in the [`bounds::CONTACT_MS`] before `at_ms`: a
-/// request that was sent in time may then arrive late.
-fn is_held_up(record: &Record, backend: usize, at_ms: u64) -> bool {
+/// Returns whether the link from a router to a backend server failed in the [`bounds::CONTACT_MS`]
+/// before `at_ms`: a request that was sent in time may then arrive late.
+fn is_held_up(record: &Record, (router, backend): (usize, usize), at_ms: u64) -> bool {
     let from_ms = at_ms.saturating_sub(bounds::CONTACT_MS);
     record.steps.iter().any(|step| {
-        matches!(step.fault, Fault::BackendLink(failed, _) if failed == backend)
-            && step.at_ms <= at_ms
-            && step.at_ms + step.duration_ms >= from_ms
+        let affects = match step.fault {
+            Fault::BackendLink(failed, _) => failed == backend,
+            fault => fault.partitions(router),
+        };
+        affects && step.at_ms <= at_ms && step.at_ms + step.duration_ms >= from_ms
     })
 }
 
 /// Returns whether no fault disrupted the router or the store between `from_ms`, less
 /// [`bounds::CONTACT_MS`], and `to_ms`.
-fn is_undisrupted(record: &Record, router: usize, from_ms: u64, to_ms: u64) -> bool {
+pub(crate) fn is_undisrupted(record: &Record, router: usize, from_ms: u64, to_ms: u64) -> bool {
     let from_ms = from_ms.saturating_sub(bounds::CONTACT_MS);
     let overlaps = |step: &&Step| step.at_ms <= to_ms && step.at_ms + step.duration_ms >= from_ms;
     let mut steps = record.steps.iter().filter(overlaps);
--- a/crates/peridotrack-soak/src/fleet.rs
+++ b/crates/peridotrack-soak/src/fleet.rs
@@ -1,7 +1,8 @@
 //! The processes of a run: gateways, stand-ins for the store and the backend servers, and relays.
 //!
-//! Each router reaches the store through a relay of its own, and all routers reach a backend server
-//! through one relay, so that each link can fail by itself. Routers connect to each other directly.
+//! Each router reaches the store through a relay of its own, and the routers of a failure domain reach
+//! a backend server through one relay, so that each link can fail by itself. Routers connect to each
+//! other directly.
 
 use std::{collections::BTreeMap, net::SocketAddr, path::PathBuf, time::Duration};
 
@@ -22,8 +23,13 @@
     },
 };
 
+use crate::{
+    paths::{self, Partitions, Paths},
+    schedule::FAILURE_DOMAINS,
+};
+
 /// Failure domains; routers and backend servers are assigned to them in turn.
-const ZONES: [&str; 2] = ["a", "b"];
+const ZONES: [&str; FAILURE_DOMAINS] = ["a", "b"];
 /// Number of software versions that serve side by side.
 const SOFTWARE_VERSIONS: u64 = 2;
 /// Ports of every router; each router has a loopback address of its own.
@@ -31,7 +37,7 @@
 const READY_PORT: u16 = 8220;
 const CONTROL_PORT: u16 = 8229;
 const INTERNAL_PORT: u16 = 7340;
-/// Port of the relays of backend servers, each of which has a loopback address of its own.
+/// First port of the relays of backend servers, each of which has a loopback address of its own.
 const BACKEND_PORT: u16 = 8666;
 /// Key with which the routers of a run authenticate to each other.
 const PEER_KEY: &str = "routers-of-the-soak";
@@ -58,8 +64,8 @@
 pub struct BackendServer {
     /// Running stand-in; it stays the same for all incarnations.
     pub handle: backend::Handle,
-    /// Relay that routers connect to.
-    pub link: Relay,
+    /// Relays that routers connect to.
+    pub paths: Paths,
     /// Name of its current registry entry, unique per incarnation.
     pub name: String,
     /// Whether it has crashed and was not started again.
@@ -91,8 +97,11 @@
     pub backends: Vec<BackendServer>,
     /// Software versions of all incarnations of backend servers, by name.
     pub software_versions: BTreeMap<String, u64>,
-    /// Relays of backend servers that have crashed, which forward what these had sent.
-    ended_links: Vec<Relay>,
+    /// Paths to backend servers that have crashed, which forward what these had sent.
+    ended_paths: Vec<Paths>,
+    partitions: Partitions,
+    /// The store as the routers of each failure domain see it.
+    views: Vec<store::View>,
 }
 
 impl Fleet {
@@ -112,19 +121,23 @@
     ) -> eyre::Result<Self> {
         let store = store::spawn().wrap_err("start the store")?;
         store.put("config", "main", deployment::config(1, prepaid_tokens));
+        let views = ZONES.iter().map(|_| store.spawn_view(BTreeMap::new()));
+        let views = views.collect::<Result<_, _>>();
         let mut fleet = Self {
+            views: views.wrap_err("start the store")?,
+            partitions: paths::open(),
             store,
             backends: Vec::new(),
             software_versions: BTreeMap::new(),
-            ended_links: Vec::new(),
+            ended_paths: Vec::new(),
             routers: Vec::new(),
         };
         for number in 0..backends {
             let handle = backend::spawn().wrap_err("start a backend server")?;
-            let link = relay::spawn_at(fresh_address(), handle.address());
+            let paths = Paths::spawn_at(fresh_address(), handle.address(), &fleet.partitions);
             fleet.backends.push(BackendServer {
                 handle,
-                link: link.wrap_err("start a relay")?,
+                paths: paths.wrap_err("start a relay")?,
                 name: String::new(),
                 is_down: false,
                 zone: ZONES[number % ZONES.len()],
@@ -135,7 +148,7 @@
         }
         let mut seed_address = None;
         for number in 0..routers {
-            let router = Router::spawn(program, number, fleet.store.address(), seed_address)?;
+            let router = Router::spawn(program, number, &fleet.views, seed_address)?;
             seed_address.get_or_insert(router.addresses.control);
             fleet.routers.push(router);
         }
@@ -167,13 +180,23 @@
 
     fn write_entry(&self, backend: usize, state: &str) {
         let backend = &self.backends[backend];
-        let address = backend.link.address();
+        let address = backend.paths.address(0);
+        for (domain, view) in self.views.iter().enumerate() {
+            view.replace(address, backend.paths.address(domain));
+        }
         let mut entry = deployment::entry_since(address, backend.zone, state, backend.born_ms);
         let software_version = self.software_versions[&backend.name];
         entry["version"] = format!("v{software_version}").into();
         self.store.put("servers", &backend.name, entry);
     }
 
+    /// Changes the state of the paths from a failure domain to all backend servers.
+    pub fn partition(&self, domain: usize, link: Link) {
+        self.partitions[domain].set(link);
+        let backends = self.backends.iter().map(|backend| &backend.paths);
+        backends.chain(&self.ended_paths).for_each(Paths::update);
+    }
+
     /// Ends a backend server that has crashed: its address refuses connections from now on.
     ///
     /// # Errors
@@ -181,7 +204,7 @@
     /// Returns an error if the process that takes its place cannot start.
     pub fn end_backend(&mut self, backend: usize) -> eyre::Result<()> {
         let backend = &mut self.backends[backend];
-        backend.link.refuse_connections();
+        backend.paths.refuse_connections();
         backend.handle = backend::spawn().wrap_err("start a backend server")?;
         backend.is_down = true;
         Ok(())
@@ -196,12 +219,12 @@
         let backend = &mut self.backends[number];
         let address = match restart {
             Restart::NewAddress => fresh_address(),
-            Restart::NewName | Restart::SameName => backend.link.address(),
+            Restart::NewName | Restart::SameName => backend.paths.address(0),
         };
-        let link = relay::spawn_at(address, backend.handle.address());
-        let link = link.wrap_err("start a relay")?;
-        self.ended_links
-            .push(std::mem::replace(&mut backend.link, link));
+        let paths = Paths::spawn_at(address, backend.handle.address(), &self.partitions);
+        let paths = paths.wrap_err("start a relay")?;
+        self.ended_paths
+            .push(std::mem::replace(&mut backend.paths, paths));
         backend.is_down = false;
         if restart == Restart::SameName {
             backend.born_ms = deployment::wall_ms();
@@ -223,12 +246,13 @@
     fn spawn(
         program: &std::path::Path,
         number: usize,
-        store: SocketAddr,
+        views: &[store::View],
         seed_address: Option<SocketAddr>,
     ) -> eyre::Result<Self> {
         let name = format!("front-{number}");
-        let zone = ZONES[number % ZONES.len()];
-        let link = relay::spawn(store).wrap_err("start a relay")?;
+        let domain = number % ZONES.len();
+        let zone = ZONES[domain];
+        let link = relay::spawn(views[domain].address()).wrap_err("start a relay")?;
         let host = fresh_loopback_ip();
         let addresses = Addresses {
             client: SocketAddr::new(host, CLIENT_PORT),
@@ -328,8 +352,11 @@
 /// Opens all links and returns the store and all backend servers to normal operation.
 pub fn clear_faults(fleet: &Fleet) {
     fleet.store.set_mode(store::Mode::Serve);
+    for domain in 0..ZONES.len() {
+        fleet.partition(domain, Link::Open);
+    }
     for backend in &fleet.backends {
-        backend.link.set(Link::Open);
+        backend.paths.set(Link::Open);
         backend.handle.set_mode(backend::Mode::Serve);
         backend.handle.set_fatal_part(None);
         backend.handle.set_fatal_request(None);
--- a/crates/peridotrack-soak/src/lib.rs
+++ b/crates/peridotrack-soak/src/lib.rs
@@ -14,6 +14,8 @@
 mod apply;
 pub mod check;
 pub mod fleet;
+mod partition;
+pub mod paths;
 pub mod run;
 pub mod schedule;
 pub mod stated;
--- a/crates/peridotrack-soak/src/schedule.rs
+++ b/crates/peridotrack-soak/src/schedule.rs
@@ -34,6 +34,11 @@
 /// Most occurrences of one fault in a row.
 const MAX_REPETITIONS: u32 = 4;
 
+/// Number of failure domains, to which routers and backend servers are assigned in turn.
+pub const FAILURE_DOMAINS: usize = 2;
+/// Most partitions of a run.
+const MAX_PARTITIONS: u32 = 2;
+
 /// Size and length of a run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Shape {
@@ -56,6 +61,8 @@
     StoreLink(usize, Link),
     /// The link from all routers to a backend server fails.
     BackendLink(usize, Link),
+    /// The links from the routers of a failure domain to all backend servers fail.
+    Partition(usize, Link),
     /// A backend server operates in a faulty mode.
     Backend(usize, backend::Mode),
     /// A backend server is drained, removed and registered under a new name.
@@ -137,6 +144,7 @@
     steps.extend(server_trouble(seed, shape));
     steps.extend(statements(seed, shape));
     steps.extend(stops_in_series(seed, shape));
+    steps.extend(partitions(seed, shape));
     steps.retain(|step| step.at_ms < shape.duration_ms);
     steps.sort_by_key(|step| step.at_ms);
     steps
@@ -221,6 +229,22 @@
     steps
 }
 
+/// Returns partitions of routers from all backend servers. They are drawn by themselves, like the
+/// troubles.
+fn partitions(seed: u64, shape: &Shape) -> Vec<Step> {
+    let mut rng = fastrand::Rng::with_seed(seed.rotate_left(16));
+    let count = rng.u32(..=MAX_PARTITIONS);
+    let steps = (0..count).map(|_| Step {
+        at_ms: rng.u64(..shape.duration_ms),
+        duration_ms: rng.u64(TROUBLE_DURATION_MS),
+        fault: Fault::Partition(
+            rng.usize(..FAILURE_DOMAINS),
+            choose(&mut rng, &PARTITION_LINKS),
+        ),
+    });
+    steps.collect()
+}
+
 /// Returns the fault of a slot, for a random router or backend server.
 fn random_fault(rng: &mut fastrand::Rng, slot: u32, shape: &Shape) -> Fault {
     let router = rng.usize(..shape.routers);
@@ -250,6 +274,9 @@
     Link::Delayed,
 ];
 
+/// Ways in which the links to all backend servers fail.
+const PARTITION_LINKS: [Link; 3] = [Link::Partitioned, Link::Reset, Link::Refusing];
+
 fn choose<T: Copy>(rng: &mut fastrand::Rng, choices: &[T]) -> T {
     choices[rng.usize(..choices.len())]
 }
@@ -265,6 +292,7 @@
             | Self::Kill(affected)
             | Self::Stop(affected) => *affected == router,
             Self::BackendLink(..)
+            | Self::Partition(..)
             | Self::Backend(..)
             | Self::Replace(_)
             | Self::Reload(_)
@@ -279,6 +307,11 @@
         }
     }
 
+    /// Returns whether the fault lies between a router and all backend servers.
+    pub fn partitions(&self, router: usize) -> bool {
+        matches!(self, Self::Partition(domain, _) if router % FAILURE_DOMAINS == *domain)
+    }
+
     /// Returns whether the fault ends or suspends a router without notice.
     pub fn interrupts(&self, router: usize) -> bool {
         match self {
--- a/crates/peridotrack-soak/src/stated.rs
+++ b/crates/peridotrack-soak/src/stated.rs
@@ -116,7 +116,7 @@
     record.steps.iter().any(|step| {
         let affects = match step.fault {
             Fault::BackendLink(affected, _) => affected == refusal.backend,
-            fault => fault.interrupts(router),
+            fault => fault.interrupts(router) || fault.partitions(router),
         };
         affects
             && step.at_ms <= refusal.until_ms
--- a/crates/peridotrack-soak/tests/schedule.rs
+++ b/crates/peridotrack-soak/tests/schedule.rs
@@ -31,7 +31,7 @@
         .collect();
     kinds.sort_by_key(|kind| format!("{kind:?}"));
     kinds.dedup();
-    assert_eq!(kinds.len(), 19);
+    assert_eq!(kinds.len(), 20);
 }
 
 #[test]
