fix(peer): ignore frames that cannot be decoded

What callers saw: nothing yet; found by a review. While routers are upgraded one after the other, a router that the store turns away asks its peers for objects; a peer of an earlier release does not know the message.

Cause: a frame that cannot be decoded ended the link, and the frames behind it, such as transfers of tokens, were lost, at each request again.

Change: such a frame is ignored, once noted for each link; its length is known. A link on which a frame exceeds the limit is closed as before. Releases before this one still close the link.

--- a/crates/peridotrack-edge/src/peer/link.rs
+++ b/crates/peridotrack-edge/src/peer/link.rs
@@ -322,8 +322,20 @@
     async fn read_frames(&self, mut stream: TcpStream, peer: SocketAddr) -> Result<(), Error> {
         let authenticate = self.authenticate(&mut stream, peer);
         let sender = with_timeout("authenticate", peer, HANDSHAKE_TIMEOUT_MS, authenticate).await?;
+        let mut has_ignored = false;
         while !self.is_stopped() {
-            let frame = read_frame(&mut stream, peer).await?;
+            let body = read_body(&mut stream, peer).await?;
+            let frame = match decode(&body, peer) {
+                Ok(frame) => frame,
+                // A peer of a later release may send frames that this one does not know.
+                Err(error) => {
+                    if !std::mem::replace(&mut has_ignored, true) {
+                        let event = event::Event::new(event::Kind::PeerRefused);
+                        self.kernel.note(event.with("error", error.to_string()));
+                    }
+                    continue;
+                }
+            };
             if let Frame::Tunnel { to, backend_server } = frame {
                 self.pass_tunnel(sender, to, backend_server, stream).await;
                 return Ok(());
@@ -393,6 +405,19 @@
 }
 
 async fn read_frame(stream: &mut TcpStream, peer: SocketAddr) -> Result<Frame, Error> {
+    decode(&read_body(stream, peer).await?, peer)
+}
+
+fn decode(body: &[u8], peer: SocketAddr) -> Result<Frame, Error> {
+    frame::decode(body).map_err(|error| Error::Protocol {
+        step: "decode a frame from",
+        peer,
+        detail: error.to_string(),
+    })
+}
+
+/// Reads a frame without its length prefix.
+async fn read_body(stream: &mut TcpStream, peer: SocketAddr) -> Result<Vec<u8>, Error> {
     let io = |source| Error::Io {
         step: "read from",
         peer,
@@ -411,11 +436,7 @@
     }
     let (result, body) = stream.read_exact(vec![0; length]).await;
     result.map_err(io)?;
-    frame::decode(&body).map_err(|error| Error::Protocol {
-        step: "decode a frame from",
-        peer,
-        detail: error.to_string(),
-    })
+    Ok(body)
 }
 
 async fn with_timeout<T>(
--- a/crates/peridotrack-edge/tests/link.rs
+++ b/crates/peridotrack-edge/tests/link.rs
@@ -2,8 +2,13 @@
 
 use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
 
+use monoio::{
+    io::{AsyncReadRentExt, AsyncWriteRentExt},
+    net::TcpStream,
+};
 use peridotrack_budget::message::{Message, Reply};
 use peridotrack_edge::peer::{Frame, Link, frame};
+use peridotrack_follow::message as follow_message;
 use peridotrack_kernel::{Kernel, Options};
 use peridotrack_standin::harness::{http::block_on, relay, wait};
 use peridotrack_types::id;
@@ -51,14 +56,7 @@
     }
 
     fn send(&self, address: SocketAddr, number: u64) {
-        let message = Message::Transfer {
-            budget: "t-1".into(),
-            sent_tokens: number,
-            reply: Reply::Unsolicited,
-            is_scarce: false,
-        };
-        let to = id::Incarnation(2);
-        self.link.send(address, &Frame::Budget { to, message });
+        self.link.send(address, &numbered(number));
     }
 
     async fn until_received(&self, numbers: &[u64]) {
@@ -69,6 +67,18 @@
     }
 }
 
+/// A frame to the incarnation 2 that carries a number.
+fn numbered(number: u64) -> Frame {
+    let message = Message::Transfer {
+        budget: "t-1".into(),
+        sent_tokens: number,
+        reply: Reply::Unsolicited,
+        is_scarce: false,
+    };
+    let to = id::Incarnation(2);
+    Frame::Budget { to, message }
+}
+
 /// Guards against frames that are written to a connection which has broken since the last one: the
 /// question where a stream began was lost with each peer after a reset of connections.
 #[rstest]
@@ -151,3 +161,44 @@
         assert_eq!(*sender.failures.borrow(), 0);
     });
 }
+
+/// A frame with a message that only a later release knows.
+fn later_message() -> Vec<u8> {
+    let known = Frame::Follow {
+        to: id::Incarnation(2),
+        kind: "config".into(),
+        message: follow_message::Message::Subscribe,
+    };
+    let mut body = frame::encode(&known)
+        .unwrap()
+        .split_off(frame::LENGTH_BYTES);
+    // The message is the last byte.
+    *body.last_mut().unwrap() = 0x7f;
+    body
+}
+
+/// Guards against a link that is closed on a message of a later release: the frames behind it were lost
+/// while routers were upgraded one after the other.
+#[rstest]
+#[case::later_frame(vec![0x7f, 1, 2, 3])]
+#[case::later_message(later_message())]
+#[case::empty(Vec::new())]
+fn a_frame_that_cannot_be_decoded_does_not_affect_others(#[case] body: Vec<u8>) {
+    assert!(frame::decode(&body).is_err());
+    block_on(async {
+        let receiver = Router::spawn(2);
+        let address = receiver.link.address();
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        let (result, challenge) = stream.read_exact(vec![0; frame::CHALLENGE_BYTES]).await;
+        result.unwrap();
+        let challenge = frame::Challenge::try_from(challenge.as_slice()).unwrap();
+        let hello = frame::Hello::new(KEY, &challenge, id::Incarnation(1), address);
+        let mut bytes = frame::encode(&Frame::Hello(hello)).unwrap();
+        bytes.extend(frame::encode(&numbered(1)).unwrap());
+        bytes.extend(u32::try_from(body.len()).unwrap().to_be_bytes());
+        bytes.extend(body);
+        bytes.extend(frame::encode(&numbered(2)).unwrap());
+        stream.write_all(bytes).await.0.unwrap();
+        receiver.until_received(&[1, 2]).await;
+    });
+}
--- a/crates/peridotrack-kernel/src/event.rs
+++ b/crates/peridotrack-kernel/src/event.rs
@@ -99,7 +99,7 @@
     130 Info PeerJoined,
     /// A peer is no longer live.
     131 Warn PeerLeft,
-    /// A peer's connection was refused or failed authentication.
+    /// A peer's connection was refused or failed authentication, or a frame on it was ignored.
     132 Warn PeerRefused,
     /// Membership reports a pause of this process, a newer process on its VM or a stale version.
     133 Warn MemberNote,
