fix(follow): ask peers of both the own and other failure domains in turn

What callers saw: nothing yet; found by a review. If the store turned away a large failure domain as a whole, its routers asked each other first: with 128 peers in the domain and the 16 of other domains that a router keeps, up to 64 s could pass (from the period of requests, not measured) before one was asked that the store serves.

Cause: all known peers were asked in one random order, in which those of the own domain are far more.

Change: requests go in turn to a peer of another domain and of the own one.

--- a/crates/peridotrack-follow/src/follower.rs
+++ b/crates/peridotrack-follow/src/follower.rs
@@ -128,8 +128,9 @@
     suspects: BTreeMap<id::Incarnation, u64>,
     /// Live peers of all failure domains, without this router.
     all_peers: Vec<id::Incarnation>,
-    /// Position in [`Self::all_peers`] of the peer that is asked for the objects next.
-    next_peer: usize,
+    /// Number of requests to peers for the objects, which go in turn to the own failure domain and to
+    /// the others: the store may turn either away as a whole.
+    requests: usize,
     /// Peer whose objects were adopted last; it is asked each time.
     source: Option<id::Incarnation>,
     /// When a peer may be asked for the objects next.
@@ -156,7 +157,7 @@
             subscribe_at_us: now_us,
             suspects: BTreeMap::new(),
             all_peers: Vec::new(),
-            next_peer: 0,
+            requests: 0,
             source: None,
             fetch_at_us: now_us,
             subscribers: BTreeMap::new(),
@@ -363,12 +364,13 @@
     /// view current.
     fn fetch(&mut self, now_us: u64, actions: &mut Vec<Action>) {
         let is_due = self.failures > 0 && now_us >= self.fetch_at_us;
-        if !is_due || self.is_confirmed(now_us) || self.all_peers.is_empty() {
+        if !is_due || self.is_confirmed(now_us) {
             return;
         }
         self.fetch_at_us = now_us + self.options.fetch_us;
-        self.next_peer = (self.next_peer + 1) % self.all_peers.len();
-        let next = self.all_peers[self.next_peer];
+        let Some(next) = self.next_peer() else {
+            return;
+        };
         let source = self.source.filter(|source| *source != next);
         for to in std::iter::once(next).chain(source) {
             let message = Message::Fetch {
@@ -378,6 +380,23 @@
         }
     }
 
+    /// Returns the peer to ask next; `None` if there is no peer.
+    fn next_peer(&mut self) -> Option<id::Incarnation> {
+        let is_local = |peer: &id::Incarnation| self.peers.contains(peer);
+        let (local, foreign): (Vec<_>, Vec<_>) =
+            self.all_peers.iter().partition(|peer| is_local(peer));
+        let request = self.requests;
+        self.requests += 1;
+        let (asked, position) = match (local.is_empty(), foreign.is_empty()) {
+            (true, true) => return None,
+            (true, false) => (foreign, request),
+            (false, true) => (local, request),
+            (false, false) if request.is_multiple_of(2) => (foreign, request / 2),
+            (false, false) => (local, request / 2),
+        };
+        Some(asked[position % asked.len()])
+    }
+
     /// Sends the objects to a peer that has older ones. Objects that this router fetched itself are not
     /// passed on, so that routers without a source never confirm each other's view.
     fn on_fetch(
--- a/crates/peridotrack-follow/tests/follower.rs
+++ b/crates/peridotrack-follow/tests/follower.rs
@@ -1,5 +1,7 @@
 //! Tests of one follower, event by event.
 
+use std::ops::Range;
+
 use peridotrack_follow::{
     event::{Action, Event},
     follower::{Follower, Options},
@@ -415,3 +417,38 @@
     let is_watch = |action: &Action| matches!(action, Action::Watch { revision: 12, .. });
     assert!(next.iter().any(is_watch));
 }
+
+/// Guards against a router of a large failure domain that asks one peer after another of its own domain,
+/// while the store turns away the domain as a whole.
+#[rstest]
+#[case::domain_turned_away(100..228)]
+#[case::others_turned_away(1_000..1_016)]
+fn peers_of_both_the_own_and_other_failure_domains_are_asked_soon(#[case] turned_away: Range<u64>) {
+    /// Requests within which a peer that the store serves is asked.
+    const REQUESTS: u64 = 4;
+    let local: Vec<_> = (100..228).map(id::Incarnation).collect();
+    let foreign = (1_000..1_016).map(id::Incarnation);
+    let all: Vec<_> = local.iter().copied().chain(foreign).collect();
+    for seed in 0..40 {
+        let options = Options {
+            seed,
+            ..Options::default()
+        };
+        let fetch_us = options.fetch_us;
+        let mut follower = Follower::new(SELF, options, 0);
+        let _ = follower.on_event(0, Event::Peers(local.clone()));
+        let _ = follower.on_event(0, Event::AllPeers(all.clone()));
+        let mut actions = follower.on_event(0, Event::CallFailed);
+        for request in 1..REQUESTS {
+            actions.extend(follower.on_event(request * fetch_us, Event::Tick));
+        }
+        let is_served = |action: &Action| match action {
+            Action::Send {
+                to,
+                message: Message::Fetch { .. },
+            } => !turned_away.contains(&to.0),
+            _ => false,
+        };
+        assert!(actions.iter().any(is_served), "seed {seed}");
+    }
+}
