fix(follow): send objects to the address of the peer that asks

What callers saw: nothing yet; found by a review. In a large fleet most requests for objects across failure domains got no response.

Cause: a router keeps at most 8 peers of each other failure domain, and sent the objects to the address that its membership knew for the sender. If the sender was not among the 8, the response was dropped. With 130 routers in a domain that is 15 of 16 senders.

Change: the response goes to the address that the link states, as that to a request for the configuration does.

Measured: a_peer_that_is_not_known_gets_the_objects_that_it_asks_for failed before and passes now, with 23 other tests of the gateway (peers, directory).

--- a/crates/peridotrack-edge/src/follow.rs
+++ b/crates/peridotrack-edge/src/follow.rs
@@ -143,10 +143,11 @@
     }
 
     /// Handles a message from another router about a kind.
-    pub fn receive(&self, from: id::Incarnation, name: &str, message: Message) {
+    pub fn receive(&self, sender: peer::Sender, name: &str, message: Message) {
         let kinds = self.kinds.borrow();
         if let Some(kind) = kinds.iter().find(|kind| kind.name == name) {
-            kind.handle(Event::Peer { from, message });
+            let from = sender.incarnation;
+            kind.handle_from(Some(sender), Event::Peer { from, message });
         }
     }
 }
@@ -161,6 +162,11 @@
     }
 
     fn handle(self: &Rc<Self>, event: Event) {
+        self.handle_from(None, event);
+    }
+
+    /// Handles an event, with the sender if it is a message.
+    fn handle_from(self: &Rc<Self>, sender: Option<peer::Sender>, event: Event) {
         let now_us = self.kernel.now_us();
         let actions = self.follower.borrow_mut().on_event(now_us, event);
         self.note_source(now_us);
@@ -175,20 +181,32 @@
                     since_loss_us,
                 } => self.change(&changes, since_loss_us),
                 Action::Replace(snapshot) => self.replace(snapshot),
-                Action::SendSnapshot { to, revision } => self.send_snapshot(to, revision),
+                Action::SendSnapshot { revision, .. } => self.send_snapshot(sender, revision),
                 Action::Send { to, message } => self.send(to, message),
             }
         }
     }
 
-    fn send(&self, to: id::Incarnation, message: Message) {
+    fn frame(&self, to: id::Incarnation, message: Message) -> peer::Frame {
         let kind = self.name.to_owned();
-        let frame = peer::Frame::Follow { to, kind, message };
+        peer::Frame::Follow { to, kind, message }
+    }
+
+    fn send(&self, to: id::Incarnation, message: Message) {
+        let frame = self.frame(to, message);
         // If the address is unknown, the peer has just left.
         member::send(&self.kernel, to, &frame);
     }
 
-    fn send_snapshot(&self, to: id::Incarnation, revision: u64) {
+    /// Replies to the sender of a message, which need not be a peer that the membership knows.
+    fn send_snapshot(&self, sender: Option<peer::Sender>, revision: u64) {
+        let members = self
+            .kernel
+            .registry()
+            .find::<member::Member>(member::SERVICE);
+        let (Some(sender), Ok(members)) = (sender, members) else {
+            return;
+        };
         let objects = self.objects.borrow();
         let objects = objects
             .iter()
@@ -199,7 +217,8 @@
             revision,
             objects,
         };
-        self.send(to, Message::Snapshot(snapshot));
+        let frame = self.frame(sender.incarnation, Message::Snapshot(snapshot));
+        members.reply(sender.address, &frame, false);
     }
 
     fn change(&self, changes: &[Change], since_loss_us: Option<u64>) {
--- a/crates/peridotrack-edge/src/gateway.rs
+++ b/crates/peridotrack-edge/src/gateway.rs
@@ -439,7 +439,7 @@
         peer::Frame::Member(message) => members.receive(sender.address, message),
         peer::Frame::Budget { message, .. } => budget.receive(sender.incarnation, message),
         peer::Frame::Follow { kind, message, .. } => {
-            follow.receive(sender.incarnation, &kind, message);
+            follow.receive(sender, &kind, message);
         }
         peer::Frame::Quarantine { author, statement } => {
             quarantine.handle(quarantine_event::Event::Stated { author, statement });
--- a/crates/peridotrack-edge/tests/gateway/peers.rs
+++ b/crates/peridotrack-edge/tests/gateway/peers.rs
@@ -1,10 +1,11 @@
 //! Messages from other routers: a transfer to an earlier incarnation must not be received, and
 //! changes must arrive through a relay as well as from the store.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
 
 use peridotrack_budget::message::{Message, Reply};
 use peridotrack_edge::{gateway::Gateway, peer};
+use peridotrack_follow::message as follow_message;
 use peridotrack_kernel::{Kernel, Options, event, log};
 use peridotrack_standin::{
     harness::{
@@ -363,3 +364,37 @@
         turned_away.until_served(Duration::from_secs(1)).await;
     });
 }
+
+/// Guards against a router of a large failure domain that gets no objects: a peer of another domain knows
+/// only few of its routers.
+#[test]
+fn a_peer_that_is_not_known_gets_the_objects_that_it_asks_for() {
+    block_on(async {
+        let fixture = Fixture::spawn(1).await;
+        let kernel = Kernel::open(Options::default()).unwrap();
+        let settings = settings(&fixture.store);
+        let any = settings.peer_address;
+        let link = peer::Link::bind(kernel, SENDER, any, &settings.peer_key).unwrap();
+        let names = Rc::new(RefCell::new(Vec::new()));
+        let received = Rc::clone(&names);
+        let on_frame = move |_, frame| {
+            if let peer::Frame::Follow {
+                message: follow_message::Message::Snapshot(snapshot),
+                ..
+            } = frame
+            {
+                let objects = snapshot.objects.into_iter();
+                received.borrow_mut().extend(objects.map(|(name, _)| name));
+            }
+        };
+        link.subscribe(on_frame, |_| {});
+        let frame = peer::Frame::Follow {
+            to: fixture.gateway.incarnation(),
+            kind: "servers".into(),
+            message: follow_message::Message::Fetch { after: None },
+        };
+        link.send(fixture.gateway.peer_address(), &frame);
+        let is_received = || *names.borrow() == ["i-0"];
+        wait::until(LIMIT, "objects", is_received).await.unwrap();
+    });
+}
