fix(edge): request from peers only what the store does not send

Cause: a cut of many routers from the store had each fetch the whole configuration, unpacked and although it had not changed since; and in a series of versions each router requested those from peers that its own watch returned a moment later. Silence of servers had two of them probed every 0.4 s.

Change: the configuration is fetched only by its version, and only if the view is older than a watch waits. Silence has one server probed every 2 s; the connection of a probe is kept.

--- a/crates/peridotrack-edge/src/gateway/options.rs
+++ b/crates/peridotrack-edge/src/gateway/options.rs
@@ -301,6 +301,8 @@
         relay_wait_us: (apply_us as f64 * RELAY_WAIT_PART) as u64,
         silence_us: (apply_us as f64 * SILENCE_PART) as u64,
         backoff_max_us: FOLLOW_BACKOFF_MAX_US,
+        // The membership requests a higher version from the peer that advertises it.
+        is_fetched: false,
         // A watch that is cut off after a longer wait could not be told from an outage.
         wait_us: (bounds.contact_ms * clock::US_PER_MS / CONTACT_WAIT_DIVISOR)
             .min(min_outage_us(bounds) * 3 / 4),
@@ -317,6 +319,7 @@
         // matters after an outage of the store.
         relist_after_us: u64::MAX,
         batch_delay_us: bounds.drain_ms * clock::US_PER_MS / DRAIN_BATCH_DIVISOR,
+        is_fetched: true,
         ..follow(bounds)
     }
 }
@@ -332,6 +335,7 @@
         relay_wait_us: wait_us,
         silence_us: 2 * wait_us,
         relist_after_us: u64::MAX,
+        is_fetched: true,
         is_led: true,
         ..follow(bounds)
     }
@@ -347,6 +351,7 @@
         subscribe_us: QUARANTINE_WAIT_US / 8,
         subscription_us: QUARANTINE_WAIT_US / 2,
         relist_after_us: u64::MAX,
+        is_fetched: true,
         is_led: true,
         ..follow(bounds)
     }
--- a/crates/peridotrack-edge/src/gateway/reach.rs
+++ b/crates/peridotrack-edge/src/gateway/reach.rs
@@ -362,11 +362,13 @@
     }
 }
 
-/// Connects directly to a server, only to report whether that succeeds.
+/// Connects directly to a server to report whether that succeeds, and keeps the connection.
 async fn probe(shared: &Rc<Shared>, scope: &Rc<Scope>, server: &name::BackendServer) {
     let address = scope.servers.borrow().get(server).copied();
-    if let Some(address) = address {
-        let _ = connect_direct(shared, scope, server, address, options::backend()).await;
+    let Some(address) = address else { return };
+    let connected = connect_direct(shared, scope, server, address, options::backend()).await;
+    if let Ok(connection) = connected {
+        keep(shared, connection);
     }
 }
 
--- a/crates/peridotrack-edge/src/member.rs
+++ b/crates/peridotrack-edge/src/member.rs
@@ -18,6 +18,7 @@
     message::{Message, Record, State},
     peer as member_peer,
 };
+use peridotrack_platform::site;
 use peridotrack_route::throttle;
 use peridotrack_types::{id, name};
 
@@ -32,6 +33,9 @@
 const TICK_US: u64 = 100 * clock::US_PER_MS;
 /// Minimum period between two reads of the platform's list of VMs, in microseconds.
 const LIST_PERIOD_US: u64 = clock::US_PER_S;
+/// Age of the view up to which a configuration is not requested from a peer, in microseconds: longer
+/// than the wait of a watch.
+const MAX_CONFIG_AGE_US: u64 = 2 * clock::US_PER_S;
 /// Approximate size of an entry in the platform's list of VMs, in bytes.
 const LIST_ENTRY_BYTES: u64 = 66;
 /// Average bandwidth for reads of the list, in bytes per second; a long list is read less often.
@@ -268,6 +272,8 @@
                         budget.peer_lost(peer.record.incarnation);
                     }
                 }
+                // It is already on its way.
+                Action::FetchConfigFrom { .. } if self.follows_config() => {}
                 Action::FetchConfigFrom { address, .. } => {
                     let above_version = self.members.borrow().config_version();
                     self.link
@@ -283,6 +289,14 @@
         }
     }
 
+    /// Returns whether the store or a relay has confirmed the configuration recently, so that a higher
+    /// version comes from there.
+    fn follows_config(&self) -> bool {
+        let follow = self.find_service::<follow::Follow>(follow::SERVICE);
+        let age_us = follow.ok().and_then(|follow| follow.age_us(site::KIND));
+        age_us.is_some_and(|age_us| age_us < MAX_CONFIG_AGE_US)
+    }
+
     fn with_config(&self, call: impl FnOnce(Rc<config::Configuration>)) {
         if let Ok(config) = self.find_service::<config::Configuration>(config::SERVICE) {
             call(config);
--- a/crates/peridotrack-follow/src/follower.rs
+++ b/crates/peridotrack-follow/src/follower.rs
@@ -50,8 +50,10 @@
     pub subscription_us: u64,
     /// Time for which a silent relay is not chosen again, in microseconds.
     pub suspect_us: u64,
-    /// Period at which a router that neither the store nor a relay keeps current asks a peer for the
-    /// objects, in microseconds.
+    /// Whether a router that neither the store nor a relay keeps current asks peers for the objects. It
+    /// must not for a kind that is large and comes from peers in another way.
+    pub is_fetched: bool,
+    /// Period at which such a router asks a peer, in microseconds.
     pub fetch_us: u64,
     /// Maximum content of one update, in bytes. Of larger changes only the revision is sent, so
     /// that the subscribers read them from the store.
@@ -78,6 +80,7 @@
             subscribe_us: 500_000,
             subscription_us: 2_000_000,
             suspect_us: 4_000_000,
+            is_fetched: true,
             fetch_us: 500_000,
             max_update_bytes: 16 * 1024,
             is_led: false,
@@ -364,7 +367,7 @@
     /// view current.
     fn fetch(&mut self, now_us: u64, actions: &mut Vec<Action>) {
         let is_due = self.failures > 0 && now_us >= self.fetch_at_us;
-        if !is_due || self.is_confirmed(now_us) {
+        if !is_due || !self.options.is_fetched || self.is_confirmed(now_us) {
             return;
         }
         self.fetch_at_us = now_us + self.options.fetch_us;
--- a/crates/peridotrack-reach/src/options.rs
+++ b/crates/peridotrack-reach/src/options.rs
@@ -14,7 +14,10 @@
 /// so that it only causes probes.
 const SILENCE_US: u64 = 400 * US_PER_MS;
 /// Servers probed because of silence: a failure of one of them has more probed.
-const PROBED_AT_SILENCE: usize = 2;
+const PROBED_AT_SILENCE: usize = 1;
+/// Period of the probes while silence lasts, in microseconds: routers with few requests are often
+/// without a response for that long.
+const SILENCE_INTERVAL_US: u64 = 2_000 * US_PER_MS;
 /// Period of the probes during a partition, in microseconds: direct connections return within this
 /// time and that of one connection.
 const PROBE_INTERVAL_US: u64 = 250 * US_PER_MS;
@@ -36,6 +39,8 @@
     pub silence_us: u64,
     /// Number of servers probed because of silence.
     pub probed_at_silence: usize,
+    /// Period of the probes while silence lasts, in microseconds.
+    pub silence_interval_us: u64,
     /// Period of the probes during a partition, in microseconds.
     pub probe_interval_us: u64,
     /// Time after which probes without a result are given up, in microseconds.
@@ -50,6 +55,7 @@
             probed_servers: PROBED_SERVERS,
             silence_us: SILENCE_US,
             probed_at_silence: PROBED_AT_SILENCE,
+            silence_interval_us: SILENCE_INTERVAL_US,
             probe_interval_us: PROBE_INTERVAL_US,
             round_timeout_us: ROUND_TIMEOUT_US,
         }
--- a/crates/peridotrack-reach/src/reach.rs
+++ b/crates/peridotrack-reach/src/reach.rs
@@ -184,7 +184,7 @@
                 self.draw(1, actions);
             }
             Path::Direct if is_silent && self.round.is_none() => {
-                self.next_probe_us = now_us + self.options.silence_us;
+                self.next_probe_us = now_us + self.options.silence_interval_us;
                 self.draw(self.options.probed_at_silence, actions);
             }
             Path::Direct => {}
