--- a/crates/peridotrack-reach/src/reach.rs
+++ b/crates/peridotrack-reach/src/reach.rs
@@ -70,10 +70,9 @@
         self.round.is_some()
     }
 
-    /// Returns whether a direct connection was established at `since_us` (monotonic microseconds) or
-    /// later.
+    /// Returns whether a direct connection was established after `since_us` (monotonic microseconds).
     pub fn has_connected_since(&self, since_us: u64) -> bool {
-        self.connected_us.is_some_and(|at_us| at_us >= since_us)
+        self.connected_us.is_some_and(|at_us| at_us > since_us)
     }
 }
 
