--- a/crates/peridotrack-edge/src/follow.rs
+++ b/crates/peridotrack-edge/src/follow.rs
@@ -67,6 +67,8 @@
     on_update: OnUpdate,
     /// Content of the objects by name, for peers that the store turns away.
     objects: RefCell<BTreeMap<String, Bytes>>,
+    /// Whether `objects` lacks none.
+    is_complete: Cell<bool>,
     /// Kind whose follower leads that of this kind, if it is led.
     leader: Option<Rc<Kind>>,
     /// Whether a peer kept the view current at the last event.
@@ -95,6 +97,7 @@
             follower: RefCell::new(Follower::new(incarnation, options, kernel.now_us())),
             on_update: Box::new(on_update),
             objects: RefCell::default(),
+            is_complete: Cell::default(),
             was_relayed: Cell::new(false),
             subscription: RefCell::default(),
         });
@@ -140,10 +143,11 @@
     }
 
     /// Handles a message from another router about a kind.
-    pub fn receive(&self, from: id::Incarnation, name: &str, message: Message) {
+    pub fn receive(&self, sender: peer::Sender, name: &str, message: Message) {
         let kinds = self.kinds.borrow();
         if let Some(kind) = kinds.iter().find(|kind| kind.name == name) {
-            kind.handle(Event::Peer { from, message });
+            let from = sender.incarnation;
+            kind.handle_from(Some(sender), Event::Peer { from, message });
         }
     }
 }
@@ -158,6 +162,11 @@
     }
 
     fn handle(self: &Rc<Self>, event: Event) {
+        self.handle_from(None, event);
+    }
+
+    /// Handles an event, with the sender if it is a message.
+    fn handle_from(self: &Rc<Self>, sender: Option<peer::Sender>, event: Event) {
         let now_us = self.kernel.now_us();
         let actions = self.follower.borrow_mut().on_event(now_us, event);
         self.note_source(now_us);
@@ -172,26 +181,44 @@
                     since_loss_us,
                 } => self.change(&changes, since_loss_us),
                 Action::Replace(snapshot) => self.replace(snapshot),
-                Action::SendSnapshot { to, revision } => self.send_snapshot(to, revision),
+                Action::SendSnapshot { revision, .. } => self.send_snapshot(sender, revision),
                 Action::Send { to, message } => self.send(to, message),
             }
         }
     }
 
-    fn send(&self, to: id::Incarnation, message: Message) {
+    fn frame(&self, to: id::Incarnation, message: Message) -> peer::Frame {
         let kind = self.name.to_owned();
-        let frame = peer::Frame::Follow { to, kind, message };
+        peer::Frame::Follow { to, kind, message }
+    }
+
+    fn send(&self, to: id::Incarnation, message: Message) {
+        let frame = self.frame(to, message);
         // If the address is unknown, the peer has just left.
         member::send(&self.kernel, to, &frame);
     }
 
-    fn send_snapshot(&self, to: id::Incarnation, revision: u64) {
+    /// Replies to the sender of a message, which need not be a peer that the membership knows.
+    fn send_snapshot(&self, sender: Option<peer::Sender>, revision: u64) {
+        let members = self
+            .kernel
+            .registry()
+            .find::<member::Member>(member::SERVICE);
+        let (Some(sender), Ok(members)) = (sender, members) else {
+            return;
+        };
         let objects = self.objects.borrow();
         let objects = objects
             .iter()
             .map(|(name, content)| (name.clone(), content.to_vec()))
             .collect();
-        self.send(to, Message::Snapshot(Snapshot { revision, objects }));
+        let snapshot = Snapshot {
+            is_complete: self.is_complete.get(),
+            revision,
+            objects,
+        };
+        let frame = self.frame(sender.incarnation, Message::Snapshot(snapshot));
+        members.reply(sender.address, &frame, false);
     }
 
     fn change(&self, changes: &[Change], since_loss_us: Option<u64>) {
@@ -224,7 +251,7 @@
             .with("objects", objects.len() as u64)
             .with("revision", snapshot.revision);
         self.kernel.note(event);
-        self.set_listing(&objects, true);
+        self.set_listing(&objects, snapshot.is_complete);
     }
 
     fn set_listing(&self, objects: &[store::Object], is_complete: bool) {
@@ -237,6 +264,7 @@
             .map(|object| (object.name.clone(), object.content.clone()));
         contents.extend(listed);
         drop(contents);
+        self.is_complete.set(is_complete);
         (self.on_update)(Update::Listing {
             objects,
             is_complete,
@@ -257,7 +285,9 @@
     async fn list(self: Rc<Self>) {
         let event = match self.platform.list(self.name).await {
             Ok(listing) => {
-                self.set_listing(&listing.objects, listing.is_complete);
+                if self.follower.borrow().accepts_list(listing.revision) {
+                    self.set_listing(&listing.objects, listing.is_complete);
+                }
                 Event::Listed {
                     revision: listing.revision,
                 }
--- a/crates/peridotrack-edge/src/gateway.rs
+++ b/crates/peridotrack-edge/src/gateway.rs
@@ -14,6 +14,7 @@
 mod liveness;
 mod options;
 mod probe;
+mod reach;
 mod request;
 mod reservation;
 mod response;
@@ -21,6 +22,7 @@
 mod server;
 mod site;
 mod stream;
+mod tunnel;
 
 use std::{cell::Cell, net::SocketAddr, rc::Rc, sync::Arc};
 
@@ -96,6 +98,8 @@
     directory: directory::Directory,
     evacuations: evacuation::Evacuations,
     checks: liveness::Checks,
+    tunnels: tunnel::Tunnels,
+    reach: reach::Reach,
     stopping: Rc<stopping::Stopping<Arc<str>>>,
     sequence: Cell<u64>,
 }
@@ -190,12 +194,16 @@
             directory: directory::Directory::default(),
             evacuations: evacuation::Evacuations::default(),
             checks: liveness::Checks::default(),
+            tunnels: tunnel::Tunnels::new(&kernel),
+            reach: reach::Reach::default(),
             stopping: Rc::new(stopping::Stopping::new(&kernel)),
             sequence: Cell::new(0),
             settings,
             kernel,
         });
         subscribe(&shared);
+        tunnel::subscribe(&shared);
+        reach::spawn(&shared);
         let clients = server::Server::bind(&shared)
             .map_err(|error| listen_error("clients", shared.settings.client_address, &error))?;
         capacity::observe(&shared, &clients);
@@ -324,6 +332,9 @@
         // Tokens of grants that are not returned cannot be spent any more, so closing the budget
         // may use all the remaining time.
         let is_budget_closed = self.shared.budget.close(close_us).await;
+        // Requests in tunnels are charged by the routers that opened them.
+        let tunnels = &self.shared.tunnels;
+        tunnels.drain(kernel, times.stop.finish_us).await;
         let outcome = Outcome {
             cut_requests: self.clients.drain(close_us).await,
             is_budget_closed,
@@ -332,6 +343,7 @@
         self.shared.member.stop();
         kernel.timer().sleep_us(LEAVE_NOTICE_US).await;
         self.shared.link.stop();
+        tunnels.cut();
         let kind = match outcome.cut_requests {
             0 => event::Kind::RouterStopped,
             _ => event::Kind::RouterCut,
@@ -427,7 +439,7 @@
         peer::Frame::Member(message) => members.receive(sender.address, message),
         peer::Frame::Budget { message, .. } => budget.receive(sender.incarnation, message),
         peer::Frame::Follow { kind, message, .. } => {
-            follow.receive(sender.incarnation, &kind, message);
+            follow.receive(sender, &kind, message);
         }
         peer::Frame::Quarantine { author, statement } => {
             quarantine.handle(quarantine_event::Event::Stated { author, statement });
--- a/crates/peridotrack-edge/src/gateway/directory.rs
+++ b/crates/peridotrack-edge/src/gateway/directory.rs
@@ -7,6 +7,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
     rc::Rc,
 };
 
@@ -16,7 +17,7 @@
 use peridotrack_route::cold;
 use peridotrack_types::{name, register, rules, site};
 
-use super::{Shared, liveness};
+use super::{Shared, liveness, reach};
 use crate::follow::Update;
 
 /// Time after an outage of the store in which backend servers renew entries that expired, in
@@ -58,6 +59,19 @@
         self.is_listed.get()
     }
 
+    /// Returns the address of a server, `None` if it has no entry.
+    pub(super) fn address(&self, name: &name::BackendServer) -> Option<SocketAddr> {
+        let entries = self.entries.borrow();
+        entries.get(name).map(|entry| entry.server.address)
+    }
+
+    /// Returns the service of a server, empty if it has no entry.
+    pub(super) fn service(&self, name: &name::BackendServer) -> name::Service {
+        let entries = self.entries.borrow();
+        let entry = entries.get(name);
+        entry.map_or_else(|| "".into(), |entry| entry.server.service.clone())
+    }
+
     /// Returns the software version of a server, empty if it has no entry.
     pub(super) fn software_version(&self, name: &name::BackendServer) -> name::SoftwareVersion {
         let entries = self.entries.borrow();
@@ -111,7 +125,7 @@
     /// Passes the backend servers of known services that are not draining to the routing service.
     ///
     /// Does nothing until a configuration is known.
-    pub(super) fn apply(&self, shared: &Shared) {
+    pub(super) fn apply(&self, shared: &Rc<Shared>) {
         let Some(config) = shared.site.get() else {
             return;
         };
@@ -122,22 +136,21 @@
                 region: region.clone(),
             });
         }
+        let mut services = reach::Services::new();
         let entries = self.entries.borrow();
         for server in entries.values().map(|entry| &entry.server) {
             if server.is_draining {
                 continue;
             }
-            let service = config
-                .site
-                .services
-                .iter()
-                .find(|service| service.name == server.service);
-            match service {
-                Some(service) if service.engine.is_some() => {
-                    register.engines.push(engine(server));
-                }
-                Some(_) => register.services.push(service_server(server)),
-                None => {}
+            let mut configured = config.site.services.iter();
+            let Some(service) = configured.find(|service| service.name == server.service) else {
+                continue;
+            };
+            let servers = services.entry(service.name.clone()).or_default();
+            servers.insert(server.name.clone(), server.address);
+            match service.engine {
+                Some(_) => register.engines.push(engine(server)),
+                None => register.services.push(service_server(server)),
             }
         }
         let servers = entries.values().map(|entry| {
@@ -165,6 +178,7 @@
             shared.throttle.set_servers(servers.collect());
         }
         drop(entries);
+        reach::set_servers(shared, services);
         shared.route.configure(&register, &rules::Rules::default());
     }
 
--- a/crates/peridotrack-edge/src/gateway/options.rs
+++ b/crates/peridotrack-edge/src/gateway/options.rs
@@ -8,7 +8,7 @@
 use peridotrack_budget::options as budget_options;
 use peridotrack_capacity::{account, connections};
 use peridotrack_follow::follower;
-use peridotrack_http::client;
+use peridotrack_http::{client, forward};
 use peridotrack_kernel::clock;
 use peridotrack_origin::origins;
 use peridotrack_route::{options as route_options, stop, throttle};
@@ -17,7 +17,7 @@
     name,
 };
 
-use crate::{member, stopping};
+use crate::{member, peer, stopping};
 
 /// Time at the end of the grace period that is reserved for closing the budget, in microseconds;
 /// closing may take longer if open requests end earlier.
@@ -91,6 +91,8 @@
 /// Square of the store's write rate (calls per second) per shard of the ledger. The write rate
 /// grows with the fleet, and so do both the draws and the coordinators that they contend with.
 const SQUARED_WRITES_PER_SHARD: u64 = 40_000;
+/// Maximum number of shards of the ledger: each router keeps a state of each, of some hundred bytes.
+const MAX_SHARDS: u64 = 4_096;
 /// Span that a coordinator's grant covers while an account is scarce, in microseconds: long
 /// compared with the duration of a draw, short because the loss of a coordinator strands its
 /// grant.
@@ -193,6 +195,14 @@
 /// Numerator and divisor of the part of the sockets that clients may use; the others are for backend
 /// servers, peers and the store.
 const CLIENT_SOCKETS_PART: (usize, usize) = (2, 3);
+/// Numerator and divisor of the part of the sockets that tunnels of other routers may use, which leaves
+/// as many for this router's own connections to backend servers, peers and the store.
+const TUNNEL_SOCKETS_PART: (usize, usize) = (1, 6);
+/// Sockets of one tunnel: one to the other router, one to the backend server.
+const SOCKETS_PER_TUNNEL: usize = 2;
+/// Time by which the idle timeout of a tunnel exceeds the longest silence of a response, in
+/// milliseconds.
+const TUNNEL_IDLE_MARGIN_MS: u64 = 5_000;
 /// Time in which a client may send its first request before its connection can be closed for another
 /// one, in microseconds.
 const FIRST_REQUEST_AGE_US: u64 = 500 * clock::US_PER_MS;
@@ -222,14 +232,21 @@
     }
 }
 
+/// Returns the maximum number of tunnels that are served at a time.
+pub(super) fn max_tunnels(settings: &Settings) -> usize {
+    let (numerator, divisor) = TUNNEL_SOCKETS_PART;
+    settings.sockets * numerator / divisor / SOCKETS_PER_TUNNEL
+}
+
 /// Returns the options of the budget holder.
 ///
 /// The shard count depends only on the store's write rate, so that all routers of a deployment
 /// agree on it.
 pub(super) fn ledger(settings: &Settings) -> budget_options::Options {
     let shard_count = settings.store_writes_per_s.pow(2) / SQUARED_WRITES_PER_SHARD;
+    let shard_count = shard_count.clamp(1, MAX_SHARDS);
     budget_options::Options {
-        shard_count: u32::try_from(shard_count.max(1)).unwrap_or(u32::MAX),
+        shard_count: u32::try_from(shard_count).unwrap_or(u32::MAX),
         grant_span_us: DRAW_SPAN_US,
         give_span_us: TRANSFER_SPAN_US,
         buffer_span_us: DRAW_SPAN_US,
@@ -284,6 +301,8 @@
         relay_wait_us: (apply_us as f64 * RELAY_WAIT_PART) as u64,
         silence_us: (apply_us as f64 * SILENCE_PART) as u64,
         backoff_max_us: FOLLOW_BACKOFF_MAX_US,
+        // The membership requests a higher version from the peer that advertises it.
+        is_fetched: false,
         // A watch that is cut off after a longer wait could not be told from an outage.
         wait_us: (bounds.contact_ms * clock::US_PER_MS / CONTACT_WAIT_DIVISOR)
             .min(min_outage_us(bounds) * 3 / 4),
@@ -300,6 +319,7 @@
         // matters after an outage of the store.
         relist_after_us: u64::MAX,
         batch_delay_us: bounds.drain_ms * clock::US_PER_MS / DRAIN_BATCH_DIVISOR,
+        is_fetched: true,
         ..follow(bounds)
     }
 }
@@ -315,6 +335,7 @@
         relay_wait_us: wait_us,
         silence_us: 2 * wait_us,
         relist_after_us: u64::MAX,
+        is_fetched: true,
         is_led: true,
         ..follow(bounds)
     }
@@ -330,6 +351,7 @@
         subscribe_us: QUARANTINE_WAIT_US / 8,
         subscription_us: QUARANTINE_WAIT_US / 2,
         relist_after_us: u64::MAX,
+        is_fetched: true,
         is_led: true,
         ..follow(bounds)
     }
@@ -391,6 +413,17 @@
     }
 }
 
+/// Returns the timeouts of tunnels, which are silent for longer than a response may be and than a
+/// pooled connection is kept.
+pub(super) fn tunnel() -> forward::Options {
+    let backend = backend();
+    let silence_ms = backend.response_timeout_ms.max(backend.chunk_timeout_ms);
+    forward::Options {
+        idle_timeout_ms: silence_ms + TUNNEL_IDLE_MARGIN_MS,
+        keepalive_ms: peer::tunnel::KEEPALIVE_MS,
+    }
+}
+
 /// Returns the times of a stop that begins at `begun_us` (monotonic microseconds) and ends with the
 /// operators' grace period.
 pub(super) fn stop_times(begun_us: u64, bounds: &Bounds) -> stopping::Times {
--- a/crates/peridotrack-edge/src/peer/frame.rs
+++ b/crates/peridotrack-edge/src/peer/frame.rs
@@ -119,13 +119,25 @@
     },
     /// Where streams began, and questions about it.
     Origin(origin_message::Message),
+    /// Requests a connection to a backend server; the last frame of a link. The accepting router
+    /// answers with a status byte, after which the stream carries the connection's bytes.
+    Tunnel {
+        /// Incarnation that alone may handle the frame; after a restart another one may listen on
+        /// the same address.
+        to: id::Incarnation,
+        /// Name of the backend server to connect to.
+        backend_server: name::BackendServer,
+    },
 }
 
 impl Frame {
     /// Returns the incarnation that alone may handle the frame, or `None` if any may.
     pub fn recipient(&self) -> Option<id::Incarnation> {
         match self {
-            Self::Budget { to, .. } | Self::Usage { to, .. } | Self::Follow { to, .. } => Some(*to),
+            Self::Budget { to, .. }
+            | Self::Usage { to, .. }
+            | Self::Follow { to, .. }
+            | Self::Tunnel { to, .. } => Some(*to),
             Self::Hello(_)
             | Self::Member(_)
             | Self::Leaving { .. }
@@ -195,9 +207,17 @@
 }
 
 /// Encodes a frame, length prefix included.
+///
+/// # Errors
+///
+/// Fails if the frame is longer than [`FRAME_BYTES`]: its receiver would close the link, and frames
+/// behind it would be lost.
 pub fn encode(frame: &Frame) -> Result<Vec<u8>, postcard::Error> {
     let body = postcard::to_stdvec(frame)?;
-    let length = u32::try_from(body.len()).map_err(|_| postcard::Error::SerializeBufferFull)?;
+    let length = u32::try_from(body.len())
+        .ok()
+        .filter(|_| body.len() <= FRAME_BYTES)
+        .ok_or(postcard::Error::SerializeBufferFull)?;
     let mut bytes = Vec::with_capacity(LENGTH_BYTES + body.len());
     bytes.extend_from_slice(&length.to_be_bytes());
     bytes.extend_from_slice(&body);
--- a/crates/peridotrack-edge/src/peer/link.rs
+++ b/crates/peridotrack-edge/src/peer/link.rs
@@ -19,9 +19,12 @@
 };
 use peridotrack_http::listen;
 use peridotrack_kernel::{Kernel, event};
-use peridotrack_types::{collections, id};
+use peridotrack_types::{collections, id, name};
 
-use super::frame::{self, Frame};
+use super::{
+    frame::{self, Frame},
+    tunnel,
+};
 use crate::{acceptor, metric};
 
 /// Timeout of connecting and authenticating, in milliseconds.
@@ -76,6 +79,7 @@
 
 type OnFrame = Rc<dyn Fn(Sender, Frame)>;
 type OnFailure = Rc<dyn Fn(SocketAddr)>;
+type OnTunnel = Rc<dyn Fn(Sender, name::BackendServer, TcpStream)>;
 
 /// Queue of a link that this router dialled.
 struct Outgoing {
@@ -92,8 +96,10 @@
     outgoing: RefCell<collections::HashMap<SocketAddr, Outgoing>>,
     on_frame: RefCell<Option<OnFrame>>,
     on_failure: RefCell<Option<OnFailure>>,
+    pub(super) on_tunnel: RefCell<Option<OnTunnel>>,
     acceptor: RefCell<Option<Rc<acceptor::Acceptor>>>,
     sent_bytes: metrics::Counter,
+    pub(super) opened_tunnels: metrics::Counter,
 }
 
 /// Listens for peers, sets the callbacks and stops the links.
@@ -113,6 +119,7 @@
         let listener = listen::bind(address).map_err(io)?;
         let address = listener.local_addr().map_err(io)?;
         let sent_bytes = kernel.meter().counter(metric::PEER_SENT_BYTES);
+        let opened_tunnels = kernel.meter().counter(metric::OPENED_TUNNELS);
         let link = Rc::new(Self {
             kernel,
             incarnation,
@@ -121,8 +128,10 @@
             outgoing: RefCell::default(),
             on_frame: RefCell::default(),
             on_failure: RefCell::default(),
+            on_tunnel: RefCell::default(),
             acceptor: RefCell::default(),
             sent_bytes,
+            opened_tunnels,
         });
         let weak = Rc::downgrade(&link);
         let acceptor = acceptor::Acceptor::spawn(listener, move |stream, peer| {
@@ -153,6 +162,7 @@
         self.outgoing.borrow_mut().clear();
         self.on_frame.borrow_mut().take();
         self.on_failure.borrow_mut().take();
+        self.on_tunnel.borrow_mut().take();
     }
 }
 
@@ -173,7 +183,8 @@
             .is_some_and(|acceptor| acceptor.is_stopped())
     }
 
-    /// Queues a frame for the peer at `address`. A frame that cannot be delivered is dropped.
+    /// Queues a frame for the peer at `address`. A frame that is too long or cannot be delivered is
+    /// dropped.
     pub fn send(self: &Rc<Self>, address: SocketAddr, frame: &Frame) {
         let Ok(bytes) = frame::encode(frame) else {
             return;
@@ -276,7 +287,7 @@
         }
     }
 
-    async fn connect(&self, peer: SocketAddr) -> Result<TcpStream, Error> {
+    pub(super) async fn connect(&self, peer: SocketAddr) -> Result<TcpStream, Error> {
         let io = |source| Error::Io {
             step: "connect to",
             peer,
@@ -311,8 +322,24 @@
     async fn read_frames(&self, mut stream: TcpStream, peer: SocketAddr) -> Result<(), Error> {
         let authenticate = self.authenticate(&mut stream, peer);
         let sender = with_timeout("authenticate", peer, HANDSHAKE_TIMEOUT_MS, authenticate).await?;
+        let mut has_ignored = false;
         while !self.is_stopped() {
-            let frame = read_frame(&mut stream, peer).await?;
+            let body = read_body(&mut stream, peer).await?;
+            let frame = match decode(&body, peer) {
+                Ok(frame) => frame,
+                // A peer of a later release may send frames that this one does not know.
+                Err(error) => {
+                    if !std::mem::replace(&mut has_ignored, true) {
+                        let event = event::Event::new(event::Kind::PeerRefused);
+                        self.kernel.note(event.with("error", error.to_string()));
+                    }
+                    continue;
+                }
+            };
+            if let Frame::Tunnel { to, backend_server } = frame {
+                self.pass_tunnel(sender, to, backend_server, stream).await;
+                return Ok(());
+            }
             // A frame for an earlier incarnation at this address is dropped.
             if frame.recipient().is_some_and(|to| to != self.incarnation) {
                 continue;
@@ -325,6 +352,25 @@
         Ok(())
     }
 
+    /// Passes the stream of a tunnel to the callback, or declines it.
+    async fn pass_tunnel(
+        &self,
+        sender: Sender,
+        to: id::Incarnation,
+        backend_server: name::BackendServer,
+        mut stream: TcpStream,
+    ) {
+        let on_tunnel = self.on_tunnel.borrow().clone();
+        match on_tunnel {
+            Some(on_tunnel) if to == self.incarnation => on_tunnel(sender, backend_server, stream),
+            _ => {
+                let declined = vec![tunnel::Status::Declined.encode()];
+                // A router that has gone needs no answer.
+                let _ = stream.write_all(declined).await;
+            }
+        }
+    }
+
     async fn authenticate(
         &self,
         stream: &mut TcpStream,
@@ -359,6 +405,19 @@
 }
 
 async fn read_frame(stream: &mut TcpStream, peer: SocketAddr) -> Result<Frame, Error> {
+    decode(&read_body(stream, peer).await?, peer)
+}
+
+fn decode(body: &[u8], peer: SocketAddr) -> Result<Frame, Error> {
+    frame::decode(body).map_err(|error| Error::Protocol {
+        step: "decode a frame from",
+        peer,
+        detail: error.to_string(),
+    })
+}
+
+/// Reads a frame without its length prefix.
+async fn read_body(stream: &mut TcpStream, peer: SocketAddr) -> Result<Vec<u8>, Error> {
     let io = |source| Error::Io {
         step: "read from",
         peer,
@@ -377,11 +436,7 @@
     }
     let (result, body) = stream.read_exact(vec![0; length]).await;
     result.map_err(io)?;
-    frame::decode(&body).map_err(|error| Error::Protocol {
-        step: "decode a frame from",
-        peer,
-        detail: error.to_string(),
-    })
+    Ok(body)
 }
 
 async fn with_timeout<T>(
--- a/crates/peridotrack-edge/tests/gateway/peers.rs
+++ b/crates/peridotrack-edge/tests/gateway/peers.rs
@@ -1,10 +1,11 @@
 //! Messages from other routers: a transfer to an earlier incarnation must not be received, and
 //! changes must arrive through a relay as well as from the store.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
 
 use peridotrack_budget::message::{Message, Reply};
 use peridotrack_edge::{gateway::Gateway, peer};
+use peridotrack_follow::message as follow_message;
 use peridotrack_kernel::{Kernel, Options, event, log};
 use peridotrack_standin::{
     harness::{
@@ -138,6 +139,23 @@
     config
 }
 
+/// Starts two gateways, of which the first relays changes to the second.
+async fn relay_and_follower(store: &store::Handle) -> (ProxiedGateway, ProxiedGateway) {
+    let first = ProxiedGateway::spawn(store, Vec::new());
+    let second = ProxiedGateway::spawn(store, vec![first.gateway.peer_address()]);
+    let (relay, follower) = match first.gateway.incarnation() < second.gateway.incarnation() {
+        true => (first, second),
+        false => (second, first),
+    };
+    relay.until_route("/safe/", LIMIT).await;
+    follower.until_route("/safe/", LIMIT).await;
+    let relayed = || follower.gateway.is_relayed("config");
+    wait::until(LIMIT, "relayed configuration", relayed)
+        .await
+        .unwrap();
+    (relay, follower)
+}
+
 /// One of two gateways relays changes to the other, the follower. The follower must apply a relayed
 /// change while its connection to the store is blocked, and a change from the store while the
 /// connection of its relay is blocked.
@@ -148,18 +166,7 @@
         let backend = backend::spawn().unwrap();
         store.put("servers", "i-0", entry(&backend));
         store.put("config", "main", config(1, 1_000_000));
-        let first = ProxiedGateway::spawn(&store, Vec::new());
-        let second = ProxiedGateway::spawn(&store, vec![first.gateway.peer_address()]);
-        let (relay, follower) = match first.gateway.incarnation() < second.gateway.incarnation() {
-            true => (first, second),
-            false => (second, first),
-        };
-        relay.until_route("/safe/", LIMIT).await;
-        follower.until_route("/safe/", LIMIT).await;
-        let relayed = || follower.gateway.is_relayed("config");
-        wait::until(LIMIT, "relayed configuration", relayed)
-            .await
-            .unwrap();
+        let (relay, follower) = relay_and_follower(&store).await;
         let apply = Duration::from_millis(settings(&store).bounds.config_apply_ms);
         follower.store_link.set(relay::Link::Stalled);
         store.put("config", "main", extended(2, "/second/"));
@@ -172,6 +179,31 @@
     });
 }
 
+/// A relay announces a large configuration without its content, and the follower reads it from the store.
+/// Connections of earlier watches that fell silent in the meantime must not delay that.
+#[test]
+fn a_large_configuration_is_applied_in_time_after_idle_connections_fell_silent() {
+    const ADDED_BYTES: usize = 40_000;
+    const SILENCE: Duration = Duration::from_secs(1);
+    block_on(async {
+        let store = store::spawn().unwrap();
+        let backend = backend::spawn().unwrap();
+        store.put("servers", "i-0", entry(&backend));
+        store.put("config", "main", config(1, 1_000_000));
+        let (_relay, follower) = relay_and_follower(&store).await;
+        // The watches that the follower began before it had a relay end in the meantime.
+        let bounds = settings(&store).bounds;
+        monoio::time::sleep(Duration::from_millis(bounds.contact_ms)).await;
+        follower.store_link.silence_connections();
+        monoio::time::sleep(SILENCE).await;
+        let mut large = extended(2, "/second/");
+        large["comment"] = json!("x".repeat(ADDED_BYTES));
+        store.put("config", "main", large);
+        let apply = Duration::from_millis(bounds.config_apply_ms);
+        follower.until_route("/second/", apply).await;
+    });
+}
+
 #[test]
 fn the_newest_readable_of_several_configurations_is_applied() {
     block_on(async {
@@ -296,3 +328,73 @@
         assert!(server.arrivals() >= 3);
     });
 }
+
+/// Guards against the removal of servers that a peer does not know, because it cannot read the list to
+/// its end.
+#[test]
+fn a_known_server_is_kept_if_a_peer_does_not_know_all() {
+    block_on(async {
+        let store = store::spawn().unwrap();
+        let backend = backend::spawn().unwrap();
+        store.put("servers", "i-0", entry(&backend));
+        store.put("config", "main", config(1, 1_000_000));
+        let turned_away = ProxiedGateway::spawn(&store, Vec::new());
+        turned_away.until_served(LIMIT).await;
+        turned_away.store_link.set(relay::Link::Cut);
+        for name in ["batch-0", "batch-1"] {
+            store.put("servers", name, json!({"service": "batch"}));
+            store.make_malformed("servers", name, store::Flaw::Name);
+        }
+        let seeds = vec![turned_away.gateway.peer_address()];
+        let _partial = ProxiedGateway::spawn_in(&store, "b", seeds);
+        let is_fetched = || {
+            let events = turned_away.gateway.kernel().timeline().after(0);
+            let servers = event::Value::from("servers");
+            let mut fetched = events
+                .iter()
+                .filter(|event| &*event.name == "ObjectsFetched");
+            fetched.any(|event| event.fields["kind"] == servers)
+        };
+        wait::until(LIMIT, "fetched objects", is_fetched)
+            .await
+            .unwrap();
+        turned_away.store_link.set(relay::Link::Open);
+        // Time in which missing entries are kept after an outage.
+        monoio::time::sleep(Duration::from_secs(4)).await;
+        turned_away.until_served(Duration::from_secs(1)).await;
+    });
+}
+
+/// Guards against a router of a large failure domain that gets no objects: a peer of another domain knows
+/// only few of its routers.
+#[test]
+fn a_peer_that_is_not_known_gets_the_objects_that_it_asks_for() {
+    block_on(async {
+        let fixture = Fixture::spawn(1).await;
+        let kernel = Kernel::open(Options::default()).unwrap();
+        let settings = settings(&fixture.store);
+        let any = settings.peer_address;
+        let link = peer::Link::bind(kernel, SENDER, any, &settings.peer_key).unwrap();
+        let names = Rc::new(RefCell::new(Vec::new()));
+        let received = Rc::clone(&names);
+        let on_frame = move |_, frame| {
+            if let peer::Frame::Follow {
+                message: follow_message::Message::Snapshot(snapshot),
+                ..
+            } = frame
+            {
+                let objects = snapshot.objects.into_iter();
+                received.borrow_mut().extend(objects.map(|(name, _)| name));
+            }
+        };
+        link.subscribe(on_frame, |_| {});
+        let frame = peer::Frame::Follow {
+            to: fixture.gateway.incarnation(),
+            kind: "servers".into(),
+            message: follow_message::Message::Fetch { after: None },
+        };
+        link.send(fixture.gateway.peer_address(), &frame);
+        let is_received = || *names.borrow() == ["i-0"];
+        wait::until(LIMIT, "objects", is_received).await.unwrap();
+    });
+}
--- a/crates/peridotrack-follow/src/follower.rs
+++ b/crates/peridotrack-follow/src/follower.rs
@@ -50,8 +50,10 @@
     pub subscription_us: u64,
     /// Time for which a silent relay is not chosen again, in microseconds.
     pub suspect_us: u64,
-    /// Period at which a router that neither the store nor a relay keeps current asks a peer for the
-    /// objects, in microseconds.
+    /// Whether a router that neither the store nor a relay keeps current asks peers for the objects. It
+    /// must not for a kind that is large and comes from peers in another way.
+    pub is_fetched: bool,
+    /// Period at which such a router asks a peer, in microseconds.
     pub fetch_us: u64,
     /// Maximum content of one update, in bytes. Of larger changes only the revision is sent, so
     /// that the subscribers read them from the store.
@@ -78,6 +80,7 @@
             subscribe_us: 500_000,
             subscription_us: 2_000_000,
             suspect_us: 4_000_000,
+            is_fetched: true,
             fetch_us: 500_000,
             max_update_bytes: 16 * 1024,
             is_led: false,
@@ -93,8 +96,9 @@
     revision: u64,
     /// Revision of the last known change, or of the list if there was no change since.
     unchanged_since: u64,
-    /// When the store or the relay last confirmed the view.
-    confirmed_us: u64,
+    /// When the store or the relay last confirmed the view; `None` if a peer sent it since there was
+    /// none.
+    confirmed_us: Option<u64>,
 }
 
 /// Follows one kind of objects for one router.
@@ -111,7 +115,7 @@
     /// When the next call to the store may start.
     call_at_us: u64,
     /// Whether the next watch, or the one that is outstanding, does not wait: its response shows
-    /// whether the store is available.
+    /// whether the store is available, or contains changes that a relay has announced.
     is_polling: bool,
     /// Live peers of the failure domain, without this router.
     peers: Vec<id::Incarnation>,
@@ -127,8 +131,9 @@
     suspects: BTreeMap<id::Incarnation, u64>,
     /// Live peers of all failure domains, without this router.
     all_peers: Vec<id::Incarnation>,
-    /// Position in [`Self::all_peers`] of the peer that is asked for the objects next.
-    next_peer: usize,
+    /// Number of requests to peers for the objects, which go in turn to the own failure domain and to
+    /// the others: the store may turn either away as a whole.
+    requests: usize,
     /// Peer whose objects were adopted last; it is asked each time.
     source: Option<id::Incarnation>,
     /// When a peer may be asked for the objects next.
@@ -155,7 +160,7 @@
             subscribe_at_us: now_us,
             suspects: BTreeMap::new(),
             all_peers: Vec::new(),
-            next_peer: 0,
+            requests: 0,
             source: None,
             fetch_at_us: now_us,
             subscribers: BTreeMap::new(),
@@ -171,9 +176,15 @@
         self.view.map(|view| view.revision)
     }
 
-    /// Returns when the store or the relay last confirmed the view, `None` before the first list.
+    /// Returns when the store or the relay last confirmed the view; `None` if neither has yet.
     pub fn confirmed_us(&self) -> Option<u64> {
-        self.view.map(|view| view.confirmed_us)
+        self.view?.confirmed_us
+    }
+
+    /// Returns whether a list of a revision may be applied. One that took long may be older than
+    /// objects that a peer has sent meanwhile; the store's revisions never decrease.
+    pub fn accepts_list(&self, revision: u64) -> bool {
+        self.view.is_none_or(|view| view.revision <= revision)
     }
 
     /// Returns whether updates of a relay keep the view current, so that no watch is needed.
@@ -252,10 +263,13 @@
         self.is_calling = false;
         self.is_polling = false;
         self.failures = 0;
+        if !self.accepts_list(revision) {
+            return;
+        }
         self.view = Some(View {
             revision,
             unchanged_since: revision,
-            confirmed_us: now_us,
+            confirmed_us: Some(now_us),
         });
     }
 
@@ -290,7 +304,7 @@
     /// Sends a new subscriber the current revision, if the view was confirmed recently.
     fn send_confirmation(&self, now_us: u64, to: id::Incarnation, actions: &mut Vec<Action>) {
         let Some(view) = self.view else { return };
-        if now_us.saturating_sub(view.confirmed_us) >= self.options.relay_wait_us {
+        if !self.is_confirmed_within(now_us, self.options.relay_wait_us) {
             return;
         }
         actions.push(Action::Send {
@@ -323,6 +337,7 @@
             .is_none_or(|view| update.from_revision > view.revision);
         if is_gap {
             self.relayed_us = None;
+            self.is_polling |= !self.is_calling;
             return;
         }
         self.relayed_us = Some(now_us);
@@ -335,27 +350,30 @@
 impl Follower {
     /// Returns whether the store or a relay has confirmed the view recently.
     fn is_confirmed(&self, now_us: u64) -> bool {
-        self.view
-            .is_some_and(|view| now_us < view.confirmed_us + self.options.silence_us)
+        self.is_confirmed_within(now_us, self.options.silence_us)
+    }
+
+    fn is_confirmed_within(&self, now_us: u64, age_us: u64) -> bool {
+        self.confirmed_us()
+            .is_some_and(|confirmed_us| now_us < confirmed_us + age_us)
     }
 
     /// Returns whether the view shows what the store held at most one regular wait ago.
     fn is_current(&self, now_us: u64) -> bool {
-        let age_us = self.options.wait_us + self.options.silence_us;
-        self.view
-            .is_some_and(|view| now_us < view.confirmed_us + age_us)
+        self.is_confirmed_within(now_us, self.options.wait_us + self.options.silence_us)
     }
 
     /// Asks peers, one after another, for the objects if calls to the store fail and no relay keeps the
     /// view current.
     fn fetch(&mut self, now_us: u64, actions: &mut Vec<Action>) {
         let is_due = self.failures > 0 && now_us >= self.fetch_at_us;
-        if !is_due || self.is_confirmed(now_us) || self.all_peers.is_empty() {
+        if !is_due || !self.options.is_fetched || self.is_confirmed(now_us) {
             return;
         }
         self.fetch_at_us = now_us + self.options.fetch_us;
-        self.next_peer = (self.next_peer + 1) % self.all_peers.len();
-        let next = self.all_peers[self.next_peer];
+        let Some(next) = self.next_peer() else {
+            return;
+        };
         let source = self.source.filter(|source| *source != next);
         for to in std::iter::once(next).chain(source) {
             let message = Message::Fetch {
@@ -365,6 +383,23 @@
         }
     }
 
+    /// Returns the peer to ask next; `None` if there is no peer.
+    fn next_peer(&mut self) -> Option<id::Incarnation> {
+        let is_local = |peer: &id::Incarnation| self.peers.contains(peer);
+        let (local, foreign): (Vec<_>, Vec<_>) =
+            self.all_peers.iter().partition(|peer| is_local(peer));
+        let request = self.requests;
+        self.requests += 1;
+        let (asked, position) = match (local.is_empty(), foreign.is_empty()) {
+            (true, true) => return None,
+            (true, false) => (foreign, request),
+            (false, true) => (local, request),
+            (false, false) if request.is_multiple_of(2) => (foreign, request / 2),
+            (false, false) => (local, request / 2),
+        };
+        Some(asked[position % asked.len()])
+    }
+
     /// Sends the objects to a peer that has older ones. Objects that this router fetched itself are not
     /// passed on, so that routers without a source never confirm each other's view.
     fn on_fetch(
@@ -403,7 +438,7 @@
         self.view = Some(View {
             revision: snapshot.revision,
             unchanged_since: snapshot.revision,
-            confirmed_us: self.view.map_or(0, |view| view.confirmed_us),
+            confirmed_us: self.confirmed_us(),
         });
         actions.push(Action::Replace(snapshot));
     }
@@ -421,7 +456,7 @@
         let Some(view) = &mut self.view else {
             return;
         };
-        view.confirmed_us = now_us;
+        view.confirmed_us = Some(now_us);
         if update.revision < view.revision {
             return;
         }
@@ -536,7 +571,7 @@
         if self.is_relayed(now_us) {
             return;
         }
-        let age_us = now_us.saturating_sub(view.confirmed_us);
+        let age_us = now_us.saturating_sub(view.confirmed_us.unwrap_or(0));
         if age_us >= self.options.relist_after_us {
             self.is_calling = true;
             return actions.push(Action::List);
--- a/crates/peridotrack-follow/tests/follower.rs
+++ b/crates/peridotrack-follow/tests/follower.rs
@@ -1,5 +1,7 @@
 //! Tests of one follower, event by event.
 
+use std::ops::Range;
+
 use peridotrack_follow::{
     event::{Action, Event},
     follower::{Follower, Options},
@@ -251,6 +253,19 @@
     assert_eq!(watch_wait_ms(&actions), Some(options.wait_us / MS));
 }
 
+/// The relay has announced a change, so that the store responds at once if the connection works. With a
+/// long wait, the timeout of a silent connection would pass only after the change had to be applied.
+#[test]
+fn a_watch_for_changes_that_a_relay_has_announced_does_not_wait() {
+    let options = Options::default();
+    let mut follower = relayed();
+    let actions = follower.on_event(500 * MS, update(12, 12, &[]));
+    assert_eq!(watch_wait_ms(&actions), Some(0));
+    let actions = follower.on_event(510 * MS, watched(12, &[change(b"x")]));
+    assert_eq!(applied(&actions), 1);
+    assert_eq!(watch_wait_ms(&actions), Some(options.wait_us / MS));
+}
+
 /// Guards against calls without a pause to a store that cuts each watch off at once.
 #[test]
 fn watches_that_are_cut_off_at_once_are_repeated_with_backoff() {
@@ -279,7 +294,11 @@
 
 fn snapshot(from: id::Incarnation, revision: u64) -> Event {
     let objects = vec![("a".to_owned(), b"new".to_vec())];
-    let message = Message::Snapshot(Snapshot { revision, objects });
+    let message = Message::Snapshot(Snapshot {
+        is_complete: true,
+        revision,
+        objects,
+    });
     Event::Peer { from, message }
 }
 
@@ -356,3 +375,80 @@
     assert_eq!(follower.revision(), Some(12));
     assert!(!is_sent(&follower.on_event(now_us, fetch(None))));
 }
+
+/// Guards against a router that has just started and takes the objects that it fetched for confirmed:
+/// it asked no peer again and passed them on.
+#[test]
+fn objects_that_were_fetched_do_not_count_as_confirmed_after_a_start() {
+    let options = Options {
+        silence_us: 20_000 * MS,
+        ..Options::default()
+    };
+    let start_us = 1_000 * MS;
+    let mut follower = Follower::new(SELF, options, start_us);
+    let _ = follower.on_event(start_us, Event::AllPeers(vec![SELF, HIGHER]));
+    let _ = follower.on_event(start_us, Event::CallFailed);
+    let now_us = start_us + 100 * MS;
+    assert!(replaces(&follower.on_event(now_us, snapshot(HIGHER, 12))));
+    let from = HIGHER;
+    let message = Message::Fetch { after: None };
+    let asked = follower.on_event(now_us, Event::Peer { from, message });
+    let is_sent = |action: &Action| matches!(action, Action::SendSnapshot { .. });
+    assert!(!asked.iter().any(is_sent));
+    let later = follower.on_event(now_us + Options::default().fetch_us, Event::Tick);
+    assert_eq!(fetches(&later), 1);
+    assert!(replaces(&follower.on_event(now_us, snapshot(HIGHER, 13))));
+}
+
+/// Guards against a list that takes long and replaces the newer objects of a peer by older ones.
+#[test]
+fn a_list_that_is_older_than_the_objects_of_a_peer_is_discarded() {
+    let mut follower = Follower::new(SELF, Options::default(), 0);
+    let _ = follower.on_event(0, Event::AllPeers(vec![SELF, HIGHER]));
+    let _ = follower.on_event(0, Event::CallFailed);
+    let again = follower.on_event(1_000 * MS, Event::Tick);
+    assert!(again.contains(&Action::List));
+    assert!(replaces(
+        &follower.on_event(1_100 * MS, snapshot(HIGHER, 12))
+    ));
+    assert!(!follower.accepts_list(11));
+    let next = follower.on_event(1_200 * MS, Event::Listed { revision: 11 });
+    assert_eq!(follower.revision(), Some(12));
+    let is_watch = |action: &Action| matches!(action, Action::Watch { revision: 12, .. });
+    assert!(next.iter().any(is_watch));
+}
+
+/// Guards against a router of a large failure domain that asks one peer after another of its own domain,
+/// while the store turns away the domain as a whole.
+#[rstest]
+#[case::domain_turned_away(100..228)]
+#[case::others_turned_away(1_000..1_016)]
+fn peers_of_both_the_own_and_other_failure_domains_are_asked_soon(#[case] turned_away: Range<u64>) {
+    /// Requests within which a peer that the store serves is asked.
+    const REQUESTS: u64 = 4;
+    let local: Vec<_> = (100..228).map(id::Incarnation).collect();
+    let foreign = (1_000..1_016).map(id::Incarnation);
+    let all: Vec<_> = local.iter().copied().chain(foreign).collect();
+    for seed in 0..40 {
+        let options = Options {
+            seed,
+            ..Options::default()
+        };
+        let fetch_us = options.fetch_us;
+        let mut follower = Follower::new(SELF, options, 0);
+        let _ = follower.on_event(0, Event::Peers(local.clone()));
+        let _ = follower.on_event(0, Event::AllPeers(all.clone()));
+        let mut actions = follower.on_event(0, Event::CallFailed);
+        for request in 1..REQUESTS {
+            actions.extend(follower.on_event(request * fetch_us, Event::Tick));
+        }
+        let is_served = |action: &Action| match action {
+            Action::Send {
+                to,
+                message: Message::Fetch { .. },
+            } => !turned_away.contains(&to.0),
+            _ => false,
+        };
+        assert!(actions.iter().any(is_served), "seed {seed}");
+    }
+}
--- a/crates/peridotrack-http/src/client/connection.rs
+++ b/crates/peridotrack-http/src/client/connection.rs
@@ -44,6 +44,8 @@
     memory: Option<Memory>,
     /// Bytes written to the stream before the current exchange.
     written_before_exchange_bytes: u64,
+    /// Whether the stream leads to the server through another process.
+    is_tunnel: bool,
 }
 
 /// Opens a connection and reports its state.
@@ -72,14 +74,31 @@
                 .set_tcp_keepalive(period, period, Some(KEEPALIVE_PROBES))
                 .map_err(|source| error(Kind::Io(source)))?;
         }
-        Ok(Self {
-            stream: BufferedStream::new(stream, address),
+        Ok(Self::over(stream, address, options))
+    }
+
+    /// Returns a connection over an established stream that leads to `server`, such as a tunnel
+    /// through another process. Keep-alive probes are left as the stream has them.
+    pub fn over(stream: TcpStream, server: SocketAddr, options: Options) -> Self {
+        Self {
+            stream: BufferedStream::new(stream, server),
             options,
             scanner: Scanner::default(),
             phase: Phase::Ready,
             memory: None,
             written_before_exchange_bytes: 0,
-        })
+            is_tunnel: false,
+        }
+    }
+
+    /// Marks the connection as one that leads to the server through another process.
+    pub(crate) fn set_tunnel(&mut self) {
+        self.is_tunnel = true;
+    }
+
+    /// Returns whether the connection leads to the server through another process.
+    pub fn is_tunnel(&self) -> bool {
+        self.is_tunnel
     }
 
     /// Sets the memory that bodies read by [`Connection::read_body`] count towards.
--- a/crates/peridotrack-http/src/client/pool.rs
+++ b/crates/peridotrack-http/src/client/pool.rs
@@ -11,6 +11,7 @@
 };
 
 use bytes::Bytes;
+use monoio::net::TcpStream;
 
 use crate::{
     client::{Connection, Error, Options},
@@ -62,12 +63,20 @@
     ///
     /// Fails if there is no usable idle connection and none can be opened.
     pub async fn take(&self, address: SocketAddr) -> Result<Connection, Error> {
+        match self.take_idle(address) {
+            Some(connection) => Ok(connection),
+            None => self.connect(address).await,
+        }
+    }
+
+    /// Takes the most recently used idle connection, if there is a usable one; see [`Pool::take`].
+    pub fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
         while let Some(idle) = self.pop(address) {
             if idle.since.elapsed() < MAX_IDLE && idle.connection.is_idle() {
-                return Ok(idle.connection);
+                return Some(idle.connection);
             }
         }
-        self.connect(address).await
+        None
     }
 
     /// Opens a connection, also if there is an idle one.
@@ -76,11 +85,36 @@
     ///
     /// Fails if none can be opened.
     pub async fn connect(&self, address: SocketAddr) -> Result<Connection, Error> {
-        let mut connection = Connection::connect(address, self.options).await?;
-        if let Some(memory) = &self.memory {
-            connection.set_memory(memory.clone());
-        }
-        Ok(connection)
+        self.connect_with(address, self.options).await
+    }
+
+    /// Opens a connection with other options than those of the pool.
+    ///
+    /// # Errors
+    ///
+    /// Fails if none can be opened.
+    pub async fn connect_with(
+        &self,
+        address: SocketAddr,
+        options: Options,
+    ) -> Result<Connection, Error> {
+        let connection = Connection::connect(address, options).await?;
+        Ok(self.with_pool_memory(connection))
+    }
+
+    /// Returns a connection to `server` over an established stream that leads there through another
+    /// process, with the options and the memory of the pool.
+    ///
+    /// A close-delimited response is not accepted: the other process also closes the stream when it
+    /// ends itself, so the end of the stream does not prove the end of the response.
+    pub fn adopt(&self, stream: TcpStream, server: SocketAddr) -> Connection {
+        let options = Options {
+            accept_close_delimited: false,
+            ..self.options
+        };
+        let mut connection = Connection::over(stream, server, options);
+        connection.set_tunnel();
+        self.with_pool_memory(connection)
     }
 
     /// Returns a connection to the pool, or drops it if it is not reusable.
@@ -110,6 +144,11 @@
         self.idle.borrow_mut().remove(&address);
     }
 
+    /// Closes all idle connections.
+    pub fn clear(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
     /// Performs one exchange and returns the response with its complete body. Never retries.
     ///
     /// # Errors
@@ -132,6 +171,13 @@
         self.idle.borrow().get(&address).map_or(0, VecDeque::len)
     }
 
+    fn with_pool_memory(&self, mut connection: Connection) -> Connection {
+        if let Some(memory) = &self.memory {
+            connection.set_memory(memory.clone());
+        }
+        connection
+    }
+
     fn pop(&self, address: SocketAddr) -> Option<IdleConnection> {
         self.idle.borrow_mut().get_mut(&address)?.pop_back()
     }
--- a/crates/peridotrack-kernel/src/event.rs
+++ b/crates/peridotrack-kernel/src/event.rs
@@ -99,10 +99,12 @@
     130 Info PeerJoined,
     /// A peer is no longer live.
     131 Warn PeerLeft,
-    /// A peer's connection was refused or failed authentication.
+    /// A peer's connection was refused or failed authentication, or a frame on it was ignored.
     132 Warn PeerRefused,
     /// Membership reports a pause of this process, a newer process on its VM or a stale version.
     133 Warn MemberNote,
+    /// A tunnel to a backend server that a peer requested was declined or failed; the event says at which step, and how many others since the last such event.
+    134 Warn TunnelFailed,
     /// A request was accepted from a caller.
     200 Debug RequestAccepted,
     /// Tokens were reserved for a request.
@@ -153,6 +155,10 @@
     504 Warn EvacuationChanged,
     /// Which backend servers are limited because they count as cold has changed.
     505 Info ColdServersChanged,
+    /// This router is partitioned from the backend servers of a service and connects to them through peers.
+    506 Warn PartitionBegun,
+    /// This router reaches the backend servers directly again.
+    507 Info PartitionEnded,
     /// A backend server ended with a request of these signatures in flight.
     510 Warn SignatureSuspected,
     /// Requests with all of these signatures are refused, because backend servers crash under them.
--- a/crates/peridotrack-standin/tests/harness.rs
+++ b/crates/peridotrack-standin/tests/harness.rs
@@ -1,7 +1,7 @@
 //! Contract tests of the process harness: a dropped handle kills its process, every wait is
 //! bounded.
 
-use std::{fs, time::Duration};
+use std::{fs, io::ErrorKind, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use http::Request;
@@ -11,7 +11,7 @@
         http::{block_on, control, counters, fetch},
         process::{self, Options, Process, Step},
         relay::{self, Link},
-        wait,
+        router, wait,
     },
     service,
 };
@@ -239,3 +239,112 @@
         assert!(cut.await.unwrap_err().bytes_written);
     });
 }
+
+/// Connections as a process sees them whose link is partitioned, reset or refused.
+#[rstest]
+#[case::partitioned(Link::Partitioned, None, None)]
+#[case::reset(
+    Link::Reset,
+    Some(ErrorKind::ConnectionReset),
+    Some(ErrorKind::ConnectionRefused)
+)]
+#[case::refusing(Link::Refusing, None, Some(ErrorKind::ConnectionRefused))]
+fn relay_fails_open_and_new_connections(
+    #[case] link: Link,
+    #[case] open: Option<ErrorKind>,
+    #[case] new: Option<ErrorKind>,
+) {
+    const PORT: u16 = 8_690;
+    block_on(async {
+        let slow = service::Control {
+            delay_ms: Some(60),
+            ..service::Control::default()
+        };
+        let options = service::Options {
+            control: slow,
+            ..service::Options::default()
+        };
+        let service = service::spawn(&options).unwrap();
+        let address = SocketAddr::new(router::fresh_loopback_ip(), PORT);
+        let relay = relay::spawn_at(address, service.address()).unwrap();
+        let in_flight = monoio::spawn(async move { fetch(address, get()).await });
+        wait::until(LIMIT, "run", || service.counters().runs == 1)
+            .await
+            .unwrap();
+        relay.set(link);
+        monoio::time::sleep(SHORT_LIMIT).await;
+        let impatient = client::Options {
+            connect_timeout_ms: 100,
+            ..client::Options::default()
+        };
+        let error = client::Connection::connect(address, impatient).await;
+        let error = error.err().unwrap().kind;
+        match new {
+            Some(kind) => assert!(
+                matches!(&error, client::Kind::Io(error) if error.kind() == kind),
+                "{error:?}"
+            ),
+            None => assert!(matches!(error, client::Kind::TimedOut), "{error:?}"),
+        }
+        relay.set(Link::Open);
+        match (in_flight.await, open) {
+            (Ok(response), None) => assert_eq!(response.status(), 200),
+            (Err(error), Some(kind)) => assert!(
+                matches!(&error.kind, client::Kind::Io(error) if error.kind() == kind),
+                "{error:?}"
+            ),
+            (outcome, _) => panic!("{outcome:?}"),
+        }
+        let connected = async || fetch(address, get()).await.ok();
+        let response = wait::poll(LIMIT, "connection", connected).await.unwrap();
+        assert_eq!(response.status(), 200);
+    });
+}
+
+#[test]
+fn partitioned_relay_delivers_nothing_of_a_connection_that_was_reset() {
+    block_on(async {
+        let service = service::spawn(&service::Options::default()).unwrap();
+        let relay = relay::spawn(service.address()).unwrap();
+        let impatient = client::Options {
+            response_timeout_ms: 50,
+            ..client::Options::default()
+        };
+        let mut connection = client::Connection::connect(relay.address(), impatient)
+            .await
+            .unwrap();
+        connection.send(get()).await.unwrap();
+        connection.read_body().await.unwrap();
+        relay.set(Link::Partitioned);
+        assert!(connection.send(get()).await.unwrap_err().bytes_written);
+        drop(connection);
+        monoio::time::sleep(SHORT_LIMIT).await;
+        relay.set(Link::Open);
+        monoio::time::sleep(Duration::from_millis(100)).await;
+        assert_eq!(service.counters().runs, 1);
+    });
+}
+
+/// The connection that was open gets no response and is not closed.
+#[test]
+fn silenced_connections_stay_open_while_new_ones_work() {
+    block_on(async {
+        let service = service::spawn(&service::Options::default()).unwrap();
+        let relay = relay::spawn(service.address()).unwrap();
+        let options = client::Options {
+            response_timeout_ms: 100,
+            ..client::Options::default()
+        };
+        let mut open = client::Connection::connect(relay.address(), options)
+            .await
+            .unwrap();
+        open.send(get()).await.unwrap();
+        open.read_body().await.unwrap();
+
+        relay.silence_connections();
+        let error = open.send(get()).await.unwrap_err();
+        assert!(matches!(error.kind, client::Kind::TimedOut), "{error}");
+        assert_eq!(fetch(relay.address(), get()).await.unwrap().status(), 200);
+        assert_eq!(service.counters().runs, 2);
+    });
+}
