fix(edge): judge no backend server by a tunnel that no peer opened

Callers of routers that were partitioned from all backend servers were refused for seconds after a failure domain had returned through which the servers could be reached.

Cause: while all failure domains are partitioned, peers decline tunnels. The attempt ended as a failed connection of the server, so that a breaker opened; each failed probe doubled the time for which it stayed open. The reason was the network of this router, which says nothing about the server.

Such an attempt now ends with the outcome NoPath, a neutral sample. It counts against the retry budget, so that a partitioned router does not ask its peers without bound. The request is refused as having no backend server, to return after the default time. A peer that is not partitioned and cannot connect is evidence against the server as before.

--- a/crates/peridotrack-edge/src/gateway/attempt.rs
+++ b/crates/peridotrack-edge/src/gateway/attempt.rs
@@ -326,6 +326,7 @@
             self.reservation.mark_not_run();
         }
         let outcome = match (error.bytes_written, &error.kind) {
+            (false, _) if reach::is_without_path(error) => Outcome::NoPath,
             (false, _) => Outcome::ConnectFailed,
             (true, client::Kind::TimedOut) => Outcome::Timeout { sent: true },
             (true, _) => Outcome::Broken {
--- a/crates/peridotrack-edge/src/gateway/exchange.rs
+++ b/crates/peridotrack-edge/src/gateway/exchange.rs
@@ -231,7 +231,10 @@
                 last_response = response;
                 let is_unsent = matches!(
                     outcome,
-                    Outcome::ConnectFailed | Outcome::Withdrawn | Outcome::Timeout { sent: false }
+                    Outcome::ConnectFailed
+                        | Outcome::NoPath
+                        | Outcome::Withdrawn
+                        | Outcome::Timeout { sent: false }
                 );
                 if is_unsent {
                     shared.quarantine.withdraw(&trial);
--- a/crates/peridotrack-edge/src/gateway/reach.rs
+++ b/crates/peridotrack-edge/src/gateway/reach.rs
@@ -34,6 +34,12 @@
 /// Time for which a peer that did not open a tunnel is asked after all others, in microseconds.
 const AVOID_PEER_US: u64 = clock::US_PER_S;
 
+/// Reason why a connection failed that says nothing about the backend server: this router is
+/// partitioned from it, and no peer tried to connect.
+#[derive(Debug, thiserror::Error)]
+#[error("no peer opened a tunnel")]
+struct NoTunnel;
+
 /// Known backend servers of each service, with their addresses.
 pub(super) type Services = BTreeMap<name::Service, BTreeMap<name::BackendServer, SocketAddr>>;
 
@@ -300,34 +306,37 @@
             None => connect_direct(shared, scope, server, address, options::backend()).await,
         };
     }
-    let mut kind = io::ErrorKind::HostUnreachable;
+    let mut failure = io::Error::new(io::ErrorKind::HostUnreachable, NoTunnel);
     for record in peers.iter().take(MAX_PEERS) {
         let (peer, to) = (record.peer_address, record.incarnation);
         match shared.link.open_tunnel(peer, to, server).await {
             Ok(stream) => return Ok(shared.pool.adopt(stream, address)),
             Err(peer::TunnelError::Refused) => {
-                kind = io::ErrorKind::ConnectionRefused;
+                failure = io::ErrorKind::ConnectionRefused.into();
                 break;
             }
-            Err(
-                peer::TunnelError::Unreachable
-                | peer::TunnelError::Declined
-                | peer::TunnelError::Peer(_),
-            ) => {
-                let until_us = shared.kernel.now_us() + AVOID_PEER_US;
-                let mut avoided = shared.reach.avoided_until_us.borrow_mut();
-                avoided.insert(to, until_us);
+            Err(peer::TunnelError::Unreachable) => {
+                failure = io::ErrorKind::HostUnreachable.into();
+                avoid(shared, to);
             }
+            Err(peer::TunnelError::Declined | peer::TunnelError::Peer(_)) => avoid(shared, to),
         }
     }
     Err(client::Error {
         step: client::Step::Connect,
         peer: address,
         bytes_written: false,
-        kind: client::Kind::Io(kind.into()),
+        kind: client::Kind::Io(failure),
     })
 }
 
+/// Has a peer asked for a tunnel after all others for a time.
+fn avoid(shared: &Shared, peer: id::Incarnation) {
+    let until_us = shared.kernel.now_us() + AVOID_PEER_US;
+    let mut avoided = shared.reach.avoided_until_us.borrow_mut();
+    avoided.insert(peer, until_us);
+}
+
 /// Returns the live peers in the order in which they are asked for a tunnel: those of other failure
 /// domains first, because a partition often covers a failure domain, and last those that opened none
 /// a moment ago.
@@ -412,3 +421,12 @@
 pub(super) fn is_refused(error: &client::Error) -> bool {
     matches!(&error.kind, client::Kind::Io(error) if error.kind() == std::io::ErrorKind::ConnectionRefused)
 }
+
+/// Returns whether an error of the connection says nothing about the backend server, because this
+/// router is partitioned from it and no peer tried to connect.
+pub(super) fn is_without_path(error: &client::Error) -> bool {
+    match &error.kind {
+        client::Kind::Io(error) => error.get_ref().is_some_and(|inner| inner.is::<NoTunnel>()),
+        _ => false,
+    }
+}
--- a/crates/peridotrack-edge/tests/gateway/partitioned.rs
+++ b/crates/peridotrack-edge/tests/gateway/partitioned.rs
@@ -48,6 +48,11 @@
 const WARM_UP: Duration = Duration::from_secs(1);
 /// Time in which first tries are counted, while the partition lasts.
 const COUNTED: Duration = Duration::from_secs(5);
+/// Time in which all gateways are partitioned, before those of one failure domain return.
+const ALL_PARTITIONED: Duration = Duration::from_secs(20);
+/// Time in which first tries are counted after that return; a refusal that lasts for any longer time
+/// would show later, too, but in a smaller share of them.
+const COUNTED_AFTER_RETURN: Duration = Duration::from_secs(1);
 /// Time in which requests must go directly again, after the partition.
 const DIRECT: Duration = Duration::from_millis(1_500);
 /// Time after the start and the end of the partition in which gateways adapt.
@@ -120,6 +125,20 @@
         wait::poll(LIMIT, "readiness", ready).await.unwrap();
     }
 
+    /// Starts the gateways of all failure domains, and waits until they are ready.
+    async fn spawn_all(fleet: &Fleet) -> Vec<Self> {
+        let mut sites: Vec<Self> = Vec::new();
+        for number in 0..DOMAINS.len() * GATEWAYS_PER_DOMAIN {
+            let seeds = sites.iter().map(|site| site.gateway.peer_address());
+            let site = Self::spawn(number, fleet, seeds.collect());
+            sites.push(site);
+        }
+        for site in &sites {
+            site.ready().await;
+        }
+        sites
+    }
+
     fn set_path(&self, link: Link) {
         for relay in &self.relays {
             relay.set(link);
@@ -279,6 +298,12 @@
     }
 }
 
+/// Returns the gateways' numbers and addresses for clients.
+fn client_addresses(sites: &[Site]) -> Vec<(usize, SocketAddr)> {
+    let addresses = sites.iter().map(|site| site.gateway.client_address());
+    addresses.enumerate().collect()
+}
+
 /// Checks that the first `cut` gateways serve each kind of request at least two thirds as often as the
 /// others, and that the others serve nearly all. Returns what does not hold.
 fn unserved(tries: &Tries, cut: usize, from: Instant, to: Instant) -> Vec<String> {
@@ -310,17 +335,8 @@
 ) {
     block_on(async {
         let fleet = Fleet::spawn();
-        let mut sites: Vec<Site> = Vec::new();
-        for number in 0..DOMAINS.len() * GATEWAYS_PER_DOMAIN {
-            let seeds = sites.iter().map(|site| site.gateway.peer_address());
-            let site = Site::spawn(number, &fleet, seeds.collect());
-            sites.push(site);
-        }
-        for site in &sites {
-            site.ready().await;
-        }
-        let addresses = sites.iter().map(|site| site.gateway.client_address());
-        let addresses: Vec<(usize, SocketAddr)> = addresses.enumerate().collect();
+        let sites = Site::spawn_all(&fleet).await;
+        let addresses = client_addresses(&sites);
         let tries = Rc::new(Tries::default());
         send_for(&tries, &addresses, WARM_UP).await;
         let warm = tries.count(|_| true);
@@ -356,3 +372,30 @@
         assert!(breaches.is_empty(), "{breaches:#?}");
     });
 }
+
+/// Guards against breakers that open because no peer opened a tunnel, and refuse requests after a
+/// failure domain has returned through which the servers are reached.
+#[rstest]
+#[case::hang_and_none_is_established(Link::Partitioned)]
+#[case::are_reset_and_refused(Link::Reset)]
+#[case::live_on_while_new_ones_are_refused(Link::Refusing)]
+fn a_gateway_refuses_for_seconds_after_a_peer_has_returned_where_connections(#[case] path: Link) {
+    block_on(async {
+        let fleet = Fleet::spawn();
+        let sites = Site::spawn_all(&fleet).await;
+        let addresses = client_addresses(&sites);
+        let tries = Rc::new(Tries::default());
+        send_for(&tries, &addresses, WARM_UP).await;
+        sites.iter().for_each(|site| site.set_path(path));
+        send_for(&tries, &addresses, ALL_PARTITIONED).await;
+
+        let (cut, returned) = sites.split_at(GATEWAYS_PER_DOMAIN);
+        let returned_at = Instant::now();
+        returned.iter().for_each(|site| site.set_path(Link::Open));
+        send_for(&tries, &addresses, CONTACT + COUNTED_AFTER_RETURN).await;
+        let from = returned_at + CONTACT;
+        let mut breaches = unserved(&tries, cut.len(), from, from + COUNTED_AFTER_RETURN);
+        breaches.extend(tries.wrong(&fleet.servers));
+        assert!(breaches.is_empty(), "{breaches:#?}");
+    });
+}
--- a/crates/peridotrack-route/src/breaker.rs
+++ b/crates/peridotrack-route/src/breaker.rs
@@ -37,7 +37,7 @@
     ConnectFailure,
     /// The connection broke or the attempt timed out.
     Failure,
-    /// Nothing: the caller cancelled, or the server refused the request.
+    /// Nothing: the caller cancelled, the server refused the request, or no network path led to it.
     Neutral,
 }
 
--- a/crates/peridotrack-route/src/event.rs
+++ b/crates/peridotrack-route/src/event.rs
@@ -70,6 +70,9 @@
     RefusedNotRun,
     /// No connection could be established; no byte was sent.
     ConnectFailed,
+    /// The network of this router leads to no server of the pool, which says nothing about the
+    /// server; no byte was sent.
+    NoPath,
     /// The server became ineligible before a byte was sent; see [`crate::router::Router::may_send`].
     Withdrawn,
     /// The connection broke before the response was complete.
--- a/crates/peridotrack-route/src/finish.rs
+++ b/crates/peridotrack-route/src/finish.rs
@@ -83,12 +83,15 @@
         actions: &mut Vec<Action>,
     ) {
         let resumes = self.can_resume(&request, attempt);
-        let is_unsent = matches!(outcome, Outcome::ConnectFailed | Outcome::Withdrawn);
+        let is_unsent = matches!(
+            outcome,
+            Outcome::ConnectFailed | Outcome::NoPath | Outcome::Withdrawn
+        );
         request.unsent_dispatches += u32::from(is_unsent);
         let is_proven = outcome == Outcome::RefusedNotRun && self.options.retry_proven_not_run;
         let retries = can_retry(&request, attempt, is_proven, self.options.max_dispatches);
         if request.deadline_us <= now_us || !(resumes || retries) {
-            return self.refuse_failed(now_us, request_id, &request, actions);
+            return self.refuse_failed(now_us, request_id, &request, outcome, actions);
         }
         // A withdrawn request is no retry: it was not sent. A refusal puts the server into backoff at once, so that retries of refusals cannot grow
         // into a retry storm; each request is still bounded in its dispatches.
@@ -99,7 +102,7 @@
         };
         if !is_exempt && !self.pools[request.pool].retries.try_take(now_us) {
             actions.push(Action::Note(Note::RetryDenied { request_id }));
-            return self.refuse_failed(now_us, request_id, &request, actions);
+            return self.refuse_failed(now_us, request_id, &request, outcome, actions);
         }
         if resumes {
             self.resume(now_us, request_id, request, attempt, actions);
@@ -168,7 +171,7 @@
             Outcome::Done => breaker::Sample::Success,
             Outcome::ConnectFailed => breaker::Sample::ConnectFailure,
             Outcome::Broken { .. } | Outcome::Timeout { .. } => breaker::Sample::Failure,
-            Outcome::RefusedNotRun | Outcome::Withdrawn | Outcome::Cancelled => {
+            Outcome::NoPath | Outcome::RefusedNotRun | Outcome::Withdrawn | Outcome::Cancelled => {
                 breaker::Sample::Neutral
             }
         };
@@ -239,15 +242,20 @@
     }
 
     /// Refuses a request whose attempt failed. The caller returns after the wait in the queue, or
-    /// when a server may become usable if none is.
+    /// when a server may become usable or reachable if none is.
     fn refuse_failed(
         &mut self,
         now_us: u64,
         request_id: id::Request,
         request: &Request,
+        outcome: Outcome,
         actions: &mut Vec<Action>,
     ) {
         let (not_run, retry_after_us) = match self.has_usable_backend(now_us, request.pool) {
+            true if outcome == Outcome::NoPath => (
+                problem::Kind::NoBackendServer,
+                self.options.default_retry_after_us,
+            ),
             true => {
                 let pool = &self.pools[request.pool];
                 let retry_after_us = pool.dequeue_us(pool.queue.len() + 1);
--- a/crates/peridotrack-route/tests/retry.rs
+++ b/crates/peridotrack-route/tests/retry.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use peridotrack_route::{
     event::{Action, Event, Offer, Outcome, Target},
@@ -10,6 +10,7 @@
     retry,
     router::Router,
 };
+use peridotrack_types::problem::Kind;
 use rstest::rstest;
 use support::*;
 
@@ -113,3 +114,24 @@
     }
     assert_eq!(retries, 1, "a tenth of 10 requests");
 }
+
+/// A router that is partitioned from all servers knows nothing of them, and serves again as soon as
+/// there is a path.
+#[test]
+fn attempts_without_a_path_leave_all_servers_eligible() {
+    const ENGINES: usize = 4;
+    let mut router = router(ENGINES, 8, 64);
+    for sequence in 1..=100 {
+        let actions = router.offer(0, offer(sequence));
+        assert!(dispatched(&actions).is_some(), "{actions:?}");
+        let mut actions = finish(&mut router, 0, sequence, Outcome::NoPath);
+        while dispatched(&actions).is_some() {
+            actions = finish(&mut router, 0, sequence, Outcome::NoPath);
+        }
+        assert_eq!(refused(&actions), Some((Kind::NoBackendServer, 1_000)));
+    }
+    let used: BTreeSet<_> = (101..=100 + ENGINES as u64)
+        .filter_map(|sequence| dispatched(&router.offer(0, offer(sequence))))
+        .collect();
+    assert_eq!(used.len(), ENGINES);
+}
