fix(member): fetch a configuration from another advertiser after 500 ms

A router that is cut off from the store fetches a new configuration from a peer that advertises it. If that peer ended, or its link broke, before it had answered, the router applied the version later than it could, so that callers were served by an older one.

Cause: a fetch without a result counted as outstanding for 2 s, whoever advertised the version meanwhile.

The fetch now remembers its advertiser. Another one is asked after 500 ms, the same one after 2 s as before.

Found by reading.

--- a/crates/peridotrack-member/src/config.rs
+++ b/crates/peridotrack-member/src/config.rs
@@ -4,6 +4,8 @@
 //! highest version is the latest, whether the platform or a peer advertises it. A held version is
 //! never replaced by a lower one.
 
+use std::net::SocketAddr;
+
 /// Tracks the configuration version that a router holds and the fetch of a higher one.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct HeldVersion {
@@ -15,8 +17,38 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Fetch {
     version: u64,
-    /// When the fetch counts as failed.
-    deadline_us: u64,
+    from: Advertiser,
+    began_us: u64,
+}
+
+/// Who advertises a version.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Advertiser {
+    /// The platform's store.
+    Platform,
+    /// The router at this peer address.
+    Peer(SocketAddr),
+}
+
+/// Times after which a fetch without a result may be repeated, in microseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Timeouts {
+    /// From the same advertiser.
+    pub same_advertiser_us: u64,
+    /// From another one: the first may have ended before it answered.
+    pub other_advertiser_us: u64,
+}
+
+impl Fetch {
+    /// Returns whether a fetch from an advertiser would be redundant, because this one may still
+    /// have a result.
+    fn is_outstanding(&self, now_us: u64, from: Advertiser, timeouts: &Timeouts) -> bool {
+        let timeout_us = match from == self.from {
+            true => timeouts.same_advertiser_us,
+            false => timeouts.other_advertiser_us,
+        };
+        now_us.saturating_sub(self.began_us) < timeout_us
+    }
 }
 
 /// What to do about a version that the platform or a peer advertises.
@@ -60,9 +92,15 @@
 
     /// Decides what to do about a version that the platform or a peer advertises.
     ///
-    /// [`Decision::Fetch`] records a fetch as outstanding. It counts as failed after
-    /// `timeout_us`; then the next advertised version starts another.
-    pub fn on_advertised(&mut self, now_us: u64, version: u64, timeout_us: u64) -> Decision {
+    /// [`Decision::Fetch`] records a fetch as outstanding. After the `timeouts` the next advertised
+    /// version starts another.
+    pub fn on_advertised(
+        &mut self,
+        now_us: u64,
+        version: u64,
+        from: Advertiser,
+        timeouts: &Timeouts,
+    ) -> Decision {
         if version < self.version {
             return Decision::Stale {
                 held_version: self.version,
@@ -71,15 +109,16 @@
         if version == self.version {
             return Decision::Current;
         }
-        let is_fetching = self
-            .fetch
-            .is_some_and(|fetch| fetch.version >= version && now_us < fetch.deadline_us);
+        let is_fetching = self.fetch.is_some_and(|fetch| {
+            fetch.version >= version && fetch.is_outstanding(now_us, from, timeouts)
+        });
         if is_fetching {
             return Decision::Fetching;
         }
         self.fetch = Some(Fetch {
             version,
-            deadline_us: now_us.saturating_add(timeout_us),
+            from,
+            began_us: now_us,
         });
         Decision::Fetch
     }
--- a/crates/peridotrack-member/src/member.rs
+++ b/crates/peridotrack-member/src/member.rs
@@ -83,8 +83,8 @@
     pub watcher_poll_period_us: u64,
     /// Time between polls of the platform by any other router, in microseconds.
     pub poll_period_us: u64,
-    /// Time after which the fetch of a configuration counts as failed, in microseconds.
-    pub fetch_timeout_us: u64,
+    /// Times after which the fetch of a configuration is repeated.
+    pub fetch_timeouts: config::Timeouts,
 }
 
 /// The membership of one router: a deterministic state machine without I/O.
@@ -128,7 +128,10 @@
             watchers_per_domain: 2,
             watcher_poll_period_us: 5_000_000,
             poll_period_us: 30_000_000,
-            fetch_timeout_us: 2_000_000,
+            fetch_timeouts: config::Timeouts {
+                same_advertiser_us: 2_000_000,
+                other_advertiser_us: 500_000,
+            },
         }
     }
 }
@@ -484,10 +487,12 @@
 impl Members {
     /// Fetches the configuration from a peer that advertises a higher version.
     fn on_peer_config(&mut self, now_us: u64, from: &Record, actions: &mut Vec<Action>) {
-        let timeout_us = self.options.fetch_timeout_us;
-        let decision = self
-            .held
-            .on_advertised(now_us, from.config_version, timeout_us);
+        let decision = self.held.on_advertised(
+            now_us,
+            from.config_version,
+            config::Advertiser::Peer(from.peer_address),
+            &self.options.fetch_timeouts,
+        );
         if decision == config::Decision::Fetch {
             actions.push(Action::FetchConfigFrom {
                 address: from.peer_address,
@@ -498,10 +503,9 @@
 
     fn on_platform_config(&mut self, now_us: u64, version: u64, actions: &mut Vec<Action>) {
         self.poll_failures = 0;
-        match self
-            .held
-            .on_advertised(now_us, version, self.options.fetch_timeout_us)
-        {
+        let from = config::Advertiser::Platform;
+        let timeouts = &self.options.fetch_timeouts;
+        match self.held.on_advertised(now_us, version, from, timeouts) {
             config::Decision::Fetch => actions.push(Action::FetchConfigFromPlatform { version }),
             config::Decision::Stale { held_version } => {
                 actions.push(Action::Note(Note::StalePlatformConfig {
