--- /dev/null
+++ b/crates/peridotrack-follow/src/follower/view.rs
@@ -0,0 +1,47 @@
+//! What a follower knows of the driver's copy of the objects: the state of the store that the copy
+//! shows, and how recently the store, directly or through a relay, confirmed it.
+
+use crate::message::Update;
+
+/// State of the store that the driver's copy of the objects shows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct View {
+    /// Revision up to which all changes are applied.
+    pub(super) revision: u64,
+    /// Revision of the last known change, or of the list if there was no change since.
+    pub(super) unchanged_since: u64,
+    /// When the store or the relay last confirmed the view; `None` if a peer sent it since there was
+    /// none.
+    pub(super) confirmed_us: Option<u64>,
+}
+
+impl View {
+    /// Returns the view after all objects were read at a revision.
+    pub(super) fn of_all(revision: u64, confirmed_us: Option<u64>) -> Self {
+        Self {
+            revision,
+            unchanged_since: revision,
+            confirmed_us,
+        }
+    }
+
+    /// Returns whether the store or the relay has confirmed the view within the last `age_us`.
+    pub(super) fn is_confirmed_within(&self, now_us: u64, age_us: u64) -> bool {
+        self.confirmed_us
+            .is_some_and(|confirmed_us| now_us < confirmed_us + age_us)
+    }
+
+    /// Returns whether changes are missing between the view and an update.
+    pub(super) fn is_before(&self, update: &Update) -> bool {
+        update.from_revision > self.revision
+    }
+
+    /// Moves the view to the revision of an update that continues it. The revision must not be
+    /// lower than that of the view.
+    pub(super) fn advance(&mut self, update: &Update) {
+        if update.revision > self.revision && !update.changes.is_empty() {
+            self.unchanged_since = update.revision;
+        }
+        self.revision = update.revision;
+    }
+}
