refactor(http): remove the pool's unused clear

Only its own test called Pool::clear. That test now closes the idle connections of one server after the other with Pool::close_idle, which the platform client and the gateway call.

It is equally strict: it still asserts that the pool ends without idle connections to two servers and that the next request opens a second connection. It also asserts that closing those to one server leaves the other's. With a close_idle that closes nothing it fails ([1, 1] instead of [0, 1]), as it does with one that closes all ([0, 0]).

--- a/crates/peridotrack-http/src/client/pool.rs
+++ b/crates/peridotrack-http/src/client/pool.rs
@@ -144,11 +144,6 @@
         self.idle.borrow_mut().remove(&address);
     }
 
-    /// Closes all idle connections.
-    pub fn clear(&self) {
-        self.idle.borrow_mut().clear();
-    }
-
     /// Performs one exchange and returns the response with its complete body. Never retries.
     ///
     /// # Errors
--- a/crates/peridotrack-http/tests/pool.rs
+++ b/crates/peridotrack-http/tests/pool.rs
@@ -164,7 +164,7 @@
 }
 
 #[test]
-fn a_cleared_pool_has_no_idle_connections() {
+fn idle_connections_are_closed_to_the_given_server_only() {
     run(async {
         let (first, connections, _) = spawn_server(AfterResponse::KeepOpen);
         let (second, ..) = spawn_server(AfterResponse::KeepOpen);
@@ -172,9 +172,11 @@
         for server in [first, second] {
             pool.fetch(server, post("a")).await.unwrap();
         }
-        pool.clear();
-        let idle = [first, second].map(|server| pool.idle_connections(server));
-        assert_eq!(idle, [0, 0]);
+        let idle = || [first, second].map(|server| pool.idle_connections(server));
+        pool.close_idle(first);
+        assert_eq!(idle(), [0, 1]);
+        pool.close_idle(second);
+        assert_eq!(idle(), [0, 0]);
         pool.fetch(first, post("b")).await.unwrap();
         assert_eq!(connections.get(), 2);
     });
