test: join look-alike tests of odd entries and failing servers

Two tests of the gateway started one in the same way and asserted the same, which a function does now; their names stay. Two tests of the path differed in the number of servers and in when one accepts connections and are cases of one test now. All assertions are the same.

--- a/crates/peridotrack-edge/tests/gateway/odd_entries.rs
+++ b/crates/peridotrack-edge/tests/gateway/odd_entries.rs
@@ -78,6 +78,17 @@
     });
 }
 
+/// Asserts that a gateway that starts now becomes ready and serves requests with a server whose entry
+/// stands behind those in the store.
+async fn assert_server_is_listed_after_entries(store: store::Handle) {
+    let backend = backend::spawn().unwrap();
+    store.put("servers", "n-0", entry(&backend));
+    store.put("config", "main", config(4, 1_000_000));
+    let fixture = Fixture::spawn_with(store, vec![backend]);
+    fixture.ready().await;
+    assert_eq!(fixture.get("/safe/x").await.unwrap().status(), 200);
+}
+
 /// Guards against names of other writers' entries that become a part of the address of the next page:
 /// gateways that were started while they stood ended, or never knew the servers.
 #[rstest]
@@ -98,18 +109,13 @@
 fn a_server_is_listed_after_entries_with_odd_names(#[case] name: &str) {
     block_on(async {
         let store = store::spawn().unwrap();
-        let backend = backend::spawn().unwrap();
         // The stand-in returns two objects in a page, so that the first page ends with an odd name.
         for number in 0..3 {
             let name = format!("{name}{number}");
             store.put("servers", &name, json!({"service": "batch"}));
             store.put("config", &name, json!("not a configuration"));
         }
-        store.put("servers", "n-0", entry(&backend));
-        store.put("config", "main", config(4, 1_000_000));
-        let fixture = Fixture::spawn_with(store, vec![backend]);
-        fixture.ready().await;
-        assert_eq!(fixture.get("/safe/x").await.unwrap().status(), 200);
+        assert_server_is_listed_after_entries(store).await;
     });
 }
 
@@ -118,17 +124,12 @@
 fn a_server_is_listed_after_a_page_of_malformed_objects() {
     block_on(async {
         let store = store::spawn().unwrap();
-        let backend = backend::spawn().unwrap();
         for number in 0..4 {
             let name = format!("batch-{number}");
             store.put("servers", &name, json!({"service": "batch"}));
             store.make_malformed("servers", &name, store::Flaw::Revision);
         }
-        store.put("servers", "n-0", entry(&backend));
-        store.put("config", "main", config(4, 1_000_000));
-        let fixture = Fixture::spawn_with(store, vec![backend]);
-        fixture.ready().await;
-        assert_eq!(fixture.get("/safe/x").await.unwrap().status(), 200);
+        assert_server_is_listed_after_entries(store).await;
     });
 }
 
--- a/crates/peridotrack-reach/tests/reach.rs
+++ b/crates/peridotrack-reach/tests/reach.rs
@@ -198,22 +198,17 @@
     assert_eq!(world.changes, []);
 }
 
-#[test]
-fn the_only_known_server_is_no_evidence() {
-    let mut world = World::new(1, 7);
-    world.is_up.fill(false);
-    for _ in 0..10 {
-        world.connect(0);
-        world.run_for(100_000, 1);
-    }
-    assert_eq!(world.changes, []);
-}
-
-#[test]
-fn a_flapping_server_does_not_change_the_path() {
-    let mut world = World::new(8, 7);
-    for round in 0..40 {
-        world.is_up[0] = round % 2 == 0;
+#[rstest]
+#[case::the_only_one(1, 10, |_| false)]
+#[case::flapping(8, 40, |round| round % 2 == 0)]
+fn one_failing_server_does_not_change_the_path(
+    #[case] servers: usize,
+    #[case] rounds: usize,
+    #[case] is_up: fn(usize) -> bool,
+) {
+    let mut world = World::new(servers, 7);
+    for round in 0..rounds {
+        world.is_up[0] = is_up(round);
         world.connect(0);
         world.run_for(100_000, 1);
     }
