refactor(quarantine,edge): split quarantine and platform client by noun

quarantine.rs and platform.rs held several things in over 530 lines each. The statements of all routers and the publication of the own one are now modules of the quarantine; the availability of the store, one call, its errors and outcomes, objects and entries of VMs are modules of the platform client. No change of behaviour; the tests and public paths are the same.

--- a/crates/peridotrack-edge/src/platform/hosted.rs
+++ b/crates/peridotrack-edge/src/platform/hosted.rs
@@ -8,7 +8,14 @@
 use peridotrack_kernel::event;
 use peridotrack_platform::store;
 
-use super::{Call, DEFAULT_RETRY_MS, Error, Object, Platform, pack, request, unknown};
+use super::{
+    Platform,
+    call::{self, Call},
+    error::{DEFAULT_RETRY_MS, Error, unknown},
+    native::request,
+    object::Object,
+    pack,
+};
 
 /// Result of listing the objects of one kind.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -80,7 +87,7 @@
         let result = self.send_watch(&path, wait_ms).await;
         // The same watch would get the same response again; pages of a list are smaller.
         if matches!(&result, Err(error) if matches!(error.kind, client::Kind::BodyTooLarge)) {
-            self.outages.borrow_mut().on_response(self.kernel.now_us());
+            self.availability.on_response();
             return Err(Error::HistoryLost {
                 step: "watch",
                 key: kind.to_owned(),
@@ -111,11 +118,7 @@
     }
 
     /// Sends a watch on an idle connection of an earlier watch, or on a new one.
-    async fn send_watch(
-        &self,
-        path: &str,
-        wait_ms: u64,
-    ) -> Result<http::Response<Bytes>, client::Error> {
+    async fn send_watch(&self, path: &str, wait_ms: u64) -> call::Result {
         let idle = self.watch_connections.take(self.kernel.now_us());
         let mut connection = match idle {
             Some(connection) => connection,
--- a/crates/peridotrack-edge/src/platform/native.rs
+++ b/crates/peridotrack-edge/src/platform/native.rs
@@ -1,10 +1,13 @@
 //! Requests and responses of [`super::Dialect::Native`], the product's own object API.
 //!
-//! [`request`] and [`unknown`] are used for both dialects.
+//! [`request`] is used for both dialects.
 
 use bytes::Bytes;
 
-use super::{DEFAULT_RETRY_MS, Error, Object};
+use super::{
+    error::{DEFAULT_RETRY_MS, Error, unknown},
+    object::Object,
+};
 
 pub(super) fn object_path(key: &str) -> String {
     format!("/v1/objects/{key}")
@@ -50,14 +53,6 @@
     })
 }
 
-pub(super) fn unknown(step: &'static str, key: &str, detail: String) -> Error {
-    Error::Unknown {
-        step,
-        key: key.to_owned(),
-        detail,
-    }
-}
-
 pub(super) fn refused(step: &'static str, key: &str, response: &http::Response<Bytes>) -> Error {
     let seconds = response
         .headers()
--- a/crates/peridotrack-quarantine/src/quarantine.rs
+++ b/crates/peridotrack-quarantine/src/quarantine.rs
@@ -1,6 +1,11 @@
 //! The quarantine state machine and its entry points.
+//!
+//! An attempt that breaks is kept in `pending` until its server is known to have ended, which makes
+//! it a crash in `statements`. `publication` makes these known to the others. Each change of the
+//! statements leads to a new `verdict`; `probe` and `recheck` decide which of the requests that it
+//! concerns are sent nevertheless.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use peridotrack_types::{collections::HashMap, name};
 
@@ -9,23 +14,21 @@
     options::Options,
     pending::{Attempt, Pending},
     probe::Probes,
+    publication::Publication,
     recheck::{Claim, Outcome, Rechecks},
     run::Run,
     signature::Signature,
-    statement::{Clearance, Crash, Statement},
-    verdict::{self, Block, Crashes, Report, Verdict},
+    statement::{Crash, Statement},
+    statements::Statements,
+    verdict::{self, Block, Crashes, Verdict},
 };
 
 /// Collects what routers state about crashes, and decides which requests are refused.
 #[derive(Debug)]
 pub struct Quarantine {
     options: Options,
-    /// VM of this router, which is the author of its statement.
-    vm: name::Vm,
-    /// This router's statement.
-    own: Statement,
-    /// Statements of the others, by author.
-    others: BTreeMap<name::Vm, Statement>,
+    statements: Statements,
+    publication: Publication,
     /// Broken attempts whose server may have ended.
     pending: Pending,
     /// Crashes that count, by signature; derived from the statements.
@@ -35,14 +38,6 @@
     rechecks: Rechecks,
     /// When the last crash under each signature became known, in monotonic microseconds.
     crashed_us: BTreeMap<Signature, u64>,
-    /// When the statement is due to be sent to the peers.
-    send_us: Option<u64>,
-    /// When the statement is due to be written.
-    write_us: Option<u64>,
-    /// Statement that the store holds; `None` if the outcome of a write is unknown.
-    written: Option<Statement>,
-    /// Statement of the write in progress.
-    writing: Option<Statement>,
     /// When aged crashes are removed next.
     expire_us: u64,
 }
@@ -53,19 +48,14 @@
     pub fn new(vm: name::Vm, options: Options) -> Self {
         Self {
             options,
-            vm,
-            own: Statement::default(),
-            others: BTreeMap::new(),
+            statements: Statements::new(vm),
+            publication: Publication::new(),
             pending: Pending::default(),
             crashes: BTreeMap::new(),
             verdict: Verdict::default(),
             probes: Probes::default(),
             rechecks: Rechecks::default(),
             crashed_us: BTreeMap::new(),
-            send_us: None,
-            write_us: None,
-            written: Some(Statement::default()),
-            writing: None,
             expire_us: 0,
         }
     }
@@ -80,7 +70,7 @@
     /// Returns the reason why it is not sent.
     pub fn check(&self, now: Now, signatures: &[Signature]) -> Result<(), Refusal> {
         let is_refused = |block: &&Block| !self.rechecks.may_send(now.monotonic_us, block);
-        if let Some(block) = self.blocks_of(signatures).find(is_refused) {
+        if let Some(block) = self.verdict.blocks_of(signatures).find(is_refused) {
             let due_in_us = self
                 .rechecks
                 .due_in_us(now.monotonic_us, block, &self.options);
@@ -93,7 +83,7 @@
         for (signature, crashes) in self.undecided(signatures) {
             if !self
                 .probes
-                .may_send(now, &self.vm, signature, &self.options)
+                .may_send(now, self.statements.vm(), signature, &self.options)
             {
                 return Err(Refusal {
                     block: Block {
@@ -120,7 +110,7 @@
                 self.probes.begin(now, *signature);
             }
         }
-        for block in blocks_of(&self.verdict.blocks, signatures) {
+        for block in self.verdict.blocks_of(signatures) {
             self.rechecks.begin(now.monotonic_us, block, &self.options);
         }
         let depth = |signature| self.crashes.get(signature).map_or(0, verdict::max_depth);
@@ -158,14 +148,10 @@
             })
         };
         let is_undecided = self.undecided(signatures).next().is_some();
-        let is_blocked = self.blocks_of(signatures).next().is_some();
+        let is_blocked = self.verdict.blocks_of(signatures).next().is_some();
         !is_blocked && !is_undecided && signatures.iter().all(is_allowed)
     }
 
-    fn blocks_of(&self, signatures: &[Signature]) -> impl Iterator<Item = &Block> {
-        blocks_of(&self.verdict.blocks, signatures)
-    }
-
     /// Returns those of the signatures that are sent only to learn whether they cause crashes.
     fn undecided(&self, signatures: &[Signature]) -> impl Iterator<Item = (Signature, &Crashes)> {
         signatures.iter().filter_map(|signature| {
@@ -207,11 +193,10 @@
             Event::Stated { author, statement } => {
                 self.on_stated(now, author, statement, &mut actions);
             }
-            Event::Written => self.written = self.writing.take(),
+            Event::Written => self.publication.on_written(),
             Event::WriteFailed => {
-                self.writing = None;
-                self.written = None;
-                self.write_us = Some(now.monotonic_us + self.options.write_retry_us);
+                self.publication
+                    .on_write_failed(now.monotonic_us, &self.options);
             }
             Event::Claimed { claim, outcome } => {
                 self.on_claimed(now, claim, outcome, &mut actions);
@@ -229,20 +214,12 @@
                 self.expire(now, actions);
             }
         }
-        if self.send_us.is_some_and(|at_us| now.monotonic_us >= at_us) {
-            self.send_us = None;
-            actions.push(Action::Send(self.own.clone()));
+        let own = self.statements.own();
+        if self.publication.take_send(now.monotonic_us) {
+            actions.push(Action::Send(own.clone()));
         }
-        let is_due = self.write_us.is_some_and(|at_us| now.monotonic_us >= at_us);
-        if is_due && self.writing.is_none() {
-            self.write_us = None;
-            let is_same = |written: &Statement| {
-                written.crashes == self.own.crashes && written.clearances == self.own.clearances
-            };
-            if !self.written.as_ref().is_some_and(is_same) {
-                self.writing = Some(self.own.clone());
-                actions.push(Action::Write(self.own.clone()));
-            }
+        if self.publication.take_write(now.monotonic_us, own) {
+            actions.push(Action::Write(own.clone()));
         }
     }
 
@@ -298,27 +275,10 @@
         let suspected = |signature: &&Signature| self.crashes.contains_key(signature);
         for signature in signatures.iter().filter(suspected) {
             is_changed = true;
-            self.own
-                .crashes
-                .retain(|crash| crash.signature != *signature);
-            let others = self.others.values().flat_map(|other| &other.crashes);
-            let cleared: BTreeSet<Clearance> = others
-                .filter(|crash| crash.signature == *signature)
-                .map(clearance)
-                .collect();
-            for clearance in cleared {
-                if !self.own.clearances.contains(&clearance) {
-                    self.own.clearances.push(clearance);
-                }
-            }
+            self.statements.clear(signature);
         }
         if is_changed {
-            let excess = self
-                .own
-                .clearances
-                .len()
-                .saturating_sub(self.options.max_entries);
-            self.own.clearances.drain(..excess);
+            self.statements.trim_clearances(self.options.max_entries);
             self.change(now, actions);
         }
     }
@@ -330,17 +290,13 @@
         statement: Statement,
         actions: &mut Vec<Action>,
     ) {
-        if author == self.vm {
+        if author == *self.statements.vm() {
             return self.on_own_stored(now, statement, actions);
         }
-        let is_known = |known: &Statement| known.sequence >= statement.sequence;
-        if self.others.get(&author).is_some_and(is_known) {
+        if !self.statements.replace(author, statement) {
             return;
         }
-        self.others.insert(author, statement);
-        let before = self.own.clone();
-        self.drop_settled();
-        if self.own.crashes != before.crashes || self.own.clearances != before.clearances {
+        if self.statements.drop_settled() {
             self.change(now, actions);
         } else {
             self.rejudge(now, actions);
@@ -349,106 +305,45 @@
 
     /// Adopts what an earlier incarnation on this VM stated.
     fn on_own_stored(&mut self, now: Now, stored: Statement, actions: &mut Vec<Action>) {
-        if stored.sequence <= self.own.sequence {
+        if !self.statements.continue_sequence(stored.sequence) {
             return;
         }
-        self.own.sequence = stored.sequence;
-        self.written = Some(stored.clone());
+        self.publication.on_stored(stored.clone());
         for crash in stored.crashes {
             self.add_crash(crash);
         }
         for clearance in stored.clearances {
-            if !self.own.clearances.contains(&clearance) {
-                self.own.clearances.push(clearance);
-            }
+            self.statements.add_clearance(clearance);
         }
         self.change(now, actions);
     }
 }
 
-/// Changes of this router's statement, and what follows from all statements.
+/// What follows from changed statements.
 impl Quarantine {
+    /// Adds a crash to this router's statement. Crashes count as evidence if a block rests on them,
+    /// and by the number of them that is known under the signature.
     fn add_crash(&mut self, crash: Crash) {
-        let is_same = |known: &&mut Crash| {
-            known.signature == crash.signature && known.backend_server == crash.backend_server
-        };
-        match self.own.crashes.iter_mut().find(is_same) {
-            Some(known) => known.depth = known.depth.max(crash.depth),
-            None => {
-                if self.own.crashes.len() >= self.options.max_entries {
-                    self.remove_least_conclusive_crash();
-                }
-                self.own.crashes.push(crash);
-            }
-        }
-    }
-
-    /// Removes an own crash to make room: of the signature with the least evidence, the oldest.
-    fn remove_least_conclusive_crash(&mut self) {
-        let blocks = &self.verdict.blocks;
-        let is_proof = |signature| {
-            blocks
-                .iter()
-                .any(|block| block.signatures.contains(signature))
-        };
-        let mut counts: BTreeMap<Signature, usize> = BTreeMap::new();
-        for crash in &self.own.crashes {
-            *counts.entry(crash.signature).or_default() += 1;
-        }
-        let count = |signature| {
+        let evidence = |signature: &Signature, own: usize| {
+            let mut blocks = self.verdict.blocks.iter();
+            let is_proof = blocks.any(|block| block.signatures.contains(signature));
             let stated = self.crashes.get(signature).map_or(0, Crashes::len);
-            stated.max(counts.get(signature).copied().unwrap_or_default())
+            (is_proof, stated.max(own))
         };
-        let least = (0..self.own.crashes.len()).min_by_key(|&index| {
-            let crash = &self.own.crashes[index];
-            let signature = &crash.signature;
-            let evidence = (is_proof(signature), count(signature), crash.depth);
-            (evidence, crash.at_wall_ms)
-        });
-        if let Some(least) = least {
-            self.own.crashes.swap_remove(least);
-        }
-    }
-
-    /// Removes what no longer matters: own crashes that others cleared, and clearances of crashes
-    /// that no one states any more.
-    fn drop_settled(&mut self) {
-        let cleared: BTreeSet<&Clearance> = self
-            .others
-            .values()
-            .flat_map(|other| &other.clearances)
-            .collect();
-        self.own
-            .crashes
-            .retain(|crash| !cleared.contains(&clearance(crash)));
-        let stated: BTreeSet<Clearance> = self
-            .others
-            .values()
-            .flat_map(|other| &other.crashes)
-            .map(clearance)
-            .collect();
-        self.own
-            .clearances
-            .retain(|clearance| stated.contains(clearance));
+        self.statements
+            .add_crash(crash, self.options.max_entries, evidence);
     }
 
     /// Publishes this router's changed statement.
     fn change(&mut self, now: Now, actions: &mut Vec<Action>) {
-        // The clock keeps the sequence above that of an earlier incarnation whose last statement
-        // did not reach the store.
-        self.own.sequence = (self.own.sequence + 1).max(now.wall_ms);
-        let send_us = now.monotonic_us + self.options.send_delay_us;
-        self.send_us.get_or_insert(send_us);
-        let write_us = now.monotonic_us + self.options.write_delay_us;
-        self.write_us.get_or_insert(write_us);
+        self.statements.raise_sequence(now.wall_ms);
+        self.publication.schedule(now.monotonic_us, &self.options);
         self.rejudge(now, actions);
     }
 
     fn expire(&mut self, now: Now, actions: &mut Vec<Action>) {
         let is_current = self.is_current(now);
-        let count = self.own.crashes.len();
-        self.own.crashes.retain(is_current);
-        if self.own.crashes.len() < count {
+        if self.statements.expire(is_current) {
             self.change(now, actions);
         } else {
             self.rejudge(now, actions);
@@ -462,33 +357,7 @@
 
     /// Derives the crashes that count and the verdict from all statements.
     fn rejudge(&mut self, now: Now, actions: &mut Vec<Action>) {
-        let is_current = self.is_current(now);
-        let own = (&self.vm, &self.own);
-        let statements: Vec<_> = self.others.iter().chain([own]).collect();
-        let cleared: BTreeSet<&Clearance> = statements
-            .iter()
-            .flat_map(|(_, statement)| &statement.clearances)
-            .collect();
-        let mut crashes: BTreeMap<Signature, Crashes> = BTreeMap::new();
-        for (author, statement) in &statements {
-            for crash in statement.crashes.iter().filter(|crash| is_current(crash)) {
-                if cleared.contains(&clearance(crash)) {
-                    continue;
-                }
-                let report = crashes
-                    .entry(crash.signature)
-                    .or_default()
-                    .entry(crash.backend_server.clone())
-                    .or_insert_with(|| Report {
-                        depth: crash.depth,
-                        at_wall_ms: crash.at_wall_ms,
-                        authors: BTreeSet::new(),
-                    });
-                report.depth = report.depth.max(crash.depth);
-                report.at_wall_ms = report.at_wall_ms.min(crash.at_wall_ms);
-                report.authors.insert((*author).clone());
-            }
-        }
+        let crashes = self.statements.crashes(self.is_current(now));
         for (signature, known) in &crashes {
             let before = self.crashes.get(signature).map_or(0, Crashes::len);
             if known.len() > before {
@@ -509,21 +378,6 @@
     }
 }
 
-/// Returns the blocks because of which a request with the signatures is refused.
-fn blocks_of<'a>(blocks: &'a [Block], signatures: &[Signature]) -> impl Iterator<Item = &'a Block> {
-    blocks.iter().filter(move |block| {
-        let mut blocked = block.signatures.iter();
-        blocked.all(|signature| signatures.contains(signature))
-    })
-}
-
-fn clearance(crash: &Crash) -> Clearance {
-    Clearance {
-        signature: crash.signature,
-        backend_server: crash.backend_server.clone(),
-    }
-}
-
 /// Notes which blocks began and ended.
 fn note_changes(before: &Verdict, after: &Verdict, actions: &mut Vec<Action>) {
     let by_signatures = |verdict: &Verdict| -> HashMap<Vec<Signature>, Block> {
--- a/crates/peridotrack-quarantine/src/verdict.rs
+++ b/crates/peridotrack-quarantine/src/verdict.rs
@@ -57,6 +57,16 @@
     pub undecided: BTreeMap<Signature, Crashes>,
 }
 
+impl Verdict {
+    /// Returns the blocks because of which a request with the signatures is refused.
+    pub(crate) fn blocks_of(&self, signatures: &[Signature]) -> impl Iterator<Item = &Block> {
+        self.blocks.iter().filter(move |block| {
+            let mut blocked = block.signatures.iter();
+            blocked.all(|signature| signatures.contains(signature))
+        })
+    }
+}
+
 /// Explains the crashes by as few signatures as possible.
 ///
 /// Signatures with the same crashes form one block. A request that has only some of them is let
