--- a/crates/peridotrack-edge/tests/gateway/reach.rs
+++ b/crates/peridotrack-edge/tests/gateway/reach.rs
@@ -206,3 +206,24 @@
         assert_eq!(count(&pair.gateway, "PartitionBegun", ""), 0);
     });
 }
+
+/// Guards against servers that a gateway regards as ended, because it is partitioned from them and no
+/// peer is left.
+#[test]
+fn a_gateway_without_peers_whose_connections_are_refused_ends_servers() {
+    block_on(async {
+        let servers: Vec<_> = (0..3).map(|_| backend::spawn().unwrap()).collect();
+        let relays = servers.iter().map(|server| relay::spawn(server.address()));
+        let relays: Vec<_> = relays.map(Result::unwrap).collect();
+        let store = store_of(relays.iter().map(relay::Relay::address));
+        let gateway = spawn("vm-1", &store, &[]);
+        let ready = async || (send(&gateway, "/public/").await == 200).then_some(());
+        wait::poll(LIMIT, "readiness", ready).await.unwrap();
+        relays.iter().for_each(relay::Relay::refuse_connections);
+        for _ in 0..REQUESTS {
+            assert_eq!(send(&gateway, "/once/").await, 503);
+        }
+        assert_eq!(count(&gateway, "PartitionBegun", ""), 1);
+        assert_eq!(count(&gateway, "RouteNote", "{\"ended\":"), 0);
+    });
+}
