fix(edge): answer at the deadline while a server is checked

Cause: after a connection breaks, it is checked whether the server has ended, before the request is sent again. While the router is partitioned, peers are asked for that; two of them were suspended, and each took a time-out of 500 ms. The wait was not bounded by the deadline.

--- a/crates/peridotrack-edge/src/gateway/exchange.rs
+++ b/crates/peridotrack-edge/src/gateway/exchange.rs
@@ -4,7 +4,7 @@
 //! The client listener calls [`serve`] for each request. The exchange records the request's
 //! progress and result as events and metrics.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use peridotrack_http::server;
@@ -239,7 +239,10 @@
                 if is_unsent {
                     shared.quarantine.withdraw(&trial);
                 } else if is_disconnected && progress.stage() != stream::Stage::Streaming {
-                    crash::report_break(shared, &server, target.address, trial).await;
+                    let check = crash::report_break(shared, &server, target.address, trial);
+                    // Peers may be asked, which need not answer before the deadline.
+                    let limit = Duration::from_micros(request.remaining_us(shared));
+                    let _ = monoio::time::timeout(limit, check).await;
                     may_retry = shared.quarantine.may_retry(&request.signatures);
                 } else if is_disconnected {
                     // The server may start again as another version before its entry says so.
--- a/crates/peridotrack-edge/tests/gateway/reach.rs
+++ b/crates/peridotrack-edge/tests/gateway/reach.rs
@@ -1,9 +1,15 @@
 //! Gateways that cannot connect to backend servers which other gateways reach.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    cell::RefCell,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
-use peridotrack_edge::gateway::Gateway;
-use peridotrack_kernel::{event, log};
+use peridotrack_edge::{gateway::Gateway, peer};
+use peridotrack_kernel::{Kernel, Options, event, log};
+use peridotrack_member::message::{Message, Record, Report, State};
 use peridotrack_standin::{
     harness::{
         http::{block_on, fetch},
@@ -11,7 +17,7 @@
     },
     hosted::{backend, store},
 };
-use peridotrack_types::gateway::Settings;
+use peridotrack_types::{gateway::Settings, id};
 use rstest::rstest;
 
 use crate::fixture::{LIMIT, config, entry_at, request, settings};
@@ -20,6 +26,12 @@
 const RETURN_TIME: Duration = Duration::from_secs(1);
 /// When the processes of the servers started, in Unix milliseconds.
 const BORN_MS: u64 = 1_700_000_000_000;
+/// Deadline of the requests that [`request`] returns.
+const DEADLINE: Duration = Duration::from_millis(1_500);
+/// Time in which a response at the deadline reaches the client.
+const RESPONSE_TIME: Duration = Duration::from_millis(150);
+/// Time between two heartbeats of the peer that a test acts as.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(100);
 /// Requests of each kind that are sent at a time.
 const REQUESTS: usize = 8;
 
@@ -227,3 +239,81 @@
         assert_eq!(count(&gateway, "RouteNote", "{\"ended\":"), 0);
     });
 }
+
+/// Starts a peer that takes requests for tunnels and answers none, and has the gateway know it.
+async fn spawn_silent_peer(gateway: &Gateway, settings: &Settings) -> Rc<peer::Link> {
+    let incarnation = id::Incarnation(77);
+    let kernel = Kernel::open(Options::default()).unwrap();
+    let any = settings.peer_address;
+    let link = peer::Link::bind(kernel, incarnation, any, &settings.peer_key).unwrap();
+    let open = RefCell::new(Vec::new());
+    link.subscribe_tunnels(move |_, _, stream| open.borrow_mut().push(stream));
+    let from = Record {
+        vm: "vm-77".into(),
+        incarnation,
+        started_wall_ms: BORN_MS,
+        failure_domain: "b".into(),
+        peer_address: link.address(),
+        caller_address: link.address(),
+        heartbeat_sequence: 1,
+        config_version: 0,
+        state: State::Serving,
+    };
+    let mut report = Report {
+        from,
+        heartbeat_sequences: Vec::new(),
+        records: Vec::new(),
+        wanted_records: 0,
+        domain_peers: 0,
+    };
+    let (sender, to) = (Rc::clone(&link), gateway.peer_address());
+    monoio::spawn(async move {
+        loop {
+            report.from.heartbeat_sequence += 1;
+            let heartbeat = Message::Heartbeat(report.clone());
+            sender.send(to, &peer::Frame::Member(heartbeat));
+            monoio::time::sleep(HEARTBEAT_INTERVAL).await;
+        }
+    });
+    let is_known = || count(gateway, "PeerJoined", "") > 0;
+    wait::until(LIMIT, "the peer", is_known).await.unwrap();
+    link
+}
+
+/// Guards against requests that are held past their deadline while it is checked whether their server
+/// has ended: peers may be asked for that, which need not answer.
+#[test]
+fn a_request_is_held_past_its_deadline_because_its_connection_broke() {
+    block_on(async {
+        let servers: Vec<_> = (0..3).map(|_| backend::spawn().unwrap()).collect();
+        let relays = servers.iter().map(|server| relay::spawn(server.address()));
+        let relays: Vec<_> = relays.map(Result::unwrap).collect();
+        let store = store_of(relays.iter().map(relay::Relay::address));
+        let gateway = spawn("vm-1", &store, &[]);
+        let ready = async || (send(&gateway, "/public/").await == 200).then_some(());
+        wait::poll(LIMIT, "readiness", ready).await.unwrap();
+        let _peer = spawn_silent_peer(&gateway, &settings(&store)).await;
+        for server in &servers {
+            server.set_response_delay(2 * DEADLINE);
+        }
+
+        let address = gateway.client_address();
+        let sent = Instant::now();
+        let held = monoio::spawn(async move { fetch(address, request("/safe/", &[])).await });
+        monoio::time::sleep(DEADLINE / 6).await;
+        relays.iter().for_each(relay::Relay::refuse_connections);
+        monoio::spawn(async move { fetch(address, request("/once/", &[])).await });
+        let is_partitioned = || count(&gateway, "PartitionBegun", "") > 0;
+        wait::until(DEADLINE / 2, "a partition", is_partitioned)
+            .await
+            .unwrap();
+        monoio::time::sleep(DEADLINE.mul_f64(0.9) - sent.elapsed()).await;
+        for relay in &relays {
+            relay.set(relay::Link::Reset);
+        }
+        let response = held.await;
+        let elapsed = sent.elapsed();
+        assert!(response.is_ok_and(|response| response.status() != 200));
+        assert!(elapsed <= DEADLINE + RESPONSE_TIME, "{elapsed:?}");
+    });
+}
