test(soak): count a router as told only by a response that says so

The check took each response of the server since its first statement for one that tells. The partition has no part in it.

Stand-ins now record for each run whether its response stated it, and only such a response starts the 2 s. So that requests after the end of the statement do not go unchecked, the removal that ends it is recorded like that of a drained server: no router in contact with the store may send to the server later than 2 s after. not_stated in tests/stated.rs failed with the condition of before.

--- a/crates/peridotrack-soak/src/apply.rs
+++ b/crates/peridotrack-soak/src/apply.rs
@@ -212,6 +212,12 @@
     let mut fleet = run.fleet.borrow_mut();
     if fleet.backends[backend].name == name && !fleet.backends[backend].is_down {
         fleet.store.remove("servers", &name);
+        let removal = check::Drain {
+            server: name,
+            backend,
+            at_ms: run.now_ms(),
+        };
+        run.record.borrow_mut().draining.push(removal);
         fleet.register(backend);
         fleet.backends[backend].handle.set_leaving(false);
     }
--- a/crates/peridotrack-soak/src/check.rs
+++ b/crates/peridotrack-soak/src/check.rs
@@ -82,18 +82,20 @@
     pub account: String,
     /// Whether the router forwarded the client's key, which it must not.
     pub has_credential: bool,
+    /// Whether the server stated in the response that it leaves.
+    pub states_leaving: bool,
     /// When it arrived, in milliseconds since the start of the run.
     pub at_ms: u64,
 }
 
-/// The drain of a backend server.
+/// The drain of a backend server, or its removal without one.
 #[derive(Debug, Clone)]
 pub struct Drain {
     /// Name of the server.
     pub server: String,
     /// Index of the server, through all its incarnations.
     pub backend: usize,
-    /// When the store marked it draining, in milliseconds since the start of the run.
+    /// When the store marked it draining or removed it, in milliseconds since the start of the run.
     pub at_ms: u64,
 }
 
@@ -122,7 +124,7 @@
     pub steps: Vec<Step>,
     /// Configuration versions, each with the time when it was written to the store; ascending.
     pub versions: Vec<(u64, u64)>,
-    /// Backend servers that were drained.
+    /// Backend servers that were drained, or removed after they had stated that they leave.
     pub draining: Vec<Drain>,
     /// Crashes of backend servers, each with what caused it and its time.
     pub crashes: Vec<(Cause, u64)>,
@@ -212,7 +214,7 @@
 }
 
 /// Checks that a client sent the request, that it ran for the account of the request without the
-/// client's key, and that its backend server had not been drained.
+/// client's key, and that its backend server had been neither drained nor removed.
 fn check_execution(
     record: &Record,
     execution: &Execution,
@@ -239,7 +241,7 @@
     });
     is_late.then(|| {
         format!(
-            "{id} reached {} after its drain period",
+            "{id} reached {} later than 2 s after its drain or removal",
             execution.expected_server
         )
     })
--- a/crates/peridotrack-soak/src/run.rs
+++ b/crates/peridotrack-soak/src/run.rs
@@ -352,6 +352,7 @@
                 expected_server: run.expected_server().to_owned(),
                 account: run.client_account().to_owned(),
                 has_credential: run.has_credential(),
+                states_leaving: run.has_stated_leaving(),
                 at_ms: self.ms_at(run.at),
             });
         }
--- a/crates/peridotrack-soak/src/stated.rs
+++ b/crates/peridotrack-soak/src/stated.rs
@@ -6,7 +6,7 @@
 use peridotrack_standin::hosted::{client::Outcome, deployment::bounds};
 
 use crate::{
-    check::{Record, SentRequest},
+    check::{Execution, Record, SentRequest},
     schedule::Fault,
 };
 
@@ -44,7 +44,10 @@
 type Process = (usize, u64);
 
 /// Checks that no router sends a request which a client sent later than [`bounds::DRAIN_MS`] after
-/// the router had passed on a response of the server.
+/// the router had passed on a response in which the server states that it leaves.
+///
+/// A process that starts after others were told has to be told itself. The server does not state it
+/// any more once it is registered under another name; [`Record::draining`] has the removal.
 pub(crate) fn check_leaving(
     record: &Record,
     leaving: &StatedLeaving,
@@ -54,19 +57,21 @@
     let at_server = record.executions.iter().filter(|execution| {
         execution.expected_server == leaving.server && execution.at_ms >= leaving.from_ms
     });
-    let sent: Vec<&SentRequest> = at_server
-        .filter_map(|execution| requests_by_id.get(&*execution.id).copied())
+    let sent: Vec<(&Execution, &SentRequest)> = at_server
+        .filter_map(|execution| Some((execution, *requests_by_id.get(&*execution.id)?)))
         .collect();
     let mut told_ms: BTreeMap<Process, u64> = BTreeMap::new();
-    let is_passed_on = |sent: &&&SentRequest| {
-        sent.outcome == Outcome::Status(200) && execution_counts.get(&*sent.id) == Some(&1)
+    let is_passed_on = |(execution, sent): &&(&Execution, &SentRequest)| {
+        execution.states_leaving
+            && sent.outcome == Outcome::Status(200)
+            && execution_counts.get(&*sent.id) == Some(&1)
     };
-    for sent in sent.iter().filter(is_passed_on) {
+    for (_, sent) in sent.iter().filter(is_passed_on) {
         let told_ms = told_ms.entry((sent.router, sent.incarnation));
         let told_ms = told_ms.or_insert(sent.end_ms);
         *told_ms = (*told_ms).min(sent.end_ms);
     }
-    let is_late = |sent: &&&SentRequest| {
+    let is_late = |(_, sent): &&(&Execution, &SentRequest)| {
         let told_ms = told_ms.get(&(sent.router, sent.incarnation));
         told_ms.is_some_and(|told_ms| sent.at_ms > told_ms + bounds::DRAIN_MS)
     };
--- a/crates/peridotrack-soak/tests/common/mod.rs
+++ b/crates/peridotrack-soak/tests/common/mod.rs
@@ -44,6 +44,7 @@
         expected_server: "i-1".to_owned(),
         account: "t-1".to_owned(),
         has_credential: false,
+        states_leaving: false,
         at_ms: AT_MS + 10,
     }
 }
--- a/crates/peridotrack-soak/tests/stated.rs
+++ b/crates/peridotrack-soak/tests/stated.rs
@@ -15,17 +15,18 @@
 };
 use rstest::rstest;
 
-/// Returns a record with a server that states that it leaves in the response to a request, and
+/// Returns a record with a server that leaves and `states_leaving` in the response to a request, and
 /// another request to it that is sent `after_ms` later.
-fn leaving(after_ms: u64, first: Outcome, incarnation: u64) -> Record {
+fn leaving(after_ms: u64, first: Outcome, states_leaving: bool, incarnation: u64) -> Record {
     let request = |id: &str, at_ms, outcome| SentRequest {
         id: id.to_owned(),
         at_ms,
         end_ms: at_ms + 50,
         ..sent(Kind::Safe, outcome)
     };
-    let run = |id: &str, at_ms| Execution {
+    let run = |id: &str, at_ms, states_leaving| Execution {
         id: id.to_owned(),
+        states_leaving,
         at_ms,
         ..execution()
     };
@@ -41,23 +42,28 @@
         }],
         ..record(
             vec![request("r-1", AT_MS, first), second],
-            vec![run("r-1", AT_MS + 10), run("r-2", second_ms + 10)],
+            vec![
+                run("r-1", AT_MS + 10, states_leaving),
+                run("r-2", second_ms + 10, true),
+            ],
         )
     }
 }
 
 #[rstest]
-#[case::in_time(2_000, Outcome::Status(200), 1, false)]
-#[case::late(2_001, Outcome::Status(200), 1, true)]
-#[case::not_passed_on(2_001, Outcome::Status(502), 1, false)]
-#[case::restarted_since(2_001, Outcome::Status(200), 2, false)]
+#[case::in_time(2_000, Outcome::Status(200), true, 1, false)]
+#[case::late(2_001, Outcome::Status(200), true, 1, true)]
+#[case::not_passed_on(2_001, Outcome::Status(502), true, 1, false)]
+#[case::not_stated(2_001, Outcome::Status(200), false, 1, false)]
+#[case::restarted_since(2_001, Outcome::Status(200), true, 2, false)]
 fn a_request_long_after_a_server_stated_that_it_leaves_is_a_breach(
     #[case] after_ms: u64,
     #[case] first: Outcome,
+    #[case] states_leaving: bool,
     #[case] incarnation: u64,
     #[case] is_breach: bool,
 ) {
-    let record = leaving(after_ms, first, incarnation);
+    let record = leaving(after_ms, first, states_leaving, incarnation);
     assert_eq!(!check(&record).is_empty(), is_breach);
 }
 
--- a/crates/peridotrack-standin/src/hosted/backend.rs
+++ b/crates/peridotrack-standin/src/hosted/backend.rs
@@ -446,6 +446,7 @@
             headers: headers.clone(),
             body: request.body.clone(),
             at: Instant::now(),
+            has_stated_leaving: Rc::default(),
         };
         let fatal = self.fatal_cause(&run);
         if fatal.is_some() {
@@ -482,6 +483,7 @@
             _ => {}
         }
         let is_continuation = run.continues().is_some();
+        let has_stated_leaving = Rc::clone(&run.has_stated_leaving);
         self.runs.borrow_mut().push(run);
         if let Some(cause) = fatal {
             return self.crash(incoming, cause).await;
@@ -490,6 +492,7 @@
             return std::future::pending().await;
         }
         self.delay_response(incoming.connection).await?;
+        has_stated_leaving.set(self.is_leaving.get());
         let complete = |status: StatusCode| {
             response::finish(
                 self.signed(headers).status(status),
--- a/crates/peridotrack-standin/src/hosted/backend/record.rs
+++ b/crates/peridotrack-standin/src/hosted/backend/record.rs
@@ -1,6 +1,6 @@
 //! Records of the requests that a backend server ran or refused, and what it crashes under.
 
-use std::time::Instant;
+use std::{cell::Cell, rc::Rc, time::Instant};
 
 use bytes::Bytes;
 use http::{HeaderMap, Method};
@@ -40,6 +40,8 @@
     pub body: Bytes,
     /// Time at which the request was received in full.
     pub at: Instant,
+    /// Whether the server has stated in the response that it is leaving.
+    pub(super) has_stated_leaving: Rc<Cell<bool>>,
 }
 
 impl Run {
@@ -93,6 +95,11 @@
         self.headers.contains_key("peridotrack-credential")
     }
 
+    /// Returns whether the server has stated in the response that it is leaving.
+    pub fn has_stated_leaving(&self) -> bool {
+        self.has_stated_leaving.get()
+    }
+
     fn header(&self, name: &str) -> &str {
         let value = self.headers.get(name).and_then(|value| value.to_str().ok());
         value.unwrap_or_default()
