--- a/crates/peridotrack-edge/src/gateway/reach.rs
+++ b/crates/peridotrack-edge/src/gateway/reach.rs
@@ -290,8 +290,8 @@
     scope.conclude().await == Path::ThroughPeers
 }
 
-/// Opens a tunnel through one of the peers. Without peers, returns the error of the direct
-/// connection, or [`NoTunnel`] if this router is partitioned.
+/// Opens a tunnel through one of the peers; without peers, returns the error of the direct
+/// connection.
 async fn tunnel(
     shared: &Rc<Shared>,
     scope: &Rc<Scope>,
@@ -299,15 +299,14 @@
     address: SocketAddr,
     direct: Option<client::Error>,
 ) -> Result<client::Connection, client::Error> {
-    let no_tunnel = io::Error::new(io::ErrorKind::HostUnreachable, NoTunnel);
     let peers = ordered_peers(shared);
     if peers.is_empty() {
-        return Err(match direct {
-            Some(error) if scope.path() == Path::Direct => error,
-            _ => failed(address, no_tunnel),
-        });
+        return match direct {
+            Some(error) => Err(error),
+            None => connect_direct(shared, scope, server, address, options::backend()).await,
+        };
     }
-    let mut failure = no_tunnel;
+    let mut failure = io::Error::new(io::ErrorKind::HostUnreachable, NoTunnel);
     for record in peers.iter().take(MAX_PEERS) {
         let (peer, to) = (record.peer_address, record.incarnation);
         match shared.link.open_tunnel(peer, to, server).await {
@@ -323,17 +322,12 @@
             Err(peer::TunnelError::Declined | peer::TunnelError::Peer(_)) => avoid(shared, to),
         }
     }
-    Err(failed(address, failure))
-}
-
-/// Returns the error of a connection that was not established.
-fn failed(address: SocketAddr, error: io::Error) -> client::Error {
-    client::Error {
+    Err(client::Error {
         step: client::Step::Connect,
         peer: address,
         bytes_written: false,
-        kind: client::Kind::Io(error),
-    }
+        kind: client::Kind::Io(failure),
+    })
 }
 
 /// Has a peer asked for a tunnel after all others for a time.
