fix(follow): send peers the contents of used objects only

What callers saw: a gateway that started while the store turned it away served nothing, although a peer that knew the servers answered it, while large entries of another writer stood in the list of servers.

Cause: a router kept the contents of all objects of a kind for its peers, also those that it cannot use, and sent them in one frame. With one entry of 1,048,400 bytes, or 12 of 100,000, the answer exceeds the 1 MiB of a frame and is not sent.

Change: of an object whose content is not used, the name alone is kept and sent. The receiver takes it for one that cannot be decoded, as before, so that it does not go on with an earlier content of the object. Names above 1,024 bytes, which no used object has, are left out.

--- a/crates/peridotrack-edge/src/follow.rs
+++ b/crates/peridotrack-edge/src/follow.rs
@@ -26,6 +26,10 @@
 /// Name of this service in the registry.
 pub const SERVICE: &str = "follow";
 
+/// Maximum length of the name of an object that is kept for peers, in bytes. No router uses an object with
+/// a longer one.
+const MAX_NAME_BYTES: usize = 1_024;
+
 /// Period of the followers' ticks, in microseconds.
 const TICK_US: u64 = 100 * clock::US_PER_MS;
 
@@ -50,6 +54,17 @@
     },
 }
 
+/// What to follow.
+pub struct Target {
+    /// Kind of the objects.
+    pub kind: &'static str,
+    /// Options of the follower.
+    pub options: Options,
+    /// Returns whether the router uses the content of the object with this name. Other writers may store
+    /// large objects of the kind too; peers get only their names.
+    pub is_content_used: fn(&str, &Bytes) -> bool,
+}
+
 type OnUpdate = Box<dyn Fn(Update<'_>)>;
 
 /// Followers of this router, one for each kind.
@@ -65,7 +80,9 @@
     name: &'static str,
     follower: RefCell<Follower>,
     on_update: OnUpdate,
-    /// Content of the objects by name, for peers that the store turns away.
+    is_content_used: fn(&str, &Bytes) -> bool,
+    /// Content of the objects by name, for peers that the store turns away. It is empty if it is not used:
+    /// a peer learns from the name that an earlier content of the object no longer holds.
     objects: RefCell<BTreeMap<String, Bytes>>,
     /// Whether `objects` lacks none.
     is_complete: Cell<bool>,
@@ -85,9 +102,14 @@
         kernel: &Rc<Kernel>,
         platform: &Rc<platform::Platform>,
         incarnation: id::Incarnation,
-        (name, options): (&'static str, Options),
+        target: Target,
         on_update: impl Fn(Update<'_>) + 'static,
     ) {
+        let Target {
+            kind: name,
+            options,
+            is_content_used,
+        } = target;
         let leader = self.kinds.borrow().first().cloned();
         let kind = Rc::new(Kind {
             leader: leader.filter(|_| options.is_led),
@@ -96,6 +118,7 @@
             name,
             follower: RefCell::new(Follower::new(incarnation, options, kernel.now_us())),
             on_update: Box::new(on_update),
+            is_content_used,
             objects: RefCell::default(),
             is_complete: Cell::default(),
             was_relayed: Cell::new(false),
@@ -222,22 +245,30 @@
     }
 
     fn change(&self, changes: &[Change], since_loss_us: Option<u64>) {
-        let mut objects = self.objects.borrow_mut();
         for change in changes {
             match change.is_removed {
-                true => drop(objects.remove(&change.name)),
-                false => drop(
-                    objects.insert(change.name.clone(), Bytes::copy_from_slice(&change.content)),
-                ),
+                true => drop(self.objects.borrow_mut().remove(&change.name)),
+                false => self.keep(&change.name, Bytes::copy_from_slice(&change.content)),
             }
         }
-        drop(objects);
         (self.on_update)(Update::Changes {
             changes,
             since_loss_us,
         });
     }
 
+    /// Keeps an object for peers.
+    fn keep(&self, name: &str, content: Bytes) {
+        if name.len() > MAX_NAME_BYTES {
+            return;
+        }
+        let content = match (self.is_content_used)(name, &content) {
+            true => content,
+            false => Bytes::new(),
+        };
+        self.objects.borrow_mut().insert(name.to_owned(), content);
+    }
+
     /// Replaces the objects by those that a peer sent.
     fn replace(&self, snapshot: Snapshot) {
         let object = |(name, content): (String, Vec<u8>)| store::Object {
@@ -255,15 +286,12 @@
     }
 
     fn set_listing(&self, objects: &[store::Object], is_complete: bool) {
-        let mut contents = self.objects.borrow_mut();
         if is_complete {
-            contents.clear();
+            self.objects.borrow_mut().clear();
+        }
+        for object in objects {
+            self.keep(&object.name, object.content.clone());
         }
-        let listed = objects
-            .iter()
-            .map(|object| (object.name.clone(), object.content.clone()));
-        contents.extend(listed);
-        drop(contents);
         self.is_complete.set(is_complete);
         (self.on_update)(Update::Listing {
             objects,
--- a/crates/peridotrack-edge/src/gateway.rs
+++ b/crates/peridotrack-edge/src/gateway.rs
@@ -389,32 +389,41 @@
         ..
     } = &**shared;
     let site = Rc::clone(shared);
-    let kind = (site_wire::KIND, options::follow(&shared.settings.bounds));
-    follow.add(kernel, platform, *incarnation, kind, move |update| {
+    let target = follow::Target {
+        kind: site_wire::KIND,
+        options: options::follow(&shared.settings.bounds),
+        is_content_used: site::is_content_used,
+    };
+    follow.add(kernel, platform, *incarnation, target, move |update| {
         site::apply_update(&site, update);
     });
     let directory = Rc::clone(shared);
-    let kind = (
-        directory_wire::KIND,
-        options::follow_servers(&shared.settings.bounds),
-    );
-    follow.add(kernel, platform, *incarnation, kind, move |update| {
+    let target = follow::Target {
+        kind: directory_wire::KIND,
+        options: options::follow_servers(&shared.settings.bounds),
+        is_content_used: directory::is_content_used,
+    };
+    follow.add(kernel, platform, *incarnation, target, move |update| {
         directory::apply_update(&directory, update);
     });
     if let Some(evacuation_ms) = shared.settings.bounds.evacuation_ms {
         let evacuation = Rc::clone(shared);
-        let options = options::follow_evacuations(&shared.settings.bounds, evacuation_ms);
-        let kind = (evacuation_wire::KIND, options);
-        follow.add(kernel, platform, *incarnation, kind, move |update| {
+        let target = follow::Target {
+            kind: evacuation_wire::KIND,
+            options: options::follow_evacuations(&shared.settings.bounds, evacuation_ms),
+            is_content_used: evacuation::is_content_used,
+        };
+        follow.add(kernel, platform, *incarnation, target, move |update| {
             evacuation::apply_update(&evacuation, update);
         });
     }
     let quarantine = Rc::clone(&shared.quarantine);
-    let kind = (
-        statement::KIND,
-        options::follow_quarantine(&shared.settings.bounds),
-    );
-    follow.add(kernel, platform, *incarnation, kind, move |update| {
+    let target = follow::Target {
+        kind: statement::KIND,
+        options: options::follow_quarantine(&shared.settings.bounds),
+        is_content_used: quarantine::is_content_used,
+    };
+    follow.add(kernel, platform, *incarnation, target, move |update| {
         quarantine.apply_update(update);
     });
 }
--- a/crates/peridotrack-edge/src/gateway/directory.rs
+++ b/crates/peridotrack-edge/src/gateway/directory.rs
@@ -11,6 +11,7 @@
     rc::Rc,
 };
 
+use bytes::Bytes;
 use peridotrack_kernel::{clock, event};
 use peridotrack_platform::{directory as wire, response as response_wire};
 use peridotrack_quarantine::run::Run;
@@ -271,6 +272,11 @@
     }
 }
 
+/// Returns whether an entry describes a backend server.
+pub(super) fn is_content_used(name: &str, content: &Bytes) -> bool {
+    wire::decode(name, content).is_ok()
+}
+
 /// Applies a listing or changes of the entries.
 pub(super) fn apply_update(shared: &Rc<Shared>, update: Update<'_>) {
     let directory = &shared.directory;
--- a/crates/peridotrack-edge/src/gateway/evacuation.rs
+++ b/crates/peridotrack-edge/src/gateway/evacuation.rs
@@ -9,6 +9,7 @@
     rc::Rc,
 };
 
+use bytes::Bytes;
 use peridotrack_kernel::{clock, event};
 use peridotrack_route::event::Event;
 use peridotrack_types::name;
@@ -31,6 +32,11 @@
     }
 }
 
+/// Returns whether the content of an object is used: of an evacuation only the name is.
+pub(super) fn is_content_used(_name: &str, _content: &Bytes) -> bool {
+    false
+}
+
 /// Applies a listing or changes of the evacuations.
 pub(super) fn apply_update(shared: &Rc<Shared>, update: Update<'_>) {
     match update {
--- a/crates/peridotrack-edge/src/gateway/site.rs
+++ b/crates/peridotrack-edge/src/gateway/site.rs
@@ -73,6 +73,11 @@
     }
 }
 
+/// Returns whether an object of the configuration is the one that is followed.
+pub(super) fn is_content_used(name: &str, _content: &Bytes) -> bool {
+    name == wire::NAME
+}
+
 /// Applies a listing or changes of the configuration objects.
 pub(super) fn apply_update(shared: &Rc<Shared>, update: Update<'_>) {
     match update {
--- a/crates/peridotrack-edge/src/quarantine.rs
+++ b/crates/peridotrack-edge/src/quarantine.rs
@@ -310,6 +310,11 @@
     texts.join(",")
 }
 
+/// Returns whether the content of an object is a statement.
+pub fn is_content_used(_author: &str, content: &Bytes) -> bool {
+    decode(content).is_ok()
+}
+
 fn decode(content: &Bytes) -> Result<Statement, String> {
     let content = platform::unpack(content).map_err(|error| error.to_string())?;
     serde_json::from_slice(&content).map_err(|error| error.to_string())
--- a/crates/peridotrack-edge/tests/gateway/peers.rs
+++ b/crates/peridotrack-edge/tests/gateway/peers.rs
@@ -329,6 +329,63 @@
     });
 }
 
+/// Guards against entries of other writers that a peer passes on with those of the servers: together they
+/// may exceed what a frame holds, and a gateway that the store turns away would never know the servers.
+#[rstest]
+#[case::one(1, 1_048_400)]
+#[case::many(12, 100_000)]
+fn servers_are_known_from_peers_beside_large_entries_of_other_writers(
+    #[case] entries: usize,
+    #[case] bytes: usize,
+) {
+    block_on(async {
+        let store = store::spawn().unwrap();
+        let backend = backend::spawn().unwrap();
+        store.put("servers", "i-0", entry(&backend));
+        store.put("config", "main", config(1, 1_000_000));
+        for kind in ["servers", "config", "quarantine"] {
+            for number in 0..entries {
+                let spec = json!({"service": "batch", "text": "x".repeat(bytes)});
+                store.put(kind, &format!("batch-{number}"), spec);
+            }
+        }
+        let first = ProxiedGateway::spawn(&store, Vec::new());
+        first.until_served(LIMIT).await;
+        let seeds = vec![first.gateway.peer_address()];
+        let started = ProxiedGateway::spawn_with(&store, "b", seeds, relay::Link::Cut);
+        started.until_served(Duration::from_secs(7)).await;
+    });
+}
+
+/// Guards against a gateway that the store turns away and that goes on with the former entry of a server,
+/// because its peer sends no contents of other writers.
+#[test]
+fn an_entry_that_another_writer_replaced_is_known_from_a_peer() {
+    block_on(async {
+        let store = store::spawn().unwrap();
+        let backend = backend::spawn().unwrap();
+        store.put("servers", "i-0", entry(&backend));
+        store.put("config", "main", config(1, 1_000_000));
+        let first = ProxiedGateway::spawn(&store, Vec::new());
+        let seeds = vec![first.gateway.peer_address()];
+        let turned_away = ProxiedGateway::spawn_in(&store, "b", seeds);
+        for gateway in [&first, &turned_away] {
+            gateway.until_served(LIMIT).await;
+        }
+        turned_away.store_link.set(relay::Link::Cut);
+        let spec = json!({"service": "batch", "text": "x".repeat(1_000_000)});
+        store.put("servers", "i-0", spec);
+        let address = turned_away.gateway.client_address();
+        let refused = async || {
+            let response = fetch(address, request("/public/x", &[])).await.ok()?;
+            (response.status() == 503).then_some(())
+        };
+        wait::poll(Duration::from_secs(7), "refused request", refused)
+            .await
+            .unwrap();
+    });
+}
+
 /// Guards against the removal of servers that a peer does not know, because it cannot read the list to
 /// its end.
 #[test]
