--- a/crates/peridotrack-edge/tests/gateway/odd_entries.rs
+++ b/crates/peridotrack-edge/tests/gateway/odd_entries.rs
@@ -47,6 +47,8 @@
 #[case::start_too_large(entry_with("born", "340282366920938463463374607431768211456"))]
 #[case::lone_surrogate(entry_with("zone", "\"\\ud800\""))]
 #[case::long_text(entry_with("version", &format!("\"{}\"", "x".repeat(1_000_000))))]
+#[case::control_character(entry_with("zone", "\"\u{1}\""))]
+#[case::line_feed(entry_with("zone", "\"a\nb\""))]
 #[case::field_given_twice(entry_with("extra", "0,\"slots\":9"))]
 fn an_odd_entry_keeps_the_gateway_from_following_the_others(#[case] text: String) {
     block_on(async {
