--- a/crates/peridotrack-edge/tests/gateway/odd_entries.rs
+++ b/crates/peridotrack-edge/tests/gateway/odd_entries.rs
@@ -80,6 +80,25 @@
     });
 }
 
+/// Guards against requests to the address of an entry of which bytes cannot be read.
+#[test]
+fn an_entry_with_unreadable_bytes_names_no_server() {
+    block_on(async {
+        let fixture = Fixture::spawn(1).await;
+        let other = backend::spawn().unwrap();
+        let text = entry(&other).to_string();
+        let text = text.replace(r#""zone":"a""#, "\"zone\":\"a\u{1}\"");
+        assert!(text.contains('\u{1}'));
+        fixture.store.put_text("servers", "i-odd", &text);
+        fixture.store.remove("servers", "i-0");
+        fixture.until_status("/safe/x", 503, LIMIT).await;
+        for _ in 0..10 {
+            assert_eq!(fixture.get("/safe/x").await.unwrap().status(), 503);
+        }
+        assert_eq!(other.arrivals(), 0);
+    });
+}
+
 /// Asserts that a gateway that starts now becomes ready and serves requests with a server whose entry
 /// stands behind those in the store.
 async fn assert_server_is_listed_after_entries(store: store::Handle) {
