fix(platform): list VMs beside entries that cannot be decoded

What callers saw: a router of the product's own object API learned nothing from the list of VMs, neither its peers nor which VMs leave, while one entry of the list had an unnamed state, a host name for an address, or a field missing or of another type.

Cause: the list was decoded as one typed value, so that one entry decided about all.

Change: each entry is decoded by itself, and those that cannot be are counted in the event ObjectIgnored, as objects of the users' store are.

--- a/crates/peridotrack-edge/src/platform.rs
+++ b/crates/peridotrack-edge/src/platform.rs
@@ -21,7 +21,6 @@
 use bytes::Bytes;
 use peridotrack_http::client;
 use peridotrack_kernel::Kernel;
-use serde::Deserialize;
 
 use crate::{metric, notify};
 use availability::Availability;
@@ -166,21 +165,19 @@
         }
     }
 
-    /// Reads the platform's list of VMs. Only [`Dialect::Native`] has this call.
+    /// Reads the platform's list of VMs; entries that cannot be decoded are skipped. Only
+    /// [`Dialect::Native`] has this call.
     pub async fn vms(&self) -> Result<Vec<VmEntry>, Error> {
-        #[derive(Deserialize)]
-        struct List {
-            items: Vec<VmEntry>,
-        }
         let response = self
             .fetch("list", "vms", request("GET", "/v1/vms", &[], Bytes::new()))
             .await?;
         if response.status() != http::StatusCode::OK {
             return Err(refused("list", "vms", &response));
         }
-        serde_json::from_slice::<List>(response.body())
-            .map(|list| list.items)
-            .map_err(|error| unknown("list", "vms", error.to_string()))
+        let list = vm::List::decode(response.body())
+            .map_err(|error| unknown("list", "vms", error.to_string()))?;
+        self.note_unreadable("vms", list.unreadable);
+        Ok(list.entries)
     }
 }
 
--- a/crates/peridotrack-edge/src/platform/hosted.rs
+++ b/crates/peridotrack-edge/src/platform/hosted.rs
@@ -109,7 +109,7 @@
         }
     }
 
-    fn note_unreadable(&self, kind: &str, objects: usize) {
+    pub(super) fn note_unreadable(&self, kind: &str, objects: usize) {
         if objects > 0 {
             let event = event::Event::new(event::Kind::ObjectIgnored);
             let event = event.with("kind", kind).with("objects", objects as u64);
--- a/crates/peridotrack-edge/tests/platform.rs
+++ b/crates/peridotrack-edge/tests/platform.rs
@@ -1,16 +1,22 @@
-//! Client of the store: watches after their connections have fallen silent without a reset.
+//! Client of the store: watches after their connections have fallen silent without a reset, and responses
+//! that contain what only a part of can be used.
 
 use std::{
     rc::Rc,
     time::{Duration, Instant},
 };
 
+use bytes::Bytes;
+use http::Response;
+use monoio::net::TcpListener;
 use peridotrack_edge::platform::{Dialect, Platform};
+use peridotrack_http::server;
 use peridotrack_kernel::{Kernel, Options};
 use peridotrack_standin::{
     harness::{http::block_on, relay},
     hosted::store,
 };
+use rstest::rstest;
 
 const KINDS: [&str; 3] = ["config", "servers", "evacuations"];
 /// Longest time that a call may take which the store answers at once.
@@ -50,6 +56,41 @@
     }
 }
 
+/// Starts a store that gives the same response to the first call on each connection.
+fn spawn_store(dialect: Dialect, response: Response<Bytes>) -> Rc<Platform> {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    monoio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let mut connection = server::Connection::new(stream, server::Options::default());
+            let _ = connection.next().await;
+            let _ = connection.respond(response.clone()).await;
+        }
+    });
+    let kernel = Kernel::open(Options::default()).unwrap();
+    Platform::open(kernel, address, dialect, 0)
+}
+
+/// Guards against routers that find no peers, because one entry of the list of VMs cannot be decoded.
+#[rstest]
+#[case::unknown_state(r#"{"name":"vm-2","address":"127.0.0.1:2","state":"starting"}"#)]
+#[case::host_name(r#"{"name":"vm-2","address":"vm-2.example:2","state":"live"}"#)]
+#[case::no_address(r#"{"name":"vm-2","state":"live"}"#)]
+#[case::name_of_another_type(r#"{"name":2,"address":"127.0.0.1:2","state":"live"}"#)]
+#[case::null("null")]
+fn a_vm_is_listed_beside_entries_that_cannot_be_decoded(#[case] odd: &str) {
+    block_on(async {
+        let sound = |number: u16| {
+            format!(r#"{{"name":"vm-{number}","address":"127.0.0.1:{number}","state":"live"}}"#)
+        };
+        let body = format!(r#"{{"items":[{},{odd},{}]}}"#, sound(1), sound(3));
+        let platform = spawn_store(Dialect::Native, Response::new(body.into()));
+        let vms = platform.vms().await.unwrap();
+        let names: Vec<&str> = vms.iter().map(|vm| vm.name.as_str()).collect();
+        assert_eq!(names, ["vm-1", "vm-3"]);
+    });
+}
+
 /// Watches of several kinds share their connections. The first timeout shows that all of them may be
 /// unusable, so that the others do not wait for theirs.
 #[test]
