fix(platform): bound the wait after a write that the store refuses

What callers saw: the store refused a write once with Retry-After: 86400, and for that long requests of an account whose tokens had to be drawn were refused at that router, although the store took writes again at once.

Cause: the time of the response was waited for, whatever it is. With 1e16 or inf its product with 1,000 overflows in the holder.

Change: both dialects read the time in one place, which takes at most 5 s; a negative time or NaN counts as none stated. The stand-in of the store can refuse writes with a time.

Result: an_account_is_served_soon_after_a_refused_write failed before in 3 of 5 cases (86400: no request served in 10 s; 1e16 and inf: "attempt to multiply with overflow") and passes. The 17 tests of budgets and the 8 of the store client pass.

--- a/crates/peridotrack-edge/src/platform/error.rs
+++ b/crates/peridotrack-edge/src/platform/error.rs
@@ -1,11 +1,16 @@
 //! Failures of calls, which state whether the call may have taken effect.
 
+use bytes::Bytes;
 use peridotrack_http::client;
 
 use super::object::Object;
 
 /// Retry delay after a refusal without a valid `Retry-After`, in milliseconds.
-pub(super) const DEFAULT_RETRY_MS: u64 = 1_000;
+const DEFAULT_RETRY_MS: u64 = 1_000;
+/// Maximum retry delay after a refusal, in milliseconds. One response must not keep the router from
+/// writing for longer, since callers are refused for want of the write.
+const MAX_RETRY_MS: u64 = 5_000;
+const MS_PER_S: f64 = 1_000.0;
 
 /// Failure of a call.
 #[derive(Debug, thiserror::Error)]
@@ -29,7 +34,7 @@
         key: String,
         /// HTTP status of the response.
         status: u16,
-        /// Time to wait before another attempt, in milliseconds.
+        /// Time to wait before another attempt, in milliseconds; bounded whatever the response states.
         retry_after_ms: u64,
     },
     /// No byte of the request was sent.
@@ -73,6 +78,27 @@
     },
 }
 
+/// Returns the failure of a call that a response refuses.
+pub(super) fn refused(step: &'static str, key: &str, response: &http::Response<Bytes>) -> Error {
+    Error::Refused {
+        step,
+        key: key.to_owned(),
+        status: response.status().as_u16(),
+        retry_after_ms: retry_after_ms(response.headers()),
+    }
+}
+
+/// Returns the retry delay that `Retry-After` states in seconds, which may be a fraction.
+fn retry_after_ms(headers: &http::HeaderMap) -> u64 {
+    let stated = || -> Option<f64> {
+        let seconds = headers.get(http::header::RETRY_AFTER)?.to_str().ok()?;
+        seconds.trim().parse().ok()
+    };
+    let proper = stated().filter(|seconds| *seconds >= 0.0);
+    let delay_ms = proper.map_or(DEFAULT_RETRY_MS, |seconds| (seconds * MS_PER_S) as u64);
+    delay_ms.min(MAX_RETRY_MS)
+}
+
 /// Returns the failure of a call that may have taken effect, or whose response cannot be read.
 pub(super) fn unknown(step: &'static str, key: &str, detail: String) -> Error {
     Error::Unknown {
--- a/crates/peridotrack-edge/src/platform/hosted.rs
+++ b/crates/peridotrack-edge/src/platform/hosted.rs
@@ -11,7 +11,7 @@
 use super::{
     Platform,
     call::{self, Call},
-    error::{DEFAULT_RETRY_MS, Error, unknown},
+    error::{Error, refused, unknown},
     native::request,
     object::Object,
     pack,
@@ -105,7 +105,7 @@
                 step: "watch",
                 key: kind.to_owned(),
             }),
-            _ => Err(self.refused("watch", kind, &response)),
+            _ => Err(refused("watch", kind, &response)),
         }
     }
 
@@ -161,7 +161,7 @@
                     .map(Some)
                     .map_err(|error| unknown("read", key, error.to_string()))
             }
-            _ => Err(self.refused("read", key, &response)),
+            _ => Err(refused("read", key, &response)),
         }
     }
 
@@ -194,7 +194,7 @@
                     .ok()
                     .and_then(|object| unpack_object(&object).ok()),
             }),
-            400..=499 | 503 => Err(self.refused("write", key, &response)),
+            400..=499 | 503 => Err(refused("write", key, &response)),
             status => Err(unknown("write", key, format!("status {status}"))),
         }
     }
@@ -212,7 +212,7 @@
                 key: key.to_owned(),
                 current: None,
             }),
-            _ => Err(self.refused("remove", key, &response)),
+            _ => Err(refused("remove", key, &response)),
         }
     }
 
@@ -222,20 +222,7 @@
             .await?;
         match response.status().as_u16() {
             200 => Ok(response.into_body()),
-            _ => Err(self.refused(step, key, &response)),
-        }
-    }
-
-    fn refused(&self, step: &'static str, key: &str, response: &http::Response<Bytes>) -> Error {
-        let seconds = response
-            .headers()
-            .get("retry-after")
-            .and_then(|value| value.to_str().ok()?.parse::<f64>().ok());
-        Error::Refused {
-            step,
-            key: key.to_owned(),
-            status: response.status().as_u16(),
-            retry_after_ms: seconds.map_or(DEFAULT_RETRY_MS, |seconds| (seconds * 1_000.0) as u64),
+            _ => Err(refused(step, key, &response)),
         }
     }
 }
--- a/crates/peridotrack-edge/src/platform/native.rs
+++ b/crates/peridotrack-edge/src/platform/native.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 
 use super::{
-    error::{DEFAULT_RETRY_MS, Error, unknown},
+    error::{Error, unknown},
     object::Object,
 };
 
@@ -52,16 +52,3 @@
         body: response.into_body(),
     })
 }
-
-pub(super) fn refused(step: &'static str, key: &str, response: &http::Response<Bytes>) -> Error {
-    let seconds = response
-        .headers()
-        .get("retry-after")
-        .and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
-    Error::Refused {
-        step,
-        key: key.to_owned(),
-        status: response.status().as_u16(),
-        retry_after_ms: seconds.map_or(DEFAULT_RETRY_MS, |seconds| seconds * 1_000),
-    }
-}
--- a/crates/peridotrack-edge/tests/gateway/budget.rs
+++ b/crates/peridotrack-edge/tests/gateway/budget.rs
@@ -50,6 +50,26 @@
     });
 }
 
+/// Guards against accounts that are refused for as long as one response of the store stated.
+#[rstest]
+#[case::day("86400")]
+#[case::out_of_range("1e16")]
+#[case::infinite("inf")]
+#[case::not_a_number("NaN")]
+#[case::negative("-5")]
+fn an_account_is_served_soon_after_a_refused_write(#[case] retry_after: &str) {
+    block_on(async {
+        let fixture = Fixture::spawn(1).await;
+        fixture.store.refuse_writes(Some(retry_after));
+        for _ in 0..3 {
+            assert!(send_prepaid(&fixture).await >= 402);
+        }
+        fixture.store.refuse_writes(None);
+        let served = async || (send_prepaid(&fixture).await == 200).then_some(());
+        wait::poll(LIMIT, "served request", served).await.unwrap();
+    });
+}
+
 /// Guards against charging refused requests, and against not charging requests that may have run.
 #[rstest]
 #[case::not_run(Mode::Refuse)]
--- a/crates/peridotrack-standin/src/hosted/store.rs
+++ b/crates/peridotrack-standin/src/hosted/store.rs
@@ -110,6 +110,8 @@
     changed: Notify,
     /// Wait after which the connection of a watch is closed; `None` if watches end regularly.
     watch_limit: Cell<Option<Duration>>,
+    /// `Retry-After` of the refusals that all writes get; `None` if writes are executed.
+    write_refusal: RefCell<Option<String>>,
 }
 
 /// A running store; dropping it closes its listener and connections.
@@ -144,6 +146,11 @@
         self.0.application.watch_limit.set(limit);
     }
 
+    /// Refuses all writes with 503 and this `Retry-After`, from now on; `None` executes them.
+    pub fn refuse_writes(&self, retry_after: Option<&str>) {
+        *self.0.application.write_refusal.borrow_mut() = retry_after.map(str::to_owned);
+    }
+
     /// Writes an object without a condition and regardless of the mode.
     pub fn put(&self, kind: &str, name: &str, spec: Value) {
         self.0.application.put(kind, name, spec);
@@ -447,6 +454,12 @@
         let number = |field: &str| query.get(field).and_then(|text| text.parse::<u64>().ok());
         let body = || serde_json::from_slice(&incoming.request.body).unwrap_or(Value::Null);
         let method = incoming.request.head.method.clone();
+        let refusal = self.write_refusal.borrow().clone();
+        if let Some(retry_after) = refusal.filter(|_| method != Method::GET) {
+            let refused = Response::builder().status(StatusCode::SERVICE_UNAVAILABLE);
+            let refused = refused.header("retry-after", retry_after);
+            return Ok(response::json_with(refused, &json!({"error": "refused"})));
+        }
         if mode == Mode::DelayWrites && matches!(method, Method::POST | Method::PUT) {
             let (name, document) = (name.map(str::to_owned), body());
             let store = Rc::clone(&self);
