fix(platform): read packed objects that the store returns with escapes

What callers saw: requests of all accounts of a ledger are refused if the store writes a character of its text as a JSON escape, such as \/ for /.

Cause: the text was decoded as a part of the response's bytes, which a text with escapes is not: "invalid type: string, expected a borrowed string".

Change: it is decoded into a text of its own.

Result: an_object_is_read_whose_text_the_store_has_escaped failed before with that error and passes, with the other 8 tests of the store client.

--- a/crates/peridotrack-edge/src/platform/pack.rs
+++ b/crates/peridotrack-edge/src/platform/pack.rs
@@ -44,7 +44,8 @@
     if content.first() != Some(&b'"') {
         return Ok(content.clone());
     }
-    let text: &str = serde_json::from_slice(content)?;
+    // The store may return the text with escapes, which cannot be borrowed.
+    let text: String = serde_json::from_slice(content)?;
     let deflated = STANDARD.decode(text)?;
     miniz_oxide::inflate::decompress_to_vec_with_limit(&deflated, UNPACKED_BYTES)
         .map(Bytes::from)
--- a/crates/peridotrack-edge/tests/platform.rs
+++ b/crates/peridotrack-edge/tests/platform.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use http::Response;
 use monoio::net::TcpListener;
-use peridotrack_edge::platform::{Dialect, Platform};
+use peridotrack_edge::platform::{self, Dialect, Platform};
 use peridotrack_http::server;
 use peridotrack_kernel::{Kernel, Options};
 use peridotrack_standin::{
@@ -91,6 +91,22 @@
     });
 }
 
+/// Guards against a ledger that cannot be read, because the store returns its text with escapes. JSON
+/// allows one for each character.
+#[test]
+fn an_object_is_read_whose_text_the_store_has_escaped() {
+    block_on(async {
+        let content = br#"{"entries":{}}"#;
+        let packed: String = serde_json::from_slice(&platform::pack(content)).unwrap();
+        let escape = |character: char| format!("\\u{:04x}", u32::from(character));
+        let escaped: String = packed.chars().map(escape).collect();
+        let body = format!(r#"{{"metadata":{{"name":"0","revision":3}},"spec":"{escaped}"}}"#);
+        let platform = spawn_store(Dialect::Hosted, Response::new(body.into()));
+        let object = platform.read("ledger/0").await.unwrap().unwrap();
+        assert_eq!(&object.body[..], content);
+    });
+}
+
 /// Watches of several kinds share their connections. The first timeout shows that all of them may be
 /// unusable, so that the others do not wait for theirs.
 #[test]
