--- a/crates/peridotrack-edge/src/platform.rs
+++ b/crates/peridotrack-edge/src/platform.rs
@@ -20,7 +20,7 @@
 
 use bytes::Bytes;
 use peridotrack_http::client;
-use peridotrack_kernel::Kernel;
+use peridotrack_kernel::{Kernel, event};
 
 use crate::{metric, notify};
 use availability::Availability;
@@ -244,6 +244,15 @@
         self.record_result(&call, result)
     }
 
+    /// Records that objects of a kind were skipped, because they cannot be decoded.
+    fn note_unreadable(&self, kind: &str, objects: usize) {
+        if objects > 0 {
+            let event = event::Event::new(event::Kind::ObjectIgnored);
+            let event = event.with("kind", kind).with("objects", objects as u64);
+            self.kernel.note(event);
+        }
+    }
+
     /// Counts a call that is about to be sent.
     fn begin<'a>(&self, step: &'static str, key: &'a str) -> Call<'a> {
         let meter = self.kernel.meter();
--- a/crates/peridotrack-edge/src/platform/hosted.rs
+++ b/crates/peridotrack-edge/src/platform/hosted.rs
@@ -109,14 +109,6 @@
         }
     }
 
-    pub(super) fn note_unreadable(&self, kind: &str, objects: usize) {
-        if objects > 0 {
-            let event = event::Event::new(event::Kind::ObjectIgnored);
-            let event = event.with("kind", kind).with("objects", objects as u64);
-            self.kernel.note(event);
-        }
-    }
-
     /// Sends a watch on an idle connection of an earlier watch, or on a new one.
     async fn send_watch(&self, path: &str, wait_ms: u64) -> call::Result {
         let idle = self.watch_connections.take(self.kernel.now_us());
--- a/crates/peridotrack-edge/tests/platform.rs
+++ b/crates/peridotrack-edge/tests/platform.rs
@@ -1,5 +1,5 @@
 //! Client of the store: watches after their connections have fallen silent without a reset, and responses
-//! that contain what only a part of can be used.
+//! in an unusual notation or with entries that cannot be decoded.
 
 use std::{
     rc::Rc,
