--- a/crates/peridotrack-edge/src/follow.rs
+++ b/crates/peridotrack-edge/src/follow.rs
@@ -54,7 +54,7 @@
     },
 }
 
-/// What to follow.
+/// A kind of objects to follow, and how.
 pub struct Target {
     /// Kind of the objects.
     pub kind: &'static str,
--- a/crates/peridotrack-edge/src/gateway.rs
+++ b/crates/peridotrack-edge/src/gateway.rs
@@ -29,10 +29,7 @@
 use peridotrack_http::{client, memory};
 use peridotrack_kernel::{Kernel, clock, event, log, registry};
 use peridotrack_member::message::State;
-use peridotrack_platform::{
-    directory as directory_wire, evacuation as evacuation_wire, site as site_wire,
-};
-use peridotrack_quarantine::{event as quarantine_event, options as quarantine_options, statement};
+use peridotrack_quarantine::{event as quarantine_event, options as quarantine_options};
 use peridotrack_route::event as route_event;
 use peridotrack_types::{gateway::Settings, id};
 
@@ -388,41 +385,26 @@
         incarnation,
         ..
     } = &**shared;
+    let bounds = &shared.settings.bounds;
     let site = Rc::clone(shared);
-    let target = follow::Target {
-        kind: site_wire::KIND,
-        options: options::follow(&shared.settings.bounds),
-        is_content_used: site::is_content_used,
-    };
+    let target = site::target(bounds);
     follow.add(kernel, platform, *incarnation, target, move |update| {
         site::apply_update(&site, update);
     });
     let directory = Rc::clone(shared);
-    let target = follow::Target {
-        kind: directory_wire::KIND,
-        options: options::follow_servers(&shared.settings.bounds),
-        is_content_used: directory::is_content_used,
-    };
+    let target = directory::target(bounds);
     follow.add(kernel, platform, *incarnation, target, move |update| {
         directory::apply_update(&directory, update);
     });
-    if let Some(evacuation_ms) = shared.settings.bounds.evacuation_ms {
+    if let Some(evacuation_ms) = bounds.evacuation_ms {
         let evacuation = Rc::clone(shared);
-        let target = follow::Target {
-            kind: evacuation_wire::KIND,
-            options: options::follow_evacuations(&shared.settings.bounds, evacuation_ms),
-            is_content_used: evacuation::is_content_used,
-        };
+        let target = evacuation::target(bounds, evacuation_ms);
         follow.add(kernel, platform, *incarnation, target, move |update| {
             evacuation::apply_update(&evacuation, update);
         });
     }
     let quarantine = Rc::clone(&shared.quarantine);
-    let target = follow::Target {
-        kind: statement::KIND,
-        options: options::follow_quarantine(&shared.settings.bounds),
-        is_content_used: quarantine::is_content_used,
-    };
+    let target = quarantine::target(options::follow_quarantine(bounds));
     follow.add(kernel, platform, *incarnation, target, move |update| {
         quarantine.apply_update(update);
     });
--- a/crates/peridotrack-edge/src/gateway/directory.rs
+++ b/crates/peridotrack-edge/src/gateway/directory.rs
@@ -11,15 +11,14 @@
     rc::Rc,
 };
 
-use bytes::Bytes;
 use peridotrack_kernel::{clock, event};
 use peridotrack_platform::{directory as wire, response as response_wire};
 use peridotrack_quarantine::run::Run;
 use peridotrack_route::cold;
-use peridotrack_types::{name, register, rules, site};
+use peridotrack_types::{gateway::Bounds, name, register, rules, site};
 
-use super::{Shared, liveness, reach};
-use crate::follow::Update;
+use super::{Shared, liveness, options, reach};
+use crate::follow::{self, Update};
 
 /// Time after an outage of the store in which backend servers renew entries that expired, in
 /// microseconds.
@@ -272,9 +271,13 @@
     }
 }
 
-/// Returns whether an entry describes a backend server.
-pub(super) fn is_content_used(name: &str, content: &Bytes) -> bool {
-    wire::decode(name, content).is_ok()
+/// Returns how the entries are followed.
+pub(super) fn target(bounds: &Bounds) -> follow::Target {
+    follow::Target {
+        kind: wire::KIND,
+        options: options::follow_servers(bounds),
+        is_content_used: |name, content| wire::decode(name, content).is_ok(),
+    }
 }
 
 /// Applies a listing or changes of the entries.
--- a/crates/peridotrack-edge/src/gateway/evacuation.rs
+++ b/crates/peridotrack-edge/src/gateway/evacuation.rs
@@ -9,13 +9,16 @@
     rc::Rc,
 };
 
-use bytes::Bytes;
 use peridotrack_kernel::{clock, event};
+use peridotrack_platform::evacuation as wire;
 use peridotrack_route::event::Event;
-use peridotrack_types::name;
+use peridotrack_types::{gateway::Bounds, name};
 
-use super::Shared;
-use crate::{follow::Update, metric};
+use super::{Shared, options};
+use crate::{
+    follow::{self, Update},
+    metric,
+};
 
 /// The evacuated failure domains.
 #[derive(Default)]
@@ -32,9 +35,14 @@
     }
 }
 
-/// Returns whether the content of an object is used: of an evacuation only the name is.
-pub(super) fn is_content_used(_name: &str, _content: &Bytes) -> bool {
-    false
+/// Returns how the evacuations are followed, which must be known within `evacuation_ms`.
+pub(super) fn target(bounds: &Bounds, evacuation_ms: u64) -> follow::Target {
+    follow::Target {
+        kind: wire::KIND,
+        options: options::follow_evacuations(bounds, evacuation_ms),
+        // The name of an object is that of the failure domain.
+        is_content_used: |_, _| false,
+    }
 }
 
 /// Applies a listing or changes of the evacuations.
--- a/crates/peridotrack-edge/src/gateway/site.rs
+++ b/crates/peridotrack-edge/src/gateway/site.rs
@@ -11,10 +11,13 @@
 use peridotrack_follow::message::Change;
 use peridotrack_kernel::event;
 use peridotrack_platform::site as wire;
-use peridotrack_types::site;
+use peridotrack_types::{gateway::Bounds, site};
 
-use super::Shared;
-use crate::{follow::Update, peer, platform};
+use super::{Shared, options};
+use crate::{
+    follow::{self, Update},
+    peer, platform,
+};
 
 /// One version of the configuration, with its lookup index.
 #[derive(Debug, Default)]
@@ -73,9 +76,13 @@
     }
 }
 
-/// Returns whether an object of the configuration is the one that is followed.
-pub(super) fn is_content_used(name: &str, _content: &Bytes) -> bool {
-    name == wire::NAME
+/// Returns how the configuration is followed.
+pub(super) fn target(bounds: &Bounds) -> follow::Target {
+    follow::Target {
+        kind: wire::KIND,
+        options: options::follow(bounds),
+        is_content_used: |name, _| name == wire::NAME,
+    }
 }
 
 /// Applies a listing or changes of the configuration objects.
--- a/crates/peridotrack-edge/src/quarantine.rs
+++ b/crates/peridotrack-edge/src/quarantine.rs
@@ -9,6 +9,7 @@
 };
 
 use bytes::Bytes;
+use peridotrack_follow::follower;
 use peridotrack_kernel::{Kernel, clock, event, timer};
 use peridotrack_quarantine::{
     event::{Action, Event, Note, Now, Refusal, Trial},
@@ -20,7 +21,10 @@
 };
 use peridotrack_types::name;
 
-use crate::{follow::Update, member, notify, peer, platform};
+use crate::{
+    follow::{self, Update},
+    member, notify, peer, platform,
+};
 
 /// Period of the state machine's ticks, in microseconds.
 const TICK_US: u64 = 20 * clock::US_PER_MS;
@@ -310,9 +314,13 @@
     texts.join(",")
 }
 
-/// Returns whether the content of an object is a statement.
-pub fn is_content_used(_author: &str, content: &Bytes) -> bool {
-    decode(content).is_ok()
+/// Returns how the statements in the store are followed.
+pub fn target(options: follower::Options) -> follow::Target {
+    follow::Target {
+        kind: KIND,
+        options,
+        is_content_used: |_, content| decode(content).is_ok(),
+    }
 }
 
 fn decode(content: &Bytes) -> Result<Statement, String> {
--- a/crates/peridotrack-edge/tests/gateway/peers.rs
+++ b/crates/peridotrack-edge/tests/gateway/peers.rs
@@ -64,6 +64,15 @@
     });
 }
 
+/// Starts a store with a configuration and the entry of a backend server.
+fn spawn_store() -> (store::Handle, backend::Handle) {
+    let store = store::spawn().unwrap();
+    let backend = backend::spawn().unwrap();
+    store.put("servers", "i-0", entry(&backend));
+    store.put("config", "main", config(1, 1_000_000));
+    (store, backend)
+}
+
 /// A gateway that reaches the store through a TCP relay, which can be blocked.
 struct ProxiedGateway {
     gateway: Gateway,
@@ -162,10 +171,7 @@
 #[test]
 fn changes_arrive_through_a_relay_or_from_the_store() {
     block_on(async {
-        let store = store::spawn().unwrap();
-        let backend = backend::spawn().unwrap();
-        store.put("servers", "i-0", entry(&backend));
-        store.put("config", "main", config(1, 1_000_000));
+        let (store, _backend) = spawn_store();
         let (relay, follower) = relay_and_follower(&store).await;
         let apply = Duration::from_millis(settings(&store).bounds.config_apply_ms);
         follower.store_link.set(relay::Link::Stalled);
@@ -186,10 +192,7 @@
     const ADDED_BYTES: usize = 40_000;
     const SILENCE: Duration = Duration::from_secs(1);
     block_on(async {
-        let store = store::spawn().unwrap();
-        let backend = backend::spawn().unwrap();
-        store.put("servers", "i-0", entry(&backend));
-        store.put("config", "main", config(1, 1_000_000));
+        let (store, _backend) = spawn_store();
         let (_relay, follower) = relay_and_follower(&store).await;
         // The watches that the follower began before it had a relay end in the meantime.
         let bounds = settings(&store).bounds;
@@ -261,10 +264,7 @@
     #[case] link: relay::Link,
 ) {
     block_on(async {
-        let store = store::spawn().unwrap();
-        let backend = backend::spawn().unwrap();
-        store.put("servers", "i-0", entry(&backend));
-        store.put("config", "main", config(1, 1_000_000));
+        let (store, _backend) = spawn_store();
         let first = ProxiedGateway::spawn(&store, Vec::new());
         let seeds = vec![first.gateway.peer_address()];
         let second = ProxiedGateway::spawn(&store, seeds.clone());
@@ -339,10 +339,7 @@
     #[case] bytes: usize,
 ) {
     block_on(async {
-        let store = store::spawn().unwrap();
-        let backend = backend::spawn().unwrap();
-        store.put("servers", "i-0", entry(&backend));
-        store.put("config", "main", config(1, 1_000_000));
+        let (store, _backend) = spawn_store();
         for kind in ["servers", "config", "quarantine"] {
             for number in 0..entries {
                 let spec = json!({"service": "batch", "text": "x".repeat(bytes)});
@@ -362,10 +359,7 @@
 #[test]
 fn an_entry_that_another_writer_replaced_is_known_from_a_peer() {
     block_on(async {
-        let store = store::spawn().unwrap();
-        let backend = backend::spawn().unwrap();
-        store.put("servers", "i-0", entry(&backend));
-        store.put("config", "main", config(1, 1_000_000));
+        let (store, _backend) = spawn_store();
         let first = ProxiedGateway::spawn(&store, Vec::new());
         let seeds = vec![first.gateway.peer_address()];
         let turned_away = ProxiedGateway::spawn_in(&store, "b", seeds);
@@ -391,10 +385,7 @@
 #[test]
 fn a_known_server_is_kept_if_a_peer_does_not_know_all() {
     block_on(async {
-        let store = store::spawn().unwrap();
-        let backend = backend::spawn().unwrap();
-        store.put("servers", "i-0", entry(&backend));
-        store.put("config", "main", config(1, 1_000_000));
+        let (store, _backend) = spawn_store();
         let turned_away = ProxiedGateway::spawn(&store, Vec::new());
         turned_away.until_served(LIMIT).await;
         turned_away.store_link.set(relay::Link::Cut);
