feat(edge): log the configuration that decided a refusal, and newer versions of peers

Cause: a refusal for an unknown route or key named neither the client's request nor the version of the configuration, and nothing said how old the view of the configuration was. A newer version that a peer advertised was dropped silently while the view counted as confirmed. A read of the ledger that failed with its connection was logged as an object that cannot be decoded. Change: such refusals have client_request, config_version, config_age_us and is_config_relayed, completions have config_version, ConfigAdvertised (113) tells of a newer version of a peer and whether it is requested, and failed connections are no longer logged as ObjectIgnored. Test a_rejected_request_is_logged_with_the_configuration_that_decided (2 of 2; the fields are new).

--- a/crates/peridotrack-edge/src/budget.rs
+++ b/crates/peridotrack-edge/src/budget.rs
@@ -277,7 +277,7 @@
                 None => Event::ReadFailed { shard },
             },
             // The store client has logged every failure but content that cannot be read.
-            Err(platform::Error::Unknown { detail, .. }) => {
+            Err(platform::Error::Unreadable { detail, .. }) => {
                 self.note_unreadable(shard, detail);
                 Event::ReadFailed { shard }
             }
--- a/crates/peridotrack-edge/src/gateway/exchange.rs
+++ b/crates/peridotrack-edge/src/gateway/exchange.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use peridotrack_http::server;
 use peridotrack_kernel::{clock, event};
-use peridotrack_platform::directory as directory_wire;
+use peridotrack_platform::{directory as directory_wire, site as site_wire};
 use peridotrack_quarantine::event::Refusal;
 use peridotrack_route::{event::Outcome, stop};
 use peridotrack_types::{name, problem};
@@ -54,7 +54,7 @@
 ) -> Result<(), Error> {
     let mut request = match request::accept(shared, received) {
         Ok(request) => request,
-        Err(problem) => return refuse(shared, connection, None, None, &problem).await,
+        Err(rejected) => return reject(shared, connection, &rejected).await,
     };
     if let Some(verdict) = judge_at_stop(shared, &request) {
         note_arrival_at_stop(shared, &request, arrival, &verdict);
@@ -254,6 +254,25 @@
     }
 }
 
+/// Ends a request that was not accepted, and records on which state of the configuration.
+async fn reject(
+    shared: &Rc<Shared>,
+    connection: &mut server::Connection,
+    rejected: &request::Rejected,
+) -> Result<(), Error> {
+    let age_us = shared.follow.age_us(site_wire::KIND);
+    let event = event::Event::new(event::Kind::RequestRefused)
+        .with("client_request", rejected.client_request.as_str())
+        .with("config_version", rejected.config_version)
+        .with("config_age_us", age_us.unwrap_or(u64::MAX))
+        .with(
+            "is_config_relayed",
+            shared.follow.is_relayed(site_wire::KIND),
+        )
+        .with("is_store_reachable", shared.platform.is_reachable());
+    refuse_with(shared, connection, None, None, &rejected.problem, event).await
+}
+
 /// Ends a request that is not begun, or not sent again, because the gateway is stopping.
 async fn refuse_at_stop(
     shared: &Rc<Shared>,
@@ -336,6 +355,7 @@
     let mut event = event::Event::new(event::Kind::RequestCompleted)
         .with("client_request", request.client_request())
         .with("route", &*request.route().name)
+        .with("config_version", request.config.site.version)
         .with("backend_server", target.backend_server.as_str())
         .with("software_version", software_version(shared, target))
         .with("elapsed_us", elapsed_us);
--- a/crates/peridotrack-edge/src/gateway/request.rs
+++ b/crates/peridotrack-edge/src/gateway/request.rs
@@ -110,14 +110,27 @@
 
     /// Returns the identifier that the client gave the request, empty if there is none.
     pub(super) fn client_request(&self) -> &str {
-        self.metadata
-            .request_id
-            .as_ref()
-            .and_then(|id| id.to_str().ok())
-            .unwrap_or_default()
+        text(self.metadata.request_id.as_ref())
     }
 }
 
+/// Returns the text of a header, empty if there is none.
+fn text(value: Option<&http::HeaderValue>) -> &str {
+    value
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default()
+}
+
+/// A request that is not accepted.
+pub(super) struct Rejected {
+    /// The problem to respond with.
+    pub(super) problem: problem::Problem,
+    /// Identifier that the client gave the request, empty if there is none.
+    pub(super) client_request: String,
+    /// Version of the configuration that decided; 0 if none is known.
+    pub(super) config_version: u64,
+}
+
 /// Resolves the route and the client account of a request, and records its arrival.
 ///
 /// # Errors
@@ -127,9 +140,23 @@
 pub(super) fn accept(
     shared: &Rc<Shared>,
     received: server::Request,
+) -> Result<RoutedRequest, Rejected> {
+    let config = shared.site.get();
+    let client_request = received.head.headers.get(wire::REQUEST_ID).cloned();
+    resolve(shared, received, config.clone()).map_err(|problem| Rejected {
+        problem,
+        client_request: text(client_request.as_ref()).to_owned(),
+        config_version: config.map_or(0, |config| config.site.version),
+    })
+}
+
+fn resolve(
+    shared: &Rc<Shared>,
+    received: server::Request,
+    config: Option<Rc<Snapshot>>,
 ) -> Result<RoutedRequest, problem::Problem> {
     let arrived_us = shared.kernel.now_us();
-    let Some(config) = shared.site.get() else {
+    let Some(config) = config else {
         let kind = problem::Kind::NoBackendServer;
         return Err(problem::Problem::new(kind, "no configuration is known yet")
             .retry_after_ms(STARTING_RETRY_MS));
--- a/crates/peridotrack-edge/src/member.rs
+++ b/crates/peridotrack-edge/src/member.rs
@@ -272,12 +272,8 @@
                         budget.peer_lost(peer.record.incarnation);
                     }
                 }
-                // It is already on its way.
-                Action::FetchConfigFrom { .. } if self.follows_config() => {}
-                Action::FetchConfigFrom { address, .. } => {
-                    let above_version = self.members.borrow().config_version();
-                    self.link
-                        .send(address, &peer::Frame::ConfigRequest { above_version });
+                Action::FetchConfigFrom { address, version } => {
+                    self.fetch_config(address, version);
                 }
                 Action::FetchConfigFromPlatform { .. } => self.with_config(config::fetch),
                 Action::PollPlatform => self.with_config(config::fetch),
@@ -289,12 +285,24 @@
         }
     }
 
-    /// Returns whether the store or a relay has confirmed the configuration recently, so that a higher
-    /// version comes from there.
-    fn follows_config(&self) -> bool {
+    /// Requests the configuration from the peer that advertises a higher version, unless the store or a
+    /// relay has confirmed the view of it recently: then that version is on its way.
+    fn fetch_config(&self, address: SocketAddr, version: u64) {
         let follow = self.find_service::<follow::Follow>(follow::SERVICE);
         let age_us = follow.ok().and_then(|follow| follow.age_us(site::KIND));
-        age_us.is_some_and(|age_us| age_us < MAX_CONFIG_AGE_US)
+        let is_expected = age_us.is_some_and(|age_us| age_us < MAX_CONFIG_AGE_US);
+        let above_version = self.members.borrow().config_version();
+        let event = event::Event::new(event::Kind::ConfigAdvertised)
+            .with("version", version)
+            .with("config_version", above_version)
+            .with("config_age_us", age_us.unwrap_or(u64::MAX))
+            .with("peer", address.to_string())
+            .with("is_requested", !is_expected);
+        self.kernel.note(event);
+        if !is_expected {
+            self.link
+                .send(address, &peer::Frame::ConfigRequest { above_version });
+        }
     }
 
     fn with_config(&self, call: impl FnOnce(Rc<config::Configuration>)) {
--- a/crates/peridotrack-edge/src/platform.rs
+++ b/crates/peridotrack-edge/src/platform.rs
@@ -26,7 +26,7 @@
 use availability::Availability;
 use call::Call;
 pub use error::Error;
-use error::{refused, unknown};
+use error::{refused, unknown, unreadable};
 pub use hosted::Listing;
 use native::{etag, object, object_path, request};
 pub use object::Object;
@@ -175,7 +175,7 @@
             return Err(refused("list", "vms", &response));
         }
         let list = vm::List::decode(response.body())
-            .map_err(|error| unknown("list", "vms", error.to_string()))?;
+            .map_err(|error| unreadable("list", "vms", error.to_string()))?;
         self.note_unreadable("vms", list.unreadable);
         Ok(list.entries)
     }
--- a/crates/peridotrack-edge/src/platform/error.rs
+++ b/crates/peridotrack-edge/src/platform/error.rs
@@ -66,7 +66,7 @@
         /// Failure of the connection.
         source: client::Error,
     },
-    /// The call may have taken effect, or its response cannot be read.
+    /// The call may have taken effect.
     #[error("{step} {key}: outcome unknown: {detail}")]
     Unknown {
         /// Name of the call, such as `write`.
@@ -76,6 +76,16 @@
         /// Failure of the connection, or what is wrong with the response.
         detail: String,
     },
+    /// The response to a call that reads cannot be decoded.
+    #[error("{step} {key}: cannot be decoded: {detail}")]
+    Unreadable {
+        /// Name of the call, such as `read`.
+        step: &'static str,
+        /// Key of the object, or the kind of the objects.
+        key: String,
+        /// What is wrong with the response.
+        detail: String,
+    },
 }
 
 /// Returns the failure of a call that a response refuses.
@@ -99,7 +109,16 @@
     delay_ms.min(MAX_RETRY_MS)
 }
 
-/// Returns the failure of a call that may have taken effect, or whose response cannot be read.
+/// Returns the failure of a call that reads, whose response cannot be decoded.
+pub(super) fn unreadable(step: &'static str, key: &str, detail: String) -> Error {
+    Error::Unreadable {
+        step,
+        key: key.to_owned(),
+        detail,
+    }
+}
+
+/// Returns the failure of a call that may have taken effect.
 pub(super) fn unknown(step: &'static str, key: &str, detail: String) -> Error {
     Error::Unknown {
         step,
--- a/crates/peridotrack-edge/src/platform/hosted.rs
+++ b/crates/peridotrack-edge/src/platform/hosted.rs
@@ -11,7 +11,7 @@
 use super::{
     Platform,
     call::{self, Call},
-    error::{Error, refused, unknown},
+    error::{Error, refused, unknown, unreadable},
     native::request,
     object::Object,
     pack,
@@ -40,7 +40,7 @@
             let path = store::list_path(kind, after.as_deref());
             let page = self.get("list", kind, &path).await?;
             let page =
-                store::page(&page).map_err(|error| unknown("list", kind, error.to_string()))?;
+                store::page(&page).map_err(|error| unreadable("list", kind, error.to_string()))?;
             self.note_unreadable(kind, page.unreadable);
             objects.extend(page.objects);
             // A watch from the first page's revision repeats the changes made between two pages.
@@ -97,7 +97,7 @@
         match response.status().as_u16() {
             200 => {
                 let changes = store::changes(response.body())
-                    .map_err(|error| unknown("watch", kind, error.to_string()))?;
+                    .map_err(|error| unreadable("watch", kind, error.to_string()))?;
                 self.note_unreadable(kind, changes.unreadable);
                 Ok(changes)
             }
@@ -147,11 +147,11 @@
             404 => Ok(None),
             200 => {
                 let object = store::object(response.body())
-                    .map_err(|error| unknown("read", key, error.to_string()))?;
+                    .map_err(|error| unreadable("read", key, error.to_string()))?;
                 let object = unpack_object(&object);
                 object
                     .map(Some)
-                    .map_err(|error| unknown("read", key, error.to_string()))
+                    .map_err(|error| unreadable("read", key, error.to_string()))
             }
             _ => Err(refused("read", key, &response)),
         }
--- a/crates/peridotrack-edge/src/platform/native.rs
+++ b/crates/peridotrack-edge/src/platform/native.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 
 use super::{
-    error::{Error, unknown},
+    error::{Error, unreadable},
     object::Object,
 };
 
@@ -46,7 +46,7 @@
     response: http::Response<Bytes>,
 ) -> Result<Object, Error> {
     let version = etag(&response)
-        .ok_or_else(|| unknown(step, key, "the response has no valid ETag".to_owned()))?;
+        .ok_or_else(|| unreadable(step, key, "the response has no valid ETag".to_owned()))?;
     Ok(Object {
         version,
         body: response.into_body(),
--- a/crates/peridotrack-edge/src/platform/outcome.rs
+++ b/crates/peridotrack-edge/src/platform/outcome.rs
@@ -36,9 +36,12 @@
             Err(Error::NotSent { .. }) => Self::Refused {
                 retry_after_ms: NOT_SENT_RETRY_MS,
             },
-            Err(Error::HistoryLost { .. } | Error::WatchCut { .. } | Error::Unknown { .. }) => {
-                Self::Unknown
-            }
+            Err(
+                Error::HistoryLost { .. }
+                | Error::WatchCut { .. }
+                | Error::Unknown { .. }
+                | Error::Unreadable { .. },
+            ) => Self::Unknown,
         }
     }
 }
--- a/crates/peridotrack-edge/tests/gateway/requests.rs
+++ b/crates/peridotrack-edge/tests/gateway/requests.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use peridotrack_kernel::event;
 use peridotrack_standin::{
     harness::{http::block_on, wait},
     hosted::backend::{self, Mode},
@@ -67,6 +68,35 @@
     });
 }
 
+/// Guards against refusals that cannot be found by the client's identifier, and of which nothing says on
+/// which configuration they were decided.
+#[rstest]
+#[case::unknown_route("/nowhere/x", fixture::KEY)]
+#[case::unknown_key("/safe/x", "nobody")]
+fn a_rejected_request_is_logged_with_the_configuration_that_decided(
+    #[case] path: &str,
+    #[case] key: &str,
+) {
+    block_on(async {
+        let fixture = Fixture::spawn(1).await;
+        let mut request = request(path, &[]);
+        let key = key.parse().unwrap();
+        request.headers_mut().insert("peridotrack-credential", key);
+        fixture.send(request).await.unwrap();
+        let events = fixture.gateway.kernel().timeline().after(0);
+        let refusal = events.iter().find(|event| &*event.name == "RequestRefused");
+        let fields = &refusal.unwrap().fields;
+        let number = |name: &str| match fields[name] {
+            event::Value::Number(number) => number,
+            ref other => panic!("{name} is not a number: {other:?}"),
+        };
+        assert_eq!(fields["client_request"], event::Value::Text("9c41".into()));
+        assert_eq!(number("config_version"), 4);
+        assert!(number("config_age_us") < LIMIT.as_micros() as u64);
+        assert_eq!(fields["is_config_relayed"], event::Value::Flag(false));
+    });
+}
+
 /// The proof header and status 421 allow a retry even for requests that may run only once.
 #[rstest]
 fn a_request_proven_not_run_is_retried_on_the_other_server(
