test(follow): show that changes are missed while the store compacts its history

Change: the stand-in of the store and the simulation of followers compact their history in this way.

--- a/crates/peridotrack-edge/tests/gateway/peers.rs
+++ b/crates/peridotrack-edge/tests/gateway/peers.rs
@@ -185,6 +185,60 @@
     });
 }
 
+/// Time for which watches report no changes while the store compacts its history.
+const SILENCE: Duration = Duration::from_secs(1);
+
+/// Guards against routers that missed a change for good: a store that compacts its history reports no
+/// changes for a while, and a watch that ended in that time stated a revision beyond the change.
+#[test]
+fn a_configuration_written_while_the_store_compacts_is_in_force_in_time() {
+    block_on(async {
+        let (store, _backend) = spawn_store();
+        let (relay, follower) = relay_and_follower(&store).await;
+        let seeds = vec![relay.gateway.peer_address()];
+        let single = ProxiedGateway::spawn_in(&store, "b", seeds);
+        single.until_route("/safe/", LIMIT).await;
+        // The first watch of the relay, which began before it had a subscriber, ends in the meantime.
+        let bounds = settings(&store).bounds;
+        monoio::time::sleep(Duration::from_millis(bounds.contact_ms)).await;
+        store.compact(SILENCE);
+        store.put("config", "main", extended(2, "/second/"));
+        monoio::time::sleep(Duration::from_millis(bounds.config_apply_ms)).await;
+        for gateway in [&relay, &follower, &single] {
+            assert!(gateway.has_route("/second/").await);
+        }
+    });
+}
+
+/// Guards against the same for the servers.
+#[rstest]
+#[case::first_server(0)]
+#[case::second_server(1)]
+fn a_server_that_drains_while_the_store_compacts_gets_no_new_request(#[case] index: usize) {
+    block_on(async {
+        let (store, first) = spawn_store();
+        let servers = [first, backend::spawn().unwrap()];
+        store.put("servers", "i-1", entry(&servers[1]));
+        let (relay, follower) = relay_and_follower(&store).await;
+        let bounds = settings(&store).bounds;
+        monoio::time::sleep(Duration::from_millis(bounds.contact_ms)).await;
+        store.compact(SILENCE);
+        let mut draining = entry(&servers[index]);
+        draining["state"] = json!("draining");
+        store.put("servers", &format!("i-{index}"), draining);
+        monoio::time::sleep(Duration::from_millis(bounds.drain_ms)).await;
+        let before = servers[index].arrivals();
+        for gateway in [&relay, &follower] {
+            let address = gateway.gateway.client_address();
+            for _ in 0..20 {
+                let response = fetch(address, request("/public/x", &[])).await.unwrap();
+                assert_eq!(response.status(), 200);
+            }
+        }
+        assert_eq!(servers[index].arrivals(), before);
+    });
+}
+
 /// A relay announces a large configuration without its content, and the follower reads it from the store.
 /// Connections of earlier watches that fell silent in the meantime must not delay that.
 #[test]
--- a/crates/peridotrack-follow/tests/fleet.rs
+++ b/crates/peridotrack-follow/tests/fleet.rs
@@ -24,6 +24,8 @@
 const RESPONSE_TIMEOUT_US: u64 = 1_000 * MS;
 /// Time after which a router that reaches the store again must have caught up.
 const CATCH_UP_US: u64 = 3_000 * MS;
+/// Time for which watches report no changes while the store compacts its history.
+const SILENCE_US: u64 = 1_000 * MS;
 /// Time within which a router in contact must know a change.
 const PROPAGATION_US: u64 = 2_000 * MS;
 
@@ -58,6 +60,10 @@
     /// Revision and time of each change, in microseconds.
     commits: Vec<(u64, u64)>,
     revision: u64,
+    /// Revision after which the store keeps the changes.
+    history_from: u64,
+    /// Until when watches report no changes, `None` if they do.
+    silent_until_us: Option<u64>,
     /// Messages in flight: arrival time, index of the sender's node, sender, receiver, message.
     messages: Vec<(u64, usize, id::Incarnation, id::Incarnation, Message)>,
     calls: usize,
@@ -71,6 +77,8 @@
             nodes: Vec::new(),
             commits: Vec::new(),
             revision: 1,
+            history_from: 0,
+            silent_until_us: None,
             messages: Vec::new(),
             calls: 0,
         };
@@ -215,6 +223,30 @@
         self.commits.push((self.revision, self.now_us));
     }
 
+    /// Lets watches report no changes for [`SILENCE_US`]. Then the history is discarded and those that
+    /// still wait are cut off.
+    fn compact(&mut self) {
+        let until_us = self.now_us + SILENCE_US;
+        self.silent_until_us.get_or_insert(until_us);
+    }
+
+    fn end_silence(&mut self) {
+        if self
+            .silent_until_us
+            .take_if(|until_us| *until_us <= self.now_us)
+            .is_none()
+        {
+            return;
+        }
+        self.history_from = self.revision;
+        for node in 0..self.nodes.len() {
+            if let Some(Call::Watch { .. }) = self.nodes[node].call {
+                self.nodes[node].call = None;
+                self.event(node, Event::WatchCut);
+            }
+        }
+    }
+
     fn cut_store(&mut self, node: usize, for_us: u64) {
         let at_us = self.now_us + CUT_TIMEOUT_US;
         let node = &mut self.nodes[node];
@@ -247,14 +279,21 @@
                 }
             }
             Some(Call::Watch { revision, until_us }) => {
-                let changes = self.changes_after(*revision);
-                if changes.is_empty() && now_us < *until_us {
+                let is_kept = *revision >= self.history_from;
+                let changes = match self.silent_until_us {
+                    None => self.changes_after(*revision),
+                    Some(_) => Vec::new(),
+                };
+                if is_kept && changes.is_empty() && now_us < *until_us {
                     return;
                 }
-                Event::Watched {
-                    changes,
-                    revision: self.revision,
-                    since_loss_us: None,
+                match is_kept {
+                    true => Event::Watched {
+                        changes,
+                        revision: self.revision,
+                        since_loss_us: None,
+                    },
+                    false => Event::HistoryLost,
                 }
             }
             Some(Call::Failing { at_us }) if now_us >= *at_us => Event::CallFailed,
@@ -283,6 +322,7 @@
     fn step(&mut self) {
         self.now_us += STEP_US;
         self.deliver();
+        self.end_silence();
         for node in 0..self.nodes.len() {
             if self.nodes[node].follower.is_none() {
                 continue;
@@ -318,7 +358,8 @@
     }
 }
 
-fn run(seed: u64) -> Result<(), String> {
+/// Runs a fleet whose store compacts its history now and then, if `has_compactions`.
+fn run(seed: u64, has_compactions: bool) -> Result<(), String> {
     let mut rng = fastrand::Rng::with_seed(seed);
     let count = rng.usize(1..7);
     let mut fleet = Fleet::new(seed, count);
@@ -342,6 +383,7 @@
             }
             10 => fleet.announce_peers(),
             11 => fleet.hang_store(for_us),
+            12 | 13 if has_compactions => fleet.compact(),
             _ => {}
         }
         let now_us = fleet.now_us;
@@ -358,9 +400,25 @@
 
 #[rstest]
 fn each_router_in_contact_knows_every_change_in_time(#[values(0, 1, 2, 3)] part: u64) {
+    run_part(part, false);
+}
+
+/// Guards against routers that missed a change for good, because a watch without changes stated a
+/// revision beyond it.
+#[rstest]
+fn each_router_knows_every_change_in_time_while_the_store_compacts(
+    #[values(0, 1, 2, 3)] part: u64,
+) {
+    run_part(part, true);
+}
+
+fn run_part(part: u64, has_compactions: bool) {
     let failures: Vec<String> = (0..250)
         .map(|run| run * 4 + part)
-        .filter_map(|seed| run(seed).err().map(|error| format!("seed {seed}: {error}")))
+        .filter_map(|seed| {
+            let result = run(seed, has_compactions);
+            result.err().map(|error| format!("seed {seed}: {error}"))
+        })
         .collect();
     assert!(
         failures.is_empty(),
--- a/crates/peridotrack-standin/src/hosted/store.rs
+++ b/crates/peridotrack-standin/src/hosted/store.rs
@@ -110,6 +110,10 @@
     changed: Notify,
     /// Wait after which the connection of a watch is closed; `None` if watches end regularly.
     watch_limit: Cell<Option<Duration>>,
+    /// Whether watches report no changes.
+    is_silent: Cell<bool>,
+    /// Number of times that the connections of all waiting watches were closed.
+    watch_cuts: Cell<u64>,
     /// `Retry-After` of the refusals that all writes get; `None` if writes are executed.
     write_refusal: RefCell<Option<String>>,
 }
@@ -196,6 +200,21 @@
         self.0.application.changed.notify();
     }
 
+    /// Compacts the history: for the duration of `silence` watches report no changes, and one whose wait
+    /// ends states the current revision all the same. Then the history is discarded, and the
+    /// connections of the watches that still wait are closed.
+    pub fn compact(&self, silence: Duration) {
+        let store = Rc::clone(&self.0.application);
+        store.is_silent.set(true);
+        monoio::spawn(async move {
+            monoio::time::sleep(silence).await;
+            store.is_silent.set(false);
+            store.state.borrow_mut().history.clear();
+            store.watch_cuts.set(store.watch_cuts.get() + 1);
+            store.changed.notify();
+        });
+    }
+
     /// Returns the counts since the start.
     pub fn counters(&self) -> Counters {
         self.0.application.counters.get()
@@ -332,9 +351,12 @@
     ) -> Result<Response<Bytes>, Disconnect> {
         let wait = Duration::from_millis(wait_ms);
         let cut_after = self.watch_limit.get().filter(|limit| *limit < wait);
+        let cuts = self.watch_cuts.get();
+        let is_cut = || self.watch_cuts.get() != cuts;
         let is_unchanged = || {
             let events = self.events(kind, revision);
-            events.is_some_and(|events| events.is_empty()) && !self.is_unavailable()
+            let has_none = events.is_some_and(|events| events.is_empty());
+            (has_none || self.is_silent.get()) && !self.is_unavailable() && !is_cut()
         };
         let waited = monoio::time::timeout(cut_after.unwrap_or(wait), async {
             while is_unchanged() {
@@ -343,11 +365,15 @@
             }
         })
         .await;
-        if self.is_unavailable() || cut_after.is_some() && waited.is_err() {
+        if self.is_unavailable() || is_cut() || cut_after.is_some() && waited.is_err() {
             return Err(Disconnect);
         }
         let as_of = self.state.borrow().revision;
-        Ok(match self.events(kind, revision) {
+        let events = match self.is_silent.get() {
+            true => Some(Vec::new()),
+            false => self.events(kind, revision),
+        };
+        Ok(match events {
             Some(events) => {
                 let document = json!({"events": events, "asOf": as_of});
                 self.state.borrow().respond(&document)
