fix(follow): go on from a revision that was stated without changes only once it is old

Seen by callers: requests for a route that was added or moved are refused, or run by the former service, until the next version of the configuration; a server that drains gets requests. Cause: a watch that ended without changes moved the view to the revision that its response states, and the next watch began there. A store that reports changes late, as while it compacts its history, states a revision beyond a change that it has not reported. The change was missed for good. Relays, whose watches wait for 0.6 s, end one in every such second; routers without subscribers wait for 1.5 s, are cut off and list the objects. That the users' store answers in this way is an inference. Change: a watch without changes proves nothing about a revision that the store states in it; a later one that still has none, 5 s after, does. A watch with changes goes on from the last of them. A relay that has listed the objects tells its subscribers at once, which took until the end of its next watch. The wait of watches for crash statements is 7 s instead of 10 s, so that two of them stay within the history that the store keeps.

--- a/crates/peridotrack-edge/src/gateway/options.rs
+++ b/crates/peridotrack-edge/src/gateway/options.rs
@@ -107,8 +107,9 @@
 /// Longest backoff between failing calls of a follower, in microseconds: well within the 2 s in
 /// which entries are renewed after an outage.
 const FOLLOW_BACKOFF_MAX_US: u64 = 800 * clock::US_PER_MS;
-/// Maximum wait of a watch of the statements about crashes, in microseconds.
-const QUARANTINE_WAIT_US: u64 = 10 * clock::US_PER_S;
+/// Maximum wait of a watch of the statements about crashes, in microseconds: less than half of the time
+/// for which the store keeps its history.
+const QUARANTINE_WAIT_US: u64 = 7 * clock::US_PER_S;
 /// Renewal intervals of an entry in the shortest outage of the store in which it expires. Entries
 /// expire after three intervals without renewal, of which the last renewal may precede the outage
 /// by one.
--- a/crates/peridotrack-follow/src/event.rs
+++ b/crates/peridotrack-follow/src/event.rs
@@ -23,9 +23,12 @@
     },
     /// A watch returned, with changes or at the end of its wait.
     Watched {
-        /// Changes after the requested revision, oldest first; empty if there were none.
+        /// Changes after the requested revision that can be decoded, oldest first.
         changes: Vec<Change>,
-        /// Last revision that the changes cover.
+        /// Revision of the last change, whether or not it can be decoded; `None` if there were no
+        /// changes.
+        last_change: Option<u64>,
+        /// Revision of the store that the response states.
         revision: u64,
         /// Time since the store was last unavailable to this router, in microseconds; `None` if it
         /// never was.
--- a/crates/peridotrack-follow/src/follower.rs
+++ b/crates/peridotrack-follow/src/follower.rs
@@ -112,9 +112,10 @@
         let mut actions = Vec::new();
         match event {
             Event::Tick => {}
-            Event::Listed { revision } => self.on_listed(now_us, revision),
+            Event::Listed { revision } => self.on_listed(now_us, revision, &mut actions),
             Event::Watched {
                 changes,
+                last_change,
                 revision,
                 since_loss_us,
             } => {
@@ -129,7 +130,7 @@
                 }
                 let update = Update {
                     from_revision: self.watched_from(),
-                    revision,
+                    revision: self.shown_revision(now_us, last_change, revision),
                     changes,
                     since_loss_us,
                 };
@@ -164,7 +165,7 @@
         actions
     }
 
-    fn on_listed(&mut self, now_us: u64, revision: u64) {
+    fn on_listed(&mut self, now_us: u64, revision: u64, actions: &mut Vec<Action>) {
         self.is_calling = false;
         self.is_polling = false;
         self.failures = 0;
@@ -172,6 +173,14 @@
             return;
         }
         self.view = Some(View::of_all(revision, Some(now_us)));
+        // Subscribers with an earlier view read the changes from the store.
+        let update = Update {
+            revision,
+            ..Update::default()
+        };
+        let max_bytes = self.options.max_update_bytes;
+        self.subscribers
+            .notify(now_us, &update, revision, max_bytes, actions);
     }
 
     fn on_failure(&mut self, now_us: u64) {
@@ -271,6 +280,21 @@
         self.view.map_or(0, |view| view.revision)
     }
 
+    /// Returns the revision that the view shows after a watch: that of the last change, or else one
+    /// that is old enough. The store may state a revision beyond a change that it has not reported.
+    fn shown_revision(&mut self, now_us: u64, last_change: Option<u64>, stated: u64) -> u64 {
+        let settle_us = self.options.settle_us;
+        let Some(view) = &mut self.view else {
+            return stated;
+        };
+        match last_change {
+            // Without progress the same changes would be reported again at once.
+            Some(last_change) if last_change <= view.revision => stated,
+            Some(last_change) => last_change,
+            None => view.proven(now_us, stated, settle_us),
+        }
+    }
+
     /// Applies an update that continues the view and forwards it to the subscribers.
     fn apply(&mut self, now_us: u64, update: Update, actions: &mut Vec<Action>) {
         let Some(view) = &mut self.view else {
--- a/crates/peridotrack-follow/src/follower/view.rs
+++ b/crates/peridotrack-follow/src/follower/view.rs
@@ -13,6 +13,8 @@
     /// When the store or the relay last confirmed the view; `None` if a peer sent it since there was
     /// none.
     pub(super) confirmed_us: Option<u64>,
+    /// Revision that the store has stated without a change up to it, and when.
+    stated: Option<(u64, u64)>,
 }
 
 impl View {
@@ -22,9 +24,22 @@
             revision,
             unchanged_since: revision,
             confirmed_us,
+            stated: None,
         }
     }
 
+    /// Returns the revision up to which a watch without changes shows that there were none. The store
+    /// may report a change late, although it states a later revision. Only a revision that it stated
+    /// `settle_us` ago is therefore taken as proven by a response that still has no changes.
+    pub(super) fn proven(&mut self, now_us: u64, stated_revision: u64, settle_us: u64) -> u64 {
+        let (revision, since_us) = *self.stated.get_or_insert((stated_revision, now_us));
+        if now_us < since_us + settle_us {
+            return self.revision;
+        }
+        self.stated = Some((stated_revision, now_us));
+        revision.max(self.revision)
+    }
+
     /// Returns whether the store or the relay has confirmed the view within the last `age_us`.
     pub(super) fn is_confirmed_within(&self, now_us: u64, age_us: u64) -> bool {
         self.confirmed_us
@@ -43,5 +58,6 @@
             self.unchanged_since = update.revision;
         }
         self.revision = update.revision;
+        self.stated = self.stated.filter(|(stated, _)| *stated > self.revision);
     }
 }
--- a/crates/peridotrack-follow/tests/follower.rs
+++ b/crates/peridotrack-follow/tests/follower.rs
@@ -38,6 +38,7 @@
 fn watched(revision: u64, changes: &[Change]) -> Event {
     Event::Watched {
         changes: changes.to_vec(),
+        last_change: (!changes.is_empty()).then_some(revision),
         revision,
         since_loss_us: None,
     }
@@ -191,6 +192,78 @@
     assert_eq!(watch_wait_ms(&actions).is_some(), !is_listed);
 }
 
+fn watched_revision(actions: &[Action]) -> Option<u64> {
+    actions.iter().find_map(|action| match action {
+        Action::Watch { revision, .. } => Some(*revision),
+        _ => None,
+    })
+}
+
+/// Guards against changes that are missed for good, because a watch without changes states a revision
+/// beyond them.
+#[test]
+fn watches_go_on_from_a_stated_revision_only_once_it_is_old() {
+    let settle_us = Options::default().settle_us;
+    let mut follower = Follower::new(SELF, Options::default(), 0);
+    follower.on_event(0, Event::Tick);
+    follower.on_event(0, Event::Listed { revision: 10 });
+    let unchanged = |revision| watched(revision, &[]);
+    let actions = follower.on_event(600 * MS, unchanged(15));
+    assert_eq!(watched_revision(&actions), Some(10));
+    let actions = follower.on_event(599 * MS + settle_us, unchanged(20));
+    assert_eq!(watched_revision(&actions), Some(10));
+    let actions = follower.on_event(600 * MS + settle_us, unchanged(25));
+    assert_eq!(watched_revision(&actions), Some(15));
+    let actions = follower.on_event(1_200 * MS + settle_us, unchanged(30));
+    assert_eq!(watched_revision(&actions), Some(15));
+    let actions = follower.on_event(600 * MS + 2 * settle_us, unchanged(40));
+    assert_eq!(watched_revision(&actions), Some(25));
+}
+
+#[rstest]
+#[case::stated_beyond(12, 20, 12)]
+#[case::without_progress(10, 20, 20)]
+fn watches_go_on_from_the_last_change(
+    #[case] last_change: u64,
+    #[case] stated: u64,
+    #[case] expected: u64,
+) {
+    let mut follower = Follower::new(SELF, Options::default(), 0);
+    follower.on_event(0, Event::Tick);
+    follower.on_event(0, Event::Listed { revision: 10 });
+    let event = Event::Watched {
+        changes: vec![change(b"x")],
+        last_change: Some(last_change),
+        revision: stated,
+        since_loss_us: None,
+    };
+    let actions = follower.on_event(MS, event);
+    assert_eq!(watched_revision(&actions), Some(expected));
+    assert_eq!(applied(&actions), 1);
+}
+
+/// A relay whose history is lost does not know which changes its subscribers lack.
+#[test]
+fn a_relay_that_has_listed_the_objects_tells_its_subscribers_at_once() {
+    let mut follower = Follower::new(RELAY, Options::default(), 0);
+    let _ = follower.on_event(0, Event::Peers(vec![SELF]));
+    let _ = follower.on_event(MS, Event::Listed { revision: 10 });
+    let subscribe = Event::Peer {
+        from: SELF,
+        message: Message::Subscribe,
+    };
+    let _ = follower.on_event(2 * MS, subscribe);
+    let _ = follower.on_event(3 * MS, Event::HistoryLost);
+    let actions = follower.on_event(4 * MS, Event::Listed { revision: 14 });
+    let update = Update {
+        from_revision: 14,
+        revision: 14,
+        ..Update::default()
+    };
+    let message = Message::Update(update);
+    assert!(actions.contains(&Action::Send { to: SELF, message }));
+}
+
 fn led() -> Options {
     Options {
         is_led: true,
