--- a/crates/peridotrack-edge/src/gateway/request.rs
+++ b/crates/peridotrack-edge/src/gateway/request.rs
@@ -140,13 +140,15 @@
 pub(super) fn accept(
     shared: &Rc<Shared>,
     received: server::Request,
-) -> Result<RoutedRequest, Rejected> {
+) -> Result<RoutedRequest, Box<Rejected>> {
     let config = shared.site.get();
     let client_request = received.head.headers.get(wire::REQUEST_ID).cloned();
-    resolve(shared, received, config.clone()).map_err(|problem| Rejected {
-        problem,
-        client_request: text(client_request.as_ref()).to_owned(),
-        config_version: config.map_or(0, |config| config.site.version),
+    resolve(shared, received, config.clone()).map_err(|problem| {
+        Box::new(Rejected {
+            problem,
+            client_request: text(client_request.as_ref()).to_owned(),
+            config_version: config.map_or(0, |config| config.site.version),
+        })
     })
 }
 
