fix(edge): request a newer configuration of a peer although the view is confirmed

Cause: a higher version that a peer advertised was dropped while the store or a relay had confirmed the view in the last 2 s, as one that is on its way. A version that a peer holds is a proof that the view is not current. Evidence: the test fails on the code before: a store that stays silent keeps two gateways at the older version, although a third one has the newer one and advertises it. Change: such a version is waited for 0.3 s, then requested and logged (ConfigAdvertised).

--- a/crates/peridotrack-edge/src/member.rs
+++ b/crates/peridotrack-edge/src/member.rs
@@ -33,9 +33,12 @@
 const TICK_US: u64 = 100 * clock::US_PER_MS;
 /// Minimum period between two reads of the platform's list of VMs, in microseconds.
 const LIST_PERIOD_US: u64 = clock::US_PER_S;
-/// Age of the view up to which a configuration is not requested from a peer, in microseconds: longer
-/// than the wait of a watch.
+/// Age of the view up to which a configuration is expected from the store or a relay, in microseconds:
+/// longer than the wait of a watch.
 const MAX_CONFIG_AGE_US: u64 = 2 * clock::US_PER_S;
+/// Time after which an expected configuration is requested from a peer, in microseconds: several round
+/// trips, and short within the time in which it must be applied.
+const EXPECTED_CONFIG_US: u64 = 300 * clock::US_PER_MS;
 /// Approximate size of an entry in the platform's list of VMs, in bytes.
 const LIST_ENTRY_BYTES: u64 = 66;
 /// Average bandwidth for reads of the list, in bytes per second; a long list is read less often.
@@ -273,7 +276,9 @@
                     }
                 }
                 Action::FetchConfigFrom { address, version } => {
-                    self.fetch_config(address, version);
+                    drop(monoio::spawn(
+                        Rc::clone(self).fetch_config(address, version),
+                    ));
                 }
                 Action::FetchConfigFromPlatform { .. } => self.with_config(config::fetch),
                 Action::PollPlatform => self.with_config(config::fetch),
@@ -285,24 +290,28 @@
         }
     }
 
-    /// Requests the configuration from the peer that advertises a higher version, unless the store or a
-    /// relay has confirmed the view of it recently: then that version is on its way.
-    fn fetch_config(&self, address: SocketAddr, version: u64) {
-        let follow = self.find_service::<follow::Follow>(follow::SERVICE);
-        let age_us = follow.ok().and_then(|follow| follow.age_us(site::KIND));
-        let is_expected = age_us.is_some_and(|age_us| age_us < MAX_CONFIG_AGE_US);
+    /// Requests the configuration from the peer that advertises a higher version. While the store or a
+    /// relay keeps the view of it current, that version is most likely on its way, and is waited for.
+    async fn fetch_config(self: Rc<Self>, address: SocketAddr, version: u64) {
+        let age_us = || {
+            let follow = self.find_service::<follow::Follow>(follow::SERVICE);
+            follow.ok().and_then(|follow| follow.age_us(site::KIND))
+        };
+        if age_us().is_some_and(|age_us| age_us < MAX_CONFIG_AGE_US) {
+            self.kernel.timer().sleep_us(EXPECTED_CONFIG_US).await;
+        }
         let above_version = self.members.borrow().config_version();
+        if above_version >= version {
+            return;
+        }
         let event = event::Event::new(event::Kind::ConfigAdvertised)
             .with("version", version)
             .with("config_version", above_version)
-            .with("config_age_us", age_us.unwrap_or(u64::MAX))
-            .with("peer", address.to_string())
-            .with("is_requested", !is_expected);
+            .with("config_age_us", age_us().unwrap_or(u64::MAX))
+            .with("peer", address.to_string());
         self.kernel.note(event);
-        if !is_expected {
-            self.link
-                .send(address, &peer::Frame::ConfigRequest { above_version });
-        }
+        self.link
+            .send(address, &peer::Frame::ConfigRequest { above_version });
     }
 
     fn with_config(&self, call: impl FnOnce(Rc<config::Configuration>)) {
--- a/crates/peridotrack-edge/tests/gateway/peers.rs
+++ b/crates/peridotrack-edge/tests/gateway/peers.rs
@@ -210,7 +210,30 @@
     });
 }
 
-/// Guards against the same for the servers.
+/// Guards against routers that ignore the newer version of a peer, because the store keeps confirming a
+/// view that lacks a change.
+#[test]
+fn a_configuration_that_a_peer_advertises_is_applied_although_the_view_is_confirmed() {
+    const LONG_SILENCE: Duration = Duration::from_secs(8);
+    block_on(async {
+        let (store, _backend) = spawn_store();
+        let (relay, follower) = relay_and_follower(&store).await;
+        let bounds = settings(&store).bounds;
+        monoio::time::sleep(Duration::from_millis(bounds.contact_ms)).await;
+        store.compact(LONG_SILENCE);
+        store.put("config", "main", extended(2, "/second/"));
+        // A gateway that starts lists the objects, which shows the change.
+        let seeds = vec![relay.gateway.peer_address()];
+        let started = ProxiedGateway::spawn_in(&store, "b", seeds);
+        started.until_route("/second/", LIMIT).await;
+        monoio::time::sleep(Duration::from_millis(bounds.config_apply_ms)).await;
+        for gateway in [&relay, &follower] {
+            assert!(gateway.has_route("/second/").await);
+        }
+    });
+}
+
+/// Guards against servers that are used although a relay missed their draining.
 #[rstest]
 #[case::first_server(0)]
 #[case::second_server(1)]
--- a/crates/peridotrack-kernel/src/event.rs
+++ b/crates/peridotrack-kernel/src/event.rs
@@ -85,7 +85,7 @@
     111 Warn ConfigRefused,
     /// Objects of the store could not be decoded and were ignored.
     112 Warn ObjectIgnored,
-    /// A peer advertises a newer configuration than the active one.
+    /// A newer configuration is requested from a peer that advertises it.
     113 Info ConfigAdvertised,
     /// The platform became unreachable.
     120 Warn PlatformLost,
