fix(edge): refuse unknown routes and keys for the moment while the configuration may be out of date

Cause: a router stated that a route or key does not exist, although it knew that its configuration may lack a version that is in force. Change: while the view was not confirmed within configApplyMs, such requests get 503 with Retry-After, so that another router is tried. Routes and keys that it knows are served as before.

--- a/crates/peridotrack-edge/src/gateway/request.rs
+++ b/crates/peridotrack-edge/src/gateway/request.rs
@@ -7,7 +7,7 @@
 
 use peridotrack_http::server;
 use peridotrack_kernel::{clock, event};
-use peridotrack_platform::request as wire;
+use peridotrack_platform::{request as wire, site as site_wire};
 use peridotrack_quarantine::signature::{self, Signature};
 use peridotrack_route::{
     event::{Continuation, Offer, Target},
@@ -20,6 +20,9 @@
 
 /// Retry delay stated to clients while the gateway has no configuration yet, in milliseconds.
 const STARTING_RETRY_MS: u64 = 500;
+/// Retry delay stated to clients whose route or key a gateway does not know while its configuration may be
+/// out of date, in milliseconds: another gateway may know it.
+const OUTDATED_RETRY_MS: u64 = 500;
 /// Lowest rank that counts as low priority; rank 0 is the most urgent.
 const LOW_PRIORITY_RANK: u32 = 2;
 
@@ -171,14 +174,14 @@
     let path = received.head.uri.path();
     let route_index = config.index.route(host, path).ok_or_else(|| {
         let detail = format!("no route for host {host:?} and path {path:?}");
-        problem::Problem::new(problem::Kind::NotFound, detail)
+        unknown(shared, problem::Kind::NotFound, detail)
     })?;
     let account_index = wire::key(headers).and_then(|key| config.index.account(key));
     let route = &config.site.routes[route_index];
     let needs_key = !config.site.client_accounts.is_empty() && !route.is_public;
     if needs_key && account_index.is_none() {
-        let kind = problem::Kind::Unauthorized;
-        return Err(problem::Problem::new(kind, "the key is missing or unknown"));
+        let detail = "the key is missing or unknown".to_owned();
+        return Err(unknown(shared, problem::Kind::Unauthorized, detail));
     }
     if route.retry_policy.is_stream() {
         caller::response::check_stream_version(received.head.version)?;
@@ -240,6 +243,18 @@
     Ok(request)
 }
 
+/// Returns the problem of a request whose route or key the active configuration does not have. While that
+/// may lack a version that is in force, the request may be proper and is refused for the moment only.
+fn unknown(shared: &Shared, kind: problem::Kind, detail: String) -> problem::Problem {
+    let max_age_us = shared.settings.bounds.config_apply_ms * clock::US_PER_MS;
+    let age_us = shared.follow.age_us(site_wire::KIND);
+    if age_us.is_some_and(|age_us| age_us <= max_age_us) {
+        return problem::Problem::new(kind, detail);
+    }
+    let detail = format!("{detail} in a configuration that may be out of date");
+    problem::Problem::new(problem::Kind::NoBackendServer, detail).retry_after_ms(OUTDATED_RETRY_MS)
+}
+
 /// Chooses one of a route's services at random, in proportion to their weights.
 fn choose_service(route: &site::Route) -> Option<name::Service> {
     let total: f64 = route.shares.iter().map(|share| share.weight).sum();
--- a/crates/peridotrack-edge/tests/gateway/peers.rs
+++ b/crates/peridotrack-edge/tests/gateway/peers.rs
@@ -20,7 +20,7 @@
 
 use crate::{
     budget::send_prepaid,
-    fixture::{Fixture, LIMIT, config, entry, request, settings},
+    fixture::{Fixture, KEY, LIMIT, config, entry, request, settings},
 };
 
 /// Incarnation of the peer that the test acts as.
@@ -233,6 +233,46 @@
     });
 }
 
+/// Guards against proper requests that are turned away for good by a gateway that does not know the
+/// newest configuration, and knows that it may not.
+#[rstest]
+#[case::unknown_route("/second/", KEY, 404)]
+#[case::unknown_key("/safe/x", "key-2", 401)]
+fn unknown_routes_and_keys_are_refused_for_the_moment_while_the_configuration_may_be_out_of_date(
+    #[case] path: &str,
+    #[case] key: &str,
+    #[case] status: u16,
+) {
+    block_on(async {
+        let (store, _backend) = spawn_store();
+        let gateway = ProxiedGateway::spawn(&store, Vec::new());
+        gateway.until_served(LIMIT).await;
+        let send = async || {
+            let mut request = request(path, &[]);
+            let key = key.parse().unwrap();
+            request.headers_mut().insert("peridotrack-credential", key);
+            let address = gateway.gateway.client_address();
+            fetch(address, request).await.unwrap()
+        };
+        assert_eq!(send().await.status(), status);
+        gateway.store_link.set(relay::Link::Stalled);
+        let refused = async || {
+            let response = send().await;
+            let is_retried = response.headers().contains_key("retry-after");
+            (response.status() == 503 && is_retried).then_some(())
+        };
+        wait::poll(LIMIT, "refusal for the moment", refused)
+            .await
+            .unwrap();
+        gateway.until_served(LIMIT).await;
+        gateway.store_link.set(relay::Link::Open);
+        let rejected = async || (send().await.status() == status).then_some(());
+        wait::poll(LIMIT, "refusal for good", rejected)
+            .await
+            .unwrap();
+    });
+}
+
 /// Guards against servers that are used although a relay missed their draining.
 #[rstest]
 #[case::first_server(0)]
