fix(follow): date the confirmations of a relay by the subscription that preceded them

Seen by callers: requests are refused, or run by the former service, by a router whose relay is not silent but late: a queue on its link, a slow or overloaded relay, a connection that delivers old updates at once. Cause: an update had no age. A subscriber counted it as a confirmation when it arrived, and so lagged behind by as much as the updates were late. The configuration versions that peers advertise take the same way. Change: a subscription carries the time of the subscriber's own clock, which the relay returns with its updates, next to the age of its own view. The subscriber dates the confirmation by it. An update keeps the view current until 0.8 of the bound on changes after its date, and for no longer than the silence bound after its arrival; a relay that is late is left like a silent one. A late router that passes updates on no longer makes them look recent. Mixed builds: both messages are new variants at the end. A new subscriber sends the former subscription too, until its relay has sent a dated update. An earlier relay ignores the dated one (PeerRefused once a link) and its updates count from their arrival, as before; an earlier subscriber gets updates as before. Both pairs keep the fault. Cost: 5 more bytes for a subscription (35), 8 for an update (42), and one message when a relay is chosen. Each frame was already encoded for its subscriber.

--- a/crates/peridotrack-edge/src/gateway/options.rs
+++ b/crates/peridotrack-edge/src/gateway/options.rs
@@ -100,6 +100,9 @@
 /// Fraction of the time in which changes must be applied after which a silent relay is no longer
 /// relied on; the rest is for a watch by the router itself.
 const SILENCE_PART: f64 = 0.6;
+/// Fraction of the same time after which an update of a relay is no longer relied on, from the
+/// subscription that preceded it; the rest is for a watch by the router itself.
+const MAX_AGE_PART: f64 = 0.8;
 /// Fraction of the same time for which a watch of a relay waits at most. When it ends without a
 /// change, the relay reports this to its subscribers; the response to the watch and the message to
 /// them must arrive within the time of [`SILENCE_PART`].
@@ -301,6 +304,7 @@
         relist_after_us: apply_us,
         relay_wait_us: (apply_us as f64 * RELAY_WAIT_PART) as u64,
         silence_us: (apply_us as f64 * SILENCE_PART) as u64,
+        max_age_us: (apply_us as f64 * MAX_AGE_PART) as u64,
         backoff_max_us: FOLLOW_BACKOFF_MAX_US,
         // The membership requests a higher version from the peer that advertises it.
         is_fetched: false,
@@ -335,6 +339,7 @@
         wait_us,
         relay_wait_us: wait_us,
         silence_us: 2 * wait_us,
+        max_age_us: 2 * wait_us,
         relist_after_us: u64::MAX,
         is_fetched: true,
         is_led: true,
@@ -349,6 +354,7 @@
         wait_us: QUARANTINE_WAIT_US,
         relay_wait_us: QUARANTINE_WAIT_US,
         silence_us: 2 * QUARANTINE_WAIT_US,
+        max_age_us: 2 * QUARANTINE_WAIT_US,
         subscribe_us: QUARANTINE_WAIT_US / 8,
         subscription_us: QUARANTINE_WAIT_US / 2,
         relist_after_us: u64::MAX,
--- a/crates/peridotrack-edge/tests/frames.rs
+++ b/crates/peridotrack-edge/tests/frames.rs
@@ -3,8 +3,11 @@
 
 use peridotrack_budget::message::{Message, Reach};
 use peridotrack_edge::peer::frame::{self, Frame};
+use peridotrack_follow::message as follow_message;
 use peridotrack_origin::{key, message, origins, record};
 use peridotrack_types::{id, stream};
+use rstest::rstest;
+use serde::{Deserialize, Serialize};
 
 fn token_request(available_tokens: u64) -> Frame {
     Frame::Budget {
@@ -71,3 +74,114 @@
     );
     assert_eq!(frame.recipient(), Some(id::Incarnation(1)));
 }
+
+/// The messages of followers that earlier releases know.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+enum EarlierMessage {
+    Subscribe,
+    Update(follow_message::Update),
+    Fetch { after: Option<u64> },
+    Snapshot(follow_message::Snapshot),
+}
+
+fn update() -> follow_message::Update {
+    follow_message::Update {
+        from_revision: 1,
+        revision: 300,
+        changes: vec![follow_message::Change {
+            name: "a".into(),
+            content: vec![7],
+            is_removed: false,
+        }],
+        since_loss_us: Some(5),
+    }
+}
+
+fn snapshot() -> follow_message::Snapshot {
+    follow_message::Snapshot {
+        is_complete: true,
+        revision: 300,
+        objects: vec![("a".into(), vec![7])],
+    }
+}
+
+/// Guards against routers that do not understand each other while they are upgraded one after the other.
+#[rstest]
+#[case::subscribe(follow_message::Message::Subscribe, EarlierMessage::Subscribe)]
+#[case::update(
+    follow_message::Message::Update(update()),
+    EarlierMessage::Update(update())
+)]
+#[case::fetch(
+    follow_message::Message::Fetch { after: Some(4) },
+    EarlierMessage::Fetch { after: Some(4) }
+)]
+#[case::snapshot(
+    follow_message::Message::Snapshot(snapshot()),
+    EarlierMessage::Snapshot(snapshot())
+)]
+fn messages_of_followers_that_earlier_releases_know_are_read_both_ways(
+    #[case] message: follow_message::Message,
+    #[case] earlier: EarlierMessage,
+) {
+    let bytes = postcard::to_stdvec(&message).unwrap();
+    assert_eq!(postcard::to_stdvec(&earlier).unwrap(), bytes);
+    assert_eq!(
+        postcard::from_bytes::<EarlierMessage>(&bytes).unwrap(),
+        earlier
+    );
+    assert_eq!(
+        postcard::from_bytes::<follow_message::Message>(&bytes).unwrap(),
+        message
+    );
+}
+
+/// Earlier releases drop what they do not know, rather than take it for another message.
+#[rstest]
+#[case::subscribe(follow_message::Message::DatedSubscribe { sent_us: 3_600_000_000 })]
+#[case::update(follow_message::Message::DatedUpdate(follow_message::DatedUpdate {
+    subscribed_us: 3_600_000_000,
+    age_us: 0,
+    update: update(),
+}))]
+fn dated_messages_of_followers_are_unknown_to_earlier_releases(
+    #[case] message: follow_message::Message,
+) {
+    let bytes = postcard::to_stdvec(&message).unwrap();
+    assert!(postcard::from_bytes::<EarlierMessage>(&bytes).is_err());
+    assert_eq!(
+        postcard::from_bytes::<follow_message::Message>(&bytes).unwrap(),
+        message
+    );
+}
+
+/// A relay sends an update to each of up to some hundred subscribers in each wait of a watch.
+#[test]
+fn the_dates_of_followers_add_few_bytes_to_their_messages() {
+    const DATE_BYTES: usize = 5;
+    const AGE_BYTES: usize = 4;
+    // Times of a process that runs for a quarter of an hour are encoded in this length.
+    let sent_us = 900_000_000;
+    let bytes = |message| {
+        let frame = Frame::Follow {
+            to: id::Incarnation(1),
+            kind: "config".into(),
+            message,
+        };
+        frame::encode(&frame).unwrap().len()
+    };
+    let subscribe = bytes(follow_message::Message::Subscribe);
+    let dated = bytes(follow_message::Message::DatedSubscribe { sent_us });
+    let confirmation = follow_message::Update::default();
+    let update = bytes(follow_message::Message::Update(confirmation.clone()));
+    let dated_update = bytes(follow_message::Message::DatedUpdate(
+        follow_message::DatedUpdate {
+            subscribed_us: sent_us,
+            age_us: 1_600_000,
+            update: confirmation,
+        },
+    ));
+    println!("bytes: subscriptions {subscribe} and {dated}, updates {update} and {dated_update}");
+    assert!(dated <= subscribe + DATE_BYTES);
+    assert!(dated_update <= update + DATE_BYTES + AGE_BYTES);
+}
--- a/crates/peridotrack-edge/tests/gateway/main.rs
+++ b/crates/peridotrack-edge/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod fleet;
 mod http_1_0;
 mod late_bytes;
+mod late_peers;
 mod leaving_or_paused;
 mod odd_entries;
 mod partitioned;
--- a/crates/peridotrack-edge/tests/gateway/peers.rs
+++ b/crates/peridotrack-edge/tests/gateway/peers.rs
@@ -65,7 +65,7 @@
 }
 
 /// Starts a store with a configuration and the entry of a backend server.
-fn spawn_store() -> (store::Handle, backend::Handle) {
+pub fn spawn_store() -> (store::Handle, backend::Handle) {
     let store = store::spawn().unwrap();
     let backend = backend::spawn().unwrap();
     store.put("servers", "i-0", entry(&backend));
@@ -74,13 +74,13 @@
 }
 
 /// A gateway that reaches the store through a TCP relay, which can be blocked.
-struct ProxiedGateway {
-    gateway: Gateway,
+pub struct ProxiedGateway {
+    pub gateway: Gateway,
     store_link: relay::Relay,
 }
 
 impl ProxiedGateway {
-    fn spawn(store: &store::Handle, seeds: Vec<SocketAddr>) -> Self {
+    pub fn spawn(store: &store::Handle, seeds: Vec<SocketAddr>) -> Self {
         Self::spawn_in(store, "a", seeds)
     }
 
@@ -130,7 +130,7 @@
     }
 
     /// Waits until the active configuration has a route for the path.
-    async fn until_route(&self, path: &str, limit: Duration) {
+    pub async fn until_route(&self, path: &str, limit: Duration) {
         let known = async || self.has_route(path).await.then_some(());
         wait::poll(limit, "route for the path", known)
             .await
@@ -139,7 +139,7 @@
 }
 
 /// A configuration with a further route for the path prefix.
-fn extended(version: u64, prefix: &str) -> Value {
+pub fn extended(version: u64, prefix: &str) -> Value {
     let mut config = config(version, 1_000_000);
     let mut route = config["routes"][0].clone();
     route["name"] = json!(format!("added-{version}"));
--- a/crates/peridotrack-follow/src/follower.rs
+++ b/crates/peridotrack-follow/src/follower.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     event::{Action, Event},
-    message::{Message, Snapshot, Update},
+    message::{DatedUpdate, Message, Snapshot, Update},
 };
 use exchange::Exchange;
 pub use options::Options;
@@ -76,7 +76,8 @@
         self.view.map(|view| view.revision)
     }
 
-    /// Returns when the store or the relay last confirmed the view; `None` if neither has yet.
+    /// Returns when the store or the relay last confirmed the view; `None` if neither has yet. A
+    /// confirmation of the relay counts from the subscription that preceded it, if it is dated.
     pub fn confirmed_us(&self) -> Option<u64> {
         self.view?.confirmed_us
     }
@@ -89,8 +90,7 @@
 
     /// Returns whether updates of a relay keep the view current, so that no watch is needed.
     pub fn is_relayed(&self, now_us: u64) -> bool {
-        self.subscription
-            .is_relayed(now_us, self.options.silence_us)
+        self.subscription.is_relayed(now_us)
     }
 
     /// Returns the relay whose updates keep the view current; `None` if no relay does.
@@ -134,7 +134,7 @@
                     changes,
                     since_loss_us,
                 };
-                self.apply(now_us, update, &mut actions);
+                self.apply(now_us, now_us, update, &mut actions);
             }
             Event::CallFailed => self.on_failure(now_us),
             Event::WatchCut => {
@@ -156,7 +156,7 @@
                 self.rng.shuffle(&mut peers);
                 self.exchange.set_peers(peers);
             }
-            Event::Relay(relay) => self.subscription.set_relay(now_us, relay),
+            Event::Relay(relay) => self.subscription.set_relay(now_us, &self.options, relay),
             Event::Peer { from, message } => self.on_message(now_us, from, message, &mut actions),
         }
         self.subscribe(now_us, &mut actions);
@@ -180,7 +180,7 @@
         };
         let max_bytes = self.options.max_update_bytes;
         self.subscribers
-            .notify(now_us, &update, revision, max_bytes, actions);
+            .notify(now_us, &update, revision, 0, max_bytes, actions);
     }
 
     fn on_failure(&mut self, now_us: u64) {
@@ -199,50 +199,74 @@
         actions: &mut Vec<Action>,
     ) {
         match message {
-            Message::Subscribe => {
-                let until_us = now_us + self.options.subscription_us;
-                if self.subscribers.renew(from, until_us) {
-                    self.send_confirmation(now_us, from, actions);
-                }
+            Message::Subscribe => self.on_subscribe(now_us, from, None, actions),
+            Message::DatedSubscribe { sent_us } => {
+                self.on_subscribe(now_us, from, Some(sent_us), actions);
+            }
+            Message::Update(update) => self.on_update(now_us, from, None, update, actions),
+            Message::DatedUpdate(dated) => {
+                let DatedUpdate {
+                    subscribed_us,
+                    age_us,
+                    update,
+                } = dated;
+                let dated_us = subscribed_us.min(now_us).saturating_sub(age_us);
+                self.on_update(now_us, from, Some(dated_us), update, actions);
             }
-            Message::Update(update) => self.on_update(now_us, from, update, actions),
             Message::Fetch { after } => actions.extend(self.on_fetch(now_us, from, after)),
             Message::Snapshot(snapshot) => self.on_snapshot(now_us, from, snapshot, actions),
         }
     }
 
+    /// Adds or renews a subscription, which its sender dated by its own clock at `sent_us`.
+    fn on_subscribe(
+        &mut self,
+        now_us: u64,
+        from: id::Incarnation,
+        sent_us: Option<u64>,
+        actions: &mut Vec<Action>,
+    ) {
+        let until_us = now_us + self.options.subscription_us;
+        if self.subscribers.renew(from, sent_us, until_us) {
+            self.send_confirmation(now_us, from, actions);
+        }
+    }
+
     /// Sends a new subscriber the current revision, if the view was confirmed recently.
     fn send_confirmation(&self, now_us: u64, to: id::Incarnation, actions: &mut Vec<Action>) {
         let Some(view) = self.view else { return };
         if !self.is_confirmed_within(now_us, self.options.relay_wait_us) {
             return;
         }
-        actions.push(Action::Send {
-            to,
-            message: Message::Update(Update {
-                from_revision: view.unchanged_since,
-                revision: view.revision,
-                ..Update::default()
-            }),
-        });
+        let update = Update {
+            from_revision: view.unchanged_since,
+            revision: view.revision,
+            ..Update::default()
+        };
+        actions.push(self.subscribers.update(to, update, view.age_us(now_us)));
     }
 
     fn on_update(
         &mut self,
         now_us: u64,
         from: id::Incarnation,
+        dated_us: Option<u64>,
         update: Update,
         actions: &mut Vec<Action>,
     ) {
         let is_gap = self.view.is_none_or(|view| view.is_before(&update));
-        if !self.subscription.on_update(now_us, from, is_gap) {
+        let options = &self.options;
+        let is_relay = self
+            .subscription
+            .on_update(now_us, options, from, dated_us, is_gap);
+        if !is_relay {
             return;
         }
         if is_gap {
             self.is_polling |= !self.is_calling;
             return;
         }
-        self.apply(now_us, update, actions);
+        self.apply(now_us, dated_us.unwrap_or(now_us), update, actions);
     }
 
     /// Sends the objects to a peer that has older ones.
@@ -295,21 +319,23 @@
         }
     }
 
-    /// Applies an update that continues the view and forwards it to the subscribers.
-    fn apply(&mut self, now_us: u64, update: Update, actions: &mut Vec<Action>) {
+    /// Applies an update that continues the view, which it confirms as of `confirmed_us`, and forwards
+    /// it to the subscribers.
+    fn apply(&mut self, now_us: u64, confirmed_us: u64, update: Update, actions: &mut Vec<Action>) {
         let Some(view) = &mut self.view else {
             return;
         };
-        view.confirmed_us = Some(now_us);
+        view.confirmed_us = view.confirmed_us.max(Some(confirmed_us));
         if update.revision < view.revision {
             return;
         }
         let is_new = update.revision > view.revision;
         view.advance(&update);
         let unchanged_since = view.unchanged_since;
+        let age_us = view.age_us(now_us);
         let max_bytes = self.options.max_update_bytes;
         self.subscribers
-            .notify(now_us, &update, unchanged_since, max_bytes, actions);
+            .notify(now_us, &update, unchanged_since, age_us, max_bytes, actions);
         if is_new && !update.changes.is_empty() {
             actions.push(Action::Apply {
                 changes: update.changes,
@@ -328,8 +354,13 @@
                 .choose(now_us, &self.options, self.id, &self.peers);
         }
         if let Some(to) = self.subscription.renew(now_us, &self.options) {
-            let message = Message::Subscribe;
+            let message = Message::DatedSubscribe { sent_us: now_us };
             actions.push(Action::Send { to, message });
+            // Until the relay has sent a dated update, it may be one of an earlier release.
+            if !self.subscription.is_dated() {
+                let message = Message::Subscribe;
+                actions.push(Action::Send { to, message });
+            }
         }
     }
 
@@ -352,7 +383,7 @@
         if self.is_relayed(now_us) {
             return;
         }
-        let age_us = now_us.saturating_sub(view.confirmed_us.unwrap_or(0));
+        let age_us = view.age_us(now_us);
         if age_us >= self.options.relist_after_us {
             self.is_calling = true;
             return actions.push(Action::List);
@@ -376,7 +407,8 @@
 
     /// Asks peers for the objects if calls to the store fail and no relay keeps the view current.
     fn fetch(&mut self, now_us: u64, actions: &mut Vec<Action>) {
-        if self.failures == 0 || self.is_confirmed_within(now_us, self.options.silence_us) {
+        let is_confirmed = self.is_confirmed_within(now_us, self.options.silence_us);
+        if self.failures == 0 || is_confirmed || self.is_relayed(now_us) {
             return;
         }
         for to in self.exchange.ask(now_us, &self.options, &self.peers) {
--- a/crates/peridotrack-follow/src/follower/options.rs
+++ b/crates/peridotrack-follow/src/follower/options.rs
@@ -17,6 +17,11 @@
     /// microseconds. It must be longer than [`Options::relay_wait_us`], and shorter than the time
     /// within which a change must be known.
     pub silence_us: u64,
+    /// Time after a subscription was sent for which an update that its receiver sent afterwards keeps
+    /// the view current, in microseconds. It must be longer than [`Options::relay_wait_us`] and
+    /// [`Options::subscribe_us`] together, and shorter than the time within which a change must be
+    /// known.
+    pub max_age_us: u64,
     /// Time for which watches go on from a revision after which the store has reported no changes,
     /// before they go on from a later one, in microseconds. The store may report a change late,
     /// although it states a later revision: this time must be longer than the delay, and the time
@@ -63,6 +68,7 @@
             relay_wait_us: 600_000,
             retry_wait_us: 500_000,
             silence_us: 1_200_000,
+            max_age_us: 1_600_000,
             settle_us: 5_000_000,
             relist_after_us: u64::MAX,
             batch_delay_us: 0,
--- a/crates/peridotrack-follow/src/follower/subscription.rs
+++ b/crates/peridotrack-follow/src/follower/subscription.rs
@@ -13,12 +13,14 @@
 /// The relay, and what is known of the relays before it.
 #[derive(Debug)]
 pub(super) struct Subscription {
-    /// Peer that this router subscribes to, and when it last sent an update; before its first
-    /// update, when it was chosen.
+    /// Peer that this router subscribes to, and when it counts as silent unless it sends another
+    /// update.
     relay: Option<(id::Incarnation, u64)>,
-    /// When the relay last confirmed the view; `None` after an update that began beyond the view's
-    /// revision, so that changes are missing.
-    relayed_us: Option<u64>,
+    /// Whether the relay has sent a dated update.
+    is_dated: bool,
+    /// Until when the updates of the relay keep the view current; `None` after one that began beyond
+    /// the view's revision, so that changes are missing.
+    relayed_until_us: Option<u64>,
     /// When the subscription is renewed next.
     renew_at_us: u64,
     /// Relays that fell silent, and until when they are not chosen again.
@@ -30,7 +32,8 @@
     pub(super) fn new(now_us: u64) -> Self {
         Self {
             relay: None,
-            relayed_us: None,
+            is_dated: false,
+            relayed_until_us: None,
             renew_at_us: now_us,
             suspects: BTreeMap::new(),
         }
@@ -41,10 +44,15 @@
         self.relay.map(|(relay, _)| relay)
     }
 
-    /// Returns whether the relay has confirmed the view within the last `silence_us`.
-    pub(super) fn is_relayed(&self, now_us: u64, silence_us: u64) -> bool {
-        self.relayed_us
-            .is_some_and(|at_us| now_us < at_us + silence_us)
+    /// Returns whether the relay has sent a dated update, so that it needs no other subscription.
+    pub(super) fn is_dated(&self) -> bool {
+        self.is_dated
+    }
+
+    /// Returns whether updates of the relay keep the view current.
+    pub(super) fn is_relayed(&self, now_us: u64) -> bool {
+        self.relayed_until_us
+            .is_some_and(|until_us| now_us < until_us)
     }
 
     /// Chooses the relay among the live peers of the failure domain of the router `own`.
@@ -55,8 +63,8 @@
         own: id::Incarnation,
         peers: &[id::Incarnation],
     ) {
-        if let Some((relay, updated_us)) = self.relay
-            && now_us >= updated_us + options.silence_us
+        if let Some((relay, silent_at_us)) = self.relay
+            && now_us >= silent_at_us
         {
             self.suspects.insert(relay, now_us + options.suspect_us);
             self.relay = None;
@@ -65,21 +73,30 @@
         let lower = peers.iter().copied().filter(|peer| *peer < own);
         let chosen = lower.filter(|peer| !self.suspects.contains_key(peer)).min();
         if chosen != self.relay() {
-            self.relay = chosen.map(|relay| (relay, now_us));
-            self.renew_at_us = now_us;
+            self.replace(now_us, options, chosen);
         }
     }
 
     /// Adopts the relay of the leading follower. A new relay keeps the view current only from its
     /// first update on.
-    pub(super) fn set_relay(&mut self, now_us: u64, relay: Option<id::Incarnation>) {
+    pub(super) fn set_relay(
+        &mut self,
+        now_us: u64,
+        options: &Options,
+        relay: Option<id::Incarnation>,
+    ) {
         if relay != self.relay() {
-            self.relay = relay.map(|relay| (relay, now_us));
-            self.relayed_us = None;
-            self.renew_at_us = now_us;
+            self.replace(now_us, options, relay);
+            self.relayed_until_us = None;
         }
     }
 
+    fn replace(&mut self, now_us: u64, options: &Options, relay: Option<id::Incarnation>) {
+        self.relay = relay.map(|relay| (relay, now_us + options.silence_us));
+        self.is_dated = false;
+        self.renew_at_us = now_us;
+    }
+
     /// Returns the relay if the subscription is due to be renewed, which it then counts as.
     pub(super) fn renew(&mut self, now_us: u64, options: &Options) -> Option<id::Incarnation> {
         let relay = self.relay()?;
@@ -90,18 +107,35 @@
         Some(relay)
     }
 
-    /// Records an update of a peer. `is_gap` states whether changes are missing between the view
-    /// and the update. Returns whether the peer is the relay: updates of other peers are ignored,
-    /// so that two routers never confirm each other's view.
-    pub(super) fn on_update(&mut self, now_us: u64, from: id::Incarnation, is_gap: bool) -> bool {
-        let Some((relay, updated_us)) = &mut self.relay else {
+    /// Records an update of a peer, which shows the store's state at `dated_us` or later, if known.
+    /// `is_gap` states whether changes are missing between the view and the update. Returns whether
+    /// the peer is the relay: updates of other peers are ignored, so that two routers never confirm
+    /// each other's view.
+    pub(super) fn on_update(
+        &mut self,
+        now_us: u64,
+        options: &Options,
+        from: id::Incarnation,
+        dated_us: Option<u64>,
+        is_gap: bool,
+    ) -> bool {
+        let Some((relay, silent_at_us)) = &mut self.relay else {
             return false;
         };
         if *relay != from {
             return false;
         }
-        *updated_us = now_us;
-        self.relayed_us = (!is_gap).then_some(now_us);
+        let silent_us = now_us + options.silence_us;
+        let until_us = match dated_us {
+            Some(dated_us) => silent_us.min(dated_us + options.max_age_us),
+            None => silent_us,
+        };
+        *silent_at_us = until_us.max(*silent_at_us);
+        self.is_dated |= dated_us.is_some();
+        self.relayed_until_us = match is_gap {
+            true => None,
+            false => self.relayed_until_us.max(Some(until_us)),
+        };
         true
     }
 }
--- a/crates/peridotrack-follow/src/follower/view.rs
+++ b/crates/peridotrack-follow/src/follower/view.rs
@@ -46,6 +46,11 @@
             .is_some_and(|confirmed_us| now_us < confirmed_us + age_us)
     }
 
+    /// Returns the time since the view was last confirmed, in microseconds.
+    pub(super) fn age_us(&self, now_us: u64) -> u64 {
+        now_us.saturating_sub(self.confirmed_us.unwrap_or(0))
+    }
+
     /// Returns whether changes are missing between the view and an update.
     pub(super) fn is_before(&self, update: &Update) -> bool {
         update.from_revision > self.revision
--- a/crates/peridotrack-follow/src/lib.rs
+++ b/crates/peridotrack-follow/src/lib.rs
@@ -3,9 +3,10 @@
 //! Of the routers of a failure domain, the one with the lowest incarnation watches the store and
 //! relays its changes. The others subscribe to it and receive each change, and periodic
 //! confirmations while there is none. A router that receives no update for
-//! [`Options::silence_us`](follower::Options::silence_us) watches the store itself, from the
-//! revision that it has reached, so that a lost, partitioned or paused relay delays changes but
-//! loses none.
+//! [`Options::silence_us`](follower::Options::silence_us), or only ones that are older than
+//! [`Options::max_age_us`](follower::Options::max_age_us), watches the store itself, from the
+//! revision that it has reached, so that a lost, partitioned, paused or slow relay delays changes
+//! but loses none.
 //!
 //! The crate does no I/O and reads no clock: [`follower::Follower`] takes events and returns
 //! actions, which its driver, the follow service of `peridotrack-edge`, carries out.
--- a/crates/peridotrack-follow/src/message.rs
+++ b/crates/peridotrack-follow/src/message.rs
@@ -1,7 +1,12 @@
 //! Messages between routers about the objects of one kind.
 //!
-//! A router sends [`Message::Subscribe`] to the peer that relays the kind to it and receives an
-//! [`Update`] for each change and each confirmation. A router that no relay and no store keeps current
+//! A router sends [`Message::DatedSubscribe`] to the peer that relays the kind to it and receives a
+//! [`DatedUpdate`] for each change and each confirmation. Each update returns the time of the last
+//! subscription by the subscriber's own clock, so that the subscriber knows how old it may be however
+//! long it was on its way. Peers of earlier releases know [`Message::Subscribe`] and [`Update`]
+//! only, which have no age.
+//!
+//! A router that no relay and no store keeps current
 //! sends [`Message::Fetch`] to one of all its peers and receives a [`Snapshot`]. The frame that carries a
 //! message names the kind.
 
@@ -35,6 +40,17 @@
     pub since_loss_us: Option<u64>,
 }
 
+/// An update whose receiver can tell how old it is.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DatedUpdate {
+    /// The latest [`Message::DatedSubscribe::sent_us`] that the sender had received.
+    pub subscribed_us: u64,
+    /// Time since the sender's own view was confirmed, in microseconds.
+    pub age_us: u64,
+    /// The update.
+    pub update: Update,
+}
+
 /// The objects of the kind that a router knows at one revision of the store.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Snapshot {
@@ -63,4 +79,12 @@
     },
     /// The objects, in response to [`Message::Fetch`].
     Snapshot(Snapshot),
+    /// Requests updates as [`Message::Subscribe`] does, dated ones.
+    DatedSubscribe {
+        /// Time at which the message was sent, by its sender's monotonic clock, in microseconds. It
+        /// has no meaning to the receiver.
+        sent_us: u64,
+    },
+    /// Does the same as [`Message::Update`].
+    DatedUpdate(DatedUpdate),
 }
--- a/crates/peridotrack-follow/tests/fleet.rs
+++ b/crates/peridotrack-follow/tests/fleet.rs
@@ -47,12 +47,36 @@
     store_cut_until_us: u64,
     /// Until when this router and its peers cannot exchange messages.
     peers_cut_until_us: u64,
+    /// Whether this router runs an earlier release, which knows no dated subscriptions.
+    is_earlier: bool,
+    /// The queue in which the messages of this router wait.
+    queue: Queue,
     /// Until when the store accepts this router's calls without a response.
     hung_until_us: u64,
     /// Since when the router runs and the store responds to it; may be in the future.
     contact_since_us: u64,
 }
 
+/// A queue that grows for a while, and is emptied at its end.
+#[derive(Default)]
+struct Queue {
+    since_us: u64,
+    until_us: u64,
+    /// Time in which the delay reaches its maximum.
+    growth_us: u64,
+    max_delay_us: u64,
+}
+
+impl Queue {
+    fn delay_us(&self, now_us: u64) -> u64 {
+        if now_us >= self.until_us {
+            return 0;
+        }
+        let age_us = now_us - self.since_us;
+        self.max_delay_us * age_us.min(self.growth_us) / self.growth_us
+    }
+}
+
 struct Fleet {
     rng: fastrand::Rng,
     now_us: u64,
@@ -66,7 +90,13 @@
     silent_until_us: Option<u64>,
     /// Messages in flight: arrival time, index of the sender's node, sender, receiver, message.
     messages: Vec<(u64, usize, id::Incarnation, id::Incarnation, Message)>,
+    /// Whether the messages of a router arrive in the order in which they were sent.
+    keeps_order: bool,
     calls: usize,
+    /// Number of messages sent.
+    sent: usize,
+    /// Whether some routers run an earlier release.
+    is_mixed: bool,
 }
 
 impl Fleet {
@@ -80,7 +110,10 @@
             history_from: 0,
             silent_until_us: None,
             messages: Vec::new(),
+            keeps_order: false,
             calls: 0,
+            sent: 0,
+            is_mixed: false,
         };
         for _ in 0..nodes {
             fleet.nodes.push(Node {
@@ -90,6 +123,8 @@
                 starts: 0,
                 store_cut_until_us: 0,
                 peers_cut_until_us: 0,
+                is_earlier: false,
+                queue: Queue::default(),
                 hung_until_us: 0,
                 contact_since_us: 0,
             });
@@ -115,6 +150,7 @@
         started.follower = Some(follower);
         started.call = None;
         started.known.clear();
+        started.is_earlier = self.is_mixed && self.rng.bool();
         started.contact_since_us = self
             .now_us
             .max(started.store_cut_until_us)
@@ -176,8 +212,15 @@
     }
 
     fn send(&mut self, node: usize, to: id::Incarnation, message: Message) {
-        let at_us = self.now_us + self.rng.u64(MS..30 * MS);
+        self.sent += 1;
+        let mut at_us = self.now_us + self.rng.u64(MS..30 * MS);
         let from = self.id(node);
+        at_us += self.nodes[node].queue.delay_us(self.now_us);
+        if self.keeps_order {
+            let in_flight = self.messages.iter().filter(|message| message.1 == node);
+            let last_us = in_flight.map(|message| message.0).max();
+            at_us = at_us.max(last_us.unwrap_or(0));
+        }
         self.messages.push((at_us, node, from, to, message));
     }
 
@@ -223,6 +266,20 @@
         self.commits.push((self.revision, self.now_us));
     }
 
+    /// Delays the messages of a router by up to 1 to 5 s, at once or more and more.
+    fn slow(&mut self, node: usize) {
+        let growth_us = match self.rng.bool() {
+            true => self.rng.u64(1_000 * MS..=8_000 * MS),
+            false => 1,
+        };
+        self.nodes[node].queue = Queue {
+            since_us: self.now_us,
+            until_us: self.now_us + growth_us + self.rng.u64(1_000 * MS..=10_000 * MS),
+            growth_us,
+            max_delay_us: self.rng.u64(1_000 * MS..=5_000 * MS),
+        };
+    }
+
     /// Lets watches report no changes for [`SILENCE_US`], which disturbs the contact of all routers. Then
     /// the history is discarded and those that still wait are cut off.
     fn compact(&mut self) {
@@ -314,10 +371,13 @@
         for (_, sender, from, to, message) in due.collect::<Vec<_>>() {
             let receiver = (0..self.nodes.len()).find(|node| self.id(*node) == to);
             let Some(receiver) = receiver else { continue };
-            let is_cut = [sender, receiver]
+            let ends = [sender, receiver].map(|node| &self.nodes[node]);
+            let is_cut = ends
                 .iter()
-                .any(|node| self.now_us < self.nodes[*node].peers_cut_until_us);
-            if !is_cut {
+                .any(|node| self.now_us < node.peers_cut_until_us);
+            let is_unknown = matches!(message, Message::DatedSubscribe { .. })
+                && ends.iter().any(|node| node.is_earlier);
+            if !is_cut && !is_unknown {
                 self.event(receiver, Event::Peer { from, message });
             }
         }
@@ -362,11 +422,27 @@
     }
 }
 
-/// Runs a fleet whose store compacts its history now and then, if `has_compactions`.
-fn run(seed: u64, has_compactions: bool) -> Result<(), String> {
+/// Disturbances of a fleet beside those of every run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Disturbance {
+    None,
+    /// The store compacts its history now and then.
+    Compactions,
+    /// The messages of a router are late now and then, without any loss.
+    LateMessages,
+    /// Some routers run an earlier release; each start may change it.
+    Upgrades,
+}
+
+fn run(seed: u64, disturbance: Disturbance) -> Result<(), String> {
     let mut rng = fastrand::Rng::with_seed(seed);
     let count = rng.usize(1..7);
     let mut fleet = Fleet::new(seed, count);
+    fleet.keeps_order = disturbance == Disturbance::LateMessages;
+    fleet.is_mixed = disturbance == Disturbance::Upgrades;
+    for node in 0..count {
+        fleet.nodes[node].is_earlier = fleet.is_mixed && rng.bool();
+    }
     let mut dead: BTreeMap<usize, u64> = BTreeMap::new();
     while fleet.now_us < 40_000 * MS {
         fleet.step();
@@ -387,7 +463,8 @@
             }
             10 => fleet.announce_peers(),
             11 => fleet.hang_store(for_us),
-            12 | 13 if has_compactions => fleet.compact(),
+            12 | 13 if disturbance == Disturbance::Compactions => fleet.compact(),
+            12..=14 if disturbance == Disturbance::LateMessages => fleet.slow(node),
             _ => {}
         }
         let now_us = fleet.now_us;
@@ -404,7 +481,7 @@
 
 #[rstest]
 fn each_router_in_contact_knows_every_change_in_time(#[values(0, 1, 2, 3)] part: u64) {
-    run_part(part, false);
+    run_part(part, Disturbance::None);
 }
 
 /// Guards against routers that missed a change for good, because a watch without changes stated a
@@ -413,14 +490,27 @@
 fn each_router_knows_every_change_in_time_while_the_store_compacts(
     #[values(0, 1, 2, 3)] part: u64,
 ) {
-    run_part(part, true);
+    run_part(part, Disturbance::Compactions);
+}
+
+/// Guards against routers that lag behind by as much as the messages of their relay, which never falls
+/// silent.
+#[rstest]
+fn each_router_knows_every_change_in_time_while_messages_are_late(#[values(0, 1, 2, 3)] part: u64) {
+    run_part(part, Disturbance::LateMessages);
+}
+
+/// Guards against routers that do not understand those of an earlier release during an upgrade.
+#[rstest]
+fn each_router_knows_every_change_in_time_during_upgrades(#[values(0, 1, 2, 3)] part: u64) {
+    run_part(part, Disturbance::Upgrades);
 }
 
-fn run_part(part: u64, has_compactions: bool) {
+fn run_part(part: u64, disturbance: Disturbance) {
     let failures: Vec<String> = (0..250)
         .map(|run| run * 4 + part)
         .filter_map(|seed| {
-            let result = run(seed, has_compactions);
+            let result = run(seed, disturbance);
             result.err().map(|error| format!("seed {seed}: {error}"))
         })
         .collect();
@@ -495,3 +585,28 @@
     let calls = (fleet.calls - before) as u64;
     assert!(calls <= relay_calls, "{calls} calls of {routers} routers");
 }
+
+/// Guards against a relay that gets more messages than one subscription a period of each subscriber, to
+/// which it sends one update for each watch.
+#[rstest]
+#[case::few(4)]
+#[case::many(101)]
+fn the_messages_of_an_idle_fleet_are_subscriptions_and_updates(#[case] routers: usize) {
+    const SPAN_US: u64 = 60_000 * MS;
+    let options = Options::default();
+    let mut fleet = Fleet::new(1, routers);
+    while fleet.now_us < 10_000 * MS {
+        fleet.step();
+    }
+    let before = fleet.sent;
+    while fleet.now_us < 10_000 * MS + SPAN_US {
+        fleet.step();
+    }
+    let a_subscriber = SPAN_US / options.subscribe_us + SPAN_US / options.relay_wait_us + 2;
+    let sent = (fleet.sent - before) as u64;
+    let subscribers = routers as u64 - 1;
+    assert!(
+        sent <= subscribers * a_subscriber,
+        "{sent} messages of {routers} routers"
+    );
+}
--- a/crates/peridotrack-follow/tests/follower.rs
+++ b/crates/peridotrack-follow/tests/follower.rs
@@ -5,7 +5,7 @@
 use peridotrack_follow::{
     event::{Action, Event},
     follower::{Follower, Options},
-    message::{Change, Message, Snapshot, Update},
+    message::{Change, DatedUpdate, Message, Snapshot, Update},
 };
 use peridotrack_types::id;
 use rstest::rstest;
@@ -35,6 +35,41 @@
     }
 }
 
+/// An update that the relay sent after the subscription of `subscribed_us`, `age_us` after its own view
+/// was confirmed.
+fn dated(subscribed_us: u64, age_us: u64, revision: u64, changes: &[Change]) -> Event {
+    let update = Update {
+        from_revision: 10,
+        revision,
+        changes: changes.to_vec(),
+        since_loss_us: None,
+    };
+    let message = Message::DatedUpdate(DatedUpdate {
+        subscribed_us,
+        age_us,
+        update,
+    });
+    Event::Peer {
+        from: RELAY,
+        message,
+    }
+}
+
+fn subscribe(message: Message) -> Event {
+    Event::Peer {
+        from: SELF,
+        message,
+    }
+}
+
+fn messages(actions: &[Action]) -> Vec<Message> {
+    let sent = actions.iter().filter_map(|action| match action {
+        Action::Send { message, .. } => Some(message.clone()),
+        _ => None,
+    });
+    sent.collect()
+}
+
 fn watched(revision: u64, changes: &[Change]) -> Event {
     Event::Watched {
         changes: changes.to_vec(),
@@ -525,3 +560,139 @@
         assert!(actions.iter().any(is_served), "seed {seed}");
     }
 }
+
+/// Guards against a view that lags behind by as much as the updates of a relay, which come regularly but
+/// late.
+#[rstest]
+#[case::late(3_000, 0)]
+#[case::of_a_late_relay(100, 2_900)]
+fn late_updates_do_not_keep_the_view_current(#[case] subscribed_ms: u64, #[case] age_ms: u64) {
+    let mut follower = relayed();
+    let mut watches = 0;
+    for step in 1..=10 {
+        let now_us = 20 * MS + step * 500 * MS;
+        let subscribed_us = now_us.saturating_sub(subscribed_ms * MS);
+        let changes = [change(b"x")];
+        let event = dated(subscribed_us, age_ms * MS, 10 + step, &changes);
+        let actions = follower.on_event(now_us, event);
+        watches += usize::from(watch_wait_ms(&actions).is_some());
+        assert_eq!(follower.is_relayed(now_us), step <= 3);
+    }
+    assert_eq!(watches, 1);
+    assert_eq!(follower.confirmed_us(), Some(20 * MS));
+}
+
+/// The updates of a relay are dated by the subscription that preceded them.
+#[test]
+fn updates_keep_the_view_current_for_a_time_after_the_subscription() {
+    let options = Options::default();
+    let mut follower = relayed();
+    let subscribed_us = 1_500 * MS;
+    let _ = follower.on_event(2_000 * MS, dated(subscribed_us, 0, 10, &[]));
+    assert_eq!(follower.confirmed_us(), Some(subscribed_us));
+    let until_us = subscribed_us + options.max_age_us;
+    assert!(follower.is_relayed(until_us - 1));
+    assert!(!follower.is_relayed(until_us));
+    // An earlier update that arrives later does not shorten the time.
+    let _ = follower.on_event(2_010 * MS, dated(1_000 * MS, 0, 10, &[]));
+    assert!(follower.is_relayed(until_us - 1));
+    // A relay is silent no later than after its last update.
+    let _ = follower.on_event(3_000 * MS, dated(3_000 * MS, 0, 10, &[]));
+    assert!(!follower.is_relayed(3_000 * MS + options.silence_us));
+}
+
+#[test]
+fn a_relay_returns_the_latest_subscription_it_received() {
+    let mut follower = Follower::new(RELAY, Options::default(), 0);
+    let _ = follower.on_event(0, Event::Peers(vec![SELF]));
+    let _ = follower.on_event(MS, Event::Listed { revision: 10 });
+    let at = |sent_us| subscribe(Message::DatedSubscribe { sent_us });
+    let update = |subscribed_us, age_us| {
+        let update = Update {
+            from_revision: 10,
+            revision: 10,
+            ..Update::default()
+        };
+        vec![Message::DatedUpdate(DatedUpdate {
+            subscribed_us,
+            age_us,
+            update,
+        })]
+    };
+    let first = follower.on_event(3 * MS, at(7_000));
+    assert_eq!(messages(&first), update(7_000, 2 * MS));
+    let _ = follower.on_event(4 * MS, at(9_000));
+    let _ = follower.on_event(5 * MS, at(8_000));
+    let _ = follower.on_event(6 * MS, subscribe(Message::Subscribe));
+    let later = follower.on_event(600 * MS, watched(10, &[]));
+    assert_eq!(messages(&later), update(9_000, 0));
+}
+
+/// Guards against routers that count the confirmations which a late router passes on as recent.
+#[test]
+fn an_update_that_is_passed_on_keeps_its_age() {
+    let mut follower = relayed();
+    let from = HIGHER;
+    let message = Message::DatedSubscribe { sent_us: 77 };
+    let _ = follower.on_event(500 * MS, Event::Peer { from, message });
+    let actions = follower.on_event(1_000 * MS, dated(400 * MS, 100 * MS, 10, &[]));
+    let passed_on = messages(&actions)
+        .into_iter()
+        .find_map(|message| match message {
+            Message::DatedUpdate(update) => Some((update.subscribed_us, update.age_us)),
+            _ => None,
+        });
+    assert_eq!(passed_on, Some((77, 700 * MS)));
+}
+
+/// A relay of an earlier release ignores dated subscriptions, and its updates have no age.
+#[test]
+fn a_relay_gets_the_subscription_of_earlier_releases_until_it_sends_a_dated_update() {
+    let options = Options::default();
+    let mut follower = relayed();
+    let mut now_us = 20 * MS + options.subscribe_us;
+    let both = |sent_us| vec![Message::DatedSubscribe { sent_us }, Message::Subscribe];
+    let actions = follower.on_event(now_us, update(10, 10, &[]));
+    assert_eq!(messages(&actions), both(now_us));
+    assert!(follower.is_relayed(now_us + options.silence_us - 1));
+    assert_eq!(follower.confirmed_us(), Some(now_us));
+    now_us += options.subscribe_us;
+    let actions = follower.on_event(now_us, dated(now_us, 0, 10, &[]));
+    let sent_us = now_us;
+    assert_eq!(messages(&actions), [Message::DatedSubscribe { sent_us }]);
+}
+
+/// A subscriber of an earlier release does not know dated updates.
+#[test]
+fn a_subscriber_of_an_earlier_release_gets_updates_without_an_age() {
+    let mut follower = Follower::new(RELAY, Options::default(), 0);
+    let _ = follower.on_event(0, Event::Peers(vec![SELF]));
+    let _ = follower.on_event(MS, Event::Listed { revision: 10 });
+    let update = [Message::Update(Update {
+        from_revision: 10,
+        revision: 10,
+        ..Update::default()
+    })];
+    let first = follower.on_event(3 * MS, subscribe(Message::Subscribe));
+    assert_eq!(messages(&first), update);
+    let later = follower.on_event(600 * MS, watched(10, &[]));
+    assert_eq!(messages(&later), update);
+}
+
+/// The leading follower detects late updates; those of a led one, which come rarely, count for long.
+#[test]
+fn a_led_follower_relies_on_updates_for_as_long_as_the_leader_relies_on_the_relay() {
+    let options = Options {
+        max_age_us: 20_000 * MS,
+        ..led()
+    };
+    let mut follower = Follower::new(SELF, options, 0);
+    let _ = follower.on_event(0, Event::Relay(Some(RELAY)));
+    let _ = follower.on_event(10 * MS, Event::Listed { revision: 10 });
+    let _ = follower.on_event(15 * MS, dated(5 * MS, 0, 10, &[]));
+    let _ = follower.on_event(20 * MS, watched(10, &[]));
+    let actions = follower.on_event(15_000 * MS, Event::Relay(Some(RELAY)));
+    assert_eq!(watch_wait_ms(&actions), None);
+    let actions = follower.on_event(15_100 * MS, Event::Relay(None));
+    assert!(watch_wait_ms(&actions).is_some());
+}
