fix(http): take no byte that arrived before a request for its response

Cause: before a request is written on a kept connection, only what the event loop had reported was checked, and on a new connection, or on one that is not taken from the pool, nothing but the buffer. Bytes or a close that had arrived meanwhile were not seen. Bytes fail the exchange as unsolicited and a close as closed, both before anything is written, so that the request has certainly not run. Bytes that arrive after the request is written can't be told from its response here; that is left to the protocols above.

--- a/crates/peridotrack-http/src/client/connection.rs
+++ b/crates/peridotrack-http/src/client/connection.rs
@@ -122,10 +122,20 @@
         self.options.response_timeout_ms = timeout_ms;
     }
 
-    /// Returns whether the connection is reusable and the event loop has seen neither data nor a
-    /// close from the server since the last response.
+    /// Returns whether the connection is reusable and neither data nor a close has arrived from the
+    /// server since the last response.
     pub fn is_idle(&self) -> bool {
-        self.is_reusable() && !self.stream.is_readable_now()
+        self.is_reusable() && self.check_silence().is_ok()
+    }
+
+    /// Fails if bytes or the end of the stream have arrived that no response accounts for.
+    fn check_silence(&self) -> Result<(), Kind> {
+        match self.stream.peek() {
+            Ok(None) => Ok(()),
+            Ok(Some(0)) => Err(Kind::Closed),
+            Ok(Some(_)) => Err(Kind::Unsolicited),
+            Err(error) => Err(Kind::Io(error)),
+        }
     }
 }
 
@@ -138,9 +148,10 @@
     ///
     /// # Errors
     ///
-    /// Fails without writing if the connection is not reusable; otherwise if the write or the read
-    /// fails or times out, or if the head is invalid or too large. After a failed or dropped call
-    /// the connection is unusable.
+    /// Fails without writing if the connection is not reusable, if the server has closed it, or if
+    /// bytes have arrived: none of them can belong to the response. Otherwise fails if the write or
+    /// the read fails or times out, or if the head is invalid or too large. After a failed or dropped
+    /// call the connection is unusable.
     pub async fn send(
         &mut self,
         request: http::Request<Bytes>,
@@ -150,6 +161,8 @@
             return Err(self.error(Step::Write, Kind::OutOfOrder));
         }
         self.phase = Phase::Interrupted;
+        self.check_silence()
+            .map_err(|kind| self.error(Step::Write, kind))?;
         let (request, body) = request.into_parts();
         self.write_request(&request, body).await?;
         let timeout_ms = self.options.response_timeout_ms;
--- a/crates/peridotrack-http/src/client/mod.rs
+++ b/crates/peridotrack-http/src/client/mod.rs
@@ -70,6 +70,9 @@
     /// The server closed the connection before the end of the response.
     #[error("connection closed before the end of the response")]
     Closed,
+    /// Bytes arrived before the request was written.
+    #[error("bytes arrived that belong to no response")]
+    Unsolicited,
     /// The response is not HTTP/1.x, or its end is ambiguous or not stated.
     #[error("malformed response: {detail}")]
     Malformed {
--- a/crates/peridotrack-http/src/client/pool.rs
+++ b/crates/peridotrack-http/src/client/pool.rs
@@ -55,9 +55,9 @@
 
     /// Takes the most recently used idle connection, or opens one.
     ///
-    /// Connections past the idle time, or on which the event loop has seen a close or data, are
-    /// dropped. A close that has not arrived yet is not detected: the request then fails with
-    /// [`Error::bytes_written`] set.
+    /// Connections past the idle time, or on which a close or data has arrived, are dropped. A close
+    /// that has not arrived yet is not detected: the request then fails with [`Error::bytes_written`]
+    /// set.
     ///
     /// # Errors
     ///
--- a/crates/peridotrack-http/src/tcp.rs
+++ b/crates/peridotrack-http/src/tcp.rs
@@ -104,6 +104,24 @@
         self.written_bytes
     }
 
+    /// Returns how many bytes a read would return without waiting, 0 at the end of the stream; `None`
+    /// if it would wait. At most one byte is looked at, and none is consumed.
+    ///
+    /// Unlike [`BufferedStream::is_readable_now`], this asks the operating system each time: the event
+    /// loop may not have reported yet what has arrived.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a read would fail.
+    pub(crate) fn peek(&self) -> io::Result<Option<usize>> {
+        let flags = socket::MsgFlags::MSG_PEEK | socket::MsgFlags::MSG_DONTWAIT;
+        match socket::recv(self.stream.as_raw_fd(), &mut [0], flags) {
+            Ok(bytes) => Ok(Some(bytes)),
+            Err(nix::errno::Errno::EAGAIN) => Ok(None),
+            Err(error) => Err(error.into()),
+        }
+    }
+
     /// Returns whether the event loop has seen data, a close or an error from the peer.
     pub(crate) fn is_readable_now(&self) -> bool {
         let readable = pin!(self.stream.readable(false));
--- a/crates/peridotrack-http/tests/client.rs
+++ b/crates/peridotrack-http/tests/client.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use common::{AfterSend, run};
 use http::Request;
-use monoio::net::TcpStream;
+use monoio::{io::AsyncWriteRentExt, net::TcpStream};
 use peridotrack_http::client::{Connection, Error, Kind, Options, Step};
 use rstest::rstest;
 
@@ -126,6 +126,7 @@
     let kind = match &error.kind {
         Kind::TimedOut => "timeout",
         Kind::Closed => "closed",
+        Kind::Unsolicited => "unsolicited",
         Kind::Malformed { .. } => "malformed",
         Kind::HeadTooLarge => "head too large",
         Kind::BodyTooLarge => "body too large",
@@ -253,6 +254,52 @@
     });
 }
 
+/// What arrives on a connection that waits for no response.
+#[derive(Debug, Clone, Copy)]
+enum Arrival {
+    Response,
+    Close,
+}
+
+/// Guards against the response to a request that was not written yet, and against a request written to
+/// a closed connection, whose outcome is then unknown.
+#[rstest]
+fn what_arrives_before_a_request_is_taken_for_its_response(
+    #[values(0, 1)] exchanges: usize,
+    #[values((Arrival::Response, "Write unsolicited"), (Arrival::Close, "Write closed"))] case: (
+        Arrival,
+        &str,
+    ),
+    #[values(false, true)] is_reported: bool,
+) {
+    const RESPONSE: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi";
+    run(async {
+        let (arrival, expected) = case;
+        let (opened, mut server) = common::connected_pair().await;
+        let address = opened.peer_addr().unwrap();
+        let mut connection = Connection::over(opened, address, options());
+        for _ in 0..exchanges {
+            let responses = vec![RESPONSE.to_vec()];
+            let serving = serve(&mut server, responses, AfterSend::KeepOpen);
+            let (body, ()) = monoio::join!(exchange(&mut connection, get()), serving);
+            assert_eq!(body.unwrap(), "hi");
+        }
+        assert!(connection.is_idle());
+        match arrival {
+            Arrival::Response => assert!(server.write_all(RESPONSE).await.0.is_ok()),
+            Arrival::Close => drop(server),
+        }
+        // Without a turn of the event loop, only the operating system knows what has arrived.
+        if is_reported {
+            common::yield_to_tasks().await;
+        }
+        let error = exchange(&mut connection, get()).await.unwrap_err();
+        assert_eq!(describe(&error), expected);
+        assert!(!error.bytes_written);
+        assert!(!connection.is_reusable());
+    });
+}
+
 /// The server sends each event only after the client has received the previous one, so a client
 /// that buffers events until the end times out.
 #[test]
--- a/crates/peridotrack-http/tests/pool.rs
+++ b/crates/peridotrack-http/tests/pool.rs
@@ -86,6 +86,24 @@
     });
 }
 
+/// Guards against a response that arrives while its connection is in the pool, and of which the event
+/// loop has not reported anything.
+#[test]
+fn a_response_that_arrives_on_an_idle_connection_is_taken_for_the_next_one() {
+    const REPEATED: &[u8] = b"HTTP/1.1 429 Refused\r\nContent-Length: 0\r\n\r\n";
+    run(async {
+        let (address, connections, _) = spawn_server(AfterResponse::KeepOpen);
+        let (opened, mut server) = common::connected_pair().await;
+        let pool = Pool::new(Options::default(), 2);
+        pool.put(pool.adopt(opened, address));
+        let idle = pool.take_idle(address).unwrap();
+        pool.put(idle);
+        server.write_all(REPEATED).await.0.unwrap();
+        let response = pool.fetch(address, post("a")).await.unwrap();
+        assert_eq!((response.status().as_u16(), connections.get()), (200, 1));
+    });
+}
+
 #[test]
 fn idle_connections_are_bounded() {
     run(async {
