fix(quarantine): receive a statement in time that does not grow with the fleet

Cause: each statement that arrived had the crashes of all routers derived and judged anew, and what had settled looked for in all of them. The time of a receipt grew with the number of routers, as did the number of receipts. Change: an index by signature is kept. A statement costs what differs from the author's former one; only signatures whose crashes changed are counted again, and only those with as many ended servers as a proof or a probe needs are judged.

--- a/crates/peridotrack-quarantine/src/lib.rs
+++ b/crates/peridotrack-quarantine/src/lib.rs
@@ -48,4 +48,5 @@
 pub mod signature;
 pub mod statement;
 mod statements;
+mod tally;
 pub mod verdict;
--- a/crates/peridotrack-quarantine/src/options.rs
+++ b/crates/peridotrack-quarantine/src/options.rs
@@ -74,3 +74,13 @@
         }
     }
 }
+
+impl Options {
+    /// Returns the number of ended servers below which a signature can be neither proven nor
+    /// undecided.
+    pub(crate) fn judged_servers(&self) -> usize {
+        let part_servers = self.part_proof_servers.min(self.part_proof_depth as usize);
+        let request_servers = self.request_proof_servers.min(self.request_probe_servers);
+        part_servers.min(request_servers)
+    }
+}
--- a/crates/peridotrack-quarantine/src/quarantine.rs
+++ b/crates/peridotrack-quarantine/src/quarantine.rs
@@ -5,9 +5,7 @@
 //! statements leads to a new `verdict`; `probe` and `recheck` decide which of the requests that it
 //! concerns are sent nevertheless.
 
-use std::collections::BTreeMap;
-
-use peridotrack_types::{collections::HashMap, name};
+use peridotrack_types::name;
 
 use crate::{
     event::{Action, Event, Note, Now, Refusal, Trial},
@@ -20,6 +18,7 @@
     signature::Signature,
     statement::{Crash, Statement},
     statements::Statements,
+    tally::Tally,
     verdict::{self, Block, Crashes, Verdict},
 };
 
@@ -31,13 +30,13 @@
     publication: Publication,
     /// Broken attempts whose server may have ended.
     pending: Pending,
-    /// Crashes that count, by signature; derived from the statements.
-    crashes: BTreeMap<Signature, Crashes>,
+    /// Crashes that count; derived from the statements.
+    tally: Tally,
     verdict: Verdict,
     probes: Probes,
     rechecks: Rechecks,
-    /// When the last crash under each signature became known, in monotonic microseconds.
-    crashed_us: BTreeMap<Signature, u64>,
+    /// Time of day from which on noticed crashes count, in milliseconds since the Unix epoch.
+    oldest_ms: u64,
     /// When aged crashes are removed next.
     expire_us: u64,
 }
@@ -51,11 +50,11 @@
             statements: Statements::new(vm),
             publication: Publication::new(),
             pending: Pending::default(),
-            crashes: BTreeMap::new(),
+            tally: Tally::default(),
             verdict: Verdict::default(),
             probes: Probes::default(),
             rechecks: Rechecks::default(),
-            crashed_us: BTreeMap::new(),
+            oldest_ms: 0,
             expire_us: 0,
         }
     }
@@ -113,7 +112,7 @@
         for block in self.verdict.blocks_of(signatures) {
             self.rechecks.begin(now.monotonic_us, block, &self.options);
         }
-        let depth = |signature| self.crashes.get(signature).map_or(0, verdict::max_depth);
+        let depth = |signature| self.tally.get(signature).map_or(0, |known| known.depth);
         let signatures = signatures.iter().take(self.options.max_signatures);
         Ok(Trial {
             signatures: signatures
@@ -141,11 +140,16 @@
     /// Returns whether a request with these signatures may be sent again after its server ended.
     pub fn may_retry(&self, signatures: &[Signature]) -> bool {
         let is_allowed = |signature: &Signature| {
-            let crashes = self.verdict.unexplained.get(signature);
-            crashes.is_none_or(|crashes| match signature {
-                Signature::Part(_) => crashes.depth < self.options.part_no_retry_depth,
-                Signature::Request(_) => crashes.servers < self.options.request_no_retry_servers,
-            })
+            let crashes = self.statements.crashes(*signature, self.oldest_ms);
+            let is_unexplained = |server: &Run| !self.verdict.explained.contains(server);
+            let unexplained = crashes.iter().filter(|(server, _)| is_unexplained(server));
+            let mut reports = unexplained.map(|(_, report)| report);
+            match signature {
+                Signature::Part(_) => {
+                    reports.all(|report| report.depth < self.options.part_no_retry_depth)
+                }
+                Signature::Request(_) => reports.count() < self.options.request_no_retry_servers,
+            }
         };
         let is_undecided = self.undecided(signatures).next().is_some();
         let is_blocked = self.verdict.blocks_of(signatures).next().is_some();
@@ -210,7 +214,7 @@
         self.pending.expire(oldest_us);
         if now.monotonic_us >= self.expire_us {
             self.expire_us = now.monotonic_us + self.options.expiry_us;
-            if !self.crashes.is_empty() {
+            if !self.tally.is_empty() {
                 self.expire(now, actions);
             }
         }
@@ -272,7 +276,7 @@
 
     fn on_completed(&mut self, now: Now, signatures: &[Signature], actions: &mut Vec<Action>) {
         let mut is_changed = false;
-        let suspected = |signature: &&Signature| self.crashes.contains_key(signature);
+        let suspected = |signature: &&Signature| self.tally.get(signature).is_some();
         for signature in signatures.iter().filter(suspected) {
             is_changed = true;
             self.statements.clear(signature);
@@ -327,7 +331,7 @@
         let evidence = |signature: &Signature, own: usize| {
             let mut blocks = self.verdict.blocks.iter();
             let is_proof = blocks.any(|block| block.signatures.contains(signature));
-            let stated = self.crashes.get(signature).map_or(0, Crashes::len);
+            let stated = self.tally.get(signature).map_or(0, |known| known.crashes);
             (is_proof, stated.max(own))
         };
         self.statements
@@ -342,59 +346,57 @@
     }
 
     fn expire(&mut self, now: Now, actions: &mut Vec<Action>) {
-        let is_current = self.is_current(now);
-        if self.statements.expire(is_current) {
+        let oldest_ms = self.oldest_ms(now);
+        if self.statements.expire(oldest_ms) {
             self.change(now, actions);
         } else {
             self.rejudge(now, actions);
         }
     }
 
-    fn is_current(&self, now: Now) -> impl Fn(&Crash) -> bool + use<> {
-        let age_ms = self.options.crash_age_ms;
-        move |crash| now.wall_ms < crash.at_wall_ms.saturating_add(age_ms)
+    fn oldest_ms(&self, now: Now) -> u64 {
+        let next_ms = now.wall_ms.saturating_add(1);
+        next_ms.saturating_sub(self.options.crash_age_ms)
     }
 
-    /// Derives the crashes that count and the verdict from all statements.
+    /// Derives the crashes that count and the verdict from the statements, as far as these changed.
     fn rejudge(&mut self, now: Now, actions: &mut Vec<Action>) {
-        let crashes = self.statements.crashes(self.is_current(now));
-        for (signature, known) in &crashes {
-            let before = self.crashes.get(signature).map_or(0, Crashes::len);
-            if known.len() > before {
-                self.crashed_us.insert(*signature, now.monotonic_us);
-            }
+        self.oldest_ms = self.oldest_ms(now);
+        let judged_servers = self.options.judged_servers();
+        let mut is_changed = false;
+        for signature in self.statements.take_touched() {
+            let crashes = self.statements.crashes(signature, self.oldest_ms);
+            let now_us = now.monotonic_us;
+            is_changed |= self
+                .tally
+                .update(now_us, signature, crashes, judged_servers);
         }
-        self.crashed_us
-            .retain(|signature, _| crashes.contains_key(signature));
-        self.crashes = crashes;
-        let verdict = verdict::judge(&self.crashes, &self.options);
+        if !is_changed {
+            return;
+        }
+        let verdict = verdict::judge(self.tally.suspects(), &self.options);
         note_changes(&self.verdict, &verdict, actions);
         self.verdict = verdict;
         self.probes.retain(&self.verdict.undecided);
-        let crashed_us = |signature: &Signature| self.crashed_us.get(signature).copied();
         self.rechecks.update(&self.verdict.blocks, |signature| {
-            crashed_us(signature).unwrap_or_default()
+            let known = self.tally.get(signature);
+            known.map_or(0, |known| known.crashed_us)
         });
     }
 }
 
 /// Notes which blocks began and ended.
 fn note_changes(before: &Verdict, after: &Verdict, actions: &mut Vec<Action>) {
-    let by_signatures = |verdict: &Verdict| -> HashMap<Vec<Signature>, Block> {
-        let blocks = verdict.blocks.iter();
-        blocks
-            .map(|block| (block.signatures.clone(), block.clone()))
-            .collect()
+    let has = |verdict: &Verdict, wanted: &Block| {
+        let mut blocks = verdict.blocks.iter();
+        blocks.any(|block| block.signatures == wanted.signatures)
     };
-    let (before, after) = (by_signatures(before), by_signatures(after));
-    for (signatures, block) in &after {
-        if !before.contains_key(signatures) {
-            actions.push(Action::Note(Note::Blocked(block.clone())));
-        }
+    for block in after.blocks.iter().filter(|block| !has(before, block)) {
+        actions.push(Action::Note(Note::Blocked(block.clone())));
     }
-    for signatures in before.keys().filter(|known| !after.contains_key(*known)) {
+    for block in before.blocks.iter().filter(|block| !has(after, block)) {
         actions.push(Action::Note(Note::Released {
-            signatures: signatures.clone(),
+            signatures: block.signatures.clone(),
         }));
     }
 }
--- a/crates/peridotrack-quarantine/src/verdict.rs
+++ b/crates/peridotrack-quarantine/src/verdict.rs
@@ -7,7 +7,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use peridotrack_types::{collections::HashMap, name};
+use peridotrack_types::name;
 
 use crate::{options::Options, run::Run, signature::Signature};
 
@@ -36,22 +36,13 @@
     pub crashes: Crashes,
 }
 
-/// Crashes under one signature that no block explains.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Unexplained {
-    /// Number of servers that ended.
-    pub servers: usize,
-    /// Greatest depth of the crashes.
-    pub depth: u32,
-}
-
 /// Result of [`judge`].
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Verdict {
     /// Blocks, the one with the most crashes first.
     pub blocks: Vec<Block>,
-    /// Crashes that no block explains, by signature.
-    pub unexplained: HashMap<Signature, Unexplained>,
+    /// Servers whose ends the blocks explain.
+    pub explained: BTreeSet<Run>,
     /// Requests that are sent only to learn whether they cause their crashes: these prove nothing,
     /// or another request has the same.
     pub undecided: BTreeMap<Signature, Crashes>,
@@ -70,70 +61,84 @@
 /// Explains the crashes by as few signatures as possible.
 ///
 /// Signatures with the same crashes form one block. A request that has only some of them is let
-/// through, and its outcome tells them apart.
+/// through, and its outcome tells them apart. Signatures with too few crashes for a proof or a probe
+/// make no difference and may be left out.
 pub fn judge(crashes: &BTreeMap<Signature, Crashes>, options: &Options) -> Verdict {
-    let mut remaining = crashes.clone();
-    let mut blocks = Vec::new();
-    let mut undecided = BTreeMap::new();
+    let mut verdict = Verdict::default();
+    let references = |crashes| Crashes::iter(crashes).collect();
+    let mut remaining: BTreeMap<Signature, BTreeMap<&Run, &Report>> = crashes
+        .iter()
+        .map(|(signature, crashes)| (*signature, references(crashes)))
+        .collect();
     loop {
         let proven = remaining
             .iter()
-            .filter(|(signature, crashes)| is_proof(**signature, crashes, options))
-            .max_by_key(|(signature, crashes)| (crashes.len(), max_depth(crashes), **signature));
-        let Some((_, explained)) = proven else { break };
-        let explained = explained.clone();
-        let is_same = |crashes: &Crashes| crashes.keys().eq(explained.keys());
+            .map(|(signature, crashes)| (*signature, crashes, depth_of(crashes)))
+            .filter(|(signature, crashes, depth)| {
+                is_proof(*signature, *depth, crashes.len(), options)
+            })
+            .max_by_key(|(signature, crashes, depth)| (crashes.len(), *depth, *signature));
+        let Some((_, explained, _)) = proven else {
+            break;
+        };
+        let is_same = |crashes: &BTreeMap<&Run, &Report>| crashes.keys().eq(explained.keys());
         let signatures: Vec<Signature> = remaining
             .iter()
             .filter(|(_, crashes)| is_same(crashes))
             .map(|(signature, _)| *signature)
             .collect();
+        let explained = owned(explained);
         let requests = signatures.iter().filter(|signature| is_request(signature));
         if requests.clone().count() > 1 {
-            undecided.extend(requests.map(|signature| (*signature, explained.clone())));
+            let undecided = requests.map(|signature| (*signature, explained.clone()));
+            verdict.undecided.extend(undecided);
         }
         for crashes in remaining.values_mut() {
-            crashes.retain(|server, _| !explained.contains_key(server));
+            crashes.retain(|server, _| !explained.contains_key(*server));
         }
         remaining.retain(|_, crashes| !crashes.is_empty());
-        blocks.push(Block {
+        verdict.explained.extend(explained.keys().cloned());
+        verdict.blocks.push(Block {
             signatures,
             crashes: explained,
         });
     }
-    let is_undecided = |(signature, crashes): &(&Signature, &Crashes)| {
+    let unproven = remaining.iter().filter(|(signature, crashes)| {
         is_request(signature) && crashes.len() >= options.request_probe_servers
-    };
-    let unproven = remaining.iter().filter(is_undecided);
-    undecided.extend(unproven.map(|(signature, crashes)| (*signature, crashes.clone())));
-    let unexplained = |(signature, crashes): (Signature, Crashes)| {
-        let (servers, depth) = (crashes.len(), max_depth(&crashes));
-        (signature, Unexplained { servers, depth })
-    };
-    Verdict {
-        blocks,
-        unexplained: remaining.into_iter().map(unexplained).collect(),
-        undecided,
-    }
+    });
+    let unproven = unproven.map(|(signature, crashes)| (*signature, owned(crashes)));
+    verdict.undecided.extend(unproven);
+    verdict
+}
+
+fn owned(crashes: &BTreeMap<&Run, &Report>) -> Crashes {
+    let crashes = crashes.iter();
+    crashes
+        .map(|(server, report)| ((*server).clone(), (*report).clone()))
+        .collect()
 }
 
 fn is_request(signature: &Signature) -> bool {
     matches!(signature, Signature::Request(_))
 }
 
+fn depth_of(crashes: &BTreeMap<&Run, &Report>) -> u32 {
+    max_depth(crashes.values().copied())
+}
+
 /// Returns the greatest depth of the crashes, 0 if there are none.
-pub fn max_depth(crashes: &Crashes) -> u32 {
-    let depths = crashes.values().map(|report| report.depth);
+pub(crate) fn max_depth<'a>(reports: impl Iterator<Item = &'a Report>) -> u32 {
+    let depths = reports.map(|report| report.depth);
     depths.max().unwrap_or(0)
 }
 
-/// Returns whether the crashes prove that the signature causes them.
+/// Returns whether crashes of a greatest depth and of a number of servers prove that the signature
+/// causes them.
 ///
 /// A crash of depth 2 excludes a coincidence only if several servers have ended: those of depth 1
 /// may have ended together for another reason. A prompt part needs more of them than a request,
 /// because it is in many requests.
-fn is_proof(signature: Signature, crashes: &Crashes, options: &Options) -> bool {
-    let (depth, servers) = (max_depth(crashes), crashes.len());
+fn is_proof(signature: Signature, depth: u32, servers: usize, options: &Options) -> bool {
     match signature {
         Signature::Part(_) => {
             let proof_depth = options.part_proof_depth;
--- /dev/null
+++ b/crates/peridotrack-quarantine/tests/cost.rs
@@ -0,0 +1,76 @@
+//! Tests of what crashes cost the routers: the time to receive statements.
+
+use std::time::{Duration, Instant};
+
+use peridotrack_quarantine::{
+    event::{Event, Now},
+    options::Options,
+    quarantine::Quarantine,
+    signature::Signature,
+    statement::{Crash, Statement},
+};
+
+/// Crashes in the statement of each router.
+const CRASHES: u64 = 30;
+
+fn at(monotonic_us: u64) -> Now {
+    Now {
+        monotonic_us,
+        wall_ms: 1_000_000 + monotonic_us / 1_000,
+    }
+}
+
+fn request(author: u64, number: u64) -> Signature {
+    let mut digest = [0; 16];
+    digest[..8].copy_from_slice(&author.to_be_bytes());
+    digest[8..].copy_from_slice(&number.to_be_bytes());
+    Signature::Request(digest)
+}
+
+/// Returns a statement with as many crashes, each under a request of its own.
+fn statement(author: u64, crashes: u64) -> Statement {
+    let crash = |number| Crash {
+        signature: request(author, number),
+        backend_server: format!("s-{number}").as_str().into(),
+        depth: 1,
+        at_wall_ms: 1_000_000,
+    };
+    Statement {
+        sequence: crashes,
+        crashes: (0..crashes).map(crash).collect(),
+        clearances: Vec::new(),
+    }
+}
+
+fn stated(author: u64, statement: Statement) -> Event {
+    Event::Stated {
+        author: format!("vm-{author}").as_str().into(),
+        statement,
+    }
+}
+
+/// Returns the least time in which a router among as many others receives that one more server
+/// ended.
+fn receipt_time(routers: u64) -> Duration {
+    let mut quarantine = Quarantine::new("vm-0".into(), Options::default());
+    for author in 1..=routers {
+        quarantine.on_event(at(0), stated(author, statement(author, CRASHES)));
+    }
+    let receive = |crashes| {
+        let event = stated(1, statement(1, crashes));
+        let begun = Instant::now();
+        quarantine.on_event(at(0), event);
+        begun.elapsed()
+    };
+    let times = (CRASHES + 1..CRASHES + 100).map(receive);
+    times.min().expect("there are several receipts")
+}
+
+/// Guards against routers that judge the statements of the whole fleet for each one that they
+/// receive, which takes time in the square of the number of routers.
+#[test]
+fn the_time_to_receive_a_statement_does_not_grow_with_the_fleet() {
+    let (few, many) = (receipt_time(4), receipt_time(74));
+    println!("{few:?} among 4 routers, {many:?} among 74");
+    assert!(many < 4 * few, "{few:?} among 4 routers, {many:?} among 74");
+}
