fix(quarantine): bound the rate of statements and writes to the store

Cause: each change of a router's statement was sent 20 ms later to all others and written 200 ms later, also if only entries were removed that no longer matter. Clearances of others cause such changes at all routers at once. Change: at most ten statements to the peers and one write a second; the first after a pause is as soon as before. A statement from which only settled entries were removed waits for 0.5 s.

--- a/crates/peridotrack-quarantine/src/options.rs
+++ b/crates/peridotrack-quarantine/src/options.rs
@@ -34,6 +34,12 @@
     pub send_delay_us: u64,
     /// Delay of a write to the store, in which signatures of sound requests are usually cleared.
     pub write_delay_us: u64,
+    /// Least time from one statement to the peers to the next.
+    pub send_interval_us: u64,
+    /// Least time from one write to the store to the next.
+    pub write_interval_us: u64,
+    /// Delay of a statement to the peers and of a write from which only settled entries were removed.
+    pub settled_delay_us: u64,
     /// Delay of the next write after one that failed.
     pub write_retry_us: u64,
     /// Age from which on a crash is ignored, by the clocks of the VMs.
@@ -65,6 +71,9 @@
             pending_us: 5_000_000,
             send_delay_us: 20_000,
             write_delay_us: 200_000,
+            send_interval_us: 100_000,
+            write_interval_us: 1_000_000,
+            settled_delay_us: 500_000,
             write_retry_us: 500_000,
             crash_age_ms: 24 * 3_600 * 1_000,
             expiry_us: 60_000_000,
--- a/crates/peridotrack-quarantine/src/quarantine.rs
+++ b/crates/peridotrack-quarantine/src/quarantine.rs
@@ -301,10 +301,11 @@
             return;
         }
         if self.statements.drop_settled() {
-            self.change(now, actions);
-        } else {
-            self.rejudge(now, actions);
+            self.statements.raise_sequence(now.wall_ms);
+            self.publication
+                .schedule_settled(now.monotonic_us, &self.options);
         }
+        self.rejudge(now, actions);
     }
 
     /// Adopts what an earlier incarnation on this VM stated.
--- a/crates/peridotrack-quarantine/tests/cost.rs
+++ b/crates/peridotrack-quarantine/tests/cost.rs
@@ -1,9 +1,9 @@
-//! Tests of what crashes cost the routers: the time to receive statements.
+//! Tests of what crashes cost the routers: statements, writes and the time to receive statements.
 
 use std::time::{Duration, Instant};
 
 use peridotrack_quarantine::{
-    event::{Event, Now},
+    event::{Action, Event, Now},
     options::Options,
     quarantine::Quarantine,
     signature::Signature,
@@ -74,3 +74,39 @@
     println!("{few:?} among 4 routers, {many:?} among 74");
     assert!(many < 4 * few, "{few:?} among 4 routers, {many:?} among 74");
 }
+
+/// Guards against a number of statements and writes that grows with the number of crashes.
+#[test]
+fn the_rate_of_statements_and_writes_is_bounded_whatever_number_of_servers_end() {
+    const SECONDS: u64 = 10;
+    let mut quarantine = Quarantine::new("vm-0".into(), Options::default());
+    let (mut sent, mut written) = (0, 0);
+    for step in 0..SECONDS * 100 {
+        let now = at(step * 10_000);
+        let trial = quarantine.begin(now, &[request(0, step)]);
+        let trial = trial.expect("each request is new");
+        let server = format!("s-{step}");
+        let broken = Event::Broken {
+            trial,
+            backend_server: server.as_str().into(),
+        };
+        quarantine.on_event(now, broken);
+        let ended = Event::ServerEnded {
+            backend_server: server.as_str().into(),
+        };
+        quarantine.on_event(now, ended);
+        for action in quarantine.on_event(now, Event::Tick) {
+            match action {
+                Action::Send(_) => sent += 1,
+                Action::Write(_) => {
+                    written += 1;
+                    quarantine.on_event(now, Event::Written);
+                }
+                Action::Note(_) => {}
+            }
+        }
+    }
+    println!("{sent} statements and {written} writes in {SECONDS} s");
+    assert!(sent <= 10 * SECONDS, "{sent} statements in {SECONDS} s");
+    assert!(written <= SECONDS + 1, "{written} writes in {SECONDS} s");
+}
