perf(edge): encode a frame to all peers once

Cause: a frame that goes to all live peers was encoded once for each of them; a statement about crashes has up to 256 entries. Change: the encoded bytes are shared by the queues of the links.

--- a/crates/peridotrack-edge/src/member.rs
+++ b/crates/peridotrack-edge/src/member.rs
@@ -219,9 +219,7 @@
         let live = members
             .live(self.kernel.now_us())
             .map(|peer| peer.record.peer_address);
-        for address in live {
-            self.link.send(address, frame);
-        }
+        self.link.send_to_all(live, frame);
     }
 }
 
--- a/crates/peridotrack-edge/src/peer/link.rs
+++ b/crates/peridotrack-edge/src/peer/link.rs
@@ -12,6 +12,7 @@
     time::Duration,
 };
 
+use bytes::Bytes;
 use local_sync::mpsc::unbounded as queue;
 use monoio::{
     io::{AsyncReadRent, AsyncReadRentExt, AsyncWriteRentExt, Splitable},
@@ -83,7 +84,7 @@
 
 /// Queue of a link that this router dialled.
 struct Outgoing {
-    queue: queue::Tx<Vec<u8>>,
+    queue: queue::Tx<Bytes>,
     queued_frames: Rc<Cell<usize>>,
 }
 
@@ -186,12 +187,28 @@
     /// Queues a frame for the peer at `address`. A frame that is too long or cannot be delivered is
     /// dropped.
     pub fn send(self: &Rc<Self>, address: SocketAddr, frame: &Frame) {
+        self.send_to_all([address], frame);
+    }
+
+    /// Queues a frame for each of the peers, as [`Self::send`] does, and encodes it once.
+    pub fn send_to_all(
+        self: &Rc<Self>,
+        addresses: impl IntoIterator<Item = SocketAddr>,
+        frame: &Frame,
+    ) {
         let Ok(bytes) = frame::encode(frame) else {
             return;
         };
         if self.is_stopped() {
             return;
         }
+        let bytes = Bytes::from(bytes);
+        for address in addresses {
+            self.queue(address, bytes.clone());
+        }
+    }
+
+    fn queue(self: &Rc<Self>, address: SocketAddr, bytes: Bytes) {
         let mut outgoing = self.outgoing.borrow_mut();
         let entry = outgoing
             .entry(address)
@@ -239,7 +256,7 @@
     async fn write_frames(
         &self,
         peer: SocketAddr,
-        mut frames: queue::Rx<Vec<u8>>,
+        mut frames: queue::Rx<Bytes>,
         queued_frames: &Cell<usize>,
     ) -> Result<(), Error> {
         // Frame whose write failed, which is sent on the next connection.
