test(peridotrackd): compact the history of the store while configurations change

Cause: no test played the compaction of the store's history with real processes. It counts as a disturbance, so that contact starts to count at the end of the silence, and in quick succession the next version hides one that was missed. The compactions are drawn by themselves.

--- a/crates/peridotrackd/tests/late_configuration.rs
+++ b/crates/peridotrackd/tests/late_configuration.rs
@@ -44,6 +44,14 @@
 /// Bytes that a run adds to its configurations: with many, a relay sends their revision only, and the
 /// changes of some seconds exceed the limit of a response.
 const ADDED_BYTES: [usize; 3] = [0, 40_000, 400_000];
+/// Time between the end of a compaction, or the start of the run, and the next compaction, in
+/// milliseconds.
+const COMPACTION_INTERVAL_MS: std::ops::Range<u64> = 2_000..8_000;
+/// Time for which watches hear nothing while the store compacts its history, in milliseconds.
+const SILENCE_MS: u64 = 1_000;
+/// Time after a compaction in which nothing changes: a router that missed the last change stays
+/// behind until the next one.
+const QUIET: Duration = Duration::from_millis(bounds::CONTACT_MS + 1_500);
 /// Time between two probes of a router.
 const PROBE_INTERVAL: Duration = Duration::from_millis(120);
 const CONTACT: Duration = Duration::from_millis(bounds::CONTACT_MS);
@@ -61,6 +69,9 @@
 enum Trouble {
     Store(store::Mode),
     ClearHistory,
+    /// The store compacts its history, and a version is written so many milliseconds after the start,
+    /// while watches hear nothing.
+    Compact(u64),
     /// The store ends the watches that have waited for 100 ms; it is not disturbed by that.
     CutWatches,
     Link(usize, Link),
@@ -103,14 +114,18 @@
             | Self::Suspend(router)
             | Self::Kill(router)
             | Self::Reload(router) => Some(router),
-            Self::Store(_) | Self::SilenceAll | Self::ClearHistory | Self::CutWatches => None,
+            Self::Store(_)
+            | Self::SilenceAll
+            | Self::ClearHistory
+            | Self::Compact(_)
+            | Self::CutWatches => None,
         }
     }
 
     /// Returns the routers that are out of contact, if any.
     fn scope(self) -> Option<Scope> {
         match self {
-            Self::Store(_) | Self::SilenceAll => Some(Scope::All),
+            Self::Store(_) | Self::SilenceAll | Self::Compact(_) => Some(Scope::All),
             Self::Link(router, _)
             | Self::Silence(router)
             | Self::Suspend(router)
@@ -129,6 +144,10 @@
     fleet: RefCell<Fleet>,
     /// Versions with the times at which they were acknowledged, oldest first.
     versions: RefCell<Vec<(u64, Instant)>>,
+    /// Versions before the newest one whose routes the next version keeps, oldest first.
+    previous_versions: RefCell<VecDeque<u64>>,
+    /// Whether no versions are written, as after a compaction.
+    is_quiet: Cell<bool>,
     /// Troubles with their starts and ends; an end is `None` while the trouble lasts.
     troubles: RefCell<Vec<(Trouble, Instant, Option<Instant>)>>,
     /// Number of probes in contact that were served.
@@ -150,8 +169,23 @@
         })
     }
 
-    /// Writes a new version, whose routes include those of the versions before it.
-    fn write_version(&self, previous: &mut VecDeque<u64>, version: u64) {
+    /// Records the start of a trouble; returns its number.
+    fn begin(&self, trouble: Trouble) -> usize {
+        let mut troubles = self.troubles.borrow_mut();
+        troubles.push((trouble, Instant::now(), None));
+        troubles.len() - 1
+    }
+
+    /// Records the end of a trouble.
+    fn end(&self, number: usize) {
+        self.troubles.borrow_mut()[number].2 = Some(Instant::now());
+    }
+
+    /// Writes the version that is `step` after the newest one. Its routes include those of the versions
+    /// before it.
+    fn write_version(&self, step: u64) {
+        let mut previous = self.previous_versions.borrow_mut();
+        let version = previous.back().copied().unwrap_or_default() + step;
         let mut config = deployment::config(version, PREPAID_TOKENS);
         let routes = config["routes"].as_array_mut().unwrap();
         let probe = routes.last().unwrap().clone();
@@ -173,12 +207,30 @@
 
 async fn change_configurations(run: Rc<Run>, seed: u64) {
     let mut rng = Rng::with_seed(seed ^ (1 << 40));
-    let mut previous = VecDeque::from([1]);
-    let mut version = 1;
     while !run.is_ending.get() {
         monoio::time::sleep(Duration::from_millis(rng.u64(CHANGE_INTERVAL_MS))).await;
-        version += rng.u64(1..4);
-        run.write_version(&mut previous, version);
+        let step = rng.u64(1..4);
+        if !run.is_quiet.get() {
+            run.write_version(step);
+        }
+    }
+}
+
+/// Compacts the history of the store again and again, with about half of the seeds. The times are drawn
+/// by themselves, so that the other troubles of a seed stay the same.
+async fn compact_history(run: Rc<Run>, seed: u64) {
+    let mut rng = Rng::with_seed(seed.rotate_left(16));
+    if rng.bool() {
+        return;
+    }
+    while !run.is_ending.get() {
+        monoio::time::sleep(Duration::from_millis(rng.u64(COMPACTION_INTERVAL_MS))).await;
+        let trouble = Trouble::Compact(rng.u64(..SILENCE_MS));
+        let number = run.begin(trouble);
+        cause(&run, trouble, Duration::from_millis(SILENCE_MS)).await;
+        run.end(number);
+        monoio::time::sleep(QUIET).await;
+        run.is_quiet.set(false);
     }
 }
 
@@ -197,14 +249,11 @@
         if is_busy {
             continue;
         }
-        let number = run.troubles.borrow().len();
-        run.troubles
-            .borrow_mut()
-            .push((trouble, Instant::now(), None));
+        let number = run.begin(trouble);
         let run = Rc::clone(&run);
         tasks.push(monoio::spawn(async move {
             cause(&run, trouble, duration).await;
-            run.troubles.borrow_mut()[number].2 = Some(Instant::now());
+            run.end(number);
         }));
     }
     for task in tasks {
@@ -221,6 +270,14 @@
             run.fleet.borrow().store.set_mode(store::Mode::Serve);
         }
         Trouble::ClearHistory => run.fleet.borrow().store.clear_history(),
+        Trouble::Compact(change_ms) => {
+            run.fleet.borrow().store.compact(duration);
+            let until_change = Duration::from_millis(change_ms);
+            monoio::time::sleep(until_change).await;
+            run.is_quiet.set(true);
+            run.write_version(1);
+            monoio::time::sleep(duration - until_change).await;
+        }
         Trouble::CutWatches => {
             let limit = Duration::from_millis(100);
             run.fleet.borrow().store.cut_watches_after(Some(limit));
@@ -333,6 +390,8 @@
         started: Instant::now(),
         fleet: RefCell::new(fleet.unwrap()),
         versions: RefCell::default(),
+        previous_versions: RefCell::new(VecDeque::from([1])),
+        is_quiet: Cell::new(false),
         troubles: RefCell::default(),
         served: Cell::new(0),
         breaches: RefCell::default(),
@@ -341,6 +400,7 @@
     let mut tasks = vec![
         monoio::spawn(change_configurations(Rc::clone(&run), seed)),
         monoio::spawn(cause_troubles(Rc::clone(&run), seed)),
+        monoio::spawn(compact_history(Rc::clone(&run), seed)),
         monoio::spawn(watch_processes(Rc::clone(&run))),
     ];
     for router in 0..ROUTERS {
