--- a/crates/peridotrack-soak/src/apply.rs
+++ b/crates/peridotrack-soak/src/apply.rs
@@ -64,6 +64,13 @@
             run.fleet.borrow().store.set_mode(store::Mode::Serve);
         }
         Fault::ClearStoreHistory => run.fleet.borrow().store.clear_history(),
+        Fault::CompactStoreHistory(change_ms) => {
+            run.fleet.borrow().store.compact(duration);
+            let until_change = Duration::from_millis(change_ms);
+            monoio::time::sleep(until_change).await;
+            run.write_config(0);
+            monoio::time::sleep(duration.saturating_sub(until_change)).await;
+        }
         Fault::StoreLink(router, link) => {
             run.fleet.borrow().routers[router].link.set(link);
             monoio::time::sleep(duration).await;
--- a/crates/peridotrack-soak/src/schedule.rs
+++ b/crates/peridotrack-soak/src/schedule.rs
@@ -27,6 +27,8 @@
 const SLOW_DURATION_MS: u64 = 12_000;
 /// Interval between the starts of routers' stops in series, in milliseconds.
 const STOP_INTERVAL_MS: u64 = 2_000;
+/// Time for which watches hear nothing while the store compacts its history, in milliseconds.
+const SILENCE_MS: u64 = 1_000;
 /// Stated limits, in requests in 10 s.
 const STATED_REQUESTS: std::ops::Range<u32> = 10..60;
 /// Number of slots that [`random_fault`] maps to faults; frequent faults have several.
@@ -39,6 +41,9 @@
 /// Most partitions of a run.
 const MAX_PARTITIONS: u32 = 2;
 
+/// Most compactions of the store's history in a run.
+const MAX_COMPACTIONS: u32 = 2;
+
 /// Size and length of a run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Shape {
@@ -57,6 +62,9 @@
     Store(store::Mode),
     /// The store drops the history that watches resume from.
     ClearStoreHistory,
+    /// The store compacts its history: watches hear nothing for a while, in which a new configuration
+    /// version is written so many milliseconds after the start.
+    CompactStoreHistory(u64),
     /// The link between a router and the store fails.
     StoreLink(usize, Link),
     /// The link from all routers to a backend server fails.
@@ -145,6 +153,7 @@
     steps.extend(statements(seed, shape));
     steps.extend(stops_in_series(seed, shape));
     steps.extend(partitions(seed, shape));
+    steps.extend(compactions(seed, shape));
     steps.retain(|step| step.at_ms < shape.duration_ms);
     steps.sort_by_key(|step| step.at_ms);
     steps
@@ -245,6 +254,18 @@
     steps.collect()
 }
 
+/// Returns compactions of the store's history. They are drawn by themselves, like the troubles.
+fn compactions(seed: u64, shape: &Shape) -> Vec<Step> {
+    let mut rng = fastrand::Rng::with_seed(!seed.rotate_left(16));
+    let count = rng.u32(..=MAX_COMPACTIONS);
+    let steps = (0..count).map(|_| Step {
+        at_ms: rng.u64(..shape.duration_ms),
+        duration_ms: SILENCE_MS,
+        fault: Fault::CompactStoreHistory(rng.u64(..SILENCE_MS)),
+    });
+    steps.collect()
+}
+
 /// Returns the fault of a slot, for a random router or backend server.
 fn random_fault(rng: &mut fastrand::Rng, slot: u32, shape: &Shape) -> Fault {
     let router = rng.usize(..shape.routers);
@@ -286,7 +307,10 @@
     /// that its time bounds do not apply for a while.
     pub fn disrupts(&self, router: usize) -> bool {
         match self {
-            Self::Store(_) | Self::ClearStoreHistory | Self::KillAll => true,
+            Self::Store(_)
+            | Self::ClearStoreHistory
+            | Self::CompactStoreHistory(_)
+            | Self::KillAll => true,
             Self::StoreLink(affected, _)
             | Self::Pause(affected)
             | Self::Kill(affected)
--- a/crates/peridotrack-soak/tests/schedule.rs
+++ b/crates/peridotrack-soak/tests/schedule.rs
@@ -31,7 +31,7 @@
         .collect();
     kinds.sort_by_key(|kind| format!("{kind:?}"));
     kinds.dedup();
-    assert_eq!(kinds.len(), 20);
+    assert_eq!(kinds.len(), 21);
 }
 
 #[test]
@@ -39,5 +39,6 @@
     assert!(Fault::Kill(2).disrupts(2));
     assert!(!Fault::Kill(2).disrupts(1));
     assert!(Fault::KillAll.disrupts(1));
+    assert!(Fault::CompactStoreHistory(500).disrupts(1));
     assert!(!Fault::Configure.disrupts(1));
 }
