fix(edge): keep connections to the store for calls of one kind and compare responses with calls

Seen by callers: a route that was added gets 404 until the next version, by routers whose view counts as confirmed. Cause: a response that the store sends twice, the second time after the next call was written, stands for that call, and each later response on the connection for the call after its own. Watches of all kinds shared their connections, and the responses don't name their kind: a watch of the configuration that got the response of one of the servers moved the view to a revision beyond a change that it had not seen. Other calls shared a pool: a write got the revision of another one, and a read the content of another object. Change: a connection serves calls of one step and kind. It is closed after every status but 2xx, after lists and removals, after a watch that reports nothing new or ends without changes well before its time, and when anything arrived meanwhile. A watch that states a revision before the one that it began at fails, a read or write whose response has another name, or a write whose revision or content can't be its own, too. On connections of one kind a response that is shifted has the changes after an earlier revision, so that it lacks none.

--- a/crates/peridotrack-edge/src/platform.rs
+++ b/crates/peridotrack-edge/src/platform.rs
@@ -20,7 +20,7 @@
 
 use bytes::Bytes;
 use peridotrack_http::client;
-use peridotrack_kernel::{Kernel, event};
+use peridotrack_kernel::{Kernel, clock, event};
 
 use crate::{metric, notify};
 use availability::Availability;
@@ -37,8 +37,12 @@
 /// Name of this service in the registry.
 pub const SERVICE: &str = "platform";
 
-/// Maximum number of idle connections that the pool keeps.
-const IDLE_CONNECTIONS: usize = 8;
+/// Maximum idle time of the connections of watches, in microseconds: longer than the pauses between
+/// the watches of one kind.
+const WATCH_IDLE_US: u64 = clock::US_PER_S;
+/// Maximum idle time of the connections of other calls, in microseconds. The idle timeout of the store
+/// should be longer, so that a call is rarely sent on a connection that the store is closing.
+const CALL_IDLE_US: u64 = 4 * clock::US_PER_S;
 /// Timeout of a response to any call but a watch, in milliseconds: three times the response time
 /// of a slow store.
 const RESPONSE_TIMEOUT_MS: u64 = 1_000;
@@ -68,11 +72,12 @@
     kernel: Rc<Kernel>,
     dialect: Dialect,
     address: SocketAddr,
-    pool: client::Pool,
-    watch_options: client::Options,
+    options: client::Options,
     availability: Availability,
     /// Idle connections of watches that have ended.
     watch_connections: idle::Connections,
+    /// Idle connections of other calls.
+    call_connections: idle::Connections,
     /// Notifies the pending watches when another call fails.
     call_failed: notify::Notify,
 }
@@ -101,10 +106,10 @@
             kernel,
             dialect,
             address,
-            watch_connections: idle::Connections::default(),
+            watch_connections: idle::Connections::new(WATCH_IDLE_US),
+            call_connections: idle::Connections::new(CALL_IDLE_US),
             call_failed: notify::Notify::default(),
-            pool: client::Pool::new(options, IDLE_CONNECTIONS),
-            watch_options: options,
+            options,
         })
     }
 }
@@ -152,7 +157,7 @@
         let path = format!("/v1/watch/{key}?after={after_version}&timeout_ms={timeout_ms}");
         let options = client::Options {
             response_timeout_ms: timeout_ms + WATCH_MARGIN_MS,
-            ..self.watch_options
+            ..self.options
         };
         let request = request("GET", &path, &[], Bytes::new());
         let call = self.begin("watch", key);
@@ -240,10 +245,27 @@
         request: http::Request<Bytes>,
     ) -> Result<http::Response<Bytes>, Error> {
         let call = self.begin(step, key);
-        let result = self.pool.fetch(self.address, request).await;
+        let result = self.exchange(&call, request).await;
         self.record_result(&call, result)
     }
 
+    /// Sends a call on an idle connection of an earlier one of its lane, or on a new one.
+    async fn exchange(&self, call: &Call<'_>, request: http::Request<Bytes>) -> call::Result {
+        let lane = call.lane(self.dialect);
+        let idle = self.call_connections.take(self.kernel.now_us(), &lane);
+        let mut connection = match idle {
+            Some(connection) => connection,
+            None => client::Connection::connect(self.address, self.options).await?,
+        };
+        let head = connection.send(request).await?;
+        let body = connection.read_body().await?;
+        if call.keeps_connection(self.dialect, head.status) {
+            let now_us = self.kernel.now_us();
+            self.call_connections.put(now_us, lane, connection);
+        }
+        Ok(http::Response::from_parts(head, body))
+    }
+
     /// Records that objects of a kind were skipped, because they cannot be decoded.
     fn note_unreadable(&self, kind: &str, objects: usize) {
         if objects > 0 {
@@ -280,7 +302,7 @@
     /// Closes what the failure of a call may have made unusable, and converts the error.
     fn on_error(&self, call: &Call<'_>, error: client::Error) -> Error {
         // Connections that were opened before a network partition may be unusable after it.
-        self.pool.close_idle(self.address);
+        self.call_connections.close();
         self.watch_connections.close();
         let (step, key) = (call.step, call.key.to_owned());
         if call.is_cut(&error) {
--- a/crates/peridotrack-edge/src/platform/call.rs
+++ b/crates/peridotrack-edge/src/platform/call.rs
@@ -6,6 +6,8 @@
 use peridotrack_follow::outage::Failure;
 use peridotrack_http::client;
 
+use super::{Dialect, idle};
+
 /// Result of a call before its status is looked at.
 pub(super) type Result = std::result::Result<http::Response<Bytes>, client::Error>;
 
@@ -21,6 +23,29 @@
 }
 
 impl Call<'_> {
+    /// Returns the calls that may use the same connections as this one.
+    pub(super) fn lane(&self, dialect: Dialect) -> idle::Lane {
+        let (step, kind) = match dialect {
+            Dialect::Native => ("call", ""),
+            Dialect::Hosted => (self.step, self.key.split('/').next().unwrap_or_default()),
+        };
+        idle::Lane {
+            step,
+            kind: kind.to_owned(),
+        }
+    }
+
+    /// Returns whether the connection of a complete response serves further calls.
+    ///
+    /// Refusals say nothing of the call that they belong to, and neither do the responses of the
+    /// metadata store to a removal, or to a list of which another one may have been read meanwhile.
+    pub(super) fn keeps_connection(&self, dialect: Dialect, status: http::StatusCode) -> bool {
+        match dialect {
+            Dialect::Native => !is_refusal(status),
+            Dialect::Hosted => status.is_success() && matches!(self.step, "read" | "write"),
+        }
+    }
+
     /// Returns what a result shows about the store, `None` if the store is available.
     pub(super) fn failure(&self, result: &Result) -> Option<Failure> {
         let inconclusive = Failure::Inconclusive {
--- a/crates/peridotrack-edge/src/platform/hosted.rs
+++ b/crates/peridotrack-edge/src/platform/hosted.rs
@@ -5,12 +5,12 @@
 
 use bytes::Bytes;
 use peridotrack_http::client;
-use peridotrack_kernel::event;
+use peridotrack_kernel::{clock, event};
 use peridotrack_platform::store;
 
 use super::{
     Platform,
-    call::{self, Call},
+    call::Call,
     error::{Error, refused, unknown, unreadable},
     native::request,
     object::Object,
@@ -84,7 +84,10 @@
             is_waiting: wait_ms > 0,
             ..self.begin("watch", kind)
         };
-        let result = self.send_watch(&path, wait_ms).await;
+        let (result, connection) = match self.send_watch(&call, &path, wait_ms).await {
+            Ok((response, connection)) => (Ok(response), Some(connection)),
+            Err(error) => (Err(error), None),
+        };
         // The same watch would get the same response again; pages of a list are smaller.
         if matches!(&result, Err(error) if matches!(error.kind, client::Kind::BodyTooLarge)) {
             self.availability.on_response();
@@ -98,7 +101,19 @@
             200 => {
                 let changes = store::changes(response.body())
                     .map_err(|error| unreadable("watch", kind, error.to_string()))?;
+                if changes.revision < revision {
+                    let detail = "it states a revision before the one that the watch began at";
+                    return Err(unreadable("watch", kind, detail.to_owned()));
+                }
                 self.note_unreadable(kind, changes.unreadable);
+                let now_us = self.kernel.now_us();
+                let waited_us = now_us.saturating_sub(call.sent_us);
+                if let Some(connection) = connection
+                    && is_in_turn(&changes, revision, wait_ms, waited_us)
+                {
+                    let lane = call.lane(self.dialect);
+                    self.watch_connections.put(now_us, lane, connection);
+                }
                 Ok(changes)
             }
             410 => Err(Error::HistoryLost {
@@ -109,20 +124,27 @@
         }
     }
 
-    /// Sends a watch on an idle connection of an earlier watch, or on a new one.
-    async fn send_watch(&self, path: &str, wait_ms: u64) -> call::Result {
-        let idle = self.watch_connections.take(self.kernel.now_us());
+    /// Sends a watch on an idle connection of an earlier watch of its kind, or on a new one. Returns
+    /// the connection with the complete response.
+    async fn send_watch(
+        &self,
+        call: &Call<'_>,
+        path: &str,
+        wait_ms: u64,
+    ) -> Result<(http::Response<Bytes>, client::Connection), client::Error> {
+        let lane = call.lane(self.dialect);
+        let idle = self.watch_connections.take(self.kernel.now_us(), &lane);
         let mut connection = match idle {
             Some(connection) => connection,
-            None => client::Connection::connect(self.address, self.watch_options).await?,
+            None => client::Connection::connect(self.address, self.options).await?,
         };
         connection.set_response_timeout(wait_ms + super::RESPONSE_TIMEOUT_MS);
-        let call = request("GET", path, &[], Bytes::new());
+        let request = request("GET", path, &[], Bytes::new());
         // An outage may break the connection of a pending watch without an error, and the watch
         // would miss the changes after the outage. The failure of another call therefore ends the
         // watch, so that the caller starts a new one.
         let head = monoio::select! {
-            head = connection.send(call) => head?,
+            head = connection.send(request) => head?,
             () = self.call_failed.notified() => return Err(client::Error {
                 step: client::Step::Head,
                 peer: self.address,
@@ -131,8 +153,7 @@
             }),
         };
         let body = connection.read_body().await?;
-        self.watch_connections.put(self.kernel.now_us(), connection);
-        Ok(http::Response::from_parts(head, body))
+        Ok((http::Response::from_parts(head, body), connection))
     }
 }
 
@@ -148,6 +169,9 @@
             200 => {
                 let object = store::object(response.body())
                     .map_err(|error| unreadable("read", key, error.to_string()))?;
+                if object.name != name {
+                    return Err(unreadable("read", key, self.on_other_object(&object)));
+                }
                 let object = unpack_object(&object);
                 object
                     .map(Some)
@@ -165,25 +189,31 @@
         content: &[u8],
     ) -> Result<u64, Error> {
         let (kind, name) = split_key(key);
-        let content = pack::pack(content);
+        let packed = pack::pack(content);
         let (method, (path, body)) = match expected {
-            None => ("POST", store::create(kind, name, &content)),
-            Some(revision) => ("PUT", store::replace(kind, name, revision, &content)),
+            None => ("POST", store::create(kind, name, &packed)),
+            Some(revision) => ("PUT", store::replace(kind, name, revision, &packed)),
         };
         let headers = [("content-type", "application/json".to_owned())];
         let response = self
             .fetch("write", key, request(method, &path, &headers, body))
             .await?;
         match response.status().as_u16() {
-            200 | 201 => store::object(response.body())
-                .map(|object| object.revision)
-                .map_err(|error| unknown("write", key, error.to_string())),
+            200 | 201 => {
+                let object = store::object(response.body())
+                    .map_err(|error| unknown("write", key, error.to_string()))?;
+                match object.name == name && is_written(&object, expected, content) {
+                    true => Ok(object.revision),
+                    false => Err(unknown("write", key, self.on_other_object(&object))),
+                }
+            }
             404 | 409 => Err(Error::Conflict {
                 step: "write",
                 key: key.to_owned(),
                 // Without the stored object, the caller reads it before its next update.
                 current: store::object(response.body())
                     .ok()
+                    .filter(|object| object.name == name)
                     .and_then(|object| unpack_object(&object).ok()),
             }),
             400..=499 | 503 => Err(refused("write", key, &response)),
@@ -208,6 +238,14 @@
         }
     }
 
+    /// Closes the idle connections after a response with another object than that of the call, whose own
+    /// response may follow, and describes it.
+    fn on_other_object(&self, object: &store::Object) -> String {
+        self.call_connections.close();
+        let revision = object.revision;
+        format!("the response has revision {revision} of another object or write")
+    }
+
     async fn get(&self, step: &'static str, key: &str, path: &str) -> Result<Bytes, Error> {
         let response = self
             .fetch(step, key, request("GET", path, &[], Bytes::new()))
@@ -219,6 +257,25 @@
     }
 }
 
+/// Returns whether a response can only be that to a watch after `revision`: it reports a change after
+/// it or, in about the time that the watch asked for, none.
+fn is_in_turn(changes: &store::Changes, revision: u64, wait_ms: u64, waited_us: u64) -> bool {
+    match changes.last_change() {
+        Some(last_change) => last_change > revision,
+        None => waited_us >= wait_ms * clock::US_PER_MS / 2,
+    }
+}
+
+/// Returns whether the object may be the result of a write of `content` over the `expected` revision.
+/// A write that changes nothing leaves the revision as it is.
+fn is_written(object: &store::Object, expected: Option<u64>, content: &[u8]) -> bool {
+    expected.is_none_or(|expected| {
+        object.revision > expected
+            || object.revision == expected
+                && pack::unpack(&object.content).is_ok_and(|stored| stored == content)
+    })
+}
+
 /// Returns the object with unpacked content.
 fn unpack_object(object: &store::Object) -> Result<Object, pack::Error> {
     Ok(Object {
--- a/crates/peridotrack-edge/src/platform/idle.rs
+++ b/crates/peridotrack-edge/src/platform/idle.rs
@@ -1,39 +1,83 @@
-//! Idle connections of watches that have ended, for the watches that follow.
+//! Idle connections to the store, for the calls that follow.
 //!
-//! A connection may fall silent without a reset, so that only the timeout of a watch shows it. Those
+//! HTTP has nothing that ties a response to its request but their order, and the store's responses do
+//! not name the kind of their objects. One response too many would make each later one that of the
+//! call before. A connection therefore serves calls of one kind only, so that what the response states
+//! can be compared with its call.
+//!
+//! A connection may fall silent without a reset, so that only the timeout of a call shows it. Those
 //! that have been idle for long are therefore closed instead of used.
 
 use std::cell::RefCell;
 
-use peridotrack_http::client::Connection;
-use peridotrack_kernel::clock;
+use peridotrack_http::client;
+
+/// Maximum number of idle connections; the one idle for longest is closed.
+const MAX_CONNECTIONS: usize = 16;
+
+/// Calls that may use the same connections.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Lane {
+    /// Name of the calls, such as `write`.
+    pub(super) step: &'static str,
+    /// Kind of the objects.
+    pub(super) kind: String,
+}
 
-/// Time after which an idle connection is not used again, in microseconds: longer than the pauses
-/// between the watches of one kind.
-const MAX_IDLE_US: u64 = clock::US_PER_S;
+struct Idle {
+    lane: Lane,
+    connection: client::Connection,
+    /// Monotonic time at which the connection became idle, in microseconds.
+    since_us: u64,
+}
 
-/// Idle connections, each with the monotonic time in microseconds at which it became idle.
-#[derive(Default)]
-pub(super) struct Connections(RefCell<Vec<(Connection, u64)>>);
+/// Idle connections, those used most recently last.
+pub(super) struct Connections {
+    max_idle_us: u64,
+    idle: RefCell<Vec<Idle>>,
+}
 
 impl Connections {
-    /// Takes a connection that has been used recently, and closes those that have not.
-    pub(super) fn take(&self, now_us: u64) -> Option<Connection> {
-        let mut connections = self.0.borrow_mut();
-        connections.retain(|(_, since_us)| now_us.saturating_sub(*since_us) < MAX_IDLE_US);
-        let (connection, _) = connections.pop()?;
-        connection.is_idle().then_some(connection)
+    /// Keeps connections for `max_idle_us` microseconds.
+    pub(super) fn new(max_idle_us: u64) -> Self {
+        Self {
+            max_idle_us,
+            idle: RefCell::default(),
+        }
     }
 
-    /// Adds the connection of a watch that has ended, unless it cannot be used again.
-    pub(super) fn put(&self, now_us: u64, connection: Connection) {
-        if connection.is_reusable() {
-            self.0.borrow_mut().push((connection, now_us));
+    /// Takes the connection of a lane that was used most recently, and closes those that have been
+    /// idle for too long or on which anything has arrived.
+    pub(super) fn take(&self, now_us: u64, lane: &Lane) -> Option<client::Connection> {
+        let mut idle = self.idle.borrow_mut();
+        idle.retain(|idle| now_us.saturating_sub(idle.since_us) < self.max_idle_us);
+        while let Some(index) = idle.iter().rposition(|idle| idle.lane == *lane) {
+            let connection = idle.remove(index).connection;
+            if connection.is_idle() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    /// Adds the connection of a call that has ended, unless it cannot be used again.
+    pub(super) fn put(&self, now_us: u64, lane: Lane, connection: client::Connection) {
+        if !connection.is_reusable() {
+            return;
+        }
+        let mut idle = self.idle.borrow_mut();
+        if idle.len() >= MAX_CONNECTIONS {
+            idle.remove(0);
         }
+        idle.push(Idle {
+            lane,
+            connection,
+            since_us: now_us,
+        });
     }
 
     /// Closes all connections.
     pub(super) fn close(&self) {
-        self.0.borrow_mut().clear();
+        self.idle.borrow_mut().clear();
     }
 }
--- a/crates/peridotrack-edge/tests/gateway/main.rs
+++ b/crates/peridotrack-edge/tests/gateway/main.rs
@@ -20,6 +20,7 @@
 mod raw;
 mod reach;
 mod repeated_refusal;
+mod repeated_response;
 mod requests;
 mod requests_that_crash;
 mod stated_limit;
--- a/crates/peridotrack-edge/tests/platform.rs
+++ b/crates/peridotrack-edge/tests/platform.rs
@@ -1,5 +1,5 @@
-//! Client of the store: watches after their connections have fallen silent without a reset, and responses
-//! in an unusual notation or with entries that cannot be decoded.
+//! Client of the store: watches after their connections have fallen silent without a reset, responses in
+//! an unusual notation or with entries that cannot be decoded, and responses that the store repeats.
 
 use std::{
     rc::Rc,
@@ -14,7 +14,10 @@
 use peridotrack_kernel::{Kernel, Options};
 use peridotrack_standin::{
     harness::{http::block_on, relay},
-    hosted::store,
+    hosted::{
+        repeater::{self, Repeated, When},
+        store,
+    },
 };
 use rstest::rstest;
 
@@ -146,3 +149,51 @@
         assert!(fixture.is_answered(KINDS[0]).await);
     });
 }
+
+/// Guards against a write that counts as done although another one was, and against the content of
+/// another object, because the response to an earlier call is taken for that to the call.
+#[rstest]
+#[case::at_once(When::AtOnce)]
+#[case::late(When::After(Duration::from_millis(5)))]
+#[case::idle(When::Idle(Duration::from_millis(20)))]
+#[case::with_the_next(When::WithNext)]
+fn a_repeated_response_is_taken_for_that_to_another_call(#[case] when: When) {
+    const ROUNDS: u64 = 20;
+    const NAMES: [&str; 3] = ["0", "1", "2"];
+    block_on(async {
+        let store = store::spawn().unwrap();
+        let repeater = repeater::spawn(store.address(), Repeated::All, when).unwrap();
+        let open = |address| {
+            let kernel = Kernel::open(Options::default()).unwrap();
+            Platform::open(kernel, address, Dialect::Hosted, 0)
+        };
+        let (platform, direct) = (open(repeater), open(store.address()));
+        let (mut wrong, mut done) = (Vec::new(), 0);
+        for round in 0..ROUNDS {
+            for name in NAMES {
+                let key = format!("ledger/{name}");
+                let content = format!("{{\"name\":{name},\"round\":{round}}}");
+                let stored = direct.read(&key).await.unwrap();
+                let expected = stored.map(|object| object.version);
+                let body = Bytes::from(content.clone());
+                if let Ok(version) = platform.write(&key, expected, body).await {
+                    let stored = direct.read(&key).await.unwrap();
+                    let is_done = stored.is_some_and(|object| {
+                        object.version == version && object.body == content.as_bytes()
+                    });
+                    done += u64::from(is_done);
+                    wrong.extend((!is_done).then(|| format!("write {content}")));
+                }
+            }
+            for name in NAMES {
+                if let Ok(object) = platform.read(&format!("ledger/{name}")).await {
+                    let text = object.map_or(Bytes::new(), |object| object.body);
+                    let is_named = text.starts_with(format!("{{\"name\":{name},").as_bytes());
+                    wrong.extend((!is_named).then(|| format!("read {name}: {text:?}")));
+                }
+            }
+        }
+        assert!(wrong.is_empty(), "{} wrong: {wrong:?}", wrong.len());
+        assert!(done >= ROUNDS, "{done} writes have a response");
+    });
+}
--- a/crates/peridotrack-standin/src/hosted/mod.rs
+++ b/crates/peridotrack-standin/src/hosted/mod.rs
@@ -5,4 +5,5 @@
 pub mod client;
 pub mod deployment;
 pub mod paced;
+pub mod repeater;
 pub mod store;
