--- a/crates/peridotrack-edge/src/gateway/exchange.rs
+++ b/crates/peridotrack-edge/src/gateway/exchange.rs
@@ -264,12 +264,15 @@
     let event = event::Event::new(event::Kind::RequestRefused)
         .with("client_request", rejected.client_request.as_str())
         .with("config_version", rejected.config_version)
-        .with("config_age_us", age_us.unwrap_or(u64::MAX))
         .with(
             "is_config_relayed",
             shared.follow.is_relayed(site_wire::KIND),
         )
         .with("is_store_reachable", shared.platform.is_reachable());
+    let event = match age_us {
+        Some(age_us) => event.with("config_age_us", age_us),
+        None => event,
+    };
     refuse_with(shared, connection, None, None, &rejected.problem, event).await
 }
 
--- a/crates/peridotrack-edge/src/member.rs
+++ b/crates/peridotrack-edge/src/member.rs
@@ -305,9 +305,11 @@
         let event = event::Event::new(event::Kind::ConfigAdvertised)
             .with("version", version)
             .with("config_version", above_version)
-            .with("config_age_us", age_us().unwrap_or(u64::MAX))
             .with("peer", address.to_string());
-        self.kernel.note(event);
+        self.kernel.note(match age_us() {
+            Some(age_us) => event.with("config_age_us", age_us),
+            None => event,
+        });
         self.link
             .send(address, &peer::Frame::ConfigRequest { above_version });
     }
