fix(follow): miss no change when responses and updates cross, or events state no later revision

Cause: a response to a watch that came after an update of the relay was taken to continue the view that the update had moved. The view jumped to the revision that the response states, or older objects replaced newer ones. The same jump was left for events whose revision is not beyond the view's (removals that state the last one) or that cannot be decoded. A stated revision counted as old from one response to the next, although the next watch was sent at once. Change: a response is compared with the revision after which its own watch asked. Without a later revision the objects are listed. A watch proves what was stated 5 s before it was sent. A lost history has the objects listed and keeps the view until then. Watches of crash statements and evacuations wait for 3 s at most, so that the history of 20 s suffices.

--- a/crates/peridotrack-edge/src/follow.rs
+++ b/crates/peridotrack-edge/src/follow.rs
@@ -329,7 +329,7 @@
         let watch = self.platform.watch_kind(self.name, revision, wait_ms);
         let event = match watch.await {
             Ok(watch) => Event::Watched {
-                last_change: watch.last_change(),
+                last_change: watch.last_change,
                 changes: watch.changes.into_iter().map(change).collect(),
                 revision: watch.revision,
                 since_loss_us: self.since_loss_us(),
--- a/crates/peridotrack-edge/src/gateway/options.rs
+++ b/crates/peridotrack-edge/src/gateway/options.rs
@@ -110,9 +110,10 @@
 /// Longest backoff between failing calls of a follower, in microseconds: well within the 2 s in
 /// which entries are renewed after an outage.
 const FOLLOW_BACKOFF_MAX_US: u64 = 800 * clock::US_PER_MS;
-/// Maximum wait of a watch of the statements about crashes, in microseconds: less than half of the time
-/// for which the store keeps its history.
-const QUARANTINE_WAIT_US: u64 = 7 * clock::US_PER_S;
+/// Maximum wait of a watch of the statements about crashes or of the evacuations, in microseconds: three of
+/// them, and twice the time after which a stated revision is relied on, are shorter than the store keeps
+/// its history.
+const MAX_LED_WAIT_US: u64 = 3 * clock::US_PER_S;
 /// Renewal intervals of an entry in the shortest outage of the store in which it expires. Entries
 /// expire after three intervals without renewal, of which the last renewal may precede the outage
 /// by one.
@@ -334,7 +335,7 @@
 /// response because of an outage is detected after its wait and the time for a response, before the
 /// bound on changes after the time of contact has passed.
 pub(super) fn follow_evacuations(bounds: &Bounds, evacuation_ms: u64) -> follower::Options {
-    let wait_us = evacuation_ms * clock::US_PER_MS;
+    let wait_us = (evacuation_ms * clock::US_PER_MS).min(MAX_LED_WAIT_US);
     follower::Options {
         wait_us,
         relay_wait_us: wait_us,
@@ -351,12 +352,12 @@
 /// follower of the configuration detects a relay or a store that cannot be reached.
 pub(super) fn follow_quarantine(bounds: &Bounds) -> follower::Options {
     follower::Options {
-        wait_us: QUARANTINE_WAIT_US,
-        relay_wait_us: QUARANTINE_WAIT_US,
-        silence_us: 2 * QUARANTINE_WAIT_US,
-        max_age_us: 2 * QUARANTINE_WAIT_US,
-        subscribe_us: QUARANTINE_WAIT_US / 8,
-        subscription_us: QUARANTINE_WAIT_US / 2,
+        wait_us: MAX_LED_WAIT_US,
+        relay_wait_us: MAX_LED_WAIT_US,
+        silence_us: 2 * MAX_LED_WAIT_US,
+        max_age_us: 2 * MAX_LED_WAIT_US,
+        subscribe_us: MAX_LED_WAIT_US / 8,
+        subscription_us: MAX_LED_WAIT_US / 2,
         relist_after_us: u64::MAX,
         is_fetched: true,
         is_led: true,
--- a/crates/peridotrack-edge/src/platform/hosted.rs
+++ b/crates/peridotrack-edge/src/platform/hosted.rs
@@ -260,7 +260,7 @@
 /// Returns whether a response can only be that to a watch after `revision`: it reports a change after
 /// it or, in about the time that the watch asked for, none.
 fn is_in_turn(changes: &store::Changes, revision: u64, wait_ms: u64, waited_us: u64) -> bool {
-    match changes.last_change() {
+    match changes.last_change {
         Some(last_change) => last_change > revision,
         None => waited_us >= wait_ms * clock::US_PER_MS / 2,
     }
--- a/crates/peridotrack-follow/src/event.rs
+++ b/crates/peridotrack-follow/src/event.rs
@@ -25,8 +25,8 @@
     Watched {
         /// Changes after the requested revision that can be decoded, oldest first.
         changes: Vec<Change>,
-        /// Revision of the last change, whether or not it can be decoded; `None` if there were no
-        /// changes.
+        /// Highest revision of the changes, including those that cannot be decoded; 0 if none of them
+        /// has a revision, and `None` if there were no changes.
         last_change: Option<u64>,
         /// Revision of the store that the response states.
         revision: u64,
--- a/crates/peridotrack-follow/src/follower.rs
+++ b/crates/peridotrack-follow/src/follower.rs
@@ -34,6 +34,11 @@
     view: Option<View>,
     /// Whether a list or watch is outstanding.
     is_calling: bool,
+    /// When the latest watch was sent, and the revision after which it asked for changes.
+    watched: (u64, u64),
+    /// Whether the objects must be listed before they are watched again, because the store does not
+    /// report the changes after the view.
+    must_list: bool,
     /// Failed calls since the last successful one.
     failures: u32,
     /// When the next call to the store may start.
@@ -57,6 +62,8 @@
             rng: fastrand::Rng::with_seed(options.seed ^ id.0),
             view: None,
             is_calling: false,
+            watched: (0, 0),
+            must_list: false,
             failures: 0,
             call_at_us: now_us,
             is_polling: false,
@@ -83,9 +90,10 @@
     }
 
     /// Returns whether a list of a revision may be applied. One that took long may be older than
-    /// objects that a peer has sent meanwhile; the store's revisions never decrease.
+    /// objects that a peer has sent meanwhile; the store's revisions never decrease, unless it has lost
+    /// the changes after the view.
     pub fn accepts_list(&self, revision: u64) -> bool {
-        self.view.is_none_or(|view| view.revision <= revision)
+        self.must_list || self.view.is_none_or(|view| view.revision <= revision)
     }
 
     /// Returns whether updates of a relay keep the view current, so that no watch is needed.
@@ -128,12 +136,15 @@
                 if !changes.is_empty() && !self.is_relay(now_us) {
                     self.call_at_us = now_us + self.options.batch_delay_us;
                 }
+                let (sent_us, from_revision) = self.watched;
                 let update = Update {
-                    from_revision: self.watched_from(),
-                    revision: self.shown_revision(now_us, last_change, revision),
+                    from_revision,
+                    revision: self.shown_revision(now_us, sent_us, last_change, revision),
                     changes,
                     since_loss_us,
                 };
+                // Without a later revision the same changes would be reported again at once.
+                self.must_list |= last_change.is_some_and(|last| last <= from_revision);
                 self.apply(now_us, now_us, update, &mut actions);
             }
             Event::CallFailed => self.on_failure(now_us),
@@ -144,7 +155,7 @@
             Event::HistoryLost => {
                 self.is_calling = false;
                 self.is_polling = false;
-                self.view = None;
+                self.must_list = true;
             }
             Event::Peers(peers) => {
                 self.peers = peers;
@@ -172,6 +183,7 @@
         if !self.accepts_list(revision) {
             return;
         }
+        self.must_list = false;
         self.view = Some(View::of_all(revision, Some(now_us)));
         // Subscribers with an earlier view read the changes from the store.
         let update = Update {
@@ -292,6 +304,7 @@
             .adopt(now_us, &self.options, own, from, snapshot.revision);
         if adopted.is_some() {
             self.view = adopted;
+            self.must_list = false;
             actions.push(Action::Replace(snapshot));
         }
     }
@@ -299,23 +312,23 @@
 
 /// Updates of the view.
 impl Follower {
-    /// Returns the revision after which the changes of a watch begin; 0 without a view.
-    fn watched_from(&self) -> u64 {
-        self.view.map_or(0, |view| view.revision)
-    }
-
-    /// Returns the revision that the view shows after a watch: that of the last change, or else one
-    /// that is old enough. The store may state a revision beyond a change that it has not reported.
-    fn shown_revision(&mut self, now_us: u64, last_change: Option<u64>, stated: u64) -> u64 {
+    /// Returns the revision that the view shows after a watch that was sent at `sent_us`: that of the
+    /// last change, or else one that is old enough. The store may state a revision beyond a change
+    /// that it has not reported.
+    fn shown_revision(
+        &mut self,
+        now_us: u64,
+        sent_us: u64,
+        last_change: Option<u64>,
+        stated: u64,
+    ) -> u64 {
         let settle_us = self.options.settle_us;
         let Some(view) = &mut self.view else {
             return stated;
         };
         match last_change {
-            // Without progress the same changes would be reported again at once.
-            Some(last_change) if last_change <= view.revision => stated,
             Some(last_change) => last_change,
-            None => view.proven(now_us, stated, settle_us),
+            None => view.proven(now_us, sent_us, stated, settle_us),
         }
     }
 
@@ -376,7 +389,7 @@
         if self.is_calling || now_us < self.call_at_us {
             return;
         }
-        let Some(view) = self.view else {
+        let Some(view) = self.view.filter(|_| !self.must_list) else {
             self.is_calling = true;
             return actions.push(Action::List);
         };
@@ -399,6 +412,7 @@
             self.options.wait_us
         };
         self.is_calling = true;
+        self.watched = (now_us, view.revision);
         actions.push(Action::Watch {
             revision: view.revision,
             wait_ms: wait_us / US_PER_MS,
--- a/crates/peridotrack-follow/src/follower/options.rs
+++ b/crates/peridotrack-follow/src/follower/options.rs
@@ -24,8 +24,9 @@
     pub max_age_us: u64,
     /// Time for which watches go on from a revision after which the store has reported no changes,
     /// before they go on from a later one, in microseconds. The store may report a change late,
-    /// although it states a later revision: this time must be longer than the delay, and the time
-    /// and two waits shorter than the store keeps its history.
+    /// although it states a later revision: this time must be longer than the delay. Twice the time and
+    /// three waits must be shorter than the store keeps its history, or else the objects are listed
+    /// now and then.
     pub settle_us: u64,
     /// Time since the last confirmation of the view after which the objects are listed again
     /// instead of watched, in microseconds. After a long time, listing them may be faster than
--- a/crates/peridotrack-follow/src/follower/view.rs
+++ b/crates/peridotrack-follow/src/follower/view.rs
@@ -28,12 +28,18 @@
         }
     }
 
-    /// Returns the revision up to which a watch without changes shows that there were none. The store
-    /// may report a change late, although it states a later revision. Only a revision that it stated
-    /// `settle_us` ago is therefore taken as proven by a response that still has no changes.
-    pub(super) fn proven(&mut self, now_us: u64, stated_revision: u64, settle_us: u64) -> u64 {
+    /// Returns the revision up to which a watch without changes, sent at `sent_us`, shows that there were
+    /// none. The store may report a change late, although it states a later revision. Only a revision
+    /// that it stated `settle_us` before the watch was sent is therefore taken as proven by it.
+    pub(super) fn proven(
+        &mut self,
+        now_us: u64,
+        sent_us: u64,
+        stated_revision: u64,
+        settle_us: u64,
+    ) -> u64 {
         let (revision, since_us) = *self.stated.get_or_insert((stated_revision, now_us));
-        if now_us < since_us + settle_us {
+        if sent_us < since_us + settle_us {
             return self.revision;
         }
         self.stated = Some((stated_revision, now_us));
--- a/crates/peridotrack-standin/src/hosted/store.rs
+++ b/crates/peridotrack-standin/src/hosted/store.rs
@@ -296,10 +296,11 @@
 
     fn remove(&self, kind: &str, name: &str) {
         let mut state = self.state.borrow_mut();
-        let Some(object) = state.objects.remove(&(kind.to_owned(), name.to_owned())) else {
+        let Some(mut object) = state.objects.remove(&(kind.to_owned(), name.to_owned())) else {
             return;
         };
         state.revision += 1;
+        object.revision = state.revision;
         let event = json!({"object": object.document(name), "tombstone": true});
         self.record(&mut state, kind, event);
     }
