test(peridotrackd): give starting gateways addresses of their own

Cause: a_gateway_starts_with_a_very_large_write_rate failed once, beside other tests and builds at a load of 25: the process ended without output on standard error. Ports that were free a moment before may have been taken meanwhile; that is an inference, because standard output was not shown. Change: each gateway has a loopback address of its own, and the failure shows both outputs.

--- a/crates/peridotrackd/tests/starting.rs
+++ b/crates/peridotrackd/tests/starting.rs
@@ -3,7 +3,7 @@
 use std::{
     fs::{self, File, OpenOptions},
     io::Write,
-    net::{SocketAddr, TcpListener},
+    net::SocketAddr,
     path::{Path, PathBuf},
     process::Command,
     time::Duration,
@@ -13,6 +13,7 @@
     harness::{
         http::block_on,
         process::{self, Options, Process},
+        router::fresh_loopback_ip,
         wait,
     },
     hosted::deployment,
@@ -21,19 +22,16 @@
 
 const TIMEOUT: Duration = Duration::from_secs(10);
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
-}
-
 /// Returns a settings file. No store listens at its address, which a start does not need.
 fn settings() -> String {
+    // A port that was free a moment ago may be taken by another process of the machine.
+    let ip = fresh_loopback_ip();
     let addresses = deployment::Addresses {
-        client: free_address(),
-        ready: free_address(),
-        control: free_address(),
-        internal_port: free_address().port(),
-        store: free_address(),
+        client: SocketAddr::new(ip, 8227),
+        ready: SocketAddr::new(ip, 8220),
+        control: SocketAddr::new(ip, 8229),
+        internal_port: 7340,
+        store: SocketAddr::new(ip, 8223),
     };
     deployment::settings(
         "front-a-1",
@@ -84,7 +82,8 @@
         (is_started || has_ended).then_some(is_started)
     };
     let is_started = wait::poll(TIMEOUT, "the start", started).await.unwrap();
-    assert!(is_started, "it ended: {:?}", gateway.stderr());
+    let (stdout, stderr) = (gateway.stdout(), gateway.stderr());
+    assert!(is_started, "it ended: {stdout:?} {stderr:?}");
 }
 
 /// Creates a pipe in place of a settings file. The process waits in its start until the other end,
