refactor(follow): name what is remembered of the latest watch

Cause: a pair of numbers did not say which is which. Change: a type with two fields. Result: all tests of the crate pass; no change of behaviour is intended.

--- a/crates/peridotrack-follow/src/follower.rs
+++ b/crates/peridotrack-follow/src/follower.rs
@@ -25,6 +25,14 @@
 
 const US_PER_MS: u64 = 1_000;
 
+/// The latest watch.
+#[derive(Debug, Clone, Copy, Default)]
+struct Watch {
+    sent_us: u64,
+    /// Revision after which it asked for changes.
+    from_revision: u64,
+}
+
 /// Follows one kind of objects for one router.
 #[derive(Debug)]
 pub struct Follower {
@@ -34,8 +42,7 @@
     view: Option<View>,
     /// Whether a list or watch is outstanding.
     is_calling: bool,
-    /// When the latest watch was sent, and the revision after which it asked for changes.
-    watched: (u64, u64),
+    watch: Watch,
     /// Whether the objects must be listed before they are watched again, because the store does not
     /// report the changes after the view.
     must_list: bool,
@@ -62,7 +69,7 @@
             rng: fastrand::Rng::with_seed(options.seed ^ id.0),
             view: None,
             is_calling: false,
-            watched: (0, 0),
+            watch: Watch::default(),
             must_list: false,
             failures: 0,
             call_at_us: now_us,
@@ -136,10 +143,10 @@
                 if !changes.is_empty() && !self.is_relay(now_us) {
                     self.call_at_us = now_us + self.options.batch_delay_us;
                 }
-                let (sent_us, from_revision) = self.watched;
+                let from_revision = self.watch.from_revision;
                 let update = Update {
                     from_revision,
-                    revision: self.shown_revision(now_us, sent_us, last_change, revision),
+                    revision: self.shown_revision(now_us, last_change, revision),
                     changes,
                     since_loss_us,
                 };
@@ -312,17 +319,11 @@
 
 /// Updates of the view.
 impl Follower {
-    /// Returns the revision that the view shows after a watch that was sent at `sent_us`: that of the
-    /// last change, or else one that is old enough. The store may state a revision beyond a change
-    /// that it has not reported.
-    fn shown_revision(
-        &mut self,
-        now_us: u64,
-        sent_us: u64,
-        last_change: Option<u64>,
-        stated: u64,
-    ) -> u64 {
-        let settle_us = self.options.settle_us;
+    /// Returns the revision that the view shows after the latest watch: that of the last change, or
+    /// else one that is old enough. The store may state a revision beyond a change that it has not
+    /// reported.
+    fn shown_revision(&mut self, now_us: u64, last_change: Option<u64>, stated: u64) -> u64 {
+        let (sent_us, settle_us) = (self.watch.sent_us, self.options.settle_us);
         let Some(view) = &mut self.view else {
             return stated;
         };
@@ -412,7 +413,10 @@
             self.options.wait_us
         };
         self.is_calling = true;
-        self.watched = (now_us, view.revision);
+        self.watch = Watch {
+            sent_us: now_us,
+            from_revision: view.revision,
+        };
         actions.push(Action::Watch {
             revision: view.revision,
             wait_ms: wait_us / US_PER_MS,
