fix(follow): list the objects if the store does not report what a relay has announced

Cause: after a relay had listed the objects, a subscriber with an earlier view asked the store again and again until a stated revision was old, and watched the store itself meanwhile. Change: if a watch reports nothing although a relay has announced a later revision, the objects are listed. Result: one watch and one list instead of watches for 5 s, by the new test of the follower; all 42 pass.

--- a/crates/peridotrack-follow/src/follower.rs
+++ b/crates/peridotrack-follow/src/follower.rs
@@ -46,6 +46,8 @@
     /// Whether the objects must be listed before they are watched again, because the store does not
     /// report the changes after the view.
     must_list: bool,
+    /// Revision up to which a relay has announced changes without sending them; 0 if none has.
+    announced_revision: u64,
     /// Failed calls since the last successful one.
     failures: u32,
     /// When the next call to the store may start.
@@ -71,6 +73,7 @@
             is_calling: false,
             watch: Watch::default(),
             must_list: false,
+            announced_revision: 0,
             failures: 0,
             call_at_us: now_us,
             is_polling: false,
@@ -150,8 +153,12 @@
                     changes,
                     since_loss_us,
                 };
-                // Without a later revision the same changes would be reported again at once.
-                self.must_list |= last_change.is_some_and(|last| last <= from_revision);
+                // Without a later revision the same changes would be reported again at once. Changes that
+                // a relay has announced and the store does not report are in a list.
+                self.must_list |= match last_change {
+                    Some(last_change) => last_change <= from_revision,
+                    None => from_revision < self.announced_revision,
+                };
                 self.apply(now_us, now_us, update, &mut actions);
             }
             Event::CallFailed => self.on_failure(now_us),
@@ -282,6 +289,7 @@
             return;
         }
         if is_gap {
+            self.announced_revision = self.announced_revision.max(update.from_revision);
             self.is_polling |= !self.is_calling;
             return;
         }
--- a/crates/peridotrack-follow/tests/follower.rs
+++ b/crates/peridotrack-follow/tests/follower.rs
@@ -255,6 +255,20 @@
     assert_eq!(watched_revision(&actions), Some(15));
 }
 
+/// Guards against subscribers that watch the store themselves for as long as a stated revision is not old,
+/// after a relay has listed the objects.
+#[test]
+fn objects_are_listed_if_the_store_does_not_report_what_a_relay_has_announced() {
+    let mut follower = relayed();
+    let actions = follower.on_event(30 * MS, update(14, 14, &[]));
+    assert_eq!(watch_wait_ms(&actions), Some(0));
+    let actions = follower.on_event(40 * MS, watched(14, &[]));
+    assert!(actions.contains(&Action::List));
+    follower.on_event(50 * MS, Event::Listed { revision: 15 });
+    follower.on_event(60 * MS, update(14, 14, &[]));
+    assert!(follower.is_relayed(60 * MS));
+}
+
 /// Guards against an older object that replaces a newer one, and a change that is skipped, because the
 /// response to a watch came after an update of the relay that moved the view past it.
 #[test]
