perf(edge): keep the connection to the store after a conflict

Cause: connections were closed after each conflict since calls of one kind have their own; conflicts are a quarter of the calls of a large fleet, and a new connection makes the next write late. Change: a conflict shows the object, so that one of an earlier write is told apart by its name or revision; then the outcome counts as unknown, as for any other response of another call.

--- a/crates/peridotrack-edge/src/platform/call.rs
+++ b/crates/peridotrack-edge/src/platform/call.rs
@@ -38,11 +38,16 @@
     /// Returns whether the connection of a complete response serves further calls.
     ///
     /// Refusals say nothing of the call that they belong to, and neither do the responses of the
-    /// metadata store to a removal, or to a list of which another one may have been read meanwhile.
+    /// metadata store to a removal, or to a list of which another one may have been read meanwhile. A
+    /// conflict is frequent, and shows the object.
     pub(super) fn keeps_connection(&self, dialect: Dialect, status: http::StatusCode) -> bool {
         match dialect {
             Dialect::Native => !is_refusal(status),
-            Dialect::Hosted => status.is_success() && matches!(self.step, "read" | "write"),
+            Dialect::Hosted => match self.step {
+                "read" => status.is_success(),
+                "write" => status.is_success() || status == http::StatusCode::CONFLICT,
+                _ => false,
+            },
         }
     }
 
--- a/crates/peridotrack-edge/src/platform/hosted.rs
+++ b/crates/peridotrack-edge/src/platform/hosted.rs
@@ -207,15 +207,22 @@
                     false => Err(unknown("write", key, self.on_other_object(&object))),
                 }
             }
-            404 | 409 => Err(Error::Conflict {
-                step: "write",
-                key: key.to_owned(),
-                // Without the stored object, the caller reads it before its next update.
-                current: store::object(response.body())
-                    .ok()
-                    .filter(|object| object.name == name)
-                    .and_then(|object| unpack_object(&object).ok()),
-            }),
+            404 | 409 => {
+                let stored = store::object(response.body()).ok();
+                // A conflict with the expected revision is that of an earlier write.
+                let is_own = |object: &store::Object| {
+                    object.name == name && Some(object.revision) != expected
+                };
+                if let Some(other) = stored.as_ref().filter(|object| !is_own(object)) {
+                    return Err(unknown("write", key, self.on_other_object(other)));
+                }
+                Err(Error::Conflict {
+                    step: "write",
+                    key: key.to_owned(),
+                    // Without the stored object, the caller reads it before its next update.
+                    current: stored.and_then(|object| unpack_object(&object).ok()),
+                })
+            }
             400..=499 | 503 => Err(refused("write", key, &response)),
             status => Err(unknown("write", key, format!("status {status}"))),
         }
