feat(edge): log once what the calls of a view got that is not confirmed

A list that is turned away, a response that cannot be decoded, a status other than success or refusal and a call that never ends all look the same. Change: ViewOutdated (125) states the age and revision of the view, the calls that ended since it was last confirmed, what the latest one got, and for how long one has been pending; once for each such time and kind.

--- a/crates/peridotrack-edge/src/follow.rs
+++ b/crates/peridotrack-edge/src/follow.rs
@@ -4,6 +4,8 @@
 //! It runs one follower of `peridotrack-follow` for each kind, makes the store calls and sends the
 //! messages to peers that the follower requests, and passes each update to a callback.
 
+mod calls;
+
 use std::{
     cell::{Cell, RefCell},
     collections::BTreeMap,
@@ -22,6 +24,7 @@
 use peridotrack_types::id;
 
 use crate::{member, peer, platform};
+use calls::Calls;
 
 /// Name of this service in the registry.
 pub const SERVICE: &str = "follow";
@@ -32,6 +35,9 @@
 
 /// Period of the followers' ticks, in microseconds.
 const TICK_US: u64 = 100 * clock::US_PER_MS;
+/// Age of a view from which on it is reported as outdated, as a multiple of
+/// [`Options::max_age_us`].
+const OUTDATED_AGES: u64 = 2;
 
 /// Update of the view of one kind of objects, as passed to the callback.
 #[derive(Clone, Copy)]
@@ -90,6 +96,9 @@
     leader: Option<Rc<Kind>>,
     /// Whether a peer kept the view current at the last event.
     was_relayed: Cell<bool>,
+    /// Age of the view from which on it is reported as outdated, in microseconds.
+    outdated_us: u64,
+    calls: RefCell<Calls>,
     subscription: RefCell<Option<timer::Subscription>>,
 }
 
@@ -112,6 +121,8 @@
         } = target;
         let leader = self.kinds.borrow().first().cloned();
         let kind = Rc::new(Kind {
+            outdated_us: OUTDATED_AGES * options.max_age_us,
+            calls: RefCell::default(),
             leader: leader.filter(|_| options.is_led),
             kernel: Rc::clone(kernel),
             platform: Rc::clone(platform),
@@ -178,6 +189,7 @@
 impl Kind {
     fn tick(self: &Rc<Self>) {
         let now_us = self.kernel.now_us();
+        self.note_outdated(now_us);
         self.handle(match &self.leader {
             Some(leader) => Event::Relay(leader.follower.borrow().relay(now_us)),
             None => Event::Tick,
@@ -310,8 +322,40 @@
         }
     }
 
+    /// Logs once that the view has not been confirmed for long, with what its calls got.
+    fn note_outdated(&self, now_us: u64) {
+        let (confirmed_us, revision) = {
+            let follower = self.follower.borrow();
+            (follower.confirmed_us(), follower.revision())
+        };
+        let (Some(confirmed_us), Some(revision)) = (confirmed_us, revision) else {
+            return;
+        };
+        let mut calls = self.calls.borrow_mut();
+        let age_us = now_us.saturating_sub(confirmed_us);
+        if !calls.report(confirmed_us, age_us >= self.outdated_us) {
+            return;
+        }
+        let event = event::Event::new(event::Kind::ViewOutdated)
+            .with("kind", self.name)
+            .with("age_us", age_us)
+            .with("revision", revision)
+            .with("calls", calls.count())
+            .with("latest_result", calls.latest_result());
+        self.kernel.note(match calls.pending_us(now_us) {
+            Some(pending_us) => event.with("pending_us", pending_us),
+            None => event,
+        });
+    }
+
     async fn list(self: Rc<Self>) {
-        let event = match self.platform.list(self.name).await {
+        self.calls.borrow_mut().begin(self.kernel.now_us());
+        let result = self.platform.list(self.name).await;
+        self.calls.borrow_mut().end(match &result {
+            Ok(listing) => format!("list at revision {}", listing.revision),
+            Err(error) => error.to_string(),
+        });
+        let event = match result {
             Ok(listing) => {
                 if self.follower.borrow().accepts_list(listing.revision) {
                     self.set_listing(&listing.objects, listing.is_complete);
@@ -326,8 +370,13 @@
     }
 
     async fn watch(self: Rc<Self>, revision: u64, wait_ms: u64) {
-        let watch = self.platform.watch_kind(self.name, revision, wait_ms);
-        let event = match watch.await {
+        self.calls.borrow_mut().begin(self.kernel.now_us());
+        let result = self.platform.watch_kind(self.name, revision, wait_ms).await;
+        self.calls.borrow_mut().end(match &result {
+            Ok(watch) => format!("watch at revision {}", watch.revision),
+            Err(error) => error.to_string(),
+        });
+        let event = match result {
             Ok(watch) => Event::Watched {
                 last_change: watch.last_change,
                 changes: watch.changes.into_iter().map(change).collect(),
--- a/crates/peridotrack-kernel/src/event.rs
+++ b/crates/peridotrack-kernel/src/event.rs
@@ -97,6 +97,8 @@
     123 Info SourceChanged,
     /// Objects of the store were fetched from a peer, because neither the store nor a relay sends them.
     124 Info ObjectsFetched,
+    /// A view of the store's objects has not been confirmed for long; the event says what its calls got.
+    125 Warn ViewOutdated,
     /// A peer became live.
     130 Info PeerJoined,
     /// A peer is no longer live.
