test(edge): show that a view is kept for ever after one odd revision

Cause: a view that states a revision beyond that of the store turns every list away, and every watch counts as failed. Nothing is logged, and the next call is sent at once. Change: the stand-in of the store can begin its revisions anew, overstate them once, report events again and end watches at once. Two gateways follow it while configurations and a server change.

--- a/crates/peridotrack-edge/tests/gateway/main.rs
+++ b/crates/peridotrack-edge/tests/gateway/main.rs
@@ -15,6 +15,7 @@
 mod late_peers;
 mod leaving_or_paused;
 mod odd_entries;
+mod odd_revisions;
 mod partitioned;
 mod peers;
 mod prompt_parts;
--- /dev/null
+++ b/crates/peridotrack-edge/tests/gateway/odd_revisions.rs
@@ -0,0 +1,183 @@
+//! A store whose revisions or watches are not as its protocol says: no view may be kept for ever, and the
+//! store may not be called without a pause.
+
+use std::time::{Duration, Instant};
+
+use peridotrack_edge::gateway::Gateway;
+use peridotrack_kernel::log;
+use peridotrack_standin::{
+    harness::{
+        http::{block_on, fetch},
+        wait,
+    },
+    hosted::{
+        backend,
+        store::{self, Mode, Quirk},
+    },
+};
+use peridotrack_types::gateway::{Bounds, Settings};
+use rstest::rstest;
+use serde_json::json;
+
+use crate::fixture::{self, LIMIT, request, settings};
+
+/// Changes that a test writes.
+const CHANGES: u64 = 3;
+/// Requests to each gateway that show which servers are used.
+const REQUESTS: usize = 20;
+/// Bound on the calls of one gateway to the store: of the 2,000 reads a second that the platform grants
+/// to a fleet, nine routers have as many each, and half of them are left for other reads.
+const CALLS_PER_S: f64 = 2_000.0 / 9.0 / 2.0;
+
+/// What is odd about the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Oddity {
+    /// Its revisions begin anew, and waiting watches go on.
+    RevisionsRestart,
+    /// Its revisions begin anew after an outage.
+    RevisionsRestartInAnOutage,
+    /// It answers with a quirk while the gateways start.
+    AtTheStart(Quirk),
+    /// It answers with a quirk while the first change is made.
+    Once(Quirk),
+    /// It answers with a quirk from the start on.
+    Always(Quirk),
+}
+
+/// Two gateways of one failure domain, of which one relays changes to the other.
+struct Fleet {
+    store: store::Handle,
+    servers: [backend::Handle; 2],
+    gateways: Vec<Gateway>,
+    bounds: Bounds,
+}
+
+impl Fleet {
+    async fn spawn(quirk: Option<Quirk>) -> Self {
+        let store = store::spawn().unwrap();
+        let servers = [backend::spawn().unwrap(), backend::spawn().unwrap()];
+        // As many revisions as the changes of a test would not make up for.
+        for sequence in 0..100 {
+            for (number, server) in servers.iter().enumerate() {
+                let mut entry = fixture::entry(server);
+                entry["sequence"] = json!(sequence);
+                store.put("servers", &format!("i-{number}"), entry);
+            }
+        }
+        store.put("config", "main", fixture::config(1, 1_000_000));
+        store.set_quirk(quirk);
+        let bounds = settings(&store).bounds;
+        let mut seeds = Vec::new();
+        let mut gateways = Vec::new();
+        for number in 0..2 {
+            let settings = Settings {
+                vm: format!("vm-{number}").as_str().into(),
+                seed_addresses: seeds.clone(),
+                ..settings(&store)
+            };
+            let gateway = Gateway::spawn(settings, log::Output::Off).unwrap();
+            seeds.push(gateway.peer_address());
+            gateways.push(gateway);
+        }
+        for gateway in &gateways {
+            let served = async || (status(gateway, "/public/x").await == 200).then_some(());
+            wait::poll(LIMIT, "served request", served).await.unwrap();
+        }
+        Self {
+            store,
+            servers,
+            gateways,
+            bounds,
+        }
+    }
+
+    /// Writes a configuration with a further route and, at the same time, the entry of a server.
+    fn change(&self, version: u64, state: &str) {
+        let mut config = fixture::config(version, 1_000_000);
+        let mut route = config["routes"][0].clone();
+        route["name"] = json!(format!("added-{version}"));
+        route["pathPrefix"] = json!(prefix(version));
+        config["routes"].as_array_mut().unwrap().push(route);
+        let mut entry = fixture::entry(&self.servers[1]);
+        entry["sequence"] = json!(100 + version);
+        entry["state"] = json!(state);
+        self.store.put("config", "main", config);
+        self.store.put("servers", "i-1", entry);
+    }
+
+    async fn meet(&self, oddity: Oddity) {
+        let contact = Duration::from_millis(self.bounds.contact_ms);
+        match oddity {
+            Oddity::RevisionsRestart => self.store.restart_revisions(),
+            Oddity::RevisionsRestartInAnOutage => {
+                self.store.set_mode(Mode::Reset);
+                self.store.restart_revisions();
+                monoio::time::sleep(contact).await;
+                self.store.set_mode(Mode::Serve);
+            }
+            Oddity::Once(quirk) => {
+                self.store.set_quirk(Some(quirk));
+                self.change(2, "ready");
+                let applied = Duration::from_millis(self.bounds.config_apply_ms);
+                monoio::time::sleep(applied).await;
+                self.store.set_quirk(None);
+            }
+            Oddity::AtTheStart(_) => self.store.set_quirk(None),
+            Oddity::Always(_) => {}
+        }
+    }
+}
+
+fn prefix(version: u64) -> String {
+    format!("/added-{version}/")
+}
+
+async fn status(gateway: &Gateway, path: &str) -> u16 {
+    let response = fetch(gateway.client_address(), request(path, &[])).await;
+    response.map_or(0, |response| response.status().as_u16())
+}
+
+/// Guards against views that were kept for ever without a line in the log, while the store was called
+/// without a pause, because they stated a revision beyond that of the store.
+#[rstest]
+fn a_view_is_never_confirmed_again_because_revisions_are_odd(
+    #[values(
+        Oddity::RevisionsRestart,
+        Oddity::RevisionsRestartInAnOutage,
+        Oddity::AtTheStart(Quirk::OverstatedLists),
+        Oddity::Once(Quirk::OverstatedEvents),
+        Oddity::Always(Quirk::RepeatedEvents),
+        Oddity::Always(Quirk::ImpatientWatches)
+    )]
+    oddity: Oddity,
+) {
+    block_on(async {
+        let fleet = Fleet::spawn(match oddity {
+            Oddity::AtTheStart(quirk) | Oddity::Always(quirk) => Some(quirk),
+            _ => None,
+        })
+        .await;
+        monoio::time::sleep(Duration::from_millis(fleet.bounds.contact_ms)).await;
+        let (started, calls) = (Instant::now(), fleet.store.counters().calls);
+        fleet.meet(oddity).await;
+        for version in 3..3 + CHANGES {
+            let is_last = version == 2 + CHANGES;
+            fleet.change(version, if is_last { "draining" } else { "ready" });
+            monoio::time::sleep(Duration::from_millis(fleet.bounds.config_apply_ms)).await;
+            for gateway in &fleet.gateways {
+                assert_eq!(status(gateway, &prefix(version)).await, 200, "{version}");
+            }
+        }
+        let calls = (fleet.store.counters().calls - calls) as f64;
+        let calls_per_s = calls / started.elapsed().as_secs_f64();
+        let limit_per_s = CALLS_PER_S * fleet.gateways.len() as f64;
+        assert!(calls_per_s < limit_per_s, "{calls_per_s} calls a second");
+        let before = fleet.servers[1].arrivals();
+        for gateway in &fleet.gateways {
+            for _ in 0..REQUESTS {
+                assert_eq!(status(gateway, "/public/x").await, 200);
+            }
+        }
+        assert_eq!(fleet.servers[1].arrivals(), before, "the server drains");
+    });
+}
--- a/crates/peridotrack-standin/src/hosted/store.rs
+++ b/crates/peridotrack-standin/src/hosted/store.rs
@@ -77,6 +77,23 @@
     Name,
 }
 
+/// How the responses of the store deviate from its protocol.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Quirk {
+    /// The events of watches state revisions that are too high by [`OVERSTATED_BY`].
+    OverstatedEvents,
+    /// Lists state a revision that is too high by [`OVERSTATED_BY`].
+    OverstatedLists,
+    /// Watches report the last change again that their revision names.
+    RepeatedEvents,
+    /// Watches end at once, whether or not there are changes.
+    ImpatientWatches,
+}
+
+/// Number by which revisions are too high with [`Quirk::OverstatedEvents`] and
+/// [`Quirk::OverstatedLists`].
+pub const OVERSTATED_BY: u64 = 1_000_000;
+
 #[derive(Debug, Clone)]
 struct Object {
     revision: u64,
@@ -112,6 +129,7 @@
     watch_limit: Cell<Option<Duration>>,
     /// Whether watches report no changes.
     is_silent: Cell<bool>,
+    quirk: Cell<Option<Quirk>>,
     /// Number of times that the connections of all waiting watches were closed.
     watch_cuts: Cell<u64>,
     /// `Retry-After` of the refusals that all writes get; `None` if writes are executed.
@@ -155,6 +173,27 @@
         *self.0.application.write_refusal.borrow_mut() = retry_after.map(str::to_owned);
     }
 
+    /// Sets how responses deviate from the protocol, from now on.
+    pub fn set_quirk(&self, quirk: Option<Quirk>) {
+        self.0.application.quirk.set(quirk);
+    }
+
+    /// Gives the objects new revisions, counted from 1, and discards the change history. Watches that
+    /// wait, also for changes after a revision beyond the new ones, go on waiting.
+    pub fn restart_revisions(&self) {
+        let mut state = self.0.application.state.borrow_mut();
+        state.history.clear();
+        state.revision = 0;
+        let State {
+            revision, objects, ..
+        } = &mut *state;
+        for object in objects.values_mut() {
+            *revision += 1;
+            object.revision = *revision;
+            object.created_revision = *revision;
+        }
+    }
+
     /// Writes an object without a condition and regardless of the mode.
     pub fn put(&self, kind: &str, name: &str, spec: Value) {
         self.0.application.put(kind, name, spec);
@@ -341,7 +380,12 @@
             .collect();
         let has_more = items.len() > PAGE_OBJECTS;
         items.truncate(PAGE_OBJECTS);
-        state.respond(&json!({"items": items, "hasMore": has_more, "asOf": state.revision}))
+        let overstated_by = match self.quirk.get() {
+            Some(Quirk::OverstatedLists) => OVERSTATED_BY,
+            _ => 0,
+        };
+        let as_of = state.revision + overstated_by;
+        state.respond(&json!({"items": items, "hasMore": has_more, "asOf": as_of}))
     }
 
     async fn watch(
@@ -350,6 +394,10 @@
         revision: u64,
         wait_ms: u64,
     ) -> Result<Response<Bytes>, Disconnect> {
+        let wait_ms = match self.quirk.get() {
+            Some(Quirk::ImpatientWatches) => 0,
+            _ => wait_ms,
+        };
         let wait = Duration::from_millis(wait_ms);
         let cut_after = self.watch_limit.get().filter(|limit| *limit < wait);
         let cuts = self.watch_cuts.get();
@@ -398,9 +446,19 @@
         if revision + 1 < oldest {
             return None;
         }
-        let after = |change: &&Change| change.kind == kind && change.revision > revision;
-        let changes = state.history.iter().filter(after);
-        Some(changes.map(|change| change.event.clone()).collect())
+        let quirk = self.quirk.get();
+        let is_repeated =
+            |change: &Change| quirk == Some(Quirk::RepeatedEvents) && change.revision == revision;
+        let after = |change: &&Change| change.revision > revision || is_repeated(change);
+        let of_kind = state.history.iter().filter(|change| change.kind == kind);
+        let event = |change: &Change| {
+            let mut event = change.event.clone();
+            if quirk == Some(Quirk::OverstatedEvents) {
+                event["object"]["metadata"]["revision"] = json!(change.revision + OVERSTATED_BY);
+            }
+            event
+        };
+        Some(of_kind.filter(after).map(event).collect())
     }
 
     fn write(&self, kind: &str, name: Option<&str>, document: &Value) -> Response<Bytes> {
