fix(follow): replace a view whose revision the store does not have, and pace calls that bring nothing

Cause: the revision of a view was believed over every later response. A list with a lower one was turned away, a watch that states a lower one counted as failed, and the next call was sent at once. One event or list with a revision that is too high, or a store that begins its revisions anew, held the view for ever, at all routers of the failure domain. Change: a list that was sent after the view had last changed shows a later state and replaces it, and ViewReplaced (126) says so. A watch that states a lower revision than it was sent with is followed by a list. An event moves the view no further than its response states. A relay that goes back makes its subscribers list the objects; the first update of a new relay that is behind the view makes them ask the store. Responses after which the same call would be sent again at once are followed by a backoff, from the second one in a row on.

--- a/crates/peridotrack-edge/src/follow.rs
+++ b/crates/peridotrack-edge/src/follow.rs
@@ -348,6 +348,18 @@
         });
     }
 
+    /// Logs that a list of an earlier revision replaces the view.
+    fn note_replaced(&self, revision: u64) {
+        let former = self.follower.borrow().revision();
+        if let Some(former) = former.filter(|former| *former > revision) {
+            let event = event::Event::new(event::Kind::ViewReplaced)
+                .with("kind", self.name)
+                .with("revision", revision)
+                .with("former_revision", former);
+            self.kernel.note(event);
+        }
+    }
+
     async fn list(self: Rc<Self>) {
         self.calls.borrow_mut().begin(self.kernel.now_us());
         let result = self.platform.list(self.name).await;
@@ -358,6 +370,7 @@
         let event = match result {
             Ok(listing) => {
                 if self.follower.borrow().accepts_list(listing.revision) {
+                    self.note_replaced(listing.revision);
                     self.set_listing(&listing.objects, listing.is_complete);
                 }
                 Event::Listed {
--- a/crates/peridotrack-edge/src/platform/hosted.rs
+++ b/crates/peridotrack-edge/src/platform/hosted.rs
@@ -101,10 +101,6 @@
             200 => {
                 let changes = store::changes(response.body())
                     .map_err(|error| unreadable("watch", kind, error.to_string()))?;
-                if changes.revision < revision {
-                    let detail = "it states a revision before the one that the watch began at";
-                    return Err(unreadable("watch", kind, detail.to_owned()));
-                }
                 self.note_unreadable(kind, changes.unreadable);
                 let now_us = self.kernel.now_us();
                 let waited_us = now_us.saturating_sub(call.sent_us);
@@ -267,10 +263,11 @@
 /// Returns whether a response can only be that to a watch after `revision`: it reports a change after
 /// it or, in about the time that the watch asked for, none.
 fn is_in_turn(changes: &store::Changes, revision: u64, wait_ms: u64, waited_us: u64) -> bool {
-    match changes.last_change {
-        Some(last_change) => last_change > revision,
-        None => waited_us >= wait_ms * clock::US_PER_MS / 2,
-    }
+    changes.revision >= revision
+        && match changes.last_change {
+            Some(last_change) => last_change > revision,
+            None => waited_us >= wait_ms * clock::US_PER_MS / 2,
+        }
 }
 
 /// Returns whether the object may be the result of a write of `content` over the `expected` revision.
--- a/crates/peridotrack-edge/tests/gateway/odd_revisions.rs
+++ b/crates/peridotrack-edge/tests/gateway/odd_revisions.rs
@@ -44,6 +44,18 @@
     Always(Quirk),
 }
 
+impl Oddity {
+    /// Returns whether views state revisions that the store does not have.
+    fn is_beyond_the_store(self) -> bool {
+        match self {
+            Self::RevisionsRestart | Self::RevisionsRestartInAnOutage => true,
+            Self::AtTheStart(quirk) => quirk == Quirk::OverstatedLists,
+            // A response states the revision of the store beside those of its events.
+            Self::Once(_) | Self::Always(_) => false,
+        }
+    }
+}
+
 /// Two gateways of one failure domain, of which one relays changes to the other.
 struct Fleet {
     store: store::Handle,
@@ -179,5 +191,10 @@
             }
         }
         assert_eq!(fleet.servers[1].arrivals(), before, "the server drains");
+        let is_replaced = fleet.gateways.iter().any(|gateway| {
+            let events = gateway.kernel().timeline().after(0);
+            events.iter().any(|event| &*event.name == "ViewReplaced")
+        });
+        assert_eq!(is_replaced, oddity.is_beyond_the_store());
     });
 }
--- a/crates/peridotrack-follow/src/follower.rs
+++ b/crates/peridotrack-follow/src/follower.rs
@@ -25,12 +25,14 @@
 
 const US_PER_MS: u64 = 1_000;
 
-/// The latest watch.
+/// The latest call to the store.
 #[derive(Debug, Clone, Copy, Default)]
-struct Watch {
+struct Call {
     sent_us: u64,
-    /// Revision after which it asked for changes.
+    /// Revision of the view as it was sent, after which a watch asks for changes; 0 without a view.
     from_revision: u64,
+    /// Maximum time that the store waits for a change, in microseconds; 0 for a list.
+    wait_us: u64,
 }
 
 /// Follows one kind of objects for one router.
@@ -42,7 +44,7 @@
     view: Option<View>,
     /// Whether a list or watch is outstanding.
     is_calling: bool,
-    watch: Watch,
+    call: Call,
     /// Whether the objects must be listed before they are watched again, because the store does not
     /// report the changes after the view.
     must_list: bool,
@@ -50,6 +52,8 @@
     announced_revision: u64,
     /// Failed calls since the last successful one.
     failures: u32,
+    /// Responses in a row after which the next call would be sent at once and is likely to get the same.
+    idle_responses: u32,
     /// When the next call to the store may start.
     call_at_us: u64,
     /// Whether the next watch, or the one that is outstanding, does not wait: its response shows
@@ -71,10 +75,11 @@
             rng: fastrand::Rng::with_seed(options.seed ^ id.0),
             view: None,
             is_calling: false,
-            watch: Watch::default(),
+            call: Call::default(),
             must_list: false,
             announced_revision: 0,
             failures: 0,
+            idle_responses: 0,
             call_at_us: now_us,
             is_polling: false,
             peers: Vec::new(),
@@ -100,10 +105,13 @@
     }
 
     /// Returns whether a list of a revision may be applied. One that took long may be older than
-    /// objects that a peer has sent meanwhile; the store's revisions never decrease, unless it has lost
-    /// the changes after the view.
+    /// objects that a peer has sent meanwhile. If the view has not changed since the list was sent, the
+    /// list shows a later state of the store, whatever the revisions say: that of the view may be wrong, or
+    /// the store may have lost the changes up to it.
     pub fn accepts_list(&self, revision: u64) -> bool {
-        self.must_list || self.view.is_none_or(|view| view.revision <= revision)
+        let is_later =
+            |view: View| view.revision <= revision || view.revision == self.call.from_revision;
+        self.must_list || self.view.is_none_or(is_later)
     }
 
     /// Returns whether updates of a relay keep the view current, so that no watch is needed.
@@ -138,28 +146,38 @@
                 since_loss_us,
             } => {
                 self.is_calling = false;
+                let is_poll = std::mem::take(&mut self.is_polling);
                 // The watch after a poll may be cut off again.
-                if !std::mem::take(&mut self.is_polling) {
+                if !is_poll {
                     self.failures = 0;
                 }
                 // A relay does not delay its next watch, because that would delay its subscribers.
                 if !changes.is_empty() && !self.is_relay(now_us) {
                     self.call_at_us = now_us + self.options.batch_delay_us;
                 }
-                let from_revision = self.watch.from_revision;
-                let update = Update {
-                    from_revision,
-                    revision: self.shown_revision(now_us, last_change, revision),
-                    changes,
-                    since_loss_us,
-                };
-                // Without a later revision the same changes would be reported again at once. Changes that
-                // a relay has announced and the store does not report are in a list.
-                self.must_list |= match last_change {
-                    Some(last_change) => last_change <= from_revision,
-                    None => from_revision < self.announced_revision,
-                };
-                self.apply(now_us, now_us, update, &mut actions);
+                let from_revision = self.call.from_revision;
+                if revision < from_revision {
+                    // The store does not have the revision of the view.
+                    self.must_list = true;
+                    self.on_idle_response(now_us);
+                } else {
+                    self.subscription.verify();
+                    let last_change = last_change.map(|last_change| last_change.min(revision));
+                    self.pace(now_us, last_change, is_poll);
+                    let update = Update {
+                        from_revision,
+                        revision: self.shown_revision(now_us, last_change, revision),
+                        changes,
+                        since_loss_us,
+                    };
+                    // Without a later revision the same changes would be reported again at once. Changes
+                    // that a relay has announced and the store does not report are in a list.
+                    self.must_list |= match last_change {
+                        Some(last_change) => last_change <= from_revision,
+                        None => from_revision < self.announced_revision,
+                    };
+                    self.apply(now_us, now_us, update, &mut actions);
+                }
             }
             Event::CallFailed => self.on_failure(now_us),
             Event::WatchCut => {
@@ -170,6 +188,7 @@
                 self.is_calling = false;
                 self.is_polling = false;
                 self.must_list = true;
+                self.on_idle_response(now_us);
             }
             Event::Peers(peers) => {
                 self.peers = peers;
@@ -195,9 +214,12 @@
         self.is_polling = false;
         self.failures = 0;
         if !self.accepts_list(revision) {
+            self.on_idle_response(now_us);
             return;
         }
         self.must_list = false;
+        self.announced_revision = 0;
+        self.subscription.verify();
         self.view = Some(View::of_all(revision, Some(now_us)));
         // Subscribers with an earlier view read the changes from the store.
         let update = Update {
@@ -211,10 +233,44 @@
 
     fn on_failure(&mut self, now_us: u64) {
         self.is_calling = false;
-        let delay_us =
-            (self.options.backoff_min_us << self.failures.min(16)).min(self.options.backoff_max_us);
+        self.call_at_us = now_us + self.backoff_us(self.failures);
         self.failures += 1;
-        self.call_at_us = now_us + delay_us / 2 + self.rng.u64(0..=delay_us / 2);
+    }
+
+    /// Records whether a watch was of use: it reported a change, or waited for one.
+    fn pace(&mut self, now_us: u64, last_change: Option<u64>, is_poll: bool) {
+        let Call {
+            sent_us,
+            from_revision,
+            wait_us,
+        } = self.call;
+        match last_change {
+            Some(last_change) if last_change > from_revision => self.idle_responses = 0,
+            Some(_) => self.on_idle_response(now_us),
+            None if is_poll => {}
+            None if now_us - sent_us >= wait_us / 2 => self.idle_responses = 0,
+            None => self.on_idle_response(now_us),
+        }
+    }
+
+    /// Records a response that is no reason to send the next call at once, although nothing else delays
+    /// it. Only the first one in a row is followed by a call without a delay.
+    fn on_idle_response(&mut self, now_us: u64) {
+        if let Some(earlier) = self.idle_responses.checked_sub(1) {
+            self.call_at_us = now_us + self.backoff_us(earlier);
+        }
+        self.idle_responses = self.idle_responses.saturating_add(1);
+    }
+
+    /// Returns the jittered backoff after a number of earlier failures, in microseconds.
+    fn backoff_us(&mut self, failures: u32) -> u64 {
+        let Options {
+            backoff_min_us,
+            backoff_max_us,
+            ..
+        } = self.options;
+        let delay_us = (backoff_min_us << failures.min(16)).min(backoff_max_us);
+        delay_us / 2 + self.rng.u64(0..=delay_us / 2)
     }
 
     fn on_message(
@@ -280,7 +336,14 @@
         update: Update,
         actions: &mut Vec<Action>,
     ) {
-        let is_gap = self.view.is_none_or(|view| view.is_before(&update));
+        // The store may not have the revision of this view either, if the relay found so of its own.
+        let revision = self.revision();
+        let has_gone_back = self
+            .subscription
+            .has_gone_back(from, update.revision, revision);
+        self.must_list |= has_gone_back;
+        self.is_polling |= self.subscription.is_doubtful() && !self.is_calling;
+        let is_gap = has_gone_back || self.view.is_none_or(|view| view.is_before(&update));
         let options = &self.options;
         let is_relay = self
             .subscription
@@ -331,7 +394,7 @@
     /// else one that is old enough. The store may state a revision beyond a change that it has not
     /// reported.
     fn shown_revision(&mut self, now_us: u64, last_change: Option<u64>, stated: u64) -> u64 {
-        let (sent_us, settle_us) = (self.watch.sent_us, self.options.settle_us);
+        let (sent_us, settle_us) = (self.call.sent_us, self.options.settle_us);
         let Some(view) = &mut self.view else {
             return stated;
         };
@@ -399,16 +462,14 @@
             return;
         }
         let Some(view) = self.view.filter(|_| !self.must_list) else {
-            self.is_calling = true;
-            return actions.push(Action::List);
+            return self.list(now_us, actions);
         };
-        if self.is_relayed(now_us) {
+        if self.is_relayed(now_us) && !self.subscription.is_doubtful() {
             return;
         }
         let age_us = view.age_us(now_us);
         if age_us >= self.options.relist_after_us {
-            self.is_calling = true;
-            return actions.push(Action::List);
+            return self.list(now_us, actions);
         }
         let is_stale = age_us >= self.options.silence_us;
         let wait_us = if self.is_polling {
@@ -420,17 +481,28 @@
         } else {
             self.options.wait_us
         };
-        self.is_calling = true;
-        self.watch = Watch {
-            sent_us: now_us,
-            from_revision: view.revision,
-        };
+        self.begin(now_us, wait_us);
         actions.push(Action::Watch {
             revision: view.revision,
             wait_ms: wait_us / US_PER_MS,
         });
     }
 
+    fn list(&mut self, now_us: u64, actions: &mut Vec<Action>) {
+        self.begin(now_us, 0);
+        actions.push(Action::List);
+    }
+
+    /// Records that a call is sent.
+    fn begin(&mut self, now_us: u64, wait_us: u64) {
+        self.is_calling = true;
+        self.call = Call {
+            sent_us: now_us,
+            from_revision: self.revision().unwrap_or(0),
+            wait_us,
+        };
+    }
+
     /// Asks peers for the objects if calls to the store fail and no relay keeps the view current.
     fn fetch(&mut self, now_us: u64, actions: &mut Vec<Action>) {
         let is_confirmed = self.is_confirmed_within(now_us, self.options.silence_us);
--- a/crates/peridotrack-follow/src/follower/subscription.rs
+++ b/crates/peridotrack-follow/src/follower/subscription.rs
@@ -18,6 +18,10 @@
     relay: Option<(id::Incarnation, u64)>,
     /// Whether the relay has sent a dated update.
     is_dated: bool,
+    /// Revision of the latest update of the relay.
+    revision: Option<u64>,
+    /// Whether the revision of the view may be one that the store does not have.
+    is_doubtful: bool,
     /// Until when the updates of the relay keep the view current; `None` after one that began beyond
     /// the view's revision, so that changes are missing.
     relayed_until_us: Option<u64>,
@@ -33,6 +37,8 @@
         Self {
             relay: None,
             is_dated: false,
+            revision: None,
+            is_doubtful: false,
             relayed_until_us: None,
             renew_at_us: now_us,
             suspects: BTreeMap::new(),
@@ -94,6 +100,8 @@
     fn replace(&mut self, now_us: u64, options: &Options, relay: Option<id::Incarnation>) {
         self.relay = relay.map(|relay| (relay, now_us + options.silence_us));
         self.is_dated = false;
+        self.revision = None;
+        self.is_doubtful = false;
         self.renew_at_us = now_us;
     }
 
@@ -107,6 +115,34 @@
         Some(relay)
     }
 
+    /// Returns whether a call to the store has to show that it has the revision of the view.
+    pub(super) fn is_doubtful(&self) -> bool {
+        self.is_doubtful
+    }
+
+    /// Records that the store has shown its state to this router.
+    pub(super) fn verify(&mut self) {
+        self.is_doubtful = false;
+    }
+
+    /// Records the revision that an update states, and that of the router's view. Returns whether the
+    /// relay has gone back: it states a lower revision than before, because it has replaced its view by
+    /// one of the present state. What the relay stated before this router subscribed is not known, so
+    /// that its first update casts doubt on a view with a higher revision.
+    pub(super) fn has_gone_back(
+        &mut self,
+        from: id::Incarnation,
+        revision: u64,
+        view_revision: Option<u64>,
+    ) -> bool {
+        if self.relay() != Some(from) {
+            return false;
+        }
+        let former = self.revision.replace(revision);
+        self.is_doubtful |= former.is_none() && view_revision > Some(revision);
+        former > Some(revision)
+    }
+
     /// Records an update of a peer, which shows the store's state at `dated_us` or later, if known.
     /// `is_gap` states whether changes are missing between the view and the update. Returns whether
     /// the peer is the relay: updates of other peers are ignored, so that two routers never confirm
--- a/crates/peridotrack-kernel/src/event.rs
+++ b/crates/peridotrack-kernel/src/event.rs
@@ -99,6 +99,8 @@
     124 Info ObjectsFetched,
     /// A view of the store's objects has not been confirmed for long; the event says what its calls got.
     125 Warn ViewOutdated,
+    /// A list of the store's objects replaced a view that stated a later revision than the store has.
+    126 Warn ViewReplaced,
     /// A peer became live.
     130 Info PeerJoined,
     /// A peer is no longer live.
