--- a/crates/peridotrack-edge/tests/gateway/odd_revisions.rs
+++ b/crates/peridotrack-edge/tests/gateway/odd_revisions.rs
@@ -159,7 +159,8 @@
         Oddity::AtTheStart(Quirk::OverstatedLists),
         Oddity::Once(Quirk::OverstatedEvents),
         Oddity::Always(Quirk::RepeatedEvents),
-        Oddity::Always(Quirk::ImpatientWatches)
+        Oddity::Always(Quirk::ImpatientWatches),
+        Oddity::Always(Quirk::Fractions)
     )]
     oddity: Oddity,
 ) {
--- a/crates/peridotrack-standin/src/hosted/store.rs
+++ b/crates/peridotrack-standin/src/hosted/store.rs
@@ -88,6 +88,8 @@
     RepeatedEvents,
     /// Watches end at once, whether or not there are changes.
     ImpatientWatches,
+    /// Responses state whole numbers as fractions, such as 7.0.
+    Fractions,
 }
 
 /// Number by which revisions are too high with [`Quirk::OverstatedEvents`] and
@@ -266,6 +268,31 @@
         .into_owned()
 }
 
+/// Returns a document in which the store states its own numbers as fractions. What is stored stays as it
+/// was written.
+fn state_fractions(body: &Bytes) -> Bytes {
+    const FIELDS: [&str; 3] = ["asOf", "revision", "createdRev"];
+    fn state(value: &mut Value) {
+        match value {
+            Value::Array(values) => values.iter_mut().for_each(state),
+            Value::Object(fields) => {
+                for (name, value) in fields.iter_mut().filter(|(name, _)| *name != "spec") {
+                    match value.as_u64().filter(|_| FIELDS.contains(&name.as_str())) {
+                        Some(number) => *value = json!(number as f64),
+                        None => state(value),
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+    let Ok(mut document) = serde_json::from_slice(body) else {
+        return body.clone();
+    };
+    state(&mut document);
+    Bytes::from(document.to_string())
+}
+
 fn text_marker(number: usize) -> String {
     format!("text-{number}-of-the-store")
 }
@@ -574,6 +601,9 @@
         if mode == Mode::LoseWrites && method != Method::GET {
             return Err(Disconnect);
         }
-        Ok(response)
+        Ok(match self.quirk.get() {
+            Some(Quirk::Fractions) => response.map(|body| state_fractions(&body)),
+            _ => response,
+        })
     }
 }
