fix(edge): end calls to the store whose response never ends

Seen by callers: as long as a response arrives byte by byte, the configuration, the servers or the ledger of before; for ever if the pages of a list name one another as the next. Nothing is logged. Cause: a body was bounded by the time between two reads and a list by its pages, and a follower sends one call at a time. Change: the body of a response must be complete within 8 s, and a list ends at a page that has been read before.

--- a/crates/peridotrack-edge/src/platform.rs
+++ b/crates/peridotrack-edge/src/platform.rs
@@ -16,7 +16,7 @@
 mod pack;
 mod vm;
 
-use std::{net::SocketAddr, rc::Rc};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use peridotrack_http::client;
@@ -55,6 +55,9 @@
 /// Time by which the response timeout of a watch exceeds the wait that it requests, in
 /// milliseconds.
 const WATCH_MARGIN_MS: u64 = 5_000;
+/// Time in which the body of a response must be complete, in milliseconds: that of a large one over a slow
+/// link that others use too.
+const BODY_TIMEOUT_MS: u64 = 8_000;
 /// Maximum size of an object, in bytes.
 const OBJECT_BYTES: usize = 1024 * 1024;
 
@@ -258,7 +261,7 @@
             None => client::Connection::connect(self.address, self.options).await?,
         };
         let head = connection.send(request).await?;
-        let body = connection.read_body().await?;
+        let body = read_body(&mut connection).await?;
         if call.keeps_connection(self.dialect, head.status) {
             let now_us = self.kernel.now_us();
             self.call_connections.put(now_us, lane, connection);
@@ -330,6 +333,20 @@
 ) -> call::Result {
     let mut connection = client::Connection::connect(address, options).await?;
     let head = connection.send(request).await?;
-    let body = connection.read_body().await?;
+    let body = read_body(&mut connection).await?;
     Ok(http::Response::from_parts(head, body))
 }
+
+/// Reads the body of a response. The timeout between two reads does not bound one that arrives byte by
+/// byte.
+async fn read_body(connection: &mut client::Connection) -> Result<Bytes, client::Error> {
+    let peer = connection.peer();
+    let limit = Duration::from_millis(BODY_TIMEOUT_MS);
+    let body = monoio::time::timeout(limit, connection.read_body()).await;
+    body.unwrap_or(Err(client::Error {
+        step: client::Step::Body,
+        peer,
+        bytes_written: true,
+        kind: client::Kind::TimedOut,
+    }))
+}
--- a/crates/peridotrack-edge/src/platform/hosted.rs
+++ b/crates/peridotrack-edge/src/platform/hosted.rs
@@ -7,6 +7,7 @@
 use peridotrack_http::client;
 use peridotrack_kernel::{clock, event};
 use peridotrack_platform::store;
+use peridotrack_types::collections;
 
 use super::{
     Platform,
@@ -14,7 +15,7 @@
     error::{Error, refused, unknown, unreadable},
     native::request,
     object::Object,
-    pack,
+    pack, read_body,
 };
 
 /// Result of listing the objects of one kind.
@@ -36,6 +37,7 @@
         let mut objects = Vec::new();
         let mut first_revision = None;
         let mut after: Option<String> = None;
+        let mut pages_after = collections::HashSet::default();
         loop {
             let path = store::list_path(kind, after.as_deref());
             let page = self.get("list", kind, &path).await?;
@@ -46,8 +48,8 @@
             // A watch from the first page's revision repeats the changes made between two pages.
             let revision = *first_revision.get_or_insert(page.revision);
             match page.next {
-                // The store may not recognise a name of which only a part can be decoded.
-                store::Next::After(next) if after.as_ref() != Some(&next) => after = Some(next),
+                // The store may not recognise a name of which only a part can be decoded, and begin again.
+                store::Next::After(next) if pages_after.insert(next.clone()) => after = Some(next),
                 next => {
                     if next != store::Next::End {
                         let event = event::Event::new(event::Kind::ObjectIgnored)
@@ -148,7 +150,7 @@
                 kind: client::Kind::Closed,
             }),
         };
-        let body = connection.read_body().await?;
+        let body = read_body(&mut connection).await?;
         Ok((http::Response::from_parts(head, body), connection))
     }
 }
--- a/crates/peridotrack-edge/tests/platform.rs
+++ b/crates/peridotrack-edge/tests/platform.rs
@@ -2,13 +2,17 @@
 //! an unusual notation or with entries that cannot be decoded, and responses that the store repeats.
 
 use std::{
+    collections::BTreeSet,
     rc::Rc,
     time::{Duration, Instant},
 };
 
 use bytes::Bytes;
 use http::Response;
-use monoio::net::TcpListener;
+use monoio::{
+    io::{AsyncReadRent, AsyncWriteRentExt},
+    net::TcpListener,
+};
 use peridotrack_edge::platform::{self, Dialect, Platform};
 use peridotrack_http::server;
 use peridotrack_kernel::{Kernel, Options};
@@ -25,6 +29,12 @@
 /// Longest time that a call may take which the store answers at once.
 const ANSWER_TIME: Duration = Duration::from_millis(500);
 
+/// Longest time that a call may take whatever the store sends: a few times that of a large response over a
+/// slow link.
+const CALL_TIME: Duration = Duration::from_secs(12);
+/// Pause between two bytes of a response, shorter than the timeout between two reads.
+const DRIP_INTERVAL: Duration = Duration::from_millis(300);
+
 /// A client of a store, and the link between them.
 struct Fixture {
     platform: Rc<Platform>,
@@ -110,6 +120,79 @@
     });
 }
 
+/// Starts a store that sends the head of a response to each call, and then its body without an end, byte by
+/// byte.
+fn spawn_dripping_store() -> Rc<Platform> {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    monoio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            monoio::spawn(async move {
+                let (_, _) = stream.read(Vec::with_capacity(4_096)).await;
+                let mut sent = stream
+                    .write_all(&b"HTTP/1.1 200 OK\r\ncontent-length: 1000000\r\n\r\n"[..])
+                    .await;
+                while sent.0.is_ok() {
+                    monoio::time::sleep(DRIP_INTERVAL).await;
+                    sent = stream.write_all(&b" "[..]).await;
+                }
+            });
+        }
+    });
+    let kernel = Kernel::open(Options::default()).unwrap();
+    Platform::open(kernel, address, Dialect::Hosted, 0)
+}
+
+/// Guards against calls that never end, and views that are never confirmed again, because a response arrives
+/// byte by byte.
+#[rstest]
+fn a_response_that_never_ends_keeps_the_next_call_from_being_sent(
+    #[values("list", "watch", "read", "write")] step: &str,
+) {
+    block_on(async {
+        let platform = spawn_dripping_store();
+        let call = async {
+            match step {
+                "list" => platform.list("config").await.is_err(),
+                "watch" => platform.watch_kind("config", 1, 100).await.is_err(),
+                "read" => platform.read("ledger/0").await.is_err(),
+                _ => {
+                    let write = platform.write("ledger/0", None, Bytes::from_static(b"{}"));
+                    write.await.is_err()
+                }
+            }
+        };
+        let failed = monoio::time::timeout(CALL_TIME, call).await;
+        assert_eq!(failed.ok(), Some(true));
+    });
+}
+
+/// Guards against a list without an end, because its pages name one another as the next.
+#[test]
+fn a_list_whose_pages_come_again_never_ends() {
+    block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        monoio::spawn(async move {
+            for name in ["a", "b"].into_iter().cycle() {
+                let (stream, _) = listener.accept().await.unwrap();
+                let mut connection = server::Connection::new(stream, server::Options::default());
+                let _ = connection.next().await;
+                let object = format!(r#"{{"metadata":{{"name":"{name}","revision":1}}}}"#);
+                let page = format!(r#"{{"items":[{object}],"hasMore":true,"asOf":1}}"#);
+                let _ = connection.respond(Response::new(page.into())).await;
+            }
+        });
+        let kernel = Kernel::open(Options::default()).unwrap();
+        let platform = Platform::open(kernel, address, Dialect::Hosted, 0);
+        let list = monoio::time::timeout(CALL_TIME, platform.list("config")).await;
+        let list = list.unwrap().unwrap();
+        let names = list.objects.iter().map(|object| object.name.as_str());
+        assert_eq!(names.collect::<BTreeSet<_>>(), BTreeSet::from(["a", "b"]));
+        assert!(!list.is_complete);
+    });
+}
+
 /// Watches of several kinds share their connections. The first timeout shows that all of them may be
 /// unusable, so that the others do not wait for theirs.
 #[test]
