test(edge): list that a ledger whose revision went back is never read again

Seen by callers: 279 of 300 requests of a prepaid account are refused after the store has begun its revisions anew. Cause: a read of a shard below its known version counts as stale and is repeated for ever. Change: none of the code.

--- a/crates/peridotrack-edge/tests/gateway/budget.rs
+++ b/crates/peridotrack-edge/tests/gateway/budget.rs
@@ -70,6 +70,27 @@
     });
 }
 
+/// Guards against accounts that are refused for ever with 503, because the ledger states a lower revision than
+/// the one that is known of it.
+#[test]
+fn a_ledger_whose_revision_is_lower_than_known_is_never_read_again() {
+    block_on(async {
+        let fixture = Fixture::spawn(1).await;
+        for _ in 0..20 {
+            assert_eq!(send_prepaid(&fixture).await, 200);
+        }
+        fixture.store.restart_revisions();
+        let configured = config(5, 2_000_000);
+        fixture.store.put("config", "main", configured);
+        let mut refused = 0;
+        for _ in 0..100 {
+            refused += u32::from(send_prepaid(&fixture).await != 200);
+            monoio::time::sleep(Duration::from_millis(20)).await;
+        }
+        assert!(refused < 10, "{refused} of 100 requests are refused");
+    });
+}
+
 /// Guards against charging refused requests, and against not charging requests that may have run.
 #[rstest]
 #[case::not_run(Mode::Refuse)]
