fix(follow): list what cannot be watched, and watch what cannot be listed

Seen by callers: after an outage of the store 503 for every added route, or requests run by the service of an older version, for as long as the store rejects lists; requests to servers that drain, if it rejects watches. Nothing is logged. Cause: which call was sent followed from the age of the view alone. A response that is neither a result nor a refusal to serve (any other status, or one that cannot be decoded) led to the same call again, for ever. Change: such a response is reported as CallRejected, and the next call is of the other sort, with the backoff of calls that bring nothing.

--- a/crates/peridotrack-edge/src/follow.rs
+++ b/crates/peridotrack-edge/src/follow.rs
@@ -377,7 +377,7 @@
                     revision: listing.revision,
                 }
             }
-            Err(_) => Event::CallFailed,
+            Err(error) => failure(&error),
         };
         self.handle(event);
     }
@@ -398,7 +398,7 @@
             },
             Err(platform::Error::HistoryLost { .. }) => Event::HistoryLost,
             Err(platform::Error::WatchCut { .. }) => Event::WatchCut,
-            Err(_) => Event::CallFailed,
+            Err(error) => failure(&error),
         };
         self.handle(event);
     }
@@ -409,6 +409,14 @@
     }
 }
 
+/// Returns the event of a call that has no result.
+fn failure(error: &platform::Error) -> Event {
+    match error.is_rejection() {
+        true => Event::CallRejected,
+        false => Event::CallFailed,
+    }
+}
+
 /// Converts a change of the store to one that can be sent to peers.
 fn change(change: store::Change) -> Change {
     Change {
--- a/crates/peridotrack-edge/src/platform/error.rs
+++ b/crates/peridotrack-edge/src/platform/error.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use peridotrack_http::client;
 
-use super::object::Object;
+use super::{call::is_refusal, object::Object};
 
 /// Retry delay after a refusal without a valid `Retry-After`, in milliseconds.
 const DEFAULT_RETRY_MS: u64 = 1_000;
@@ -88,6 +88,19 @@
     },
 }
 
+impl Error {
+    /// Returns whether the store responded, serves this router, and did not give the result of the call.
+    pub fn is_rejection(&self) -> bool {
+        match self {
+            Self::Unreadable { .. } => true,
+            Self::Refused { status, .. } => {
+                !http::StatusCode::from_u16(*status).is_ok_and(is_refusal)
+            }
+            _ => false,
+        }
+    }
+}
+
 /// Returns the failure of a call that a response refuses.
 pub(super) fn refused(step: &'static str, key: &str, response: &http::Response<Bytes>) -> Error {
     Error::Refused {
--- a/crates/peridotrack-edge/tests/gateway/odd_revisions.rs
+++ b/crates/peridotrack-edge/tests/gateway/odd_revisions.rs
@@ -42,6 +42,8 @@
     Once(Quirk),
     /// It answers with a quirk from the start on.
     Always(Quirk),
+    /// It answers with a quirk since an outage.
+    SinceAnOutage(Quirk),
 }
 
 impl Oddity {
@@ -51,7 +53,7 @@
             Self::RevisionsRestart | Self::RevisionsRestartInAnOutage => true,
             Self::AtTheStart(quirk) => quirk == Quirk::OverstatedLists,
             // A response states the revision of the store beside those of its events.
-            Self::Once(_) | Self::Always(_) => false,
+            Self::Once(_) | Self::Always(_) | Self::SinceAnOutage(_) => false,
         }
     }
 }
@@ -134,6 +136,12 @@
                 monoio::time::sleep(applied).await;
                 self.store.set_quirk(None);
             }
+            Oddity::SinceAnOutage(quirk) => {
+                self.store.set_mode(Mode::Reset);
+                self.store.set_quirk(Some(quirk));
+                monoio::time::sleep(contact).await;
+                self.store.set_mode(Mode::Serve);
+            }
             Oddity::AtTheStart(_) => self.store.set_quirk(None),
             Oddity::Always(_) => {}
         }
@@ -160,7 +168,9 @@
         Oddity::Once(Quirk::OverstatedEvents),
         Oddity::Always(Quirk::RepeatedEvents),
         Oddity::Always(Quirk::ImpatientWatches),
-        Oddity::Always(Quirk::Fractions)
+        Oddity::Always(Quirk::Fractions),
+        Oddity::SinceAnOutage(Quirk::RejectedLists),
+        Oddity::SinceAnOutage(Quirk::RejectedWatches)
     )]
     oddity: Oddity,
 ) {
--- a/crates/peridotrack-follow/src/event.rs
+++ b/crates/peridotrack-follow/src/event.rs
@@ -10,7 +10,7 @@
 /// An input of a [`crate::follower::Follower`].
 ///
 /// For each [`Action::List`] and [`Action::Watch`] the driver reports exactly one of `Listed`,
-/// `Watched`, `CallFailed`, `WatchCut` and `HistoryLost`. At most one of these calls is outstanding.
+/// `Watched`, `CallFailed`, `CallRejected`, `WatchCut` and `HistoryLost`. At most one of these calls is outstanding.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Event {
     /// Time has passed. Expected about every 100 ms.
@@ -34,8 +34,10 @@
         /// never was.
         since_loss_us: Option<u64>,
     },
-    /// A list or watch failed or timed out.
+    /// A list or watch failed or timed out, or the store does not serve this router at present.
     CallFailed,
+    /// The store responded to a list or watch with something that is no result of it.
+    CallRejected,
     /// The store closed the connection of a watch that waited. An available store may do so.
     WatchCut,
     /// The store no longer keeps the changes after the requested revision, so that the objects
--- a/crates/peridotrack-follow/src/follower.rs
+++ b/crates/peridotrack-follow/src/follower.rs
@@ -28,6 +28,7 @@
 /// The latest call to the store.
 #[derive(Debug, Clone, Copy, Default)]
 struct Call {
+    is_list: bool,
     sent_us: u64,
     /// Revision of the view as it was sent, after which a watch asks for changes; 0 without a view.
     from_revision: u64,
@@ -45,6 +46,8 @@
     /// Whether a list or watch is outstanding.
     is_calling: bool,
     call: Call,
+    /// Whether the store responded to the latest call, but not with its result.
+    is_rejected: bool,
     /// Whether the objects must be listed before they are watched again, because the store does not
     /// report the changes after the view.
     must_list: bool,
@@ -76,6 +79,7 @@
             view: None,
             is_calling: false,
             call: Call::default(),
+            is_rejected: false,
             must_list: false,
             announced_revision: 0,
             failures: 0,
@@ -180,6 +184,12 @@
                 }
             }
             Event::CallFailed => self.on_failure(now_us),
+            Event::CallRejected => {
+                self.is_calling = false;
+                self.is_polling = false;
+                self.is_rejected = true;
+                self.on_idle_response(now_us);
+            }
             Event::WatchCut => {
                 self.on_failure(now_us);
                 self.is_polling = true;
@@ -243,6 +253,7 @@
             sent_us,
             from_revision,
             wait_us,
+            ..
         } = self.call;
         match last_change {
             Some(last_change) if last_change > from_revision => self.idle_responses = 0,
@@ -461,14 +472,18 @@
         if self.is_calling || now_us < self.call_at_us {
             return;
         }
-        let Some(view) = self.view.filter(|_| !self.must_list) else {
+        let Some(view) = self.view else {
             return self.list(now_us, actions);
         };
-        if self.is_relayed(now_us) && !self.subscription.is_doubtful() {
+        let is_current = self.is_relayed(now_us) && !self.subscription.is_doubtful();
+        if is_current && !self.must_list {
             return;
         }
         let age_us = view.age_us(now_us);
-        if age_us >= self.options.relist_after_us {
+        let is_list_preferred = self.must_list || age_us >= self.options.relist_after_us;
+        // A call that was rejected is likely to be rejected again, and the other one shows changes too.
+        let is_swapped = self.is_rejected && self.call.is_list == is_list_preferred;
+        if is_list_preferred != is_swapped {
             return self.list(now_us, actions);
         }
         let is_stale = age_us >= self.options.silence_us;
@@ -481,7 +496,7 @@
         } else {
             self.options.wait_us
         };
-        self.begin(now_us, wait_us);
+        self.begin(now_us, Some(wait_us));
         actions.push(Action::Watch {
             revision: view.revision,
             wait_ms: wait_us / US_PER_MS,
@@ -489,17 +504,19 @@
     }
 
     fn list(&mut self, now_us: u64, actions: &mut Vec<Action>) {
-        self.begin(now_us, 0);
+        self.begin(now_us, None);
         actions.push(Action::List);
     }
 
-    /// Records that a call is sent.
-    fn begin(&mut self, now_us: u64, wait_us: u64) {
+    /// Records that a call is sent, with the wait of a watch.
+    fn begin(&mut self, now_us: u64, wait_us: Option<u64>) {
         self.is_calling = true;
+        self.is_rejected = false;
         self.call = Call {
+            is_list: wait_us.is_none(),
             sent_us: now_us,
             from_revision: self.revision().unwrap_or(0),
-            wait_us,
+            wait_us: wait_us.unwrap_or(0),
         };
     }
 
--- a/crates/peridotrack-follow/tests/follower.rs
+++ b/crates/peridotrack-follow/tests/follower.rs
@@ -403,6 +403,7 @@
 #[case::changes_are_repeated(watched(10, &[change(b"x")]))]
 #[case::the_history_is_lost(Event::HistoryLost)]
 #[case::the_store_lacks_the_revision(watched(9, &[]))]
+#[case::watches_are_rejected(Event::CallRejected)]
 fn calls_that_bring_nothing_are_paced(#[case] result: Event) {
     const SPAN_US: u64 = 60_000 * MS;
     let options = Options::default();
@@ -429,6 +430,55 @@
     assert!(follower.confirmed_us() > Some(SPAN_US - 1_000 * MS));
 }
 
+/// Guards against a view that is kept for ever, because the store rejects the calls of one sort while it
+/// answers those of the other.
+#[rstest]
+#[case::lists(true)]
+#[case::watches(false)]
+fn calls_of_the_other_sort_keep_the_view_current_if_those_of_one_are_rejected(
+    #[case] rejects_lists: bool,
+) {
+    const SPAN_US: u64 = 60_000 * MS;
+    let options = Options {
+        relist_after_us: 2_000 * MS,
+        ..Options::default()
+    };
+    let longest_us = options.wait_us + options.backoff_max_us;
+    let mut follower = Follower::new(SELF, options, 0);
+    follower.on_event(0, Event::Tick);
+    let mut actions = follower.on_event(0, Event::Listed { revision: 10 });
+    // An outage, after which a list is preferred.
+    let mut now_us = 5_000 * MS;
+    follower.on_event(now_us, Event::CallFailed);
+    let (mut ends_us, mut calls) = (None, 0);
+    while now_us < SPAN_US {
+        now_us += 10 * MS;
+        let is_list = actions.contains(&Action::List);
+        if is_list || watch_wait_ms(&actions).is_some() {
+            let wait_us = watch_wait_ms(&actions).unwrap_or(0) * MS;
+            let is_rejected = is_list == rejects_lists;
+            let event = match (is_rejected, is_list) {
+                (true, _) => Event::CallRejected,
+                (false, true) => Event::Listed { revision: 10 },
+                (false, false) => watched(10, &[]),
+            };
+            ends_us = Some((now_us + if is_rejected { 0 } else { wait_us }, event));
+            calls += 1;
+        }
+        actions = match ends_us.take_if(|(at_us, _)| *at_us <= now_us) {
+            Some((_, event)) => follower.on_event(now_us, event),
+            None => follower.on_event(now_us, Event::Tick),
+        };
+        let confirmed_us = follower.confirmed_us().unwrap();
+        let is_caught_up = now_us > 10_000 * MS;
+        assert!(
+            !is_caught_up || now_us <= confirmed_us + longest_us,
+            "{now_us}"
+        );
+    }
+    assert!(calls < 600, "{calls} calls");
+}
+
 /// A relay whose history is lost does not know which changes its subscribers lack.
 #[test]
 fn a_relay_that_has_listed_the_objects_tells_its_subscribers_at_once() {
--- a/crates/peridotrack-standin/src/hosted/store.rs
+++ b/crates/peridotrack-standin/src/hosted/store.rs
@@ -90,6 +90,10 @@
     ImpatientWatches,
     /// Responses state whole numbers as fractions, such as 7.0.
     Fractions,
+    /// Lists get 400.
+    RejectedLists,
+    /// Watches get 400.
+    RejectedWatches,
 }
 
 /// Number by which revisions are too high with [`Quirk::OverstatedEvents`] and
@@ -581,6 +585,15 @@
             });
             return Err(Disconnect);
         }
+        let rejected = match self.quirk.get() {
+            Some(Quirk::RejectedLists) => Some(false),
+            Some(Quirk::RejectedWatches) => Some(true),
+            _ => None,
+        };
+        let is_kind = method == Method::GET && name.is_none();
+        if is_kind && rejected == Some(number("watch").is_some()) {
+            return Ok(response::failure(StatusCode::BAD_REQUEST, "no such call"));
+        }
         let response = match (&method, name, number("watch")) {
             (&Method::GET, None, Some(revision)) => {
                 let wait_ms = number("waitMs").unwrap_or_default();
