fix(edge): withhold new requests from a server whose entry is missing, although the store fails again

Cause: an entry that is missing near an outage of the store is kept for 2.2 s after the outage, since it may have expired. Each further outage, also a single call without a response, put that off again, without end; and 2.2 s exceed drainMs. Change: a server gets no new request once its entry has been missing for drainMs less 0.4 s, and BackendServerLeaving with the sign missing says so. Requests at work go on; the server counts as ended when it did before. Evidence: a_removed_server_gets_no_new_request_although_the_store_fails_again_and_again failed before (200 at 3.9 s, while the store is away for 0.5 s in each 1.7 s) and passes; entries_that_expire_in_a_store_outage_are_kept_until_they_can_be_renewed holds.

--- a/crates/peridotrack-edge/src/gateway/directory.rs
+++ b/crates/peridotrack-edge/src/gateway/directory.rs
@@ -26,6 +26,9 @@
 
 /// Period at which missing entries are checked again, in microseconds.
 const MISSING_CHECK_US: u64 = 150 * clock::US_PER_MS;
+/// Time before the end of that in which a leaving server must get no request any more, in microseconds:
+/// the period of the check and the way of a request to the server.
+const WITHHOLD_MARGIN_US: u64 = 400 * clock::US_PER_MS;
 
 /// One known backend server, as its entry describes it.
 #[derive(Debug, Clone)]
@@ -35,6 +38,8 @@
     cold_until_us: u64,
     /// When the entry disappeared from the store, in monotonic microseconds.
     missing_since_us: Option<u64>,
+    /// Whether the server gets no new requests, because its entry has been missing for long.
+    is_withheld: bool,
 }
 
 /// The known backend servers, by name.
@@ -138,8 +143,13 @@
         }
         let mut services = reach::Services::new();
         let entries = self.entries.borrow();
-        for server in entries.values().map(|entry| &entry.server) {
-            if server.is_draining {
+        for Entry {
+            server,
+            is_withheld,
+            ..
+        } in entries.values()
+        {
+            if server.is_draining || *is_withheld {
                 continue;
             }
             let mut configured = config.site.services.iter();
@@ -197,6 +207,7 @@
                     cold_until_us: shared.kernel.now_us().saturating_add(cold_us),
                     server,
                     missing_since_us: None,
+                    is_withheld: false,
                 };
                 let version = entry.server.software_version.clone();
                 let former = self.entries.borrow_mut().insert(name.clone(), entry);
@@ -233,6 +244,28 @@
         }
     }
 
+    /// Withholds new requests from servers whose entries have been missing for about as long as a leaving
+    /// server may get any, whatever the reason: further outages of the store do not put it off.
+    ///
+    /// Returns whether there is another such server.
+    fn withhold_missing(&self, shared: &Shared) -> bool {
+        let now_us = shared.kernel.now_us();
+        let drain_us = shared.settings.bounds.drain_ms * clock::US_PER_MS;
+        let limit_us = drain_us.saturating_sub(WITHHOLD_MARGIN_US);
+        let is_due = |entry: &Entry| {
+            let since_us = entry.missing_since_us;
+            !entry.is_withheld && since_us.is_some_and(|since_us| now_us >= since_us + limit_us)
+        };
+        let mut entries = self.entries.borrow_mut();
+        let mut is_any = false;
+        for (name, entry) in entries.iter_mut().filter(|(_, entry)| is_due(entry)) {
+            entry.is_withheld = true;
+            is_any = true;
+            note_leaving(shared, name, "missing");
+        }
+        is_any
+    }
+
     /// Removes missing entries, unless an outage of the store may be the reason.
     ///
     /// Returns whether any missing entry was kept for that reason.
@@ -332,6 +365,9 @@
         monoio::spawn(async move {
             while shared.directory.remove_missing(&shared) {
                 shared.kernel.timer().sleep_us(MISSING_CHECK_US).await;
+                if shared.directory.withhold_missing(&shared) {
+                    shared.directory.apply(&shared);
+                }
             }
             shared.directory.is_checking_missing.set(false);
             shared.directory.apply(&shared);
@@ -378,7 +414,7 @@
     }
 }
 
-/// Records that a backend server gets no new requests; `sign` is `draining` or `removed`.
+/// Records that a backend server gets no new requests; `sign` is `draining`, `missing` or `removed`.
 fn note_leaving(shared: &Shared, name: &name::BackendServer, sign: &str) {
     let event = event::Event::new(event::Kind::BackendServerLeaving)
         .with("backend_server", name.as_str())
--- a/crates/peridotrack-edge/tests/gateway/directory.rs
+++ b/crates/peridotrack-edge/tests/gateway/directory.rs
@@ -114,6 +114,38 @@
     });
 }
 
+/// Guards against a server that leaves and gets requests until it ends, because each further outage of the
+/// store puts off the removal of its entry.
+#[test]
+fn a_removed_server_gets_no_new_request_although_the_store_fails_again_and_again() {
+    const SERVES: Duration = Duration::from_millis(1_200);
+    const FAILS: Duration = Duration::from_millis(500);
+    /// Outages after the one in which the gateway may not have learnt of the removal.
+    const OUTAGES: usize = 4;
+    block_on(async {
+        let fixture = Fixture::spawn(1).await;
+        let fail = async || {
+            fixture.store.set_mode(store::Mode::Reset);
+            monoio::time::sleep(FAILS).await;
+            fixture.store.set_mode(store::Mode::Serve);
+        };
+        fail().await;
+        fixture.store.remove("servers", "i-0");
+        monoio::time::sleep(SERVES).await;
+        fail().await;
+        monoio::time::sleep(SERVES).await;
+        for outage in 0..OUTAGES {
+            fail().await;
+            assert_eq!(
+                fixture.get("/safe/x").await.unwrap().status(),
+                503,
+                "{outage}"
+            );
+            monoio::time::sleep(SERVES).await;
+        }
+    });
+}
+
 /// Other writers store objects of the same kinds; the gateway must skip those that it cannot use.
 #[test]
 fn entries_that_cannot_be_used_do_not_affect_others() {
