--- a/crates/peridotrack-follow/src/follower.rs
+++ b/crates/peridotrack-follow/src/follower.rs
@@ -185,9 +185,10 @@
             }
             Event::CallFailed => self.on_failure(now_us),
             Event::CallRejected => {
-                self.is_calling = false;
+                self.on_failure(now_us);
                 self.is_polling = false;
                 self.is_rejected = true;
+                // A response to a call of the other sort ends the failures, but not the delay.
                 self.on_idle_response(now_us);
             }
             Event::WatchCut => {
@@ -268,7 +269,7 @@
     /// it. Only the first one in a row is followed by a call without a delay.
     fn on_idle_response(&mut self, now_us: u64) {
         if let Some(earlier) = self.idle_responses.checked_sub(1) {
-            self.call_at_us = now_us + self.backoff_us(earlier);
+            self.call_at_us = self.call_at_us.max(now_us + self.backoff_us(earlier));
         }
         self.idle_responses = self.idle_responses.saturating_add(1);
     }
--- a/crates/peridotrack-follow/tests/follower.rs
+++ b/crates/peridotrack-follow/tests/follower.rs
@@ -479,6 +479,20 @@
     assert!(calls < 600, "{calls} calls");
 }
 
+/// Guards against a router that asks no peer for the objects, although the store rejects all its calls.
+#[test]
+fn peers_are_asked_while_the_store_rejects_all_calls() {
+    let mut follower = Follower::new(SELF, Options::default(), 0);
+    let _ = follower.on_event(0, Event::AllPeers(vec![SELF, HIGHER]));
+    let _ = follower.on_event(0, Event::Listed { revision: 10 });
+    let mut asked = 0;
+    for now_us in (MS..10_000 * MS).step_by(10 * MS as usize) {
+        asked += fetches(&follower.on_event(now_us, Event::Tick));
+        let _ = follower.on_event(now_us, Event::CallRejected);
+    }
+    assert!(asked > 10, "asked {asked} times");
+}
+
 /// A relay whose history is lost does not know which changes its subscribers lack.
 #[test]
 fn a_relay_that_has_listed_the_objects_tells_its_subscribers_at_once() {
