--- a/crates/peridotrack-follow/src/event.rs
+++ b/crates/peridotrack-follow/src/event.rs
@@ -10,7 +10,8 @@
 /// An input of a [`crate::follower::Follower`].
 ///
 /// For each [`Action::List`] and [`Action::Watch`] the driver reports exactly one of `Listed`,
-/// `Watched`, `CallFailed`, `CallRejected`, `WatchCut` and `HistoryLost`. At most one of these calls is outstanding.
+/// `Watched`, `CallFailed`, `CallRejected`, `WatchCut` and `HistoryLost`. At most one of these calls
+/// is outstanding.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Event {
     /// Time has passed. Expected about every 100 ms.
--- a/crates/peridotrack-follow/src/follower.rs
+++ b/crates/peridotrack-follow/src/follower.rs
@@ -149,39 +149,13 @@
                 revision,
                 since_loss_us,
             } => {
-                self.is_calling = false;
-                let is_poll = std::mem::take(&mut self.is_polling);
-                // The watch after a poll may be cut off again.
-                if !is_poll {
-                    self.failures = 0;
-                }
-                // A relay does not delay its next watch, because that would delay its subscribers.
-                if !changes.is_empty() && !self.is_relay(now_us) {
-                    self.call_at_us = now_us + self.options.batch_delay_us;
-                }
-                let from_revision = self.call.from_revision;
-                if revision < from_revision {
-                    // The store does not have the revision of the view.
-                    self.must_list = true;
-                    self.on_idle_response(now_us);
-                } else {
-                    self.subscription.verify();
-                    let last_change = last_change.map(|last_change| last_change.min(revision));
-                    self.pace(now_us, last_change, is_poll);
-                    let update = Update {
-                        from_revision,
-                        revision: self.shown_revision(now_us, last_change, revision),
-                        changes,
-                        since_loss_us,
-                    };
-                    // Without a later revision the same changes would be reported again at once. Changes
-                    // that a relay has announced and the store does not report are in a list.
-                    self.must_list |= match last_change {
-                        Some(last_change) => last_change <= from_revision,
-                        None => from_revision < self.announced_revision,
-                    };
-                    self.apply(now_us, now_us, update, &mut actions);
-                }
+                let update = Update {
+                    from_revision: self.call.from_revision,
+                    revision,
+                    changes,
+                    since_loss_us,
+                };
+                self.on_watched(now_us, last_change, update, &mut actions);
             }
             Event::CallFailed => self.on_failure(now_us),
             Event::CallRejected => {
@@ -242,6 +216,43 @@
             .notify(now_us, &update, revision, 0, max_bytes, actions);
     }
 
+    /// Handles the response to a watch: the update that the store reports, with the revision that it states.
+    fn on_watched(
+        &mut self,
+        now_us: u64,
+        last_change: Option<u64>,
+        mut update: Update,
+        actions: &mut Vec<Action>,
+    ) {
+        self.is_calling = false;
+        let is_poll = std::mem::take(&mut self.is_polling);
+        // The watch after a poll may be cut off again.
+        if !is_poll {
+            self.failures = 0;
+        }
+        // A relay does not delay its next watch, because that would delay its subscribers.
+        if !update.changes.is_empty() && !self.is_relay(now_us) {
+            self.call_at_us = now_us + self.options.batch_delay_us;
+        }
+        let (from_revision, stated_revision) = (update.from_revision, update.revision);
+        if stated_revision < from_revision {
+            // The store does not have the revision of the view.
+            self.must_list = true;
+            return self.on_idle_response(now_us);
+        }
+        self.subscription.verify();
+        let last_change = last_change.map(|last_change| last_change.min(stated_revision));
+        self.pace(now_us, last_change, is_poll);
+        // Without a later revision the same changes would be reported again at once. Changes that a relay
+        // has announced and the store does not report are in a list.
+        self.must_list |= match last_change {
+            Some(last_change) => last_change <= from_revision,
+            None => from_revision < self.announced_revision,
+        };
+        update.revision = self.shown_revision(now_us, last_change, stated_revision);
+        self.apply(now_us, now_us, update, actions);
+    }
+
     fn on_failure(&mut self, now_us: u64) {
         self.is_calling = false;
         self.call_at_us = now_us + self.backoff_us(self.failures);
