test(peridotrackd): give the gateways of all process tests addresses of their own

Tests that start one gateway after another tried again with other ports, this one did not. Change: each gateway has a loopback address of its own, as in starting.rs, and no start is tried again.

--- a/crates/peridotrackd/tests/gateway.rs
+++ b/crates/peridotrackd/tests/gateway.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io::{BufRead, BufReader},
-    net::{SocketAddr, TcpListener},
+    net::SocketAddr,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     rc::Rc,
@@ -21,6 +21,7 @@
 use peridotrack_standin::{
     harness::{
         http::{block_on, fetch},
+        router::fresh_loopback_ip,
         wait,
     },
     hosted::{backend, deployment, store},
@@ -29,8 +30,6 @@
 use serde_json::{Value, json};
 
 const TIMEOUT: Duration = Duration::from_secs(10);
-/// Maximum number of starts, each with new addresses, before a test fails.
-const MAX_SPAWN_ATTEMPTS: usize = 5;
 
 /// Bytes that the buffers of a tunnel do not hold.
 const FILL_BYTES: usize = 16_000_000;
@@ -50,9 +49,11 @@
     settings: PathBuf,
 }
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
+/// Returns addresses for clients, probes, peers and internal use. A port that was free a moment ago may be
+/// taken by another process of the machine, so they are those of a loopback address of their own.
+fn fresh_addresses() -> [SocketAddr; 4] {
+    let ip = fresh_loopback_ip();
+    [8227, 8220, 8229, 7340].map(|port| SocketAddr::new(ip, port))
 }
 
 fn settings(store: SocketAddr, addresses: &[SocketAddr; 4]) -> String {
@@ -87,21 +88,16 @@
 }
 
 impl Gateway {
-    /// Starts a gateway. A free port may be taken before the gateway listens, so a failed start is
-    /// repeated with other ports.
+    /// Starts a gateway and waits until it has logged that.
     async fn spawn(store: SocketAddr, name: &str) -> Self {
-        for _ in 0..MAX_SPAWN_ATTEMPTS {
-            let mut gateway = Self::spawn_once(store, name);
-            let started = async || {
-                let is_up = gateway.has_started();
-                let has_ended = gateway.child.try_wait().unwrap().is_some();
-                (is_up || has_ended).then_some(is_up)
-            };
-            if wait::poll(TIMEOUT, "the start", started).await.unwrap() {
-                return gateway;
-            }
-        }
-        panic!("no free addresses in {MAX_SPAWN_ATTEMPTS} attempts");
+        let mut gateway = Self::spawn_at(store, name, fresh_addresses());
+        let started = async || {
+            let is_up = gateway.has_started();
+            let has_ended = gateway.child.try_wait().unwrap().is_some();
+            (is_up || has_ended).then_some(is_up)
+        };
+        assert!(wait::poll(TIMEOUT, "the start", started).await.unwrap());
+        gateway
     }
 
     /// Returns whether the start was logged. Consumes the lines that it reads.
@@ -110,10 +106,6 @@
         lines.any(|line| line.contains("RouterStarted"))
     }
 
-    fn spawn_once(store: SocketAddr, name: &str) -> Self {
-        Self::spawn_at(store, name, [(); 4].map(|()| free_address()))
-    }
-
     fn spawn_at(store: SocketAddr, name: &str, addresses: [SocketAddr; 4]) -> Self {
         let path = std::env::temp_dir().join(format!(
             "peridotrackd-gateway-{name}-{}.toml",
@@ -361,7 +353,7 @@
 fn a_process_whose_addresses_are_in_use_exits() {
     block_on(async {
         let (store, _backend) = fixture(backend::Mode::Serve);
-        let addresses = [(); 4].map(|()| free_address());
+        let addresses = fresh_addresses();
         let first = Gateway::spawn_at(store.address(), "first", addresses);
         first.wait_until_ready().await;
         let mut second = Gateway::spawn_at(store.address(), "second", addresses);
@@ -392,7 +384,7 @@
             "version": "v1", "slots": 8, "state": "ready", "coldRemainingMs": 0, "sequence": 1,
         });
         store.put("servers", "i-1", entry);
-        let addresses = [(); 4].map(|()| free_address());
+        let addresses = fresh_addresses();
         let gateway = Gateway::spawn_at(store.address(), name, addresses);
         let started = gateway.wait_for_event("RouterStarted").await;
         gateway.wait_until_ready().await;
