fix(edge): list all objects again when the store says that it has come back from an older copy

Cause: a watch goes on after a revision that the store has lost and then given out again; nothing but its header Store-Era tells. Change: the client keeps the highest era, drops responses of an earlier one, and logs StoreRewound (127) when it rises. The followers then list. Without the header nothing changes. Evidence: a_change_is_missed_because_its_revision_was_given_out_before fails in 2 of 2 cases without the event (404; 44 requests to a server that drains) and passes with it.

--- a/crates/peridotrack-edge/src/follow.rs
+++ b/crates/peridotrack-edge/src/follow.rs
@@ -99,6 +99,8 @@
     /// Age of the view from which on it is reported as outdated, in microseconds.
     outdated_us: u64,
     calls: RefCell<Calls>,
+    /// Era of the store at the last event.
+    era: Cell<Option<u64>>,
     subscription: RefCell<Option<timer::Subscription>>,
 }
 
@@ -123,6 +125,7 @@
         let kind = Rc::new(Kind {
             outdated_us: OUTDATED_AGES * options.max_age_us,
             calls: RefCell::default(),
+            era: Cell::default(),
             leader: leader.filter(|_| options.is_led),
             kernel: Rc::clone(kernel),
             platform: Rc::clone(platform),
@@ -202,6 +205,11 @@
 
     /// Handles an event, with the sender if it is a message.
     fn handle_from(self: &Rc<Self>, sender: Option<peer::Sender>, event: Event) {
+        let era = self.platform.era();
+        let former = self.era.replace(era);
+        if former.is_some() && former < era {
+            self.handle(Event::Rewound);
+        }
         let now_us = self.kernel.now_us();
         let actions = self.follower.borrow_mut().on_event(now_us, event);
         self.note_source(now_us);
--- a/crates/peridotrack-edge/src/platform.rs
+++ b/crates/peridotrack-edge/src/platform.rs
@@ -16,11 +16,12 @@
 mod pack;
 mod vm;
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use peridotrack_http::client;
 use peridotrack_kernel::{Kernel, clock, event};
+use peridotrack_platform::store;
 
 use crate::{metric, notify};
 use availability::Availability;
@@ -77,6 +78,8 @@
     address: SocketAddr,
     options: client::Options,
     availability: Availability,
+    /// Highest era that a response has stated; the store has lost changes whenever it rises.
+    era: Cell<Option<u64>>,
     /// Idle connections of watches that have ended.
     watch_connections: idle::Connections,
     /// Idle connections of other calls.
@@ -109,6 +112,7 @@
             kernel,
             dialect,
             address,
+            era: Cell::default(),
             watch_connections: idle::Connections::new(WATCH_IDLE_US),
             call_connections: idle::Connections::new(CALL_IDLE_US),
             call_failed: notify::Notify::default(),
@@ -135,6 +139,12 @@
         self.availability.last_outage_us()
     }
 
+    /// Returns the era of the store, if it states one. When it rises, the store has come back from an older
+    /// copy of its content, and gives out again the revisions of the changes that it has lost.
+    pub fn era(&self) -> Option<u64> {
+        self.era.get()
+    }
+
     /// Reads an object; `None` if it does not exist.
     pub async fn read(&self, key: &str) -> Result<Option<Object>, Error> {
         if self.dialect == Dialect::Hosted {
@@ -299,7 +309,29 @@
         result: call::Result,
     ) -> Result<http::Response<Bytes>, Error> {
         self.availability.on_result(call, &result);
-        result.map_err(|error| self.on_error(call, error))
+        let response = result.map_err(|error| self.on_error(call, error))?;
+        match store::era(response.headers()) {
+            Some(era) if Some(era) < self.era.get() => {
+                let detail = format!("the response is of the earlier era {era}");
+                Err(unknown(call.step, call.key, detail))
+            }
+            Some(era) => {
+                self.note_era(era);
+                Ok(response)
+            }
+            None => Ok(response),
+        }
+    }
+
+    /// Records the era that a response states, which is not earlier than the known one.
+    fn note_era(&self, era: u64) {
+        let former = self.era.replace(Some(era));
+        if let Some(former) = former.filter(|former| *former < era) {
+            let event = event::Event::new(event::Kind::StoreRewound)
+                .with("era", era)
+                .with("former_era", former);
+            self.kernel.note(event);
+        }
     }
 
     /// Closes what the failure of a call may have made unusable, and converts the error.
--- a/crates/peridotrack-edge/tests/gateway/odd_revisions.rs
+++ b/crates/peridotrack-edge/tests/gateway/odd_revisions.rs
@@ -36,6 +36,8 @@
     RevisionsRestart,
     /// Its revisions begin anew after an outage.
     RevisionsRestartInAnOutage,
+    /// It comes back from an older copy after an outage, and states no era.
+    OlderCopy,
     /// It answers with a quirk while the gateways start.
     AtTheStart(Quirk),
     /// It answers with a quirk while the first change is made.
@@ -50,7 +52,7 @@
     /// Returns whether views state revisions that the store does not have.
     fn is_beyond_the_store(self) -> bool {
         match self {
-            Self::RevisionsRestart | Self::RevisionsRestartInAnOutage => true,
+            Self::RevisionsRestart | Self::RevisionsRestartInAnOutage | Self::OlderCopy => true,
             Self::AtTheStart(quirk) => quirk == Quirk::OverstatedLists,
             // A response states the revision of the store beside those of its events.
             Self::Once(_) | Self::Always(_) | Self::SinceAnOutage(_) => false,
@@ -136,6 +138,19 @@
                 monoio::time::sleep(applied).await;
                 self.store.set_quirk(None);
             }
+            Oddity::OlderCopy => {
+                let copy = self.store.copy();
+                for sequence in 0..100 {
+                    let foreign = json!({ "sequence": sequence });
+                    self.store.put("foreign", "a", foreign);
+                }
+                self.change(2, "ready");
+                monoio::time::sleep(contact).await;
+                self.store.set_mode(Mode::Reset);
+                self.store.come_back_from(copy);
+                monoio::time::sleep(contact).await;
+                self.store.set_mode(Mode::Serve);
+            }
             Oddity::SinceAnOutage(quirk) => {
                 self.store.set_mode(Mode::Reset);
                 self.store.set_quirk(Some(quirk));
@@ -157,6 +172,51 @@
     response.map_or(0, |response| response.status().as_u16())
 }
 
+/// Guards against a change that is missed for good, because the store has come back from an older copy and
+/// given out again the revision that the views show.
+#[rstest]
+fn a_change_is_missed_because_its_revision_was_given_out_before(
+    #[values(false, true)] is_in_an_outage: bool,
+) {
+    block_on(async {
+        let fleet = Fleet::spawn(None).await;
+        let contact = Duration::from_millis(fleet.bounds.contact_ms);
+        let applied = Duration::from_millis(fleet.bounds.config_apply_ms);
+        let write_foreign = |writes: u64| {
+            for sequence in 0..writes {
+                let foreign = json!({ "sequence": sequence });
+                fleet.store.put("foreign", "a", foreign);
+            }
+        };
+        fleet.store.state_eras();
+        monoio::time::sleep(contact).await;
+        let copy = fleet.store.copy();
+        write_foreign(50);
+        fleet.change(3, "ready");
+        monoio::time::sleep(applied).await;
+        if is_in_an_outage {
+            fleet.store.set_mode(Mode::Reset);
+        }
+        fleet.store.come_back_from(copy);
+        fleet.change(4, "draining");
+        write_foreign(100);
+        if is_in_an_outage {
+            monoio::time::sleep(contact).await;
+            fleet.store.set_mode(Mode::Serve);
+            monoio::time::sleep(contact).await;
+        }
+        monoio::time::sleep(applied).await;
+        let before = fleet.servers[1].arrivals();
+        for gateway in &fleet.gateways {
+            assert_eq!(status(gateway, &prefix(4)).await, 200);
+            for _ in 0..REQUESTS {
+                assert_eq!(status(gateway, "/public/x").await, 200);
+            }
+        }
+        assert_eq!(fleet.servers[1].arrivals(), before, "the server drains");
+    });
+}
+
 /// Guards against views that were kept for ever without a line in the log, while the store was called
 /// without a pause, because they stated a revision beyond that of the store.
 #[rstest]
@@ -164,6 +224,7 @@
     #[values(
         Oddity::RevisionsRestart,
         Oddity::RevisionsRestartInAnOutage,
+        Oddity::OlderCopy,
         Oddity::AtTheStart(Quirk::OverstatedLists),
         Oddity::Once(Quirk::OverstatedEvents),
         Oddity::Always(Quirk::RepeatedEvents),
--- a/crates/peridotrack-edge/tests/platform.rs
+++ b/crates/peridotrack-edge/tests/platform.rs
@@ -167,6 +167,44 @@
     });
 }
 
+/// Guards against content that the store has lost since, because a response from before arrives late.
+#[test]
+fn a_response_of_an_earlier_era_is_taken_for_the_present_state() {
+    block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        monoio::spawn(async move {
+            for era in [Some("4"), Some("3"), None, Some("none"), Some("5")] {
+                let (stream, _) = listener.accept().await.unwrap();
+                let mut connection = server::Connection::new(stream, server::Options::default());
+                let _ = connection.next().await;
+                let mut response = Response::builder().header("connection", "close");
+                if let Some(era) = era {
+                    response = response.header("store-era", era);
+                }
+                let page = response.body(r#"{"items":[],"asOf":7}"#.into()).unwrap();
+                let _ = connection.respond(page).await;
+            }
+        });
+        let kernel = Kernel::open(Options::default()).unwrap();
+        let platform = Platform::open(kernel, address, Dialect::Hosted, 0);
+        let mut seen = Vec::new();
+        for _ in 0..5 {
+            let is_taken = platform.list("config").await.is_ok();
+            seen.push((is_taken, platform.era()));
+        }
+        let unchanged = (true, Some(4));
+        let expected = [
+            unchanged,
+            (false, Some(4)),
+            unchanged,
+            unchanged,
+            (true, Some(5)),
+        ];
+        assert_eq!(seen, expected);
+    });
+}
+
 /// Guards against a list without an end, because its pages name one another as the next.
 #[test]
 fn a_list_whose_pages_come_again_never_ends() {
--- a/crates/peridotrack-follow/src/event.rs
+++ b/crates/peridotrack-follow/src/event.rs
@@ -44,6 +44,9 @@
     /// The store no longer keeps the changes after the requested revision, so that the objects
     /// have to be listed again.
     HistoryLost,
+    /// The store has lost the latest changes and gives out their revisions again, so that the view may lack
+    /// changes up to its revision.
+    Rewound,
     /// The live routers of the local failure domain have changed. The list replaces the previous
     /// one, has no order and may include this router.
     Peers(Vec<id::Incarnation>),
--- a/crates/peridotrack-follow/src/follower.rs
+++ b/crates/peridotrack-follow/src/follower.rs
@@ -175,6 +175,7 @@
                 self.must_list = true;
                 self.on_idle_response(now_us);
             }
+            Event::Rewound => self.must_list = true,
             Event::Peers(peers) => {
                 self.peers = peers;
                 self.peers.retain(|peer| *peer != self.id);
--- a/crates/peridotrack-follow/tests/follower.rs
+++ b/crates/peridotrack-follow/tests/follower.rs
@@ -479,6 +479,18 @@
     assert!(calls < 600, "{calls} calls");
 }
 
+/// Guards against changes that are missed for good, because the store has lost the latest ones and gives out
+/// their revisions again.
+#[test]
+fn a_view_is_listed_again_after_the_store_was_rewound_although_a_relay_confirms_it() {
+    let mut follower = relayed();
+    let actions = follower.on_event(30 * MS, Event::Rewound);
+    assert!(actions.contains(&Action::List));
+    follower.on_event(40 * MS, Event::Listed { revision: 12 });
+    assert_eq!(follower.revision(), Some(12));
+    assert!(follower.is_relayed(40 * MS));
+}
+
 /// Guards against a router that asks no peer for the objects, although the store rejects all its calls.
 #[test]
 fn peers_are_asked_while_the_store_rejects_all_calls() {
--- a/crates/peridotrack-kernel/src/event.rs
+++ b/crates/peridotrack-kernel/src/event.rs
@@ -101,6 +101,8 @@
     125 Warn ViewOutdated,
     /// A list of the store's objects replaced a view that stated a later revision than the store has.
     126 Warn ViewReplaced,
+    /// The store states that it has come back from an older copy of its content.
+    127 Warn StoreRewound,
     /// A peer became live.
     130 Info PeerJoined,
     /// A peer is no longer live.
--- a/crates/peridotrack-standin/src/hosted/store.rs
+++ b/crates/peridotrack-standin/src/hosted/store.rs
@@ -115,8 +115,18 @@
     event: Value,
 }
 
+/// Content of the store at a time, from which it can come back.
+pub struct Copy {
+    revision: u64,
+    objects: BTreeMap<(String, String), Object>,
+}
+
 #[derive(Default)]
 struct State {
+    /// Number of times that the store has come back from an older copy; `None` if responses state none.
+    era: Option<u64>,
+    /// Whether watches from a revision that the store has not reached get 410.
+    has_come_back: bool,
     revision: u64,
     objects: BTreeMap<(String, String), Object>,
     history: Vec<Change>,
@@ -200,6 +210,31 @@
         }
     }
 
+    /// States the era in all responses, from now on.
+    pub fn state_eras(&self) {
+        self.0.application.state.borrow_mut().era = Some(1);
+    }
+
+    /// Returns a copy of the content.
+    pub fn copy(&self) -> Copy {
+        let state = self.0.application.state.borrow();
+        Copy {
+            revision: state.revision,
+            objects: state.objects.clone(),
+        }
+    }
+
+    /// Comes back from an older copy: later changes are gone, and their revisions are given out again.
+    pub fn come_back_from(&self, copy: Copy) {
+        let mut state = self.0.application.state.borrow_mut();
+        state.era = state.era.map(|era| era + 1);
+        state.has_come_back = true;
+        state.revision = copy.revision;
+        state.objects = copy.objects;
+        let revision = copy.revision;
+        state.history.retain(|change| change.revision <= revision);
+    }
+
     /// Writes an object without a condition and regardless of the mode.
     pub fn put(&self, kind: &str, name: &str, spec: Value) {
         self.0.application.put(kind, name, spec);
@@ -474,7 +509,8 @@
             .history
             .first()
             .map_or(state.revision + 1, |change| change.revision);
-        if revision + 1 < oldest {
+        let is_beyond = state.has_come_back && revision > state.revision;
+        if revision + 1 < oldest || is_beyond {
             return None;
         }
         let quirk = self.quirk.get();
@@ -529,7 +565,11 @@
     }
 
     async fn handle(self: Rc<Self>, mut incoming: Incoming<'_>) -> Result<(), Disconnect> {
-        let response = self.call(&mut incoming).await?;
+        let store = Rc::clone(&self);
+        let mut response = self.call(&mut incoming).await?;
+        if let Some(era) = store.state.borrow().era {
+            response.headers_mut().insert("store-era", era.into());
+        }
         Ok(incoming.connection.respond(response).await?)
     }
 }
