refactor(edge): share the pair of gateways between two test modules

Change: odd_revisions and repeated_response had the same fixture; the expectations stay as they are.

--- a/crates/peridotrack-edge/tests/gateway/main.rs
+++ b/crates/peridotrack-edge/tests/gateway/main.rs
@@ -16,6 +16,7 @@
 mod leaving_or_paused;
 mod odd_entries;
 mod odd_revisions;
+mod pair;
 mod partitioned;
 mod peers;
 mod prompt_parts;
--- a/crates/peridotrack-edge/tests/gateway/odd_revisions.rs
+++ b/crates/peridotrack-edge/tests/gateway/odd_revisions.rs
@@ -3,23 +3,14 @@
 
 use std::time::{Duration, Instant};
 
-use peridotrack_edge::gateway::Gateway;
-use peridotrack_kernel::log;
 use peridotrack_standin::{
-    harness::{
-        http::{block_on, fetch},
-        wait,
-    },
-    hosted::{
-        backend,
-        store::{self, Mode, Quirk},
-    },
+    harness::http::block_on,
+    hosted::store::{self, Mode, Quirk},
 };
-use peridotrack_types::gateway::{Bounds, Settings};
 use rstest::rstest;
 use serde_json::json;
 
-use crate::fixture::{self, LIMIT, request, settings};
+use crate::pair::{Pair, prefix, status};
 
 /// Changes that a test writes.
 const CHANGES: u64 = 3;
@@ -60,118 +51,64 @@
     }
 }
 
-/// Two gateways of one failure domain, of which one relays changes to the other.
-struct Fleet {
-    store: store::Handle,
-    servers: [backend::Handle; 2],
-    gateways: Vec<Gateway>,
-    bounds: Bounds,
-}
-
-impl Fleet {
-    async fn spawn(quirk: Option<Quirk>) -> Self {
-        let store = store::spawn().unwrap();
-        let servers = [backend::spawn().unwrap(), backend::spawn().unwrap()];
-        // As many revisions as the changes of a test would not make up for.
-        for sequence in 0..100 {
-            for (number, server) in servers.iter().enumerate() {
-                let mut entry = fixture::entry(server);
-                entry["sequence"] = json!(sequence);
-                store.put("servers", &format!("i-{number}"), entry);
-            }
-        }
-        store.put("config", "main", fixture::config(1, 1_000_000));
+/// Starts the gateways in front of a store with many revisions, and a quirk if any.
+async fn spawn(quirk: Option<Quirk>) -> Pair {
+    let prepare = |store: &store::Handle| {
+        write_foreign(store, 200);
         store.set_quirk(quirk);
-        let bounds = settings(&store).bounds;
-        let mut seeds = Vec::new();
-        let mut gateways = Vec::new();
-        for number in 0..2 {
-            let settings = Settings {
-                vm: format!("vm-{number}").as_str().into(),
-                seed_addresses: seeds.clone(),
-                ..settings(&store)
-            };
-            let gateway = Gateway::spawn(settings, log::Output::Off).unwrap();
-            seeds.push(gateway.peer_address());
-            gateways.push(gateway);
-        }
-        for gateway in &gateways {
-            let served = async || (status(gateway, "/public/x").await == 200).then_some(());
-            wait::poll(LIMIT, "served request", served).await.unwrap();
-        }
-        Self {
-            store,
-            servers,
-            gateways,
-            bounds,
-        }
-    }
+    };
+    Pair::spawn(prepare, store::Handle::address).await
+}
 
-    /// Writes a configuration with a further route and, at the same time, the entry of a server.
-    fn change(&self, version: u64, state: &str) {
-        let mut config = fixture::config(version, 1_000_000);
-        let mut route = config["routes"][0].clone();
-        route["name"] = json!(format!("added-{version}"));
-        route["pathPrefix"] = json!(prefix(version));
-        config["routes"].as_array_mut().unwrap().push(route);
-        let mut entry = fixture::entry(&self.servers[1]);
-        entry["sequence"] = json!(100 + version);
-        entry["state"] = json!(state);
-        self.store.put("config", "main", config);
-        self.store.put("servers", "i-1", entry);
+/// Moves the revision of the store without a change of what the gateways follow.
+fn write_foreign(store: &store::Handle, writes: u64) {
+    for sequence in 0..writes {
+        let foreign = json!({ "sequence": sequence });
+        store.put("foreign", "a", foreign);
     }
+}
 
-    async fn meet(&self, oddity: Oddity) {
-        let contact = Duration::from_millis(self.bounds.contact_ms);
-        match oddity {
-            Oddity::RevisionsRestart => self.store.restart_revisions(),
-            Oddity::RevisionsRestartInAnOutage => {
-                self.store.set_mode(Mode::Reset);
-                self.store.restart_revisions();
+impl Oddity {
+    /// Lets the store become odd, unless it is from the start on.
+    async fn begin(self, fleet: &Pair) {
+        let contact = Duration::from_millis(fleet.bounds.contact_ms);
+        match self {
+            Self::RevisionsRestart => fleet.store.restart_revisions(),
+            Self::RevisionsRestartInAnOutage => {
+                fleet.store.set_mode(Mode::Reset);
+                fleet.store.restart_revisions();
                 monoio::time::sleep(contact).await;
-                self.store.set_mode(Mode::Serve);
+                fleet.store.set_mode(Mode::Serve);
             }
-            Oddity::Once(quirk) => {
-                self.store.set_quirk(Some(quirk));
-                self.change(2, "ready");
-                let applied = Duration::from_millis(self.bounds.config_apply_ms);
+            Self::Once(quirk) => {
+                fleet.store.set_quirk(Some(quirk));
+                fleet.change(2, "ready");
+                let applied = Duration::from_millis(fleet.bounds.config_apply_ms);
                 monoio::time::sleep(applied).await;
-                self.store.set_quirk(None);
+                fleet.store.set_quirk(None);
             }
-            Oddity::OlderCopy => {
-                let copy = self.store.copy();
-                for sequence in 0..100 {
-                    let foreign = json!({ "sequence": sequence });
-                    self.store.put("foreign", "a", foreign);
-                }
-                self.change(2, "ready");
+            Self::OlderCopy => {
+                let copy = fleet.store.copy();
+                write_foreign(&fleet.store, 100);
+                fleet.change(2, "ready");
                 monoio::time::sleep(contact).await;
-                self.store.set_mode(Mode::Reset);
-                self.store.come_back_from(copy);
+                fleet.store.set_mode(Mode::Reset);
+                fleet.store.come_back_from(copy);
                 monoio::time::sleep(contact).await;
-                self.store.set_mode(Mode::Serve);
+                fleet.store.set_mode(Mode::Serve);
             }
-            Oddity::SinceAnOutage(quirk) => {
-                self.store.set_mode(Mode::Reset);
-                self.store.set_quirk(Some(quirk));
+            Self::SinceAnOutage(quirk) => {
+                fleet.store.set_mode(Mode::Reset);
+                fleet.store.set_quirk(Some(quirk));
                 monoio::time::sleep(contact).await;
-                self.store.set_mode(Mode::Serve);
+                fleet.store.set_mode(Mode::Serve);
             }
-            Oddity::AtTheStart(_) => self.store.set_quirk(None),
-            Oddity::Always(_) => {}
+            Self::AtTheStart(_) => fleet.store.set_quirk(None),
+            Self::Always(_) => {}
         }
     }
 }
 
-fn prefix(version: u64) -> String {
-    format!("/added-{version}/")
-}
-
-async fn status(gateway: &Gateway, path: &str) -> u16 {
-    let response = fetch(gateway.client_address(), request(path, &[])).await;
-    response.map_or(0, |response| response.status().as_u16())
-}
-
 /// Guards against a change that is missed for good, because the store has come back from an older copy and
 /// given out again the revision that the views show.
 #[rstest]
@@ -179,19 +116,13 @@
     #[values(false, true)] is_in_an_outage: bool,
 ) {
     block_on(async {
-        let fleet = Fleet::spawn(None).await;
+        let fleet = spawn(None).await;
         let contact = Duration::from_millis(fleet.bounds.contact_ms);
         let applied = Duration::from_millis(fleet.bounds.config_apply_ms);
-        let write_foreign = |writes: u64| {
-            for sequence in 0..writes {
-                let foreign = json!({ "sequence": sequence });
-                fleet.store.put("foreign", "a", foreign);
-            }
-        };
         fleet.store.state_eras();
         monoio::time::sleep(contact).await;
         let copy = fleet.store.copy();
-        write_foreign(50);
+        write_foreign(&fleet.store, 50);
         fleet.change(3, "ready");
         monoio::time::sleep(applied).await;
         if is_in_an_outage {
@@ -199,7 +130,7 @@
         }
         fleet.store.come_back_from(copy);
         fleet.change(4, "draining");
-        write_foreign(100);
+        write_foreign(&fleet.store, 100);
         if is_in_an_outage {
             monoio::time::sleep(contact).await;
             fleet.store.set_mode(Mode::Serve);
@@ -236,14 +167,14 @@
     oddity: Oddity,
 ) {
     block_on(async {
-        let fleet = Fleet::spawn(match oddity {
+        let fleet = spawn(match oddity {
             Oddity::AtTheStart(quirk) | Oddity::Always(quirk) => Some(quirk),
             _ => None,
         })
         .await;
         monoio::time::sleep(Duration::from_millis(fleet.bounds.contact_ms)).await;
         let (started, calls) = (Instant::now(), fleet.store.counters().calls);
-        fleet.meet(oddity).await;
+        oddity.begin(&fleet).await;
         for version in 3..3 + CHANGES {
             let is_last = version == 2 + CHANGES;
             fleet.change(version, if is_last { "draining" } else { "ready" });
--- a/crates/peridotrack-edge/tests/gateway/repeated_response.rs
+++ b/crates/peridotrack-edge/tests/gateway/repeated_response.rs
@@ -3,100 +3,39 @@
 
 use std::time::Duration;
 
-use peridotrack_edge::gateway::Gateway;
-use peridotrack_kernel::log;
 use peridotrack_standin::{
-    harness::{
-        http::{block_on, fetch},
-        wait,
-    },
+    harness::{http::block_on, wait},
     hosted::{
-        backend,
         repeater::{self, Repeated, When},
         store,
     },
 };
-use peridotrack_types::gateway::{Bounds, Settings};
 use rstest::rstest;
-use serde_json::json;
 
-use crate::fixture::{self, LIMIT, request, settings};
+use crate::{
+    fixture::LIMIT,
+    pair::{Pair, prefix, status},
+};
 
 /// Changes that a test writes.
 const CHANGES: u64 = 4;
 /// Requests to each gateway that show which servers are used.
 const REQUESTS: usize = 20;
 
-/// Two gateways of one failure domain, of which one relays changes to the other, in front of a store
-/// that repeats responses.
-struct Fleet {
-    store: store::Handle,
-    servers: [backend::Handle; 2],
-    gateways: Vec<Gateway>,
-    bounds: Bounds,
-}
-
-impl Fleet {
-    async fn spawn(repeated: Repeated, when: When) -> Self {
-        let store = store::spawn().unwrap();
-        let servers = [backend::spawn().unwrap(), backend::spawn().unwrap()];
-        for (number, server) in servers.iter().enumerate() {
-            store.put("servers", &format!("i-{number}"), fixture::entry(server));
-        }
-        store.put("config", "main", fixture::config(1, 1_000_000));
-        let bounds = settings(&store).bounds;
-        let mut seeds = Vec::new();
-        let mut gateways = Vec::new();
-        for number in 0..2 {
-            let settings = Settings {
-                vm: format!("vm-{number}").as_str().into(),
-                seed_addresses: seeds.clone(),
-                store_address: repeater::spawn(store.address(), repeated, when).unwrap(),
-                ..settings(&store)
-            };
-            let gateway = Gateway::spawn(settings, log::Output::Off).unwrap();
-            seeds.push(gateway.peer_address());
-            gateways.push(gateway);
-        }
-        for gateway in &gateways {
-            let served = async || (status(gateway, "/public/x").await == 200).then_some(());
-            wait::poll(LIMIT, "served request", served).await.unwrap();
-        }
-        let relayed = || gateways.iter().any(|gateway| gateway.is_relayed("config"));
-        wait::until(LIMIT, "relayed configuration", relayed)
-            .await
-            .unwrap();
-        monoio::time::sleep(Duration::from_millis(bounds.contact_ms)).await;
-        Self {
-            store,
-            servers,
-            gateways,
-            bounds,
-        }
-    }
-
-    /// Writes a configuration with a further route and, at the same time, the entry of a server.
-    fn change(&self, version: u64, state: &str) {
-        let mut config = fixture::config(version, 1_000_000);
-        let mut route = config["routes"][0].clone();
-        route["name"] = json!(format!("added-{version}"));
-        route["pathPrefix"] = json!(prefix(version));
-        config["routes"].as_array_mut().unwrap().push(route);
-        let mut entry = fixture::entry(&self.servers[1]);
-        entry["sequence"] = json!(version);
-        entry["state"] = json!(state);
-        self.store.put("config", "main", config);
-        self.store.put("servers", "i-1", entry);
-    }
-}
-
-fn prefix(version: u64) -> String {
-    format!("/added-{version}/")
-}
-
-async fn status(gateway: &Gateway, path: &str) -> u16 {
-    let response = fetch(gateway.client_address(), request(path, &[])).await;
-    response.map_or(0, |response| response.status().as_u16())
+/// Starts two gateways in front of a store that repeats responses, one of which relays changes to the other.
+async fn spawn(repeated: Repeated, when: When) -> Pair {
+    let repeater =
+        |store: &store::Handle| repeater::spawn(store.address(), repeated, when).unwrap();
+    let fleet = Pair::spawn(|_| {}, repeater).await;
+    let relayed = || {
+        let mut gateways = fleet.gateways.iter();
+        gateways.any(|gateway| gateway.is_relayed("config"))
+    };
+    wait::until(LIMIT, "relayed configuration", relayed)
+        .await
+        .unwrap();
+    monoio::time::sleep(Duration::from_millis(fleet.bounds.contact_ms)).await;
+    fleet
 }
 
 /// Guards against changes that were missed for good while the view counted as confirmed, because a
@@ -114,7 +53,7 @@
     when: When,
 ) {
     block_on(async {
-        let fleet = Fleet::spawn(repeated, when).await;
+        let fleet = spawn(repeated, when).await;
         for version in 2..2 + CHANGES {
             let is_last = version == 1 + CHANGES;
             fleet.change(version, if is_last { "draining" } else { "ready" });
